--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Every command makes the virtual environment first if there is none.
+PYTHON ?= python3
+BIN := .venv/bin
+PACKAGES := packages/runhatch-coordination packages/runhatch-server \
+	packages/runhatch-cli standins
+PIP := $(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt
+
+.PHONY: demo test check env
+
+env: .venv/ready
+
+.venv/ready: constraints.txt requirements-build.txt requirements-dev.txt \
+		$(addsuffix /pyproject.toml,$(PACKAGES))
+	$(PYTHON) -m venv .venv
+	$(PIP) -r requirements-build.txt
+	$(PIP) --no-build-isolation -r requirements-dev.txt $(addprefix -e ,$(PACKAGES))
+	touch $@
+
+demo: .venv/ready
+	$(BIN)/python -m runhatch_standins.demo
+
+test: .venv/ready
+	$(BIN)/pytest
+
+check: .venv/ready
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy packages/*/src standins/src
--- /dev/null
+++ b/packages/runhatch-cli/src/runhatch_cli/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command line: ``runhatch``."""
+
+from runhatch_cli._language import Sentence, parse
+
+__all__ = ["Sentence", "parse"]
--- /dev/null
+++ b/packages/runhatch-cli/src/runhatch_cli/__main__.py
@@ -0,0 +1,155 @@
+"""The ``runhatch`` command."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from runhatch_cli._apply import apply_document, read_document, wait_in_force
+from runhatch_cli._client import DEFAULT_NODE, NODE_VARIABLE, NodeClient
+from runhatch_cli._errors import CommandError
+from runhatch_cli._language import Sentence, SentenceKind, parse
+from runhatch_cli._render import Output, show_document, show_records
+
+app = typer.Typer(
+    help="Ask and command a runhatch system.",
+    epilog='example: runhatch query "show models where loaded on w3"',
+    no_args_is_help=True,
+)
+config = typer.Typer(help="Look at configurations.", no_args_is_help=True)
+app.add_typer(config, name="config")
+
+NodeOption = Annotated[
+    str,
+    typer.Option("--node", envvar=NODE_VARIABLE, help="Operator address of any node."),
+]
+OutputOption = Annotated[Output, typer.Option("--output", help="How to show it.")]
+
+
+@app.command()
+def query(
+    sentence: Annotated[list[str], typer.Argument(help="A sentence of the language.")],
+    node: NodeOption = DEFAULT_NODE,
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Ask or command in the language.
+
+    Example: runhatch query "show requests where status != 200 limit 20"
+    """
+    _say(NodeClient(node), parse(" ".join(sentence)), output)
+
+
+@app.command()
+def apply(
+    file: Annotated[Path, typer.Argument(help="Configuration, JSON with comments.")],
+    node: NodeOption = DEFAULT_NODE,
+    base: Annotated[
+        int | None, typer.Option(help="Revision the change is based on.")
+    ] = None,
+    note: Annotated[str, typer.Option(help="What the history says.")] = "",
+    wait: Annotated[
+        list[str] | None,
+        typer.Option(help="Wait until the node at this address has it; repeatable."),
+    ] = None,
+    seconds: Annotated[float, typer.Option(help="Longest wait.")] = 5.0,
+) -> None:
+    """Put a configuration in force, whole or not at all.
+
+    Example: runhatch apply deployment.json5 --note "two more models"
+    """
+    client = NodeClient(node)
+    revision = apply_document(client, read_document(file), base, note)
+    if wait:
+        took = wait_in_force([NodeClient(url) for url in wait], revision, seconds)
+        print(f"revision {revision} in force on {len(wait)} nodes after {took:.1f} s")
+    else:
+        print(f"revision {revision} accepted")
+
+
+@app.command()
+def status(
+    node: NodeOption = DEFAULT_NODE, output: OutputOption = Output.TABLE
+) -> None:
+    """Show a node's view at a glance.
+
+    Example: runhatch status --node http://10.0.0.4:7402
+    """
+    client = NodeClient(node)
+    for noun in ("configuration", "nodes", "leases", "targets"):
+        if output is Output.TABLE:
+            print(f"\n{noun}")
+        records = client.post("/v1/query", {"noun": noun})["records"]
+        show_records(records, output)
+
+
+@config.command("show")
+def config_show(
+    node: NodeOption = DEFAULT_NODE,
+    revision: Annotated[int, typer.Option(help="0 means the one in force.")] = 0,
+) -> None:
+    """Show a revision.
+
+    Example: runhatch config show --revision 12
+    """
+    answer = NodeClient(node).get("/v1/configuration", revision=str(revision))
+    show_document(answer, Output.JSON)
+
+
+@config.command("history")
+def config_history(
+    node: NodeOption = DEFAULT_NODE, output: OutputOption = Output.TABLE
+) -> None:
+    """Show who changed what, and when.
+
+    Example: runhatch config history --output json
+    """
+    show_records(NodeClient(node).get("/v1/history")["records"], output)
+
+
+@config.command("diff")
+def config_diff(
+    old: Annotated[int, typer.Argument(help="Earlier revision.")],
+    new: Annotated[int, typer.Argument(help="Later revision, 0: in force.")] = 0,
+    node: NodeOption = DEFAULT_NODE,
+) -> None:
+    """Show what differs between two revisions.
+
+    Example: runhatch config diff 11 12
+    """
+    answer = NodeClient(node).get(
+        "/v1/difference", **{"from": str(old), "to": str(new)}
+    )
+    print(answer["difference"])
+
+
+def main() -> None:
+    """Run the command line; each kind of failure has its exit code."""
+    try:
+        app()
+    except CommandError as error:
+        print(f"runhatch: {error}", file=sys.stderr)
+        sys.exit(error.exit_code)
+
+
+def _say(node: NodeClient, sentence: Sentence, output: Output) -> None:
+    match sentence.kind:
+        case SentenceKind.QUERY:
+            answer = node.post("/v1/query", sentence.document)
+            show_records(answer["records"], output)
+        case SentenceKind.COMMAND:
+            answer = node.post("/v1/command", sentence.document)
+            print(f"revision {answer['revision']} accepted")
+        case SentenceKind.EXPLAIN_REQUEST:
+            answer = node.get("/v1/explain/request", id=sentence.subject)
+            show_document(answer, output)
+        case SentenceKind.EXPLAIN_PLACEMENT:
+            answer = node.get("/v1/explain/placement", model=sentence.subject)
+            show_document(answer, output)
+        case SentenceKind.PLAN:
+            answer = node.get("/v1/plan", pool=sentence.subject)
+            show_records(answer["records"], output)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/runhatch-cli/src/runhatch_cli/_apply.py
@@ -0,0 +1,84 @@
+"""Applying a configuration file, and waiting until it is in force."""
+
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import json5
+
+from runhatch_cli._client import NodeClient
+from runhatch_cli._errors import (
+    CommandError,
+    LanguageError,
+    NotInForceError,
+    RefusedError,
+)
+
+LOOK_EVERY_SECONDS = 0.2
+Document = dict[str, Any]
+
+
+def read_document(path: Path) -> Document:
+    """Return the configuration in ``path``: JSON with comments.
+
+    Raises :class:`LanguageError` if it cannot be read.
+    """
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise LanguageError(f"{path}: {error.strerror}") from None
+    try:
+        # The standard reader is far faster, and most files have no comments.
+        document = json.loads(text)
+    except ValueError:
+        try:
+            document = json5.loads(text)
+        except ValueError as error:
+            raise LanguageError(f"{path}: not JSON with comments: {error}") from None
+    if not isinstance(document, dict):
+        raise LanguageError(f"{path}: found {type(document).__name__}, allowed: object")
+    return document
+
+
+def apply_document(
+    node: NodeClient, document: Document, base: int | None, note: str
+) -> int:
+    """Apply ``document`` on top of ``base``, the current revision by default."""
+    if base is None:
+        base = current_revision(node)
+    change = {"base": base, "document": document, "note": note}
+    return int(node.put("/v1/configuration", change)["revision"])
+
+
+def current_revision(node: NodeClient) -> int:
+    """Return the revision in force on ``node``, 0 before the first."""
+    records = node.post("/v1/query", {"noun": "configuration"})["records"]
+    return int(records[0]["revision"]) if records else 0
+
+
+def wait_in_force(nodes: list[NodeClient], revision: int, seconds: float) -> float:
+    """Wait until all ``nodes`` have ``revision``; returns how long that took.
+
+    Raises :class:`NotInForceError` naming the nodes that lack it in the end.
+    """
+    started = time.monotonic()
+    lacking = list(nodes)
+    while lacking:
+        lacking = [node for node in lacking if not _has(node, revision)]
+        waited = time.monotonic() - started
+        if lacking and waited > seconds:
+            names = ", ".join(node.url for node in lacking)
+            raise NotInForceError(f"revision {revision} is not in force on {names}")
+        if lacking:
+            time.sleep(LOOK_EVERY_SECONDS)
+    return time.monotonic() - started
+
+
+def _has(node: NodeClient, revision: int) -> bool:
+    try:
+        return current_revision(node) >= revision
+    except RefusedError:
+        raise
+    except CommandError:
+        return False
--- /dev/null
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -0,0 +1,211 @@
+"""Leases with epochs, kept in two rows of the table.
+
+The lease row changes with each renewal; a challenger times it by its own clock
+from when it saw the row change.  The epoch row changes only when the holder does,
+so a holder's writes carry a cheap condition on it (:meth:`Lease.guard`).
+"""
+
+import threading
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+import msgspec
+
+from runhatch_coordination._clock import Clock
+from runhatch_coordination._commit import commit
+from runhatch_coordination._table import (
+    ABSENT,
+    Check,
+    Committed,
+    Key,
+    Missing,
+    Put,
+    Row,
+    Table,
+    Unavailable,
+    Unknown,
+)
+
+LEASE_PARTITION = "lease"
+EPOCH_PARTITION = "epoch"
+RENEW_SHARE = 3
+"""A holder renews when this fraction (one in N) of the time to live is gone."""
+CHALLENGE_FACTOR = 1.5
+"""A challenger waits this many times to live; covers the clocks' drift."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRecord:
+    """Body of a lease row; an empty ``holder`` means that it was given up."""
+
+    holder: str
+    epoch: int
+    renewal: int
+    address: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Epoch:
+    """Proof of holding: the epoch number, equal to the epoch row's version."""
+
+    number: int
+    guard: Check
+
+
+class LeaseChange(Enum):
+    """What one step did to the caller's own standing."""
+
+    NONE = "none"
+    ACQUIRED = "acquired"
+    LOST = "lost"
+    STORE_DOWN = "store_down"
+
+
+class Lease:
+    """One lease as seen by one node; a single task calls :meth:`step`.
+
+    ``held`` may be read from any thread.  ``eager`` nodes challenge a free lease
+    at once, others after one time to live, so that the preferred node wins
+    without a race.
+
+    .. versionadded:: 0.1
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        name: str,
+        holder: str,
+        ttl: timedelta,
+        address: str = "",
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._holder = holder
+        self._address = address
+        self._ttl = ttl
+        self._lease_key = Key(LEASE_PARTITION, name)
+        self._epoch_key = Key(EPOCH_PARTITION, name)
+        self._lock = threading.Lock()
+        self._epoch = 0
+        self._valid_until = timedelta()
+        self._renew_at = timedelta()
+        self._record: LeaseRecord | None = None
+        self._version = ABSENT
+        self._seen_at: timedelta | None = None
+
+    @property
+    def record(self) -> LeaseRecord | None:
+        """The lease row as last read, for showing who holds it."""
+        return self._record
+
+    def held(self) -> Epoch | None:
+        """Return the epoch if the lease is held by this node right now."""
+        with self._lock:
+            if self._epoch == 0 or self._clock.elapsed() >= self._valid_until:
+                return None
+            return Epoch(self._epoch, Check(self._epoch_key, self._epoch))
+
+    def step(self, eager: bool = True) -> LeaseChange:
+        """Renew, acquire or watch, whichever is due."""
+        if self._epoch and self.held() is None:
+            self._drop()
+            return LeaseChange.LOST
+        if self._epoch:
+            return self._renew()
+        return self._challenge(eager)
+
+    def release(self) -> None:
+        """Give the lease up at once, so that another node need not wait."""
+        if self.held() is not None and self._record is not None:
+            freed = LeaseRecord("", self._epoch, self._record.renewal + 1)
+            self._write(freed)
+        self._drop()
+
+    def _renew(self) -> LeaseChange:
+        started = self._clock.elapsed()
+        if started < self._renew_at or self._record is None:
+            return LeaseChange.NONE
+        renewed = LeaseRecord(
+            self._holder, self._epoch, self._record.renewal + 1, self._address
+        )
+        outcome = self._write(renewed)
+        if isinstance(outcome, Committed):
+            self._extend(started)
+            return LeaseChange.NONE
+        if isinstance(outcome, Unavailable | Unknown):
+            return LeaseChange.STORE_DOWN
+        return self._recognise()
+
+    def _recognise(self) -> LeaseChange:
+        """Keep the lease if the newer row is an own renewal whose answer was lost."""
+        found = self._table.get(self._lease_key)
+        if isinstance(found, Unavailable):
+            return LeaseChange.STORE_DOWN
+        if isinstance(found, Row):
+            record = msgspec.json.decode(found.body, type=LeaseRecord)
+            if record.holder == self._holder and record.epoch == self._epoch:
+                self._version = found.version
+                self._record = record
+                return LeaseChange.NONE
+        self._drop()
+        return LeaseChange.LOST
+
+    def _challenge(self, eager: bool) -> LeaseChange:
+        found = self._table.get(self._lease_key)
+        now = self._clock.elapsed()
+        if isinstance(found, Unavailable):
+            return LeaseChange.STORE_DOWN
+        version = found.version if isinstance(found, Row) else ABSENT
+        if self._seen_at is None or version != self._version:
+            self._seen_at = now
+            self._version = version
+        self._record = None
+        if isinstance(found, Row):
+            self._record = msgspec.json.decode(found.body, type=LeaseRecord)
+        if now - self._seen_at < self._patience(eager):
+            return LeaseChange.NONE
+        return self._acquire(now)
+
+    def _patience(self, eager: bool) -> timedelta:
+        free = self._record is None or not self._record.holder
+        if free:
+            return timedelta() if eager else self._ttl
+        return self._ttl * CHALLENGE_FACTOR
+
+    def _acquire(self, started: timedelta) -> LeaseChange:
+        epoch_row = self._table.get(self._epoch_key)
+        if isinstance(epoch_row, Unavailable):
+            return LeaseChange.STORE_DOWN
+        last = ABSENT if isinstance(epoch_row, Missing) else epoch_row.version
+        renewal = 0 if self._record is None else self._record.renewal + 1
+        taken = LeaseRecord(self._holder, last + 1, renewal, self._address)
+        mark = Put(self._epoch_key, self._holder.encode(), last)
+        if not isinstance(self._write(taken, mark), Committed):
+            self._seen_at = None
+            return LeaseChange.NONE
+        with self._lock:
+            self._epoch = last + 1
+        self._extend(started)
+        return LeaseChange.ACQUIRED
+
+    def _write(self, record: LeaseRecord, *more: Put) -> object:
+        body = msgspec.json.encode(record)
+        writes = [Put(self._lease_key, body, self._version), *more]
+        outcome = commit(self._table, writes)
+        if isinstance(outcome, Committed):
+            self._version += 1
+            self._record = record
+        return outcome
+
+    def _extend(self, started: timedelta) -> None:
+        with self._lock:
+            self._valid_until = started + self._ttl
+            self._renew_at = started + self._ttl / RENEW_SHARE
+
+    def _drop(self) -> None:
+        with self._lock:
+            self._epoch = 0
+        self._seen_at = None
--- /dev/null
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_peers.py
@@ -0,0 +1,75 @@
+"""Choosing a bounded number of peers, and preferring nodes, by rendezvous hash."""
+
+import hashlib
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+FULL_MESH = 9
+"""Up to this many nodes everybody links to everybody."""
+MIN_DEGREE = 6
+"""Links each node opens above that; about as many come in."""
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Vm:
+    """One VM of the system: its name, failure domain and peer address."""
+
+    name: str
+    failure_domain: str
+    address: str
+    incarnation: int = 0
+
+
+def weight(subject: str, name: str) -> int:
+    """Return the rendezvous weight of ``name`` for ``subject``.
+
+    >>> weight("shard", "a") == weight("shard", "a")
+    True
+    """
+    digest = hashlib.blake2b(f"{subject}\0{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
+
+
+def rank(subject: str, names: Iterable[str]) -> list[str]:
+    """Return ``names`` from the most to the least preferred for ``subject``.
+
+    Removing a name never changes the order of the others.
+    """
+    return sorted(names, key=lambda name: weight(subject, name), reverse=True)
+
+
+def choose_peers(own: Vm, vms: Iterable[Vm], degree: int = MIN_DEGREE) -> list[Vm]:
+    """Return the VMs that ``own`` opens links to.
+
+    A full mesh while small.  Above that, one link goes to the next VM in name
+    order, which makes the graph one ring and so connected whatever the hash says;
+    the others go round the failure domains, the best-ranked VM of each first.
+
+    >>> few = [Vm(f"n{i}", f"d{i % 3}", "") for i in range(4)]
+    >>> [vm.name for vm in choose_peers(few[0], few)]
+    ['n1', 'n2', 'n3']
+    """
+    others = sorted(vm for vm in vms if vm.name != own.name)
+    if len(others) < FULL_MESH:
+        return others
+    following = [vm for vm in others if vm.name > own.name]
+    chosen = [following[0] if following else others[0]]
+    queues = _by_domain(own, [vm for vm in others if vm != chosen[0]])
+    while len(chosen) < degree and queues:
+        for domain in list(queues):
+            if len(chosen) == degree:
+                break
+            chosen.append(queues[domain].pop(0))
+            if not queues[domain]:
+                del queues[domain]
+    return chosen
+
+
+def _by_domain(own: Vm, vms: list[Vm]) -> dict[str, list[Vm]]:
+    by_name = {vm.name: vm for vm in vms}
+    queues: dict[str, list[Vm]] = defaultdict(list)
+    for name in rank(own.name, by_name):
+        queues[by_name[name].failure_domain].append(by_name[name])
+    order = rank(own.name, queues)
+    return {domain: queues[domain] for domain in order}
--- /dev/null
+++ b/packages/runhatch-coordination/src/runhatch_coordination/testing/__init__.py
@@ -0,0 +1,8 @@
+"""Fakes for tests of code that embeds this library."""
+
+from runhatch_coordination.testing._clock import ManualClock
+from runhatch_coordination.testing._faults import FaultyTable, TableFault
+from runhatch_coordination.testing._objects import MemoryObjects
+from runhatch_coordination.testing._table import MemoryTable
+
+__all__ = ["FaultyTable", "ManualClock", "MemoryObjects", "MemoryTable", "TableFault"]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/_border.py
@@ -0,0 +1,36 @@
+"""What every validated model at the border shares, and its error lines."""
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+
+class StrictModel(BaseModel):
+    """A frozen model that refuses fields it does not know."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+def fault_lines(
+    error: ValidationError, secret: frozenset[str] = frozenset()
+) -> tuple[str, ...]:
+    """Return one line for each fault: field, what was found, what is allowed.
+
+    Values of the fields named in ``secret`` are not shown.
+    """
+    lines = []
+    for fault in error.errors(include_url=False):
+        field = ".".join(str(part) for part in fault["loc"]) or "document"
+        if fault["type"] == "extra_forbidden":
+            lines.append(f"{field}: unknown field")
+            continue
+        if fault["type"] == "missing":
+            lines.append(f"{field}: missing, a value is required")
+            continue
+        hidden = bool(secret.intersection(str(part) for part in fault["loc"]))
+        found = "a hidden value" if hidden else _shorten(repr(fault["input"]))
+        allowed = fault["msg"].removeprefix("Value error, ")
+        lines.append(f"{field}: found {found}, allowed: {allowed}")
+    return tuple(lines)
+
+
+def _shorten(text: str, limit: int = 60) -> str:
+    return text if len(text) <= limit else text[: limit - 3] + "..."
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -0,0 +1,393 @@
+"""One node put together: what it owns, how its parts refer to each other."""
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from runhatch_coordination import (
+    Claims,
+    Clock,
+    GroupCommitter,
+    InvariantError,
+    Membership,
+    ObjectStore,
+    RetryBudget,
+    Revision,
+    RevisionFeed,
+    RevisionLog,
+    SystemClock,
+    Table,
+    Unavailable,
+    Vm,
+)
+from runhatch_server._http_server import HttpServer
+from runhatch_server._tasks import Tasks
+from runhatch_server.configuration import ConfigurationService, parse_deployment
+from runhatch_server.observability import Metrics, TraceLog, log_change
+from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
+from runhatch_server.peers import PeerLinks, PeerService, demand_period
+from runhatch_server.placement import PlacementService
+from runhatch_server.platform import HttpObjects, HttpTable, HttpVmList, PlatformHttp
+from runhatch_server.serving import (
+    Attempter,
+    CallerApp,
+    Canceller,
+    DemandCounter,
+    Dispatcher,
+    Hosting,
+    OnceGuard,
+    Picture,
+    Progress,
+    RequestReader,
+    ServingService,
+)
+from runhatch_server.settings import Settings
+from runhatch_server.targets import TargetClient
+
+CONFIGURATION = "configuration"
+OPERATOR_THREADS = 4
+VM_LIST_EVERY = timedelta(seconds=2)
+DRAIN_POLL = timedelta(milliseconds=200)
+STATE_RETRY = timedelta(seconds=1)
+"""Between two asks of peers by a node that knows no configuration yet."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outside:
+    """The outside as one node reaches it; tests pass their own."""
+
+    table: Table
+    objects: ObjectStore
+    vms: HttpVmList
+    clock: Clock
+
+
+def connect(settings: Settings) -> Outside:
+    """Return the clients of the platform that ``settings`` names."""
+    platform = settings.platform
+    timeout = timedelta(seconds=platform.timeout_seconds)
+    return Outside(
+        HttpTable(PlatformHttp(platform.table_url, timeout), platform.table),
+        HttpObjects(PlatformHttp(platform.objects_url, timeout), platform.bucket),
+        HttpVmList(PlatformHttp(platform.vms_url, timeout)),
+        SystemClock(),
+    )
+
+
+class Node:
+    """A whole daemon; ``start`` returns, ``drain`` ends it."""
+
+    def __init__(self, settings: Settings, outside: Outside) -> None:
+        self._settings = settings
+        self._outside = outside
+        self._clock = outside.clock
+        self._ready = threading.Event()
+        self._draining = threading.Event()
+        self._metrics = Metrics()
+        self._traces = TraceLog()
+        self._progress = Progress()
+        self._picture = Picture()
+        self._demand = DemandCounter()
+        self._counts: dict[str, int] = {}
+        self._counts_sent = timedelta()
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._told_draining: dict[str, timedelta] = {}
+        self._notices = threading.Event()
+        self._tasks = Tasks(self._clock, self._draining)
+        self._membership = Membership(
+            self._own_vm(),
+            self._clock,
+            timedelta(seconds=settings.peering.suspect_seconds),
+        )
+        self._feed = RevisionFeed(self._on_revision)
+        log = RevisionLog(outside.table, outside.objects, CONFIGURATION)
+        self._configuration = ConfigurationService(log, self._feed, self._clock)
+        serving = settings.serving
+        self._dispatcher = Dispatcher(
+            self._picture,
+            self._clock,
+            settings.node.failure_domain,
+            serving.queue_limit,
+            serving.caller_share,
+        )
+        self._placement = PlacementService(
+            outside.table,
+            self._clock,
+            self._membership,
+            self._metrics,
+            self._on_own_hosting,
+            timedelta(seconds=settings.placement.lease_seconds),
+        )
+        self._committer = GroupCommitter(outside.table)
+        self._service = self._build_service()
+        self._caller_app = CallerApp(
+            RequestReader(self._picture, serving, self._clock),
+            self._service,
+            self._picture,
+            self._metrics,
+            self._progress,
+            self._clock,
+            self.is_ready,
+            self._broken,
+        )
+        self._callers = HttpServer(
+            self._caller_app,
+            settings.callers,
+            serving.threads,
+            serving.max_body_bytes,
+            serving.max_header_bytes,
+        )
+        self._operators = self._build_operators()
+        self._peers = PeerService(
+            self._membership,
+            self._feed,
+            self._picture,
+            self._metrics,
+            self._on_notice,
+            self._on_hosting,
+            self._on_draining,
+            self._on_demand,
+        )
+        self._links: PeerLinks | None = None
+
+    @property
+    def caller_port(self) -> int:
+        """The port callers are served on."""
+        return self._callers.port
+
+    @property
+    def operator_port(self) -> int:
+        """The port operators are served on."""
+        return self._operators.port
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send requests here."""
+        return self._ready.is_set() and not self._draining.is_set()
+
+    def start(self) -> None:
+        """Open the listeners and start every task."""
+        peering = self._settings.peering
+        listener = self._settings.peers
+        heartbeat = timedelta(seconds=peering.heartbeat_seconds)
+        self._links = PeerLinks(
+            f"{listener.host}:{listener.port}",
+            self._peers.own,
+            self._peers.receive,
+            self._metrics,
+            heartbeat,
+            peering.max_message_bytes,
+            peering.tls,
+            self._broken,
+        )
+        self._peers.attach(self._links)
+        placement = self._settings.placement
+        refresh = timedelta(seconds=placement.refresh_seconds)
+        self._tasks.every("vms", VM_LIST_EVERY, self._read_vms)
+        self._tasks.every("members", heartbeat, self._keep_members)
+        self._tasks.every("configuration", refresh, self._refresh, self._notices)
+        self._tasks.every(
+            "placement", timedelta(seconds=placement.interval_seconds), self._plan
+        )
+        self._tasks.every("picture", refresh, self._refresh_picture)
+        self._tasks.every("state", STATE_RETRY, self._ask_while_empty)
+        self._operators.start()
+        self._callers.start()
+
+    def drain(self) -> None:
+        """Stop taking requests, finish those there are, and let go of everything.
+
+        Readiness fails at once; connections are taken until the balancer has
+        had time to notice.
+        """
+        log_change("draining", in_progress=self._progress.count)
+        self._draining.set()
+        self._caller_app.draining = True
+        self._membership.leave()
+        self._peers.look_round()
+        self._placement.stop()
+        self._clock.sleep(timedelta(seconds=self._settings.serving.drain_lag_seconds))
+        self._callers.stop_listening()
+        while not self._progress.wait_idle(DRAIN_POLL):
+            pass
+        self._service.close()
+        self._committer.close()
+        if self._links is not None:
+            self._links.close()
+        log_change("drained")
+
+    def _broken(self, error: InvariantError) -> None:
+        self._tasks.on_broken(error)
+
+    def on_broken_invariant(self, stop: Callable[[InvariantError], None]) -> None:
+        """Have ``stop`` called if a task finds a promise broken."""
+        self._tasks.on_broken = stop
+
+    def _own_vm(self) -> Vm:
+        node = self._settings.node
+        peers = self._settings.peers
+        # A VM that comes back must outrank what is still said of its last life.
+        born = int(time.time())
+        address = f"{peers.host}:{peers.port}"
+        return Vm(node.name, node.failure_domain, address, born)
+
+    def _build_service(self) -> ServingService:
+        serving = self._settings.serving
+        client = TargetClient(self._clock)
+        claims = Claims(self._outside.table, self._committer, self._settings.node.name)
+        once = OnceGuard(
+            claims,
+            self._outside.objects,
+            self._membership,
+            self._metrics,
+            self._clock,
+            timedelta(seconds=serving.claim_wait_seconds),
+        )
+        attempter = Attempter(
+            self._dispatcher,
+            client,
+            self._picture,
+            RetryBudget(),
+            self._metrics,
+            self._clock,
+        )
+        return ServingService(
+            attempter,
+            client,
+            Canceller(),
+            once,
+            self._demand,
+            self._metrics,
+            self._traces,
+            self._clock,
+            timedelta(seconds=serving.stall_seconds),
+        )
+
+    def _build_operators(self) -> HttpServer:
+        inventory = Inventory(
+            self._picture,
+            self._dispatcher,
+            self._placement,
+            self._membership,
+            self._feed,
+            self._traces,
+            self._metrics,
+            self._outside.table,
+        )
+        app = OperatorApp(
+            Access(self._settings.access),
+            inventory,
+            CommandService(self._configuration),
+            self._configuration,
+            self._placement,
+            self._traces,
+            self._metrics,
+            self.is_ready,
+        )
+        return HttpServer(
+            app, self._settings.operators, OPERATOR_THREADS, 16_777_216, 32_768
+        )
+
+    def _on_revision(self, revision: Revision) -> None:
+        """Put a revision in force; called in order, never for a lower one."""
+        deployment = parse_deployment(revision.body)
+        self._picture.configure(deployment)
+        self._update_drains()
+        self._metrics.revision.set(revision.entry.number)
+        log_change("configuration", revision=revision.entry.number)
+        self._peers.tell_revision(revision.entry.number)
+        self._ready.set()
+
+    def _on_notice(self, number: int) -> None:
+        if number > self._feed.number:
+            self._notices.set()
+
+    def _on_own_hosting(self, hosting: Hosting) -> None:
+        if self._on_hosting(hosting):
+            self._peers.tell_hosting(hosting)
+
+    def _on_hosting(self, hosting: Hosting) -> bool:
+        news = self._picture.learn(hosting)
+        if news:
+            self._dispatcher.picture_changed()
+        return news
+
+    def _on_draining(self, targets: frozenset[str]) -> bool:
+        fresh = targets - self._told_draining.keys()
+        now = self._clock.elapsed()
+        for target in targets:
+            self._told_draining[target] = now
+        if fresh:
+            self._update_drains()
+        return bool(fresh)
+
+    def _on_demand(self, counts: dict[str, int]) -> None:
+        self._placement.demand(counts, self._picture.deployment)
+
+    def _update_drains(self) -> None:
+        deployment = self._picture.deployment
+        targets = [target for pool in deployment.pools for target in pool.targets]
+        drained = set(deployment.drained_targets) | set(self._told_draining)
+        drained |= {t.name for t in targets if t.vm in self._listed_leaving}
+        for service in deployment.plain_services:
+            leaving = {t.name for t in service.targets if t.vm in self._listed_leaving}
+            drained |= leaving
+        self._dispatcher.drain(frozenset(drained))
+
+    def _read_vms(self) -> None:
+        listing = self._outside.vms.read()
+        if isinstance(listing, Unavailable):
+            return
+        self._membership.listed(listing.nodes, listing.leaving)
+        if listing.leaving != self._listed_leaving:
+            self._listed_leaving = listing.leaving
+            self._placement.leaving = listing.leaving
+            self._update_drains()
+
+    def _keep_members(self) -> None:
+        self._peers.keep_links()
+        self._peers.look_round()
+        self._send_demand()
+
+    def _send_demand(self) -> None:
+        for name, count in self._demand.take().items():
+            self._counts[name] = self._counts.get(name, 0) + count
+        period = demand_period(len(self._membership.facts()))
+        now = self._clock.elapsed()
+        if not self._counts or now - self._counts_sent < period:
+            return
+        self._counts_sent = now
+        counts, self._counts = self._counts, {}
+        self._on_demand(counts)
+        for address, part in self._by_planner(counts).items():
+            self._peers.tell_demand(address, part)
+
+    def _by_planner(self, counts: dict[str, int]) -> dict[str, dict[str, int]]:
+        """Return the counts for each planner elsewhere, by its address."""
+        deployment = self._picture.deployment
+        pools = {model.name: model.pool for model in deployment.models}
+        for adapter in deployment.adapters:
+            pools[adapter.name] = pools[adapter.base]
+        leases = self._placement.leases()
+        own = self._settings.node.name
+        by_address: dict[str, dict[str, int]] = {}
+        for name, count in counts.items():
+            record = leases.get(pools.get(name, ""))
+            if record is None or not record.address or record.holder == own:
+                continue
+            by_address.setdefault(record.address, {})[name] = count
+        return by_address
+
+    def _refresh(self) -> None:
+        self._configuration.refresh()
+
+    def _refresh_picture(self) -> None:
+        self._placement.refresh(self._picture.deployment)
+
+    def _ask_while_empty(self) -> None:
+        if self._feed.number == 0 and not self._configuration.refresh():
+            self._peers.ask_for_state()
+
+    def _plan(self) -> None:
+        self._placement.step(self._picture.deployment)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/_tasks.py
@@ -0,0 +1,63 @@
+"""Recurring tasks, each in a thread of its own, until the node drains."""
+
+import random
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+
+import eliot
+
+from runhatch_coordination import Clock, InvariantError
+
+JITTER = 0.1
+
+
+def _raise(error: InvariantError) -> None:
+    raise error
+
+
+class Tasks:
+    """Starts tasks and keeps them going whatever they raise.
+
+    Only a broken invariant stops the process; any other failure of a round is
+    logged and the next round comes.
+    """
+
+    def __init__(self, clock: Clock, stopping: threading.Event) -> None:
+        self._clock = clock
+        self._stopping = stopping
+        self.on_broken: Callable[[InvariantError], None] = _raise
+
+    def every(
+        self,
+        name: str,
+        interval: timedelta,
+        work: Callable[[], None],
+        wake: threading.Event | None = None,
+    ) -> None:
+        """Call ``work`` every ``interval``, jittered, and whenever ``wake`` is set."""
+        thread = threading.Thread(
+            target=self._run,
+            args=(interval, work, wake or threading.Event()),
+            name=name,
+            daemon=True,
+        )
+        thread.start()
+
+    def _run(
+        self,
+        interval: timedelta,
+        work: Callable[[], None],
+        wake: threading.Event,
+    ) -> None:
+        while not self._stopping.is_set():
+            try:
+                work()
+            except InvariantError as broken:
+                self.on_broken(broken)
+                return
+            except Exception:
+                eliot.write_traceback()
+            pause = interval * random.uniform(1 - JITTER, 1 + JITTER)
+            wake.wait(pause.total_seconds())
+            wake.clear()
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/configuration/__init__.py
@@ -0,0 +1,49 @@
+"""What operators declare: models, adapters, targets, plain services and policy."""
+
+from runhatch_server.configuration._deployment import (
+    AdapterSpec,
+    Deployment,
+    Fencing,
+    ModelSpec,
+    PathSpec,
+    PinSpec,
+    PlainServiceSpec,
+    PlainTargetSpec,
+    PolicySpec,
+    PoolSpec,
+    TargetSpec,
+    WeightStoreSpec,
+)
+from runhatch_server.configuration._difference import difference
+from runhatch_server.configuration._fit import shortfalls
+from runhatch_server.configuration._parse import parse_deployment
+from runhatch_server.configuration._service import (
+    Applied,
+    ApplyOutcome,
+    ConfigurationService,
+    Invalid,
+    Overruled,
+)
+
+__all__ = [
+    "AdapterSpec",
+    "Applied",
+    "ApplyOutcome",
+    "ConfigurationService",
+    "Deployment",
+    "Fencing",
+    "Invalid",
+    "Overruled",
+    "ModelSpec",
+    "PathSpec",
+    "PinSpec",
+    "PlainServiceSpec",
+    "PlainTargetSpec",
+    "PolicySpec",
+    "PoolSpec",
+    "TargetSpec",
+    "WeightStoreSpec",
+    "difference",
+    "parse_deployment",
+    "shortfalls",
+]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_deployment.py
@@ -0,0 +1,196 @@
+"""The configuration document; memory in MB, durations in seconds."""
+
+from enum import Enum
+from typing import Annotated
+from urllib.parse import urlsplit
+
+from pydantic import AfterValidator, Field, model_validator
+
+from runhatch_server._border import StrictModel
+
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Version = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,30}$")]
+Megabytes = Annotated[int, Field(ge=0, le=100_000_000)]
+
+
+def _check_url(value: str) -> str:
+    parts = urlsplit(value)
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueError("an address such as http://10.0.0.7:8000")
+    if parts.path not in ("", "/") or parts.query:
+        raise ValueError("an address without path and query")
+    return value.rstrip("/")
+
+
+Url = Annotated[str, AfterValidator(_check_url)]
+
+
+class Fencing(Enum):
+    """What an engine does with an order that carries an old fencing number."""
+
+    REFUSES = "refuses"
+    IGNORES = "ignores"
+
+
+class TargetSpec(StrictModel):
+    """One worker that runs a model engine."""
+
+    name: Name
+    url: Url
+    failure_domain: Name
+    memory_mb: Megabytes = Field(gt=0, description="Memory of its accelerators")
+    accelerators: int = Field(default=1, ge=1, le=64)
+    concurrency: int = Field(
+        default=8, ge=1, le=4_096, description="Requests it runs at once"
+    )
+    fencing: Fencing = Field(
+        default=Fencing.IGNORES,
+        description="Whether it refuses orders with an old fencing number",
+    )
+    max_order_delay_seconds: float = Field(
+        default=10.0,
+        ge=0,
+        le=3_600,
+        description="Longest time after which a sent order may still take effect",
+    )
+    max_report_lag_seconds: float = Field(
+        default=2.0, ge=0, le=3_600, description="Oldest that its report may be"
+    )
+    vm: str = Field(default="", description="VM it runs on, as in the VM list")
+
+
+class PoolSpec(StrictModel):
+    """A service: workers in one region that share models; one planning shard."""
+
+    name: Name
+    region: Name = "default"
+    targets: tuple[TargetSpec, ...] = Field(min_length=1)
+
+
+class ModelSpec(StrictModel):
+    """A model of which at least one replica is always resident."""
+
+    name: Name
+    version: Version = "1"
+    pool: Name
+    memory_mb: Megabytes = Field(gt=0, description="Weights")
+    kv_reserve_mb: Megabytes = Field(default=0, description="Reserved KV cache")
+    loading_peak_mb: Megabytes = Field(
+        default=0, description="Needed beside that while loading"
+    )
+    priority: int = Field(default=3, ge=0, le=7, description="As in RFC 9218")
+    service_seconds: float = Field(
+        default=1.0, gt=0, le=3_600, description="Typical time of one request"
+    )
+    min_replicas: int = Field(default=1, ge=1, le=64)
+
+    @property
+    def unit(self) -> str:
+        """The name under which engines know this version."""
+        return f"{self.name}@{self.version}"
+
+
+class AdapterSpec(StrictModel):
+    """An adapter, addressed as a model of its own."""
+
+    name: Name
+    version: Version = "1"
+    base: Name
+    memory_mb: Megabytes = Field(gt=0)
+
+    @property
+    def unit(self) -> str:
+        """The name under which engines know this version."""
+        return f"{self.name}@{self.version}"
+
+
+class PathSpec(StrictModel):
+    """One allowed path of a plain service; a trailing ``*`` allows all below."""
+
+    path: str = Field(pattern=r"^/[A-Za-z0-9._~/-]*\*?$")
+    methods: tuple[str, ...] = Field(min_length=1)
+    idempotent: bool = Field(description="Whether a call may be repeated")
+
+
+class PlainTargetSpec(StrictModel):
+    """One instance of a plain service."""
+
+    name: Name
+    url: Url
+    failure_domain: Name
+    concurrency: int = Field(default=16, ge=1, le=4_096)
+    vm: str = ""
+
+
+class PlainServiceSpec(StrictModel):
+    """A plain service beside the engines."""
+
+    name: Name
+    targets: tuple[PlainTargetSpec, ...] = Field(min_length=1)
+    paths: tuple[PathSpec, ...] = Field(min_length=1)
+    unrun_statuses: tuple[int, ...] = Field(
+        default=(429,), description="Statuses by which it says that it did not run"
+    )
+
+
+class WeightStoreSpec(StrictModel):
+    """The shared limit on loading weights."""
+
+    loads_per_second: float = Field(default=1.5, gt=0, le=1_000)
+    at_once: int = Field(default=15, ge=1, le=1_000)
+
+
+class PolicySpec(StrictModel):
+    """What placement weighs."""
+
+    move_price: float = Field(
+        default=20.0,
+        ge=0,
+        description="Requests in time that one move must win over the horizon",
+    )
+    horizon_seconds: float = Field(
+        default=120.0, gt=0, description="How long a replica's gain is counted"
+    )
+    min_residence_seconds: float = Field(
+        default=60.0, ge=0, description="A replica stays at least this long"
+    )
+    high_utilisation: float = Field(default=0.75, gt=0, le=1)
+    low_utilisation: float = Field(default=0.35, ge=0, le=1)
+    paused: bool = Field(default=False, description="No moves beyond reachability")
+
+    @model_validator(mode="after")
+    def _ordered(self) -> "PolicySpec":
+        if self.low_utilisation >= self.high_utilisation:
+            raise ValueError("low_utilisation below high_utilisation")
+        return self
+
+
+class PinSpec(StrictModel):
+    """A model and a target that belong together, or never."""
+
+    model: Name
+    target: Name
+
+
+class Deployment(StrictModel):
+    """Everything operators declare; applied whole or not at all."""
+
+    pools: tuple[PoolSpec, ...] = ()
+    models: tuple[ModelSpec, ...] = ()
+    adapters: tuple[AdapterSpec, ...] = ()
+    plain_services: tuple[PlainServiceSpec, ...] = ()
+    weight_store: WeightStoreSpec = WeightStoreSpec()
+    policy: PolicySpec = PolicySpec()
+    drained_targets: tuple[Name, ...] = Field(
+        default=(), description="Targets that get no new work"
+    )
+    pins: tuple[PinSpec, ...] = Field(
+        default=(), description="Replicas that are kept, whatever they win"
+    )
+    bans: tuple[PinSpec, ...] = Field(
+        default=(), description="Replicas that are not wanted, once others serve"
+    )
+
+    def adapters_of(self, model: str) -> tuple[AdapterSpec, ...]:
+        """Return the adapters whose base is ``model``."""
+        return tuple(adapter for adapter in self.adapters if adapter.base == model)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_service.py
@@ -0,0 +1,114 @@
+"""Applying and following the configuration."""
+
+import threading
+from dataclasses import dataclass
+
+from runhatch_coordination import (
+    Clock,
+    Missing,
+    Overtaken,
+    Revision,
+    RevisionFeed,
+    RevisionLog,
+    Unavailable,
+    Unknown,
+)
+from runhatch_server._errors import DeploymentError
+from runhatch_server.configuration._deployment import Deployment
+from runhatch_server.configuration._difference import difference
+from runhatch_server.configuration._parse import parse_deployment
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """The change is in force here as revision ``number``."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """The document is at fault; nothing was changed."""
+
+    faults: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Overruled:
+    """Another operator's change came first; nothing was changed."""
+
+    head: int
+    difference: str
+
+
+ApplyOutcome = Applied | Invalid | Overruled | Unavailable | Unknown
+
+
+class ConfigurationService:
+    """The configuration of one node: the log in the store and the feed here."""
+
+    def __init__(self, log: RevisionLog, feed: RevisionFeed, clock: Clock) -> None:
+        self._log = log
+        self._feed = feed
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._parsed: tuple[int, Deployment] = (0, Deployment())
+
+    @property
+    def feed(self) -> RevisionFeed:
+        """The revision in force on this node."""
+        return self._feed
+
+    @property
+    def log(self) -> RevisionLog:
+        """All revisions, in the store."""
+        return self._log
+
+    def deployment(self) -> Deployment:
+        """Return the deployment in force, empty before the first."""
+        current = self._feed.current
+        if current is None:
+            return Deployment()
+        with self._lock:
+            if self._parsed[0] != current.entry.number:
+                parsed = parse_deployment(current.body)
+                self._parsed = (current.entry.number, parsed)
+            return self._parsed[1]
+
+    def apply(self, body: bytes, base: int, author: str, note: str) -> ApplyOutcome:
+        """Make ``body`` the next revision after ``base``, if it is sound."""
+        try:
+            parse_deployment(body)
+        except DeploymentError as error:
+            return Invalid(error.faults)
+        at = self._clock.now().isoformat(timespec="seconds")
+        outcome = self._log.publish(base, body, author, at, note)
+        if isinstance(outcome, Revision):
+            self._feed.offer(outcome)
+            return Applied(outcome.entry.number)
+        if isinstance(outcome, Overtaken):
+            return self._overruled(outcome.head, body)
+        return outcome
+
+    def refresh(self) -> bool:
+        """Read the head, and the body if it is newer; returns whether it was."""
+        head = self._log.head()
+        if isinstance(head, Unavailable) or head <= self._feed.number:
+            return False
+        revision = self._log.read(head)
+        return isinstance(revision, Revision) and self._feed.offer(revision)
+
+    def read(self, number: int) -> Revision | Missing | Unavailable:
+        """Return one revision, from here if it is the current one."""
+        current = self._feed.current
+        if current is not None and number in (0, current.entry.number):
+            return current
+        return self._log.read(number)
+
+    def _overruled(self, head: int, body: bytes) -> Overruled:
+        revision = self._log.read(head)
+        if not isinstance(revision, Revision):
+            return Overruled(head, "(the store did not return the newer revision)")
+        self._feed.offer(revision)
+        shown = difference(revision.body, body, (f"revision {head}", "yours"))
+        return Overruled(head, shown)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -0,0 +1,59 @@
+"""The daemon's metrics, in a registry of its own."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.55, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+
+
+class Metrics:
+    """Every counter, gauge and histogram the daemon keeps."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self.requests = self._counter("requests", "Requests received", "kind")
+        self.answers = self._counter("answers", "Requests answered in full", "kind")
+        self.refusals = self._counter("refusals", "Requests refused", "reason")
+        self.retries = self._counter("retries", "Attempts made again", "reason")
+        self.attempts = self._counter("attempts", "Attempts at targets", "outcome")
+        self.streams = self._counter("streams", "Streams by their end", "end")
+        self.claims = self._counter("claims", "Claims by outcome", "outcome")
+        self.orders = self._counter("orders", "Orders to engines", "kind", "outcome")
+        self.leases = self._counter("leases", "Lease changes", "change")
+        self.peer_messages = self._counter("peer_messages", "Messages", "direction")
+        self.peer_bytes = self._counter("peer_bytes", "Bytes of messages", "direction")
+        self.suspicions = self._counter("suspicions", "Peers suspected")
+        self.in_progress = self._gauge("requests_in_progress", "Requests under way")
+        self.queued = self._gauge("requests_queued", "Requests waiting for a slot")
+        self.revision = self._gauge("configuration_revision", "Revision in force")
+        self.shards = self._gauge("planning_leases", "Planning leases held")
+        self.first_byte = Histogram(
+            "runhatch_first_byte_seconds",
+            "Time from receipt to the first byte of the answer",
+            ["kind"],
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+
+    def exposition(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
+
+    def count(self, counter: Counter, *labels: str) -> float:
+        """Return the present value of one counter."""
+        for metric in counter.labels(*labels).collect():
+            for sample in metric.samples:
+                if sample.name.endswith("_total"):
+                    return float(sample.value)
+        return 0.0
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"runhatch_{name}", text, labels, registry=self._registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"runhatch_{name}", text, registry=self._registry)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/operations/__init__.py
@@ -0,0 +1,17 @@
+"""What operators see and do: queries, commands, configuration, health."""
+
+from runhatch_server.operations._access import Access
+from runhatch_server.operations._app import OperatorApp
+from runhatch_server.operations._commands import CommandService
+from runhatch_server.operations._nouns import Inventory, Noun
+from runhatch_server.operations._query import Query, run_query
+
+__all__ = [
+    "Access",
+    "CommandService",
+    "Inventory",
+    "Noun",
+    "OperatorApp",
+    "Query",
+    "run_query",
+]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/operations/_commands.py
@@ -0,0 +1,173 @@
+"""Commands: each is a change of the configuration, so it lasts and is agreed."""
+
+import json
+from collections.abc import Callable
+from typing import Annotated, Any, Literal
+
+from pydantic import Field, TypeAdapter
+
+from runhatch_coordination import Unavailable
+from runhatch_server._border import StrictModel
+from runhatch_server.configuration import (
+    Applied,
+    ApplyOutcome,
+    ConfigurationService,
+    Invalid,
+)
+
+Document = dict[str, Any]
+
+
+class DrainTarget(StrictModel):
+    """Give a target no new work, and move its models elsewhere."""
+
+    verb: Literal["drain"]
+    target: str
+
+
+class UndrainTarget(StrictModel):
+    """Let a drained target take work again."""
+
+    verb: Literal["undrain"]
+    target: str
+
+
+class LoadModel(StrictModel):
+    """Keep a replica of a model on a target."""
+
+    verb: Literal["load"]
+    model: str
+    target: str
+
+
+class UnloadModel(StrictModel):
+    """Keep a model off a target, once another replica serves."""
+
+    verb: Literal["unload"]
+    model: str
+    target: str
+
+
+class ReleaseModel(StrictModel):
+    """Leave it to the planner again whether a model is on a target."""
+
+    verb: Literal["release"]
+    model: str
+    target: str
+
+
+class PausePlanner(StrictModel):
+    """Make no moves beyond what reachability needs."""
+
+    verb: Literal["pause"]
+
+
+class ResumePlanner(StrictModel):
+    """Make moves for value again."""
+
+    verb: Literal["resume"]
+
+
+class RestoreRevision(StrictModel):
+    """Put an earlier revision in force again, as a new one."""
+
+    verb: Literal["restore"]
+    revision: int = Field(ge=1)
+
+
+Command = Annotated[
+    DrainTarget
+    | UndrainTarget
+    | LoadModel
+    | UnloadModel
+    | ReleaseModel
+    | PausePlanner
+    | ResumePlanner
+    | RestoreRevision,
+    Field(discriminator="verb"),
+]
+COMMANDS: TypeAdapter[Command] = TypeAdapter(Command)
+
+
+class CommandService:
+    """Carries out commands on one node."""
+
+    def __init__(self, configuration: ConfigurationService) -> None:
+        self._configuration = configuration
+
+    def run(self, command: Command, author: str) -> ApplyOutcome:
+        """Apply the change that ``command`` asks for."""
+        self._configuration.refresh()
+        current = self._configuration.feed.current
+        if current is None:
+            return Invalid(("document: no configuration is in force yet",))
+        document = json.loads(current.body)
+        if isinstance(command, RestoreRevision):
+            return self._restore(command, current.entry.number, author)
+        note = _edit(document, command)
+        body = json.dumps(document).encode()
+        if document == json.loads(current.body):
+            return Applied(current.entry.number)
+        return self._configuration.apply(body, current.entry.number, author, note)
+
+    def _restore(
+        self, command: RestoreRevision, base: int, author: str
+    ) -> ApplyOutcome:
+        old = self._configuration.read(command.revision)
+        if isinstance(old, Unavailable):
+            return old
+        body = getattr(old, "body", None)
+        if body is None:
+            return Invalid((f"revision: found {command.revision}, no such revision",))
+        note = f"restore {command.revision}"
+        return self._configuration.apply(body, base, author, note)
+
+
+def _edit(document: Document, command: Command) -> str:
+    """Change ``document`` in place; returns the note for the history."""
+    match command:
+        case DrainTarget(target=target):
+            drained = document.setdefault("drained_targets", [])
+            if target not in drained:
+                drained.append(target)
+            return f"drain {target}"
+        case UndrainTarget(target=target):
+            _remove(document, "drained_targets", lambda name: name == target)
+            return f"undrain {target}"
+        case LoadModel(model=model, target=target):
+            _move_pair(document, "bans", "pins", model, target)
+            return f"load {model} on {target}"
+        case UnloadModel(model=model, target=target):
+            _move_pair(document, "pins", "bans", model, target)
+            return f"unload {model} from {target}"
+        case ReleaseModel(model=model, target=target):
+            _remove_pair(document, "pins", model, target)
+            _remove_pair(document, "bans", model, target)
+            return f"release {model} on {target}"
+        case PausePlanner():
+            document.setdefault("policy", {})["paused"] = True
+            return "pause"
+        case ResumePlanner():
+            document.setdefault("policy", {})["paused"] = False
+            return "resume"
+    raise NotImplementedError(type(command))
+
+
+def _move_pair(
+    document: Document, source: str, goal: str, model: str, target: str
+) -> None:
+    _remove_pair(document, source, model, target)
+    pairs = document.setdefault(goal, [])
+    pair = {"model": model, "target": target}
+    if pair not in pairs:
+        pairs.append(pair)
+
+
+def _remove_pair(document: Document, field: str, model: str, target: str) -> None:
+    pair = {"model": model, "target": target}
+    _remove(document, field, lambda found: found == pair)
+
+
+def _remove(document: Document, field: str, gone: Callable[[Any], bool]) -> None:
+    if field in document:
+        document[field] = [entry for entry in document[field] if not gone(entry)]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/operations/_nouns.py
@@ -0,0 +1,320 @@
+"""The nouns of the operators' language, and the records behind each."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from runhatch_coordination import Membership, RevisionFeed, Table, Unavailable
+from runhatch_server.configuration import Deployment
+from runhatch_server.observability import Metrics, TraceLog
+from runhatch_server.placement import LedgerStore, PlacementService
+from runhatch_server.serving import Dispatcher, Picture, Reason, Route, RouteKind
+
+
+class Noun(Enum):
+    """What can be shown."""
+
+    MODELS = "models"
+    ADAPTERS = "adapters"
+    TARGETS = "targets"
+    NODES = "nodes"
+    LEASES = "leases"
+    ORDERS = "orders"
+    REQUESTS = "requests"
+    REFUSALS = "refusals"
+    CONFIGURATION = "configuration"
+
+
+@dataclass(frozen=True, slots=True)
+class ModelRecord:
+    """A declared model, and where this node would route it."""
+
+    name: str
+    version: str
+    pool: str
+    memory_mb: int
+    priority: int
+    replicas: int
+    targets: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterRecord:
+    """A declared adapter, and where this node would route it."""
+
+    name: str
+    version: str
+    base: str
+    memory_mb: int
+    replicas: int
+    targets: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRecord:
+    """A target: its place, and this node's requests and limit there."""
+
+    name: str
+    pool: str
+    failure_domain: str
+    memory_mb: int
+    fencing: str
+    drained: bool
+    outstanding: int
+    limit: int
+    units: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRecord:
+    """A node as this one sees it."""
+
+    name: str
+    failure_domain: str
+    address: str
+    standing: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRecordView:
+    """A planning lease as this node last read it."""
+
+    pool: str
+    holder: str
+    epoch: int
+    renewal: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRecord:
+    """A charge in the ledger, and the order recorded with it."""
+
+    pool: str
+    target: str
+    unit: str
+    state: str
+    held_mb: int
+    order: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRecord:
+    """One of the last requests of this node."""
+
+    id: str
+    route: str
+    caller: str
+    priority: int
+    received: str
+    took_ms: float
+    attempts: int
+    target: str
+    outcome: str
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalRecord:
+    """How often this node refused for a reason."""
+
+    reason: str
+    status: int
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRecord:
+    """The revision in force on this node."""
+
+    revision: int
+    author: str
+    at: str
+    note: str
+
+
+Record = (
+    ModelRecord
+    | AdapterRecord
+    | TargetRecord
+    | NodeRecord
+    | LeaseRecordView
+    | OrderRecord
+    | RequestRecord
+    | RefusalRecord
+    | ConfigurationRecord
+)
+
+
+class Inventory:
+    """Gathers the records of each noun on one node."""
+
+    def __init__(
+        self,
+        picture: Picture,
+        dispatcher: Dispatcher,
+        placement: PlacementService,
+        membership: Membership,
+        feed: RevisionFeed,
+        traces: TraceLog,
+        metrics: Metrics,
+        table: Table,
+    ) -> None:
+        self._picture = picture
+        self._dispatcher = dispatcher
+        self._placement = placement
+        self._membership = membership
+        self._feed = feed
+        self._traces = traces
+        self._metrics = metrics
+        self._table = table
+        self._by_noun: dict[Noun, Callable[[], Sequence[Record]]] = {
+            Noun.MODELS: self._models,
+            Noun.ADAPTERS: self._adapters,
+            Noun.TARGETS: self._targets,
+            Noun.NODES: self._nodes,
+            Noun.LEASES: self._leases,
+            Noun.ORDERS: self._orders,
+            Noun.REQUESTS: self._requests,
+            Noun.REFUSALS: self._refusals,
+            Noun.CONFIGURATION: self._configuration,
+        }
+
+    def records(self, noun: Noun) -> Sequence[Record]:
+        """Return all records of ``noun``."""
+        return self._by_noun[noun]()
+
+    @property
+    def _deployment(self) -> Deployment:
+        return self._picture.deployment
+
+    def _serving(self, name: str) -> tuple[str, ...]:
+        hosts = self._picture.hosts(Route(RouteKind.MODEL, name))
+        return tuple(sorted(host.target for host in hosts))
+
+    def _models(self) -> Sequence[Record]:
+        records = []
+        for model in self._deployment.models:
+            targets = self._serving(model.name)
+            records.append(
+                ModelRecord(
+                    model.name,
+                    model.version,
+                    model.pool,
+                    model.memory_mb,
+                    model.priority,
+                    len(targets),
+                    targets,
+                )
+            )
+        return records
+
+    def _adapters(self) -> Sequence[Record]:
+        records = []
+        for adapter in self._deployment.adapters:
+            targets = self._serving(adapter.name)
+            records.append(
+                AdapterRecord(
+                    adapter.name,
+                    adapter.version,
+                    adapter.base,
+                    adapter.memory_mb,
+                    len(targets),
+                    targets,
+                )
+            )
+        return records
+
+    def _targets(self) -> Sequence[Record]:
+        loads = self._dispatcher.loads()
+        units = {held.target: held.units for held in self._picture.hostings()}
+        drained = self._deployment.drained_targets
+        records = []
+        for pool in self._deployment.pools:
+            for target in pool.targets:
+                outstanding, limit = loads.get(target.name, (0, target.concurrency))
+                records.append(
+                    TargetRecord(
+                        target.name,
+                        pool.name,
+                        target.failure_domain,
+                        target.memory_mb,
+                        target.fencing.value,
+                        target.name in drained,
+                        outstanding,
+                        limit,
+                        units.get(target.name, ()),
+                    )
+                )
+        return records
+
+    def _nodes(self) -> Sequence[Record]:
+        return [
+            NodeRecord(
+                fact.vm.name,
+                fact.vm.failure_domain,
+                fact.vm.address,
+                fact.standing.value,
+            )
+            for fact in self._membership.facts()
+        ]
+
+    def _leases(self) -> Sequence[Record]:
+        return [
+            LeaseRecordView(pool, record.holder, record.epoch, record.renewal)
+            for pool, record in self._placement.leases().items()
+            if record is not None
+        ]
+
+    def _orders(self) -> Sequence[Record]:
+        records = []
+        for pool in self._deployment.pools:
+            rows = LedgerStore(self._table, pool.name, "").read_all()
+            if isinstance(rows, Unavailable):
+                continue
+            records += [
+                OrderRecord(
+                    pool.name,
+                    held.row.target,
+                    charge.unit,
+                    charge.state.value,
+                    charge.held_mb,
+                    charge.order,
+                )
+                for held in rows
+                for charge in held.row.charges
+            ]
+        return records
+
+    def _requests(self) -> Sequence[Record]:
+        return [
+            RequestRecord(
+                trace.request_id,
+                trace.route,
+                trace.caller,
+                trace.priority,
+                trace.received.isoformat(timespec="milliseconds"),
+                round(trace.took.total_seconds() * 1000, 1),
+                len(trace.attempts),
+                trace.attempts[-1].target if trace.attempts else "",
+                trace.outcome,
+                trace.status,
+            )
+            for trace in self._traces.all()
+        ]
+
+    def _refusals(self) -> Sequence[Record]:
+        return [
+            RefusalRecord(
+                reason.code,
+                reason.status,
+                int(self._metrics.count(self._metrics.refusals, reason.code)),
+            )
+            for reason in Reason
+        ]
+
+    def _configuration(self) -> Sequence[Record]:
+        current = self._feed.current
+        if current is None:
+            return []
+        entry = current.entry
+        return [ConfigurationRecord(entry.number, entry.author, entry.at, entry.note)]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -0,0 +1,35 @@
+"""Links between nodes: hints that speed things up, never the truth."""
+
+from runhatch_server.peers._links import PeerLinks, tls_config
+from runhatch_server.peers._messages import (
+    DemandCounts,
+    DrainingTargets,
+    Envelope,
+    Fact,
+    HostingFact,
+    Member,
+    RevisionBody,
+    RevisionNotice,
+    StateWanted,
+    fact_of_member,
+    member_of_fact,
+)
+from runhatch_server.peers._service import PeerService, demand_period
+
+__all__ = [
+    "DemandCounts",
+    "DrainingTargets",
+    "Envelope",
+    "Fact",
+    "HostingFact",
+    "Member",
+    "PeerLinks",
+    "PeerService",
+    "RevisionBody",
+    "RevisionNotice",
+    "StateWanted",
+    "demand_period",
+    "fact_of_member",
+    "member_of_fact",
+    "tls_config",
+]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -0,0 +1,220 @@
+"""pynng sockets: one to receive on, one and a task for each peer sent to."""
+
+import queue
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+
+import msgspec
+import pynng
+
+from runhatch_coordination import InvariantError
+from runhatch_server.observability import Metrics
+from runhatch_server.peers._messages import VERSION, Envelope, Fact, Member
+from runhatch_server.settings import PeerTls
+
+SEND_TIMEOUT = timedelta(seconds=1)
+RECONNECT = timedelta(milliseconds=200)
+LONGEST_RECONNECT = timedelta(seconds=5)
+QUEUE_LIMIT = 4_096
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Envelope)
+
+OnEnvelope = Callable[[Envelope], None]
+
+
+def tls_config(tls: PeerTls, server: bool) -> "pynng.TLSConfig":
+    """Return the TLS configuration of one side; the other side is checked."""
+    mode = pynng.TLSConfig.MODE_SERVER if server else pynng.TLSConfig.MODE_CLIENT
+    return pynng.TLSConfig(
+        mode,
+        ca_files=[str(tls.authority_file)],
+        own_key_string=Path(tls.key_file).read_text(),
+        own_cert_string=Path(tls.certificate_file).read_text(),
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+    )
+
+
+class PeerLinks:
+    """All links of one node.
+
+    Facts for a peer collect until its task sends them together; ``interval``
+    is the longest they wait, and an envelope goes out that often even if empty,
+    as the heartbeat.
+    """
+
+    def __init__(
+        self,
+        listen: str,
+        own: Callable[[], Member],
+        on_envelope: OnEnvelope,
+        metrics: Metrics,
+        interval: timedelta,
+        max_message: int,
+        tls: PeerTls | None,
+        on_broken: Callable[[InvariantError], None],
+    ) -> None:
+        self._own = own
+        self._on_broken = on_broken
+        self._on_envelope = on_envelope
+        self._metrics = metrics
+        self._interval = interval
+        self._tls = tls
+        self._scheme = "tcp" if tls is None else "tls+tcp"
+        self._links: dict[str, _Link] = {}
+        self._lock = threading.Lock()
+        self._socket = pynng.Pull0()
+        self._socket.recv_max_size = max_message
+        if tls is not None:
+            self._socket.tls_config = tls_config(tls, server=True)
+        self._listener = self._socket.listen(f"{self._scheme}://{listen}")
+        self._receiver = threading.Thread(
+            target=self._receive, name="peer-receiver", daemon=True
+        )
+        self._receiver.start()
+
+    @property
+    def address(self) -> str:
+        """The address others reach this node by."""
+        return str(self._listener.local_address)
+
+    def keep(self, addresses: frozenset[str]) -> None:
+        """Keep links to exactly ``addresses``: open new ones, close others."""
+        with self._lock:
+            for address in set(self._links) - addresses:
+                self._links.pop(address).close()
+            for address in addresses - set(self._links):
+                self._links[address] = self._open(address, self._interval)
+
+    def tell_all(self, fact: Fact) -> None:
+        """Send ``fact`` to every kept peer."""
+        with self._lock:
+            links = list(self._links.values())
+        for link in links:
+            link.put(fact)
+
+    def tell(self, address: str, facts: list[Fact]) -> None:
+        """Send ``facts`` to one address, by its kept link or a passing one."""
+        with self._lock:
+            link = self._links.get(address)
+        if link is not None:
+            for fact in facts:
+                link.put(fact)
+            return
+        passing = self._open(address, None)
+        for fact in facts:
+            passing.put(fact)
+        passing.close()
+
+    def close(self) -> None:
+        """Send what is queued, then close every socket."""
+        self.keep(frozenset())
+        self._socket.close()
+
+    def _open(self, address: str, interval: timedelta | None) -> "_Link":
+        url = f"{self._scheme}://{address}"
+        return _Link(url, self._own, self._metrics, interval, self._tls)
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                message = self._socket.recv()
+            except pynng.Closed:
+                return
+            except pynng.NNGException:
+                continue
+            self._metrics.peer_messages.labels("in").inc()
+            self._metrics.peer_bytes.labels("in").inc(len(message))
+            try:
+                envelope = DECODER.decode(message)
+            except msgspec.MsgspecError:
+                self._metrics.peer_messages.labels("unreadable").inc()
+                continue
+            try:
+                self._on_envelope(envelope)
+            except InvariantError as broken:
+                self._on_broken(broken)
+                return
+
+
+class _Link:
+    """One peer: its socket, its queue and the task that joins them."""
+
+    def __init__(
+        self,
+        url: str,
+        own: Callable[[], Member],
+        metrics: Metrics,
+        interval: timedelta | None,
+        tls: PeerTls | None,
+    ) -> None:
+        self._url = url
+        self._own = own
+        self._metrics = metrics
+        self._interval = interval
+        self._tls = tls
+        self._facts: queue.Queue[Fact | None] = queue.Queue(QUEUE_LIMIT)
+        self._task = threading.Thread(target=self._run, name="peer", daemon=True)
+        self._task.start()
+
+    def put(self, fact: Fact) -> None:
+        """Queue ``fact``; a peer that does not take its facts loses them."""
+        try:
+            self._facts.put_nowait(fact)
+        except queue.Full:
+            self._metrics.peer_messages.labels("dropped").inc()
+
+    def close(self) -> None:
+        """Have the task send what is queued and end."""
+        self.put_end()
+
+    def put_end(self) -> None:
+        """Mark the end of the queue, making room if there is none."""
+        while True:
+            try:
+                self._facts.put_nowait(None)
+                return
+            except queue.Full:
+                self._facts.get_nowait()
+
+    def _run(self) -> None:
+        with pynng.Push0() as socket:
+            socket.send_timeout = _milliseconds(SEND_TIMEOUT)
+            socket.reconnect_time_min = _milliseconds(RECONNECT)
+            socket.reconnect_time_max = _milliseconds(LONGEST_RECONNECT)
+            if self._tls is not None:
+                socket.tls_config = tls_config(self._tls, server=False)
+            socket.dial(self._url, block=False)
+            ended = False
+            while not ended:
+                facts, ended = self._collect()
+                if facts or self._interval is not None:
+                    self._send(socket, facts)
+
+    def _collect(self) -> tuple[list[Fact], bool]:
+        """Wait for the first fact or the interval, then take what has queued."""
+        timeout = None if self._interval is None else self._interval.total_seconds()
+        facts: list[Fact] = []
+        try:
+            fact = self._facts.get(timeout=timeout)
+            while fact is not None:
+                facts.append(fact)
+                fact = self._facts.get_nowait()
+        except queue.Empty:
+            return facts, False
+        return facts, True
+
+    def _send(self, socket: "pynng.Push0", facts: list[Fact]) -> None:
+        message = ENCODER.encode(Envelope(VERSION, self._own(), facts))
+        try:
+            socket.send(message)
+        except pynng.NNGException:
+            self._metrics.peer_messages.labels("failed").inc()
+            return
+        self._metrics.peer_messages.labels("out").inc()
+        self._metrics.peer_bytes.labels("out").inc(len(message))
+
+
+def _milliseconds(duration: timedelta) -> int:
+    return int(duration.total_seconds() * 1000)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -0,0 +1,97 @@
+"""Messages between nodes, encoded by msgspec as MessagePack.
+
+One envelope carries many facts, since a message costs far more than its bytes.
+"""
+
+import msgspec
+
+from runhatch_coordination import MemberFact, Standing, Vm
+
+VERSION = 1
+
+
+class Member(msgspec.Struct, frozen=True, tag="member", array_like=True):
+    """What is believed of one VM."""
+
+    name: str
+    failure_domain: str
+    address: str
+    incarnation: int
+    standing: Standing
+
+
+class RevisionNotice(msgspec.Struct, frozen=True, tag="notice", array_like=True):
+    """The sender has revision ``number`` in force."""
+
+    number: int
+
+
+class RevisionBody(msgspec.Struct, frozen=True, tag="body", array_like=True):
+    """A whole revision, for a node that cannot read the store."""
+
+    number: int
+    operation: str
+    author: str
+    at: str
+    note: str
+    body_name: str
+    digest: str
+    body: bytes
+
+
+class HostingFact(msgspec.Struct, frozen=True, tag="hosting", array_like=True):
+    """What a target serves, as of a version of its ledger row."""
+
+    target: str
+    version: int
+    units: tuple[str, ...]
+
+
+class DrainingTargets(msgspec.Struct, frozen=True, tag="draining", array_like=True):
+    """Targets seen draining by the sender."""
+
+    targets: tuple[str, ...]
+
+
+class DemandCounts(msgspec.Struct, frozen=True, tag="demand", array_like=True):
+    """Requests by model since the sender's last counts."""
+
+    counts: dict[str, int]
+
+
+class StateWanted(msgspec.Struct, frozen=True, tag="wanted", array_like=True):
+    """The sender knows less than revision ``known`` + 1 and asks for all."""
+
+    known: int
+    reply_to: str
+
+
+Fact = (
+    Member
+    | RevisionNotice
+    | RevisionBody
+    | HostingFact
+    | DrainingTargets
+    | DemandCounts
+    | StateWanted
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """One message: who sends it, and the facts it carries; may carry none."""
+
+    version: int
+    sender: Member
+    facts: list[Fact]
+
+
+def member_of_fact(fact: MemberFact) -> Member:
+    """Return the message for a membership fact."""
+    vm = fact.vm
+    return Member(vm.name, vm.failure_domain, vm.address, vm.incarnation, fact.standing)
+
+
+def fact_of_member(member: Member) -> MemberFact:
+    """Return the membership fact in a message."""
+    vm = Vm(member.name, member.failure_domain, member.address, member.incarnation)
+    return MemberFact(vm, member.standing)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/placement/_service.py
@@ -0,0 +1,168 @@
+"""The placement side of one node: leases, planners, and the picture's backstop."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+
+from runhatch_coordination import (
+    Clock,
+    Lease,
+    LeaseChange,
+    LeaseRecord,
+    Membership,
+    SharedPermits,
+    Table,
+    Unavailable,
+    rank,
+)
+from runhatch_server.configuration import Deployment, PoolSpec
+from runhatch_server.observability import Metrics, log_change
+from runhatch_server.placement._shard import (
+    LedgerLostError,
+    ShardPlanner,
+    hosting_of,
+)
+from runhatch_server.placement._store import LedgerStore
+from runhatch_server.serving import Hosting
+
+REPORT_WORKERS = 8
+WEIGHT_STORE = "weight-store"
+
+
+class PlacementService:
+    """Holds the planning leases that fall to this node, and plans under them.
+
+    One task calls :meth:`step` every interval.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        membership: Membership,
+        metrics: Metrics,
+        on_hosting: Callable[[Hosting], None],
+        lease_ttl: timedelta,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._membership = membership
+        self._metrics = metrics
+        self._on_hosting = on_hosting
+        self._lease_ttl = lease_ttl
+        self._executor = ThreadPoolExecutor(REPORT_WORKERS, thread_name_prefix="report")
+        self._leases: dict[str, Lease] = {}
+        self._planners: dict[str, ShardPlanner] = {}
+        self._lock = threading.Lock()
+        self._stopping = False
+        self.leaving: frozenset[str] = frozenset()
+        """VMs that the platform's list says are leaving."""
+
+    def step(self, deployment: Deployment) -> None:
+        """Make one round: renew or challenge leases, plan where held."""
+        with self._lock:
+            if self._stopping:
+                return
+            for pool in deployment.pools:
+                self._step_pool(deployment, pool)
+            held = sum(lease.held() is not None for lease in self._leases.values())
+            self._metrics.shards.set(held)
+
+    def refresh(self, deployment: Deployment) -> None:
+        """Read the ledgers of pools planned elsewhere, for the picture."""
+        for pool in deployment.pools:
+            lease = self._leases.get(pool.name)
+            if lease is not None and lease.held() is not None:
+                continue
+            rows = LedgerStore(self._table, pool.name, "").read_all()
+            if isinstance(rows, Unavailable):
+                return
+            for held in rows:
+                self._on_hosting(hosting_of(held))
+
+    def demand(self, counts: dict[str, int], deployment: Deployment) -> None:
+        """Take in demand counts for the pools planned here."""
+        pools = {model.name: model.pool for model in deployment.models}
+        for adapter in deployment.adapters:
+            pools[adapter.name] = pools.get(adapter.base, "")
+        for name, count in counts.items():
+            planner = self._planners.get(pools.get(name, ""))
+            if planner is not None:
+                planner.demand.add({name: count})
+
+    def leases(self) -> dict[str, LeaseRecord | None]:
+        """Return the lease rows as last read, by pool."""
+        return {name: lease.record for name, lease in self._leases.items()}
+
+    def planner(self, pool: str) -> ShardPlanner | None:
+        """Return the planner of ``pool`` if this node holds its lease."""
+        lease = self._leases.get(pool)
+        held = lease is not None and lease.held() is not None
+        return self._planners.get(pool) if held else None
+
+    def stop(self) -> None:
+        """Give up all leases, so that others need not wait for their end."""
+        with self._lock:
+            self._stopping = True
+            for lease in self._leases.values():
+                lease.release()
+        self._executor.shutdown()
+
+    def _step_pool(self, deployment: Deployment, pool: PoolSpec) -> None:
+        lease = self._lease(pool)
+        change = lease.step(eager=self._is_preferred(pool.name))
+        if change is not LeaseChange.NONE:
+            self._metrics.leases.labels(change.value).inc()
+            log_change("lease", pool=pool.name, change=change.value)
+        planner = self._planner(deployment, pool)
+        epoch = lease.held()
+        if epoch is None:
+            planner.forget()
+            return
+        try:
+            planner.step(deployment, pool, epoch, self.leaving)
+        except LedgerLostError as lost:
+            log_change("round_given_up", pool=pool.name, at=str(lost))
+
+    def _lease(self, pool: PoolSpec) -> Lease:
+        lease = self._leases.get(pool.name)
+        if lease is None:
+            own = self._membership.own
+            lease = Lease(
+                self._table,
+                self._clock,
+                f"plan/{pool.name}",
+                own.name,
+                self._lease_ttl,
+                own.address,
+            )
+            self._leases[pool.name] = lease
+        return lease
+
+    def _planner(self, deployment: Deployment, pool: PoolSpec) -> ShardPlanner:
+        planner = self._planners.get(pool.name)
+        if planner is None:
+            limits = deployment.weight_store
+            permits = SharedPermits(
+                self._table,
+                self._clock,
+                WEIGHT_STORE,
+                limits.loads_per_second,
+                limits.at_once,
+            )
+            planner = ShardPlanner(
+                pool.name,
+                LedgerStore(self._table, pool.name, self._membership.own.name),
+                permits,
+                self._clock,
+                self._executor,
+                self._metrics,
+                self._on_hosting,
+            )
+            self._planners[pool.name] = planner
+        return planner
+
+    def _is_preferred(self, pool: str) -> bool:
+        names = [vm.name for vm in self._membership.alive()]
+        return rank(pool, names)[0] == self._membership.own.name
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/__init__.py
@@ -0,0 +1,38 @@
+"""Serving callers: reading, routing, limits, retries, streams, at most once."""
+
+from runhatch_server.serving._app import CallerApp
+from runhatch_server.serving._attempts import Attempter
+from runhatch_server.serving._cancel import Canceller
+from runhatch_server.serving._demand import DemandCounter
+from runhatch_server.serving._dispatch import Dispatcher, Grant
+from runhatch_server.serving._once import OnceGuard
+from runhatch_server.serving._picture import Host, Hosting, Picture
+from runhatch_server.serving._progress import Progress
+from runhatch_server.serving._reading import RequestReader
+from runhatch_server.serving._refusals import Executed, Reason, Refusal
+from runhatch_server.serving._relay import AbortedStreamError
+from runhatch_server.serving._request import CallerRequest, Route, RouteKind
+from runhatch_server.serving._service import ServingService
+
+__all__ = [
+    "AbortedStreamError",
+    "Attempter",
+    "CallerApp",
+    "CallerRequest",
+    "Canceller",
+    "DemandCounter",
+    "Dispatcher",
+    "Executed",
+    "Grant",
+    "Host",
+    "Hosting",
+    "OnceGuard",
+    "Picture",
+    "Progress",
+    "Reason",
+    "Refusal",
+    "RequestReader",
+    "Route",
+    "RouteKind",
+    "ServingService",
+]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/_app.py
@@ -0,0 +1,181 @@
+"""The callers' HTTP interface as a WSGI application."""
+
+from collections.abc import Callable, Generator, Iterable, Iterator
+
+import msgspec
+
+from runhatch_coordination import Clock, InvariantError
+from runhatch_server.observability import Metrics
+from runhatch_server.serving._caller_answers import (
+    CallerAnswer,
+    StreamedAnswer,
+    WholeAnswer,
+    refused,
+)
+from runhatch_server.serving._picture import Picture
+from runhatch_server.serving._progress import Progress
+from runhatch_server.serving._reading import MODELS_PATH, Environ, RequestReader
+from runhatch_server.serving._refusals import Executed, Reason, Refusal
+from runhatch_server.serving._relay import AbortedStreamError
+from runhatch_server.serving._request import RouteKind
+from runhatch_server.serving._service import ServingService
+
+GONE_VARIABLE = "waitress.client_disconnected"
+JSON_HEADERS = (("Content-Type", "application/json"),)
+HEALTH_PATHS = ("/healthz", "/readyz")
+NO_REQUEST = "-"
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+class _ModelEntry(msgspec.Struct):
+    id: str
+    object: str = "model"
+    created: int = 0
+    owned_by: str = "runhatch"
+
+
+class _ModelList(msgspec.Struct):
+    data: list[_ModelEntry]
+    object: str = "list"
+
+
+class CallerApp:
+    """Takes callers' requests, counts them and hands them on."""
+
+    def __init__(
+        self,
+        reader: RequestReader,
+        service: ServingService,
+        picture: Picture,
+        metrics: Metrics,
+        progress: Progress,
+        clock: Clock,
+        is_ready: Callable[[], bool],
+        on_broken: Callable[[InvariantError], None],
+    ) -> None:
+        self._reader = reader
+        self._service = service
+        self._picture = picture
+        self._metrics = metrics
+        self._progress = progress
+        self._clock = clock
+        self._is_ready = is_ready
+        self._on_broken = on_broken
+        self.draining = False
+        """Set on shutdown: connections are closed after their answers."""
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        path = environ.get("PATH_INFO")
+        if path in HEALTH_PATHS:
+            return self._send(self._health(str(path)), start_response)
+        if path == MODELS_PATH:
+            return self._send(self._models(environ), start_response)
+        self._progress.begin()
+        self._metrics.in_progress.inc()
+        handed_on = False
+        try:
+            answer = self._answer(environ)
+            if isinstance(answer, StreamedAnswer):
+                start_response(*self._head(answer))
+                handed_on = True
+                return _CountedEvents(answer.events, self._end)
+            return self._send(answer, start_response)
+        except InvariantError as broken:
+            self._on_broken(broken)
+            raise
+        finally:
+            if not handed_on:
+                self._end()
+
+    def _answer(self, environ: Environ) -> CallerAnswer:
+        started = self._clock.elapsed()
+        request = self._reader.read(environ)
+        if isinstance(request, Refusal):
+            self._metrics.refusals.labels(request.reason.code).inc()
+            return refused(request, NO_REQUEST)
+        answer = self._service.serve(request, _gone(environ))
+        took = self._clock.elapsed() - started
+        kind = request.route.kind.value
+        self._metrics.first_byte.labels(kind).observe(took.total_seconds())
+        return answer
+
+    def _end(self) -> None:
+        self._progress.end()
+        self._metrics.in_progress.dec()
+
+    def _send(
+        self, answer: WholeAnswer, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        start_response(*self._head(answer))
+        return [answer.body]
+
+    def _head(self, answer: CallerAnswer) -> tuple[str, list[tuple[str, str]]]:
+        headers = list(answer.headers)
+        if isinstance(answer, WholeAnswer):
+            headers.append(("Content-Length", str(len(answer.body))))
+        if self.draining:
+            headers.append(("Connection", "close"))
+        return f"{answer.status} Status", headers
+
+    def _health(self, path: str) -> WholeAnswer:
+        sound = path == "/healthz" or self._is_ready()
+        body = b"ok\n" if sound else b"not ready\n"
+        return WholeAnswer(200 if sound else 503, (), body)
+
+    def _models(self, environ: Environ) -> WholeAnswer:
+        if environ.get("REQUEST_METHOD") != "GET":
+            wrong = Refusal(Reason.BAD_METHOD, Executed.NO, "allowed: GET")
+            return refused(wrong, NO_REQUEST)
+        names = [
+            route.name
+            for route in self._picture.routes()
+            if route.kind is RouteKind.MODEL
+        ]
+        body = msgspec.json.encode(_ModelList([_ModelEntry(name) for name in names]))
+        return WholeAnswer(200, JSON_HEADERS, body)
+
+
+class _CountedEvents:
+    """Passes events on and tells when they end, however they end."""
+
+    def __init__(self, events: Iterator[bytes], on_end: Callable[[], None]) -> None:
+        self._events = events
+        self._on_end = on_end
+        self._started = False
+        self._closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        self._started = True
+        return next(self._events)
+
+    def close(self) -> None:
+        """Give back what the stream holds; called once by the HTTP server."""
+        if self._closed:
+            return
+        self._closed = True
+        try:
+            if not self._started:
+                # A generator that never ran would skip its own clean-up.
+                next(self._events, None)
+            if isinstance(self._events, Generator):
+                self._events.close()
+        except AbortedStreamError:
+            pass
+        finally:
+            self._on_end()
+
+
+def _gone(environ: Environ) -> Callable[[], bool]:
+    check = environ.get(GONE_VARIABLE)
+    return check if callable(check) else _never
+
+
+def _never() -> bool:
+    return False
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/_attempts.py
@@ -0,0 +1,186 @@
+"""Attempts at targets for one request: which outcomes are tried again, and where."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from runhatch_coordination import Clock, RetryBudget
+from runhatch_server.observability import (
+    AttemptTrace,
+    Metrics,
+    RequestLog,
+    RequestTrace,
+)
+from runhatch_server.serving._dispatch import Dispatcher, Grant
+from runhatch_server.serving._picture import Picture
+from runhatch_server.serving._refusals import Executed, Reason, Refusal
+from runhatch_server.serving._request import CallerRequest
+from runhatch_server.serving._target_requests import build_target_request
+from runhatch_server.targets import (
+    AttemptReason,
+    NotSent,
+    OpenAnswer,
+    RefusedUnrun,
+    TargetClient,
+    UnknownResult,
+)
+
+MAX_ATTEMPTS = 4
+FIRST_BACKOFF = timedelta(milliseconds=20)
+FREE_RETRIES = frozenset({AttemptReason.MODEL_NOT_THERE})
+"""Corrections of a stale picture; they cost the target nothing."""
+
+
+@dataclass(slots=True)
+class RequestContext:
+    """What goes along with one request: its trace, log and caller's connection."""
+
+    request: CallerRequest
+    trace: RequestTrace
+    log: RequestLog
+    caller_gone: Callable[[], bool]
+    maybe_ran: bool = False
+    attempts: int = 0
+    failed_targets: frozenset[str] = frozenset()
+    failed_domains: frozenset[str] = frozenset()
+    continuation: dict[str, object] | None = None
+    last_url: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """An answer that has begun, and the slot it occupies."""
+
+    grant: Grant
+    answer: OpenAnswer
+    first_byte: timedelta
+
+
+class Attempter:
+    """Makes the attempts of all requests of one node."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        client: TargetClient,
+        picture: Picture,
+        budget: RetryBudget,
+        metrics: Metrics,
+        clock: Clock,
+        seed: int | None = None,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._client = client
+        self._picture = picture
+        self._budget = budget
+        self._metrics = metrics
+        self._clock = clock
+        self._random = random.Random(seed)
+
+    def open(self, context: RequestContext) -> Opened | Refusal:
+        """Return an answer that has begun, or the refusal that is left."""
+        while True:
+            grant = self._dispatcher.acquire(
+                context.request, context.failed_targets, context.failed_domains
+            )
+            if isinstance(grant, Refusal):
+                return grant.as_unknown() if context.maybe_ran else grant
+            opened = self._attempt(context, grant)
+            if isinstance(opened, Opened):
+                return opened
+            refusal = self.judge(context, grant, opened)
+            if refusal is not None:
+                return refusal
+
+    def completed(self, opened: Opened, context: RequestContext) -> None:
+        """Give the slot back after the whole answer arrived."""
+        self._budget.deposit()
+        self._note(context, opened.grant, "answered")
+        self._dispatcher.completed(opened.grant, opened.first_byte, opened.answer.load)
+        opened.answer.close()
+
+    def judge(
+        self,
+        context: RequestContext,
+        grant: Grant,
+        outcome: NotSent | RefusedUnrun | UnknownResult,
+    ) -> Refusal | None:
+        """Give the slot back; return a refusal unless another attempt is due."""
+        self._dispatcher.failed(grant, outcome)
+        self._note(context, grant, outcome.reason.value)
+        if outcome.reason is AttemptReason.MODEL_NOT_THERE:
+            self._picture.correct(grant.host.target, grant.host.unit)
+        if isinstance(outcome, UnknownResult):
+            context.maybe_ran = True
+        context.failed_targets |= {grant.host.target}
+        context.failed_domains |= {grant.host.failure_domain}
+        return self._refuse_or_back_off(context, outcome)
+
+    def abandoned(
+        self, context: RequestContext, grant: Grant, outcome: UnknownResult
+    ) -> None:
+        """Give the slot back without another attempt."""
+        context.maybe_ran = True
+        self._dispatcher.failed(grant, outcome)
+        self._note(context, grant, outcome.reason.value)
+
+    def _attempt(
+        self, context: RequestContext, grant: Grant
+    ) -> Opened | NotSent | RefusedUnrun | UnknownResult:
+        context.attempts += 1
+        context.last_url = grant.host.url
+        target_request = build_target_request(
+            context.request, grant.host, context.attempts, context.continuation
+        )
+        outcome = self._client.send(target_request, context.caller_gone)
+        if isinstance(outcome, OpenAnswer):
+            first_byte = self._clock.elapsed() - grant.granted_at
+            return Opened(grant, outcome, first_byte)
+        return outcome
+
+    def _refuse_or_back_off(
+        self,
+        context: RequestContext,
+        outcome: NotSent | RefusedUnrun | UnknownResult,
+    ) -> Refusal | None:
+        if outcome.reason is AttemptReason.CALLER_GONE:
+            return Refusal(Reason.CALLER_GONE, Executed.UNKNOWN)
+        remaining = context.request.deadline - self._clock.elapsed()
+        backoff = self._backoff(context.attempts)
+        if remaining <= backoff:
+            return self._refusal(context, Reason.DEADLINE_PASSED)
+        repeatable = not context.maybe_ran or context.request.idempotent
+        if not repeatable or context.attempts >= MAX_ATTEMPTS:
+            return self._refusal(context, _final_reason(outcome))
+        if outcome.reason not in FREE_RETRIES and not self._budget.withdraw():
+            return self._refusal(context, _final_reason(outcome))
+        self._metrics.retries.labels(outcome.reason.value).inc()
+        if outcome.reason not in FREE_RETRIES:
+            self._clock.sleep(backoff)
+        return None
+
+    def _backoff(self, attempts: int) -> timedelta:
+        longest = FIRST_BACKOFF * (1 << (attempts - 1))
+        return longest * self._random.uniform(0.5, 1)
+
+    def _refusal(self, context: RequestContext, reason: Reason) -> Refusal:
+        executed = Executed.UNKNOWN if context.maybe_ran else Executed.NO
+        helps = executed is Executed.NO or context.request.idempotent
+        again = self._dispatcher.retry_after(context.request.route) if helps else None
+        return Refusal(reason, executed, retry_after=again)
+
+    def _note(self, context: RequestContext, grant: Grant, outcome: str) -> None:
+        target = grant.host.target
+        self._metrics.attempts.labels(outcome).inc()
+        context.log.attempt(target, outcome)
+        why = grant.choice.explain()
+        context.trace.attempts.append(AttemptTrace(target, why, outcome))
+
+
+def _final_reason(outcome: NotSent | RefusedUnrun | UnknownResult) -> Reason:
+    if outcome.reason is AttemptReason.MODEL_NOT_THERE:
+        return Reason.NO_REPLICA
+    if isinstance(outcome, RefusedUnrun):
+        return Reason.TARGETS_BUSY
+    return Reason.TARGETS_FAILED
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/_caller_answers.py
@@ -0,0 +1,67 @@
+"""What a caller is answered: a whole answer, or a stream."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from runhatch_server.serving._refusals import (
+    PROBLEM_TYPE,
+    Refusal,
+    problem_document,
+    retry_after_header,
+)
+from runhatch_server.serving._stored import StoredAnswer
+from runhatch_server.targets import Answer, OpenAnswer
+
+REQUEST_ID_HEADER = "X-Request-Id"
+EVENT_STREAM = "text/event-stream"
+PASSED_HEADERS = ("content-type", "location", "etag", "cache-control", "last-modified")
+"""Headers of a target that reach the caller; all others end at this node."""
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer with a known length."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StreamedAnswer:
+    """An answer that arrives event by event."""
+
+    status: int
+    headers: Headers
+    events: Iterator[bytes]
+
+
+CallerAnswer = WholeAnswer | StreamedAnswer
+
+
+def refused(refusal: Refusal, request_id: str) -> WholeAnswer:
+    """Return the answer that tells ``refusal``."""
+    headers = (
+        ("Content-Type", PROBLEM_TYPE),
+        (REQUEST_ID_HEADER, request_id),
+        *retry_after_header(refusal),
+    )
+    body = problem_document(refusal, request_id)
+    return WholeAnswer(refusal.reason.status, headers, body)
+
+
+def passed_headers(answer: Answer | OpenAnswer) -> Headers:
+    """Return those headers of a target's answer that reach the caller."""
+    return tuple(
+        (name.title(), answer.headers[name])
+        for name in PASSED_HEADERS
+        if name in answer.headers
+    )
+
+
+def whole(answer: StoredAnswer, request_id: str) -> WholeAnswer:
+    """Return ``answer`` as it goes to the caller of ``request_id``."""
+    headers = (*answer.headers, (REQUEST_ID_HEADER, request_id))
+    return WholeAnswer(answer.status, headers, answer.body)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/_headers.py
@@ -0,0 +1,101 @@
+"""Headers of callers: who asks, how urgently, until when, how often."""
+
+import hashlib
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+from runhatch_server.serving._refusals import Executed, Reason, Refusal
+
+CALLER_VARIABLE = "HTTP_X_CALLER_ID"
+AUTHORIZATION_VARIABLE = "HTTP_AUTHORIZATION"
+PRIORITY_VARIABLE = "HTTP_PRIORITY"
+DEADLINE_VARIABLE = "HTTP_REQUEST_DEADLINE"
+KEY_VARIABLE = "HTTP_IDEMPOTENCY_KEY"
+DEFAULT_CALLER = "anonymous"
+DEFAULT_PRIORITY = 3
+MAX_CALLER = 64
+MAX_KEY = 255
+
+_URGENCY = re.compile(r"(?:^|,)\s*u=([0-7])\s*(?:$|[,;])")
+_ANY_URGENCY = re.compile(r"(?:^|,)\s*u=")
+_KEY = re.compile(r'"?([\x21\x23-\x7e][\x20\x21\x23-\x7e]*)"?')
+_SECONDS = re.compile(r"\d{1,6}(?:\.\d{1,3})?")
+
+
+@dataclass(frozen=True, slots=True)
+class CallerHeaders:
+    """What the headers say, checked."""
+
+    caller: str
+    priority: int | None
+    deadline: timedelta | None
+    key: str | None
+
+
+def read_headers(
+    environ: Mapping[str, object], max_deadline: timedelta
+) -> CallerHeaders | Refusal:
+    """Return the checked headers of a WSGI environment, or the first fault."""
+    caller = _caller(environ)
+    if len(caller) > MAX_CALLER:
+        return _bad(Reason.BAD_HEADER, "X-Caller-Id", caller, f"up to {MAX_CALLER}")
+    priority = _priority(str(environ.get(PRIORITY_VARIABLE, "")))
+    if isinstance(priority, Refusal):
+        return priority
+    deadline = _deadline(environ.get(DEADLINE_VARIABLE), max_deadline)
+    if isinstance(deadline, Refusal):
+        return deadline
+    key = _key(environ.get(KEY_VARIABLE))
+    if isinstance(key, Refusal):
+        return key
+    return CallerHeaders(caller, priority, deadline, key)
+
+
+def _caller(environ: Mapping[str, object]) -> str:
+    named = environ.get(CALLER_VARIABLE)
+    if named:
+        return str(named)
+    token = environ.get(AUTHORIZATION_VARIABLE)
+    if token:
+        return hashlib.blake2b(str(token).encode(), digest_size=8).hexdigest()
+    return DEFAULT_CALLER
+
+
+def _priority(value: str) -> int | Refusal | None:
+    """Read the urgency of RFC 9218; other members are ignored, as it says."""
+    if not _ANY_URGENCY.search(value):
+        return None
+    found = _URGENCY.search(value)
+    if found is None:
+        return _bad(Reason.BAD_HEADER, "Priority", value, "u=0 to u=7")
+    return int(found.group(1))
+
+
+def _deadline(value: object, longest: timedelta) -> timedelta | Refusal | None:
+    if value is None:
+        return None
+    allowed = f"seconds above 0, up to {longest.total_seconds():g}"
+    if not _SECONDS.fullmatch(str(value)):
+        return _bad(Reason.BAD_DEADLINE, "Request-Deadline", value, allowed)
+    deadline = timedelta(seconds=float(str(value)))
+    if not timedelta() < deadline <= longest:
+        return _bad(Reason.BAD_DEADLINE, "Request-Deadline", value, allowed)
+    return deadline
+
+
+def _key(value: object) -> str | Refusal | None:
+    if value is None:
+        return None
+    found = _KEY.fullmatch(str(value))
+    if found is None or len(str(value)) > MAX_KEY:
+        allowed = f"1 to {MAX_KEY} printable ASCII characters"
+        return _bad(Reason.BAD_HEADER, "Idempotency-Key", value, allowed)
+    return found.group(1)
+
+
+def _bad(reason: Reason, header: str, found: object, allowed: str) -> Refusal:
+    shown = str(found)[:40]
+    detail = f"{header}: found {shown!r}, allowed: {allowed}"
+    return Refusal(reason, Executed.NO, detail)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/_reading.py
@@ -0,0 +1,221 @@
+"""From a WSGI environment to a checked request, or one clear refusal."""
+
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import BinaryIO, cast
+from urllib.parse import quote
+
+import msgspec
+from pydantic import ValidationError
+
+from runhatch_coordination import Clock
+from runhatch_server._border import fault_lines
+from runhatch_server.configuration import PathSpec, PlainServiceSpec
+from runhatch_server.serving._caller_models import BODY_MODELS
+from runhatch_server.serving._headers import (
+    DEFAULT_PRIORITY,
+    CallerHeaders,
+    read_headers,
+)
+from runhatch_server.serving._picture import Picture
+from runhatch_server.serving._prefixes import prefix_blocks
+from runhatch_server.serving._refusals import Executed, Reason, Refusal
+from runhatch_server.serving._request import CallerRequest, Route, RouteKind
+from runhatch_server.settings import ServingSettings
+
+SERVICES_PREFIX = "/services/"
+MODELS_PATH = "/v1/models"
+Environ = Mapping[str, object]
+
+
+@dataclass(frozen=True, slots=True)
+class _Limits:
+    default_deadline: timedelta
+    max_deadline: timedelta
+    max_body: int
+
+
+class RequestReader:
+    """Reads and checks callers' requests."""
+
+    def __init__(
+        self, picture: Picture, settings: ServingSettings, clock: Clock
+    ) -> None:
+        self._picture = picture
+        self._clock = clock
+        self._limits = _Limits(
+            timedelta(seconds=settings.default_deadline_seconds),
+            timedelta(seconds=settings.max_deadline_seconds),
+            settings.max_body_bytes,
+        )
+
+    def read(self, environ: Environ) -> CallerRequest | Refusal:
+        """Return the request in ``environ``, or why it cannot be taken."""
+        path = str(environ.get("PATH_INFO", ""))
+        if path in BODY_MODELS:
+            return self._read_model_request(environ, path)
+        if path.startswith(SERVICES_PREFIX):
+            return self._read_service_request(environ, path)
+        return Refusal(Reason.UNKNOWN_PATH, Executed.NO, f"found {path[:80]!r}")
+
+    def _read_model_request(
+        self, environ: Environ, path: str
+    ) -> CallerRequest | Refusal:
+        if environ.get("REQUEST_METHOD") != "POST":
+            return Refusal(Reason.BAD_METHOD, Executed.NO, "allowed: POST")
+        headers = read_headers(environ, self._limits.max_deadline)
+        if isinstance(headers, Refusal):
+            return headers
+        body = self._read_body(environ)
+        if isinstance(body, Refusal):
+            return body
+        document = _decode(path, body)
+        if isinstance(document, Refusal):
+            return document
+        name = str(document["model"])
+        route = Route(RouteKind.MODEL, name)
+        if not self._picture.declares(route):
+            return Refusal(Reason.UNKNOWN_MODEL, Executed.NO, f"found {name!r}")
+        return self._request(
+            environ,
+            headers,
+            route,
+            path,
+            body,
+            idempotent=headers.key is None,
+            priority=self._priority(headers, name),
+            document=document,
+            stream=bool(document.get("stream", False)),
+            prefix=prefix_blocks(_prompt_text(document)),
+        )
+
+    def _read_service_request(
+        self, environ: Environ, path: str
+    ) -> CallerRequest | Refusal:
+        name, _, rest = path.removeprefix(SERVICES_PREFIX).partition("/")
+        service = self._service(name)
+        if service is None:
+            return Refusal(
+                Reason.UNKNOWN_PATH, Executed.NO, f"no service {name[:64]!r}"
+            )
+        method = str(environ.get("REQUEST_METHOD"))
+        spec = _allowed(service, f"/{rest}", method)
+        if isinstance(spec, Refusal):
+            return spec
+        headers = read_headers(environ, self._limits.max_deadline)
+        if isinstance(headers, Refusal):
+            return headers
+        if not spec.idempotent and headers.key is None:
+            detail = "allowed: with an Idempotency-Key header"
+            return Refusal(Reason.KEY_MISSING, Executed.NO, detail)
+        body = self._read_body(environ)
+        if isinstance(body, Refusal):
+            return body
+        query = str(environ.get("QUERY_STRING", ""))
+        return self._request(
+            environ,
+            headers,
+            Route(RouteKind.SERVICE, name),
+            quote(f"/{rest}") + (f"?{query}" if query else ""),
+            body,
+            idempotent=spec.idempotent and headers.key is None,
+            priority=DEFAULT_PRIORITY if headers.priority is None else headers.priority,
+            unrun_statuses=frozenset(service.unrun_statuses),
+        )
+
+    def _request(
+        self,
+        environ: Environ,
+        headers: CallerHeaders,
+        route: Route,
+        path: str,
+        body: bytes,
+        idempotent: bool,
+        priority: int,
+        document: dict[str, object] | None = None,
+        stream: bool = False,
+        prefix: tuple[str, ...] = (),
+        unrun_statuses: frozenset[int] = frozenset(),
+    ) -> CallerRequest:
+        now = self._clock.elapsed()
+        allowed = headers.deadline or self._limits.default_deadline
+        return CallerRequest(
+            request_id=uuid.uuid4().hex,
+            caller=headers.caller,
+            route=route,
+            method=str(environ.get("REQUEST_METHOD")),
+            path=path,
+            priority=priority,
+            received=now,
+            deadline=now + allowed,
+            idempotent=idempotent,
+            key=headers.key,
+            body=body,
+            document=document or {},
+            stream=stream,
+            content_type=str(environ.get("CONTENT_TYPE") or "application/octet-stream"),
+            unrun_statuses=unrun_statuses,
+            prefix=prefix,
+        )
+
+    def _read_body(self, environ: Environ) -> bytes | Refusal:
+        longest = self._limits.max_body
+        length = str(environ.get("CONTENT_LENGTH") or "0")
+        if int(length) > longest:
+            detail = f"found {length} bytes, allowed: up to {longest}"
+            return Refusal(Reason.BODY_TOO_LARGE, Executed.NO, detail)
+        stream = cast(BinaryIO, environ["wsgi.input"])
+        return stream.read(int(length))
+
+    def _priority(self, headers: CallerHeaders, name: str) -> int:
+        if headers.priority is not None:
+            return headers.priority
+        for model in self._picture.deployment.models:
+            if model.name == name:
+                return model.priority
+        return DEFAULT_PRIORITY
+
+    def _service(self, name: str) -> PlainServiceSpec | None:
+        services = self._picture.deployment.plain_services
+        return next((s for s in services if s.name == name), None)
+
+
+def _decode(path: str, body: bytes) -> dict[str, object] | Refusal:
+    try:
+        BODY_MODELS[path].validate_json(body)
+        return msgspec.json.decode(body, type=dict[str, object])
+    except ValidationError as error:
+        return Refusal(Reason.BAD_JSON, Executed.NO, "; ".join(fault_lines(error)))
+    except msgspec.MsgspecError as error:
+        return Refusal(Reason.BAD_JSON, Executed.NO, str(error))
+
+
+def _allowed(service: PlainServiceSpec, path: str, method: str) -> PathSpec | Refusal:
+    if any(part in (".", "..") for part in path.split("/")):
+        return Refusal(Reason.UNKNOWN_PATH, Executed.NO, f"found {path[:80]!r}")
+    matching = [spec for spec in service.paths if _matches(spec, path)]
+    if not matching:
+        return Refusal(Reason.UNKNOWN_PATH, Executed.NO, f"found {path[:80]!r}")
+    for spec in matching:
+        if method in spec.methods:
+            return spec
+    allowed = sorted({method for spec in matching for method in spec.methods})
+    return Refusal(Reason.BAD_METHOD, Executed.NO, f"allowed: {', '.join(allowed)}")
+
+
+def _matches(spec: PathSpec, path: str) -> bool:
+    if spec.path.endswith("*"):
+        return path.startswith(spec.path[:-1])
+    return path == spec.path
+
+
+def _prompt_text(document: Mapping[str, object]) -> str:
+    prompt = document.get("prompt")
+    if isinstance(prompt, str):
+        return prompt
+    messages = document.get("messages")
+    if not isinstance(messages, list):
+        return ""
+    return "\n".join(str(message.get("content", "")) for message in messages)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/_refusals.py
@@ -0,0 +1,100 @@
+"""Refusals: a closed set of reasons, told as RFC 9457 problem documents."""
+
+import math
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from enum import Enum
+
+import msgspec
+
+PROBLEM_TYPE = "application/problem+json"
+
+
+class Executed(Enum):
+    """What is known of a refused request: ``NO`` only if it certainly did not run."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class Reason(Enum):
+    """Why a request was refused: each has a counter, a status and a title."""
+
+    BAD_JSON = ("bad_json", 400, "The body is not the JSON document it should be")
+    BAD_HEADER = ("bad_header", 400, "A header cannot be used")
+    BAD_DEADLINE = ("bad_deadline", 400, "The deadline cannot be used")
+    KEY_MISSING = ("key_missing", 400, "The call may not be repeated and has no key")
+    KEY_REUSED = ("key_reused", 422, "The key was used with another request")
+    BODY_TOO_LARGE = ("body_too_large", 413, "The body is too large")
+    UNKNOWN_PATH = ("unknown_path", 404, "There is no such path")
+    UNKNOWN_MODEL = ("unknown_model", 404, "No such model is declared")
+    BAD_METHOD = ("bad_method", 405, "The path does not take this method")
+    QUEUE_FULL = ("queue_full", 503, "Too many requests wait")
+    CALLER_SHARE = ("caller_share", 429, "The caller's share of the queue is used")
+    SHED = ("shed", 503, "Requests of a higher priority took the place")
+    DEADLINE_UNMEETABLE = ("deadline_unmeetable", 503, "The deadline cannot be met")
+    NO_REPLICA = ("no_replica", 503, "No target serves this at the moment")
+    TARGETS_BUSY = ("targets_busy", 503, "The targets refused the request unrun")
+    TARGETS_FAILED = ("targets_failed", 502, "The targets failed")
+    DEADLINE_PASSED = ("deadline_passed", 504, "The deadline passed during the run")
+    STORE_UNAVAILABLE = ("store_unavailable", 503, "The store does not answer")
+    FIRST_RUN_OPEN = ("first_run_open", 409, "An earlier run of this key is open")
+    CALLER_GONE = ("caller_gone", 499, "The caller went away")
+
+    def __init__(self, code: str, status: int, title: str) -> None:
+        self.code = code
+        self.status = status
+        self.title = title
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """One refusal; ``retry_after`` is set wherever coming back helps."""
+
+    reason: Reason
+    executed: Executed
+    detail: str = ""
+    retry_after: timedelta | None = None
+
+    def as_unknown(self) -> "Refusal":
+        """Return the refusal for a request that may have run by now."""
+        return replace(self, executed=Executed.UNKNOWN)
+
+
+class _Problem(msgspec.Struct):
+    type: str
+    title: str
+    status: int
+    detail: str
+    reason: str
+    executed: str
+    request_id: str
+
+
+def problem_document(refusal: Refusal, request_id: str) -> bytes:
+    """Return the problem document for ``refusal``."""
+    problem = _Problem(
+        type=f"urn:runhatch:refusal:{refusal.reason.code}",
+        title=refusal.reason.title,
+        status=refusal.reason.status,
+        detail=refusal.detail,
+        reason=refusal.reason.code,
+        executed=refusal.executed.value,
+        request_id=request_id,
+    )
+    return msgspec.json.encode(problem)
+
+
+def retry_after_header(refusal: Refusal) -> list[tuple[str, str]]:
+    """Return the Retry-After header in whole seconds, rounded up, if any.
+
+    >>> busy = Refusal(
+    ...     Reason.QUEUE_FULL, Executed.NO, retry_after=timedelta(seconds=0.2)
+    ... )
+    >>> retry_after_header(busy)
+    [('Retry-After', '1')]
+    """
+    if refusal.retry_after is None:
+        return []
+    seconds = max(1, math.ceil(refusal.retry_after.total_seconds()))
+    return [("Retry-After", str(seconds))]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/_request.py
@@ -0,0 +1,54 @@
+"""A caller's request, checked, as the serving side passes it around."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+
+class RouteKind(Enum):
+    """Whether a model engine or a plain service answers."""
+
+    MODEL = "model"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Route:
+    """What a request is for: a declared model, adapter or plain service."""
+
+    kind: RouteKind
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind.value}:{self.name}"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request; ``deadline`` is on the clock's elapsed time.
+
+    ``key`` is set for requests that may run at most once.  ``document`` is the
+    decoded body of a model request, ``body`` the bytes of a plain one.
+    """
+
+    request_id: str
+    caller: str
+    route: Route
+    method: str
+    path: str
+    priority: int
+    received: timedelta
+    deadline: timedelta
+    idempotent: bool
+    key: str | None
+    body: bytes
+    document: dict[str, object] = field(default_factory=dict)
+    stream: bool = False
+    content_type: str = "application/json"
+    unrun_statuses: frozenset[int] = frozenset({429})
+    prefix: tuple[str, ...] = ()
+
+    @property
+    def is_model(self) -> bool:
+        """Whether a model engine answers."""
+        return self.route.kind is RouteKind.MODEL
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/_router.py
@@ -0,0 +1,134 @@
+"""Choosing a target: predicted wait, prefix affinity and failure domain."""
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from runhatch_coordination import weight
+from runhatch_server.serving._picture import Host
+from runhatch_server.serving._prefixes import PrefixIndex
+from runhatch_server.serving._target_state import TargetState
+
+SAMPLE = 3
+"""Candidates compared when there are more; nodes seldom compare the same ones."""
+PREFILL_PER_BLOCK = timedelta(milliseconds=20)
+"""Prefill time that one cached block saves."""
+DEFAULT_SERVICE = timedelta(seconds=1)
+REMOTE_COST = timedelta(milliseconds=2)
+"""What another failure domain costs: a round trip."""
+LIGHT_LOAD_SHARE = 0.1
+"""Weight of load below saturation, where nothing waits but tokens slow down."""
+JITTER = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The chosen host, and the figures that spoke for it."""
+
+    host: Host
+    predicted_wait: timedelta
+    prefix_blocks: int
+    candidates: int
+
+    def explain(self) -> str:
+        """Return one line for operators."""
+        wait = self.predicted_wait.total_seconds() * 1000
+        return (
+            f"best of {self.candidates}: predicted wait {wait:.0f} ms, "
+            f"{self.prefix_blocks} prefix blocks cached"
+        )
+
+
+class Router:
+    """Scores hosts for one request; guarded by the dispatcher's lock."""
+
+    def __init__(
+        self,
+        failure_domain: str,
+        prefixes: PrefixIndex,
+        random_source: random.Random,
+        affinity: bool = True,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._prefixes = prefixes
+        self._random = random_source
+        self._affinity = affinity
+
+    def choose(
+        self,
+        hosts: Sequence[Host],
+        states: Mapping[str, TargetState],
+        prefix: tuple[str, ...],
+        avoided_domains: frozenset[str],
+        now: timedelta,
+    ) -> Choice | None:
+        """Return the best of ``hosts`` that has room, ``None`` if none has.
+
+        Hosts in ``avoided_domains`` are taken only if no other has room.
+        """
+        usable = _without_ejected(hosts, states, now)
+        open_hosts = [host for host in usable if states[host.target].has_room()]
+        elsewhere = [h for h in open_hosts if h.failure_domain not in avoided_domains]
+        candidates = elsewhere or open_hosts
+        if not candidates:
+            return None
+        sampled = self._sample(candidates, prefix)
+        scored = [self._score(host, states, prefix, now) for host in sampled]
+        best = min(scored, key=lambda scored_host: scored_host.score)
+        return Choice(best.host, best.wait, best.matched, len(sampled))
+
+    def _sample(self, hosts: list[Host], prefix: tuple[str, ...]) -> list[Host]:
+        if len(hosts) <= SAMPLE:
+            return hosts
+        sampled = self._random.sample(hosts, SAMPLE)
+        if prefix and self._affinity:
+            best = max(hosts, key=lambda host: self._affinity_rank(host, prefix))
+            if best not in sampled:
+                sampled.append(best)
+        return sampled
+
+    def _affinity_rank(self, host: Host, prefix: tuple[str, ...]) -> tuple[int, int]:
+        # All nodes rank hosts alike for a prefix, without telling each other.
+        matched = self._prefixes.matched(host.target, prefix)
+        return matched, weight(prefix[0], host.target)
+
+    def _score(
+        self,
+        host: Host,
+        states: Mapping[str, TargetState],
+        prefix: tuple[str, ...],
+        now: timedelta,
+    ) -> "_Scored":
+        wait = _predicted_wait(host, states[host.target], now)
+        matched = self._prefixes.matched(host.target, prefix) if self._affinity else 0
+        score = wait * self._random.uniform(1 - JITTER, 1 + JITTER)
+        # Affinity is worth what it saves, so it never costs more wait than that.
+        score -= PREFILL_PER_BLOCK * matched
+        if host.failure_domain != self._failure_domain:
+            score += REMOTE_COST
+        return _Scored(host, score, wait, matched)
+
+
+@dataclass(frozen=True, slots=True)
+class _Scored:
+    host: Host
+    score: timedelta
+    wait: timedelta
+    matched: int
+
+
+def _predicted_wait(host: Host, state: TargetState, now: timedelta) -> timedelta:
+    service = state.service_time or DEFAULT_SERVICE
+    load = state.load(now)
+    beyond = max(0.0, load + 1 - host.concurrency)
+    light = LIGHT_LOAD_SHARE * min(load, host.concurrency)
+    return service * ((beyond + light) / host.concurrency)
+
+
+def _without_ejected(
+    hosts: Sequence[Host], states: Mapping[str, TargetState], now: timedelta
+) -> Sequence[Host]:
+    """Leave out failing hosts, unless that would leave fewer than half."""
+    sound = [host for host in hosts if not states[host.target].is_ejected(now)]
+    return sound if 2 * len(sound) >= len(hosts) else hosts
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/serving/_target_requests.py
@@ -0,0 +1,87 @@
+"""What is sent to a target for a caller's request."""
+
+from collections.abc import Mapping
+
+import msgspec
+
+from runhatch_server.serving._picture import Host
+from runhatch_server.serving._request import CallerRequest
+from runhatch_server.targets import TargetRequest
+
+ENGINE_UNRUN = frozenset({404, 429, 503})
+"""Statuses by which an engine says that it did not run a request."""
+LOAD_FORMAT_HEADER = "endpoint-load-metrics-format"
+
+
+def attempt_id(request: CallerRequest, attempt: int) -> str:
+    """Return the id under which the target knows one attempt."""
+    return f"{request.request_id}.{attempt}"
+
+
+def build_target_request(
+    request: CallerRequest,
+    host: Host,
+    attempt: int,
+    continuation: Mapping[str, object] | None = None,
+) -> TargetRequest:
+    """Return the request for one attempt at ``host``.
+
+    ``continuation`` asks an engine for the rest of a stream that broke.
+    """
+    if request.is_model:
+        sent_id = attempt_id(request, attempt)
+        return _engine_request(request, host, sent_id, continuation)
+    headers = {"Content-Type": request.content_type}
+    if request.key is not None:
+        headers["Idempotency-Key"] = request.key
+    return TargetRequest(
+        host.url,
+        request.method,
+        request.path,
+        request.body,
+        headers,
+        attempt_id(request, attempt),
+        request.deadline,
+        request.unrun_statuses,
+        must_echo_id=False,
+    )
+
+
+def _engine_request(
+    request: CallerRequest,
+    host: Host,
+    sent_id: str,
+    document: Mapping[str, object] | None,
+) -> TargetRequest:
+    sent = {**(document or request.document), "model": host.unit}
+    headers = {
+        "Content-Type": "application/json",
+        "Priority": f"u={request.priority}",
+        LOAD_FORMAT_HEADER: "JSON",
+    }
+    return TargetRequest(
+        host.url,
+        "POST",
+        request.path,
+        msgspec.json.encode(sent),
+        headers,
+        sent_id,
+        request.deadline,
+        ENGINE_UNRUN,
+    )
+
+
+def resume_request(
+    request: CallerRequest, host: Host, sent_id: str, last_event: bytes
+) -> TargetRequest:
+    """Return the request for the events of a stream after ``last_event``."""
+    return TargetRequest(
+        host.url,
+        "GET",
+        f"/v1/streams/{sent_id}",
+        b"",
+        {"Last-Event-ID": last_event.decode("latin-1")},
+        sent_id,
+        request.deadline,
+        ENGINE_UNRUN,
+    )
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/settings/__init__.py
@@ -0,0 +1,35 @@
+"""The settings of one daemon process."""
+
+from runhatch_server.settings._load import load_settings
+from runhatch_server.settings._models import (
+    Listener,
+    LogLevel,
+    LogSettings,
+    NodeSettings,
+    OperatorRole,
+    OperatorSettings,
+    OperatorToken,
+    PeerSettings,
+    PeerTls,
+    PlacementSettings,
+    PlatformSettings,
+    ServingSettings,
+    Settings,
+)
+
+__all__ = [
+    "Listener",
+    "LogLevel",
+    "LogSettings",
+    "NodeSettings",
+    "OperatorRole",
+    "OperatorSettings",
+    "OperatorToken",
+    "PeerSettings",
+    "PeerTls",
+    "PlacementSettings",
+    "PlatformSettings",
+    "ServingSettings",
+    "Settings",
+    "load_settings",
+]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -0,0 +1,205 @@
+"""Models of the settings file; durations are in seconds, sizes in bytes."""
+
+import os
+from enum import Enum
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, Field, SecretStr, model_validator
+
+from runhatch_server._border import StrictModel
+
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Seconds = Annotated[float, Field(gt=0, le=86_400)]
+
+
+def _check_address(value: str) -> str:
+    try:
+        ip_address(value)
+    except ValueError:
+        raise ValueError("an IP number such as 127.0.0.1") from None
+    return value
+
+
+Address = Annotated[str, AfterValidator(_check_address)]
+
+
+class Listener(StrictModel):
+    """An address to listen on; port 0 lets the system choose."""
+
+    host: Address
+    port: int = Field(ge=0, le=65_535)
+
+
+class NodeSettings(StrictModel):
+    """Who this node is and where it stands."""
+
+    name: Name = Field(description="Unique name of the VM")
+    failure_domain: Name = Field(description="Failure domain the VM stands in")
+    region: Name = Field(default="default", description="Region of the domain")
+
+
+class PlatformSettings(StrictModel):
+    """Where the platform's services are."""
+
+    table_url: str = Field(description="Table service, base address")
+    table: Name = Field(default="runhatch", description="Name of the table")
+    objects_url: str = Field(description="Object store, base address")
+    bucket: Name = Field(default="runhatch", description="Bucket for bodies")
+    vms_url: str = Field(description="Address of the list of VMs")
+    timeout_seconds: Seconds = Field(
+        default=1.0, description="Longest wait for one call to the store"
+    )
+
+
+class ServingSettings(StrictModel):
+    """How requests are taken."""
+
+    threads: int = Field(default=160, ge=4, le=2_000, description="Request threads")
+    default_deadline_seconds: Seconds = Field(
+        default=60.0, description="Deadline of requests that name none"
+    )
+    max_deadline_seconds: Seconds = Field(
+        default=900.0, description="Longest deadline a caller may ask for"
+    )
+    max_body_bytes: int = Field(
+        default=1_048_576, ge=1_024, le=67_108_864, description="Largest request body"
+    )
+    max_header_bytes: int = Field(
+        default=32_768, ge=1_024, le=262_144, description="Largest request header"
+    )
+    queue_limit: int = Field(
+        default=64, ge=1, le=2_000, description="Requests that may wait for a slot"
+    )
+    caller_share: float = Field(
+        default=0.5,
+        gt=0,
+        le=1,
+        description="Largest share of the queue that one caller may hold",
+    )
+    claim_wait_seconds: Seconds = Field(
+        default=2.0, description="Wait of a repeat for the first run's answer"
+    )
+    stall_seconds: Seconds = Field(
+        default=10.0, description="Silence after which a stream is given up"
+    )
+    drain_lag_seconds: float = Field(
+        default=2.0,
+        ge=0,
+        le=600,
+        description="Time the balancer needs to notice a failing readiness",
+    )
+
+
+class PlacementSettings(StrictModel):
+    """How this node plans, when it holds a planning lease."""
+
+    interval_seconds: Seconds = Field(default=1.0, description="Between two plans")
+    lease_seconds: Seconds = Field(default=6.0, description="Lease time to live")
+    refresh_seconds: Seconds = Field(
+        default=10.0, description="Between two reads of placement and configuration"
+    )
+
+
+class PeerTls(StrictModel):
+    """Keys for peer links; both sides of a link are checked."""
+
+    certificate_file: Path
+    key_file: Path
+    authority_file: Path
+
+
+class PeerSettings(StrictModel):
+    """Links between nodes."""
+
+    heartbeat_seconds: Seconds = Field(default=1.0, description="Between heartbeats")
+    suspect_seconds: Seconds = Field(
+        default=3.5, description="Silence after which a peer is suspected"
+    )
+    max_message_bytes: int = Field(
+        default=4_194_304, ge=65_536, le=67_108_864, description="Largest message"
+    )
+    tls: PeerTls | None = Field(default=None, description="Keys; none means plain")
+
+
+class OperatorRole(Enum):
+    """What a token allows; ``change`` includes ``read``."""
+
+    READ = "read"
+    CHANGE = "change"
+
+
+class OperatorToken(StrictModel):
+    """One operator's bearer token, given directly, in a file or the environment."""
+
+    name: Name
+    role: OperatorRole
+    token: SecretStr | None = None
+    token_file: Path | None = None
+    token_env: str | None = None
+
+    @model_validator(mode="after")
+    def _one_source(self) -> "OperatorToken":
+        given = [self.token, self.token_file, self.token_env]
+        if sum(source is not None for source in given) != 1:
+            raise ValueError("exactly one of token, token_file, token_env")
+        return self
+
+    def secret(self) -> str:
+        """Return the token from whichever source was given.
+
+        Raises ``OSError`` or ``KeyError`` if that source does not exist.
+        """
+        if self.token is not None:
+            return self.token.get_secret_value()
+        if self.token_file is not None:
+            return self.token_file.read_text().strip()
+        return os.environ[str(self.token_env)]
+
+
+class OperatorSettings(StrictModel):
+    """Who may ask and change; without tokens only loopback is let in."""
+
+    tokens: tuple[OperatorToken, ...] = ()
+
+
+class LogLevel(Enum):
+    """What is logged; each level includes those before it."""
+
+    ERROR = "error"
+    CHANGE = "change"
+    REQUEST = "request"
+
+
+class LogSettings(StrictModel):
+    """Structured logs, one JSON object a line."""
+
+    level: LogLevel = Field(default=LogLevel.CHANGE, description="What is logged")
+    destination: str = Field(
+        default="stderr", description='"stderr", "stdout" or the path of a file'
+    )
+
+
+class Settings(StrictModel):
+    """The whole settings file of ``runhatchd``."""
+
+    node: NodeSettings
+    callers: Listener
+    operators: Listener
+    peers: Listener
+    platform: PlatformSettings
+    serving: ServingSettings = ServingSettings()
+    placement: PlacementSettings = PlacementSettings()
+    peering: PeerSettings = PeerSettings()
+    access: OperatorSettings = OperatorSettings()
+    logs: LogSettings = LogSettings()
+
+    @model_validator(mode="after")
+    def _open_only_with_tokens(self) -> "Settings":
+        loopback = ip_address(self.operators.host).is_loopback
+        if not loopback and not self.access.tokens:
+            raise ValueError(
+                "operators.host beyond loopback needs at least one access.tokens entry"
+            )
+        return self
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -0,0 +1,49 @@
+"""Clients of the targets: typed outcomes of requests, and engine orders."""
+
+from runhatch_server.targets._answers import Answer, OpenAnswer
+from runhatch_server.targets._client import TargetClient, TargetRequest
+from runhatch_server.targets._engine import (
+    EngineClient,
+    EngineReport,
+    LoadedUnit,
+    Order,
+    OrderKind,
+    OrderOutcome,
+)
+from runhatch_server.targets._load import ReportedLoad
+from runhatch_server.targets._outcomes import (
+    AttemptOutcome,
+    AttemptReason,
+    NotSent,
+    RefusedUnrun,
+    UnknownResult,
+)
+from runhatch_server.targets._stream import (
+    EventSplitter,
+    event_data,
+    event_id,
+    is_terminal,
+)
+
+__all__ = [
+    "Answer",
+    "AttemptOutcome",
+    "AttemptReason",
+    "EngineClient",
+    "EngineReport",
+    "EventSplitter",
+    "LoadedUnit",
+    "NotSent",
+    "OpenAnswer",
+    "Order",
+    "OrderKind",
+    "OrderOutcome",
+    "RefusedUnrun",
+    "ReportedLoad",
+    "TargetClient",
+    "TargetRequest",
+    "UnknownResult",
+    "event_data",
+    "event_id",
+    "is_terminal",
+]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/targets/_engine.py
@@ -0,0 +1,126 @@
+"""Orders to model engines, and their reports.
+
+The order interface is a JSON document sent to ``POST /v1/orders``; the report is
+read from ``GET /v1/state`` and cache events from ``GET /v1/cache_events``.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+import msgspec
+
+from runhatch_coordination import Unavailable, Unknown
+from runhatch_server.platform import PlatformHttp, Reply
+
+ENGINE_TIMEOUT = timedelta(seconds=1)
+
+
+class OrderKind(Enum):
+    """What an order asks of an engine."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+    SET_ROLE = "set_role"
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One order; ``number`` is its fencing number, rising for each engine."""
+
+    kind: OrderKind
+    unit: str
+    number: int
+    memory_mb: int = 0
+    loading_peak_mb: int = 0
+    base: str = ""
+    role: str = ""
+
+
+class OrderOutcome(Enum):
+    """What became of sending an order."""
+
+    ACCEPTED = "accepted"
+    REFUSED_OLD = "refused_old"
+    REFUSED = "refused"
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadedUnit:
+    """A model version or adapter that the engine holds and serves."""
+
+    unit: str
+    memory_mb: int
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine says of itself; it may lag.
+
+    ``incarnation`` changes when the engine restarts and so has lost its memory;
+    ``fence`` is the highest order number it has taken.
+    """
+
+    incarnation: str
+    fence: int
+    units: tuple[LoadedUnit, ...]
+    running: int
+    waiting: int
+    draining: bool = False
+    loading: tuple[str, ...] = ()
+
+    def holds(self, unit: str) -> bool:
+        """Tell whether ``unit`` is loaded."""
+        return any(loaded.unit == unit for loaded in self.units)
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A block of a prompt prefix was stored in or dropped from a cache."""
+
+    sequence: int
+    block: str
+    stored: bool
+
+
+class EngineClient:
+    """Gives orders to one engine and reads its reports."""
+
+    def __init__(self, url: str, timeout: timedelta = ENGINE_TIMEOUT) -> None:
+        self._http = PlatformHttp(url, timeout)
+
+    def give(self, order: Order) -> OrderOutcome:
+        """Send ``order`` once."""
+        body = msgspec.json.encode(order)
+        headers = {"Content-Type": "application/json"}
+        reply = self._http.call("POST", "/v1/orders", body, headers)
+        match reply:
+            case Unavailable():
+                return OrderOutcome.NOT_SENT
+            case Unknown():
+                return OrderOutcome.UNKNOWN
+        if reply.status in (200, 202):
+            return OrderOutcome.ACCEPTED
+        if reply.status == 412:
+            return OrderOutcome.REFUSED_OLD
+        return OrderOutcome.REFUSED if reply.status < 500 else OrderOutcome.UNKNOWN
+
+    def report(self) -> EngineReport | Unavailable:
+        """Read the engine's report."""
+        reply = self._http.call("GET", "/v1/state", b"", {})
+        if isinstance(reply, Unknown):
+            reply = self._http.call("GET", "/v1/state", b"", {})
+        if not isinstance(reply, Reply):
+            return Unavailable(reply.reason)
+        if reply.status != 200:
+            return Unavailable(f"the engine answered {reply.status}")
+        try:
+            return msgspec.json.decode(reply.body, type=EngineReport)
+        except msgspec.MsgspecError as error:
+            return Unavailable(f"the engine's report cannot be read: {error}")
+
+    def cancel(self, request_id: str) -> None:
+        """Ask the engine to stop a request; a failure is of no consequence."""
+        self._http.call("DELETE", f"/v1/requests/{request_id}", b"", {})
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
@@ -0,0 +1,50 @@
+"""How an attempt at a target may end, apart from an answer.
+
+Only ``NotSent`` and ``RefusedUnrun`` prove that nothing ran.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from runhatch_server.targets._answers import OpenAnswer
+
+
+class AttemptReason(Enum):
+    """Why an attempt ended without an answer; each has a counter."""
+
+    CONNECT_FAILED = "connect_failed"
+    TARGET_BUSY = "target_busy"
+    MODEL_NOT_THERE = "model_not_there"
+    TARGET_DRAINING = "target_draining"
+    TIMED_OUT = "timed_out"
+    BROKEN = "broken"
+    WRONG_ANSWER = "wrong_answer"
+    SERVER_ERROR = "server_error"
+    STALLED = "stalled"
+    CALLER_GONE = "caller_gone"
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request left this node."""
+
+    reason: AttemptReason
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedUnrun:
+    """The target said that it did not run the request."""
+
+    reason: AttemptReason
+    retry_after: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownResult:
+    """The request may have run."""
+
+    reason: AttemptReason
+
+
+AttemptOutcome = NotSent | RefusedUnrun | UnknownResult | OpenAnswer
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/targets/_stream.py
@@ -0,0 +1,60 @@
+"""Server-sent events of an engine, cut into events without decoding them."""
+
+from collections.abc import Iterator
+
+EVENT_END = b"\n\n"
+TERMINAL_EVENT = b"data: [DONE]"
+ID_FIELD = b"id: "
+MAX_EVENT = 1_048_576
+
+
+class EventTooLongError(ValueError):
+    """An event exceeds ``MAX_EVENT`` bytes."""
+
+
+class EventSplitter:
+    r"""Collects bytes and yields whole events, their blank line included.
+
+    >>> splitter = EventSplitter()
+    >>> list(splitter.feed(b"data: a\n\ndata"))
+    [b'data: a\n\n']
+    >>> list(splitter.feed(b": b\n\n"))
+    [b'data: b\n\n']
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    def feed(self, chunk: bytes) -> Iterator[bytes]:
+        """Yield the events that ``chunk`` completes."""
+        self._buffer += chunk
+        *events, self._buffer = self._buffer.split(EVENT_END)
+        for event in events:
+            yield event + EVENT_END
+        if len(self._buffer) > MAX_EVENT:
+            raise EventTooLongError(f"an event of more than {MAX_EVENT} bytes")
+
+
+def is_terminal(event: bytes) -> bool:
+    """Tell whether ``event`` ends a complete stream.
+
+    >>> is_terminal(b"id: 7\\ndata: [DONE]\\n\\n")
+    True
+    """
+    return TERMINAL_EVENT in event and any(
+        line == TERMINAL_EVENT for line in event.split(b"\n")
+    )
+
+
+def event_id(event: bytes) -> bytes | None:
+    """Return the event's id, if it has one."""
+    if not event.startswith(ID_FIELD):
+        return None
+    return event[len(ID_FIELD) : event.index(b"\n")]
+
+
+def event_data(event: bytes) -> bytes:
+    """Return the event's data, lines joined."""
+    prefix = b"data: "
+    lines = [line for line in event.split(b"\n") if line.startswith(prefix)]
+    return b"\n".join(line[len(prefix) :] for line in lines)
--- /dev/null
+++ b/standins/src/runhatch_standins/_cluster.py
@@ -0,0 +1,295 @@
+"""A small system on loopback: stand-ins and nodes as processes of their own."""
+
+import http.client
+import json
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Mapping
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from subprocess import run as run_process
+from typing import Any
+from urllib.parse import urlsplit
+
+from runhatch_standins._launch import Launched, launch
+
+DOMAINS = ("d1", "d2", "d3")
+Document = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """How large the system is, and how its engines behave."""
+
+    nodes: int = 3
+    engines: int = 3
+    models: int = 8
+    adapters: int = 4
+    memory_mb: int = 60_000
+    model_mb: int = 9_000
+    slots: int = 16
+    queue: int = 64
+    per_token: float = 0.004
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class Cluster:
+    """The running system; leaves nothing behind when closed."""
+
+    sizes: Sizes
+    folder: Path
+    platform: Launched
+    weights: Launched
+    engines: list[Launched]
+    booking: Launched
+    nodes: dict[str, Launched] = field(default_factory=dict)
+    settings: dict[str, Document] = field(default_factory=dict)
+    stack: ExitStack = field(default_factory=ExitStack)
+
+    def caller_url(self, node: str) -> str:
+        """Return where ``node`` serves callers."""
+        return f"http://127.0.0.1:{self.settings[node]['callers']['port']}"
+
+    def operator_url(self, node: str) -> str:
+        """Return where ``node`` serves operators."""
+        return f"http://127.0.0.1:{self.settings[node]['operators']['port']}"
+
+    def start_node(self, name: str) -> Launched:
+        """Start, or start again, the node called ``name``."""
+        path = self.folder / f"{name}.json5"
+        path.write_text(
+            "// Written by the test bench.\n" + json.dumps(self.settings[name])
+        )
+        log = self.folder / f"{name}-{time.monotonic_ns()}.err"
+        node = launch(name, "runhatch_server", "--settings", str(path), errors=log)
+        self.nodes[name] = node
+        self.stack.callback(node.kill)
+        return node
+
+    def publish_vms(self, leaving: tuple[str, ...] = ()) -> None:
+        """Tell the platform which VMs there are."""
+        vms = [
+            {
+                "name": name,
+                "failure_domain": settings["node"]["failure_domain"],
+                "peer_address": f"127.0.0.1:{settings['peers']['port']}",
+                "leaving": name in leaving,
+            }
+            for name, settings in self.settings.items()
+        ]
+        vms += [
+            {"name": f"vm-{engine.name}", "failure_domain": "d1", "leaving": True}
+            for engine in self.engines
+            if f"vm-{engine.name}" in leaving
+        ]
+        call(self.platform.url, "PUT", "/vms", {"vms": vms})
+
+    def deployment(self) -> Document:
+        """Return the configuration document for what is running."""
+        targets = [
+            {
+                "name": engine.name,
+                "url": engine.url,
+                "failure_domain": DOMAINS[index % len(DOMAINS)],
+                "memory_mb": self.sizes.memory_mb,
+                "concurrency": self.sizes.slots,
+                "fencing": "ignores" if index == 0 else "refuses",
+                "max_order_delay_seconds": 3,
+                "max_report_lag_seconds": 1,
+                "vm": f"vm-{engine.name}",
+            }
+            for index, engine in enumerate(self.engines)
+        ]
+        models = [
+            {
+                "name": f"m{index}",
+                "pool": "reader",
+                "memory_mb": self.sizes.model_mb,
+                "loading_peak_mb": 1_000,
+                "service_seconds": 0.1,
+            }
+            for index in range(self.sizes.models)
+        ]
+        adapters = [
+            {"name": f"a{index}", "base": f"m{index}", "memory_mb": 200}
+            for index in range(self.sizes.adapters)
+        ]
+        booking = {
+            "name": "booking",
+            "targets": [
+                {"name": "b1", "url": self.booking.url, "failure_domain": "d1"}
+            ],
+            "paths": [
+                {"path": "/bookings", "methods": ["POST"], "idempotent": False},
+                {"path": "/drums/*", "methods": ["GET"], "idempotent": True},
+            ],
+        }
+        return {
+            "pools": [{"name": "reader", "targets": targets}],
+            "models": models,
+            "adapters": adapters,
+            "plain_services": [booking],
+            "weight_store": {"loads_per_second": 20, "at_once": 15},
+            "policy": {"min_residence_seconds": 5},
+        }
+
+    def runhatch(self, *arguments: str) -> str:
+        """Run the operators' command against the first live node."""
+        result = run_process(
+            [sys.executable, "-m", "runhatch_cli", *arguments],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if result.returncode != 0:
+            raise RuntimeError(f"runhatch {arguments}: {result.stderr.strip()}")
+        return result.stdout
+
+    def apply(self, document: Document, note: str) -> str:
+        """Apply ``document`` and wait until every node has it."""
+        path = self.folder / "deployment.json5"
+        path.write_text(json.dumps(document))
+        urls = [self.operator_url(name) for name in self.nodes]
+        waits = [part for url in urls for part in ("--wait", url)]
+        options = ["--node", urls[0], "--note", note, *waits]
+        return self.runhatch("apply", str(path), *options).strip()
+
+    def wait_resident(self, node: str, seconds: float) -> bool:
+        """Wait until ``node`` knows a replica of every model and adapter."""
+        give_up = time.monotonic() + seconds
+        while time.monotonic() < give_up:
+            counts = [
+                record["replicas"]
+                for noun in ("models", "adapters")
+                for record in self.query(node, {"noun": noun})
+            ]
+            if counts and min(counts) > 0:
+                return True
+            time.sleep(0.2)
+        return False
+
+    def query(self, node: str, query: Document) -> list[Document]:
+        """Ask ``node``; the records that it returns."""
+        answer = call(self.operator_url(node), "POST", "/v1/query", query)
+        return list(answer["records"])
+
+    def close(self) -> None:
+        """End every process started here."""
+        self.stack.close()
+
+
+def start_cluster(
+    sizes: Sizes, settings: Mapping[str, Document] | None = None
+) -> Cluster:
+    """Start stand-ins and nodes; ``settings`` overrides sections by name."""
+    stack = ExitStack()
+    try:
+        return _start(sizes, settings or {}, stack)
+    except BaseException:
+        stack.close()
+        raise
+
+
+def _start(
+    sizes: Sizes, overrides: Mapping[str, Document], stack: ExitStack
+) -> Cluster:
+    folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="runhatch-")))
+
+    def start(name: str, module: str, *arguments: str) -> Launched:
+        log = folder / f"{name}.err"
+        launched = launch(name, f"runhatch_standins.{module}", *arguments, errors=log)
+        stack.callback(launched.kill)
+        return launched
+
+    seed = str(sizes.seed)
+    platform = start("platform", "platform", "--seed", seed)
+    weights = start("weights", "weight_store", "--load-seconds", "0.1")
+    engines = [
+        start(f"e{index + 1}", "engine", *_engine_arguments(sizes, index, weights))
+        for index in range(sizes.engines)
+    ]
+    booking = start("booking", "plain_service")
+    cluster = Cluster(sizes, folder, platform, weights, engines, booking, stack=stack)
+    for index in range(sizes.nodes):
+        name = f"n{index + 1}"
+        base = _node_settings(name, DOMAINS[index % len(DOMAINS)], platform.url)
+        for section, values in overrides.items():
+            base[section] = {**base.get(section, {}), **values}
+        cluster.settings[name] = base
+    cluster.publish_vms()
+    for name in cluster.settings:
+        cluster.start_node(name)
+    return cluster
+
+
+def _engine_arguments(sizes: Sizes, index: int, weights: Launched) -> list[str]:
+    arguments = [
+        "--memory-mb", str(sizes.memory_mb),
+        "--slots", str(sizes.slots),
+        "--queue", str(sizes.queue),
+        "--per-token", str(sizes.per_token),
+        "--weights", weights.url,
+        "--seed", str(sizes.seed + index),
+    ]  # fmt: skip
+    return [*arguments, "--ignores-fencing"] if index == 0 else arguments
+
+
+def _node_settings(name: str, domain: str, platform_url: str) -> Document:
+    callers, operators, peers = free_ports(3)
+    return {
+        "node": {"name": name, "failure_domain": domain},
+        "callers": {"host": "127.0.0.1", "port": callers},
+        "operators": {"host": "127.0.0.1", "port": operators},
+        "peers": {"host": "127.0.0.1", "port": peers},
+        "platform": {
+            "table_url": platform_url,
+            "objects_url": platform_url,
+            "vms_url": f"{platform_url}/vms",
+        },
+        "serving": {"drain_lag_seconds": 0.5},
+        "placement": {
+            "interval_seconds": 0.5,
+            "lease_seconds": 3,
+            "refresh_seconds": 2,
+        },
+        "logs": {"level": "change"},
+    }
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the system says are free, all different."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+def call(
+    url: str,
+    method: str,
+    path: str,
+    document: Document | None = None,
+    headers: Mapping[str, str] | None = None,
+    timeout: float = 30.0,
+) -> Document:
+    """Make one JSON call; raises ``RuntimeError`` unless it succeeds."""
+    parts = urlsplit(url)
+    connection = http.client.HTTPConnection(
+        parts.hostname or "", parts.port, timeout=timeout
+    )
+    body = None if document is None else json.dumps(document)
+    sent = {"Content-Type": "application/json", **(headers or {})}
+    try:
+        connection.request(method, path, body, sent)
+        response = connection.getresponse()
+        answer = response.read()
+    finally:
+        connection.close()
+    if response.status >= 300:
+        raise RuntimeError(f"{method} {path}: {response.status} {answer[:300]!r}")
+    return dict(json.loads(answer or b"{}"))
--- /dev/null
+++ b/standins/src/runhatch_standins/_engine_memory.py
@@ -0,0 +1,130 @@
+"""An engine stand-in's memory and orders, checked independently of the ledger."""
+
+import http.client
+import random
+import threading
+import time
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlsplit
+
+NO_ORDER_FAULTS: dict[str, Any] = {
+    "order_loss": 0.0,
+    "order_double": 0.0,
+    "order_delay_seconds": 0.0,
+}
+
+
+@dataclass(slots=True)
+class Held:
+    """A unit in memory; ``peak_mb`` is in use while it loads."""
+
+    memory_mb: int
+    peak_mb: int
+    base: str
+    loaded: bool = False
+
+
+class Memory:
+    """What the engine holds, and whether it was ever asked for too much."""
+
+    def __init__(
+        self, capacity_mb: int, refuses_old: bool, weights: str | None, seed: int
+    ) -> None:
+        self._capacity = capacity_mb
+        self._refuses_old = refuses_old
+        self._weights = weights
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+        self.faults = dict(NO_ORDER_FAULTS)
+        self.held: dict[str, Held] = {}
+        self.fence = 0
+        self.most_mb = 0
+        self.violations: list[str] = []
+        self.moves = 0
+
+    def receive(self, order: dict[str, Any]) -> int:
+        """Take one order as it arrives; returns the HTTP status."""
+        if self._happens("order_loss"):
+            return 202
+        delay = float(self.faults["order_delay_seconds"])
+        if delay > 0:
+            # Accepted, and acted on only later.
+            wait = delay * self._random.random()
+            threading.Timer(wait, self.apply, (order,)).start()
+            return 202
+        status = self.apply(order)
+        if self._happens("order_double"):
+            threading.Timer(1.0, self.apply, (order,)).start()
+        return status
+
+    def apply(self, order: dict[str, Any]) -> int:
+        """Act on one order."""
+        with self._lock:
+            if self._refuses_old and order["number"] < self.fence:
+                return 412
+            self.fence = max(self.fence, order["number"])
+            if order["kind"] == "load":
+                return self._load(order)
+            if order["kind"] == "unload":
+                self._unload(order["unit"])
+            return 202
+
+    def serves(self, unit: str) -> bool:
+        """Tell whether requests for ``unit`` are taken."""
+        held = self.held.get(unit)
+        return held is not None and held.loaded
+
+    def report(self) -> dict[str, Any]:
+        """Return the memory's part of the report."""
+        with self._lock:
+            return {
+                "fence": self.fence,
+                "units": [
+                    {"unit": unit, "memory_mb": held.memory_mb}
+                    for unit, held in self.held.items()
+                    if held.loaded
+                ],
+                "loading": [u for u, held in self.held.items() if not held.loaded],
+            }
+
+    def _load(self, order: dict[str, Any]) -> int:
+        unit = order["unit"]
+        if unit in self.held:
+            return 202
+        if order["base"] and not self.serves(order["base"]):
+            return 409
+        held = Held(order["memory_mb"], order["loading_peak_mb"], order["base"])
+        self.held[unit] = held
+        used = sum(
+            h.memory_mb + (0 if h.loaded else h.peak_mb) for h in self.held.values()
+        )
+        self.most_mb = max(self.most_mb, used)
+        if used > self._capacity:
+            self.violations.append(f"{unit}: {used} MB of {self._capacity} MB")
+        self.moves += 1
+        threading.Thread(target=self._fetch, args=(unit, held), daemon=True).start()
+        return 202
+
+    def _fetch(self, unit: str, held: Held) -> None:
+        if self._weights is not None:
+            parts = urlsplit(self._weights)
+            connection = http.client.HTTPConnection(parts.hostname or "", parts.port)
+            try:
+                connection.request("POST", f"/loads/{unit}")
+                connection.getresponse().read()
+            except OSError:
+                time.sleep(0.2)
+            finally:
+                connection.close()
+        held.loaded = True
+
+    def _unload(self, unit: str) -> None:
+        if unit in self.held:
+            self.moves += 1
+            del self.held[unit]
+        for name in [n for n, held in self.held.items() if held.base == unit]:
+            del self.held[name]
+
+    def _happens(self, fault: str) -> bool:
+        return self._random.random() < float(self.faults[fault])
--- /dev/null
+++ b/standins/src/runhatch_standins/_engine_runs.py
@@ -0,0 +1,126 @@
+"""An engine stand-in's running requests: slots, priorities, prefix cache, tokens."""
+
+import heapq
+import itertools
+import threading
+import time
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from runhatch_standins._text import split_continuation, token
+
+BLOCK = 256
+CACHED_BLOCKS = 400
+KEEP_RUNS = 20_000
+
+
+@dataclass(slots=True)
+class Run:
+    """One request as the engine runs it; token times are fixed at its start."""
+
+    request_id: str
+    unit: str
+    prompt: str
+    first: int
+    tokens: int
+    chat: bool = True
+    started: float = 0.0
+    prefill: float = 0.0
+    per_token: float = 0.0
+    cancelled: bool = False
+    finished: bool = False
+    began: threading.Event = field(default_factory=threading.Event)
+
+    def ready_at(self, index: int) -> float:
+        """Return when the token at ``index``, counted from ``first``, is there."""
+        return self.started + self.prefill + self.per_token * (index + 1)
+
+    def text(self, index: int) -> str:
+        """Return the token at ``index``, counted from ``first``."""
+        return token(self.prompt, self.first + index)
+
+
+class Runs:
+    """Slots given by priority, and the prefix cache they share."""
+
+    def __init__(
+        self, slots: int, queue: int, per_token: float, prefill_per_block: float
+    ) -> None:
+        self._slots = slots
+        self._queue = queue
+        self._per_token = per_token
+        self._prefill = prefill_per_block
+        self._lock = threading.Lock()
+        self._waiting: list[tuple[int, int, Run]] = []
+        self._order = itertools.count()
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self.slow = 1.0
+        self.running = 0
+        self.runs: OrderedDict[str, Run] = OrderedDict()
+        self.cache_events: list[tuple[str, bool]] = []
+        self.cached_blocks = 0
+        self.asked_blocks = 0
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._waiting)
+
+    def begin(
+        self,
+        request_id: str,
+        unit: str,
+        prompt: str,
+        tokens: int,
+        priority: int,
+        chat: bool,
+    ) -> Run | None:
+        """Take a request; ``None`` if the queue is full."""
+        first_prompt, offset = split_continuation(prompt)
+        run = Run(request_id, unit, first_prompt, offset, tokens, chat)
+        with self._lock:
+            if len(self._waiting) >= self._queue:
+                return None
+            self.runs[request_id] = run
+            while len(self.runs) > KEEP_RUNS:
+                self.runs.popitem(last=False)
+            heapq.heappush(self._waiting, (priority, next(self._order), run))
+            self._start_waiting()
+        run.began.wait()
+        return run
+
+    def end(self, run: Run) -> None:
+        """Give the slot back, once."""
+        with self._lock:
+            if run.finished:
+                return
+            run.finished = True
+            self.running -= 1
+            self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        while self._waiting and self.running < self._slots:
+            run = heapq.heappop(self._waiting)[2]
+            self.running += 1
+            run.started = time.monotonic()
+            run.prefill = self._prefill * self._missing_blocks(run.prompt) * self.slow
+            run.per_token = self._per_token * self.slow
+            run.began.set()
+
+    def _missing_blocks(self, prompt: str) -> int:
+        """Count the prompt's blocks that are not cached, and cache them."""
+        missing = 0
+        for end in range(BLOCK, len(prompt) + 1, BLOCK):
+            block = prompt[:end]
+            self.asked_blocks += 1
+            if block in self._cache:
+                self.cached_blocks += 1
+            else:
+                missing += 1
+                self.cache_events.append((block, True))
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        while len(self._cache) > CACHED_BLOCKS:
+            dropped, _ = self._cache.popitem(last=False)
+            self.cache_events.append((dropped, False))
+        return missing
--- /dev/null
+++ b/standins/src/runhatch_standins/plain_service.py
@@ -0,0 +1,75 @@
+"""A plain service's stand-in: a booking service whose calls may not be repeated."""
+
+import argparse
+import threading
+import time
+from typing import Any
+
+from runhatch_standins._wsgi import Call, Reply, Routes, reply_json, serve
+
+NO_FAULTS: dict[str, Any] = {"slow_seconds": 0.0, "fail_after_run": 0, "refuse": 0}
+
+
+class BookingService:
+    """Books drums, and remembers every booking it made."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._lock = threading.Lock()
+        self._bookings: list[dict[str, Any]] = []
+        self._faults = dict(NO_FAULTS)
+
+    def routes(self) -> Routes:
+        """Return the application."""
+        routes = Routes()
+        routes.add("POST", "/bookings", self.book)
+        routes.add("GET", "/drums/(.+)", self.show)
+        routes.add("GET", "/record", self.record)
+        routes.add("POST", "/faults", self.set_faults)
+        return routes
+
+    def set_faults(self, call: Call) -> Reply:
+        """Replace all faults; what is not named is healthy."""
+        self._faults = {**NO_FAULTS, **call.json()}
+        return reply_json(self._faults)
+
+    def book(self, call: Call) -> Reply:
+        """Book a drum; every call that gets here makes a booking."""
+        if self._take("refuse"):
+            return reply_json({"error": "busy"}, 429)
+        drum = call.json()["drum"]
+        with self._lock:
+            self._bookings.append({"drum": drum, "at": time.time()})
+            number = len(self._bookings)
+        time.sleep(self._seconds + float(self._faults["slow_seconds"]))
+        if self._take("fail_after_run"):
+            return reply_json({"error": "failed after booking"}, 500)
+        return reply_json({"drum": drum, "booking": number}, 201)
+
+    def show(self, call: Call) -> Reply:
+        """Tell about a drum; may be called any number of times."""
+        return reply_json({"drum": call.match.group(1), "free": True})
+
+    def record(self, call: Call) -> Reply:
+        """Tell all bookings."""
+        return reply_json({"bookings": self._bookings})
+
+    def _take(self, fault: str) -> bool:
+        with self._lock:
+            if int(self._faults[fault]) <= 0:
+                return False
+            self._faults[fault] -= 1
+            return True
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--seconds", type=float, default=0.02)
+    arguments = parser.parse_args()
+    serve(BookingService(arguments.seconds).routes(), arguments.port, threads=64)
+
+
+if __name__ == "__main__":
+    main()
