Prove the coordination library and the data path under faults

A round now asks for all waiting loads together, the most urgent first, and may use up what a second left unused. Ruled out: a budget that refills with time, since with every target failing it lets attempts grow at low rates. Now 10 and a fifth.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_budget.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_budget.py
@@ -2,8 +2,8 @@
 
 import threading
 
-DEFAULT_SHARE = 0.1
-DEFAULT_RESERVE = 5.0
+DEFAULT_SHARE = 0.2
+DEFAULT_RESERVE = 10.0
 
 
 class RetryBudget:
--- a/packages/runhatch-coordination/src/runhatch_coordination/_permits.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_permits.py
@@ -5,6 +5,7 @@
 which is never earlier than the change itself.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -23,6 +24,8 @@
 )
 
 PERMIT_PARTITION = "permit"
+BURST = timedelta(seconds=1)
+"""How long unused permits are kept for later."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,23 +58,24 @@
         self._given: int | None = None
         self._seen_at = timedelta()
 
-    def acquire(self, user: str) -> bool:
-        """Take a permit for ``user``; false means not now.
+    def acquire(self, users: Sequence[str]) -> frozenset[str]:
+        """Take permits for ``users``, the first ones first, as far as they go.
 
-        Taking it again while it is in use succeeds and changes nothing.
+        Returns those who have one now.  Asking again for a permit in use succeeds
+        and changes nothing.  What was not taken for up to a second may be taken
+        at once.
         """
         loaded = self._load()
         if loaded is None:
-            return False
+            return frozenset()
         version, record = loaded
-        if user in record.in_use:
-            return True
-        if len(record.in_use) >= self._at_once:
-            return False
-        if self._clock.elapsed() - self._seen_at < self._interval:
-            return False
-        taken = PermitRecord(record.given + 1, (*record.in_use, user))
-        return self._store(version, taken)
+        held = frozenset(users).intersection(record.in_use)
+        fresh = [user for user in users if user not in held]
+        granted = tuple(fresh[: self._open_now(record)])
+        if not granted:
+            return held
+        taken = PermitRecord(record.given + len(granted), (*record.in_use, *granted))
+        return held.union(granted) if self._store(version, taken) else held
 
     def release(self, users: frozenset[str]) -> bool:
         """Give back the permits of ``users``; those not in use are passed over."""
@@ -89,6 +93,12 @@
         loaded = self._load()
         return () if loaded is None else loaded[1].in_use
 
+    def _open_now(self, record: PermitRecord) -> int:
+        """Return how many permits may be given out at this moment."""
+        spared = (self._clock.elapsed() - self._seen_at) // self._interval
+        burst = max(1, BURST // self._interval)
+        return max(0, min(spared, burst, self._at_once - len(record.in_use)))
+
     def _load(self) -> tuple[int, PermitRecord] | None:
         found = self._table.get(self._key)
         if isinstance(found, Unavailable):
--- /dev/null
+++ b/packages/runhatch-coordination/tests/test_claims.py
@@ -0,0 +1,129 @@
+"""At-most-once claims: a state machine over nodes, faults and repeats."""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from runhatch_coordination import (
+    Claims,
+    Committed,
+    Done,
+    GroupCommitter,
+    Mismatch,
+    Pending,
+    Taken,
+)
+from runhatch_coordination.testing import FaultyTable, MemoryTable, TableFault
+
+NODES = ("a", "b", "c")
+KEYS = ("k1", "k2")
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Nodes claim, act, finish, release and die while the table misbehaves."""
+
+    @initialize()
+    def start(self):
+        self.memory = MemoryTable()
+        self.runs = dict.fromkeys(KEYS, 0)
+        self.taken = []
+        self.results = {key: set() for key in KEYS}
+        self.nodes = {}
+        for name in NODES:
+            self.revive(name)
+
+    def revive(self, name):
+        table = FaultyTable(self.memory)
+        self.nodes[name] = (table, Claims(table, GroupCommitter(table), name))
+
+    @rule(
+        node=st.sampled_from(NODES),
+        fault=st.sampled_from(TableFault),
+        count=st.integers(1, 4),
+    )
+    def misbehave(self, node, fault, count):
+        self.nodes[node][0].inject(fault, count)
+
+    @rule(node=st.sampled_from(NODES), key=st.sampled_from(KEYS))
+    def claim(self, node, key):
+        outcome = self.nodes[node][1].take(key, "digest")
+        if isinstance(outcome, Taken):
+            self.taken.append((node, key, outcome))
+        if isinstance(outcome, Done):
+            self.results[key].add(outcome.result)
+
+    @rule(node=st.sampled_from(NODES), key=st.sampled_from(KEYS))
+    def claim_with_another_body(self, node, key):
+        outcome = self.nodes[node][1].read(key, "another")
+        assert not isinstance(outcome, Taken | Done | Pending)
+
+    @rule(index=st.integers(0, 20), act=st.booleans())
+    def settle(self, index, act):
+        if not self.taken:
+            return
+        node, key, outcome = self.taken.pop(index % len(self.taken))
+        claims = self.nodes[node][1]
+        if not act:
+            claims.release(outcome)
+            return
+        self.runs[key] += 1
+        result = f"answer {outcome.record.attempt}"
+        if isinstance(claims.finish(outcome, result), Committed):
+            self.results[key].add(result)
+
+    @rule(node=st.sampled_from(NODES))
+    def die(self, node):
+        self.taken = [entry for entry in self.taken if entry[0] != node]
+        self.revive(node)
+
+    @invariant()
+    def runs_at_most_once(self):
+        assert all(count <= 1 for count in getattr(self, "runs", {}).values())
+
+    @invariant()
+    def one_result(self):
+        assert all(len(found) <= 1 for found in getattr(self, "results", {}).values())
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
+)
+
+
+class TestClaims:
+    """Single steps of a claim."""
+
+    def setup_method(self):
+        self.memory = MemoryTable()
+        self.table = FaultyTable(self.memory)
+        self.claims = Claims(self.table, GroupCommitter(self.table), "a")
+        self.other = Claims(self.memory, GroupCommitter(self.memory), "b")
+
+    def test_second_node_finds_it_pending(self):
+        """While one node holds the claim another does not act."""
+        self.claims.take("k", "d")
+        outcome = self.other.take("k", "d")
+        assert isinstance(outcome, Pending)
+        assert outcome.node == "a"
+
+    def test_another_body_is_told(self):
+        """The same key with another request is a mismatch."""
+        self.claims.take("k", "d")
+        assert self.other.take("k", "e") == Mismatch()
+
+    def test_unsettled_insertion_is_taken_over_by_its_node(self):
+        """A claim whose insertion was never settled is free for its own node."""
+        self.table.inject(TableFault.LOSE_ANSWER, 3)
+        first = self.claims.take("k", "d")
+        assert not isinstance(first, Taken)
+        assert isinstance(self.other.take("k", "d"), Pending)
+        assert isinstance(self.claims.take("k", "d"), Taken)
+
+    def test_release_in_an_outage_is_remembered(self):
+        """A release that the store did not take frees the claim for its node."""
+        taken = self.claims.take("k", "d")
+        self.table.inject(TableFault.DOWN)
+        self.claims.release(taken)
+        self.table.inject(TableFault.NONE, 0)
+        assert isinstance(self.claims.take("k", "d"), Taken)
--- /dev/null
+++ b/packages/runhatch-coordination/tests/test_leases.py
@@ -0,0 +1,138 @@
+"""Leases under pauses, outages, lost answers and rivals."""
+
+from datetime import timedelta
+
+import pytest
+
+from runhatch_coordination import Committed, Key, Lease, LeaseChange, Put
+from runhatch_coordination.testing import (
+    FaultyTable,
+    ManualClock,
+    MemoryTable,
+    TableFault,
+)
+
+TTL = timedelta(seconds=6)
+
+
+class Contest:
+    """Two nodes, each with its own clock and its own way to one table."""
+
+    def __init__(self):
+        self.memory = MemoryTable()
+        self.tables = {name: FaultyTable(self.memory) for name in "ab"}
+        self.clocks = {name: ManualClock() for name in "ab"}
+        self.leases = {
+            name: Lease(self.tables[name], self.clocks[name], "shard", name, TTL)
+            for name in "ab"
+        }
+
+    def advance(self, seconds, names="ab"):
+        for name in names:
+            self.clocks[name].advance(timedelta(seconds=seconds))
+
+    def step(self, name):
+        return self.leases[name].step()
+
+    def holders(self):
+        return [name for name in "ab" if self.leases[name].held() is not None]
+
+
+@pytest.fixture
+def contest():
+    return Contest()
+
+
+def guarded_write(contest, name, epoch):
+    put = Put(Key("data", "row"), name.encode(), 0)
+    return contest.memory.transact([put, epoch.guard])
+
+
+class TestLease:
+    """At most one holder can change anything."""
+
+    def test_first_to_ask_holds(self, contest):
+        """A free lease goes to the first, the other waits."""
+        assert contest.step("a") is LeaseChange.ACQUIRED
+        assert contest.step("b") is LeaseChange.NONE
+        assert contest.holders() == ["a"]
+
+    def test_renewing_holder_is_left_alone(self, contest):
+        """A challenger that sees renewals never takes over."""
+        contest.step("a")
+        for _ in range(40):
+            contest.advance(1)
+            contest.step("a")
+            contest.step("b")
+        assert contest.holders() == ["a"]
+
+    def test_silent_holder_is_replaced(self, contest):
+        """A holder that stops renewing loses the lease after its time."""
+        contest.step("a")
+        contest.step("b")
+        contest.advance(TTL.total_seconds() * 1.6)
+        assert contest.step("b") is LeaseChange.ACQUIRED
+        assert contest.holders() == ["b"]
+
+    def test_paused_holder_changes_nothing(self, contest):
+        """A holder that wakes after its lease lapsed writes nothing more."""
+        contest.step("a")
+        old = contest.leases["a"].held()
+        contest.step("b")
+        contest.advance(TTL.total_seconds() * 1.6, "b")
+        contest.step("b")
+        # The paused node's clock stood still: it still believes that it holds.
+        assert contest.leases["a"].held() is not None
+        assert guarded_write(contest, "a", old) != Committed()
+        assert guarded_write(contest, "b", contest.leases["b"].held()) == Committed()
+        contest.advance(3, "a")
+        assert contest.step("a") is LeaseChange.LOST
+
+    def test_holder_is_short_and_challenger_long(self, contest):
+        """A holder stops before a challenger with the same clock may start."""
+        contest.step("a")
+        contest.step("b")
+        contest.advance(TTL.total_seconds())
+        assert contest.holders() == []
+        assert contest.step("b") is LeaseChange.NONE
+
+    @pytest.mark.parametrize("fault", [TableFault.LOSE_ANSWER, TableFault.LOSE_REQUEST])
+    def test_renewal_survives_a_lost_answer(self, contest, fault):
+        """A renewal whose answers were all lost does not lose the lease."""
+        contest.step("a")
+        contest.advance(2.5)
+        contest.tables["a"].inject(fault, 3)
+        contest.step("a")
+        contest.tables["a"].inject(TableFault.NONE, 0)
+        contest.advance(0.5)
+        contest.step("a")
+        contest.step("a")
+        assert contest.holders() == ["a"]
+        contest.advance(4)
+        assert contest.holders() == ["a"]
+
+    def test_outage_ends_holding(self, contest):
+        """With the store down the holder stops when its time is over."""
+        contest.step("a")
+        contest.tables["a"].inject(TableFault.DOWN)
+        contest.advance(2.5)
+        assert contest.step("a") is LeaseChange.STORE_DOWN
+        contest.advance(4)
+        assert contest.step("a") is LeaseChange.LOST
+        assert contest.holders() == []
+
+    def test_release_frees_at_once(self, contest):
+        """A lease given up is taken without waiting for its end."""
+        contest.step("a")
+        contest.leases["a"].release()
+        assert contest.step("b") is LeaseChange.ACQUIRED
+
+    def test_epochs_rise(self, contest):
+        """Each holder has a higher epoch than the last."""
+        epochs = []
+        for name in "abab":
+            while contest.step(name) is not LeaseChange.ACQUIRED:
+                contest.advance(1)
+            epochs.append(contest.leases[name].held().number)
+            contest.leases[name].release()
+        assert epochs == [1, 2, 3, 4]
--- a/packages/runhatch-server/src/runhatch_server/placement/_shard.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_shard.py
@@ -11,7 +11,7 @@
 from runhatch_server.configuration import Deployment, ModelSpec, PoolSpec, TargetSpec
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.placement._demand import DemandEstimate
-from runhatch_server.placement._ledger import ChargeState, LedgerRow
+from runhatch_server.placement._ledger import Charge, ChargeState, LedgerRow
 from runhatch_server.placement._planner import (
     Action,
     LoadUnit,
@@ -106,8 +106,12 @@
             return
         self._meet_new_targets(pool)
         readings = self._read_reports(pool)
+        wanted: list[tuple[str, Charge]] = []
         for target in pool.targets:
-            self._reconcile(target, readings[target.name], epoch)
+            result = self._reconcile(target, readings[target.name], epoch)
+            if result is not None:
+                wanted += [(target.name, charge) for charge in result.permits_wanted]
+        self._ask_for_permits(wanted)
         self.demand.tick(self._clock.elapsed())
         self._state = self._pool_state(deployment, pool, readings, leaving)
         for action in plan(self._state):
@@ -167,12 +171,14 @@
             self._engines[key] = self._engine(target.url)
         return self._engines[key]
 
-    def _reconcile(self, target: TargetSpec, reading: Reading, epoch: Epoch) -> None:
+    def _reconcile(
+        self, target: TargetSpec, reading: Reading, epoch: Epoch
+    ) -> Reconciled | None:
         held = self._held_rows()[target.name]
         now = self._clock.elapsed()
         self._heard.setdefault(target.name, now)
         if isinstance(reading.report, Unavailable):
-            return
+            return None
         self._heard[target.name] = now
         view = TargetView(target, reading.report, reading.started, now)
         permitted = frozenset(
@@ -183,25 +189,33 @@
         )
         for loaded in result.unaccounted:
             log_change("unaccounted", target=target.name, unit=loaded.unit)
-        if result.row != held.row and not self._write(result.row, epoch):
-            return
+        if result.row != held.row:
+            self._write(result.row, epoch)
         self._send(target, result.orders)
-        self._settle_permits(target.name, result)
+        self._return_permits(target.name, result)
+        return result
 
-    def _settle_permits(self, target: str, result: Reconciled) -> None:
+    def _return_permits(self, target: str, result: Reconciled) -> None:
         done = {(target, unit) for unit in result.permits_done}
-        if done:
-            users = frozenset(self._permit_user(*pair) for pair in done)
-            if self._permits.release(users):
-                self._permitted -= done
-        wanted = sorted(
-            result.permits_wanted,
-            key=lambda charge: self._urgency.get(charge.unit, Urgency.UNREACHABLE),
+        if not done:
+            return
+        users = frozenset(self._permit_user(*pair) for pair in done)
+        if self._permits.release(users):
+            self._permitted -= done
+
+    def _ask_for_permits(self, wanted: list[tuple[str, Charge]]) -> None:
+        """Ask for all loads that wait, the most urgent first."""
+        if not wanted:
+            return
+        wanted.sort(
+            key=lambda load: self._urgency.get(load[1].unit, Urgency.UNREACHABLE)
         )
-        for charge in wanted:
-            if not self._permits.acquire(self._permit_user(target, charge.unit)):
-                return
-            self._permitted.add((target, charge.unit))
+        users = {
+            self._permit_user(target, charge.unit): (target, charge.unit)
+            for target, charge in wanted
+        }
+        for user in self._permits.acquire(list(users)):
+            self._permitted.add(users[user])
 
     def _permit_user(self, target: str, unit: str) -> str:
         return f"{self._pool}/{target}/{unit}"
@@ -234,15 +248,15 @@
                 return
             self._require_another(action)
             row = held.row.with_charge(charge.unloading())
-        if self._write(row, epoch):
-            kind = OrderKind.LOAD if isinstance(action, LoadUnit) else OrderKind.UNLOAD
-            log_change(
-                "placement",
-                target=action.target,
-                kind=kind.value,
-                unit=action.unit,
-                reason=action.reason,
-            )
+        self._write(row, epoch)
+        kind = OrderKind.LOAD if isinstance(action, LoadUnit) else OrderKind.UNLOAD
+        log_change(
+            "placement",
+            target=action.target,
+            kind=kind.value,
+            unit=action.unit,
+            reason=action.reason,
+        )
 
     def _require_another(self, action: RetireUnit) -> None:
         """Assert that a declared model keeps a serving replica."""
@@ -260,7 +274,8 @@
         ]
         require(bool(others), f"the last replica of {action.unit} is never retired")
 
-    def _write(self, row: LedgerRow, epoch: Epoch) -> bool:
+    def _write(self, row: LedgerRow, epoch: Epoch) -> None:
+        """Write ``row``; raises :class:`LedgerLostError` unless it is certain."""
         rows = self._held_rows()
         before = rows[row.target]
         written = self._store.write(row, before.version, epoch)
@@ -272,7 +287,6 @@
         rows[row.target] = written
         self._note_changes(before.row, row)
         self._tell(written)
-        return True
 
     def _note_changes(self, before: LedgerRow, after: LedgerRow) -> None:
         times = self._times[after.target]
--- /dev/null
+++ b/standins/tests/test_callers.py
@@ -0,0 +1,149 @@
+"""What callers send and get, through real processes."""
+
+import http.client
+import json
+from urllib.parse import urlsplit
+
+import pytest
+from openai import OpenAI
+
+from runhatch_standins._text import expected_text
+
+CHAT = "/v1/chat/completions"
+SOUND = {"model": "m0", "messages": [{"role": "user", "content": "x"}]}
+BOOKING = "/services/booking/bookings"
+
+
+def ask(cluster, method, path, body=b"", headers=None):
+    """Send one request to the first node; status, headers and body."""
+    parts = urlsplit(cluster.caller_url("n1"))
+    connection = http.client.HTTPConnection(parts.hostname, parts.port, timeout=20)
+    try:
+        sent = body if isinstance(body, bytes) else json.dumps(body).encode()
+        connection.request(method, path, sent, headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
+    finally:
+        connection.close()
+
+
+class TestRefusals:
+    """Bad requests get one clear answer each."""
+
+    @pytest.mark.parametrize(
+        ("method", "path", "body", "headers", "status", "reason", "words"),
+        [
+            ("POST", CHAT, b"{", {}, 400, "bad_json", "JSON"),
+            ("POST", CHAT, b"[]", {}, 400, "bad_json", "document"),
+            ("POST", CHAT, {"model": "m0"}, {}, 400, "bad_json", "messages"),
+            (
+                "POST",
+                CHAT,
+                {**SOUND, "max_tokens": 0},
+                {},
+                400,
+                "bad_json",
+                "max_tokens: found 0",
+            ),
+            ("POST", CHAT, {**SOUND, "model": "zz"}, {}, 404, "unknown_model", "zz"),
+            (
+                "POST",
+                CHAT,
+                SOUND,
+                {"Request-Deadline": "soon"},
+                400,
+                "bad_deadline",
+                "soon",
+            ),
+            (
+                "POST",
+                CHAT,
+                SOUND,
+                {"Request-Deadline": "0"},
+                400,
+                "bad_deadline",
+                "above 0",
+            ),
+            ("POST", CHAT, SOUND, {"Priority": "u=9"}, 400, "bad_header", "u=0 to"),
+            (
+                "POST",
+                CHAT,
+                SOUND,
+                {"Idempotency-Key": "k" * 300},
+                400,
+                "bad_header",
+                "255",
+            ),
+            ("POST", CHAT, b" " * 1_048_577, {}, 413, "body_too_large", "1048576"),
+            ("GET", CHAT, b"", {}, 405, "bad_method", "POST"),
+            ("GET", "/v1/orders", b"", {}, 404, "unknown_path", "/v1/orders"),
+            ("GET", "/services/none/x", b"", {}, 404, "unknown_path", "none"),
+            (
+                "GET",
+                "/services/booking/../v1/orders",
+                b"",
+                {},
+                404,
+                "unknown_path",
+                "found",
+            ),
+            ("DELETE", BOOKING, b"", {}, 405, "bad_method", "POST"),
+            ("POST", BOOKING, b"{}", {}, 400, "key_missing", "Idempotency-Key"),
+        ],
+    )
+    def test_says_what_is_wrong(
+        self, cluster, method, path, body, headers, status, reason, words
+    ):
+        """The problem document names the fault, and nothing ran."""
+        got, sent, answer = ask(cluster, method, path, body, headers)
+        problem = json.loads(answer)
+        assert (got, problem["reason"], problem["executed"]) == (status, reason, "no")
+        assert sent["Content-Type"] == "application/problem+json"
+        assert words in problem["detail"]
+        assert len(problem["detail"].splitlines()) == 1
+
+    def test_key_with_another_body(self, cluster):
+        """A key used again with another request is refused."""
+        headers = {"Idempotency-Key": "reused"}
+        ask(cluster, "POST", BOOKING, {"drum": "reused-1"}, headers)
+        status, _, answer = ask(cluster, "POST", BOOKING, {"drum": "two"}, headers)
+        assert (status, json.loads(answer)["reason"]) == (422, "key_reused")
+
+
+class TestAnswers:
+    """Good requests get their own whole answer."""
+
+    @pytest.mark.parametrize("stream", [False, True])
+    @pytest.mark.parametrize("model", ["m1", "a1"])
+    def test_official_client_chat(self, cluster, model, stream):
+        """The official OpenAI client talks to models and adapters alike."""
+        client = OpenAI(base_url=f"{cluster.caller_url('n2')}/v1", api_key="any")
+        prompt = f"official {model} {stream}"
+        answer = client.chat.completions.create(
+            model=model,
+            messages=[{"role": "user", "content": prompt}],
+            max_tokens=12,
+            stream=stream,
+        )
+        if stream:
+            text = "".join(c.choices[0].delta.content or "" for c in answer)
+        else:
+            text = answer.choices[0].message.content
+        assert text == expected_text(prompt, 12)
+
+    def test_official_client_completion(self, cluster):
+        """Plain completions work as well."""
+        client = OpenAI(base_url=f"{cluster.caller_url('n3')}/v1", api_key="any")
+        answer = client.completions.create(model="m2", prompt="plain", max_tokens=5)
+        assert answer.choices[0].text == expected_text("plain", 5)
+
+    def test_models_are_listed(self, cluster):
+        """All models and adapters are listed, by any node."""
+        client = OpenAI(base_url=f"{cluster.caller_url('n1')}/v1", api_key="any")
+        names = {model.id for model in client.models.list()}
+        assert names == {f"m{i}" for i in range(8)} | {f"a{i}" for i in range(4)}
+
+    def test_plain_service(self, cluster):
+        """A plain service's answer is passed on."""
+        status, _, answer = ask(cluster, "GET", "/services/booking/drums/d7?x=1")
+        assert (status, json.loads(answer)) == (200, {"drum": "d7", "free": True})
