--- a/packages/runhatch-cli/src/runhatch_cli/_language.py
+++ b/packages/runhatch-cli/src/runhatch_cli/_language.py
@@ -6,11 +6,12 @@
 from importlib.resources import files
 from typing import Any
 
-from lark import Lark, Token, Transformer, UnexpectedInput
+from lark import Lark, Token, Transformer, UnexpectedInput, UnexpectedToken
 
 from runhatch_cli._errors import LanguageError
 
 GRAMMAR = "language.lark"
+END = "$END"
 Document = dict[str, Any]
 
 
@@ -58,7 +59,8 @@
 
 
 def _explain(text: str, error: UnexpectedInput) -> str:
-    column = error.column if error.column > 0 else len(text) + 1
+    at_end = isinstance(error, UnexpectedToken) and error.token.type == END
+    column = len(text) + 1 if at_end else error.column
     found = text[column - 1 :].split(maxsplit=1)[:1]
     shown = repr(found[0]) if found else "the end"
     names = getattr(error, "accepts", None) or getattr(error, "expected", None)
--- a/packages/runhatch-server/src/runhatch_server/serving/_target_state.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_target_state.py
@@ -10,6 +10,7 @@
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION = timedelta(seconds=1)
 LONGEST_EJECTION = timedelta(seconds=30)
+MOST_DOUBLINGS = 5
 REPORT_HALF_LIFE = timedelta(seconds=1)
 SERVICE_GAIN = 0.1
 
@@ -79,7 +80,7 @@
         self._failures += 1
         if self._failures < FAILURES_TO_EJECT:
             return False
-        pause = min(LONGEST_EJECTION, FIRST_EJECTION * 2**self._ejections)
-        self._ejections += 1
+        pause = min(LONGEST_EJECTION, FIRST_EJECTION * (1 << self._ejections))
+        self._ejections = min(self._ejections + 1, MOST_DOUBLINGS)
         self._ejected_until = now + pause * self._random.uniform(0.75, 1.25)
         return True
--- /dev/null
+++ b/packages/runhatch-server/tests/test_settings.py
@@ -0,0 +1,88 @@
+"""Settings files: every fault at once, in one line each."""
+
+import json
+
+import pytest
+
+from runhatch_server._errors import SettingsError
+from runhatch_server.settings import load_settings
+
+SOUND = {
+    "node": {"name": "n1", "failure_domain": "d1"},
+    "callers": {"host": "127.0.0.1", "port": 7401},
+    "operators": {"host": "127.0.0.1", "port": 7402},
+    "peers": {"host": "127.0.0.1", "port": 7403},
+    "platform": {
+        "table_url": "http://127.0.0.1:1",
+        "objects_url": "http://127.0.0.1:2",
+        "vms_url": "http://127.0.0.1:3/vms",
+    },
+}
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write_file(document):
+        path = tmp_path / "node.json5"
+        text = document if isinstance(document, str) else json.dumps(document)
+        path.write_text(text)
+        return path
+
+    return write_file
+
+
+class TestLoadSettings:
+    """What a settings file may say."""
+
+    def test_comments_and_defaults(self, write):
+        """Comments are allowed, and what is not said has a default."""
+        settings = load_settings(write("// a node\n" + json.dumps(SOUND)))
+        assert settings.serving.threads == 160
+
+    @pytest.mark.parametrize(
+        ("section", "value", "line"),
+        [
+            ("node", {"name": "n 1", "failure_domain": "d"}, "node.name: found 'n 1'"),
+            ("callers", {"host": "h", "port": 1}, "an IP number such as 127.0.0.1"),
+            ("callers", {"host": "127.0.0.1", "port": 70000}, "callers.port: found"),
+            ("serving", {"threads": 0}, "serving.threads: found 0, allowed:"),
+            ("serving", {"thread": 9}, "serving.thread: unknown field"),
+            ("logs", {"level": "loud"}, "'error', 'change' or 'request'"),
+            ("node", {"name": "n1"}, "node.failure_domain: missing"),
+            (
+                "operators",
+                {"host": "10.0.0.1", "port": 1},
+                "beyond loopback needs at least one access.tokens entry",
+            ),
+            (
+                "access",
+                {"tokens": [{"name": "o", "role": "read", "token_env": "NO_SUCH"}]},
+                "access.tokens.0.token_env: found no variable NO_SUCH",
+            ),
+        ],
+    )
+    def test_names_the_fault(self, write, section, value, line):
+        """A fault is one line: field, found, allowed."""
+        with pytest.raises(SettingsError) as caught:
+            load_settings(write({**SOUND, section: value}))
+        assert any(line in fault for fault in caught.value.faults)
+
+    def test_all_faults_at_once(self, write):
+        """Several faults are reported together."""
+        document = {**SOUND, "serving": {"threads": 0, "queue_limit": 0}, "x": 1}
+        with pytest.raises(SettingsError) as caught:
+            load_settings(write(document))
+        assert len(caught.value.faults) == 3
+
+    def test_secrets_are_not_shown(self, write):
+        """A wrong token is not repeated in the fault."""
+        tokens = [{"name": "o", "role": "read", "token": ["hunter2"]}]
+        with pytest.raises(SettingsError) as caught:
+            load_settings(write({**SOUND, "access": {"tokens": tokens}}))
+        assert "hunter2" not in str(caught.value)
+
+    @pytest.mark.parametrize("text", ["{", "nonsense", ""])
+    def test_not_json(self, write, text):
+        """A file that is not JSON with comments says so."""
+        with pytest.raises(SettingsError, match="not JSON with comments"):
+            load_settings(write(text))
