Soak run under seeded faults, and a replay of the planner and router

Why: faults alone are tested; together and at any moment they are not. The soak drives callers, racing operators and nineteen kinds of disturbance on real processes and checks history, memory, weight store, revisions, reachability and exit statuses. The replay drives the real planner and dispatcher on a passed-in clock against two baselines and a bound.

Found by the soak: - A node without a configuration refused with `unknown_model` and said that nothing ran, though another node may have run the key. It now refuses as `not_ready`, unknown, with Retry-After. - Faults of the bench itself: two disturbances started one node twice; a failed disturbance left the callers running for ever; a successor's revision was taken for its predecessor's. Ruled out: that the two "went back to 0" reports were reverts; the process asked had ended before it answered.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,10 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 	$(BIN)/mypy packages/*/src standins/src
+
+SECONDS ?= 60
+SEED ?= 1
+
+.PHONY: soak
+soak: .venv/ready
+	$(BIN)/python -m runhatch_standins.soak --seconds $(SECONDS) --seed $(SEED)
--- /dev/null
+++ b/benchmarks/replay/__init__.py
@@ -0,0 +1,25 @@
+"""A small replay: the real planner and router against stand-in targets.
+
+It runs on a clock of its own and is no simulator of a cluster: entry nodes share
+their picture at once, and nothing fails.
+"""
+
+from replay._bound import pooled_bound
+from replay._placements import EvenStatic, FollowDemand, Placement, RunhatchPlacement
+from replay._run import Result, replay
+from replay._workload import ASSOCIATION, TUMEN, Size, Workload, make_workload
+
+__all__ = [
+    "ASSOCIATION",
+    "TUMEN",
+    "EvenStatic",
+    "FollowDemand",
+    "Placement",
+    "Result",
+    "RunhatchPlacement",
+    "Size",
+    "Workload",
+    "make_workload",
+    "pooled_bound",
+    "replay",
+]
--- /dev/null
+++ b/benchmarks/replay/_run.py
@@ -0,0 +1,262 @@
+"""Replaying one workload under one placement."""
+
+import heapq
+import itertools
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from replay._placements import Placement
+from replay._workload import DEADLINE_SECONDS, SLOTS, Arrival, Workload
+from runhatch_coordination.testing import ManualClock
+from runhatch_server.placement import ChargeState, LedgerRow, LoadUnit, hosting_of
+from runhatch_server.placement._store import VersionedRow
+from runhatch_server.serving import (
+    CallerRequest,
+    Dispatcher,
+    Grant,
+    Picture,
+    Refusal,
+    Route,
+    RouteKind,
+    Waiter,
+)
+from runhatch_server.targets import ReportedLoad
+
+ENTRY_NODES = 3
+STEP = 1.0
+ROUNDING = 1e-5
+"""The clock keeps whole microseconds; without this a poll could never end."""
+LOAD_SECONDS = 15.0
+UNLOAD_SECONDS = 4.0
+"""Grace for routing to stop, and the unload itself."""
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of a replay."""
+
+    placement: str
+    requests: int
+    in_time: int
+    refused: int
+    late: int
+    moves: int
+    accelerators: int
+
+    @property
+    def attainment_per_accelerator(self) -> float:
+        """The share of requests served in time, by accelerator."""
+        return self.in_time / self.requests / self.accelerators
+
+
+class _Engine:
+    """Slots and a queue; serves in order of arrival."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.queue: deque[Callable[[], None]] = deque()
+
+    def begin(self, start: Callable[[], None]) -> None:
+        if self.running < SLOTS:
+            self.running += 1
+            start()
+        else:
+            self.queue.append(start)
+
+    def end(self) -> None:
+        if self.queue:
+            self.queue.popleft()()
+        else:
+            self.running -= 1
+
+
+class _Replay:
+    def __init__(self, workload: Workload, placement: Placement, seed: int) -> None:
+        self._workload = workload
+        self._placement = placement
+        self._clock = ManualClock()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        targets = workload.deployment.pools[0].targets
+        self._engines = {target.name: _Engine() for target in targets}
+        self._rows = {t.name: LedgerRow(t.name, t.memory_mb) for t in targets}
+        self._versions: Counter[str] = Counter()
+        self._since: dict[tuple[str, str], timedelta] = {}
+        self._picture = Picture()
+        self._picture.configure(workload.deployment)
+        self._nodes = [
+            Dispatcher(self._picture, self._clock, f"d{i % 3}", 64, 1.0, seed + i)
+            for i in range(ENTRY_NODES)
+        ]
+        self._counts: Counter[str] = Counter()
+        self._loading = 0
+        self._pending: deque[tuple[str, str]] = deque()
+        self._permits = 0.0
+        self._started = False
+        accelerators = sum(target.accelerators for target in targets)
+        self.result = Result(
+            placement.name, len(workload.arrivals), 0, 0, 0, 0, accelerators
+        )
+
+    def run(self) -> Result:
+        """Settle the first placement, then replay all arrivals."""
+        self._settle_first_placement()
+        for index, arrival in enumerate(self._workload.arrivals):
+            node = self._nodes[index % ENTRY_NODES]
+            self._at(arrival.at, lambda a=arrival, n=node: self._arrive(a, n))
+        steps = int(self._workload.seconds / STEP)
+        for step in range(1, steps):
+            self._at(step * STEP, self._step)
+        while self._events:
+            at, _, work = heapq.heappop(self._events)
+            self._clock._elapsed = timedelta(seconds=at)
+            work()
+        return self.result
+
+    def _settle_first_placement(self) -> None:
+        """Load until nothing more is asked for, without counting moves."""
+        while True:
+            actions = self._placement.step(timedelta(), {}, self._rows, {})
+            loads = [action for action in actions if isinstance(action, LoadUnit)]
+            for load in loads:
+                row = self._rows[load.target].with_charge(load.charge().serving())
+                self._write(row)
+            if not loads:
+                break
+            if self._placement.name != "runhatch":
+                break
+        self._started = True
+
+    def _at(self, seconds: float, work: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (seconds, next(self._order), work))
+
+    @property
+    def _now(self) -> float:
+        return self._clock.elapsed().total_seconds()
+
+    def _arrive(self, arrival: Arrival, node: Dispatcher) -> None:
+        self._counts[arrival.model] += 1
+        now = self._clock.elapsed()
+        request = CallerRequest(
+            "",
+            "caller",
+            Route(RouteKind.MODEL, arrival.model),
+            "POST",
+            "/",
+            3,
+            now,
+            now + timedelta(seconds=DEADLINE_SECONDS),
+            True,
+            None,
+            b"",
+        )
+        entered = node.enter(request)
+        if isinstance(entered, Waiter):
+            give_up = self._now + max(0.0, entered.patience.total_seconds())
+            self._poll(entered, arrival, node, request, give_up)
+        else:
+            self._begin(entered, arrival, node, request)
+
+    def _poll(
+        self,
+        waiter: Waiter[Grant],
+        arrival: Arrival,
+        node: Dispatcher,
+        request: CallerRequest,
+        give_up: float,
+    ) -> None:
+        """Look every 20 ms whether the waiter was settled."""
+        if waiter.settled.is_set() or self._now >= give_up - ROUNDING:
+            self._begin(node.leave(waiter), arrival, node, request)
+            return
+        following = min(give_up, self._now + 0.02)
+        self._at(following, lambda: self._poll(waiter, arrival, node, request, give_up))
+
+    def _begin(
+        self,
+        grant: Grant | Refusal,
+        arrival: Arrival,
+        node: Dispatcher,
+        request: CallerRequest,
+    ) -> None:
+        if isinstance(grant, Refusal):
+            self.result.refused += 1
+            return
+        engine = self._engines[grant.host.target]
+        sent = self._clock.elapsed()
+
+        def end() -> None:
+            engine.end()
+            load = ReportedLoad(engine.running, len(engine.queue))
+            first_byte = self._clock.elapsed() - sent
+            node.completed(grant, first_byte, load)
+            if self._clock.elapsed() <= request.deadline:
+                self.result.in_time += 1
+            else:
+                self.result.late += 1
+
+        engine.begin(lambda: self._at(self._now + arrival.service, end))
+
+    def _step(self) -> None:
+        counts = dict(self._counts)
+        self._counts.clear()
+        now = self._clock.elapsed()
+        ages = {pair: now - since for pair, since in self._since.items()}
+        for action in self._placement.step(now, counts, self._rows, ages):
+            row = self._rows[action.target]
+            if isinstance(action, LoadUnit):
+                self._write(row.with_charge(action.charge()))
+                self._pending.append((action.target, action.unit))
+                self.result.moves += 1
+                continue
+            charge = row.find(action.unit)
+            assert charge is not None
+            self._write(row.with_charge(charge.unloading()))
+            self.result.moves += 1
+            target, unit = action.target, action.unit
+            self._at(
+                self._now + UNLOAD_SECONDS, lambda t=target, u=unit: self._drop(t, u)
+            )
+        self._begin_loads()
+
+    def _begin_loads(self) -> None:
+        size = self._workload.size
+        self._permits = min(2.0, self._permits + size.loads_per_second * STEP)
+        while (
+            self._pending and self._permits >= 1 and self._loading < size.loads_at_once
+        ):
+            self._permits -= 1
+            self._loading += 1
+            target, unit = self._pending.popleft()
+            self._at(
+                self._now + LOAD_SECONDS, lambda t=target, u=unit: self._loaded(t, u)
+            )
+
+    def _loaded(self, target: str, unit: str) -> None:
+        self._loading -= 1
+        charge = self._rows[target].find(unit)
+        if charge is not None and charge.state is ChargeState.LOADING:
+            self._write(self._rows[target].with_charge(charge.serving()))
+
+    def _drop(self, target: str, unit: str) -> None:
+        self._write(self._rows[target].without([unit]))
+        self._since.pop((target, unit), None)
+
+    def _write(self, row: LedgerRow) -> None:
+        row.check()
+        for charge in row.charges:
+            known = self._rows[row.target].find(charge.unit)
+            if known is None or known.state is not charge.state:
+                self._since[row.target, charge.unit] = self._clock.elapsed()
+        self._rows[row.target] = row
+        self._versions[row.target] += 1
+        self._picture.learn(hosting_of(VersionedRow(row, self._versions[row.target])))
+        for node in self._nodes:
+            node.picture_changed()
+
+
+def replay(workload: Workload, placement: Placement, seed: int) -> Result:
+    """Replay ``workload`` under ``placement``."""
+    return _Replay(workload, placement, seed).run()
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -130,6 +130,7 @@
             self._progress,
             self._clock,
             self.is_ready,
+            self._ready.is_set,
             self._broken,
         )
         self._callers = HttpServer(
--- a/packages/runhatch-server/src/runhatch_server/placement/_planner.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_planner.py
@@ -152,8 +152,9 @@
             )
             if best is None:
                 return
-            if best.evicted is not None:
-                self._retire(best.target, best.evicted, f"room for {best.model.name}")
+            if best.evicted:
+                for unit in best.evicted:
+                    self._retire(best.target, unit, f"room for {best.model.name}")
                 return
             reason = f"wins {best.value:.0f} requests in time over its price"
             self._load_on(best.target, best.model, Urgency.VALUE, reason)
@@ -366,9 +367,9 @@
                 rate = won / model.service_seconds
                 gained = rate * policy.horizon_seconds
                 evicted = self._eviction_for(model, target)
-                if evicted is _NO_ROOM:
+                if evicted is None:
                     continue
-                moves = 1 if evicted is None else 2
+                moves = 1 + len(evicted)
                 value = gained - moves * policy.move_price
                 if value > 0:
                     yield _Candidate(model, target, value, evicted)
@@ -391,24 +392,31 @@
         )
         return [] if loading else self._targets_for(model)
 
-    def _eviction_for(self, model: ModelSpec, target: str) -> str | None:
-        """Return the unit to retire first, ``None`` for none, or ``_NO_ROOM``."""
+    def _eviction_for(self, model: ModelSpec, target: str) -> tuple[str, ...] | None:
+        """Return the units to retire first, ``None`` if that is not worth it.
+
+        Only replicas that have been there long enough and whose work the others
+        carry with ease are retired for value.
+        """
         needed = self._state.footprint_mb(model) + model.loading_peak_mb
         lacking = needed - self._rows[target].free_mb
         if lacking <= 0:
-            return None
+            return ()
         victims = self._victims(target, lacking)
-        if victims is None or len(victims) > 1:
-            return _NO_ROOM
         if not victims:
-            # Enough is being unloaded already; the next plan will load.
-            return _NO_ROOM
-        unit = victims[0][1]
+            # Too little can go, or enough is going and the next plan will load.
+            return None
+        units = tuple(unit for _, unit in victims)
+        if all(self._may_go_for_value(target, unit) for unit in units):
+            return units
+        return None
+
+    def _may_go_for_value(self, target: str, unit: str) -> bool:
         residence = self._state.ages.get((target, unit), timedelta())
-        if residence.total_seconds() < self._state.policy.min_residence_seconds:
-            return _NO_ROOM
-        low = self._state.policy.low_utilisation
-        return unit if self._is_idle(unit, low) else _NO_ROOM
+        policy = self._state.policy
+        if residence.total_seconds() < policy.min_residence_seconds:
+            return False
+        return self._is_idle(unit, policy.low_utilisation)
 
     def _is_idle(self, unit: str, low: float) -> bool:
         """Whether the other replicas of ``unit`` carry its work with ease."""
@@ -419,15 +427,12 @@
         return self._state.work.get(name, 0.0) <= low * max(room, 1.0)
 
 
-_NO_ROOM = "\0no room"
-
-
 @dataclass(frozen=True, slots=True)
 class _Candidate:
     model: ModelSpec
     target: str
     value: float
-    evicted: str | None
+    evicted: tuple[str, ...]
 
 
 def explain(state: PoolState, model: ModelSpec) -> list[str]:
--- a/packages/runhatch-server/src/runhatch_server/serving/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/__init__.py
@@ -8,6 +8,7 @@
 from runhatch_server.serving._once import OnceGuard
 from runhatch_server.serving._picture import Host, Hosting, Picture
 from runhatch_server.serving._progress import Progress
+from runhatch_server.serving._queue import Waiter
 from runhatch_server.serving._reading import RequestReader
 from runhatch_server.serving._refusals import Executed, Reason, Refusal
 from runhatch_server.serving._relay import AbortedStreamError
@@ -35,4 +36,5 @@
     "Route",
     "RouteKind",
     "ServingService",
+    "Waiter",
 ]
--- a/packages/runhatch-server/src/runhatch_server/serving/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_app.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface as a WSGI application."""
 
 from collections.abc import Callable, Generator, Iterable, Iterator
+from datetime import timedelta
 
 import msgspec
 
@@ -24,6 +25,7 @@
 JSON_HEADERS = (("Content-Type", "application/json"),)
 HEALTH_PATHS = ("/healthz", "/readyz")
 NO_REQUEST = "-"
+NOT_READY_RETRY_AFTER = timedelta(seconds=1)
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
@@ -52,6 +54,7 @@
         progress: Progress,
         clock: Clock,
         is_ready: Callable[[], bool],
+        has_configuration: Callable[[], bool],
         on_broken: Callable[[InvariantError], None],
     ) -> None:
         self._reader = reader
@@ -61,6 +64,7 @@
         self._progress = progress
         self._clock = clock
         self._is_ready = is_ready
+        self._has_configuration = has_configuration
         self._on_broken = on_broken
         self.draining = False
         """Set on shutdown: connections are closed after their answers."""
@@ -93,6 +97,8 @@
 
     def _answer(self, environ: Environ) -> CallerAnswer:
         started = self._clock.elapsed()
+        if not self._has_configuration():
+            return self._not_ready()
         request = self._reader.read(environ)
         if isinstance(request, Refusal):
             self._metrics.refusals.labels(request.reason.code).inc()
@@ -103,6 +109,14 @@
         self._metrics.first_byte.labels(kind).observe(took.total_seconds())
         return answer
 
+    def _not_ready(self) -> CallerAnswer:
+        """Refuse before judging paths and names that only a configuration tells."""
+        refusal = Refusal(
+            Reason.NOT_READY, Executed.UNKNOWN, retry_after=NOT_READY_RETRY_AFTER
+        )
+        self._metrics.refusals.labels(refusal.reason.code).inc()
+        return refused(refusal, NO_REQUEST)
+
     def _end(self) -> None:
         self._progress.end()
         self._metrics.in_progress.dec()
--- a/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
@@ -110,6 +110,22 @@
 
         Refusals say ``executed: no``, which holds for this attempt only.
         """
+        entered = self.enter(request, avoided_targets, avoided_domains)
+        if not isinstance(entered, Waiter):
+            return entered
+        entered.settled.wait(max(0.0, entered.patience.total_seconds()))
+        return self.leave(entered)
+
+    def enter(
+        self,
+        request: CallerRequest,
+        avoided_targets: frozenset[str] = frozenset(),
+        avoided_domains: frozenset[str] = frozenset(),
+    ) -> Grant | Refusal | Waiter[Grant]:
+        """Return a slot, a refusal, or a place in the queue, without waiting.
+
+        A waiter must be left once it is settled or its patience is over.
+        """
         waiter: Waiter[Grant] = Waiter(
             request.route,
             request.caller,
@@ -129,9 +145,18 @@
             if refusal is not None:
                 return refusal
             self._waiting.add(waiter)
-            patience = self._patience(waiter)
-        waiter.settled.wait(max(0.0, patience.total_seconds()))
-        return self._settle(waiter)
+            waiter.patience = self._patience(waiter)
+            return waiter
+
+    def leave(self, waiter: Waiter[Grant]) -> Grant | Refusal:
+        """Return what came of waiting."""
+        with self._lock:
+            if waiter.grant is not None:
+                return waiter.grant
+            self._waiting.remove(waiter)
+            retry_after = self._retry_after(waiter.route)
+            reason = self._why_not_served(waiter)
+            return Refusal(reason, Executed.NO, retry_after=retry_after)
 
     def completed(
         self,
@@ -243,19 +268,12 @@
             return min(patience, NO_REPLICA_WAIT)
         return patience
 
-    def _settle(self, waiter: Waiter[Grant]) -> Grant | Refusal:
-        with self._lock:
-            if waiter.grant is not None:
-                return waiter.grant
-            self._waiting.remove(waiter)
-            retry_after = self._retry_after(waiter.route)
-            if waiter.shed:
-                return Refusal(Reason.SHED, Executed.NO, retry_after=retry_after)
-            if not self._picture.hosts(waiter.route):
-                return Refusal(Reason.NO_REPLICA, Executed.NO, retry_after=retry_after)
-            return Refusal(
-                Reason.DEADLINE_UNMEETABLE, Executed.NO, retry_after=retry_after
-            )
+    def _why_not_served(self, waiter: Waiter[Grant]) -> Reason:
+        if waiter.shed:
+            return Reason.SHED
+        if not self._picture.hosts(waiter.route):
+            return Reason.NO_REPLICA
+        return Reason.DEADLINE_UNMEETABLE
 
     def _retry_after(self, route: Route) -> timedelta:
         rate = self._routes[route].drain.per_second(self._clock.elapsed())
--- a/packages/runhatch-server/src/runhatch_server/serving/_queue.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_queue.py
@@ -18,7 +18,10 @@
 
 @dataclass(slots=True, eq=False)
 class Waiter(Generic[GrantT]):
-    """One waiting request; ``settled`` is set with a grant or when it is shed."""
+    """One waiting request; ``settled`` is set with a grant or when it is shed.
+
+    Waiting longer than ``patience`` cannot lead to an answer in time.
+    """
 
     route: Route
     caller: str
@@ -28,6 +31,7 @@
     prefix: tuple[str, ...] = ()
     avoided_targets: frozenset[str] = frozenset()
     avoided_domains: frozenset[str] = frozenset()
+    patience: timedelta = timedelta()
     settled: threading.Event = field(default_factory=threading.Event)
     grant: GrantT | None = None
     shed: bool = False
--- a/standins/src/runhatch_standins/_cluster.py
+++ b/standins/src/runhatch_standins/_cluster.py
@@ -15,6 +15,7 @@
 from urllib.parse import urlsplit
 
 from runhatch_standins._launch import Launched, launch
+from runhatch_standins._tcp_relay import TcpRelay
 
 DOMAINS = ("d1", "d2", "d3")
 Document = dict[str, Any]
@@ -46,6 +47,7 @@
     weights: Launched
     engines: list[Launched]
     booking: Launched
+    relays: dict[str, TcpRelay] = field(default_factory=dict)
     nodes: dict[str, Launched] = field(default_factory=dict)
     settings: dict[str, Document] = field(default_factory=dict)
     stack: ExitStack = field(default_factory=ExitStack)
@@ -58,6 +60,29 @@
         """Return where ``node`` serves operators."""
         return f"http://127.0.0.1:{self.settings[node]['operators']['port']}"
 
+    def relayed_url(self, launched: Launched) -> str:
+        """Return the address of ``launched``, through its relay if it has one."""
+        relay = self.relays.get(launched.name)
+        return launched.url if relay is None else f"http://127.0.0.1:{relay.port}"
+
+    def restart_engine(self, name: str) -> None:
+        """Kill an engine and start it again on its port, with nothing loaded."""
+        index = next(i for i, e in enumerate(self.engines) if e.name == name)
+        port = self.engines[index].port
+        self.engines[index].kill()
+        self.engines[index] = self.start_engine(index, port)
+
+    def start_engine(self, index: int, port: int = 0) -> Launched:
+        """Start the engine at ``index``; its journal outlives it."""
+        name = f"e{index + 1}"
+        journal = self.folder / f"{name}.journal"
+        arguments = _engine_arguments(self.sizes, index, self.weights)
+        arguments += ["--port", str(port), "--journal", str(journal)]
+        log = self.folder / f"{name}-{time.monotonic_ns()}.err"
+        engine = launch(name, "runhatch_standins.engine", *arguments, errors=log)
+        self.stack.callback(engine.kill)
+        return engine
+
     def start_node(self, name: str) -> Launched:
         """Start, or start again, the node called ``name``."""
         path = self.folder / f"{name}.json5"
@@ -93,7 +118,7 @@
         targets = [
             {
                 "name": engine.name,
-                "url": engine.url,
+                "url": self.relayed_url(engine),
                 "failure_domain": DOMAINS[index % len(DOMAINS)],
                 "memory_mb": self.sizes.memory_mb,
                 "concurrency": self.sizes.slots,
@@ -121,7 +146,11 @@
         booking = {
             "name": "booking",
             "targets": [
-                {"name": "b1", "url": self.booking.url, "failure_domain": "d1"}
+                {
+                    "name": "b1",
+                    "url": self.relayed_url(self.booking),
+                    "failure_domain": "d1",
+                }
             ],
             "paths": [
                 {"path": "/bookings", "methods": ["POST"], "idempotent": False},
@@ -183,19 +212,28 @@
 
 
 def start_cluster(
-    sizes: Sizes, settings: Mapping[str, Document] | None = None
+    sizes: Sizes,
+    settings: Mapping[str, Document] | None = None,
+    relayed: bool = False,
 ) -> Cluster:
-    """Start stand-ins and nodes; ``settings`` overrides sections by name."""
+    """Start stand-ins and nodes; ``settings`` overrides sections by name.
+
+    ``relayed`` puts a :class:`TcpRelay` before every target, and one before the
+    platform for each node.
+    """
     stack = ExitStack()
     try:
-        return _start(sizes, settings or {}, stack)
+        return _start(sizes, settings or {}, relayed, stack)
     except BaseException:
         stack.close()
         raise
 
 
 def _start(
-    sizes: Sizes, overrides: Mapping[str, Document], stack: ExitStack
+    sizes: Sizes,
+    overrides: Mapping[str, Document],
+    relayed: bool,
+    stack: ExitStack,
 ) -> Cluster:
     folder = Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="runhatch-")))
 
@@ -208,18 +246,24 @@
     seed = str(sizes.seed)
     platform = start("platform", "platform", "--seed", seed)
     weights = start("weights", "weight_store", "--load-seconds", "0.1")
-    engines = [
-        start(f"e{index + 1}", "engine", *_engine_arguments(sizes, index, weights))
-        for index in range(sizes.engines)
-    ]
     booking = start("booking", "plain_service")
-    cluster = Cluster(sizes, folder, platform, weights, engines, booking, stack=stack)
+    cluster = Cluster(sizes, folder, platform, weights, [], booking, stack=stack)
+    cluster.engines += [cluster.start_engine(i) for i in range(sizes.engines)]
+    if relayed:
+        for target in (*cluster.engines, booking):
+            cluster.relays[target.name] = TcpRelay(target.port)
     for index in range(sizes.nodes):
         name = f"n{index + 1}"
-        base = _node_settings(name, DOMAINS[index % len(DOMAINS)], platform.url)
+        store_url = platform.url
+        if relayed:
+            cluster.relays[name] = TcpRelay(platform.port)
+            store_url = f"http://127.0.0.1:{cluster.relays[name].port}"
+        base = _node_settings(name, DOMAINS[index % len(DOMAINS)], store_url)
         for section, values in overrides.items():
             base[section] = {**base.get(section, {}), **values}
         cluster.settings[name] = base
+    for relay in cluster.relays.values():
+        stack.callback(relay.close)
     cluster.publish_vms()
     for name in cluster.settings:
         cluster.start_node(name)
--- a/standins/src/runhatch_standins/_engine_memory.py
+++ b/standins/src/runhatch_standins/_engine_memory.py
@@ -8,6 +8,8 @@
 from typing import Any
 from urllib.parse import urlsplit
 
+from runhatch_standins._journal import Journal
+
 NO_ORDER_FAULTS: dict[str, Any] = {
     "order_loss": 0.0,
     "order_double": 0.0,
@@ -29,8 +31,14 @@
     """What the engine holds, and whether it was ever asked for too much."""
 
     def __init__(
-        self, capacity_mb: int, refuses_old: bool, weights: str | None, seed: int
+        self,
+        capacity_mb: int,
+        refuses_old: bool,
+        weights: str | None,
+        seed: int,
+        journal: Journal,
     ) -> None:
+        self._journal = journal
         self._capacity = capacity_mb
         self._refuses_old = refuses_old
         self._weights = weights
@@ -40,7 +48,6 @@
         self.held: dict[str, Held] = {}
         self.fence = 0
         self.most_mb = 0
-        self.violations: list[str] = []
         self.moves = 0
 
     def receive(self, order: dict[str, Any]) -> int:
@@ -101,7 +108,7 @@
         )
         self.most_mb = max(self.most_mb, used)
         if used > self._capacity:
-            self.violations.append(f"{unit}: {used} MB of {self._capacity} MB")
+            self._note(f"{unit}: {used} MB of {self._capacity} MB")
         self.moves += 1
         threading.Thread(target=self._fetch, args=(unit, held), daemon=True).start()
         return 202
@@ -126,5 +133,9 @@
         for name in [n for n, held in self.held.items() if held.base == unit]:
             del self.held[name]
 
+    def _note(self, violation: str) -> None:
+        entry = {"what": "overcommitted", "prompt": "", "violation": violation}
+        self._journal.append(entry)
+
     def _happens(self, fault: str) -> bool:
         return self._random.random() < float(self.faults[fault])
--- a/standins/src/runhatch_standins/engine.py
+++ b/standins/src/runhatch_standins/engine.py
@@ -11,10 +11,12 @@
 import uuid
 from collections import deque
 from collections.abc import Iterator
+from pathlib import Path
 from typing import Any
 
 from runhatch_standins._engine_memory import NO_ORDER_FAULTS, Memory
 from runhatch_standins._engine_runs import Run, Runs
+from runhatch_standins._journal import Journal
 from runhatch_standins._text import DEFAULT_TOKENS
 from runhatch_standins._wsgi import Call, Reply, Routes, reply_json, serve
 
@@ -39,12 +41,12 @@
 class Engine:
     """One engine: memory, runs, faults and a record."""
 
-    def __init__(self, memory: Memory, runs: Runs) -> None:
+    def __init__(self, memory: Memory, runs: Runs, journal: Journal) -> None:
         self._memory = memory
         self._runs = runs
         self._incarnation = uuid.uuid4().hex
         self._lock = threading.Lock()
-        self._record: list[dict[str, Any]] = []
+        self._journal = journal
         self._reports: deque[tuple[float, dict[str, Any]]] = deque(maxlen=10_000)
         self._faults = dict(NO_FAULTS)
 
@@ -71,11 +73,12 @@
     def record(self, call: Call) -> Reply:
         """Tell what was run, and what memory was used."""
         memory = self._memory
+        entries = self._journal.entries()
         return reply_json(
             {
-                "runs": self._record,
+                "runs": entries,
                 "most_mb": memory.most_mb,
-                "violations": memory.violations,
+                "violations": [e["violation"] for e in entries if "violation" in e],
                 "moves": memory.moves,
                 "cached_blocks": self._runs.cached_blocks,
                 "asked_blocks": self._runs.asked_blocks,
@@ -235,8 +238,7 @@
 
     def _note(self, run: Run, what: str) -> None:
         entry = {"id": run.request_id, "unit": run.unit, "prompt": run.prompt[:200]}
-        with self._lock:
-            self._record.append({**entry, "what": what, "at": time.time()})
+        self._journal.append({**entry, "what": what, "at": time.time()})
 
 
 def _envelope(run: Run, kind: str) -> dict[str, Any]:
@@ -301,12 +303,15 @@
     parser.add_argument("--ignores-fencing", action="store_true")
     parser.add_argument("--weights", default=None)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--journal", type=Path, default=None)
     arguments = parser.parse_args()
+    journal = Journal(arguments.journal)
     memory = Memory(
         arguments.memory_mb,
         not arguments.ignores_fencing,
         arguments.weights,
         arguments.seed,
+        journal,
     )
     runs = Runs(
         arguments.slots,
@@ -314,7 +319,7 @@
         arguments.per_token,
         arguments.prefill_per_block,
     )
-    serve(Engine(memory, runs).routes(), arguments.port)
+    serve(Engine(memory, runs, journal).routes(), arguments.port)
 
 
 if __name__ == "__main__":
--- a/standins/src/runhatch_standins/plain_service.py
+++ b/standins/src/runhatch_standins/plain_service.py
@@ -3,8 +3,10 @@
 import argparse
 import threading
 import time
+from pathlib import Path
 from typing import Any
 
+from runhatch_standins._journal import Journal
 from runhatch_standins._wsgi import Call, Reply, Routes, reply_json, serve
 
 NO_FAULTS: dict[str, Any] = {"slow_seconds": 0.0, "fail_after_run": 0, "refuse": 0}
@@ -13,10 +15,10 @@
 class BookingService:
     """Books drums, and remembers every booking it made."""
 
-    def __init__(self, seconds: float) -> None:
+    def __init__(self, seconds: float, journal: Journal) -> None:
         self._seconds = seconds
         self._lock = threading.Lock()
-        self._bookings: list[dict[str, Any]] = []
+        self._journal = journal
         self._faults = dict(NO_FAULTS)
 
     def routes(self) -> Routes:
@@ -38,9 +40,7 @@
         if self._take("refuse"):
             return reply_json({"error": "busy"}, 429)
         drum = call.json()["drum"]
-        with self._lock:
-            self._bookings.append({"drum": drum, "at": time.time()})
-            number = len(self._bookings)
+        number = self._journal.append({"drum": drum, "at": time.time()})
         time.sleep(self._seconds + float(self._faults["slow_seconds"]))
         if self._take("fail_after_run"):
             return reply_json({"error": "failed after booking"}, 500)
@@ -52,7 +52,7 @@
 
     def record(self, call: Call) -> Reply:
         """Tell all bookings."""
-        return reply_json({"bookings": self._bookings})
+        return reply_json({"bookings": self._journal.entries()})
 
     def _take(self, fault: str) -> bool:
         with self._lock:
@@ -67,8 +67,10 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--seconds", type=float, default=0.02)
+    parser.add_argument("--journal", type=Path, default=None)
     arguments = parser.parse_args()
-    serve(BookingService(arguments.seconds).routes(), arguments.port, threads=64)
+    service = BookingService(arguments.seconds, Journal(arguments.journal))
+    serve(service.routes(), arguments.port, threads=64)
 
 
 if __name__ == "__main__":
