Make the picture, the plan and the configuration linear in their size

Cause: the slopes measured for docs/CAPACITY.md broke the budget. Learning one target's hosting rebuilt every route's hosts, 18.8 ms at 860 models and 600 workers; the fit check and the plan looked adapters, hosts and targets up by scanning, so a document of 860 models took 163 ms to check and a plan of 64 workers did not end within the run.

Ruled out: rebuilding less often, since a node then routes by a picture that is older than it must be.

Change: the picture replaces the hosts of those routes that changed; the deployment and the pool state index adapters, charges and targets. A pool's round now comes no more often than a second for each 16 workers.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,12 @@
 .PHONY: soak
 soak: .venv/ready
 	$(BIN)/python -m runhatch_standins.soak --seconds $(SECONDS) --seed $(SEED)
+
+.PHONY: bench bench-placement bench-relay bench-overload bench-claims slopes
+bench: bench-relay bench-overload bench-claims bench-placement
+
+bench-placement bench-relay bench-overload bench-claims: .venv/ready
+	cd benchmarks && ../$(BIN)/python $(subst -,_,$@).py
+
+slopes: .venv/ready
+	cd benchmarks && ../$(BIN)/python bench_slopes.py
--- /dev/null
+++ b/benchmarks/bench_slopes.py
@@ -0,0 +1,283 @@
+"""Slopes behind docs/CAPACITY.md: real code at four sizes and more."""
+
+import argparse
+import gc
+import json
+import os
+import time
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+from multiprocessing import get_context
+from statistics import mean
+
+from _cost import cpu_seconds, fit, resident_mb, time_call
+from _reporting import Report
+
+from runhatch_server.configuration import Deployment, parse_deployment
+from runhatch_server.placement import (
+    Charge,
+    ChargeState,
+    LedgerRow,
+    LoadUnit,
+    PoolState,
+    hosting_of,
+    plan,
+)
+from runhatch_server.placement._state import pool_models
+from runhatch_server.placement._store import VersionedRow
+from runhatch_server.serving import Hosting, Picture
+from runhatch_standins._cluster import Sizes, call, start_cluster
+
+TABLE_SIZES = ((100, 70), (400, 280), (860, 600), (1_500, 1_000), (2_000, 1_200))
+POOL_SIZES = ((12, 8), (23, 16), (46, 32), (92, 64))
+NODE_COUNTS = (3, 6, 9, 16, 32)
+TARGET_NODES = 390
+WATCH_SECONDS = 12.0
+POOL_WORKERS = 60
+"""Workers to a pool at the target size: ten pools of sixty."""
+
+
+def document(models: int, workers: int) -> bytes:
+    """Return a configuration of that size, adapters twice as many as models."""
+    pools = max(1, workers // POOL_WORKERS)
+    by_pool: list[list[dict[str, object]]] = [[] for _ in range(pools)]
+    for index in range(workers):
+        target = {
+            "name": f"worker-{index:04d}",
+            "url": f"http://10.1.{index // 250}.{index % 250}:8000",
+            "failure_domain": f"domain-{index % 10}",
+            "memory_mb": 320_000,
+            "accelerators": 4,
+            "concurrency": 64,
+            "fencing": "refuses",
+        }
+        by_pool[index % pools].append(target)
+    return json.dumps(
+        {
+            "pools": [
+                {"name": f"pool-{i}", "targets": targets}
+                for i, targets in enumerate(by_pool)
+            ],
+            "models": [
+                {
+                    "name": f"model-{i:04d}",
+                    "pool": f"pool-{i % pools}",
+                    "memory_mb": 60_000,
+                }
+                for i in range(models)
+            ],
+            "adapters": [
+                {
+                    "name": f"adapter-{i:04d}",
+                    "base": f"model-{i % models:04d}",
+                    "memory_mb": 100,
+                }
+                for i in range(models * 2)
+            ],
+        }
+    ).encode()
+
+
+def hostings(deployment: Deployment) -> list[Hosting]:
+    """Return a placement with each model on some three workers of its pool."""
+    found = []
+    for pool in deployment.pools:
+        models = pool_models(deployment, pool)
+        for index, target in enumerate(pool.targets):
+            units = []
+            for offset in range(max(1, 3 * len(models) // len(pool.targets))):
+                model = models[(index * 4 + offset) % len(models)]
+                units += [model.unit]
+                units += [a.unit for a in deployment.adapters_of(model.name)]
+            found.append(Hosting(target.name, 1, tuple(units)))
+    return found
+
+
+def measure_tables(size: tuple[int, int]) -> dict[str, float]:
+    """Return what tables of ``size`` cost one node."""
+    import eliot  # noqa: F401 - what the daemon imports counts
+    import json5  # noqa: F401
+    import prometheus_client  # noqa: F401
+    import pynng  # noqa: F401
+    import waitress  # noqa: F401
+
+    body = document(*size)
+    gc.collect()
+    before = resident_mb(os.getpid())
+    deployment = parse_deployment(body)
+    picture = Picture()
+    picture.configure(deployment)
+    placed = hostings(deployment)
+    for hosting in placed:
+        picture.learn(hosting)
+    gc.collect()
+    after = resident_mb(os.getpid())
+    version = [1]
+
+    def learn() -> None:
+        version[0] += 1
+        hosting = placed[version[0] % len(placed)]
+        units = hosting.units[version[0] % 2 :]
+        picture.learn(replace(hosting, version=version[0], units=units))
+
+    return {
+        "body_kb": len(body) / 1024,
+        "tables_mb": after - before,
+        "resident_mb": after,
+        "parse_ms": time_call(lambda: parse_deployment(body)) * 1000,
+        "learn_ms": time_call(learn) * 1000,
+    }
+
+
+def pool_state(models: int, workers: int) -> PoolState:
+    """Return a settled pool of that size under even work."""
+    deployment = parse_deployment(document(models, workers))
+    pool = deployment.pools[0]
+    rows = {t.name: LedgerRow(t.name, t.memory_mb) for t in pool.targets}
+    state = PoolState(
+        pool, deployment.models, deployment.adapters, deployment.policy, rows, {}
+    )
+    while loads := [a for a in plan(state) if isinstance(a, LoadUnit)]:
+        for load in loads:
+            row = rows[load.target]
+            charge: Charge = replace(load.charge(), state=ChargeState.SERVING)
+            rows[load.target] = row.with_charge(charge)
+    work = {model.name: 8.0 for model in deployment.models}
+    return replace(state, work=work)
+
+
+def measure_plan(size: tuple[int, int]) -> dict[str, float]:
+    """Return what one round of planning a pool of ``size`` costs."""
+    state = pool_state(*size)
+    rows = [VersionedRow(row, 1) for row in state.rows.values()]
+    return {
+        "plan_ms": time_call(lambda: plan(state)) * 1000,
+        "hostings_ms": time_call(lambda: [hosting_of(row) for row in rows]) * 1000,
+    }
+
+
+def measure_nodes(nodes: int) -> dict[str, float]:
+    """Return what an idle node costs among ``nodes`` of them."""
+    small = {"serving": {"threads": 8}}
+    cluster = start_cluster(Sizes(nodes=nodes, engines=2, models=4, adapters=2), small)
+    try:
+        cluster.apply(cluster.deployment(), "slopes")
+        cluster.wait_resident("n1", 30)
+        time.sleep(4)
+        pids = [node.process.pid for node in cluster.nodes.values()]
+        urls = [cluster.operator_url(name) for name in cluster.nodes]
+        before = [cpu_seconds(pid) for pid in pids]
+        sent = [_peer_counts(url) for url in urls]
+        store = call(cluster.platform.url, "GET", "/stats")
+        time.sleep(WATCH_SECONDS)
+        after = [cpu_seconds(pid) for pid in pids]
+        sent_after = [_peer_counts(url) for url in urls]
+        store_after = call(cluster.platform.url, "GET", "/stats")
+        memory = [resident_mb(pid) for pid in pids]
+    finally:
+        cluster.close()
+    pairs = zip(sent, sent_after, strict=True)
+    rates = [(b[0] - a[0], b[1] - a[1]) for a, b in pairs]
+    cpu = [(b - a) / WATCH_SECONDS for a, b in zip(before, after, strict=True)]
+    return {
+        "cpu_percent": 100 * mean(cpu),
+        "cpu_percent_most": 100 * max(cpu),
+        "messages_s": mean(m for m, _ in rates) / WATCH_SECONDS,
+        "bytes_s": mean(b for _, b in rates) / WATCH_SECONDS,
+        "resident_mb": mean(memory),
+        "store_reads_s": (store_after["reads"] - store["reads"]) / WATCH_SECONDS,
+        "store_writes_s": (store_after["writes"] - store["writes"]) / WATCH_SECONDS,
+    }
+
+
+def _peer_counts(url: str) -> tuple[float, float]:
+    """Return messages and bytes that a node has sent and received."""
+    import http.client
+    from urllib.parse import urlsplit
+
+    parts = urlsplit(url)
+    connection = http.client.HTTPConnection(str(parts.hostname), parts.port, timeout=10)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    connection.close()
+    totals = {"messages": 0.0, "bytes": 0.0}
+    for line in text.splitlines():
+        for kind in totals:
+            for direction in ("in", "out"):
+                prefix = f'runhatch_peer_{kind}_total{{direction="{direction}"}} '
+                if line.startswith(prefix):
+                    totals[kind] += float(line.removeprefix(prefix))
+    return totals["messages"], totals["bytes"]
+
+
+def report_tables() -> None:
+    """Measure tables in a fresh process for each size."""
+    report = Report("tables", "Tables of one node by size", "make slopes")
+    found = []
+    for size in TABLE_SIZES:
+        with ProcessPoolExecutor(1, get_context("spawn")) as pool:
+            figures = pool.submit(measure_tables, size).result()
+        found.append(figures)
+        rounded = {name: round(value, 3) for name, value in figures.items()}
+        report.add(models=size[0], workers=size[1], **rounded)
+    models = [float(size[0]) for size in TABLE_SIZES]
+    for name, unit in (("tables_mb", "MB"), ("parse_ms", "ms"), ("learn_ms", "ms")):
+        line = fit(models, [figures[name] for figures in found])
+        report.note(
+            f"{name}: {line.intercept:.3g} + {line.slope * 1000:.3g} {unit} for 1,000 "
+            f"models (root mean square off the line: {line.error:.2g} {unit})."
+        )
+    report.write()
+
+
+def report_plans() -> None:
+    """Measure planning."""
+    report = Report("plans", "One round of planning a pool", "make slopes")
+    found = []
+    for size in POOL_SIZES:
+        figures = measure_plan(size)
+        found.append(figures)
+        rounded = {name: round(value, 3) for name, value in figures.items()}
+        report.add(models=size[0], workers=size[1], **rounded)
+    workers = [float(size[1]) for size in POOL_SIZES]
+    line = fit(workers, [figures["plan_ms"] for figures in found])
+    report.note(
+        f"plan_ms: {line.intercept:.3g} + {line.slope:.3g} ms a worker (root mean "
+        f"square off the line: {line.error:.2g} ms)."
+    )
+    report.write()
+
+
+def report_nodes() -> None:
+    """Measure idle nodes."""
+    report = Report("nodes", "An idle node among others", "make slopes")
+    found = []
+    for nodes in NODE_COUNTS:
+        figures = measure_nodes(nodes)
+        found.append(figures)
+        rounded = {name: round(value, 3) for name, value in figures.items()}
+        report.add(nodes=nodes, **rounded)
+    counts = [float(nodes) for nodes in NODE_COUNTS]
+    for name in ("store_reads_s", "store_writes_s", "resident_mb"):
+        line = fit(counts, [figures[name] for figures in found])
+        report.note(
+            f"{name}: {line.intercept:.3g} + {line.slope:.3g} a node, so "
+            f"{line.at(TARGET_NODES):.4g} at {TARGET_NODES} nodes (root mean square "
+            f"off the line: {line.error:.2g})."
+        )
+    report.write()
+
+
+REPORTS = {"tables": report_tables, "plans": report_plans, "nodes": report_nodes}
+
+
+def main() -> None:
+    """Run all reports, or those named."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("reports", nargs="*", choices=[*REPORTS, []])
+    for name in parser.parse_args().reports or REPORTS:
+        REPORTS[name]()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/runhatch-server/src/runhatch_server/configuration/_deployment.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_deployment.py
@@ -1,6 +1,8 @@
 """The configuration document; memory in MB, durations in seconds."""
 
+from collections import defaultdict
 from enum import Enum
+from functools import cached_property
 from typing import Annotated
 from urllib.parse import urlsplit
 
@@ -193,4 +195,11 @@
 
     def adapters_of(self, model: str) -> tuple[AdapterSpec, ...]:
         """Return the adapters whose base is ``model``."""
-        return tuple(adapter for adapter in self.adapters if adapter.base == model)
+        return self._adapters_by_base.get(model, ())
+
+    @cached_property
+    def _adapters_by_base(self) -> dict[str, tuple[AdapterSpec, ...]]:
+        by_base: defaultdict[str, list[AdapterSpec]] = defaultdict(list)
+        for adapter in self.adapters:
+            by_base[adapter.base].append(adapter)
+        return {base: tuple(adapters) for base, adapters in by_base.items()}
--- a/packages/runhatch-server/src/runhatch_server/placement/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_service.py
@@ -27,6 +27,9 @@
 from runhatch_server.serving import Hosting
 
 REPORT_WORKERS = 8
+WORKERS_A_SECOND = 16
+"""Workers that a planner reads and plans for a second, so that a large pool
+costs its holder no more of a core than a small one."""
 WEIGHT_STORE = "weight-store"
 
 
@@ -54,6 +57,7 @@
         self._executor = ThreadPoolExecutor(REPORT_WORKERS, thread_name_prefix="report")
         self._leases: dict[str, Lease] = {}
         self._planners: dict[str, ShardPlanner] = {}
+        self._due: dict[str, timedelta] = {}
         self._lock = threading.Lock()
         self._stopping = False
         self.leaving: frozenset[str] = frozenset()
@@ -120,6 +124,10 @@
         if epoch is None:
             planner.forget()
             return
+        now = self._clock.elapsed()
+        if now < self._due.get(pool.name, now):
+            return
+        self._due[pool.name] = now + round_interval(len(pool.targets))
         try:
             planner.step(deployment, pool, epoch, self.leaving)
         except LedgerLostError as lost:
@@ -166,3 +174,12 @@
     def _is_preferred(self, pool: str) -> bool:
         names = [vm.name for vm in self._membership.alive()]
         return rank(pool, names)[0] == self._membership.own.name
+
+
+def round_interval(workers: int) -> timedelta:
+    """Return the least time between two rounds for a pool of ``workers``.
+
+    >>> round_interval(9).total_seconds(), round_interval(64).total_seconds()
+    (0.5625, 4.0)
+    """
+    return timedelta(seconds=workers / WORKERS_A_SECOND)
--- a/packages/runhatch-server/src/runhatch_server/placement/_state.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_state.py
@@ -1,8 +1,10 @@
 """What a plan is made from: one pool's models, targets, charges and demand."""
 
+from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
+from functools import cached_property
 
 from runhatch_server.configuration import (
     AdapterSpec,
@@ -12,10 +14,10 @@
     PoolSpec,
     TargetSpec,
 )
-from runhatch_server.placement._ledger import ChargeState, LedgerRow
+from runhatch_server.placement._ledger import Charge, ChargeState, LedgerRow
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class PoolState:
     """A pool at one moment.
 
@@ -45,11 +47,11 @@
 
     def target(self, name: str) -> TargetSpec:
         """Return the declared target called ``name``."""
-        return next(t for t in self.pool.targets if t.name == name)
+        return self._targets[name]
 
     def adapters_of(self, model: ModelSpec) -> tuple[AdapterSpec, ...]:
         """Return the adapters of ``model``."""
-        return tuple(a for a in self.adapters if a.base == model.name)
+        return self._adapters_by_base.get(model.name, ())
 
     def footprint_mb(self, model: ModelSpec) -> int:
         """Return what one replica holds once loaded, adapters included."""
@@ -58,24 +60,46 @@
 
     def hosts(self, unit: str, *states: ChargeState) -> list[str]:
         """Return the targets on which ``unit`` is charged in one of ``states``."""
-        return [
-            name
-            for name, row in self.rows.items()
-            if (charge := row.find(unit)) is not None and charge.state in states
-        ]
+        placed = self._placed.get(unit, ())
+        return [name for name, charge in placed if charge.state in states]
 
     def older_units(self, model: ModelSpec) -> list[tuple[str, str]]:
         """Return target and unit of all other versions of ``model``."""
         return [
-            (name, charge.unit)
-            for name, row in self.rows.items()
-            for charge in row.charges
-            if not charge.base
-            and charge.unit != model.unit
-            and charge.unit.rpartition("@")[0] == model.name
-            and charge.state is not ChargeState.UNLOADING
+            (target, unit)
+            for unit in self._units_by_name.get(model.name, ())
+            if unit != model.unit
+            for target, charge in self._placed[unit]
+            if not charge.base and charge.state is not ChargeState.UNLOADING
         ]
 
+    @cached_property
+    def _targets(self) -> dict[str, TargetSpec]:
+        return {target.name: target for target in self.pool.targets}
+
+    @cached_property
+    def _adapters_by_base(self) -> dict[str, tuple[AdapterSpec, ...]]:
+        by_base: defaultdict[str, list[AdapterSpec]] = defaultdict(list)
+        for adapter in self.adapters:
+            by_base[adapter.base].append(adapter)
+        return {base: tuple(adapters) for base, adapters in by_base.items()}
+
+    @cached_property
+    def _placed(self) -> dict[str, list[tuple[str, Charge]]]:
+        """Target and charge of every unit."""
+        placed: defaultdict[str, list[tuple[str, Charge]]] = defaultdict(list)
+        for name, row in self.rows.items():
+            for charge in row.charges:
+                placed[charge.unit].append((name, charge))
+        return dict(placed)
+
+    @cached_property
+    def _units_by_name(self) -> dict[str, list[str]]:
+        by_name: defaultdict[str, list[str]] = defaultdict(list)
+        for unit in self._placed:
+            by_name[unit.rpartition("@")[0]].append(unit)
+        return dict(by_name)
+
 
 def pool_models(deployment: Deployment, pool: PoolSpec) -> tuple[ModelSpec, ...]:
     """Return the models declared for ``pool``."""
--- a/packages/runhatch-server/src/runhatch_server/serving/_picture.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_picture.py
@@ -2,9 +2,10 @@
 
 import threading
 from collections import defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from runhatch_server.configuration import AdapterSpec, Deployment, ModelSpec
+from runhatch_server.configuration import Deployment, TargetSpec
 from runhatch_server.serving._request import Route, RouteKind
 
 
@@ -28,24 +29,24 @@
     unit: str
 
 
-@dataclass(frozen=True, slots=True)
-class _Snapshot:
-    hosts: dict[Route, tuple[Host, ...]]
-    units: dict[Route, str]
-
-
 class Picture:
     """The placement as known here; readers take no lock.
 
-    Built from the configuration and the newest hosting known of each target.
+    Built from the configuration and the newest hosting known of each target.  A
+    new hosting costs as much as its target's units, however large the rest is:
+    each route's hosts are one tuple, replaced whole.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._deployment = Deployment()
+        self._targets: dict[str, TargetSpec] = {}
         self._hostings: dict[str, Hosting] = {}
         self._absent: set[tuple[str, str]] = set()
-        self._snapshot = _Snapshot({}, {})
+        self._current: dict[Route, str] = {}
+        self._placed: defaultdict[str, dict[str, str]] = defaultdict(dict)
+        self._named: dict[str, set[str]] = {}
+        self._hosts: dict[Route, tuple[Host, ...]] = {}
 
     @property
     def deployment(self) -> Deployment:
@@ -56,8 +57,12 @@
         """Use another deployment from now on."""
         with self._lock:
             self._deployment = deployment
-            declared = {t.name for pool in deployment.pools for t in pool.targets}
-            for name in set(self._hostings) - declared:
+            self._targets = {
+                target.name: target
+                for pool in deployment.pools
+                for target in pool.targets
+            }
+            for name in set(self._hostings) - set(self._targets):
                 del self._hostings[name]
             self._rebuild()
 
@@ -68,9 +73,13 @@
             if known is not None and known.version >= hosting.version:
                 return False
             self._hostings[hosting.target] = hosting
-            self._absent = {pair for pair in self._absent if pair[0] != hosting.target}
-            if known is None or known.units != hosting.units:
-                self._rebuild()
+            before = set(known.units) if known is not None else set()
+            changed = before.symmetric_difference(hosting.units)
+            corrected = {pair for pair in self._absent if pair[0] == hosting.target}
+            self._absent -= corrected
+            changed |= {unit for _, unit in corrected}
+            self._place(hosting)
+            self._update(_name(unit) for unit in changed)
             return True
 
     def correct(self, target: str, unit: str) -> None:
@@ -80,7 +89,7 @@
         """
         with self._lock:
             self._absent.add((target, unit))
-            self._rebuild()
+            self._update([_name(unit)])
 
     def hostings(self) -> list[Hosting]:
         """Return the newest hosting known of each target."""
@@ -89,54 +98,76 @@
 
     def hosts(self, route: Route) -> tuple[Host, ...]:
         """Return the targets that serve ``route``, empty if none is known."""
-        return self._snapshot.hosts.get(route, ())
+        return self._hosts.get(route, ())
 
     def declares(self, route: Route) -> bool:
         """Tell whether ``route`` is declared."""
-        return route in self._snapshot.units
+        return route in self._current
 
     def routes(self) -> list[Route]:
         """Return all declared routes, in order."""
-        return sorted(self._snapshot.units, key=str)
+        return sorted(self._current, key=str)
 
     def _rebuild(self) -> None:
-        hosts: dict[Route, tuple[Host, ...]] = {}
-        units: dict[Route, str] = {}
-        by_name = self._hosts_by_callable()
-        callables: list[ModelSpec | AdapterSpec] = [*self._deployment.models]
-        callables += self._deployment.adapters
-        for callable_ in callables:
-            route = Route(RouteKind.MODEL, callable_.name)
-            units[route] = callable_.unit
-            known = by_name.get(callable_.name, [])
-            current = tuple(host for host in known if host.unit == callable_.unit)
-            # While a version is replaced the old one serves until the new one does.
-            hosts[route] = current or tuple(known)
-        for service in self._deployment.plain_services:
-            route = Route(RouteKind.SERVICE, service.name)
-            units[route] = service.name
-            hosts[route] = tuple(
+        deployment = self._deployment
+        models = {model.name: model.unit for model in deployment.models}
+        adapters = {adapter.name: adapter.unit for adapter in deployment.adapters}
+        current = {
+            Route(RouteKind.MODEL, name): unit
+            for name, unit in {**models, **adapters}.items()
+        }
+        services = {
+            Route(RouteKind.SERVICE, service.name): tuple(
                 Host(t.name, t.url, t.failure_domain, t.concurrency, service.name)
                 for t in service.targets
             )
-        self._snapshot = _Snapshot(hosts, units)
-
-    def _hosts_by_callable(self) -> dict[str, list[Host]]:
-        by_name: dict[str, list[Host]] = defaultdict(list)
-        for pool in self._deployment.pools:
-            for target in pool.targets:
-                hosting = self._hostings.get(target.name)
-                if hosting is None:
-                    continue
-                for unit in hosting.units:
-                    if (target.name, unit) in self._absent:
-                        continue
-                    host = Host(
-                        target.name,
-                        target.url,
-                        target.failure_domain,
-                        target.concurrency,
-                        unit,
-                    )
-                    by_name[unit.rpartition("@")[0]].append(host)
-        return by_name
+            for service in deployment.plain_services
+        }
+        current |= {route: route.name for route in services}
+        self._current = current
+        self._placed.clear()
+        self._named.clear()
+        for hosting in self._hostings.values():
+            self._place(hosting)
+        self._hosts = services
+        self._update({**models, **adapters})
+
+    def _place(self, hosting: Hosting) -> None:
+        """Note the units of one target by the names that callers use."""
+        for name in self._named.pop(hosting.target, ()):
+            self._placed[name].pop(hosting.target, None)
+        if hosting.target not in self._targets:
+            return
+        for unit in hosting.units:
+            name = _name(unit)
+            beside = self._placed[name].get(hosting.target)
+            # While a version is replaced on one target the declared one counts.
+            if beside is None or not self._is_current(name, beside):
+                self._placed[name][hosting.target] = unit
+        self._named[hosting.target] = {_name(unit) for unit in hosting.units}
+
+    def _is_current(self, name: str, unit: str) -> bool:
+        return self._current.get(Route(RouteKind.MODEL, name)) == unit
+
+    def _update(self, names: Iterable[str]) -> None:
+        """Replace the hosts of the routes called ``names``."""
+        for name in names:
+            route = Route(RouteKind.MODEL, name)
+            if route not in self._current:
+                continue
+            known = [
+                self._host(target, unit)
+                for target, unit in self._placed[name].items()
+                if (target, unit) not in self._absent
+            ]
+            current = [host for host in known if self._is_current(name, host.unit)]
+            # While a version is replaced the old one serves until the new one does.
+            self._hosts[route] = tuple(current or known)
+
+    def _host(self, name: str, unit: str) -> Host:
+        target = self._targets[name]
+        return Host(name, target.url, target.failure_domain, target.concurrency, unit)
+
+
+def _name(unit: str) -> str:
+    return unit.rpartition("@")[0]
