Graceful restarts under load; leases watched by three; plan split by matter

Found by a rolling restart under load, which failed first: while draining every answer was a 500, since waitress refuses a Connection header from an application. Answers now go out without a length, upon which it closes the connection itself. A drain also waits for requests that arrive on open connections before it ends.

Now the three nodes that rank first for a pool watch its lease and the others hear who holds it from peers; pictures are compared by digest among peers, and ledgers read ever more seldom the more targets there are.

Value no longer needs targets below the high mark, only clearly less utilised ones, and counts what an evicted replica's work would lose.

--- /dev/null
+++ b/benchmarks/_relay_load.py
@@ -0,0 +1,103 @@
+"""Callers that measure streams: first token, gaps, and processor time."""
+
+import http.client
+import json
+import random
+import threading
+import time
+from dataclasses import dataclass, field
+from urllib.parse import urlsplit
+
+TIMEOUT_SECONDS = 60.0
+
+
+@dataclass(slots=True)
+class Stream:
+    """One stream as its caller saw it; times in seconds."""
+
+    first_token: float
+    gaps: list[float] = field(default_factory=list)
+    tokens: int = 0
+    whole: bool = False
+
+
+def read_stream(url: str, model: str, prompt: str, tokens: int) -> Stream | None:
+    """Send one streamed request; ``None`` if it was not answered."""
+    parts = urlsplit(url)
+    connection = http.client.HTTPConnection(
+        str(parts.hostname), parts.port, timeout=TIMEOUT_SECONDS
+    )
+    document = {
+        "model": model,
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    headers = {"Content-Type": "application/json"}
+    started = time.perf_counter()
+    try:
+        connection.request(
+            "POST", "/v1/chat/completions", json.dumps(document), headers
+        )
+        response = connection.getresponse()
+        if response.status != 200:
+            return None
+        return _read(response, started)
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def _read(response: http.client.HTTPResponse, started: float) -> Stream:
+    stream = Stream(0.0)
+    last = started
+    while chunk := response.read1(65_536):
+        now = time.perf_counter()
+        events = chunk.count(b"\n\n")
+        if stream.tokens == 0:
+            stream.first_token = now - started
+        else:
+            stream.gaps.append(now - last)
+        last = now
+        stream.tokens += events
+        stream.whole = stream.whole or b"[DONE]" in chunk
+    return stream
+
+
+def run_streams(
+    url: str, models: list[str], at_once: int, count: int, tokens: int, seed: int
+) -> list[Stream]:
+    """Keep ``at_once`` streams in progress, arriving at random, ``count`` in all.
+
+    With ``count`` equal to ``at_once`` and no spread they would all arrive in the
+    same instant; here arrivals spread over one stream's time.
+    """
+    source = random.Random(seed)
+    lock = threading.Lock()
+    streams: list[Stream] = []
+    left = [count]
+
+    def caller(index: int, delay: float) -> None:
+        time.sleep(delay)
+        while True:
+            with lock:
+                if left[0] <= 0:
+                    return
+                left[0] -= 1
+                number = left[0]
+            model = models[number % len(models)]
+            stream = read_stream(url, model, f"bench {index} {number}", tokens)
+            if stream is not None:
+                with lock:
+                    streams.append(stream)
+
+    threads = [
+        threading.Thread(target=caller, args=(i, source.uniform(0, 2.0)))
+        for i in range(at_once)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return streams
--- /dev/null
+++ b/benchmarks/bench_relay.py
@@ -0,0 +1,102 @@
+"""What the relay adds: first token and processor time a token, against direct."""
+
+import random
+from concurrent.futures import ProcessPoolExecutor
+
+import numpy as np
+from _cost import cpu_seconds, resident_mb
+from _relay_load import Stream, run_streams
+from _reporting import Report
+
+from runhatch_standins._cluster import Sizes, start_cluster
+
+AT_ONCE = (1, 20, 100, 300)
+TOKENS = 60
+PER_TOKEN = 0.04
+CALLER_PROCESSES = 3
+SEED = 5
+
+
+def load(
+    url: str, models: list[str], at_once: int, seed: int
+) -> tuple[list[float], list[float], int, int]:
+    """Run callers in processes; first tokens, gaps, tokens, streams not whole."""
+    shares = [
+        len(part) for part in np.array_split(np.arange(at_once), CALLER_PROCESSES)
+    ]
+    shares = [share for share in shares if share]
+    with ProcessPoolExecutor(len(shares)) as pool:
+        futures = [
+            pool.submit(
+                run_streams, url, models, share, max(share * 2, 6), TOKENS, seed + i
+            )
+            for i, share in enumerate(shares)
+        ]
+        streams: list[Stream] = [s for future in futures for s in future.result()]
+    first = [stream.first_token for stream in streams]
+    gaps = [gap for stream in streams for gap in stream.gaps]
+    broken = sum(not stream.whole for stream in streams)
+    return first, gaps, sum(stream.tokens for stream in streams), broken
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile in milliseconds."""
+    return round(float(np.percentile(values, share)) * 1000, 2)
+
+
+def main() -> None:
+    """Run and report."""
+    random.seed(SEED)
+    report = Report("relay", "One node between callers and engines", "make bench-relay")
+    sizes = Sizes(
+        nodes=1,
+        engines=3,
+        models=6,
+        adapters=0,
+        slots=400,
+        queue=400,
+        per_token=PER_TOKEN,
+    )
+    settings = {"serving": {"threads": 400, "queue_limit": 400}}
+    cluster = start_cluster(sizes, settings)
+    try:
+        cluster.apply(cluster.deployment(), "bench")
+        cluster.wait_resident("n1", 30)
+        hosted = {
+            record["name"]: record["targets"][0]
+            for record in cluster.query("n1", {"noun": "models"})
+        }
+        engine = cluster.engines[1]
+        direct = [f"{name}@1" for name, target in hosted.items() if target == "e2"]
+        pid = cluster.nodes["n1"].process.pid
+        for at_once in AT_ONCE:
+            first, _, _, _ = load(engine.url, direct, at_once, SEED)
+            before = cpu_seconds(pid)
+            through, gaps, tokens, broken = load(
+                cluster.caller_url("n1"), [*hosted], at_once, SEED
+            )
+            spent = cpu_seconds(pid) - before
+            report.add(
+                streams=at_once,
+                direct_p50_ms=percentile(first, 50),
+                direct_p95_ms=percentile(first, 95),
+                through_p50_ms=percentile(through, 50),
+                through_p95_ms=percentile(through, 95),
+                added_p95_ms=round(percentile(through, 95) - percentile(first, 95), 2),
+                gap_p95_ms=percentile(gaps, 95),
+                cpu_us_a_token=round(spent / tokens * 1e6, 1),
+                not_whole=broken,
+                resident_mb=round(resident_mb(pid), 1),
+            )
+    finally:
+        cluster.close()
+    report.note(
+        f"Each stream is {TOKENS} tokens {PER_TOKEN * 1000:g} ms apart. Callers, node "
+        "and engines share one machine; direct is one engine, through is one node in "
+        "front of three."
+    )
+    report.write()
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/replay/_run.py
+++ b/benchmarks/replay/_run.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 from replay._placements import Placement
 from replay._workload import DEADLINE_SECONDS, SLOTS, Arrival, Workload
@@ -26,6 +27,7 @@
 
 ENTRY_NODES = 3
 STEP = 1.0
+PREFILL = timedelta(milliseconds=100)
 ROUNDING = 1e-5
 """The clock keeps whole microseconds; without this a poll could never end."""
 LOAD_SECONDS = 15.0
@@ -51,6 +53,14 @@
         return self.in_time / self.requests / self.accelerators
 
 
+class Baseline(Enum):
+    """How requests are routed and admitted."""
+
+    RUNHATCH = "runhatch"
+    ROUND_ROBIN = "round robin"
+    LEAST_OUTSTANDING = "least outstanding"
+
+
 class _Engine:
     """Slots and a queue; serves in order of arrival."""
 
@@ -73,7 +83,11 @@
 
 
 class _Replay:
-    def __init__(self, workload: Workload, placement: Placement, seed: int) -> None:
+    def __init__(
+        self, workload: Workload, placement: Placement, seed: int, baseline: Baseline
+    ) -> None:
+        self._baseline = baseline
+        self._turn = itertools.count()
         self._workload = workload
         self._placement = placement
         self._clock = ManualClock()
@@ -152,6 +166,9 @@
             None,
             b"",
         )
+        if self._baseline is not Baseline.RUNHATCH:
+            self._take_any(arrival, request)
+            return
         entered = node.enter(request)
         if isinstance(entered, Waiter):
             give_up = self._now + max(0.0, entered.patience.total_seconds())
@@ -159,6 +176,27 @@
         else:
             self._begin(entered, arrival, node, request)
 
+    def _take_any(self, arrival: Arrival, request: CallerRequest) -> None:
+        """Send to a host without admission, as the baseline chooses."""
+        hosts = self._picture.hosts(request.route)
+        engines = [self._engines[host.target] for host in hosts]
+        if self._baseline is Baseline.ROUND_ROBIN:
+            engine = engines[next(self._turn) % len(engines)]
+        else:
+            engine = min(engines, key=lambda e: e.running + len(e.queue))
+
+        def end() -> None:
+            engine.end()
+            self._judge(request)
+
+        engine.begin(lambda: self._at(self._now + arrival.service, end))
+
+    def _judge(self, request: CallerRequest) -> None:
+        if self._clock.elapsed() <= request.deadline:
+            self.result.in_time += 1
+        else:
+            self.result.late += 1
+
     def _poll(
         self,
         waiter: Waiter[Grant],
@@ -190,12 +228,11 @@
         def end() -> None:
             engine.end()
             load = ReportedLoad(engine.running, len(engine.queue))
-            first_byte = self._clock.elapsed() - sent
-            node.completed(grant, first_byte, load)
-            if self._clock.elapsed() <= request.deadline:
-                self.result.in_time += 1
-            else:
-                self.result.late += 1
+            took = self._clock.elapsed() - sent
+            # The first token comes after the engine's queue and the prefill.
+            queued = took - timedelta(seconds=arrival.service)
+            node.completed(grant, queued + PREFILL, load)
+            self._judge(request)
 
         engine.begin(lambda: self._at(self._now + arrival.service, end))
 
@@ -257,6 +294,11 @@
             node.picture_changed()
 
 
-def replay(workload: Workload, placement: Placement, seed: int) -> Result:
-    """Replay ``workload`` under ``placement``."""
-    return _Replay(workload, placement, seed).run()
+def replay(
+    workload: Workload,
+    placement: Placement,
+    seed: int,
+    baseline: Baseline = Baseline.RUNHATCH,
+) -> Result:
+    """Replay ``workload`` under ``placement``, routed as ``baseline`` says."""
+    return _Replay(workload, placement, seed, baseline).run()
--- a/benchmarks/replay/_workload.py
+++ b/benchmarks/replay/_workload.py
@@ -13,6 +13,8 @@
 BURST_SECONDS = (60.0, 400.0)
 MODELS_IN_BURST = 0.06
 """Share of models in a burst at any moment, on average."""
+MEMORY_FILLED = 0.7
+"""Share of all memory that one replica of every model takes."""
 POPULARITY = 0.9
 """Exponent of the models' popularity by rank."""
 
@@ -53,20 +55,30 @@
     seconds: float
 
 
-def make_workload(size: Size, seed: int, seconds: float, load: float) -> Workload:
-    """Return requests whose mean work is ``load`` times what all slots carry."""
+def make_workload(
+    size: Size, seed: int, seconds: float, load: float, bursts: bool = True
+) -> Workload:
+    """Return requests whose mean work is ``load`` times what all slots carry.
+
+    Without ``bursts`` every model is small enough to be on every worker, and is
+    asked for evenly.
+    """
     source = random.Random(seed)
     names = [f"m{index}" for index in range(size.models)]
     shares = [1 / (rank + 1) ** POPULARITY for rank in range(size.models)]
     source.shuffle(shares)
-    bursts = {name: _bursts(source, seconds) for name in names}
-    grown = 1 + MODELS_IN_BURST * (BURST_FACTOR - 1)
+    if not bursts:
+        shares = [1.0 for _ in names]
+    found = {name: _bursts(source, seconds) if bursts else [] for name in names}
+    grown = 1 + MODELS_IN_BURST * (BURST_FACTOR - 1) if bursts else 1.0
     mean = load * size.workers * SLOTS / SERVICE_SECONDS / (sum(shares) * grown)
     arrivals = []
     for name, share in zip(names, shares, strict=True):
-        arrivals += _arrivals(source, name, mean * share, bursts[name], seconds)
+        arrivals += _arrivals(source, name, mean * share, found[name], seconds)
     arrivals.sort(key=lambda arrival: arrival.at)
-    return Workload(size, _deployment(size, seed), tuple(arrivals), seconds)
+    filled = MEMORY_FILLED if bursts else MEMORY_FILLED / size.workers
+    deployment = _deployment(size, seed, filled)
+    return Workload(size, deployment, tuple(arrivals), seconds)
 
 
 def _bursts(source: random.Random, seconds: float) -> list[tuple[float, float]]:
@@ -103,7 +115,7 @@
             arrivals.append(Arrival(at, name, service))
 
 
-def _deployment(size: Size, seed: int) -> Deployment:
+def _deployment(size: Size, seed: int, filled: float) -> Deployment:
     source = random.Random(seed + 1)
     targets = [
         {
@@ -116,8 +128,7 @@
         }
         for index in range(size.workers)
     ]
-    # All models once take about 70 of 100 of the memory.
-    mean = 0.7 * size.workers * MEMORY_MB / size.models
+    mean = filled * size.workers * MEMORY_MB / size.models
     models = [
         {
             "name": f"m{index}",
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -11,6 +11,7 @@
     Clock,
     GroupCommitter,
     InvariantError,
+    LeaseRecord,
     Membership,
     ObjectStore,
     RetryBudget,
@@ -27,7 +28,7 @@
 from runhatch_server.configuration import ConfigurationService, parse_deployment
 from runhatch_server.observability import Metrics, TraceLog, log_change
 from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
-from runhatch_server.peers import PeerLinks, PeerService, demand_period
+from runhatch_server.peers import PeerLinks, PeerService, PlannerNotice, demand_period
 from runhatch_server.placement import PlacementService
 from runhatch_server.platform import HttpObjects, HttpTable, HttpVmList, PlatformHttp
 from runhatch_server.serving import (
@@ -50,6 +51,7 @@
 OPERATOR_THREADS = 4
 VM_LIST_EVERY = timedelta(seconds=2)
 DRAIN_POLL = timedelta(milliseconds=200)
+LEDGER_READ_PER_TARGET = timedelta(seconds=2)
 STATE_RETRY = timedelta(seconds=1)
 """Between two asks of peers by a node that knows no configuration yet."""
 
@@ -94,6 +96,7 @@
         self._counts_sent = timedelta()
         self._listed_leaving: frozenset[str] = frozenset()
         self._told_draining: dict[str, timedelta] = {}
+        self._ledger_read = timedelta(days=-1)
         self._notices = threading.Event()
         self._tasks = Tasks(self._clock, self._draining)
         self._membership = Membership(
@@ -118,6 +121,7 @@
             self._membership,
             self._metrics,
             self._on_own_hosting,
+            self._on_lease,
             timedelta(seconds=settings.placement.lease_seconds),
         )
         self._committer = GroupCommitter(outside.table)
@@ -150,6 +154,8 @@
             self._on_hosting,
             self._on_draining,
             self._on_demand,
+            self._on_planner,
+            self._planner_notices,
         )
         self._links: PeerLinks | None = None
 
@@ -210,8 +216,7 @@
         self._placement.stop()
         self._clock.sleep(timedelta(seconds=self._settings.serving.drain_lag_seconds))
         self._callers.stop_listening()
-        while not self._progress.wait_idle(DRAIN_POLL):
-            pass
+        self._finish_requests()
         self._service.close()
         self._committer.close()
         if self._links is not None:
@@ -221,6 +226,15 @@
     def _broken(self, error: InvariantError) -> None:
         self._tasks.on_broken(error)
 
+    def _finish_requests(self) -> None:
+        """Wait until nothing is in progress, nor arrives on an open connection."""
+        begun = -1
+        while begun != self._progress.begun:
+            begun = self._progress.begun
+            while not self._progress.wait_idle(DRAIN_POLL):
+                pass
+            self._clock.sleep(DRAIN_POLL)
+
     def on_broken_invariant(self, stop: Callable[[InvariantError], None]) -> None:
         """Have ``stop`` called if a task finds a promise broken."""
         self._tasks.on_broken = stop
@@ -323,6 +337,17 @@
             self._update_drains()
         return bool(fresh)
 
+    def _on_lease(self, pool: str, record: LeaseRecord) -> None:
+        self._peers.tell_all(_notice(pool, record))
+
+    def _on_planner(self, notice: PlannerNotice) -> bool:
+        record = LeaseRecord(notice.holder, notice.epoch, 0, notice.address)
+        return self._placement.learn_lease(notice.pool, record)
+
+    def _planner_notices(self) -> list[PlannerNotice]:
+        leases = self._placement.leases()
+        return [_notice(pool, record) for pool, record in leases.items()]
+
     def _on_demand(self, counts: dict[str, int]) -> None:
         self._placement.demand(counts, self._picture.deployment)
 
@@ -384,7 +409,17 @@
         self._configuration.refresh()
 
     def _refresh_picture(self) -> None:
-        self._placement.refresh(self._picture.deployment)
+        """Compare with peers each time, with the ledger ever more seldom.
+
+        Reading all ledgers costs bytes by the number of targets.
+        """
+        self._peers.tell_digest()
+        deployment = self._picture.deployment
+        targets = sum(len(pool.targets) for pool in deployment.pools)
+        now = self._clock.elapsed()
+        if now - self._ledger_read >= LEDGER_READ_PER_TARGET * targets:
+            self._ledger_read = now
+            self._placement.refresh(deployment)
 
     def _ask_while_empty(self) -> None:
         if self._feed.number == 0 and not self._configuration.refresh():
@@ -392,3 +427,7 @@
 
     def _plan(self) -> None:
         self._placement.step(self._picture.deployment)
+
+
+def _notice(pool: str, record: LeaseRecord) -> PlannerNotice:
+    return PlannerNotice(pool, record.holder, record.address, record.epoch)
--- a/packages/runhatch-server/src/runhatch_server/configuration/_deployment.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_deployment.py
@@ -6,7 +6,7 @@
 from typing import Annotated
 from urllib.parse import urlsplit
 
-from pydantic import AfterValidator, Field, model_validator
+from pydantic import AfterValidator, Field
 
 from runhatch_server._border import StrictModel
 
@@ -156,16 +156,14 @@
     min_residence_seconds: float = Field(
         default=60.0, ge=0, description="A replica stays at least this long"
     )
-    high_utilisation: float = Field(default=0.75, gt=0, le=1)
-    low_utilisation: float = Field(default=0.35, ge=0, le=1)
+    high_utilisation: float = Field(
+        default=0.9,
+        gt=0,
+        le=1,
+        description="Share of a target's concurrency beyond which work is too much",
+    )
     paused: bool = Field(default=False, description="No moves beyond reachability")
 
-    @model_validator(mode="after")
-    def _ordered(self) -> "PolicySpec":
-        if self.low_utilisation >= self.high_utilisation:
-            raise ValueError("low_utilisation below high_utilisation")
-        return self
-
 
 class PinSpec(StrictModel):
     """A model and a target that belong together, or never."""
--- a/packages/runhatch-server/src/runhatch_server/observability/_logs.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_logs.py
@@ -1,11 +1,13 @@
 """Structured logs by eliot: one JSON object a line, a request under one action."""
 
+import logging
 import sys
 import threading
 from pathlib import Path
 from typing import TextIO
 
 import eliot
+from eliot.stdlib import EliotHandler
 
 from runhatch_server.settings import LogLevel, LogSettings
 
@@ -37,6 +39,8 @@
     Raises ``OSError`` if the file cannot be opened.
     """
     eliot.add_destinations(_Destination(_open(settings.destination), settings.level))
+    # What libraries log, the HTTP server's failures among them, goes the same way.
+    logging.getLogger().addHandler(EliotHandler())
 
 
 def log_change(message_type: str, **fields: object) -> None:
--- a/packages/runhatch-server/src/runhatch_server/operations/_nouns.py
+++ b/packages/runhatch-server/src/runhatch_server/operations/_nouns.py
@@ -262,7 +262,6 @@
         return [
             LeaseRecordView(pool, record.holder, record.epoch, record.renewal)
             for pool, record in self._placement.leases().items()
-            if record is not None
         ]
 
     def _orders(self) -> Sequence[Record]:
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -47,6 +47,12 @@
     units: tuple[str, ...]
 
 
+class PictureDigest(msgspec.Struct, frozen=True, tag="digest", array_like=True):
+    """What the sender's hostings add up to."""
+
+    digest: int
+
+
 class DrainingTargets(msgspec.Struct, frozen=True, tag="draining", array_like=True):
     """Targets seen draining by the sender."""
 
@@ -59,6 +65,15 @@
     counts: dict[str, int]
 
 
+class PlannerNotice(msgspec.Struct, frozen=True, tag="planner", array_like=True):
+    """Who plans a pool, as of a lease epoch."""
+
+    pool: str
+    holder: str
+    address: str
+    epoch: int
+
+
 class StateWanted(msgspec.Struct, frozen=True, tag="wanted", array_like=True):
     """The sender knows less than revision ``known`` + 1 and asks for all."""
 
@@ -73,6 +88,8 @@
     | HostingFact
     | DrainingTargets
     | DemandCounts
+    | PlannerNotice
+    | PictureDigest
     | StateWanted
 )
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_service.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from functools import singledispatchmethod
 
 from runhatch_coordination import (
     MemberFact,
@@ -11,6 +12,7 @@
     RevisionEntry,
     RevisionFeed,
     Standing,
+    Vm,
     choose_peers,
 )
 from runhatch_server.observability import Metrics, log_change
@@ -23,6 +25,8 @@
     Fact,
     HostingFact,
     Member,
+    PictureDigest,
+    PlannerNotice,
     RevisionBody,
     RevisionNotice,
     StateWanted,
@@ -49,6 +53,8 @@
         on_hosting: Callable[[Hosting], bool],
         on_draining: Callable[[frozenset[str]], bool],
         on_demand: Callable[[dict[str, int]], None],
+        on_planner: Callable[[PlannerNotice], bool],
+        planners: Callable[[], list[PlannerNotice]],
     ) -> None:
         self._membership = membership
         self._feed = feed
@@ -58,7 +64,10 @@
         self._on_hosting = on_hosting
         self._on_draining = on_draining
         self._on_demand = on_demand
+        self._on_planner = on_planner
+        self._planners = planners
         self._links: PeerLinks | None = None
+        self._differing: set[str] = set()
 
     def attach(self, links: PeerLinks) -> None:
         """Use ``links`` from now on."""
@@ -93,6 +102,10 @@
         """Tell peers what a target serves."""
         self.tell_all(HostingFact(hosting.target, hosting.version, hosting.units))
 
+    def tell_digest(self) -> None:
+        """Let peers find out whether they lack a hosting."""
+        self.tell_all(PictureDigest(self._picture.digest))
+
     def tell_draining(self, targets: frozenset[str]) -> None:
         """Tell peers of targets seen draining."""
         self.tell_all(DrainingTargets(tuple(sorted(targets))))
@@ -126,33 +139,72 @@
         self._membership.heartbeat(sender.vm)
         self._membership.learn([sender])
         for fact in envelope.facts:
-            self._take_in(fact)
-
-    def _take_in(self, fact: Fact) -> None:
-        match fact:
-            case Member():
-                self._membership.learn([fact_of_member(fact)])
-            case RevisionNotice(number):
-                self._on_notice(number)
-            case RevisionBody():
-                self._feed.offer(_revision(fact))
-            case HostingFact(target, version, units):
-                # Passed on only if it was news, so that it dies out.
-                if self._on_hosting(Hosting(target, version, units)):
-                    self.tell_all(fact)
-            case DrainingTargets(targets):
-                if self._on_draining(frozenset(targets)):
-                    self.tell_all(fact)
-            case DemandCounts(counts):
-                self._on_demand(counts)
-            case StateWanted(known, reply_to):
-                self._reply(known, reply_to)
+            self._take_in(fact, sender.vm)
+
+    @singledispatchmethod
+    def _take_in(self, fact: Fact, sender: Vm) -> None:
+        raise NotImplementedError(type(fact))
+
+    @_take_in.register
+    def _take_in_member(self, fact: Member, sender: Vm) -> None:
+        self._membership.learn([fact_of_member(fact)])
+
+    @_take_in.register
+    def _take_in_notice(self, fact: RevisionNotice, sender: Vm) -> None:
+        self._on_notice(fact.number)
+
+    @_take_in.register
+    def _take_in_body(self, fact: RevisionBody, sender: Vm) -> None:
+        self._feed.offer(_revision(fact))
+
+    @_take_in.register
+    def _take_in_hosting(self, fact: HostingFact, sender: Vm) -> None:
+        # Passed on only if it was news, so that it dies out.
+        if self._on_hosting(Hosting(fact.target, fact.version, fact.units)):
+            self.tell_all(fact)
+
+    @_take_in.register
+    def _take_in_draining(self, fact: DrainingTargets, sender: Vm) -> None:
+        if self._on_draining(frozenset(fact.targets)):
+            self.tell_all(fact)
+
+    @_take_in.register
+    def _take_in_demand(self, fact: DemandCounts, sender: Vm) -> None:
+        self._on_demand(fact.counts)
+
+    @_take_in.register
+    def _take_in_planner(self, fact: PlannerNotice, sender: Vm) -> None:
+        if self._on_planner(fact):
+            self.tell_all(fact)
+
+    @_take_in.register
+    def _take_in_digest(self, fact: PictureDigest, sender: Vm) -> None:
+        self._compare(sender, fact.digest)
+
+    @_take_in.register
+    def _take_in_wanted(self, fact: StateWanted, sender: Vm) -> None:
+        self._reply(fact.known, fact.reply_to)
+
+    def _compare(self, sender: Vm, digest: int) -> None:
+        """Ask for all hostings if the sender's differ twice in a row.
+
+        Once may be a change that is still on its way.
+        """
+        if digest == self._picture.digest:
+            self._differing.discard(sender.name)
+        elif sender.name not in self._differing:
+            self._differing.add(sender.name)
+        elif self._links is not None:
+            self._differing.discard(sender.name)
+            wanted = StateWanted(self._feed.number, self._membership.own.address)
+            self._links.tell(sender.address, [wanted])
 
     def _reply(self, known: int, reply_to: str) -> None:
         facts: list[Fact] = [
             HostingFact(hosting.target, hosting.version, hosting.units)
             for hosting in self._picture.hostings()
         ]
+        facts += self._planners()
         current = self._feed.current
         if current is not None and current.entry.number > known:
             facts.insert(0, _body(current))
--- a/packages/runhatch-server/src/runhatch_server/placement/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/__init__.py
@@ -1,14 +1,13 @@
 """Placement: the memory ledger, orders to engines and the planner."""
 
-from runhatch_server.placement._ledger import Charge, ChargeState, LedgerRow
-from runhatch_server.placement._planner import (
+from runhatch_server.placement._actions import (
     Action,
     LoadUnit,
     RetireUnit,
     Urgency,
-    explain,
-    plan,
 )
+from runhatch_server.placement._ledger import Charge, ChargeState, LedgerRow
+from runhatch_server.placement._planner import explain, plan
 from runhatch_server.placement._reconcile import (
     Reconciled,
     TargetView,
--- a/packages/runhatch-server/src/runhatch_server/placement/_balance.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_balance.py
@@ -17,6 +17,10 @@
     shares: dict[tuple[str, str], float]
     capacities: dict[str, float]
 
+    def share(self, model: str, target: str) -> float:
+        """Return the concurrent requests of ``model`` on ``target``."""
+        return self.shares.get((model, target), 0.0)
+
     def utilisation(self, target: str) -> float:
         """Return the load of ``target`` over what it runs at once."""
         return self.loads[target] / self.capacities[target]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/placement/_draft.py
@@ -0,0 +1,152 @@
+"""A plan in the making: actions so far, and the rows as they would become."""
+
+from collections.abc import Sequence
+
+from runhatch_server.configuration import ModelSpec
+from runhatch_server.placement._actions import (
+    Action,
+    LoadUnit,
+    RetireUnit,
+    Urgency,
+)
+from runhatch_server.placement._balance import balance
+from runhatch_server.placement._ledger import ChargeState, LedgerRow
+from runhatch_server.placement._state import PoolState
+
+PRESENT = (ChargeState.SERVING, ChargeState.LOADING)
+
+
+class Draft:
+    """Collects actions that together fit the ledger as it stands.
+
+    A load for which memory must first be freed comes in a later plan, after the
+    retirement it asks for.
+    """
+
+    def __init__(self, state: PoolState) -> None:
+        self.state = state
+        self.rows: dict[str, LedgerRow] = dict(state.rows)
+        self.balance = balance(state)
+        self.actions: list[Action] = []
+
+    def add(self, load: LoadUnit) -> None:
+        """Take ``load`` into the plan."""
+        self.rows[load.target] = self.rows[load.target].with_charge(load.charge())
+        self.actions.append(load)
+
+    def load_on(
+        self, target: str, model: ModelSpec, urgency: Urgency, reason: str
+    ) -> None:
+        """Load ``model`` on ``target``, which has room."""
+        self.add(
+            LoadUnit(
+                target,
+                model.unit,
+                model.memory_mb + model.kv_reserve_mb,
+                model.loading_peak_mb,
+                urgency,
+                reason,
+            )
+        )
+
+    def retire(self, target: str, unit: str, reason: str) -> None:
+        """Retire a unit, unless it is going already."""
+        charge = self.rows[target].find(unit)
+        if charge is None or charge.state is ChargeState.UNLOADING:
+            return
+        self.rows[target] = self.rows[target].with_charge(charge.unloading())
+        self.actions.append(RetireUnit(target, unit, reason))
+
+    def needed_mb(self, model: ModelSpec) -> int:
+        """Return what must be free to load ``model``."""
+        return self.state.footprint_mb(model) + model.loading_peak_mb
+
+    def targets_for(self, model: ModelSpec) -> list[str]:
+        """Return the targets that may take a load of ``model`` now."""
+        return [
+            name
+            for name, row in self.rows.items()
+            if self.state.takes_loads(name)
+            and row.find(model.unit) is None
+            and (model.name, name) not in self.state.bans
+        ]
+
+    def load_somewhere(
+        self,
+        model: ModelSpec,
+        urgency: Urgency,
+        reason: str,
+        targets: Sequence[str] | None = None,
+    ) -> bool:
+        """Load ``model`` on the best target with room; false if there is none."""
+        needed = self.needed_mb(model)
+        allowed = self.targets_for(model) if targets is None else targets
+        hosts = [name for name in allowed if self.rows[name].free_mb >= needed]
+        if not hosts:
+            return False
+        domains = self._domains_of(model)
+        best = min(hosts, key=lambda name: self._placement_order(name, domains))
+        self.load_on(best, model, urgency, reason)
+        return True
+
+    def serves(self, target: str, unit: str) -> bool:
+        """Whether ``unit`` serves there and is not retired by this plan."""
+        charge = self.rows[target].find(unit)
+        return charge is not None and charge.state is ChargeState.SERVING
+
+    def is_complete(self, target: str, model: ModelSpec) -> bool:
+        """Whether ``model`` and all its adapters serve on ``target``."""
+        units = [model.unit, *(a.unit for a in self.state.adapters_of(model))]
+        return all(self.serves(target, unit) for unit in units)
+
+    def may_retire(self, model: ModelSpec, target: str) -> bool:
+        """Whether enough other replicas serve, so that this one may go."""
+        if (model.name, target) in self.state.pins:
+            return False
+        others = [
+            host
+            for host in self.state.hosts(model.unit, ChargeState.SERVING)
+            if host != target
+            and host not in self.state.closed
+            and self.is_complete(host, model)
+        ]
+        return len(others) >= model.min_replicas
+
+    def victims(self, target: str, lacking: int) -> list[ModelSpec] | None:
+        """Return surplus replicas that free ``lacking`` MB, ``None`` if too few.
+
+        What is being unloaded already counts; those with the least work go first.
+        """
+        row = self.rows[target]
+        freed = sum(
+            charge.held_mb
+            for charge in row.charges
+            if charge.state is ChargeState.UNLOADING
+        )
+        surplus = [
+            model
+            for model in self.state.models
+            if self.serves(target, model.unit) and self.may_retire(model, target)
+        ]
+        surplus.sort(key=lambda model: self.balance.share(model.name, target))
+        chosen = []
+        for model in surplus:
+            if freed >= lacking:
+                break
+            chosen.append(model)
+            freed += self.state.footprint_mb(model)
+        return chosen if freed >= lacking else None
+
+    def _placement_order(
+        self, target: str, domains: frozenset[str]
+    ) -> tuple[bool, float, int]:
+        """Another failure domain first, then the least utilised, then the emptiest."""
+        same = self.state.target(target).failure_domain in domains
+        # Coarse steps, so that memory decides between targets about as busy.
+        busy = round(self.balance.utilisation(target), 1)
+        return same, busy, -self.rows[target].free_mb
+
+    def _domains_of(self, model: ModelSpec) -> frozenset[str]:
+        hosts = self.state.hosts(model.unit, *PRESENT)
+        known = [host for host in hosts if host in self.balance.capacities]
+        return frozenset(self.state.target(h).failure_domain for h in known)
--- a/packages/runhatch-server/src/runhatch_server/placement/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_service.py
@@ -27,6 +27,8 @@
 from runhatch_server.serving import Hosting
 
 REPORT_WORKERS = 8
+CANDIDATES = 3
+"""Nodes that watch a pool's lease; they are replaced when suspected."""
 WORKERS_A_SECOND = 16
 """Workers that a planner reads and plans for a second, so that a large pool
 costs its holder no more of a core than a small one."""
@@ -46,6 +48,7 @@
         membership: Membership,
         metrics: Metrics,
         on_hosting: Callable[[Hosting], None],
+        on_lease: Callable[[str, LeaseRecord], None],
         lease_ttl: timedelta,
     ) -> None:
         self._table = table
@@ -53,11 +56,14 @@
         self._membership = membership
         self._metrics = metrics
         self._on_hosting = on_hosting
+        self._on_lease = on_lease
         self._lease_ttl = lease_ttl
         self._executor = ThreadPoolExecutor(REPORT_WORKERS, thread_name_prefix="report")
         self._leases: dict[str, Lease] = {}
         self._planners: dict[str, ShardPlanner] = {}
         self._due: dict[str, timedelta] = {}
+        self._known: dict[str, LeaseRecord] = {}
+        self._known_lock = threading.Lock()
         self._lock = threading.Lock()
         self._stopping = False
         self.leaving: frozenset[str] = frozenset()
@@ -95,9 +101,19 @@
             if planner is not None:
                 planner.demand.add({name: count})
 
-    def leases(self) -> dict[str, LeaseRecord | None]:
-        """Return the lease rows as last read, by pool."""
-        return {name: lease.record for name, lease in self._leases.items()}
+    def leases(self) -> dict[str, LeaseRecord]:
+        """Return the newest that is known of each pool's lease."""
+        with self._known_lock:
+            return dict(self._known)
+
+    def learn_lease(self, pool: str, record: LeaseRecord) -> bool:
+        """Take in who holds a pool's lease; returns whether it was news."""
+        with self._known_lock:
+            known = self._known.get(pool)
+            if known is not None and known.epoch >= record.epoch:
+                return False
+            self._known[pool] = record
+            return True
 
     def planner(self, pool: str) -> ShardPlanner | None:
         """Return the planner of ``pool`` if this node holds its lease."""
@@ -115,10 +131,16 @@
 
     def _step_pool(self, deployment: Deployment, pool: PoolSpec) -> None:
         lease = self._lease(pool)
-        change = lease.step(eager=self._is_preferred(pool.name))
+        ranked = self._candidates(pool.name)
+        own = self._membership.own.name
+        if own not in ranked and lease.held() is None:
+            return
+        change = lease.step(eager=ranked[0] == own)
         if change is not LeaseChange.NONE:
             self._metrics.leases.labels(change.value).inc()
             log_change("lease", pool=pool.name, change=change.value)
+        if lease.record is not None and self.learn_lease(pool.name, lease.record):
+            self._on_lease(pool.name, lease.record)
         planner = self._planner(deployment, pool)
         epoch = lease.held()
         if epoch is None:
@@ -171,9 +193,14 @@
             self._planners[pool.name] = planner
         return planner
 
-    def _is_preferred(self, pool: str) -> bool:
+    def _candidates(self, pool: str) -> list[str]:
+        """Return the nodes that watch the pool's lease, the preferred one first.
+
+        All others hear from peers who holds it; were every node to watch every
+        lease, the table's reads would grow with their product.
+        """
         names = [vm.name for vm in self._membership.alive()]
-        return rank(pool, names)[0] == self._membership.own.name
+        return rank(pool, names)[:CANDIDATES]
 
 
 def round_interval(workers: int) -> timedelta:
--- a/packages/runhatch-server/src/runhatch_server/placement/_shard.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_shard.py
@@ -10,15 +10,15 @@
 from runhatch_server._errors import RunhatchError
 from runhatch_server.configuration import Deployment, ModelSpec, PoolSpec, TargetSpec
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.placement._demand import DemandEstimate
-from runhatch_server.placement._ledger import Charge, ChargeState, LedgerRow
-from runhatch_server.placement._planner import (
+from runhatch_server.placement._actions import (
     Action,
     LoadUnit,
     RetireUnit,
     Urgency,
-    plan,
 )
+from runhatch_server.placement._demand import DemandEstimate
+from runhatch_server.placement._ledger import Charge, ChargeState, LedgerRow
+from runhatch_server.placement._planner import plan
 from runhatch_server.placement._reconcile import (
     Reconciled,
     TargetView,
--- a/packages/runhatch-server/src/runhatch_server/serving/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_app.py
@@ -125,14 +125,15 @@
         self, answer: WholeAnswer, start_response: StartResponse
     ) -> Iterable[bytes]:
         start_response(*self._head(answer))
+        if self.draining:
+            # Without a length waitress closes the connection after the answer.
+            return iter([answer.body])
         return [answer.body]
 
     def _head(self, answer: CallerAnswer) -> tuple[str, list[tuple[str, str]]]:
         headers = list(answer.headers)
-        if isinstance(answer, WholeAnswer):
+        if isinstance(answer, WholeAnswer) and not self.draining:
             headers.append(("Content-Length", str(len(answer.body))))
-        if self.draining:
-            headers.append(("Connection", "close"))
         return f"{answer.status} Status", headers
 
     def _health(self, path: str) -> WholeAnswer:
--- a/packages/runhatch-server/src/runhatch_server/serving/_picture.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_picture.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from runhatch_coordination import weight
 from runhatch_server.configuration import Deployment, TargetSpec
 from runhatch_server.serving._request import Route, RouteKind
 
@@ -46,8 +47,14 @@
         self._current: dict[Route, str] = {}
         self._placed: defaultdict[str, dict[str, str]] = defaultdict(dict)
         self._named: dict[str, set[str]] = {}
+        self._digest = 0
         self._hosts: dict[Route, tuple[Host, ...]] = {}
 
+    @property
+    def digest(self) -> int:
+        """A number that two nodes share if they know the same hostings."""
+        return self._digest
+
     @property
     def deployment(self) -> Deployment:
         """The deployment the picture was built for."""
@@ -63,7 +70,7 @@
                 for target in pool.targets
             }
             for name in set(self._hostings) - set(self._targets):
-                del self._hostings[name]
+                self._digest ^= _weigh(self._hostings.pop(name))
             self._rebuild()
 
     def learn(self, hosting: Hosting) -> bool:
@@ -73,6 +80,7 @@
             if known is not None and known.version >= hosting.version:
                 return False
             self._hostings[hosting.target] = hosting
+            self._digest ^= _weigh(hosting) ^ (0 if known is None else _weigh(known))
             before = set(known.units) if known is not None else set()
             changed = before.symmetric_difference(hosting.units)
             corrected = {pair for pair in self._absent if pair[0] == hosting.target}
@@ -169,5 +177,9 @@
         return Host(name, target.url, target.failure_domain, target.concurrency, unit)
 
 
+def _weigh(hosting: Hosting) -> int:
+    return weight(hosting.target, str(hosting.version))
+
+
 def _name(unit: str) -> str:
     return unit.rpartition("@")[0]
--- a/packages/runhatch-server/src/runhatch_server/serving/_progress.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_progress.py
@@ -18,6 +18,7 @@
 
     def __init__(self) -> None:
         self._count = 0
+        self._begun = 0
         self._idle = threading.Condition()
 
     @property
@@ -25,10 +26,16 @@
         """Requests under way now."""
         return self._count
 
+    @property
+    def begun(self) -> int:
+        """Requests begun so far."""
+        return self._begun
+
     def begin(self) -> None:
         """Count one more."""
         with self._idle:
             self._count += 1
+            self._begun += 1
 
     def end(self) -> None:
         """Count one less."""
--- a/standins/src/runhatch_standins/_cluster.py
+++ b/standins/src/runhatch_standins/_cluster.py
@@ -206,6 +206,19 @@
         answer = call(self.operator_url(node), "POST", "/v1/query", query)
         return list(answer["records"])
 
+    def ended_nodes(self) -> list[str]:
+        """Return a line for each node that ended, with the last of its log."""
+        ended = []
+        for name, node in self.nodes.items():
+            if node.process.poll() is None:
+                continue
+            logs = sorted(self.folder.glob(f"{name}-*.err"))
+            ended.append(
+                f"{name}: status {node.process.returncode}: "
+                f"{logs[-1].read_text()[-2000:]}"
+            )
+        return ended
+
     def close(self) -> None:
         """End every process started here."""
         self.stack.close()
