--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,8 @@
 
 slopes: .venv/ready
 	cd benchmarks && ../$(BIN)/python bench_slopes.py
+
+.PHONY: settings-reference
+settings-reference: .venv/ready
+	$(BIN)/python -m runhatch_server.settings._reference \
+		> docs/operations/settings.md
--- a/benchmarks/bench_slopes.py
+++ b/benchmarks/bench_slopes.py
@@ -158,7 +158,15 @@
 
 def measure_nodes(nodes: int) -> dict[str, float]:
     """Return what an idle node costs among ``nodes`` of them."""
-    small = {"serving": {"threads": 8}}
+    # Few threads, to fit many nodes here; intervals as by default.
+    small = {
+        "serving": {"threads": 8},
+        "placement": {
+            "interval_seconds": 1,
+            "lease_seconds": 6,
+            "refresh_seconds": 10,
+        },
+    }
     cluster = start_cluster(Sizes(nodes=nodes, engines=2, models=4, adapters=2), small)
     try:
         cluster.apply(cluster.deployment(), "slopes")
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -18,6 +18,8 @@
 RECONNECT = timedelta(milliseconds=200)
 LONGEST_RECONNECT = timedelta(seconds=5)
 QUEUE_LIMIT = 4_096
+PEER_NAME = "runhatch-peer"
+"""The name that every node's certificate is issued for; addresses come and go."""
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Envelope)
 
@@ -33,6 +35,7 @@
         own_key_string=Path(tls.key_file).read_text(),
         own_cert_string=Path(tls.certificate_file).read_text(),
         auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+        server_name=None if server else PEER_NAME,
     )
 
 
--- /dev/null
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -0,0 +1,129 @@
+"""Peer links and what travels on them, with and without keys."""
+
+import threading
+import time
+from datetime import timedelta
+
+import pytest
+import trustme
+
+from runhatch_coordination import Standing
+from runhatch_server.observability import Metrics
+from runhatch_server.peers import (
+    Envelope,
+    HostingFact,
+    Member,
+    PeerLinks,
+    RevisionNotice,
+)
+from runhatch_server.settings import PeerTls
+
+
+class Received:
+    """Collects facts, and waits for as many as wanted."""
+
+    def __init__(self):
+        self.facts = []
+        self.senders = set()
+        self._more = threading.Condition()
+
+    def __call__(self, envelope: Envelope):
+        with self._more:
+            self.facts += envelope.facts
+            self.senders.add(envelope.sender.name)
+            self._more.notify_all()
+
+    def wait(self, count, seconds=5.0):
+        with self._more:
+            return self._more.wait_for(lambda: len(self.facts) >= count, seconds)
+
+
+def open_links(name, received, tls=None, interval=0.1):
+    member = Member(name, "d1", "", 1, Standing.ALIVE)
+    return PeerLinks(
+        "127.0.0.1:0",
+        lambda: member,
+        received,
+        Metrics(),
+        timedelta(seconds=interval),
+        1_000_000,
+        tls,
+        pytest.fail,
+    )
+
+
+def address(links):
+    return links.address.rpartition("/")[2]
+
+
+@pytest.fixture
+def pair():
+    opened = []
+
+    def make(tls_a=None, tls_b=None):
+        received = Received()
+        a = open_links("a", Received(), tls_a)
+        b = open_links("b", received, tls_b)
+        opened.extend([a, b])
+        a.keep(frozenset({address(b)}))
+        return a, received
+
+    yield make
+    for links in opened:
+        links.close()
+
+
+def write_keys(folder, authority):
+    folder.mkdir()
+    certificate = authority.issue_cert("runhatch-peer")
+    paths = {n: folder / f"{n}.pem" for n in ("certificate", "key", "authority")}
+    certificate.cert_chain_pems[0].write_to_path(paths["certificate"])
+    certificate.private_key_pem.write_to_path(paths["key"])
+    authority.cert_pem.write_to_path(paths["authority"])
+    return PeerTls(
+        certificate_file=paths["certificate"],
+        key_file=paths["key"],
+        authority_file=paths["authority"],
+    )
+
+
+class TestPeerLinks:
+    """Facts arrive, in order, under their sender's name."""
+
+    def test_facts_arrive_in_order(self, pair):
+        """What is told to all peers arrives whole and in order."""
+        a, received = pair()
+        facts = [HostingFact(f"w{i}", i, ("m@1",)) for i in range(50)]
+        for fact in facts:
+            a.tell_all(fact)
+        assert received.wait(50)
+        assert received.facts == facts
+        assert received.senders == {"a"}
+
+    def test_passing_link(self, pair):
+        """A fact for one address needs no kept link."""
+        a, received = pair()
+        target = next(iter(a._links))
+        a.keep(frozenset())
+        a.tell(target, [RevisionNotice(7)])
+        assert received.wait(1)
+        assert received.facts == [RevisionNotice(7)]
+
+    def test_keys_of_one_authority(self, pair, tmp_path):
+        """With keys of one authority the link works."""
+        authority = trustme.CA()
+        a, received = pair(
+            write_keys(tmp_path / "a", authority), write_keys(tmp_path / "b", authority)
+        )
+        a.tell_all(RevisionNotice(1))
+        assert received.wait(1)
+
+    @pytest.mark.parametrize("stranger", ["other authority", "no keys"])
+    def test_strangers_are_not_heard(self, pair, tmp_path, stranger):
+        """A peer without a key of the authority is not listened to."""
+        own = write_keys(tmp_path / "b", trustme.CA())
+        other = write_keys(tmp_path / "a", trustme.CA())
+        a, received = pair(other if stranger == "other authority" else None, own)
+        a.tell_all(RevisionNotice(1))
+        time.sleep(1)
+        assert received.facts == []
--- a/packages/runhatch-server/tests/test_settings.py
+++ b/packages/runhatch-server/tests/test_settings.py
@@ -1,11 +1,13 @@
 """Settings files: every fault at once, in one line each."""
 
 import json
+from pathlib import Path
 
 import pytest
 
 from runhatch_server._errors import SettingsError
 from runhatch_server.settings import load_settings
+from runhatch_server.settings._reference import settings_reference
 
 SOUND = {
     "node": {"name": "n1", "failure_domain": "d1"},
@@ -31,6 +33,15 @@
     return write_file
 
 
+class TestReference:
+    """The page that lists the settings."""
+
+    def test_page_is_up_to_date(self):
+        """docs/operations/settings.md is what the models say now."""
+        page = Path(__file__).parents[3] / "docs" / "operations" / "settings.md"
+        assert page.read_text() == settings_reference()
+
+
 class TestLoadSettings:
     """What a settings file may say."""
 
