Leases renewed apart from planning; draining answers told; claims expire

Causes, found by reading: - One task renewed leases and read every worker's report. With a failure domain gone, 21 workers of 64 that do not answer at a second each outlast the lease, so each holder in turn would lose it. Leases now have a task of their own; a slow round is harmless, since its writes carry the epoch. - An engine's own "draining" answer only failed the attempt. It now takes the target out here and at peers, and is forgotten 15 s after it was last said. - Claim rows were kept for ever. They now carry a time to live. - A target let in again did not serve those who already waited.

--- a/benchmarks/bench_claims.py
+++ b/benchmarks/bench_claims.py
@@ -5,7 +5,14 @@
 
 from _reporting import Report
 
-from runhatch_coordination import Claims, Committer, GroupCommitter, Taken, commit
+from runhatch_coordination import (
+    Claims,
+    Committer,
+    GroupCommitter,
+    SystemClock,
+    Taken,
+    commit,
+)
 from runhatch_coordination.testing import MemoryTable
 
 CALL_SECONDS = 0.004
@@ -39,7 +46,8 @@
         GroupCommitter(table) if grouped else SingleCommitter(table)
         for _ in range(nodes)
     ]
-    claims = [Claims(table, each, f"n{i}") for i, each in enumerate(committers)]
+    clock = SystemClock()
+    claims = [Claims(table, each, f"n{i}", clock) for i, each in enumerate(committers)]
 
     def work(index: int) -> None:
         node = claims[index % nodes]
--- a/packages/runhatch-coordination/src/runhatch_coordination/_claims.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_claims.py
@@ -8,11 +8,13 @@
 import uuid
 from collections.abc import Sequence
 from dataclasses import dataclass
+from datetime import timedelta
 from enum import Enum
 from typing import Protocol
 
 import msgspec
 
+from runhatch_coordination._clock import Clock
 from runhatch_coordination._table import (
     ABSENT,
     Committed,
@@ -30,6 +32,7 @@
 )
 
 CLAIM_PARTITION = "claim"
+DEFAULT_RETENTION = timedelta(days=1)
 
 
 class ClaimState(Enum):
@@ -94,7 +97,16 @@
     .. versionadded:: 0.1
     """
 
-    def __init__(self, table: Table, committer: Committer, node: str) -> None:
+    def __init__(
+        self,
+        table: Table,
+        committer: Committer,
+        node: str,
+        clock: Clock,
+        retention: timedelta = DEFAULT_RETENTION,
+    ) -> None:
+        self._clock = clock
+        self._retention = retention
         self._table = table
         self._committer = committer
         self._node = node
@@ -108,7 +120,7 @@
         remembered as never acted on, so that :meth:`read` by this node releases it.
         """
         record = ClaimRecord(uuid.uuid4().hex, self._node, digest, ClaimState.OPEN)
-        put = Put(Key(CLAIM_PARTITION, key), msgspec.json.encode(record), ABSENT)
+        put = self._put(key, record, ABSENT)
         outcome = self._committer.commit([put])
         if isinstance(outcome, Committed):
             return Taken(key, record)
@@ -147,10 +159,7 @@
             ClaimState.DONE,
             result,
         )
-        put = Put(
-            Key(CLAIM_PARTITION, taken.key), msgspec.json.encode(done), ABSENT + 1
-        )
-        return self._committer.commit([put])
+        return self._committer.commit([self._put(taken.key, done, ABSENT + 1)])
 
     def release(self, taken: Taken) -> None:
         """Give back a claim that was certainly not acted on.
@@ -164,6 +173,11 @@
             with self._lock:
                 self._unsettled.add(taken.record.attempt)
 
+    def _put(self, key: str, record: ClaimRecord, expect: int) -> Put:
+        body = msgspec.json.encode(record)
+        expires = self._clock.now() + self._retention
+        return Put(Key(CLAIM_PARTITION, key), body, expect, expires)
+
 
 def stored_claim(row: Row) -> ClaimRecord:
     """Decode a claim row, for operators and checkers."""
--- a/packages/runhatch-coordination/src/runhatch_coordination/_table.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_table.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from datetime import datetime
 from typing import Protocol
 
 ABSENT = 0
@@ -31,11 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """Write ``body`` if the row still has version ``expect``."""
+    """Write ``body`` if the row still has version ``expect``.
+
+    After ``expires`` the table may drop the row by itself, at leisure.
+    """
 
     key: Key
     body: bytes
     expect: int
+    expires: datetime | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/runhatch-coordination/src/runhatch_coordination/testing/_table.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/testing/_table.py
@@ -72,7 +72,7 @@
 
     def _apply(self, write: Write) -> None:
         match write:
-            case Put(key, body, expect):
+            case Put(key, body, expect, _):
                 self._rows[key] = Row(key, expect + 1, body)
             case Delete(key, _):
                 self._rows.pop(key, None)
--- a/packages/runhatch-coordination/tests/test_claims.py
+++ b/packages/runhatch-coordination/tests/test_claims.py
@@ -13,7 +13,12 @@
     Pending,
     Taken,
 )
-from runhatch_coordination.testing import FaultyTable, MemoryTable, TableFault
+from runhatch_coordination.testing import (
+    FaultyTable,
+    ManualClock,
+    MemoryTable,
+    TableFault,
+)
 
 NODES = ("a", "b", "c")
 KEYS = ("k1", "k2")
@@ -34,7 +39,10 @@
 
     def revive(self, name):
         table = FaultyTable(self.memory)
-        self.nodes[name] = (table, Claims(table, GroupCommitter(table), name))
+        self.nodes[name] = (
+            table,
+            Claims(table, GroupCommitter(table), name, ManualClock()),
+        )
 
     @rule(
         node=st.sampled_from(NODES),
@@ -97,8 +105,10 @@
     def setup_method(self):
         self.memory = MemoryTable()
         self.table = FaultyTable(self.memory)
-        self.claims = Claims(self.table, GroupCommitter(self.table), "a")
-        self.other = Claims(self.memory, GroupCommitter(self.memory), "b")
+        self.claims = Claims(self.table, GroupCommitter(self.table), "a", ManualClock())
+        self.other = Claims(
+            self.memory, GroupCommitter(self.memory), "b", ManualClock()
+        )
 
     def test_second_node_finds_it_pending(self):
         """While one node holds the claim another does not act."""
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -50,6 +50,7 @@
 CONFIGURATION = "configuration"
 OPERATOR_THREADS = 4
 VM_LIST_EVERY = timedelta(seconds=2)
+DRAINING_REMEMBERED = timedelta(seconds=15)
 DRAIN_POLL = timedelta(milliseconds=200)
 LEDGER_READ_PER_TARGET = timedelta(seconds=2)
 STATE_RETRY = timedelta(seconds=1)
@@ -194,9 +195,9 @@
         self._tasks.every("vms", VM_LIST_EVERY, self._read_vms)
         self._tasks.every("members", heartbeat, self._keep_members)
         self._tasks.every("configuration", refresh, self._refresh, self._notices)
-        self._tasks.every(
-            "placement", timedelta(seconds=placement.interval_seconds), self._plan
-        )
+        interval = timedelta(seconds=placement.interval_seconds)
+        self._tasks.every("leases", interval, self._watch_leases)
+        self._tasks.every("placement", interval, self._plan)
         self._tasks.every("picture", refresh, self._refresh_picture)
         self._tasks.every("state", STATE_RETRY, self._ask_while_empty)
         self._operators.start()
@@ -250,7 +251,13 @@
     def _build_service(self) -> ServingService:
         serving = self._settings.serving
         client = TargetClient(self._clock)
-        claims = Claims(self._outside.table, self._committer, self._settings.node.name)
+        claims = Claims(
+            self._outside.table,
+            self._committer,
+            self._settings.node.name,
+            self._clock,
+            timedelta(seconds=serving.answer_retention_seconds),
+        )
         once = OnceGuard(
             claims,
             self._outside.objects,
@@ -266,6 +273,7 @@
             RetryBudget(),
             self._metrics,
             self._clock,
+            self._on_draining_answer,
         )
         return ServingService(
             attempter,
@@ -328,15 +336,34 @@
             self._dispatcher.picture_changed()
         return news
 
+    def _on_draining_answer(self, target: str) -> None:
+        targets = frozenset({target})
+        if self._on_draining(targets):
+            self._peers.tell_draining(targets)
+
     def _on_draining(self, targets: frozenset[str]) -> bool:
-        fresh = targets - self._told_draining.keys()
+        """Note targets that said they drain; returns whether any was news."""
         now = self._clock.elapsed()
+        fresh = targets - self._told_draining.keys()
         for target in targets:
             self._told_draining[target] = now
         if fresh:
             self._update_drains()
         return bool(fresh)
 
+    def _forget_draining(self) -> None:
+        """Try targets again that have not said for a while that they drain."""
+        now = self._clock.elapsed()
+        past = [
+            target
+            for target, told in self._told_draining.items()
+            if now - told >= DRAINING_REMEMBERED
+        ]
+        for target in past:
+            del self._told_draining[target]
+        if past:
+            self._update_drains()
+
     def _on_lease(self, pool: str, record: LeaseRecord) -> None:
         self._peers.tell_all(_notice(pool, record))
 
@@ -374,6 +401,7 @@
     def _keep_members(self) -> None:
         self._peers.keep_links()
         self._peers.look_round()
+        self._forget_draining()
         self._send_demand()
 
     def _send_demand(self) -> None:
@@ -425,8 +453,11 @@
         if self._feed.number == 0 and not self._configuration.refresh():
             self._peers.ask_for_state()
 
+    def _watch_leases(self) -> None:
+        self._placement.watch_leases(self._picture.deployment)
+
     def _plan(self) -> None:
-        self._placement.step(self._picture.deployment)
+        self._placement.plan_pools(self._picture.deployment)
 
 
 def _notice(pool: str, record: LeaseRecord) -> PlannerNotice:
--- a/packages/runhatch-server/src/runhatch_server/placement/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_service.py
@@ -38,7 +38,8 @@
 class PlacementService:
     """Holds the planning leases that fall to this node, and plans under them.
 
-    One task calls :meth:`step` every interval.
+    One task calls :meth:`watch_leases` and another :meth:`plan_pools`, so that
+    engines which do not answer cannot make a holder miss its renewal.
     """
 
     def __init__(
@@ -64,21 +65,27 @@
         self._due: dict[str, timedelta] = {}
         self._known: dict[str, LeaseRecord] = {}
         self._known_lock = threading.Lock()
-        self._lock = threading.Lock()
+        self._epochs: dict[str, int] = {}
+        self._lease_lock = threading.Lock()
         self._stopping = False
         self.leaving: frozenset[str] = frozenset()
         """VMs that the platform's list says are leaving."""
 
-    def step(self, deployment: Deployment) -> None:
-        """Make one round: renew or challenge leases, plan where held."""
-        with self._lock:
+    def watch_leases(self, deployment: Deployment) -> None:
+        """Renew or challenge the leases that this node is to watch."""
+        with self._lease_lock:
             if self._stopping:
                 return
             for pool in deployment.pools:
-                self._step_pool(deployment, pool)
+                self._watch_lease(pool)
             held = sum(lease.held() is not None for lease in self._leases.values())
             self._metrics.shards.set(held)
 
+    def plan_pools(self, deployment: Deployment) -> None:
+        """Make one round for each pool whose lease is held and that is due."""
+        for pool in deployment.pools:
+            self._plan_pool(deployment, pool)
+
     def refresh(self, deployment: Deployment) -> None:
         """Read the ledgers of pools planned elsewhere, for the picture."""
         for pool in deployment.pools:
@@ -123,13 +130,13 @@
 
     def stop(self) -> None:
         """Give up all leases, so that others need not wait for their end."""
-        with self._lock:
+        with self._lease_lock:
             self._stopping = True
             for lease in self._leases.values():
                 lease.release()
-        self._executor.shutdown()
+        self._executor.shutdown(wait=False)
 
-    def _step_pool(self, deployment: Deployment, pool: PoolSpec) -> None:
+    def _watch_lease(self, pool: PoolSpec) -> None:
         lease = self._lease(pool)
         ranked = self._candidates(pool.name)
         own = self._membership.own.name
@@ -141,10 +148,16 @@
             log_change("lease", pool=pool.name, change=change.value)
         if lease.record is not None and self.learn_lease(pool.name, lease.record):
             self._on_lease(pool.name, lease.record)
+
+    def _plan_pool(self, deployment: Deployment, pool: PoolSpec) -> None:
+        lease = self._leases.get(pool.name)
+        epoch = None if lease is None else lease.held()
         planner = self._planner(deployment, pool)
-        epoch = lease.held()
-        if epoch is None:
+        if epoch is None or epoch.number != self._epochs.get(pool.name):
+            # Whatever was known belongs to an earlier epoch.
             planner.forget()
+            self._epochs[pool.name] = 0 if epoch is None else epoch.number
+        if epoch is None:
             return
         now = self._clock.elapsed()
         if now < self._due.get(pool.name, now):
--- a/packages/runhatch-server/src/runhatch_server/platform/_table.py
+++ b/packages/runhatch-server/src/runhatch_server/platform/_table.py
@@ -1,8 +1,9 @@
 """The table through the DynamoDB JSON 1.0 protocol, as published by AWS.
 
 Three operations are used: ``TransactWriteItems``, ``GetItem`` and ``Query``, each
-with consistent reads.  An item holds partition ``p``, sort ``s``, version ``v`` and
-body ``b``.  Requests are not signed: the platform's network does that.
+with consistent reads.  An item holds partition ``p``, sort ``s``, version ``v``,
+body ``b`` and, where it may be dropped, time to live ``x``.  Requests are not
+signed: the platform's network does that.
 """
 
 import base64
@@ -33,6 +34,8 @@
 
 TARGET_PREFIX = "DynamoDB_20120810."
 CONTENT_TYPE = "application/x-amz-json-1.0"
+EXPIRY = "x"
+"""The item's time to live, in seconds since the epoch; the table is told so."""
 MUST_BE_ABSENT = "attribute_not_exists(p)"
 MUST_HAVE_VERSION = "v = :v"
 CONDITION_FAILED = "ConditionalCheckFailed"
@@ -171,6 +174,8 @@
     item = _key(write.key)
     item["v"] = {"N": str(write.expect + 1)}
     item["b"] = {"B": base64.b64encode(write.body).decode()}
+    if write.expires is not None:
+        item[EXPIRY] = {"N": str(int(write.expires.timestamp()))}
     return {"Put": {"TableName": table, "Item": item, **_condition(write.expect)}}
 
 
--- a/packages/runhatch-server/src/runhatch_server/serving/_attempts.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_attempts.py
@@ -68,8 +68,10 @@
         budget: RetryBudget,
         metrics: Metrics,
         clock: Clock,
+        on_draining: Callable[[str], None],
         seed: int | None = None,
     ) -> None:
+        self._on_draining = on_draining
         self._dispatcher = dispatcher
         self._client = client
         self._picture = picture
@@ -111,6 +113,8 @@
         self._note(context, grant, outcome.reason.value)
         if outcome.reason is AttemptReason.MODEL_NOT_THERE:
             self._picture.correct(grant.host.target, grant.host.unit)
+        if outcome.reason is AttemptReason.TARGET_DRAINING:
+            self._on_draining(grant.host.target)
         if isinstance(outcome, UnknownResult):
             context.maybe_ran = True
         context.failed_targets |= {grant.host.target}
--- a/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
@@ -99,6 +99,7 @@
         """Give no new work to ``targets`` from now on; replaces the earlier set."""
         with self._lock:
             self._draining = targets
+            self._pump()
 
     def acquire(
         self,
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -81,6 +81,12 @@
     claim_wait_seconds: Seconds = Field(
         default=2.0, description="Wait of a repeat for the first run's answer"
     )
+    answer_retention_seconds: float = Field(
+        default=86_400.0,
+        gt=0,
+        le=2_592_000,
+        description="How long a claim and its answer are kept for repeats",
+    )
     stall_seconds: Seconds = Field(
         default=10.0, description="Silence after which a stream is given up"
     )
--- a/packages/runhatch-server/tests/test_attempts.py
+++ b/packages/runhatch-server/tests/test_attempts.py
@@ -57,7 +57,9 @@
     dispatcher = Dispatcher(picture, clock, "d0", 8, 0.5, seed=1)
     client = ScriptedClient(outcomes)
     budget = RetryBudget()
-    attempter = Attempter(dispatcher, client, picture, budget, Metrics(), clock, seed=1)
+    attempter = Attempter(
+        dispatcher, client, picture, budget, Metrics(), clock, lambda target: None, 1
+    )
     refusals = []
     for index in range(requests):
         request = make_request(f"r{index}")
