--- a/Makefile
+++ b/Makefile
@@ -34,10 +34,12 @@
 soak: .venv/ready
 	$(BIN)/python -m runhatch_standins.soak --seconds $(SECONDS) --seed $(SEED)
 
-.PHONY: bench bench-placement bench-relay bench-overload bench-claims slopes
-bench: bench-relay bench-overload bench-claims bench-placement
+BENCHES := bench-relay bench-overload bench-claims bench-control bench-placement
 
-bench-placement bench-relay bench-overload bench-claims: .venv/ready
+.PHONY: bench slopes $(BENCHES)
+bench: $(BENCHES)
+
+$(BENCHES): .venv/ready
 	cd benchmarks && ../$(BIN)/python $(subst -,_,$@).py
 
 slopes: .venv/ready
--- /dev/null
+++ b/benchmarks/bench_control.py
@@ -0,0 +1,96 @@
+"""How fast changes spread and leases are taken over, for 3, 6 and 9 nodes."""
+
+import time
+from statistics import median
+
+from _reporting import Report
+
+from runhatch_standins._cluster import Cluster, Sizes, call, start_cluster
+
+NODE_COUNTS = (3, 6, 9)
+CHANGES = 12
+LONGEST_SECONDS = 30.0
+POOL = "reader"
+
+
+def spread_times(cluster: Cluster) -> list[float]:
+    """Apply changes; the seconds until the last node had each in force."""
+    urls = [cluster.operator_url(name) for name in cluster.nodes]
+    times = []
+    for index in range(CHANGES):
+        current = call(urls[0], "GET", "/v1/configuration")
+        document = current["document"]
+        document.setdefault("policy", {})["move_price"] = 100 + index
+        change = {"base": current["revision"], "document": document}
+        started = time.monotonic()
+        revision = call(urls[0], "PUT", "/v1/configuration", change)["revision"]
+        lacking = set(urls)
+        while lacking and time.monotonic() - started < LONGEST_SECONDS:
+            lacking = {url for url in lacking if _revision(url) < revision}
+        times.append(time.monotonic() - started)
+    return times
+
+
+def takeover_time(cluster: Cluster) -> float:
+    """Kill the holder of the pool's lease; the seconds until another holds it."""
+    name = next(iter(cluster.nodes))
+    records = cluster.query(name, {"noun": "leases"})
+    holder, epoch = records[0]["holder"], records[0]["epoch"]
+    cluster.nodes[holder].kill()
+    started = time.monotonic()
+    watcher = next(n for n in cluster.nodes if n != holder)
+    while time.monotonic() - started < LONGEST_SECONDS:
+        records = cluster.query(watcher, {"noun": "leases"})
+        if records[0]["epoch"] > epoch and records[0]["holder"] != holder:
+            break
+        time.sleep(0.05)
+    took = time.monotonic() - started
+    cluster.start_node(holder)
+    return took
+
+
+def _revision(url: str) -> int:
+    answer = call(url, "POST", "/v1/query", {"noun": "configuration"})
+    records = answer["records"]
+    return int(records[0]["revision"]) if records else 0
+
+
+def main() -> None:
+    """Run and report."""
+    report = Report("control", "Spread of changes and takeover", "make bench-control")
+    by_default = {
+        "serving": {"threads": 8},
+        "placement": {
+            "interval_seconds": 1,
+            "lease_seconds": 6,
+            "refresh_seconds": 10,
+        },
+    }
+    for nodes in NODE_COUNTS:
+        sizes = Sizes(nodes=nodes, engines=2, models=4, adapters=0)
+        cluster = start_cluster(sizes, by_default)
+        try:
+            cluster.apply(cluster.deployment(), "bench")
+            cluster.wait_resident("n1", 30)
+            time.sleep(2)
+            times = spread_times(cluster)
+            takeover = takeover_time(cluster)
+        finally:
+            cluster.close()
+        report.add(
+            nodes=nodes,
+            spread_median_s=round(median(times), 3),
+            spread_most_s=round(max(times), 3),
+            changes=CHANGES,
+            takeover_s=round(takeover, 2),
+        )
+    report.note(
+        "Spread: from the call that applies a change to the last node having it in "
+        "force. Takeover: from the holder's kill to another holding the lease, once "
+        "a size; the lease lives 6 s and a challenger waits 1.5 times that."
+    )
+    report.write()
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/bench_slopes.py
+++ b/benchmarks/bench_slopes.py
@@ -5,7 +5,8 @@
 import json
 import os
 import time
-from concurrent.futures import ProcessPoolExecutor
+from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
+from contextlib import ExitStack
 from dataclasses import replace
 from multiprocessing import get_context
 from statistics import mean
@@ -26,6 +27,8 @@
 from runhatch_server.placement._state import pool_models
 from runhatch_server.placement._store import VersionedRow
 from runhatch_server.serving import Hosting, Picture
+from runhatch_server.targets import EngineClient
+from runhatch_standins import launch
 from runhatch_standins._cluster import Sizes, call, start_cluster
 
 TABLE_SIZES = ((100, 70), (400, 280), (860, 600), (1_500, 1_000), (2_000, 1_200))
@@ -33,6 +36,7 @@
 NODE_COUNTS = (3, 6, 9, 16, 32)
 TARGET_NODES = 390
 WATCH_SECONDS = 12.0
+READ_ENGINES = 4
 POOL_WORKERS = 60
 """Workers to a pool at the target size: ten pools of sixty."""
 
@@ -276,7 +280,41 @@
     report.write()
 
 
-REPORTS = {"tables": report_tables, "plans": report_plans, "nodes": report_nodes}
+def report_readings() -> None:
+    """Measure reading the reports of a pool's workers."""
+    report = Report("readings", "Reading a pool's reports", "make slopes")
+    with ExitStack() as stack:
+        engines = [
+            launch(f"e{i}", "runhatch_standins.engine") for i in range(READ_ENGINES)
+        ]
+        for engine in engines:
+            stack.callback(engine.kill)
+        costs = []
+        for _, workers in POOL_SIZES:
+            urls = [engines[i % READ_ENGINES].url for i in range(workers)]
+            clients = [EngineClient(url) for url in urls]
+            with ThreadPoolExecutor(8) as pool:
+                cost = time_call(lambda: list(pool.map(_read, clients)), least=1.0)  # noqa: B023
+            costs.append(cost * 1000)
+            report.add(workers=workers, readings_ms=round(cost * 1000, 3))
+    line = fit([float(size[1]) for size in POOL_SIZES], costs)
+    report.note(
+        f"readings_ms: {line.intercept:.3g} + {line.slope:.3g} ms a worker (root mean "
+        f"square off the line: {line.error:.2g} ms)."
+    )
+    report.write()
+
+
+def _read(client: EngineClient) -> object:
+    return client.report()
+
+
+REPORTS = {
+    "tables": report_tables,
+    "plans": report_plans,
+    "readings": report_readings,
+    "nodes": report_nodes,
+}
 
 
 def main() -> None:
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -44,7 +44,7 @@
     RequestReader,
     ServingService,
 )
-from runhatch_server.settings import Settings
+from runhatch_server.settings import LogLevel, Settings
 from runhatch_server.targets import TargetClient
 
 CONFIGURATION = "configuration"
@@ -285,6 +285,7 @@
             self._traces,
             self._clock,
             timedelta(seconds=serving.stall_seconds),
+            self._settings.logs.level is LogLevel.REQUEST,
         )
 
     def _build_operators(self) -> HttpServer:
--- a/packages/runhatch-server/src/runhatch_server/observability/_logs.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_logs.py
@@ -50,27 +50,39 @@
 
 
 class RequestLog:
-    """The log of one request; every line carries the action's id."""
+    """The log of one request; every line carries the action's id.
 
-    def __init__(self, request_id: str, route: str, caller: str) -> None:
+    Unless requests are logged nothing is put together at all: messages cost as
+    much as several tokens of a stream.
+    """
+
+    def __init__(
+        self, request_id: str, route: str, caller: str, enabled: bool = True
+    ) -> None:
         level = {LEVEL_FIELD: LogLevel.REQUEST.value}
         self._level = level
-        self._action = eliot.start_action(
-            action_type="request",
-            request_id=request_id,
-            route=route,
-            caller=caller,
-            **level,
-        )
+        self._action: eliot.Action | None = None
+        if enabled:
+            self._action = eliot.start_action(
+                action_type="request",
+                request_id=request_id,
+                route=route,
+                caller=caller,
+                **level,
+            )
 
     def attempt(self, target: str, outcome: str) -> None:
         """Log how one attempt ended."""
+        if self._action is None:
+            return
         self._action.log(
             message_type="attempt", target=target, outcome=outcome, **self._level
         )
 
     def finish(self, outcome: str, status: int) -> None:
         """Log the end of the request."""
+        if self._action is None:
+            return
         self._action.add_success_fields(outcome=outcome, status=status, **self._level)
         self._action.finish()
 
--- a/packages/runhatch-server/src/runhatch_server/placement/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_service.py
@@ -29,7 +29,7 @@
 REPORT_WORKERS = 8
 CANDIDATES = 3
 """Nodes that watch a pool's lease; they are replaced when suspected."""
-WORKERS_A_SECOND = 16
+WORKERS_A_SECOND = 8
 """Workers that a planner reads and plans for a second, so that a large pool
 costs its holder no more of a core than a small one."""
 WEIGHT_STORE = "weight-store"
@@ -220,6 +220,6 @@
     """Return the least time between two rounds for a pool of ``workers``.
 
     >>> round_interval(9).total_seconds(), round_interval(64).total_seconds()
-    (0.5625, 4.0)
+    (1.125, 8.0)
     """
     return timedelta(seconds=workers / WORKERS_A_SECOND)
--- a/packages/runhatch-server/src/runhatch_server/serving/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_service.py
@@ -50,7 +50,9 @@
         traces: TraceLog,
         clock: Clock,
         stall: timedelta,
+        log_requests: bool,
     ) -> None:
+        self._log_requests = log_requests
         self._attempter = attempter
         self._client = client
         self._canceller = canceller
@@ -237,7 +239,9 @@
             self._clock.now(),
         )
         self._traces.add(trace)
-        log = RequestLog(request.request_id, str(request.route), request.caller)
+        log = RequestLog(
+            request.request_id, trace.route, request.caller, self._log_requests
+        )
         # What may run only once runs on and is recorded, whoever waits for it.
         gone = caller_gone if request.idempotent else _never
         return RequestContext(request, trace, log, gone)
