Take drains and demand reports out of the node's composition

Cause: read cold, `_node.py` had grown to 465 lines and held two matters of its own beside putting the parts together: which targets are drained, by three signs, and when demand counts go to which planner. The pool of a model or adapter was worked out in two places.

Change: `DrainTracker` and `DemandReporter`, each with its rules and tests; the deployment tells the pool of everything that can be called. No behaviour was meant to change; a test now has an engine's word forgotten after 15 s.

--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -23,12 +23,14 @@
     Unavailable,
     Vm,
 )
+from runhatch_server._demand_reports import DemandReporter
+from runhatch_server._drains import DrainTracker
 from runhatch_server._http_server import HttpServer
 from runhatch_server._tasks import Tasks
 from runhatch_server.configuration import ConfigurationService, parse_deployment
 from runhatch_server.observability import Metrics, TraceLog, log_change
 from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
-from runhatch_server.peers import PeerLinks, PeerService, PlannerNotice, demand_period
+from runhatch_server.peers import PeerLinks, PeerService, PlannerNotice
 from runhatch_server.placement import PlacementService
 from runhatch_server.platform import HttpObjects, HttpTable, HttpVmList, PlatformHttp
 from runhatch_server.serving import (
@@ -50,7 +52,6 @@
 CONFIGURATION = "configuration"
 OPERATOR_THREADS = 4
 VM_LIST_EVERY = timedelta(seconds=2)
-DRAINING_REMEMBERED = timedelta(seconds=15)
 DRAIN_POLL = timedelta(milliseconds=200)
 LEDGER_READ_PER_TARGET = timedelta(seconds=2)
 STATE_RETRY = timedelta(seconds=1)
@@ -93,10 +94,6 @@
         self._progress = Progress()
         self._picture = Picture()
         self._demand = DemandCounter()
-        self._counts: dict[str, int] = {}
-        self._counts_sent = timedelta()
-        self._listed_leaving: frozenset[str] = frozenset()
-        self._told_draining: dict[str, timedelta] = {}
         self._ledger_read = timedelta(days=-1)
         self._notices = threading.Event()
         self._tasks = Tasks(self._clock, self._draining)
@@ -116,6 +113,7 @@
             serving.queue_limit,
             serving.caller_share,
         )
+        self._drains = DrainTracker(self._clock, self._dispatcher.drain)
         self._placement = PlacementService(
             outside.table,
             self._clock,
@@ -153,11 +151,18 @@
             self._metrics,
             self._on_notice,
             self._on_hosting,
-            self._on_draining,
+            self._drains.said,
             self._on_demand,
             self._on_planner,
             self._planner_notices,
         )
+        self._demand_reporter = DemandReporter(
+            self._demand,
+            self._clock,
+            settings.node.name,
+            self._on_demand,
+            self._peers.tell_demand,
+        )
         self._links: PeerLinks | None = None
 
     @property
@@ -317,7 +322,7 @@
         """Put a revision in force; called in order, never for a lower one."""
         deployment = parse_deployment(revision.body)
         self._picture.configure(deployment)
-        self._update_drains()
+        self._drains.configure(deployment)
         self._metrics.revision.set(revision.entry.number)
         log_change("configuration", revision=revision.entry.number)
         self._peers.tell_revision(revision.entry.number)
@@ -339,32 +344,9 @@
 
     def _on_draining_answer(self, target: str) -> None:
         targets = frozenset({target})
-        if self._on_draining(targets):
+        if self._drains.said(targets):
             self._peers.tell_draining(targets)
 
-    def _on_draining(self, targets: frozenset[str]) -> bool:
-        """Note targets that said they drain; returns whether any was news."""
-        now = self._clock.elapsed()
-        fresh = targets - self._told_draining.keys()
-        for target in targets:
-            self._told_draining[target] = now
-        if fresh:
-            self._update_drains()
-        return bool(fresh)
-
-    def _forget_draining(self) -> None:
-        """Try targets again that have not said for a while that they drain."""
-        now = self._clock.elapsed()
-        past = [
-            target
-            for target, told in self._told_draining.items()
-            if now - told >= DRAINING_REMEMBERED
-        ]
-        for target in past:
-            del self._told_draining[target]
-        if past:
-            self._update_drains()
-
     def _on_lease(self, pool: str, record: LeaseRecord) -> None:
         self._peers.tell_all(_notice(pool, record))
 
@@ -379,60 +361,23 @@
     def _on_demand(self, counts: dict[str, int]) -> None:
         self._placement.demand(counts, self._picture.deployment)
 
-    def _update_drains(self) -> None:
-        deployment = self._picture.deployment
-        targets = [target for pool in deployment.pools for target in pool.targets]
-        drained = set(deployment.drained_targets) | set(self._told_draining)
-        drained |= {t.name for t in targets if t.vm in self._listed_leaving}
-        for service in deployment.plain_services:
-            leaving = {t.name for t in service.targets if t.vm in self._listed_leaving}
-            drained |= leaving
-        self._dispatcher.drain(frozenset(drained))
-
     def _read_vms(self) -> None:
         listing = self._outside.vms.read()
         if isinstance(listing, Unavailable):
             return
         self._membership.listed(listing.nodes, listing.leaving)
-        if listing.leaving != self._listed_leaving:
-            self._listed_leaving = listing.leaving
-            self._placement.leaving = listing.leaving
-            self._update_drains()
+        self._placement.leaving = listing.leaving
+        self._drains.listed(listing.leaving)
 
     def _keep_members(self) -> None:
         self._peers.keep_links()
         self._peers.look_round()
-        self._forget_draining()
-        self._send_demand()
-
-    def _send_demand(self) -> None:
-        for name, count in self._demand.take().items():
-            self._counts[name] = self._counts.get(name, 0) + count
-        period = demand_period(len(self._membership.facts()))
-        now = self._clock.elapsed()
-        if not self._counts or now - self._counts_sent < period:
-            return
-        self._counts_sent = now
-        counts, self._counts = self._counts, {}
-        self._on_demand(counts)
-        for address, part in self._by_planner(counts).items():
-            self._peers.tell_demand(address, part)
-
-    def _by_planner(self, counts: dict[str, int]) -> dict[str, dict[str, int]]:
-        """Return the counts for each planner elsewhere, by its address."""
-        deployment = self._picture.deployment
-        pools = {model.name: model.pool for model in deployment.models}
-        for adapter in deployment.adapters:
-            pools[adapter.name] = pools[adapter.base]
-        leases = self._placement.leases()
-        own = self._settings.node.name
-        by_address: dict[str, dict[str, int]] = {}
-        for name, count in counts.items():
-            record = leases.get(pools.get(name, ""))
-            if record is None or not record.address or record.holder == own:
-                continue
-            by_address.setdefault(record.address, {})[name] = count
-        return by_address
+        self._drains.forget_old()
+        self._demand_reporter.report(
+            self._picture.deployment,
+            self._placement.leases(),
+            len(self._membership.facts()),
+        )
 
     def _refresh(self) -> None:
         self._configuration.refresh()
--- a/packages/runhatch-server/src/runhatch_server/configuration/_deployment.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_deployment.py
@@ -195,6 +195,13 @@
         """Return the adapters whose base is ``model``."""
         return self._adapters_by_base.get(model, ())
 
+    @cached_property
+    def pool_by_callable(self) -> dict[str, str]:
+        """The pool of every model and adapter, by its name."""
+        pools = {model.name: model.pool for model in self.models}
+        pools |= {adapter.name: pools[adapter.base] for adapter in self.adapters}
+        return pools
+
     @cached_property
     def _adapters_by_base(self) -> dict[str, tuple[AdapterSpec, ...]]:
         by_base: defaultdict[str, list[AdapterSpec]] = defaultdict(list)
--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -16,7 +16,7 @@
     fact_of_member,
     member_of_fact,
 )
-from runhatch_server.peers._service import PeerService, demand_period
+from runhatch_server.peers._service import PeerService
 
 __all__ = [
     "DemandCounts",
@@ -32,7 +32,6 @@
     "RevisionBody",
     "RevisionNotice",
     "StateWanted",
-    "demand_period",
     "fact_of_member",
     "member_of_fact",
     "tls_config",
--- a/packages/runhatch-server/src/runhatch_server/peers/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_service.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable
-from datetime import timedelta
 from functools import singledispatchmethod
 
 from runhatch_coordination import (
@@ -35,10 +34,6 @@
 )
 from runhatch_server.serving import Hosting, Picture
 
-DEMAND_MESSAGES_A_SECOND = 20
-"""What a planner takes in; nodes space their counts so as to keep to it."""
-SHORTEST_DEMAND_PERIOD = timedelta(seconds=1)
-
 
 class PeerService:
     """Facts in and out of one node; truth stays with the platform's store."""
@@ -212,17 +207,6 @@
             self._links.tell(reply_to, facts)
 
 
-def demand_period(nodes: int) -> timedelta:
-    """Return how long a node waits between two counts to a planner.
-
-    >>> demand_period(9).total_seconds(), demand_period(390).total_seconds()
-    (1.0, 19.5)
-    """
-    return max(
-        SHORTEST_DEMAND_PERIOD, timedelta(seconds=nodes / DEMAND_MESSAGES_A_SECOND)
-    )
-
-
 def _body(revision: Revision) -> RevisionBody:
     entry = revision.entry
     return RevisionBody(
--- a/packages/runhatch-server/src/runhatch_server/placement/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_service.py
@@ -100,9 +100,7 @@
 
     def demand(self, counts: dict[str, int], deployment: Deployment) -> None:
         """Take in demand counts for the pools planned here."""
-        pools = {model.name: model.pool for model in deployment.models}
-        for adapter in deployment.adapters:
-            pools[adapter.name] = pools.get(adapter.base, "")
+        pools = deployment.pool_by_callable
         for name, count in counts.items():
             planner = self._planners.get(pools.get(name, ""))
             if planner is not None:
