--- a/benchmarks/bench_pictures.py
+++ b/benchmarks/bench_pictures.py
@@ -149,10 +149,10 @@
             )
     report.note(
         f"{MODELS} models on {WORKERS} workers, one node's 8.7 requests a second, "
-        f"{SECONDS:g} s on a clock of its own, {SAMPLED_NODES} nodes. Pushed: "
-        f"a change crosses {CROSSINGS} links of a node at once. Corrected: a misdirected "
-        "request brings the target's present hosting, and nothing else tells of changes. "
-        "Unserved: no host was left in the picture."
+        f"{SECONDS:g} s on a clock of its own, {SAMPLED_NODES} nodes. Pushed: a "
+        f"change crosses {CROSSINGS} links of a node at once. Corrected: a "
+        "misdirected request brings the target's present hosting, and nothing else "
+        "tells of changes. Unserved: no host was left in the picture."
     )
     report.write()
 
