Let the engine stand-in publish cache events late and with gaps

Cause: the thin path asked for late cache events with gaps, and the stand-in listed them at once and whole. Events are now numbered, told from a number on, held back and left out as the faults say, the same ones each time. JSON output of the command line has a test.

--- a/standins/src/runhatch_standins/_engine_runs.py
+++ b/standins/src/runhatch_standins/_engine_runs.py
@@ -4,7 +4,8 @@
 import itertools
 import threading
 import time
-from collections import OrderedDict
+import zlib
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 from runhatch_standins._text import split_continuation, token
@@ -12,6 +13,17 @@
 BLOCK = 256
 CACHED_BLOCKS = 400
 KEEP_RUNS = 20_000
+KEEP_EVENTS = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A block was stored in or dropped from the prefix cache."""
+
+    at: float
+    sequence: int
+    block: str
+    stored: bool
 
 
 @dataclass(slots=True)
@@ -57,7 +69,8 @@
         self.slow = 1.0
         self.running = 0
         self.runs: OrderedDict[str, Run] = OrderedDict()
-        self.cache_events: list[tuple[str, bool]] = []
+        self.cache_events: deque[CacheEvent] = deque(maxlen=KEEP_EVENTS)
+        self._sequence = itertools.count()
         self.cached_blocks = 0
         self.asked_blocks = 0
 
@@ -117,10 +130,16 @@
                 self.cached_blocks += 1
             else:
                 missing += 1
-                self.cache_events.append((block, True))
+                self._cache_event(block, stored=True)
             self._cache[block] = None
             self._cache.move_to_end(block)
         while len(self._cache) > CACHED_BLOCKS:
             dropped, _ = self._cache.popitem(last=False)
-            self.cache_events.append((dropped, False))
+            self._cache_event(dropped, stored=False)
         return missing
+
+    def _cache_event(self, block: str, stored: bool) -> None:
+        name = f"{zlib.crc32(block.encode()):08x}"
+        number = next(self._sequence)
+        event = CacheEvent(time.monotonic(), number, name, stored)
+        self.cache_events.append(event)
--- a/standins/src/runhatch_standins/engine.py
+++ b/standins/src/runhatch_standins/engine.py
@@ -6,6 +6,7 @@
 
 import argparse
 import json
+import random
 import threading
 import time
 import uuid
@@ -13,6 +14,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
+from urllib.parse import parse_qs
 
 from runhatch_standins._engine_memory import NO_ORDER_FAULTS, Memory
 from runhatch_standins._engine_runs import Run, Runs
@@ -31,6 +33,8 @@
     "wrong_ids": 0,
     "fail": 0,
     "state_lag_seconds": 0.0,
+    "cache_event_lag_seconds": 0.0,
+    "cache_event_gaps": 0.0,
 }
 
 
@@ -106,8 +110,17 @@
         return reply_json(old[-1] if old else current)
 
     def cache_events(self, call: Call) -> Reply:
-        """Tell what the prefix cache stored and dropped."""
-        return reply_json({"events": self._runs.cache_events[-1000:]})
+        """Tell what the prefix cache stored and dropped, late and with gaps."""
+        after = int(parse_qs(call.query).get("after", ["-1"])[0])
+        seen = time.monotonic() - float(self._faults["cache_event_lag_seconds"])
+        gaps = float(self._faults["cache_event_gaps"])
+        events = [
+            {"sequence": e.sequence, "block": e.block, "stored": e.stored}
+            for e in list(self._runs.cache_events)
+            # Which are lost is a matter of their numbers, the same each time.
+            if e.sequence > after and e.at <= seen and not _is_lost(e.sequence, gaps)
+        ]
+        return reply_json({"events": events[:1000]})
 
     def cancel(self, call: Call) -> Reply:
         """Stop a request."""
@@ -285,6 +298,10 @@
     return int(priority[2]) if priority.startswith("u=") else 3
 
 
+def _is_lost(sequence: int, share: float) -> bool:
+    return random.Random(sequence).random() < share
+
+
 def _wait_until(moment: float) -> None:
     left = moment - time.monotonic()
     if left > 0:
--- a/standins/tests/test_operators.py
+++ b/standins/tests/test_operators.py
@@ -52,6 +52,13 @@
         if status:
             assert len(errors.splitlines()) == 1
 
+    def test_json_output(self, cluster):
+        """Records come as JSON where a program reads them."""
+        _, output, _ = runhatch(
+            cluster, "query", "show targets order by name", "--output", "json"
+        )
+        assert [record["name"] for record in json.loads(output)] == ["e1", "e2", "e3"]
+
     def test_unreachable_node(self, cluster):
         """A node that does not answer has an exit code of its own."""
         code, _, errors = runhatch(
