Tell peers of a hosting only when it says something new

Cause, found by reading: a ledger row is written three times for a load (charge, order, serving) and as often for an unload, and each write was flooded to all nodes as a hosting, though the units served changed once.

Ruled out: telling only at the writes that change units, since the planner would then judge twice what the picture already knows.

Change: learning a newer version that says the same is no news; digests add up what is served and not the versions, so a node that missed such a version lacks nothing.

--- a/packages/runhatch-server/src/runhatch_server/serving/_picture.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_picture.py
@@ -74,7 +74,10 @@
             self._rebuild()
 
     def learn(self, hosting: Hosting) -> bool:
-        """Take in ``hosting`` if it is newer; returns whether it was."""
+        """Take in ``hosting`` if it is newer; returns whether it tells anything new.
+
+        Ledger rows change more often than what they say is served.
+        """
         with self._lock:
             known = self._hostings.get(hosting.target)
             if known is not None and known.version >= hosting.version:
@@ -86,6 +89,8 @@
             corrected = {pair for pair in self._absent if pair[0] == hosting.target}
             self._absent -= corrected
             changed |= {unit for _, unit in corrected}
+            if known is not None and not changed:
+                return False
             self._place(hosting)
             self._update(_name(unit) for unit in changed)
             return True
@@ -178,7 +183,7 @@
 
 
 def _weigh(hosting: Hosting) -> int:
-    return weight(hosting.target, str(hosting.version))
+    return weight(hosting.target, "\0".join(sorted(hosting.units)))
 
 
 def _name(unit: str) -> str:
