Tell a peer when it is linked to no more; a taken peer address in one line

Cause: measuring idle nodes again, 16 of them sent 1,898 bytes a second a node in messages twice as long as nine did. A node that chooses other peers closed its links in silence, so that those it left suspected it, falsely; the suspicion took it out of everybody's choice, which closed more links. Ruled out: lost heartbeats under load, since nine nodes, which are a full mesh and close nothing, had no such traffic.

Change: a closing link says so, and its peer stops timing the sender.

--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -11,7 +11,7 @@
 
 from runhatch_coordination import InvariantError
 from runhatch_server.observability import Metrics
-from runhatch_server.peers._messages import VERSION, Envelope, Fact, Member
+from runhatch_server.peers._messages import VERSION, Envelope, Fact, LinkClosed, Member
 from runhatch_server.settings import PeerTls
 
 SEND_TIMEOUT = timedelta(seconds=1)
@@ -71,7 +71,7 @@
         self._socket.recv_max_size = max_message
         if tls is not None:
             self._socket.tls_config = tls_config(tls, server=True)
-        self._listener = self._socket.listen(f"{self._scheme}://{listen}")
+        self._listener = _listen(self._socket, f"{self._scheme}://{listen}")
         self._receiver = threading.Thread(
             target=self._receive, name="peer-receiver", daemon=True
         )
@@ -86,7 +86,9 @@
         """Keep links to exactly ``addresses``: open new ones, close others."""
         with self._lock:
             for address in set(self._links) - addresses:
-                self._links.pop(address).close()
+                link = self._links.pop(address)
+                link.put(LinkClosed())
+                link.close()
             for address in addresses - set(self._links):
                 self._links[address] = self._open(address, self._interval)
 
@@ -219,5 +221,13 @@
         self._metrics.peer_bytes.labels("out").inc(len(message))
 
 
+def _listen(socket: "pynng.Pull0", url: str) -> "pynng.Listener":
+    """Listen at ``url``; raises ``OSError`` with the address if that cannot be."""
+    try:
+        return socket.listen(url)
+    except pynng.NNGException as error:
+        raise OSError(f"peers: found {url}, {str(error).lower()}") from None
+
+
 def _milliseconds(duration: timedelta) -> int:
     return int(duration.total_seconds() * 1000)
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -74,6 +74,10 @@
     epoch: int
 
 
+class LinkClosed(msgspec.Struct, frozen=True, tag="closed", array_like=True):
+    """The sender links to the receiver no more, and its silence means nothing."""
+
+
 class StateWanted(msgspec.Struct, frozen=True, tag="wanted", array_like=True):
     """The sender knows less than revision ``known`` + 1 and asks for all."""
 
@@ -90,6 +94,7 @@
     | DemandCounts
     | PlannerNotice
     | PictureDigest
+    | LinkClosed
     | StateWanted
 )
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_service.py
@@ -23,6 +23,7 @@
     Envelope,
     Fact,
     HostingFact,
+    LinkClosed,
     Member,
     PictureDigest,
     PlannerNotice,
@@ -176,6 +177,10 @@
     def _take_in_digest(self, fact: PictureDigest, sender: Vm) -> None:
         self._compare(sender, fact.digest)
 
+    @_take_in.register
+    def _take_in_closed(self, fact: LinkClosed, sender: Vm) -> None:
+        self._membership.forget(sender.name)
+
     @_take_in.register
     def _take_in_wanted(self, fact: StateWanted, sender: Vm) -> None:
         self._reply(fact.known, fact.reply_to)
