--- a/packages/runhatch-server/src/runhatch_server/configuration/_deployment.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_deployment.py
@@ -195,6 +195,11 @@
         """Return the adapters whose base is ``model``."""
         return self._adapters_by_base.get(model, ())
 
+    @cached_property
+    def priority_by_model(self) -> dict[str, int]:
+        """The priority of every model, by its name; asked for each request."""
+        return {model.name: model.priority for model in self.models}
+
     @cached_property
     def pool_by_callable(self) -> dict[str, str]:
         """The pool of every model and adapter, by its name."""
--- a/packages/runhatch-server/src/runhatch_server/serving/_prefixes.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_prefixes.py
@@ -44,11 +44,6 @@
         while len(self._blocks) > self._known:
             self._blocks.popitem(last=False)
 
-    def dropped(self, target: str, blocks: tuple[str, ...]) -> None:
-        """Note that ``target`` no longer has ``blocks``."""
-        for block in blocks:
-            self._blocks.pop((target, block), None)
-
     def matched(self, target: str, blocks: tuple[str, ...]) -> int:
         """Return how many leading ``blocks`` the target is believed to have."""
         for count, block in enumerate(blocks):
--- a/packages/runhatch-server/src/runhatch_server/serving/_reading.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_reading.py
@@ -172,10 +172,8 @@
     def _priority(self, headers: CallerHeaders, name: str) -> int:
         if headers.priority is not None:
             return headers.priority
-        for model in self._picture.deployment.models:
-            if model.name == name:
-                return model.priority
-        return DEFAULT_PRIORITY
+        declared = self._picture.deployment.priority_by_model
+        return declared.get(name, DEFAULT_PRIORITY)
 
     def _service(self, name: str) -> PlainServiceSpec | None:
         services = self._picture.deployment.plain_services
--- a/packages/runhatch-server/src/runhatch_server/targets/_engine.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_engine.py
@@ -1,7 +1,7 @@
 """Orders to model engines, and their reports.
 
 The order interface is a JSON document sent to ``POST /v1/orders``; the report is
-read from ``GET /v1/state`` and cache events from ``GET /v1/cache_events``.
+read from ``GET /v1/state``.
 """
 
 from dataclasses import dataclass
@@ -76,15 +76,6 @@
         return any(loaded.unit == unit for loaded in self.units)
 
 
-@dataclass(frozen=True, slots=True)
-class CacheEvent:
-    """A block of a prompt prefix was stored in or dropped from a cache."""
-
-    sequence: int
-    block: str
-    stored: bool
-
-
 class EngineClient:
     """Gives orders to one engine and reads its reports."""
 
