Memberships that heal: no accusations by stopped nodes, no parting for ever

In a trial of ten pauses of 4.5 s the resumed node n2 suspected its two peers in 12 of 20 chances, for its own deafness, and n1 believed it about n3 until the next heartbeat. Ruled out: a slow start of the cluster (the fixture waits), lost heartbeats (n1 itself suspected only n2), the query.

Real memberships over a wire in memory then showed more: parted groups never link again (each links to living nodes only), a refutation goes one hop, and a passing message (demand counts) starts a timer that no heartbeat feeds.

Change: a node whose rounds were too far apart starts its timers anew; own ears go before hearsay; one suspect a round is told what it is suspected of, and refutes; refutations heard from the VM itself are passed on; envelopes say whether they belong to a kept link; a starting node is told who is not alive; suspect_seconds must hold three heartbeats.

--- /dev/null
+++ b/benchmarks/bench_membership.py
@@ -0,0 +1,113 @@
+"""Who knows of a failure when, at what cost, and whom it wrongly accuses."""
+
+from collections.abc import Callable
+
+from _reporting import Report
+
+from runhatch_standins._peer_group import PeerGroup, group_of, region
+
+SIZES = (9, 32, 100, 390)
+SETTLED = 6
+PATIENCE = 120
+PAUSE = 20
+PARTED = 120
+
+
+def rounds_until(group: PeerGroup, done: Callable[[], bool]) -> int:
+    """Return the rounds, one a second, until ``done``; at most ``PATIENCE``."""
+    for rounds in range(PATIENCE):
+        if done():
+            return rounds
+        group.run(1)
+    return PATIENCE
+
+
+def quiet(group: PeerGroup) -> None:
+    """Let a healthy group run."""
+    group.run(PAUSE)
+
+
+def death(group: PeerGroup) -> None:
+    """Kill one node."""
+    group.dead.add("n001")
+
+
+def domain_gone(group: PeerGroup) -> None:
+    """Kill a whole failure domain."""
+    domain = group.nodes["n001"].vm.failure_domain
+    group.dead |= {
+        name for name, node in group.nodes.items() if node.vm.failure_domain == domain
+    }
+
+
+def pause(group: PeerGroup) -> None:
+    """Stop one node for a while and let it go on."""
+    group.stopped.add("n001")
+    group.run(PAUSE)
+    group.stopped.clear()
+
+
+def one_way_cut(group: PeerGroup) -> None:
+    """Lose what one failure domain sends to another, for a while."""
+    first = group.nodes["n000"].vm.failure_domain
+    second = group.nodes["n001"].vm.failure_domain
+    group.cut = lambda a, b: (a.failure_domain, b.failure_domain) == (first, second)
+    group.run(PAUSE)
+    group.cut = lambda a, b: False
+
+
+def parted(group: PeerGroup) -> None:
+    """Part one region from the others, for a while."""
+    group.cut = lambda a, b: (region(a) == "r0") != (region(b) == "r0")
+    group.run(PARTED)
+    group.cut = lambda a, b: False
+
+
+FAILURES = (quiet, death, domain_gone, pause, one_way_cut, parted)
+
+
+def measure(report: Report, size: int, failure: Callable[[PeerGroup], None]) -> None:
+    """Add one row: one failure in one group."""
+    group = group_of(size)
+    group.run(SETTLED)
+    messages, sent, started = group.messages, group.bytes, group.clock.elapsed()
+    failure(group)
+    during = len(group.running()) * len(group.dead)
+    wrong = group.suspicions(set(group.nodes) - group.dead)
+    settled = rounds_until(
+        group,
+        lambda: (
+            group.suspicions(group.dead) == during
+            and group.suspicions(set(group.nodes) - group.dead) == 0
+        ),
+    )
+    seconds = (group.clock.elapsed() - started).total_seconds() or 1.0
+    report.add(
+        failure=(failure.__doc__ or "").rstrip("."),
+        nodes=size,
+        wrongly_suspected_share=round(wrong / size / (size - 1), 5),
+        settled_s=settled,
+        messages_node_s=round((group.messages - messages) / seconds / size, 2),
+        bytes_node_s=round((group.bytes - sent) / seconds / size, 1),
+    )
+
+
+def main() -> None:
+    """Run and report."""
+    report = Report("membership", "Membership under failures", "make bench-membership")
+    for failure in FAILURES:
+        for size in SIZES:
+            measure(report, size, failure)
+    report.note(
+        "Real memberships and peer services over a wire in memory, a clock that is "
+        f"moved, one round a second. The pause and the one-way cut last {PAUSE} s, "
+        f"the parting {PARTED} s. Wrongly suspected: share of all beliefs about "
+        "living nodes when the failure ends (for deaths, when they happen). Settled: "
+        "seconds from then until every node believes what is so. Messages and bytes "
+        "are what a node sends a second over the failure and the settling."
+    )
+    report.write()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/runhatch-coordination/tests/test_members.py
+++ b/packages/runhatch-coordination/tests/test_members.py
@@ -13,6 +13,14 @@
     return Vm(name, "d1", f"{name}:1", incarnation)
 
 
+def alive(name, incarnation=1):
+    return MemberFact(vm(name, incarnation), Standing.ALIVE)
+
+
+def suspect(name, incarnation=1):
+    return MemberFact(vm(name, incarnation), Standing.SUSPECT)
+
+
 @pytest.fixture
 def clock():
     return ManualClock()
@@ -30,7 +38,7 @@
 
     def test_silent_peer_is_suspected_once(self, members, clock):
         """A peer whose heartbeats stop is suspected, and told of once."""
-        members.heartbeat(vm("b"))
+        members.heartbeat(alive("b"))
         clock.advance(timedelta(seconds=4))
         assert members.suspect_silent() == ["b"]
         assert members.suspect_silent() == []
@@ -38,10 +46,10 @@
 
     def test_heartbeat_clears_suspicion(self, members, clock):
         """A suspected peer that is heard again is alive."""
-        members.heartbeat(vm("b"))
+        members.heartbeat(alive("b"))
         clock.advance(timedelta(seconds=4))
         members.suspect_silent()
-        members.heartbeat(vm("b"))
+        members.heartbeat(alive("b"))
         assert members.standing("b") is Standing.ALIVE
 
     def test_own_suspicion_is_refuted(self, members):
@@ -52,11 +60,11 @@
 
     def test_lagging_list_neither_clears_nor_removes(self, members, clock):
         """The list does not clear a suspicion or drop a node that is heard."""
-        members.heartbeat(vm("b"))
-        members.heartbeat(vm("new"))
+        members.heartbeat(alive("b"))
+        members.heartbeat(alive("new"))
         clock.advance(timedelta(seconds=4))
         members.suspect_silent()
-        members.heartbeat(vm("new"))
+        members.heartbeat(alive("new"))
         members.listed([vm(name, 0) for name in "abc"], frozenset())
         assert members.standing("b") is Standing.SUSPECT
         assert members.standing("new") is Standing.ALIVE
@@ -78,6 +86,82 @@
         assert members.standing("b") is Standing(result)
 
 
+class TestFalseSuspicions:
+    """What keeps a living VM from being held for dead."""
+
+    def test_stopped_node_blames_itself(self, members, clock):
+        """After a pause of its own a node gives everybody their time again."""
+        members.heartbeat(alive("b"))
+        members.suspect_silent()
+        clock.advance(timedelta(seconds=60))
+        assert members.suspect_silent() == []
+        suspected = []
+        for _ in range(4):
+            clock.advance(timedelta(seconds=1))
+            suspected += members.suspect_silent()
+        assert suspected == ["b"]
+
+    @pytest.mark.parametrize(
+        ("silence", "incarnation", "believed"),
+        [
+            (1, 1, Standing.ALIVE),
+            (4, 1, Standing.SUSPECT),
+            (1, 2, Standing.SUSPECT),
+        ],
+    )
+    def test_own_ears_go_before_hearsay(
+        self, members, clock, silence, incarnation, believed
+    ):
+        """Who hears a VM itself does not believe that it is silent."""
+        members.heartbeat(alive("b"))
+        clock.advance(timedelta(seconds=silence))
+        members.learn([suspect("b", incarnation)])
+        assert members.standing("b") is believed
+
+    def test_one_message_starts_no_timer(self, members, clock):
+        """A message without a link promises no more of them."""
+        members.heartbeat(alive("b"), linked=False)
+        clock.advance(timedelta(seconds=4))
+        assert members.suspect_silent() == []
+
+    def test_refutation_heard_from_others_stops_the_timer(self, members, clock):
+        """A VM that others hear is not suspected again for the same silence."""
+        members.heartbeat(alive("b"))
+        clock.advance(timedelta(seconds=4))
+        assert members.suspect_silent() == ["b"]
+        members.learn([alive("b", 2)])
+        assert members.suspect_silent() == []
+        assert members.standing("b") is Standing.ALIVE
+
+    @pytest.mark.parametrize("standing", [Standing.SUSPECT, Standing.LEAVING])
+    def test_contradiction_is_returned(self, members, standing):
+        """What others believe of a VM that speaks is handed back, to tell it."""
+        believed = MemberFact(vm("b"), standing)
+        members.learn([believed])
+        assert members.heartbeat(alive("b")) == believed
+
+    def test_refutation_goes_on(self, members):
+        """A refutation heard from the VM itself is news for others."""
+        members.heartbeat(alive("b"))
+        members.take_news()
+        members.heartbeat(alive("b", 2))
+        assert members.take_news() == [alive("b", 2)]
+
+    @pytest.mark.parametrize(
+        ("heard", "denied"),
+        [
+            (suspect("a"), True),
+            (suspect("a", 0), True),
+            (alive("a"), False),
+            (MemberFact(vm("a", 7), Standing.LEAVING), True),
+        ],
+    )
+    def test_denial_is_told(self, members, heard, denied):
+        """Whoever takes this node for dead or leaving is to be told otherwise."""
+        assert members.learn([heard]) is denied
+        assert members.own.incarnation >= heard.vm.incarnation
+
+
 class TestChoosePeers:
     """The graph of links."""
 
--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -1,6 +1,6 @@
 """Links between nodes: hints that speed things up, never the truth."""
 
-from runhatch_server.peers._links import PeerLinks, tls_config
+from runhatch_server.peers._links import Links, PeerLinks, tls_config
 from runhatch_server.peers._messages import (
     DemandCounts,
     DrainingTargets,
@@ -26,6 +26,7 @@
     "Fact",
     "HostingFact",
     "LinkClosed",
+    "Links",
     "Member",
     "PeerLinks",
     "PeerService",
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
+from typing import Protocol
 
 import msgspec
 import pynng
@@ -26,6 +27,19 @@
 OnEnvelope = Callable[[Envelope], None]
 
 
+class Links(Protocol):
+    """What carries facts to other nodes."""
+
+    def keep(self, addresses: frozenset[str]) -> None:
+        """Keep links to exactly ``addresses``."""
+
+    def tell_all(self, fact: Fact) -> None:
+        """Send ``fact`` to every kept peer."""
+
+    def tell(self, address: str, facts: list[Fact]) -> None:
+        """Send ``facts`` to one address, kept or not."""
+
+
 def tls_config(tls: PeerTls, server: bool) -> "pynng.TLSConfig":
     """Return the TLS configuration of one side; the other side is checked."""
     mode = pynng.TLSConfig.MODE_SERVER if server else pynng.TLSConfig.MODE_CLIENT
@@ -211,7 +225,8 @@
         return facts, True
 
     def _send(self, socket: "pynng.Push0", facts: list[Fact]) -> None:
-        message = ENCODER.encode(Envelope(VERSION, self._own(), facts))
+        linked = self._interval is not None
+        message = ENCODER.encode(Envelope(VERSION, self._own(), linked, facts))
         try:
             socket.send(message)
         except pynng.NNGException:
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -7,7 +7,7 @@
 
 from runhatch_coordination import MemberFact, Standing, Vm
 
-VERSION = 1
+VERSION = 2
 
 
 class Member(msgspec.Struct, frozen=True, tag="member", array_like=True):
@@ -100,10 +100,14 @@
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """One message: who sends it, and the facts it carries; may carry none."""
+    """One message: who sends it, and the facts it carries; may carry none.
+
+    ``linked`` says that more will follow at the heartbeat's pace.
+    """
 
     version: int
     sender: Member
+    linked: bool
     facts: list[Fact]
 
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_service.py
@@ -15,7 +15,7 @@
     choose_peers,
 )
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.peers._links import PeerLinks
+from runhatch_server.peers._links import Links
 from runhatch_server.peers._messages import (
     VERSION,
     DemandCounts,
@@ -51,6 +51,7 @@
         on_demand: Callable[[dict[str, int]], None],
         on_planner: Callable[[PlannerNotice], bool],
         planners: Callable[[], list[PlannerNotice]],
+        seed: int | None = None,
     ) -> None:
         self._membership = membership
         self._feed = feed
@@ -62,10 +63,11 @@
         self._on_demand = on_demand
         self._on_planner = on_planner
         self._planners = planners
-        self._links: PeerLinks | None = None
+        self._links: Links | None = None
         self._differing: set[str] = set()
+        self._random = random.Random(seed)
 
-    def attach(self, links: PeerLinks) -> None:
+    def attach(self, links: Links) -> None:
         """Use ``links`` from now on."""
         self._links = links
 
@@ -83,12 +85,20 @@
         self._links.keep(frozenset(vm.address for vm in peers))
 
     def look_round(self) -> None:
-        """Suspect silent peers and pass on what is new about members."""
+        """Suspect silent peers and pass on what is new about members.
+
+        One suspected VM is told so each time, whether linked or not: if it lives
+        it refutes that, and after a parted network heals nothing else would.
+        """
         for name in self._membership.suspect_silent():
             self._metrics.suspicions.inc()
             log_change("suspected", node=name)
         for fact in self._membership.take_news():
             self.tell_all(member_of_fact(fact))
+        suspects = self._membership.suspects()
+        if suspects:
+            suspect = self._random.choice(suspects)
+            self._say_doubt(MemberFact(suspect, Standing.SUSPECT))
 
     def tell_revision(self, number: int) -> None:
         """Tell peers that revision ``number`` is in force here."""
@@ -120,7 +130,7 @@
         ]
         if self._links is not None and others:
             wanted = StateWanted(self._feed.number, self._membership.own.address)
-            self._links.tell(random.choice(others).address, [wanted])
+            self._links.tell(self._random.choice(others).address, [wanted])
 
     def tell_all(self, fact: Fact) -> None:
         """Send ``fact`` to every linked peer."""
@@ -132,8 +142,9 @@
         if envelope.version != VERSION:
             return
         sender = fact_of_member(envelope.sender)
-        self._membership.heartbeat(sender.vm)
-        self._membership.learn([sender])
+        believed = self._membership.heartbeat(sender, envelope.linked)
+        if believed is not None:
+            self._say_doubt(believed)
         for fact in envelope.facts:
             self._take_in(fact, sender.vm)
 
@@ -143,7 +154,9 @@
 
     @_take_in.register
     def _take_in_member(self, fact: Member, sender: Vm) -> None:
-        self._membership.learn([fact_of_member(fact)])
+        denied = self._membership.learn([fact_of_member(fact)])
+        if denied and self._links is not None:
+            self._links.tell(sender.address, [self.own()])
 
     @_take_in.register
     def _take_in_notice(self, fact: RevisionNotice, sender: Vm) -> None:
@@ -185,6 +198,11 @@
     def _take_in_wanted(self, fact: StateWanted, sender: Vm) -> None:
         self._reply(fact.known, fact.reply_to)
 
+    def _say_doubt(self, believed: MemberFact) -> None:
+        """Tell a VM what is believed of it, so that it can refute it."""
+        if self._links is not None:
+            self._links.tell(believed.vm.address, [member_of_fact(believed)])
+
     def _compare(self, sender: Vm, digest: int) -> None:
         """Ask for all hostings if the sender's differ twice in a row.
 
@@ -205,6 +223,12 @@
             for hosting in self._picture.hostings()
         ]
         facts += self._planners()
+        # Who starts now has heard nobody, and would take the dead for alive.
+        facts += [
+            member_of_fact(fact)
+            for fact in self._membership.facts()
+            if fact.standing is not Standing.ALIVE
+        ]
         current = self._feed.current
         if current is not None and current.entry.number > known:
             facts.insert(0, _body(current))
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -12,6 +12,8 @@
 
 Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
 Seconds = Annotated[float, Field(gt=0, le=86_400)]
+HEARTBEATS_IN_SILENCE = 3
+"""Heartbeats that must fit into the silence after which a peer is suspected."""
 
 
 def _check_address(value: str) -> str:
@@ -128,6 +130,16 @@
     )
     tls: PeerTls | None = Field(default=None, description="Keys; none means plain")
 
+    @model_validator(mode="after")
+    def _some_heartbeats_may_be_lost(self) -> "PeerSettings":
+        least = HEARTBEATS_IN_SILENCE * self.heartbeat_seconds
+        if self.suspect_seconds < least:
+            raise ValueError(
+                f"suspect_seconds {self.suspect_seconds:g} must be at least "
+                f"{HEARTBEATS_IN_SILENCE} times heartbeat_seconds, {least:g}"
+            )
+        return self
+
 
 class OperatorRole(Enum):
     """What a token allows; ``change`` includes ``read``."""
--- a/packages/runhatch-server/tests/test_settings.py
+++ b/packages/runhatch-server/tests/test_settings.py
@@ -58,6 +58,11 @@
             ("callers", {"host": "127.0.0.1", "port": 70000}, "callers.port: found"),
             ("serving", {"threads": 0}, "serving.threads: found 0, allowed:"),
             ("serving", {"thread": 9}, "serving.thread: unknown field"),
+            (
+                "peering",
+                {"heartbeat_seconds": 2},
+                "suspect_seconds 3.5 must be at least 3 times heartbeat_seconds, 6",
+            ),
             ("logs", {"level": "loud"}, "'error', 'change' or 'request'"),
             ("node", {"name": "n1"}, "node.failure_domain: missing"),
             (
