Prefix affinity takes in engines' cache events; a replay of routing alone

Cause: affinity believed a node's own answers for ever, so it sent prompts to engines that had long dropped the blocks, and a prompt cached for one model counted as cached for all (blocks were named by text alone).

Change: a node reads the events of four engines a second in turns, drops what they dropped, and learns what others stored where it has met the block; an engine that began its numbers anew has nothing. Blocks are named by model and text. benchmarks/bench_routing.py replays the daemon's dispatchers and intake.

--- /dev/null
+++ b/benchmarks/bench_routing.py
@@ -0,0 +1,132 @@
+"""Prefix affinity on and off, with cache events; a slowed target, a target gone."""
+
+import statistics
+from dataclasses import replace
+
+import numpy as np
+from _reporting import Report
+from replay._routing import RoutingReplay, RoutingResult, RoutingSize
+
+SEEDS = (1, 2, 3, 4, 5)
+FAULT_AT, FAULT_UNTIL = 60.0, 100.0
+FAULTY = "w0"
+SLOWED = 10.0
+NOTICED_SHARE = 0.5
+"""A fault is noticed once the target gets this share of an even one's requests."""
+WINDOW = 2.0
+AFFINITIES = {
+    "off": RoutingSize(affinity=False),
+    "own answers": RoutingSize(),
+    "and events": RoutingSize(events=True),
+    "and events 5 s late, a third lost": RoutingSize(
+        events=True, event_lag=5.0, event_gaps=0.33
+    ),
+}
+
+
+def affinity_rows() -> None:
+    """Report hits and first tokens for each way of knowing caches."""
+    report = Report("affinity", "Prefix affinity", "make bench-routing")
+    for load, rate in (("half", 40.0), ("nearly full", 75.0)):
+        for name, size in AFFINITIES.items():
+            runs = [
+                RoutingReplay(replace(size, seed=seed, rate=rate)).run()
+                for seed in SEEDS
+            ]
+            report.add(
+                load=load,
+                affinity=name,
+                prefix_hits=_median([r.cached_blocks / r.asked_blocks for r in runs]),
+                first_token_p50_ms=_median([_percentile(r, 50) for r in runs]),
+                first_token_p95_ms=_median([_percentile(r, 95) for r in runs]),
+                in_time=_median([r.in_time / r.requests for r in runs]),
+                requests=sum(r.requests for r in runs),
+            )
+    report.note(
+        "9 workers of 8 slots and 9 nodes, 120 s, prompts of 8 blocks in 200 groups "
+        "of uneven use (Zipf), 300 blocks cached a worker, 20 ms prefill a block "
+        "that is not cached, then 0.6 s of tokens. Medians of seeds 1 to 5, on a "
+        "clock that is moved."
+    )
+    report.write()
+
+
+def fault_rows() -> None:
+    """Report what a target's fault costs and when it is noticed."""
+    report = Report("faults", "A target slowed or gone", "make bench-routing")
+    for fault in ("none", "slowed tenfold", "gone"):
+        runs = [_run_fault(fault, seed) for seed in SEEDS]
+        report.add(
+            fault=fault,
+            in_time_during=_median([_in_time_during(r) for r in runs]),
+            refused=sum(r.refused for r in runs),
+            failed_attempts=sum(r.failed_attempts for r in runs),
+            misses=sum(r.requests - r.in_time for r in runs),
+            noticed_s=_median([_noticed(r) for r in runs]) if fault != "none" else "",
+            back_s=_median([_back(r) for r in runs]) if fault != "none" else "",
+            first_token_p95_ms=_median([_percentile(r, 95) for r in runs]),
+            requests=sum(r.requests for r in runs),
+        )
+    report.note(
+        f"As above at 50 requests a second. One of 9 workers has the fault from "
+        f"{FAULT_AT:g} to {FAULT_UNTIL:g} s of 140. Noticed: the first two "
+        "seconds in which it gets less than half of an even share. Back: seconds "
+        "after the fault until it gets that again. In time during: of the requests "
+        "that came during the fault; misses are of all seeds. A connection to a "
+        "target that is gone takes a second to fail."
+    )
+    report.write()
+
+
+def _run_fault(fault: str, seed: int) -> RoutingResult:
+    replay = RoutingReplay(RoutingSize(rate=50.0, seconds=140.0, seed=seed))
+    engine = replay.engines[FAULTY]
+
+    def begin() -> None:
+        engine.slow = SLOWED if fault == "slowed tenfold" else 1.0
+        engine.dead = fault == "gone"
+
+    def end() -> None:
+        engine.slow = 1.0
+        engine.dead = False
+
+    replay.at(FAULT_AT, begin)
+    replay.at(FAULT_UNTIL, end)
+    return replay.run()
+
+
+def _share(result: RoutingResult, start: float) -> float:
+    """Return the faulty target's part of an even share in one window."""
+    window = [w for at, w in result.arrivals_by_worker if start <= at < start + WINDOW]
+    return 9 * window.count(FAULTY) / max(1, len(window))
+
+
+def _in_time_during(result: RoutingResult) -> float:
+    """Return the share in time of the requests that came during the fault."""
+    came = [met for at, met in result.outcomes if FAULT_AT <= at < FAULT_UNTIL]
+    return sum(came) / len(came)
+
+
+def _noticed(result: RoutingResult) -> float:
+    seconds = np.arange(FAULT_AT, FAULT_UNTIL, WINDOW)
+    found = [s for s in seconds if _share(result, s) < NOTICED_SHARE]
+    return float(found[0] - FAULT_AT) if found else float("nan")
+
+
+def _back(result: RoutingResult) -> float:
+    seconds = np.arange(FAULT_UNTIL, 140.0, WINDOW)
+    found = [s for s in seconds if _share(result, s) >= NOTICED_SHARE]
+    return float(found[0] - FAULT_UNTIL) if found else float("nan")
+
+
+def _percentile(result: RoutingResult, percent: float) -> float:
+    return float(np.percentile(result.first_tokens, percent)) * 1_000
+
+
+def _median(values: list[float]) -> float:
+    return round(statistics.median(values), 4)
+
+
+if __name__ == "__main__":
+    affinity_rows()
+    fault_rows()
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -35,6 +35,7 @@
 from runhatch_server.platform import HttpObjects, HttpTable, HttpVmList, PlatformHttp
 from runhatch_server.serving import (
     Attempter,
+    CacheIntake,
     CallerApp,
     Canceller,
     DemandCounter,
@@ -53,6 +54,7 @@
 OPERATOR_THREADS = 4
 VM_LIST_EVERY = timedelta(seconds=2)
 DRAIN_POLL = timedelta(milliseconds=200)
+CACHES_EVERY = timedelta(seconds=1)
 LEDGER_READ_PER_TARGET = timedelta(seconds=2)
 STATE_RETRY = timedelta(seconds=1)
 """Between two asks of peers by a node that knows no configuration yet."""
@@ -113,6 +115,12 @@
             serving.queue_limit,
             serving.caller_share,
         )
+        self._caches = CacheIntake(
+            self._dispatcher,
+            self._picture,
+            self._metrics,
+            serving.cache_event_targets,
+        )
         self._drains = DrainTracker(self._clock, self._dispatcher.drain)
         self._placement = PlacementService(
             outside.table,
@@ -204,6 +212,7 @@
         self._tasks.every("leases", interval, self._watch_leases)
         self._tasks.every("placement", interval, self._plan)
         self._tasks.every("picture", refresh, self._refresh_picture)
+        self._tasks.every("caches", CACHES_EVERY, self._caches.read_round)
         self._tasks.every("state", STATE_RETRY, self._ask_while_empty)
         self._operators.start()
         self._callers.start()
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -24,6 +24,9 @@
         self.streams = self._counter("streams", "Streams by their end", "end")
         self.claims = self._counter("claims", "Claims by outcome", "outcome")
         self.orders = self._counter("orders", "Orders to engines", "kind", "outcome")
+        self.cache_events = self._counter(
+            "cache_events", "Cache events of engines", "outcome"
+        )
         self.leases = self._counter("leases", "Lease changes", "change")
         self.peer_messages = self._counter("peer_messages", "Messages", "direction")
         self.peer_bytes = self._counter("peer_bytes", "Bytes of messages", "direction")
--- a/packages/runhatch-server/src/runhatch_server/serving/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/__init__.py
@@ -2,6 +2,7 @@
 
 from runhatch_server.serving._app import CallerApp
 from runhatch_server.serving._attempts import Attempter
+from runhatch_server.serving._cache_intake import CacheIntake
 from runhatch_server.serving._cancel import Canceller
 from runhatch_server.serving._demand import DemandCounter
 from runhatch_server.serving._dispatch import Dispatcher, Grant
@@ -18,6 +19,7 @@
 __all__ = [
     "AbortedStreamError",
     "Attempter",
+    "CacheIntake",
     "CallerApp",
     "CallerRequest",
     "Canceller",
--- a/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
@@ -4,7 +4,7 @@
 import random
 import threading
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -19,6 +19,7 @@
 from runhatch_server.serving._target_state import TargetState
 from runhatch_server.targets import (
     AttemptReason,
+    CacheEvent,
     NotSent,
     RefusedUnrun,
     ReportedLoad,
@@ -192,6 +193,28 @@
                 state.failed(now)
             self._give_back(state)
 
+    def prefix_targets(self) -> list[str]:
+        """Return the targets that are believed to have prefixes cached."""
+        with self._lock:
+            return self._prefixes.targets()
+
+    def cache_news(self, target: str, events: Iterable[CacheEvent]) -> None:
+        """Take in a target's cache events.
+
+        A block that another node's request stored is of use only if it is met here.
+        """
+        latest = {event.block: event.stored for event in events}
+        with self._lock:
+            stored = [b for b in latest if latest[b] and self._prefixes.is_known(b)]
+            for block in latest.keys() - set(stored):
+                self._prefixes.dropped(target, block)
+            self._prefixes.stored(target, stored)
+
+    def cache_lost(self, target: str) -> None:
+        """Forget what a target had cached; it started anew."""
+        with self._lock:
+            self._prefixes.forget(target)
+
     def picture_changed(self) -> None:
         """Give slots that a new picture opened to those who wait."""
         with self._lock:
--- a/packages/runhatch-server/src/runhatch_server/serving/_picture.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_picture.py
@@ -109,6 +109,10 @@
         with self._lock:
             return list(self._hostings.values())
 
+    def target_urls(self) -> dict[str, str]:
+        """Return the address of each target of the pools."""
+        return {name: target.url for name, target in self._targets.items()}
+
     def hosts(self, route: Route) -> tuple[Host, ...]:
         """Return the targets that serve ``route``, empty if none is known."""
         return self._hosts.get(route, ())
--- a/packages/runhatch-server/src/runhatch_server/serving/_reading.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_reading.py
@@ -88,7 +88,7 @@
             priority=self._priority(headers, name),
             document=document,
             stream=bool(document.get("stream", False)),
-            prefix=prefix_blocks(_prompt_text(document)),
+            prefix=prefix_blocks(name, _prompt_text(document)),
         )
 
     def _read_service_request(
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -92,6 +92,12 @@
     stall_seconds: Seconds = Field(
         default=10.0, description="Silence after which a stream is given up"
     )
+    cache_event_targets: int = Field(
+        default=4,
+        ge=0,
+        le=64,
+        description="Engines whose cache events are read each second",
+    )
     drain_lag_seconds: float = Field(
         default=2.0,
         ge=0,
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -1,6 +1,11 @@
 """Clients of the targets: typed outcomes of requests, and engine orders."""
 
 from runhatch_server.targets._answers import Answer, OpenAnswer
+from runhatch_server.targets._cache_events import (
+    CacheEvent,
+    CacheEvents,
+    block_names,
+)
 from runhatch_server.targets._client import TargetClient, TargetRequest
 from runhatch_server.targets._engine import (
     EngineClient,
@@ -29,6 +34,8 @@
     "Answer",
     "AttemptOutcome",
     "AttemptReason",
+    "CacheEvent",
+    "CacheEvents",
     "EngineClient",
     "EngineReport",
     "EventSplitter",
@@ -43,6 +50,7 @@
     "TargetClient",
     "TargetRequest",
     "UnknownResult",
+    "block_names",
     "event_data",
     "event_id",
     "is_terminal",
--- a/packages/runhatch-server/src/runhatch_server/targets/_engine.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_engine.py
@@ -7,13 +7,16 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from typing import TypeVar
 
 import msgspec
 
 from runhatch_coordination import Unavailable, Unknown
 from runhatch_server.platform import PlatformHttp, Reply
+from runhatch_server.targets._cache_events import CacheEvents
 
 ENGINE_TIMEOUT = timedelta(seconds=1)
+DocumentT = TypeVar("DocumentT")
 
 
 class OrderKind(Enum):
@@ -100,18 +103,26 @@
 
     def report(self) -> EngineReport | Unavailable:
         """Read the engine's report."""
-        reply = self._http.call("GET", "/v1/state", b"", {})
+        return self._read("/v1/state", EngineReport)
+
+    def cache_events(self, after: int, limit: int) -> CacheEvents | Unavailable:
+        """Read at most ``limit`` cache events numbered above ``after``."""
+        return self._read(f"/v1/cache_events?after={after}&limit={limit}", CacheEvents)
+
+    def cancel(self, request_id: str) -> None:
+        """Ask the engine to stop a request; a failure is of no consequence."""
+        self._http.call("DELETE", f"/v1/requests/{request_id}", b"", {})
+
+    def _read(self, path: str, kind: type[DocumentT]) -> DocumentT | Unavailable:
+        """Read one document; asked for again if its answer was lost."""
+        reply = self._http.call("GET", path, b"", {})
         if isinstance(reply, Unknown):
-            reply = self._http.call("GET", "/v1/state", b"", {})
+            reply = self._http.call("GET", path, b"", {})
         if not isinstance(reply, Reply):
             return Unavailable(reply.reason)
         if reply.status != 200:
             return Unavailable(f"the engine answered {reply.status}")
         try:
-            return msgspec.json.decode(reply.body, type=EngineReport)
+            return msgspec.json.decode(reply.body, type=kind)
         except msgspec.MsgspecError as error:
-            return Unavailable(f"the engine's report cannot be read: {error}")
-
-    def cancel(self, request_id: str) -> None:
-        """Ask the engine to stop a request; a failure is of no consequence."""
-        self._http.call("DELETE", f"/v1/requests/{request_id}", b"", {})
+            return Unavailable(f"the engine's answer cannot be read: {error}")
--- /dev/null
+++ b/packages/runhatch-server/tests/test_prefixes.py
@@ -0,0 +1,58 @@
+"""What is believed of prefix caches."""
+
+import pytest
+
+from runhatch_server.serving._prefixes import PrefixIndex, prefix_blocks
+
+BLOCKS = prefix_blocks("m", "x" * 1_024)
+
+
+class TestPrefixBlocks:
+    """Names of blocks."""
+
+    @pytest.mark.parametrize(
+        ("model", "text", "shared"),
+        [
+            ("m", "x" * 1_024, 4),
+            ("m", "x" * 512 + "y" * 512, 2),
+            ("m", "y" + "x" * 1_023, 0),
+            ("other", "x" * 1_024, 0),
+            ("m", "x" * 255, 0),
+        ],
+    )
+    def test_shared_only_with_the_whole_prefix(self, model, text, shared):
+        """A block is shared with the same model after the same text only."""
+        assert len(set(BLOCKS) & set(prefix_blocks(model, text))) == shared
+
+
+class TestPrefixIndex:
+    """Blocks by target."""
+
+    @pytest.fixture
+    def index(self):
+        index = PrefixIndex(known=6)
+        index.stored("w0", BLOCKS)
+        return index
+
+    def test_matches_leading_blocks(self, index):
+        """Only blocks from the first on count."""
+        assert index.matched("w0", BLOCKS) == 4
+        index.dropped("w0", BLOCKS[1])
+        assert index.matched("w0", BLOCKS) == 1
+        assert index.matched("w1", BLOCKS) == 0
+
+    def test_forgets_one_target(self, index):
+        """A target that started anew has nothing, the others what they had."""
+        index.stored("w1", BLOCKS[:2])
+        index.forget("w0")
+        assert index.targets() == ["w1"]
+        assert index.matched("w1", BLOCKS) == 2
+        assert index.is_known(BLOCKS[1])
+        assert not index.is_known(BLOCKS[2])
+
+    def test_is_bounded(self, index):
+        """The newest blocks are kept, and targets without any are gone."""
+        index.stored("w1", [f"b{i}" for i in range(10)])
+        assert index.targets() == ["w1"]
+        assert index.matched("w1", ("b9",)) == 1
+        assert index.matched("w1", ("b0",)) == 0
--- a/standins/src/runhatch_standins/_engine_runs.py
+++ b/standins/src/runhatch_standins/_engine_runs.py
@@ -4,9 +4,9 @@
 import itertools
 import threading
 import time
-import zlib
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from runhatch_standins._text import split_continuation, token
 
@@ -116,15 +116,15 @@
             run = heapq.heappop(self._waiting)[2]
             self.running += 1
             run.started = time.monotonic()
-            run.prefill = self._prefill * self._missing_blocks(run.prompt) * self.slow
+            run.prefill = self._prefill * self._missing_blocks(run) * self.slow
             run.per_token = self._per_token * self.slow
             run.began.set()
 
-    def _missing_blocks(self, prompt: str) -> int:
+    def _missing_blocks(self, run: Run) -> int:
         """Count the prompt's blocks that are not cached, and cache them."""
         missing = 0
-        for end in range(BLOCK, len(prompt) + 1, BLOCK):
-            block = prompt[:end]
+        for end in range(BLOCK, len(run.prompt) + 1, BLOCK):
+            block = _block_name(run.unit, run.prompt[:end])
             self.asked_blocks += 1
             if block in self._cache:
                 self.cached_blocks += 1
@@ -139,7 +139,11 @@
         return missing
 
     def _cache_event(self, block: str, stored: bool) -> None:
-        name = f"{zlib.crc32(block.encode()):08x}"
-        number = next(self._sequence)
-        event = CacheEvent(time.monotonic(), number, name, stored)
+        event = CacheEvent(time.monotonic(), next(self._sequence), block, stored)
         self.cache_events.append(event)
+
+
+def _block_name(unit: str, text: str) -> str:
+    """Return the published name: a hash of the model and all text of the prefix."""
+    model = unit.rpartition("@")[0]
+    return blake2b(f"{model}\0{text}".encode(), digest_size=8).hexdigest()
--- a/standins/src/runhatch_standins/engine.py
+++ b/standins/src/runhatch_standins/engine.py
@@ -111,7 +111,9 @@
 
     def cache_events(self, call: Call) -> Reply:
         """Tell what the prefix cache stored and dropped, late and with gaps."""
-        after = int(parse_qs(call.query).get("after", ["-1"])[0])
+        query = parse_qs(call.query)
+        after = int(query.get("after", ["-1"])[0])
+        limit = int(query.get("limit", ["1000"])[0])
         seen = time.monotonic() - float(self._faults["cache_event_lag_seconds"])
         gaps = float(self._faults["cache_event_gaps"])
         events = [
@@ -120,7 +122,9 @@
             # Which are lost is a matter of their numbers, the same each time.
             if e.sequence > after and e.at <= seen and not _is_lost(e.sequence, gaps)
         ]
-        return reply_json({"events": events[:1000]})
+        published = [e.sequence for e in list(self._runs.cache_events) if e.at <= seen]
+        last = published[-1] if published else -1
+        return reply_json({"events": events[:limit], "last": last})
 
     def cancel(self, call: Call) -> Reply:
         """Stop a request."""
--- a/standins/tests/test_callers.py
+++ b/standins/tests/test_callers.py
@@ -1,12 +1,16 @@
 """What callers send and get, through real processes."""
 
 import http.client
+import itertools
 import json
+import time
+import urllib.request
 from urllib.parse import urlsplit
 
 import pytest
 from openai import OpenAI
 
+from runhatch_standins._cluster import call
 from runhatch_standins._text import expected_text
 
 CHAT = "/v1/chat/completions"
@@ -27,6 +31,31 @@
         connection.close()
 
 
+def counter(cluster, node, name):
+    """Return one counter of a node's metrics, 0 if it was never raised."""
+    with urllib.request.urlopen(f"{cluster.operator_url(node)}/metrics") as answer:
+        lines = answer.read().decode().splitlines()
+    found = [line.rpartition(" ")[2] for line in lines if line.startswith(name)]
+    return float(found[0]) if found else 0.0
+
+
+class TestCacheEvents:
+    """What engines tell of their prefix caches."""
+
+    def test_are_taken_in(self, cluster):
+        """A node reads the events of the engines that it sends prompts to."""
+        document = {"model": "m0", "max_tokens": 1}
+        give_up = time.monotonic() + 20
+        for number in itertools.count():
+            prompt = f"{number:04d}" * 128
+            url = cluster.caller_url("n1")
+            call(url, "POST", "/v1/completions", {**document, "prompt": prompt})
+            if counter(cluster, "n1", 'runhatch_cache_events_total{outcome="taken"}'):
+                break
+            assert time.monotonic() < give_up
+            time.sleep(0.2)
+
+
 class TestRefusals:
     """Bad requests get one clear answer each."""
 
