Pass over targets that take far longer than usual, before they answer

Cause: the router's score knows the queue at a target and not how long a request takes there.

Ruled out: ejection (no failure happens until the deadline), the adaptive limit (first bytes come late too, but it shrinks only while nearly full).

Change: a target's score carries what its requests take beyond 4.5 times the usual, from answers and from the age of what is outstanding; it halves every 3 s. The replays' engines share one class for slots and queue.

--- a/benchmarks/replay/_routing.py
+++ b/benchmarks/replay/_routing.py
@@ -8,11 +8,12 @@
 import itertools
 import json
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from replay._slots import Slots, Work
 from runhatch_coordination import RetryBudget
 from runhatch_coordination.testing import ManualClock
 from runhatch_server.configuration import parse_deployment
@@ -46,7 +47,6 @@
 CONNECT_SECONDS = 1.0
 POLL = 0.01
 ROUTE = Route(RouteKind.MODEL, "m")
-Work = Callable[[], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,36 +88,19 @@
         self.outcomes.append((request.received.total_seconds(), in_time))
 
 
-class StandInEngine:
+class StandInEngine(Slots):
     """Slots, a queue, a cache of blocks and the events it publishes."""
 
-    def __init__(self, size: RoutingSize, random_source: random.Random) -> None:
-        self._size = size
-        self._random = random_source
+    def __init__(self, size: RoutingSize) -> None:
+        super().__init__(SLOTS)
+        self._routing = size
         self._cache: OrderedDict[str, None] = OrderedDict()
         self._events: list[tuple[float, CacheEvent]] = []
         self._numbers = itertools.count()
-        self.queue: deque[Work] = deque()
-        self.running = 0
         self.slow = 1.0
         self.dead = False
         self.now: Callable[[], float] = lambda: 0.0
 
-    def begin(self, start: Work) -> None:
-        """Start a request if a slot is free, else when one is."""
-        if self.running < SLOTS:
-            self.running += 1
-            start()
-        else:
-            self.queue.append(start)
-
-    def end(self) -> None:
-        """Give a slot to who waits."""
-        if self.queue:
-            self.queue.popleft()()
-        else:
-            self.running -= 1
-
     def prefill(self, blocks: tuple[str, ...]) -> int:
         """Return how many ``blocks`` are cached, and cache the others."""
         cached = sum(block in self._cache for block in blocks)
@@ -126,20 +109,20 @@
                 self._publish(block, True)
             self._cache[block] = None
             self._cache.move_to_end(block)
-        while len(self._cache) > self._size.cache_blocks:
+        while len(self._cache) > self._routing.cache_blocks:
             dropped, _ = self._cache.popitem(last=False)
             self._publish(dropped, False)
         return cached
 
     def cache_events(self, after: int, limit: int) -> CacheEvents:
         """Tell what was published, late and with gaps."""
-        seen = self.now() - self._size.event_lag
+        seen = self.now() - self._routing.event_lag
         start = max(0, after + 1 - self._events[0][1].sequence) if self._events else 0
         told = [
             e for at, e in itertools.islice(self._events, start, None) if at <= seen
         ]
         last = told[-1].sequence if told else after
-        gaps = self._size.event_gaps
+        gaps = self._routing.event_gaps
         kept = [e for e in told if random.Random(e.sequence).random() >= gaps]
         return CacheEvents(tuple(kept[:limit]), last)
 
@@ -164,7 +147,7 @@
         names = [f"w{i}" for i in range(size.workers)]
         for name in names:
             picture.learn(Hosting(name, 1, ("m@1",)))
-        self.engines = {name: StandInEngine(size, self._random) for name in names}
+        self.engines = {name: StandInEngine(size) for name in names}
         for engine in self.engines.values():
             engine.now = lambda: self.now
         self._nodes = [
--- a/benchmarks/replay/_run.py
+++ b/benchmarks/replay/_run.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 from replay._placements import Placement
+from replay._slots import Slots
 from replay._workload import DEADLINE_SECONDS, SLOTS, Arrival, Workload
 from runhatch_coordination.testing import ManualClock
 from runhatch_server.placement import ChargeState, LedgerRow, LoadUnit, hosting_of
@@ -61,27 +62,6 @@
     LEAST_OUTSTANDING = "least outstanding"
 
 
-class _Engine:
-    """Slots and a queue; serves in order of arrival."""
-
-    def __init__(self) -> None:
-        self.running = 0
-        self.queue: deque[Callable[[], None]] = deque()
-
-    def begin(self, start: Callable[[], None]) -> None:
-        if self.running < SLOTS:
-            self.running += 1
-            start()
-        else:
-            self.queue.append(start)
-
-    def end(self) -> None:
-        if self.queue:
-            self.queue.popleft()()
-        else:
-            self.running -= 1
-
-
 class _Replay:
     def __init__(
         self, workload: Workload, placement: Placement, seed: int, baseline: Baseline
@@ -94,7 +74,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         targets = workload.deployment.pools[0].targets
-        self._engines = {target.name: _Engine() for target in targets}
+        self._engines = {target.name: Slots(SLOTS) for target in targets}
         self._rows = {t.name: LedgerRow(t.name, t.memory_mb) for t in targets}
         self._versions: Counter[str] = Counter()
         self._since: dict[tuple[str, str], timedelta] = {}
--- a/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
@@ -173,12 +173,12 @@
             took = now - grant.granted_at
             state.limit.answered(first_byte, state.outstanding, now)
             state.reported(load, now)
-            state.succeeded(took)
             route = self._routes[grant.route]
+            state.succeeded(took, route.service.mean, now)
             route.drain.note(now)
             route.service.note(took)
             self._prefixes.stored(grant.host.target, grant.prefix)
-            self._give_back(state)
+            self._give_back(state, grant)
 
     def failed(
         self, grant: Grant, outcome: NotSent | RefusedUnrun | UnknownResult
@@ -191,7 +191,7 @@
                 state.limit.refused(now)
             if outcome.reason in TARGET_FAULTS:
                 state.failed(now)
-            self._give_back(state)
+            self._give_back(state, grant)
 
     def prefix_targets(self) -> list[str]:
         """Return the targets that are believed to have prefixes cached."""
@@ -262,7 +262,7 @@
         )
         if choice is None:
             return None
-        self._state(choice.host).outstanding += 1
+        self._state(choice.host).granted(now)
         return Grant(choice, waiter.route, now, waiter.prefix)
 
     def _admit(self, waiter: Waiter[Grant]) -> Refusal | None:
@@ -306,8 +306,8 @@
         wait = min(max(wait, SHORTEST_RETRY_AFTER), LONGEST_RETRY_AFTER)
         return wait * self._random.uniform(1, 1 + RETRY_AFTER_JITTER)
 
-    def _give_back(self, state: TargetState) -> None:
-        state.outstanding -= 1
+    def _give_back(self, state: TargetState, grant: Grant) -> None:
+        state.returned(grant.granted_at)
         self._pump()
 
     def _pump(self) -> None:
--- a/packages/runhatch-server/src/runhatch_server/serving/_router.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_router.py
@@ -105,6 +105,7 @@
         score = wait * self._random.uniform(1 - JITTER, 1 + JITTER)
         # Affinity is worth what it saves, so it never costs more wait than that.
         score -= PREFILL_PER_BLOCK * matched
+        score += states[host.target].excess(now)
         if host.failure_domain != self._failure_domain:
             score += REMOTE_COST
         return _Scored(host, score, wait, matched)
--- a/packages/runhatch-server/src/runhatch_server/serving/_target_state.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_target_state.py
@@ -13,6 +13,11 @@
 MOST_DOUBLINGS = 5
 REPORT_HALF_LIFE = timedelta(seconds=1)
 SERVICE_GAIN = 0.1
+TOLERATED = 4.5
+"""Times the usual service time that nothing is made of; lengths of answers vary."""
+EXCESS_GAIN = 0.3
+EXCESS_HALF_LIFE = timedelta(seconds=3)
+"""How soon a slow target is tried again."""
 
 
 class TargetState:
@@ -29,6 +34,10 @@
         self._reported: ReportedLoad | None = None
         self._reported_at = timedelta()
         self._own_at_report = 0
+        self._granted_at = timedelta()
+        self._usual = timedelta()
+        self._excess = timedelta()
+        self._excess_at = timedelta()
         self.limit = AdaptiveLimit(ceiling)
         self.outstanding = 0
         self.service_time: timedelta | None = None
@@ -46,6 +55,29 @@
         """Tell whether the limit allows one more request."""
         return self.outstanding < self.limit.value
 
+    def granted(self, now: timedelta) -> None:
+        """Count one more request there."""
+        self.outstanding += 1
+        self._granted_at += now
+
+    def returned(self, granted_at: timedelta) -> None:
+        """Count one less, which was granted at ``granted_at``."""
+        self.outstanding -= 1
+        self._granted_at -= granted_at
+
+    def excess(self, now: timedelta) -> timedelta:
+        """Return how much longer than usual a request takes here.
+
+        Learnt from answers, and before they come from the age of what is
+        outstanding.  Fades, so that the target is tried again.
+        """
+        age = (now - self._excess_at) / EXCESS_HALF_LIFE
+        answered = self._excess * math.pow(0.5, age)
+        if not self.outstanding or not self._usual:
+            return answered
+        mean_age = now - self._granted_at / self.outstanding
+        return max(answered, mean_age - self._usual * TOLERATED)
+
     def load(self, now: timedelta) -> float:
         """Return the requests there: own ones, and others' as last reported.
 
@@ -66,8 +98,15 @@
             self._reported_at = now
             self._own_at_report = self.outstanding
 
-    def succeeded(self, took: timedelta) -> None:
-        """Take in a complete answer and how long it took."""
+    def succeeded(
+        self, took: timedelta, usual: timedelta | None, now: timedelta
+    ) -> None:
+        """Take in a complete answer, how long it took and how long is usual."""
+        self._usual = took if usual is None else usual
+        beyond = max(timedelta(), took - self._usual * TOLERATED)
+        known = self.excess(now)
+        self._excess = known + (beyond - known) * EXCESS_GAIN
+        self._excess_at = now
         self._failures = 0
         self._ejections = 0
         if self.service_time is None:
