--- a/standins/src/runhatch_standins/plain_service.py
+++ b/standins/src/runhatch_standins/plain_service.py
@@ -6,10 +6,17 @@
 from pathlib import Path
 from typing import Any
 
+from runhatch_standins._holds import Holds
 from runhatch_standins._journal import Journal
 from runhatch_standins._wsgi import Call, Reply, Routes, reply_json, serve
 
-NO_FAULTS: dict[str, Any] = {"slow_seconds": 0.0, "fail_after_run": 0, "refuse": 0}
+NO_FAULTS: dict[str, Any] = {
+    "slow_seconds": 0.0,
+    "fail_after_run": 0,
+    "refuse": 0,
+    "hold": None,
+}
+BOOK = "book"
 
 
 class BookingService:
@@ -20,6 +27,7 @@
         self._lock = threading.Lock()
         self._journal = journal
         self._faults = dict(NO_FAULTS)
+        self._holds = Holds()
 
     def routes(self) -> Routes:
         """Return the application."""
@@ -28,11 +36,13 @@
         routes.add("GET", "/drums/(.+)", self.show)
         routes.add("GET", "/record", self.record)
         routes.add("POST", "/faults", self.set_faults)
+        routes.add("GET", "/stats", self.stats)
         return routes
 
     def set_faults(self, call: Call) -> Reply:
         """Replace all faults; what is not named is healthy."""
         self._faults = {**NO_FAULTS, **call.json()}
+        self._holds.set(self._faults["hold"])
         return reply_json(self._faults)
 
     def book(self, call: Call) -> Reply:
@@ -40,8 +50,10 @@
         if self._take("refuse"):
             return reply_json({"error": "busy"}, 429)
         drum = call.json()["drum"]
+        self._holds.pass_by(BOOK, "before")
         number = self._journal.append({"drum": drum, "at": time.time()})
         time.sleep(self._seconds + float(self._faults["slow_seconds"]))
+        self._holds.pass_by(BOOK, "after")
         if self._take("fail_after_run"):
             return reply_json({"error": "failed after booking"}, 500)
         return reply_json({"drum": drum, "booking": number}, 201)
@@ -54,6 +66,10 @@
         """Tell all bookings."""
         return reply_json({"bookings": self._journal.entries()})
 
+    def stats(self, call: Call) -> Reply:
+        """Tell how many calls are held."""
+        return reply_json({"held": self._holds.held})
+
     def _take(self, fault: str) -> bool:
         with self._lock:
             if int(self._faults[fault]) <= 0:
--- a/standins/src/runhatch_standins/platform.py
+++ b/standins/src/runhatch_standins/platform.py
@@ -6,6 +6,7 @@
 
 import argparse
 import base64
+import json
 import random
 import threading
 import time
@@ -21,15 +22,19 @@
     Write,
 )
 from runhatch_coordination.testing import MemoryTable
+from runhatch_standins._holds import Holds
 from runhatch_standins._wsgi import Call, Reply, Routes, reply_json, serve
 
 PAGE = 200
+ANSWER = "answer"
+CLAIM_PARTITION = "claim"
 NO_FAULTS: dict[str, Any] = {
     "down": False,
     "slow_seconds": 0.0,
     "lose_answer": 0.0,
     "lose_request": 0.0,
     "vm_lag_seconds": 0.0,
+    "hold": None,
 }
 
 
@@ -43,6 +48,7 @@
         self._lock = threading.Lock()
         self._vms: list[tuple[float, list[dict[str, Any]]]] = [(0.0, [])]
         self.faults = dict(NO_FAULTS)
+        self._holds = Holds()
         self.counts = {"writes": 0, "reads": 0, "object_puts": 0, "object_gets": 0}
 
     def routes(self) -> Routes:
@@ -61,11 +67,12 @@
     def set_faults(self, call: Call) -> Reply:
         """Replace all faults; what is not named is healthy."""
         self.faults = {**NO_FAULTS, **call.json()}
+        self._holds.set(self.faults["hold"])
         return reply_json(self.faults)
 
     def stats(self, call: Call) -> Reply:
         """Tell how many calls were served."""
-        return reply_json(self.counts)
+        return reply_json({**self.counts, "held": self._holds.held})
 
     def rows(self, call: Call) -> Reply:
         """Tell a partition's rows, past all faults, for checking."""
@@ -104,9 +111,11 @@
         failed = self._fail_before()
         if failed is not None:
             return failed
+        self._holds.pass_by(ANSWER, "before")
         with self._lock:
             self.counts["object_puts"] += 1
             self._objects[call.match.group(1)] = call.body
+        self._holds.pass_by(ANSWER, "after")
         return Reply(200)
 
     def get_object(self, call: Call) -> Reply:
@@ -154,7 +163,10 @@
         if self._happens("lose_request"):
             return Reply(500)
         writes = [_write(item) for item in document["TransactItems"]]
+        kind = _kind(writes)
+        self._holds.pass_by(kind, "before")
         outcome = self._table.transact(writes)
+        self._holds.pass_by(kind, "after")
         if self._happens("lose_answer"):
             return Reply(500)
         if not isinstance(outcome, Conflict):
@@ -167,6 +179,14 @@
         return reply_json({"__type": kind, "CancellationReasons": reasons}, 400)
 
 
+def _kind(writes: list[Write]) -> str:
+    """Return what a transaction is, for holding it: a claim's state, or other."""
+    for write in writes:
+        if isinstance(write, Put) and write.key.partition == CLAIM_PARTITION:
+            return str(json.loads(write.body)["state"])
+    return "other"
+
+
 def _key(item: dict[str, Any]) -> Key:
     return Key(item["p"]["S"], item["s"]["S"])
 
