--- a/packages/runhatch-coordination/src/runhatch_coordination/_claims.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_claims.py
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRecord:
-    """Body of a claim row; ``result`` names the kept answer once done."""
+    """Body of a claim row; ``result`` is, or names, the kept answer once done."""
 
     attempt: str
     node: str
@@ -63,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Done:
-    """The action ran earlier; its answer is kept under ``result``."""
+    """The action ran earlier; ``result`` is what it was finished with."""
 
     result: str
 
@@ -151,7 +151,7 @@
         return Pending(record.node, record.attempt)
 
     def finish(self, taken: Taken, result: str) -> TransactOutcome:
-        """Record that the action ran and where its answer is kept."""
+        """Record that the action ran, with its answer or where that is kept."""
         done = ClaimRecord(
             taken.record.attempt,
             self._node,
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -34,6 +34,7 @@
 from runhatch_server.placement import PlacementService
 from runhatch_server.platform import HttpObjects, HttpTable, HttpVmList, PlatformHttp
 from runhatch_server.serving import (
+    AnswerStore,
     Attempter,
     CacheIntake,
     CallerApp,
@@ -274,7 +275,7 @@
         )
         once = OnceGuard(
             claims,
-            self._outside.objects,
+            AnswerStore(self._outside.objects, serving.inline_answer_bytes),
             self._membership,
             self._metrics,
             self._clock,
--- a/packages/runhatch-server/src/runhatch_server/serving/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/__init__.py
@@ -15,9 +15,11 @@
 from runhatch_server.serving._relay import AbortedStreamError
 from runhatch_server.serving._request import CallerRequest, Route, RouteKind
 from runhatch_server.serving._service import ServingService
+from runhatch_server.serving._stored import AnswerStore
 
 __all__ = [
     "AbortedStreamError",
+    "AnswerStore",
     "Attempter",
     "CacheIntake",
     "CallerApp",
--- a/packages/runhatch-server/src/runhatch_server/serving/_once.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_once.py
@@ -16,7 +16,6 @@
     Done,
     Membership,
     Mismatch,
-    ObjectStore,
     Pending,
     Standing,
     Taken,
@@ -26,7 +25,7 @@
 from runhatch_server.observability import Metrics
 from runhatch_server.serving._refusals import Executed, Reason, Refusal
 from runhatch_server.serving._request import CallerRequest
-from runhatch_server.serving._stored import StoredAnswer, read_answer, store_answer
+from runhatch_server.serving._stored import AnswerStore, StoredAnswer
 
 LOOK_EVERY = timedelta(milliseconds=100)
 RECORD_TRIES = 60
@@ -42,14 +41,14 @@
     def __init__(
         self,
         claims: Claims,
-        objects: ObjectStore,
+        answers: AnswerStore,
         membership: Membership,
         metrics: Metrics,
         clock: Clock,
         wait: timedelta,
     ) -> None:
         self._claims = claims
-        self._objects = objects
+        self._answers = answers
         self._membership = membership
         self._metrics = metrics
         self._clock = clock
@@ -123,7 +122,7 @@
             self._sent.add(taken.record.attempt)
 
     def _repeat(self, result: str) -> StoredAnswer | Refusal:
-        answer = read_answer(self._objects, result)
+        answer = self._answers.read(result)
         if answer is not None:
             return answer
         return Refusal(
@@ -135,9 +134,10 @@
 
     def _record(self, taken: Taken, answer: StoredAnswer) -> bool:
         name = f"{ANSWER_PREFIX}/{taken.key}-{taken.record.attempt}"
-        if not store_answer(self._objects, name, answer):
+        kept = self._answers.keep(name, answer)
+        if kept is None:
             return False
-        return isinstance(self._claims.finish(taken, name), Committed)
+        return isinstance(self._claims.finish(taken, kept), Committed)
 
     def _record_later(self, taken: Taken, answer: StoredAnswer) -> None:
         for _ in range(RECORD_TRIES):
--- a/packages/runhatch-server/src/runhatch_server/serving/_stored.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_stored.py
@@ -1,4 +1,8 @@
-"""Answers as they are kept for repeats of a request that may run only once."""
+"""Answers as they are kept for repeats of a request that may run only once.
+
+A small answer is kept in its claim's own row, which saves a write to the store and
+the failures between two; a larger one is an object, and the row names it.
+"""
 
 import base64
 from dataclasses import dataclass
@@ -17,24 +21,45 @@
     body: bytes
 
 
-class _Document(msgspec.Struct):
+class _Document(msgspec.Struct, tag="answer"):
     status: int
     headers: tuple[tuple[str, str], ...]
     body: str
 
 
-def store_answer(objects: ObjectStore, name: str, answer: StoredAnswer) -> bool:
-    """Keep ``answer`` under ``name``; true only if it is certainly kept."""
-    body = base64.b64encode(answer.body).decode()
-    document = _Document(answer.status, answer.headers, body)
-    return objects.put(name, msgspec.json.encode(document))
+class _Object(msgspec.Struct, tag="object"):
+    name: str
+
+
+class AnswerStore:
+    """Keeps answers up to ``inline_bytes`` in what it returns, others as objects."""
+
+    def __init__(self, objects: ObjectStore, inline_bytes: int) -> None:
+        self._objects = objects
+        self._inline_bytes = inline_bytes
+
+    def keep(self, name: str, answer: StoredAnswer) -> str | None:
+        """Return what to write into the claim, ``None`` if it is not certainly kept.
 
+        ``name`` is unique to the answer.
+        """
+        body = base64.b64encode(answer.body).decode()
+        document = msgspec.json.encode(
+            _Document(answer.status, answer.headers, body),
+        )
+        if len(document) <= self._inline_bytes:
+            return document.decode()
+        if not self._objects.put(name, document):
+            return None
+        return msgspec.json.encode(_Object(name)).decode()
 
-def read_answer(objects: ObjectStore, name: str) -> StoredAnswer | None:
-    """Return the answer kept under ``name``, ``None`` if it cannot be had."""
-    body = objects.get(name)
-    if body is None:
-        return None
-    document = msgspec.json.decode(body, type=_Document)
-    kept = base64.b64decode(document.body)
-    return StoredAnswer(document.status, document.headers, kept)
+    def read(self, kept: str) -> StoredAnswer | None:
+        """Return the answer of a claim, ``None`` if it cannot be had now."""
+        found = msgspec.json.decode(kept, type=_Document | _Object)
+        if isinstance(found, _Object):
+            body = self._objects.get(found.name)
+            if body is None:
+                return None
+            found = msgspec.json.decode(body, type=_Document)
+        content = base64.b64decode(found.body)
+        return StoredAnswer(found.status, found.headers, content)
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -89,6 +89,12 @@
         le=2_592_000,
         description="How long a claim and its answer are kept for repeats",
     )
+    inline_answer_bytes: int = Field(
+        default=8_192,
+        ge=0,
+        le=131_072,
+        description="Largest kept answer that goes into its claim's row",
+    )
     stall_seconds: Seconds = Field(
         default=10.0, description="Silence after which a stream is given up"
     )
