Read peer keys anew while running; claims kept by the platform's time

Causes: new key files reached only links opened later, and one file at a time, so a half-written pair broke the next link. Leases were not affected, which eight cases of clock jumps now show.

Change: the three key files are read and checked together; changed ones renew the listener and every link, unusable ones are counted and change nothing; a node that starts with unusable keys says so in one line. Wall time is that of the table's Date header plus the time since boot.

--- a/packages/runhatch-coordination/src/runhatch_coordination/testing/_clock.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/testing/_clock.py
@@ -17,11 +17,12 @@
 
     def __init__(self) -> None:
         self._elapsed = timedelta()
+        self._jumped = timedelta()
         self._lock = threading.Lock()
 
     def now(self) -> datetime:
-        """Return a fixed start plus what has elapsed."""
-        return START + self._elapsed
+        """Return a fixed start plus what has elapsed and what was jumped."""
+        return START + self._elapsed + self._jumped
 
     def elapsed(self) -> timedelta:
         """Return how far the clock was advanced."""
@@ -31,6 +32,11 @@
         """Advance instead of blocking."""
         self.advance(duration)
 
+    def jump(self, duration: timedelta) -> None:
+        """Set the wall time on, or back; nothing has elapsed."""
+        with self._lock:
+            self._jumped += duration
+
     def advance(self, duration: timedelta) -> None:
         """Move the clock on."""
         with self._lock:
--- a/packages/runhatch-coordination/tests/test_leases.py
+++ b/packages/runhatch-coordination/tests/test_leases.py
@@ -88,6 +88,19 @@
         contest.advance(3, "a")
         assert contest.step("a") is LeaseChange.LOST
 
+    @pytest.mark.parametrize("jumping", ["a", "b"])
+    @pytest.mark.parametrize("days", [-400, -1, 1, 400])
+    def test_wall_clock_jumps_decide_nothing(self, contest, jumping, days):
+        """A jump of either side's wall clock neither ends nor frees a lease."""
+        contest.step("a")
+        contest.step("b")
+        contest.clocks[jumping].jump(timedelta(days=days))
+        for _ in range(20):
+            contest.advance(1)
+            contest.step("a")
+            contest.step("b")
+        assert contest.holders() == ["a"]
+
     def test_holder_is_short_and_challenger_long(self, contest):
         """A holder stops before a challenger with the same clock may start."""
         contest.step("a")
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -32,7 +32,13 @@
 from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
 from runhatch_server.peers import PeerLinks, PeerService, PlannerNotice
 from runhatch_server.placement import PlacementService
-from runhatch_server.platform import HttpObjects, HttpTable, HttpVmList, PlatformHttp
+from runhatch_server.platform import (
+    HttpObjects,
+    HttpTable,
+    HttpVmList,
+    PlatformHttp,
+    StoreClock,
+)
 from runhatch_server.serving import (
     AnswerStore,
     Attempter,
@@ -56,6 +62,8 @@
 VM_LIST_EVERY = timedelta(seconds=2)
 DRAIN_POLL = timedelta(milliseconds=200)
 CACHES_EVERY = timedelta(seconds=1)
+KEYS_EVERY = timedelta(seconds=10)
+"""Between two looks at the key files of peer links."""
 LEDGER_READ_PER_TARGET = timedelta(seconds=2)
 STATE_RETRY = timedelta(seconds=1)
 """Between two asks of peers by a node that knows no configuration yet."""
@@ -75,11 +83,13 @@
     """Return the clients of the platform that ``settings`` names."""
     platform = settings.platform
     timeout = timedelta(seconds=platform.timeout_seconds)
+    clock = StoreClock(SystemClock())
+    table_http = PlatformHttp(platform.table_url, timeout, on_date=clock.hear)
     return Outside(
-        HttpTable(PlatformHttp(platform.table_url, timeout), platform.table),
+        HttpTable(table_http, platform.table),
         HttpObjects(PlatformHttp(platform.objects_url, timeout), platform.bucket),
         HttpVmList(PlatformHttp(platform.vms_url, timeout)),
-        SystemClock(),
+        clock,
     )
 
 
@@ -214,6 +224,7 @@
         self._tasks.every("placement", interval, self._plan)
         self._tasks.every("picture", refresh, self._refresh_picture)
         self._tasks.every("caches", CACHES_EVERY, self._caches.read_round)
+        self._tasks.every("keys", KEYS_EVERY, self._links.renew_keys)
         self._tasks.every("state", STATE_RETRY, self._ask_while_empty)
         self._operators.start()
         self._callers.start()
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -30,6 +30,9 @@
         self.leases = self._counter("leases", "Lease changes", "change")
         self.peer_messages = self._counter("peer_messages", "Messages", "direction")
         self.peer_bytes = self._counter("peer_bytes", "Bytes of messages", "direction")
+        self.key_reloads = self._counter(
+            "key_reloads", "Changed key files of peer links", "outcome"
+        )
         self.suspicions = self._counter("suspicions", "Peers suspected")
         self.in_progress = self._gauge("requests_in_progress", "Requests under way")
         self.queued = self._gauge("requests_queued", "Requests waiting for a slot")
--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -1,6 +1,6 @@
 """Links between nodes: hints that speed things up, never the truth."""
 
-from runhatch_server.peers._links import Links, PeerLinks, tls_config
+from runhatch_server.peers._links import Links, PeerLinks
 from runhatch_server.peers._messages import (
     DemandCounts,
     DrainingTargets,
@@ -37,5 +37,4 @@
     "StateWanted",
     "fact_of_member",
     "member_of_fact",
-    "tls_config",
 ]
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -4,14 +4,14 @@
 import threading
 from collections.abc import Callable
 from datetime import timedelta
-from pathlib import Path
 from typing import Protocol
 
 import msgspec
 import pynng
 
 from runhatch_coordination import InvariantError
-from runhatch_server.observability import Metrics
+from runhatch_server.observability import Metrics, log_change
+from runhatch_server.peers._keys import KeysChange, PeerKeys
 from runhatch_server.peers._messages import VERSION, Envelope, Fact, LinkClosed, Member
 from runhatch_server.settings import PeerTls
 
@@ -19,8 +19,6 @@
 RECONNECT = timedelta(milliseconds=200)
 LONGEST_RECONNECT = timedelta(seconds=5)
 QUEUE_LIMIT = 4_096
-PEER_NAME = "runhatch-peer"
-"""The name that every node's certificate is issued for; addresses come and go."""
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Envelope)
 
@@ -40,19 +38,6 @@
         """Send ``facts`` to one address, kept or not."""
 
 
-def tls_config(tls: PeerTls, server: bool) -> "pynng.TLSConfig":
-    """Return the TLS configuration of one side; the other side is checked."""
-    mode = pynng.TLSConfig.MODE_SERVER if server else pynng.TLSConfig.MODE_CLIENT
-    return pynng.TLSConfig(
-        mode,
-        ca_files=[str(tls.authority_file)],
-        own_key_string=Path(tls.key_file).read_text(),
-        own_cert_string=Path(tls.certificate_file).read_text(),
-        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
-        server_name=None if server else PEER_NAME,
-    )
-
-
 class PeerLinks:
     """All links of one node.
 
@@ -77,15 +62,13 @@
         self._on_envelope = on_envelope
         self._metrics = metrics
         self._interval = interval
-        self._tls = tls
+        self._keys = None if tls is None else PeerKeys(tls)
         self._scheme = "tcp" if tls is None else "tls+tcp"
         self._links: dict[str, _Link] = {}
         self._lock = threading.Lock()
         self._socket = pynng.Pull0()
         self._socket.recv_max_size = max_message
-        if tls is not None:
-            self._socket.tls_config = tls_config(tls, server=True)
-        self._listener = _listen(self._socket, f"{self._scheme}://{listen}")
+        self._listener = self._listen(f"{self._scheme}://{listen}")
         self._receiver = threading.Thread(
             target=self._receive, name="peer-receiver", daemon=True
         )
@@ -126,6 +109,27 @@
             passing.put(fact)
         passing.close()
 
+    def renew_keys(self) -> None:
+        """Put changed key files in force for both directions of every link.
+
+        Nothing queued is lost: a link that ends sends what it has.  Files that
+        cannot be used change nothing.
+        """
+        change = KeysChange.SAME if self._keys is None else self._keys.reload()
+        if change is KeysChange.SAME:
+            return
+        self._metrics.key_reloads.labels(change.value).inc()
+        log_change("keys", outcome=change.value)
+        if change is KeysChange.UNUSABLE:
+            return
+        url = f"{self._scheme}://{self.address.rpartition('/')[2]}"
+        self._listener.close()
+        self._listener = self._listen(url)
+        with self._lock:
+            for address, link in self._links.items():
+                link.close()
+                self._links[address] = self._open(address, self._interval)
+
     def close(self) -> None:
         """Send what is queued, then close every socket."""
         self.keep(frozenset())
@@ -133,7 +137,16 @@
 
     def _open(self, address: str, interval: timedelta | None) -> "_Link":
         url = f"{self._scheme}://{address}"
-        return _Link(url, self._own, self._metrics, interval, self._tls)
+        return _Link(url, self._own, self._metrics, interval, self._keys)
+
+    def _listen(self, url: str) -> "pynng.Listener":
+        """Listen at ``url``; raises ``OSError`` with the address if that cannot be."""
+        if self._keys is not None:
+            self._socket.tls_config = self._keys.config(server=True)
+        try:
+            return self._socket.listen(url)
+        except pynng.NNGException as error:
+            raise OSError(f"peers: found {url}, {str(error).lower()}") from None
 
     def _receive(self) -> None:
         while True:
@@ -166,13 +179,13 @@
         own: Callable[[], Member],
         metrics: Metrics,
         interval: timedelta | None,
-        tls: PeerTls | None,
+        keys: PeerKeys | None,
     ) -> None:
         self._url = url
         self._own = own
         self._metrics = metrics
         self._interval = interval
-        self._tls = tls
+        self._keys = keys
         self._facts: queue.Queue[Fact | None] = queue.Queue(QUEUE_LIMIT)
         self._task = threading.Thread(target=self._run, name="peer", daemon=True)
         self._task.start()
@@ -202,8 +215,8 @@
             socket.send_timeout = _milliseconds(SEND_TIMEOUT)
             socket.reconnect_time_min = _milliseconds(RECONNECT)
             socket.reconnect_time_max = _milliseconds(LONGEST_RECONNECT)
-            if self._tls is not None:
-                socket.tls_config = tls_config(self._tls, server=False)
+            if self._keys is not None:
+                socket.tls_config = self._keys.config(server=False)
             socket.dial(self._url, block=False)
             ended = False
             while not ended:
@@ -236,13 +249,5 @@
         self._metrics.peer_bytes.labels("out").inc(len(message))
 
 
-def _listen(socket: "pynng.Pull0", url: str) -> "pynng.Listener":
-    """Listen at ``url``; raises ``OSError`` with the address if that cannot be."""
-    try:
-        return socket.listen(url)
-    except pynng.NNGException as error:
-        raise OSError(f"peers: found {url}, {str(error).lower()}") from None
-
-
 def _milliseconds(duration: timedelta) -> int:
     return int(duration.total_seconds() * 1000)
--- a/packages/runhatch-server/src/runhatch_server/platform/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/platform/__init__.py
@@ -3,6 +3,7 @@
 from runhatch_server.platform._http import PlatformHttp, Reply
 from runhatch_server.platform._objects import HttpObjects
 from runhatch_server.platform._table import HttpTable
+from runhatch_server.platform._time import StoreClock
 from runhatch_server.platform._vms import HttpVmList, ListedVms, VmList
 
 __all__ = [
@@ -12,5 +13,6 @@
     "ListedVms",
     "PlatformHttp",
     "Reply",
+    "StoreClock",
     "VmList",
 ]
--- a/packages/runhatch-server/src/runhatch_server/platform/_http.py
+++ b/packages/runhatch-server/src/runhatch_server/platform/_http.py
@@ -2,7 +2,7 @@
 
 import http.client
 import queue
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from urllib.parse import urlsplit
@@ -25,12 +25,17 @@
     """Calls one service of the platform; safe for many threads.
 
     A call that could not be sent is ``Unavailable``; one that was sent and not
-    answered in full is ``Unknown``.
+    answered in full is ``Unknown``.  ``on_date`` gets each answer's ``Date``.
     """
 
     def __init__(
-        self, base_url: str, timeout: timedelta, connections: int = CONNECTIONS
+        self,
+        base_url: str,
+        timeout: timedelta,
+        connections: int = CONNECTIONS,
+        on_date: Callable[[str | None], None] | None = None,
     ) -> None:
+        self._on_date = on_date
         parts = urlsplit(base_url)
         self._host = parts.hostname or ""
         self._port = parts.port
@@ -83,6 +88,8 @@
             )
             response = connection.getresponse()
             answer = response.read()
+            if self._on_date is not None:
+                self._on_date(response.getheader("Date"))
         except (OSError, http.client.HTTPException) as error:
             return Unknown(f"no answer: {type(error).__name__}")
         return Reply(response.status, answer)
--- a/packages/runhatch-server/tests/test_peers.py
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -26,6 +26,7 @@
     def __init__(self):
         self.facts = []
         self.senders = set()
+        self.links = None
         self._more = threading.Condition()
 
     def __call__(self, envelope: Envelope):
@@ -66,6 +67,7 @@
         a = open_links("a", Received(), tls_a)
         b = open_links("b", received, tls_b)
         opened.extend([a, b])
+        received.links = b
         a.keep(frozenset({address(b)}))
         return a, received
 
@@ -75,7 +77,7 @@
 
 
 def write_keys(folder, authority):
-    folder.mkdir()
+    folder.mkdir(exist_ok=True)
     certificate = authority.issue_cert("runhatch-peer")
     paths = {n: folder / f"{n}.pem" for n in ("certificate", "key", "authority")}
     certificate.cert_chain_pems[0].write_to_path(paths["certificate"])
@@ -144,3 +146,41 @@
         a.tell_all(RevisionNotice(1))
         time.sleep(1)
         assert received.facts == []
+
+    def test_renewed_keys(self, pair, tmp_path):
+        """New keys are in force on both sides without a restart."""
+        old, new = trustme.CA(), trustme.CA()
+        folders = tmp_path / "a", tmp_path / "b"
+        a, received = pair(*(write_keys(folder, old) for folder in folders))
+        b = received.links
+        a.tell_all(RevisionNotice(1))
+        assert received.wait(1)
+        write_keys(folders[1], new)
+        b.renew_keys()
+        a.tell_all(RevisionNotice(2))
+        assert not received.wait(2, seconds=1)
+        write_keys(folders[0], new)
+        a.renew_keys()
+        a.tell_all(RevisionNotice(3))
+        assert received.wait(2)
+        assert received.facts[-1] == RevisionNotice(3)
+
+    @pytest.mark.parametrize("broken", ["certificate", "key", "authority"])
+    def test_unusable_keys_change_nothing(self, pair, tmp_path, broken):
+        """Half-written or unfitting files leave the keys in force as they are."""
+        authority = trustme.CA()
+        folders = tmp_path / "a", tmp_path / "b"
+        a, received = pair(*(write_keys(folder, authority) for folder in folders))
+        other = trustme.CA().issue_cert("runhatch-peer").private_key_pem.bytes()
+        bad = other if broken == "key" else b"-----BEGIN"
+        (folders[1] / f"{broken}.pem").write_bytes(bad)
+        received.links.renew_keys()
+        a.tell_all(RevisionNotice(1))
+        assert received.wait(1)
+
+    def test_unusable_keys_at_the_start(self, tmp_path):
+        """A node whose keys cannot be used says which in one line."""
+        keys = write_keys(tmp_path / "a", trustme.CA())
+        keys.key_file.write_text("nothing")
+        with pytest.raises(OSError, match=r"peering\.tls: found .*key\.pem"):
+            open_links("a", Received(), keys)
