Take the callers' side and the outside out of the node's composition

Cause: _node.py had grown to 431 lines and put together two things that change for different reasons: the way from callers to targets, and the control side.

Change: _caller_side.py holds the first, with its own drain; _outside.py the platform's clients. Nothing behaves otherwise.

--- a/packages/runhatch-server/src/runhatch_server/__main__.py
+++ b/packages/runhatch-server/src/runhatch_server/__main__.py
@@ -11,7 +11,8 @@
 
 from runhatch_coordination import InvariantError
 from runhatch_server._errors import SettingsError
-from runhatch_server._node import Node, connect
+from runhatch_server._node import Node
+from runhatch_server._outside import connect
 from runhatch_server._version import __version__
 from runhatch_server.observability import configure_logs
 from runhatch_server.settings import Settings, load_settings
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -0,0 +1,173 @@
+"""A node's way from its callers' listener to the targets, put together."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from runhatch_coordination import (
+    Claims,
+    GroupCommitter,
+    InvariantError,
+    Membership,
+    RetryBudget,
+)
+from runhatch_server._http_server import HttpServer
+from runhatch_server._outside import Outside
+from runhatch_server.observability import Metrics, TraceLog
+from runhatch_server.serving import (
+    AnswerStore,
+    Attempter,
+    CacheIntake,
+    CallerApp,
+    Canceller,
+    DemandCounter,
+    Dispatcher,
+    OnceGuard,
+    Picture,
+    Progress,
+    RequestReader,
+    ServingService,
+)
+from runhatch_server.settings import LogLevel, Settings
+from runhatch_server.targets import TargetClient
+
+DRAIN_POLL = timedelta(milliseconds=200)
+
+
+class CallerSide:
+    """Takes requests, and knows when the last has ended.
+
+    ``is_ready`` is what the balancer is told, ``has_configuration`` whether
+    requests can be judged at all; ``on_draining`` hears which target said that it
+    takes no new work, ``on_broken`` that a promise does not hold.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        outside: Outside,
+        picture: Picture,
+        membership: Membership,
+        metrics: Metrics,
+        traces: TraceLog,
+        is_ready: Callable[[], bool],
+        has_configuration: Callable[[], bool],
+        on_draining: Callable[[str], None],
+        on_broken: Callable[[InvariantError], None],
+    ) -> None:
+        serving = settings.serving
+        self._settings = settings
+        self._outside = outside
+        self._clock = outside.clock
+        self._picture = picture
+        self._membership = membership
+        self._metrics = metrics
+        self._progress = Progress()
+        self._committer = GroupCommitter(outside.table)
+        self.demand = DemandCounter()
+        self.dispatcher = Dispatcher(
+            picture,
+            self._clock,
+            settings.node.failure_domain,
+            serving.queue_limit,
+            serving.caller_share,
+        )
+        self.caches = CacheIntake(
+            self.dispatcher, picture, metrics, serving.cache_event_targets
+        )
+        self._service = self._build_service(traces, on_draining)
+        self._app = CallerApp(
+            RequestReader(picture, serving, self._clock),
+            self._service,
+            picture,
+            metrics,
+            self._progress,
+            self._clock,
+            is_ready,
+            has_configuration,
+            on_broken,
+        )
+        self._server = HttpServer(
+            self._app,
+            settings.callers,
+            serving.threads,
+            serving.max_body_bytes,
+            serving.max_header_bytes,
+        )
+
+    @property
+    def port(self) -> int:
+        """The port callers are served on."""
+        return self._server.port
+
+    @property
+    def in_progress(self) -> int:
+        """Requests under way."""
+        return self._progress.count
+
+    def start(self) -> None:
+        """Take requests from now on."""
+        self._server.start()
+
+    def announce_drain(self) -> None:
+        """Have callers told, on every answer, not to use their connections again."""
+        self._app.draining = True
+
+    def drain(self) -> None:
+        """Stop listening, and return once all requests have ended and are kept."""
+        self._server.stop_listening()
+        self._finish_requests()
+        self._service.close()
+        self._committer.close()
+
+    def _finish_requests(self) -> None:
+        """Wait until nothing is in progress, nor arrives on an open connection."""
+        begun = -1
+        while begun != self._progress.begun:
+            begun = self._progress.begun
+            while not self._progress.wait_idle(DRAIN_POLL):
+                pass
+            self._clock.sleep(DRAIN_POLL)
+
+    def _build_service(
+        self, traces: TraceLog, on_draining: Callable[[str], None]
+    ) -> ServingService:
+        client = TargetClient(self._clock)
+        attempter = Attempter(
+            self.dispatcher,
+            client,
+            self._picture,
+            RetryBudget(),
+            self._metrics,
+            self._clock,
+            on_draining,
+        )
+        return ServingService(
+            attempter,
+            client,
+            Canceller(),
+            self._build_once(),
+            self.demand,
+            self._metrics,
+            traces,
+            self._clock,
+            timedelta(seconds=self._settings.serving.stall_seconds),
+            self._settings.logs.level is LogLevel.REQUEST,
+        )
+
+    def _build_once(self) -> OnceGuard:
+        serving = self._settings.serving
+        claims = Claims(
+            self._outside.table,
+            self._committer,
+            self._settings.node.name,
+            self._clock,
+            timedelta(seconds=serving.answer_retention_seconds),
+        )
+        return OnceGuard(
+            claims,
+            AnswerStore(self._outside.objects, serving.inline_answer_bytes),
+            self._membership,
+            self._metrics,
+            self._clock,
+            timedelta(seconds=serving.claim_wait_seconds),
+        )
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -3,64 +3,35 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
 from runhatch_coordination import (
-    Claims,
-    Clock,
-    GroupCommitter,
     InvariantError,
     LeaseRecord,
     Membership,
-    ObjectStore,
-    RetryBudget,
     Revision,
     RevisionFeed,
     RevisionLog,
-    SystemClock,
-    Table,
     Unavailable,
     Vm,
 )
+from runhatch_server._caller_side import CallerSide
 from runhatch_server._demand_reports import DemandReporter
 from runhatch_server._drains import DrainTracker
 from runhatch_server._http_server import HttpServer
+from runhatch_server._outside import Outside
 from runhatch_server._tasks import Tasks
 from runhatch_server.configuration import ConfigurationService, parse_deployment
 from runhatch_server.observability import Metrics, TraceLog, log_change
 from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
 from runhatch_server.peers import PeerLinks, PeerService, PlannerNotice
 from runhatch_server.placement import PlacementService
-from runhatch_server.platform import (
-    HttpObjects,
-    HttpTable,
-    HttpVmList,
-    PlatformHttp,
-    StoreClock,
-)
-from runhatch_server.serving import (
-    AnswerStore,
-    Attempter,
-    CacheIntake,
-    CallerApp,
-    Canceller,
-    DemandCounter,
-    Dispatcher,
-    Hosting,
-    OnceGuard,
-    Picture,
-    Progress,
-    RequestReader,
-    ServingService,
-)
-from runhatch_server.settings import LogLevel, Settings
-from runhatch_server.targets import TargetClient
+from runhatch_server.serving import Hosting, Picture
+from runhatch_server.settings import Settings
 
 CONFIGURATION = "configuration"
 OPERATOR_THREADS = 4
 VM_LIST_EVERY = timedelta(seconds=2)
-DRAIN_POLL = timedelta(milliseconds=200)
 CACHES_EVERY = timedelta(seconds=1)
 KEYS_EVERY = timedelta(seconds=10)
 """Between two looks at the key files of peer links."""
@@ -69,30 +40,6 @@
 """Between two asks of peers by a node that knows no configuration yet."""
 
 
-@dataclass(frozen=True, slots=True)
-class Outside:
-    """The outside as one node reaches it; tests pass their own."""
-
-    table: Table
-    objects: ObjectStore
-    vms: HttpVmList
-    clock: Clock
-
-
-def connect(settings: Settings) -> Outside:
-    """Return the clients of the platform that ``settings`` names."""
-    platform = settings.platform
-    timeout = timedelta(seconds=platform.timeout_seconds)
-    clock = StoreClock(SystemClock())
-    table_http = PlatformHttp(platform.table_url, timeout, on_date=clock.hear)
-    return Outside(
-        HttpTable(table_http, platform.table),
-        HttpObjects(PlatformHttp(platform.objects_url, timeout), platform.bucket),
-        HttpVmList(PlatformHttp(platform.vms_url, timeout)),
-        clock,
-    )
-
-
 class Node:
     """A whole daemon; ``start`` returns, ``drain`` ends it."""
 
@@ -104,9 +51,7 @@
         self._draining = threading.Event()
         self._metrics = Metrics()
         self._traces = TraceLog()
-        self._progress = Progress()
         self._picture = Picture()
-        self._demand = DemandCounter()
         self._ledger_read = timedelta(days=-1)
         self._notices = threading.Event()
         self._tasks = Tasks(self._clock, self._draining)
@@ -118,20 +63,19 @@
         self._feed = RevisionFeed(self._on_revision)
         log = RevisionLog(outside.table, outside.objects, CONFIGURATION)
         self._configuration = ConfigurationService(log, self._feed, self._clock)
-        serving = settings.serving
-        self._dispatcher = Dispatcher(
-            self._picture,
-            self._clock,
-            settings.node.failure_domain,
-            serving.queue_limit,
-            serving.caller_share,
-        )
-        self._caches = CacheIntake(
-            self._dispatcher,
+        self._callers = CallerSide(
+            settings,
+            outside,
             self._picture,
+            self._membership,
             self._metrics,
-            serving.cache_event_targets,
+            self._traces,
+            self.is_ready,
+            self._ready.is_set,
+            self._on_draining_answer,
+            self._broken,
         )
+        self._dispatcher = self._callers.dispatcher
         self._drains = DrainTracker(self._clock, self._dispatcher.drain)
         self._placement = PlacementService(
             outside.table,
@@ -142,26 +86,6 @@
             self._on_lease,
             timedelta(seconds=settings.placement.lease_seconds),
         )
-        self._committer = GroupCommitter(outside.table)
-        self._service = self._build_service()
-        self._caller_app = CallerApp(
-            RequestReader(self._picture, serving, self._clock),
-            self._service,
-            self._picture,
-            self._metrics,
-            self._progress,
-            self._clock,
-            self.is_ready,
-            self._ready.is_set,
-            self._broken,
-        )
-        self._callers = HttpServer(
-            self._caller_app,
-            settings.callers,
-            serving.threads,
-            serving.max_body_bytes,
-            serving.max_header_bytes,
-        )
         self._operators = self._build_operators()
         self._peers = PeerService(
             self._membership,
@@ -176,7 +100,7 @@
             self._planner_notices,
         )
         self._demand_reporter = DemandReporter(
-            self._demand,
+            self._callers.demand,
             self._clock,
             settings.node.name,
             self._on_demand,
@@ -223,7 +147,7 @@
         self._tasks.every("leases", interval, self._watch_leases)
         self._tasks.every("placement", interval, self._plan)
         self._tasks.every("picture", refresh, self._refresh_picture)
-        self._tasks.every("caches", CACHES_EVERY, self._caches.read_round)
+        self._tasks.every("caches", CACHES_EVERY, self._callers.caches.read_round)
         self._tasks.every("keys", KEYS_EVERY, self._links.renew_keys)
         self._tasks.every("state", STATE_RETRY, self._ask_while_empty)
         self._operators.start()
@@ -235,17 +159,14 @@
         Readiness fails at once; connections are taken until the balancer has
         had time to notice.
         """
-        log_change("draining", in_progress=self._progress.count)
+        log_change("draining", in_progress=self._callers.in_progress)
         self._draining.set()
-        self._caller_app.draining = True
+        self._callers.announce_drain()
         self._membership.leave()
         self._peers.look_round()
         self._placement.stop()
         self._clock.sleep(timedelta(seconds=self._settings.serving.drain_lag_seconds))
-        self._callers.stop_listening()
-        self._finish_requests()
-        self._service.close()
-        self._committer.close()
+        self._callers.drain()
         if self._links is not None:
             self._links.close()
         log_change("drained")
@@ -253,15 +174,6 @@
     def _broken(self, error: InvariantError) -> None:
         self._tasks.on_broken(error)
 
-    def _finish_requests(self) -> None:
-        """Wait until nothing is in progress, nor arrives on an open connection."""
-        begun = -1
-        while begun != self._progress.begun:
-            begun = self._progress.begun
-            while not self._progress.wait_idle(DRAIN_POLL):
-                pass
-            self._clock.sleep(DRAIN_POLL)
-
     def on_broken_invariant(self, stop: Callable[[InvariantError], None]) -> None:
         """Have ``stop`` called if a task finds a promise broken."""
         self._tasks.on_broken = stop
@@ -274,46 +186,6 @@
         address = f"{peers.host}:{peers.port}"
         return Vm(node.name, node.failure_domain, address, born)
 
-    def _build_service(self) -> ServingService:
-        serving = self._settings.serving
-        client = TargetClient(self._clock)
-        claims = Claims(
-            self._outside.table,
-            self._committer,
-            self._settings.node.name,
-            self._clock,
-            timedelta(seconds=serving.answer_retention_seconds),
-        )
-        once = OnceGuard(
-            claims,
-            AnswerStore(self._outside.objects, serving.inline_answer_bytes),
-            self._membership,
-            self._metrics,
-            self._clock,
-            timedelta(seconds=serving.claim_wait_seconds),
-        )
-        attempter = Attempter(
-            self._dispatcher,
-            client,
-            self._picture,
-            RetryBudget(),
-            self._metrics,
-            self._clock,
-            self._on_draining_answer,
-        )
-        return ServingService(
-            attempter,
-            client,
-            Canceller(),
-            once,
-            self._demand,
-            self._metrics,
-            self._traces,
-            self._clock,
-            timedelta(seconds=serving.stall_seconds),
-            self._settings.logs.level is LogLevel.REQUEST,
-        )
-
     def _build_operators(self) -> HttpServer:
         inventory = Inventory(
             self._picture,
