Measure streams that arrive at once, and what a change asks of the store

Tried and reverted: kernel timeouts on target sockets, see design/streams.md; the machine's speed varied more than what was to be shown.

--- a/benchmarks/_relay_load.py
+++ b/benchmarks/_relay_load.py
@@ -66,12 +66,18 @@
 
 
 def run_streams(
-    url: str, models: list[str], at_once: int, count: int, tokens: int, seed: int
+    url: str,
+    models: list[str],
+    at_once: int,
+    count: int,
+    tokens: int,
+    seed: int,
+    spread: float,
 ) -> list[Stream]:
-    """Keep ``at_once`` streams in progress, arriving at random, ``count`` in all.
+    """Keep ``at_once`` streams in progress, ``count`` in all.
 
-    With ``count`` equal to ``at_once`` and no spread they would all arrive in the
-    same instant; here arrivals spread over one stream's time.
+    The first arrive at random within ``spread`` seconds; with none, and ``count``
+    equal to ``at_once``, all arrive in the same instant.
     """
     source = random.Random(seed)
     lock = threading.Lock()
@@ -93,7 +99,7 @@
                     streams.append(stream)
 
     threads = [
-        threading.Thread(target=caller, args=(i, source.uniform(0, 2.0)))
+        threading.Thread(target=caller, args=(i, source.uniform(0, spread)))
         for i in range(at_once)
     ]
     for thread in threads:
--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -2,12 +2,15 @@
 
 import time
 from statistics import median
+from typing import Any
 
 from _reporting import Report
 
 from runhatch_standins._cluster import Cluster, Sizes, call, start_cluster
 
 NODE_COUNTS = (3, 6, 9)
+IDLE_SECONDS = 10.0
+Counts = dict[str, Any]
 CHANGES = 12
 LONGEST_SECONDS = 30.0
 POOL = "reader"
@@ -49,6 +52,14 @@
     return took
 
 
+def _a_change(
+    name: str, before: Counts, after: Counts, idle: Counts, changing: float
+) -> float:
+    """Return the calls of one kind for each change, less those of an idle system."""
+    at_rest = (idle[name] - after[name]) / IDLE_SECONDS * changing
+    return round((after[name] - before[name] - at_rest) / CHANGES, 2)
+
+
 def _revision(url: str) -> int:
     answer = call(url, "POST", "/v1/query", {"noun": "configuration"})
     records = answer["records"]
@@ -73,7 +84,13 @@
             cluster.apply(cluster.deployment(), "bench")
             cluster.wait_resident("n1", 30)
             time.sleep(2)
+            before = call(cluster.platform.url, "GET", "/stats")
+            started = time.monotonic()
             times = spread_times(cluster)
+            changing = time.monotonic() - started
+            after = call(cluster.platform.url, "GET", "/stats")
+            time.sleep(IDLE_SECONDS)
+            idle = call(cluster.platform.url, "GET", "/stats")
             takeover = takeover_time(cluster)
         finally:
             cluster.close()
@@ -83,11 +100,18 @@
             spread_most_s=round(max(times), 3),
             changes=CHANGES,
             takeover_s=round(takeover, 2),
+            reads_a_change=_a_change("reads", before, after, idle, changing),
+            writes_a_change=_a_change("writes", before, after, idle, changing),
+            object_gets_a_change=_a_change(
+                "object_gets", before, after, idle, changing
+            ),
         )
     report.note(
         "Spread: from the call that applies a change to the last node having it in "
         "force. Takeover: from the holder's kill to another holding the lease, once "
-        "a size; the lease lives 6 s and a challenger waits 1.5 times that."
+        "a size; the lease lives 6 s and a challenger waits 1.5 times that. Reads, "
+        "writes and objects got are of all nodes together for one change, less "
+        f"those of {IDLE_SECONDS:g} s without any."
     )
     report.write()
 
--- a/benchmarks/bench_relay.py
+++ b/benchmarks/bench_relay.py
@@ -10,7 +10,8 @@
 
 from runhatch_standins._cluster import Sizes, start_cluster
 
-AT_ONCE = (1, 20, 100, 300)
+SPREAD = 2.0
+CASES = [(n, SPREAD) for n in (1, 20, 100, 300)] + [(n, 0.0) for n in (20, 100, 300)]
 TOKENS = 60
 PER_TOKEN = 0.04
 CALLER_PROCESSES = 3
@@ -18,7 +19,7 @@
 
 
 def load(
-    url: str, models: list[str], at_once: int, seed: int
+    url: str, models: list[str], at_once: int, seed: int, spread: float
 ) -> tuple[list[float], list[float], int, int]:
     """Run callers in processes; first tokens, gaps, tokens, streams not whole."""
     shares = [
@@ -28,7 +29,14 @@
     with ProcessPoolExecutor(len(shares)) as pool:
         futures = [
             pool.submit(
-                run_streams, url, models, share, max(share * 2, 6), TOKENS, seed + i
+                run_streams,
+                url,
+                models,
+                share,
+                max(share * 2, 6) if spread else share,
+                TOKENS,
+                seed + i,
+                spread,
             )
             for i, share in enumerate(shares)
         ]
@@ -69,15 +77,16 @@
         engine = cluster.engines[1]
         direct = [f"{name}@1" for name, target in hosted.items() if target == "e2"]
         pid = cluster.nodes["n1"].process.pid
-        for at_once in AT_ONCE:
-            first, _, _, _ = load(engine.url, direct, at_once, SEED)
+        for at_once, spread in CASES:
+            first, _, _, _ = load(engine.url, direct, at_once, SEED, spread)
             before = cpu_seconds(pid)
             through, gaps, tokens, broken = load(
-                cluster.caller_url("n1"), [*hosted], at_once, SEED
+                cluster.caller_url("n1"), [*hosted], at_once, SEED, spread
             )
             spent = cpu_seconds(pid) - before
             report.add(
                 streams=at_once,
+                arrive="at random" if spread else "at once",
                 direct_p50_ms=percentile(first, 50),
                 direct_p95_ms=percentile(first, 95),
                 through_p50_ms=percentile(through, 50),
