A node that cannot read the store gets changes from a peer; one read a change

Cause: a node that heard of a newer revision but could not read the store waited for its next look at it, although its peers had the change: with the store refused or frozen for one node the change was not in force there after 30 s. And a change cost three reads a node: the head's row was read, then the same entry again, and notices that came meanwhile set off one more.

Ruled out: lost notices (the node had them), the body in the object store (one read a node already).

Change: RevisionFollower keeps to the newest number heard of: it reads the store on a notice and, each second that it lacks something, the store and then one peer at random. The head's row serves as the entry.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_revisions.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_revisions.py
@@ -87,10 +87,14 @@
 
     def head(self) -> int | Unavailable:
         """Return the newest revision's number, 0 if there is none."""
-        found = self._table.get(self._head)
-        if isinstance(found, Unavailable):
-            return found
-        return ABSENT if isinstance(found, Missing) else found.version
+        found = self.newest()
+        if isinstance(found, Missing):
+            return ABSENT
+        return found if isinstance(found, Unavailable) else found.number
+
+    def newest(self) -> RevisionEntry | Missing | Unavailable:
+        """Return the newest revision's entry; one read."""
+        return self._entry_at(self._head)
 
     def publish(
         self, base: int, body: bytes, author: str, at: str, note: str
@@ -123,16 +127,17 @@
 
     def entry(self, number: int) -> RevisionEntry | Missing | Unavailable:
         """Return the history entry of ``number``."""
-        found = self._table.get(self._history_key(number))
-        if isinstance(found, Row):
-            return msgspec.json.decode(found.body, type=RevisionEntry)
-        return found
+        return self._entry_at(self._history_key(number))
 
     def read(self, number: int) -> Revision | Missing | Unavailable:
         """Return revision ``number`` with its body."""
         entry = self.entry(number)
         if not isinstance(entry, RevisionEntry):
             return entry
+        return self.read_body(entry)
+
+    def read_body(self, entry: RevisionEntry) -> Revision | Unavailable:
+        """Return the revision of ``entry`` with its body."""
         body = self._objects.get(entry.body_name)
         if body is None:
             return Unavailable("the object store did not return the body")
@@ -146,6 +151,12 @@
             return rows
         return tuple(msgspec.json.decode(row.body, type=RevisionEntry) for row in rows)
 
+    def _entry_at(self, key: Key) -> RevisionEntry | Missing | Unavailable:
+        found = self._table.get(key)
+        if isinstance(found, Row):
+            return msgspec.json.decode(found.body, type=RevisionEntry)
+        return found
+
     def _history_key(self, number: int) -> Key:
         return Key(self._name + HISTORY_SUFFIX, f"{number:08d}")
 
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -21,7 +21,11 @@
 from runhatch_server._http_server import HttpServer
 from runhatch_server._outside import Outside
 from runhatch_server._tasks import Tasks
-from runhatch_server.configuration import ConfigurationService, parse_deployment
+from runhatch_server.configuration import (
+    ConfigurationService,
+    RevisionFollower,
+    parse_deployment,
+)
 from runhatch_server.observability import Metrics, TraceLog, log_change
 from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
 from runhatch_server.peers import PeerLinks, PeerService, PlannerNotice
@@ -37,7 +41,7 @@
 """Between two looks at the key files of peer links."""
 LEDGER_READ_PER_TARGET = timedelta(seconds=2)
 STATE_RETRY = timedelta(seconds=1)
-"""Between two asks of peers by a node that knows no configuration yet."""
+"""Between two tries of a node that knows of a newer configuration than its own."""
 
 
 class Node:
@@ -53,7 +57,6 @@
         self._traces = TraceLog()
         self._picture = Picture()
         self._ledger_read = timedelta(days=-1)
-        self._notices = threading.Event()
         self._tasks = Tasks(self._clock, self._draining)
         self._membership = Membership(
             self._own_vm(),
@@ -99,6 +102,9 @@
             self._on_planner,
             self._planner_notices,
         )
+        self._follower = RevisionFollower(
+            self._configuration, self._feed, self._peers.ask_for_state
+        )
         self._demand_reporter = DemandReporter(
             self._callers.demand,
             self._clock,
@@ -142,14 +148,15 @@
         refresh = timedelta(seconds=placement.refresh_seconds)
         self._tasks.every("vms", VM_LIST_EVERY, self._read_vms)
         self._tasks.every("members", heartbeat, self._keep_members)
-        self._tasks.every("configuration", refresh, self._refresh, self._notices)
+        follower = self._follower
+        self._tasks.every("configuration", refresh, follower.poll, follower.wake)
         interval = timedelta(seconds=placement.interval_seconds)
         self._tasks.every("leases", interval, self._watch_leases)
         self._tasks.every("placement", interval, self._plan)
         self._tasks.every("picture", refresh, self._refresh_picture)
         self._tasks.every("caches", CACHES_EVERY, self._callers.caches.read_round)
         self._tasks.every("keys", KEYS_EVERY, self._links.renew_keys)
-        self._tasks.every("state", STATE_RETRY, self._ask_while_empty)
+        self._tasks.every("state", STATE_RETRY, follower.catch_up)
         self._operators.start()
         self._callers.start()
 
@@ -222,8 +229,7 @@
         self._ready.set()
 
     def _on_notice(self, number: int) -> None:
-        if number > self._feed.number:
-            self._notices.set()
+        self._follower.notice(number)
 
     def _on_own_hosting(self, hosting: Hosting) -> None:
         if self._on_hosting(hosting):
@@ -272,9 +278,6 @@
             len(self._membership.facts()),
         )
 
-    def _refresh(self) -> None:
-        self._configuration.refresh()
-
     def _refresh_picture(self) -> None:
         """Compare with peers each time, with the ledger ever more seldom.
 
@@ -288,10 +291,6 @@
             self._ledger_read = now
             self._placement.refresh(deployment)
 
-    def _ask_while_empty(self) -> None:
-        if self._feed.number == 0 and not self._configuration.refresh():
-            self._peers.ask_for_state()
-
     def _watch_leases(self) -> None:
         self._placement.watch_leases(self._picture.deployment)
 
--- a/packages/runhatch-server/src/runhatch_server/configuration/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/__init__.py
@@ -16,6 +16,7 @@
 )
 from runhatch_server.configuration._difference import difference
 from runhatch_server.configuration._fit import shortfalls
+from runhatch_server.configuration._follower import RevisionFollower
 from runhatch_server.configuration._parse import parse_deployment
 from runhatch_server.configuration._service import (
     Applied,
@@ -33,14 +34,15 @@
     "Deployment",
     "Fencing",
     "Invalid",
-    "Overruled",
     "ModelSpec",
+    "Overruled",
     "PathSpec",
     "PinSpec",
     "PlainServiceSpec",
     "PlainTargetSpec",
     "PolicySpec",
     "PoolSpec",
+    "RevisionFollower",
     "TargetSpec",
     "WeightStoreSpec",
     "difference",
--- a/packages/runhatch-server/src/runhatch_server/configuration/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_service.py
@@ -8,6 +8,7 @@
     Missing,
     Overtaken,
     Revision,
+    RevisionEntry,
     RevisionFeed,
     RevisionLog,
     Unavailable,
@@ -92,10 +93,12 @@
 
     def refresh(self) -> bool:
         """Read the head, and the body if it is newer; returns whether it was."""
-        head = self._log.head()
-        if isinstance(head, Unavailable) or head <= self._feed.number:
+        newest = self._log.newest()
+        if not isinstance(newest, RevisionEntry):
             return False
-        revision = self._log.read(head)
+        if newest.number <= self._feed.number:
+            return False
+        revision = self._log.read_body(newest)
         return isinstance(revision, Revision) and self._feed.offer(revision)
 
     def read(self, number: int) -> Revision | Missing | Unavailable:
