Do not let a leaving VM refute the platform's list

Cause: a node that hears from a VM which it holds for leaving told it so, and the VM, which had not read the list yet, refuted it with a new incarnation; the next reading of the list set it leaving again, and so on through all nodes.

Change: only a suspicion is refuted, and what an earlier life of the VM said. Names say what they do (_tell_belief, _contradicts_own_heartbeats).

--- a/benchmarks/bench_membership.py
+++ b/benchmarks/bench_membership.py
@@ -1,4 +1,4 @@
-"""Who knows of a failure when, at what cost, and whom it wrongly accuses."""
+"""Who knows of a failure when, at what cost, and whom it wrongly suspects."""
 
 from collections.abc import Callable
 
--- a/packages/runhatch-coordination/src/runhatch_coordination/_members.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_members.py
@@ -6,7 +6,7 @@
 
 Three rules keep false suspicions few and short-lived.  A node that was itself
 stopped starts its timers anew (the local health of Lifeguard, Dadgar and others,
-2017).  A node that hears a VM itself does not believe others who do not.  And a
+2017).  A node that gets a VM's heartbeats does not believe others who do not.  And a
 suspected VM is told so, again and again, until it refutes: after a parted network
 heals nobody else would speak to it.
 """
@@ -129,7 +129,10 @@
             if known.standing is Standing.SUSPECT:
                 # Cleared here at once; elsewhere by the VM's own refutation.
                 self._facts[name] = replace(known, standing=Standing.ALIVE)
-            return known
+                return known
+            # That a VM is leaving is the platform's word, unless an earlier life's.
+            earlier = known.vm.incarnation > fact.vm.incarnation
+            return known if earlier else None
 
     def learn(self, facts: Iterable[MemberFact]) -> bool:
         """Take in facts from a peer; the higher incarnation wins.
@@ -142,7 +145,7 @@
             for fact in facts:
                 if fact.vm.name == self._own.name:
                     denied = self._refute(fact) or denied
-                elif not self._contradicts_own_ears(fact):
+                elif not self._contradicts_own_heartbeats(fact):
                     self._merge(fact)
         return denied
 
@@ -194,7 +197,7 @@
             return False
         return self._clock.elapsed() - heard < self._suspect_after
 
-    def _contradicts_own_ears(self, fact: MemberFact) -> bool:
+    def _contradicts_own_heartbeats(self, fact: MemberFact) -> bool:
         """Tell whether others suspect a VM that this node hears by itself."""
         if fact.standing is not Standing.SUSPECT:
             return False
@@ -231,7 +234,9 @@
     def _refute(self, fact: MemberFact) -> bool:
         """Take in what others believe of this node; tells whether they err."""
         current = self._facts[self._own.name]
-        if fact.standing is current.standing or current.standing is Standing.LEAVING:
+        earlier_life = fact.vm.incarnation > self._own.incarnation
+        leaving = fact.standing is Standing.LEAVING and not earlier_life
+        if fact.standing is current.standing or leaving:
             return False
         if fact.vm.incarnation >= self._own.incarnation:
             incarnation = fact.vm.incarnation + 1
--- a/packages/runhatch-server/src/runhatch_server/peers/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_service.py
@@ -98,7 +98,7 @@
         suspects = self._membership.suspects()
         if suspects:
             suspect = self._random.choice(suspects)
-            self._say_doubt(MemberFact(suspect, Standing.SUSPECT))
+            self._tell_belief(MemberFact(suspect, Standing.SUSPECT))
 
     def tell_revision(self, number: int) -> None:
         """Tell peers that revision ``number`` is in force here."""
@@ -144,7 +144,7 @@
         sender = fact_of_member(envelope.sender)
         believed = self._membership.heartbeat(sender, envelope.linked)
         if believed is not None:
-            self._say_doubt(believed)
+            self._tell_belief(believed)
         for fact in envelope.facts:
             self._take_in(fact, sender.vm)
 
@@ -198,7 +198,7 @@
     def _take_in_wanted(self, fact: StateWanted, sender: Vm) -> None:
         self._reply(fact.known, fact.reply_to)
 
-    def _say_doubt(self, believed: MemberFact) -> None:
+    def _tell_belief(self, believed: MemberFact) -> None:
         """Tell a VM what is believed of it, so that it can refute it."""
         if self._links is not None:
             self._links.tell(believed.vm.address, [member_of_fact(believed)])
--- a/standins/src/runhatch_standins/_peer_group.py
+++ b/standins/src/runhatch_standins/_peer_group.py
@@ -83,7 +83,8 @@
 class PeerGroup:
     """Nodes that can be killed, stopped and cut off from each other.
 
-    ``cut(sender, receiver)`` says which messages are lost.
+    ``cut(sender, receiver)`` says which messages are lost.  A VM of ``leaving`` is
+    the last to read that it is, so here it never does.
     """
 
     def __init__(self, vms: list[Vm], seed: int = 1) -> None:
@@ -94,6 +95,7 @@
         self.cut: Cut = lambda sender, receiver: False
         self.stopped: set[str] = set()
         self.dead: set[str] = set()
+        self.leaving: frozenset[str] = frozenset()
         self.messages = 0
         self.bytes = 0
         self._vms = vms
@@ -134,7 +136,8 @@
         listing = [Vm(vm.name, vm.failure_domain, vm.address) for vm in self._vms]
         for node in self.running():
             if self._rounds % LIST_EVERY == 0:
-                node.membership.listed(listing, frozenset())
+                leaving = self.leaving - {node.vm.name}
+                node.membership.listed(listing, leaving)
             node.service.keep_links()
             node.service.look_round()
             node.flush(heartbeat=True)
