Judge each outstanding request by its own route's usual time

Cause: a target kept one usual time, that of the route which last finished there, for all that was outstanding. On a target that serves short calls and long streams the streams looked slow: one 50 s old, of a route that takes a minute, made a sound target look 45.5 s slow. Found on reading the change.

Change: a slot remembers what its route usually took when it was granted.

test_long_requests_are_not_slow states the case; the state before gave the 45.5 s. A route's first requests on a node have no usual time yet and count with none.

--- a/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
@@ -50,6 +50,8 @@
     choice: Choice
     route: Route
     granted_at: timedelta
+    usual: timedelta
+    """How long requests of the route usually took by then; zero if not known."""
     prefix: tuple[str, ...] = ()
 
     @property
@@ -262,8 +264,9 @@
         )
         if choice is None:
             return None
-        self._state(choice.host).granted(now)
-        return Grant(choice, waiter.route, now, waiter.prefix)
+        usual = self._routes[waiter.route].service.mean or timedelta()
+        self._state(choice.host).granted(now, usual)
+        return Grant(choice, waiter.route, now, usual, waiter.prefix)
 
     def _admit(self, waiter: Waiter[Grant]) -> Refusal | None:
         late = self._predict_late(waiter)
@@ -307,7 +310,7 @@
         return wait * self._random.uniform(1, 1 + RETRY_AFTER_JITTER)
 
     def _give_back(self, state: TargetState, grant: Grant) -> None:
-        state.returned(grant.granted_at)
+        state.returned(grant.granted_at, grant.usual)
         self._pump()
 
     def _pump(self) -> None:
--- a/packages/runhatch-server/src/runhatch_server/serving/_target_state.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_target_state.py
@@ -36,6 +36,7 @@
         self._own_at_report = 0
         self._granted_at = timedelta()
         self._usual = timedelta()
+        """Usual times of what is outstanding, added up; so are ``_granted_at``."""
         self._excess = timedelta()
         self._excess_at = timedelta()
         self.limit = AdaptiveLimit(ceiling)
@@ -55,15 +56,17 @@
         """Tell whether the limit allows one more request."""
         return self.outstanding < self.limit.value
 
-    def granted(self, now: timedelta) -> None:
-        """Count one more request there."""
+    def granted(self, now: timedelta, usual: timedelta) -> None:
+        """Count one more request there, which usually takes ``usual``."""
         self.outstanding += 1
         self._granted_at += now
+        self._usual += usual
 
-    def returned(self, granted_at: timedelta) -> None:
-        """Count one less, which was granted at ``granted_at``."""
+    def returned(self, granted_at: timedelta, usual: timedelta) -> None:
+        """Count one less; both arguments are those it was granted with."""
         self.outstanding -= 1
         self._granted_at -= granted_at
+        self._usual -= usual
 
     def excess(self, now: timedelta) -> timedelta:
         """Return how much longer than usual a request takes here.
@@ -76,7 +79,8 @@
         if not self.outstanding or not self._usual:
             return answered
         mean_age = now - self._granted_at / self.outstanding
-        return max(answered, mean_age - self._usual * TOLERATED)
+        mean_usual = self._usual / self.outstanding
+        return max(answered, mean_age - mean_usual * TOLERATED)
 
     def load(self, now: timedelta) -> float:
         """Return the requests there: own ones, and others' as last reported.
@@ -102,8 +106,8 @@
         self, took: timedelta, usual: timedelta | None, now: timedelta
     ) -> None:
         """Take in a complete answer, how long it took and how long is usual."""
-        self._usual = took if usual is None else usual
-        beyond = max(timedelta(), took - self._usual * TOLERATED)
+        expected = took if usual is None else usual
+        beyond = max(timedelta(), took - expected * TOLERATED)
         known = self.excess(now)
         self._excess = known + (beyond - known) * EXCESS_GAIN
         self._excess_at = now
--- a/packages/runhatch-server/tests/test_target_state.py
+++ b/packages/runhatch-server/tests/test_target_state.py
@@ -17,9 +17,9 @@
 @pytest.fixture
 def state():
     state = TargetState(8, random.Random(1))
-    state.granted(START)
+    state.granted(START, USUAL)
     state.succeeded(USUAL, USUAL, START)
-    state.returned(START)
+    state.returned(START, USUAL)
     return state
 
 
@@ -37,12 +37,18 @@
     @pytest.mark.parametrize(("age", "slow"), [(1, False), (4, False), (6, True)])
     def test_learnt_from_what_is_outstanding(self, state, age, slow):
         """A request that should have been answered long ago counts by itself."""
-        state.granted(START)
+        state.granted(START, USUAL)
         later = START + USUAL * age
         assert (state.excess(later) > timedelta()) is slow
-        state.returned(START)
+        state.returned(START, USUAL)
         assert state.excess(later) == timedelta()
 
+    def test_long_requests_are_not_slow(self, state):
+        """A request of a slow route is judged by its own route's usual time."""
+        state.granted(START, USUAL * 60)
+        state.succeeded(USUAL, USUAL, START)
+        assert state.excess(START + USUAL * 50) == timedelta()
+
     def test_fades(self, state):
         """A slow target is not avoided for ever."""
         state.succeeded(USUAL * 10, USUAL, START)
