--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 PACKAGES := packages/runhatch-coordination packages/runhatch-server \
-	packages/runhatch-cli standins
+	packages/runhatch-cli platform standins
 PIP := $(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt
 
 .PHONY: demo test check env
@@ -25,7 +25,7 @@
 check: .venv/ready
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
-	$(BIN)/mypy packages/*/src standins/src
+	$(BIN)/mypy packages/*/src platform/src standins/src
 
 SECONDS ?= 60
 SEED ?= 1
--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -21,6 +21,15 @@
 from runhatch_coordination._clock import Clock, SystemClock
 from runhatch_coordination._commit import commit
 from runhatch_coordination._errors import CoordinationError, InvariantError, require
+from runhatch_coordination._feed import (
+    Changes,
+    Entry,
+    Feed,
+    FeedListener,
+    HistoryLost,
+    Listing,
+    TableWatcher,
+)
 from runhatch_coordination._group import GroupCommitter
 from runhatch_coordination._leases import (
     LEASE_PARTITION,
@@ -62,6 +71,13 @@
 )
 
 __all__ = [
+    "TableWatcher",
+    "Listing",
+    "HistoryLost",
+    "FeedListener",
+    "Feed",
+    "Entry",
+    "Changes",
     "ABSENT",
     "CLAIM_PARTITION",
     "LEASE_PARTITION",
--- /dev/null
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -0,0 +1,163 @@
+"""Tables watched for changes: a listing first, then each change in order.
+
+:class:`TableWatcher` keeps a listener up to date through outages: it lists the
+table anew when the store no longer has the history, and never goes back behind
+a version that it has passed on.
+"""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Generic, Protocol, TypeVar
+
+from runhatch_coordination._clock import Clock
+from runhatch_coordination._table import Unavailable
+
+ValueT = TypeVar("ValueT")
+ValueT_co = TypeVar("ValueT_co", covariant=True)
+ValueT_contra = TypeVar("ValueT_contra", contravariant=True)
+
+LONGEST_WAIT = timedelta(seconds=15)
+"""How long the store is asked to keep a call waiting for a change; each end of a
+wait without one is a call paid for nothing."""
+COALESCE = timedelta(milliseconds=150)
+"""Pause between a change and the next call.  Changes come in bursts, and each
+call that brings one of them alone is paid; readers are this much later at most."""
+FIRST_RETRY = timedelta(milliseconds=200)
+LONGEST_RETRY = timedelta(seconds=1)
+"""Pauses between calls that fail: short enough to be back within the second."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry(Generic[ValueT_co]):
+    """One row of a watched table; ``value`` is ``None`` once it is removed."""
+
+    key: str
+    value: ValueT_co | None
+
+
+@dataclass(frozen=True, slots=True)
+class Listing(Generic[ValueT_co]):
+    """The whole table as of ``version``."""
+
+    entries: tuple[Entry[ValueT_co], ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes(Generic[ValueT_co]):
+    """What changed up to ``version``, oldest first; may be empty."""
+
+    entries: tuple[Entry[ValueT_co], ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store has dropped changes that were asked for."""
+
+
+class Feed(Protocol[ValueT_co]):
+    """One table of a store that tells its changes."""
+
+    def read(self) -> Listing[ValueT_co] | Unavailable:
+        """Return the whole table."""
+
+    def changes(
+        self, after: int, wait: timedelta
+    ) -> Changes[ValueT_co] | HistoryLost | Unavailable:
+        """Return what changed after version ``after``, waiting for a first change."""
+
+
+class FeedListener(Protocol[ValueT_contra]):
+    """Is told what a watched table holds; called by one thread, in order."""
+
+    def listed(self, entries: tuple[Entry[ValueT_contra], ...]) -> None:
+        """Replace all that was known."""
+
+    def changed(self, entries: tuple[Entry[ValueT_contra], ...]) -> None:
+        """Take in changes."""
+
+    def unreachable(self, reason: str) -> None:
+        """The table cannot be read since now; what is known may grow old."""
+
+    def reachable(self) -> None:
+        """The table can be read again."""
+
+
+class TableWatcher(Generic[ValueT]):
+    """Keeps one listener up to date; :meth:`run` is one task's whole work.
+
+    .. versionadded:: 0.2
+    """
+
+    def __init__(
+        self,
+        feed: Feed[ValueT],
+        listener: FeedListener[ValueT],
+        clock: Clock,
+        stopping: threading.Event,
+        on_failure: Callable[[Exception], None],
+    ) -> None:
+        self._feed = feed
+        self._listener = listener
+        self._clock = clock
+        self._stopping = stopping
+        self._on_failure = on_failure
+        self._version: int | None = None
+        self._passed = 0
+        self._failures = 0
+
+    def run(self) -> None:
+        """Watch until told to stop, whatever a round raises."""
+        while not self._stopping.is_set():
+            try:
+                pause = self.step()
+            except Exception as error:
+                self._on_failure(error)
+                pause = LONGEST_RETRY
+            self._stopping.wait(pause.total_seconds())
+
+    def step(self) -> timedelta:
+        """Make one call; returns how long to pause before the next."""
+        if self._version is None:
+            return self._list()
+        outcome = self._feed.changes(self._version, LONGEST_WAIT)
+        if isinstance(outcome, Unavailable):
+            return self._failed(outcome)
+        self._succeeded()
+        if isinstance(outcome, HistoryLost):
+            self._version = None
+            return timedelta()
+        self._version = max(self._version, outcome.version)
+        self._passed = self._version
+        if not outcome.entries:
+            return timedelta()
+        self._listener.changed(outcome.entries)
+        return COALESCE
+
+    def _list(self) -> timedelta:
+        outcome = self._feed.read()
+        if isinstance(outcome, Unavailable):
+            return self._failed(outcome)
+        self._succeeded()
+        if outcome.version < self._passed:
+            # An old answer; taking it would undo changes already passed on.
+            return FIRST_RETRY
+        self._version = outcome.version
+        self._passed = outcome.version
+        self._listener.listed(outcome.entries)
+        return timedelta()
+
+    def _failed(self, outcome: Unavailable) -> timedelta:
+        if not self._failures:
+            self._listener.unreachable(outcome.reason)
+        pause = min(LONGEST_RETRY, FIRST_RETRY * (1 << min(self._failures, 4)))
+        self._failures += 1
+        return pause
+
+    def _succeeded(self) -> None:
+        if self._failures:
+            self._failures = 0
+            self._listener.reachable()
--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -10,8 +10,8 @@
     Membership,
     RetryBudget,
 )
-from runhatch_server._http_server import HttpServer
 from runhatch_server._outside import Outside
+from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, TraceLog
 from runhatch_server.serving import (
     AnswerStore,
@@ -88,10 +88,10 @@
         )
         self._server = HttpServer(
             self._app,
-            settings.callers,
+            settings.callers.host,
+            settings.callers.port,
             serving.threads,
-            serving.max_body_bytes,
-            serving.max_header_bytes,
+            ServerLimits(serving.max_body_bytes, serving.max_header_bytes),
         )
 
     @property
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -18,7 +18,6 @@
 from runhatch_server._caller_side import CallerSide
 from runhatch_server._demand_reports import DemandReporter
 from runhatch_server._drains import DrainTracker
-from runhatch_server._http_server import HttpServer
 from runhatch_server._outside import Outside
 from runhatch_server._tasks import Tasks
 from runhatch_server.configuration import (
@@ -26,6 +25,7 @@
     RevisionFollower,
     parse_deployment,
 )
+from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, TraceLog, log_change
 from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
 from runhatch_server.peers import PeerLinks, PeerService, PlannerNotice
@@ -35,6 +35,8 @@
 
 CONFIGURATION = "configuration"
 OPERATOR_THREADS = 4
+OPERATOR_LIMITS = ServerLimits(body=16_777_216, header=32_768)
+"""Room for a configuration of 860 models in one body."""
 VM_LIST_EVERY = timedelta(seconds=2)
 CACHES_EVERY = timedelta(seconds=1)
 KEYS_EVERY = timedelta(seconds=10)
@@ -214,8 +216,9 @@
             self._metrics,
             self.is_ready,
         )
+        listener = self._settings.operators
         return HttpServer(
-            app, self._settings.operators, OPERATOR_THREADS, 16_777_216, 32_768
+            app, listener.host, listener.port, OPERATOR_THREADS, OPERATOR_LIMITS
         )
 
     def _on_revision(self, revision: Revision) -> None:
--- a/packages/runhatch-server/src/runhatch_server/_outside.py
+++ b/packages/runhatch-server/src/runhatch_server/_outside.py
@@ -5,10 +5,10 @@
 
 from runhatch_coordination import Clock, ObjectStore, SystemClock, Table
 from runhatch_server.platform import (
+    HttpClient,
     HttpObjects,
     HttpTable,
     HttpVmList,
-    PlatformHttp,
     StoreClock,
     VmList,
 )
@@ -30,10 +30,10 @@
     platform = settings.platform
     timeout = timedelta(seconds=platform.timeout_seconds)
     clock = StoreClock(SystemClock())
-    table_http = PlatformHttp(platform.table_url, timeout, on_date=clock.hear)
+    table_http = HttpClient(platform.table_url, timeout, on_date=clock.hear)
     return Outside(
         HttpTable(table_http, platform.table),
-        HttpObjects(PlatformHttp(platform.objects_url, timeout), platform.bucket),
-        HttpVmList(PlatformHttp(platform.vms_url, timeout)),
+        HttpObjects(HttpClient(platform.objects_url, timeout), platform.bucket),
+        HttpVmList(HttpClient(platform.vms_url, timeout)),
         clock,
     )
--- a/packages/runhatch-server/src/runhatch_server/configuration/_parse.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_parse.py
@@ -5,8 +5,8 @@
 
 from pydantic import ValidationError
 
-from runhatch_server._border import fault_lines
 from runhatch_server._errors import DeploymentError
+from runhatch_server.border import fault_lines
 from runhatch_server.configuration._deployment import Deployment
 from runhatch_server.configuration._fit import shortfalls
 
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/fleet/__init__.py
@@ -0,0 +1,18 @@
+"""Targets that are learned while the system runs."""
+
+from runhatch_server.fleet._directory import Directory, ExpectedLoad
+from runhatch_server.fleet._targets import (
+    HeldModels,
+    StoredCopies,
+    Target,
+    TargetState,
+)
+
+__all__ = [
+    "Directory",
+    "ExpectedLoad",
+    "HeldModels",
+    "StoredCopies",
+    "Target",
+    "TargetState",
+]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -0,0 +1,240 @@
+"""Which targets there are and what each holds, as this node knows it.
+
+Two sources are merged: the entries that targets write about themselves, which
+come late, and what the orderer of the targets tells, which comes at once.
+"""
+
+import threading
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+from runhatch_coordination import Clock, Entry
+from runhatch_server.fleet._targets import HeldModels, Target
+from runhatch_server.observability import log_change
+
+RELIST_GRACE = timedelta(seconds=1.8)
+"""After an outage of the store, how long a target may be missing from it before it
+is taken as gone: live ones are listed again within about two seconds."""
+TOLD_VALID = timedelta(seconds=8)
+"""How long the orderer's word on a target counts for more than the target's own
+entry.  It repeats itself every few seconds; entries are written each 1.2 s and only
+if more than adapters changed."""
+CORRECTION_HOLDS = timedelta(seconds=1)
+"""How long a target that said it lacks a model is not asked for it, unless it or
+its orderer tells something newer."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedLoad:
+    """A load under way: ``model`` will be held by ``target`` at about ``ready_at``."""
+
+    target: str
+    model: str
+    ready_at: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class _Told:
+    held: HeldModels
+    at: timedelta
+
+
+class Directory:
+    """Targets by incarnation; readers get immutable values.
+
+    ``news`` is notified whenever a request that found no target might find
+    one now.  A :class:`runhatch_coordination.FeedListener`.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.news = threading.Condition()
+        self._targets: dict[str, Target] = {}
+        self._told: dict[str, _Told] = {}
+        self._expected: dict[str, tuple[ExpectedLoad, ...]] = {}
+        self._lacking: dict[tuple[str, str, str], timedelta] = {}
+        self._missing: dict[str, timedelta] = {}
+        self._by_service: dict[str, tuple[Target, ...]] = {}
+        self._reachable = True
+        self._regained_at = clock.elapsed()
+        self._listeners: list[Callable[[], None]] = []
+        self.known = False
+        """Whether the targets were listed at least once."""
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Have ``listener`` called after each change of the targets."""
+        self._listeners.append(listener)
+
+    # What the store tells.
+
+    def listed(self, entries: tuple[Entry[Target], ...]) -> None:
+        """Replace the targets by those in ``entries``."""
+        with self.news:
+            present = {entry.key for entry in entries if entry.value is not None}
+            for key in set(self._targets) - present:
+                self._lose(key)
+            for entry in entries:
+                self._take(entry)
+            self.known = True
+            self._rebuild()
+
+    def changed(self, entries: tuple[Entry[Target], ...]) -> None:
+        """Take in changes of single targets."""
+        with self.news:
+            for entry in entries:
+                self._take(entry)
+            self._rebuild()
+
+    def unreachable(self, reason: str) -> None:
+        """Nothing is heard of the targets since now."""
+        log_change("targets_unreachable", why=reason)
+        with self.news:
+            self._reachable = False
+
+    def reachable(self) -> None:
+        """Targets are heard of again."""
+        log_change("targets_reachable")
+        with self.news:
+            self._reachable = True
+            self._regained_at = self._clock.elapsed()
+
+    def settle(self) -> None:
+        """Take targets as gone that are missing for too long."""
+        now = self._clock.elapsed()
+        with self.news:
+            gone = [key for key, since in self._missing.items() if now >= since]
+            for key in gone:
+                self._remove(key, "not listed again")
+            if gone:
+                self._rebuild()
+
+    # What the orderer and answers tell.
+
+    def told(
+        self, target: str, held: HeldModels, expected: Iterable[ExpectedLoad]
+    ) -> None:
+        """Take in what the orderer of ``target`` says it holds, and will hold."""
+        with self.news:
+            self._expected[target] = tuple(expected)
+            self._told[target] = _Told(held, self._clock.elapsed())
+            self._forget_corrections(target)
+            self._rebuild()
+
+    def correct(self, target: str, model: str, adapter: str) -> None:
+        """Note that ``target`` said that it does not hold ``model``."""
+        with self.news:
+            until = self._clock.elapsed() + CORRECTION_HOLDS
+            self._lacking[target, model, adapter] = until
+
+    # What requests ask.
+
+    def get(self, target: str) -> Target | None:
+        """Return one target, if it is known."""
+        return self._targets.get(target)
+
+    def all(self) -> tuple[Target, ...]:
+        """Return all targets known."""
+        return tuple(self._targets.values())
+
+    def ready(self, service: str) -> tuple[Target, ...]:
+        """Return the targets of ``service`` that take new work."""
+        return self._by_service.get(service, ())
+
+    def holders(self, service: str, model: str, adapter: str) -> list[Target]:
+        """Return the ready targets that hold ``model`` with ``adapter``."""
+        if not model:
+            return list(self.ready(service))
+        return [
+            target
+            for target in self.ready(service)
+            if target.held.holds(model, adapter)
+            and not self._lacks(target.incarnation, model, adapter)
+        ]
+
+    def expected(self, service: str, model: str) -> ExpectedLoad | None:
+        """Return the load under way that will be ready first, if any."""
+        loads = [
+            load
+            for target in self.ready(service)
+            for load in self._expected.get(target.incarnation, ())
+            if load.model == model
+        ]
+        return min(loads, key=lambda load: load.ready_at, default=None)
+
+    # Inside, with the lock held.
+
+    def _take(self, entry: Entry[Target]) -> None:
+        if entry.value is None:
+            self._lose(entry.key)
+            return
+        self._missing.pop(entry.key, None)
+        known = self._targets.get(entry.key)
+        self._targets[entry.key] = entry.value
+        if known is None:
+            log_change(
+                "target_learned",
+                target=entry.key,
+                service=entry.value.service,
+                address=f"{entry.value.host}:{entry.value.port}",
+                state=entry.value.state.value,
+            )
+        elif known.state is not entry.value.state:
+            log_change(
+                "target_draining",
+                target=entry.key,
+                source="store",
+                leaves_in=_seconds(entry.value.leaves_in),
+            )
+
+    def _lose(self, key: str) -> None:
+        """Remove a target, after a grace if the store has just come back."""
+        now = self._clock.elapsed()
+        settled = self._regained_at + RELIST_GRACE
+        if key not in self._targets:
+            return
+        if not self._reachable or now < settled:
+            self._missing.setdefault(key, max(now, settled))
+            return
+        self._remove(key, "removed from the store")
+
+    def _remove(self, key: str, why: str) -> None:
+        self._missing.pop(key, None)
+        self._told.pop(key, None)
+        self._expected.pop(key, None)
+        if self._targets.pop(key, None) is not None:
+            log_change("target_gone", target=key, why=why)
+
+    def _forget_corrections(self, target: str) -> None:
+        for key in [key for key in self._lacking if key[0] == target]:
+            del self._lacking[key]
+
+    def _lacks(self, target: str, model: str, adapter: str) -> bool:
+        until = self._lacking.get((target, model, adapter))
+        return until is not None and self._clock.elapsed() < until
+
+    def _rebuild(self) -> None:
+        by_service: defaultdict[str, list[Target]] = defaultdict(list)
+        for key, target in self._targets.items():
+            if target.is_ready:
+                by_service[target.service].append(
+                    replace(target, held=self._newest(key, target))
+                )
+        self._by_service = {
+            service: tuple(sorted(targets, key=lambda target: target.incarnation))
+            for service, targets in by_service.items()
+        }
+        self.news.notify_all()
+        for listener in self._listeners:
+            listener()
+
+    def _newest(self, key: str, target: Target) -> HeldModels:
+        told = self._told.get(key)
+        if told is None or self._clock.elapsed() - told.at >= TOLD_VALID:
+            return target.held
+        return told.held
+
+
+def _seconds(duration: timedelta | None) -> float | None:
+    return None if duration is None else duration.total_seconds()
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/__init__.py
@@ -0,0 +1,37 @@
+"""Passing requests of declared routes through to targets learned while running."""
+
+from runhatch_server.gateway._messages import (
+    AnswerHead,
+    CallerHeaders,
+    GatewayRequest,
+    HeaderCodec,
+    HeaderFault,
+    Headers,
+    ModelWork,
+    PromptPart,
+)
+from runhatch_server.gateway._node import GatewayNode
+from runhatch_server.gateway._outside import GatewayOutside
+from runhatch_server.gateway._settings import (
+    Endpoint,
+    GatewaySettings,
+    OrderBounds,
+    RetryBounds,
+)
+
+__all__ = [
+    "AnswerHead",
+    "CallerHeaders",
+    "Endpoint",
+    "GatewayNode",
+    "GatewayOutside",
+    "GatewayRequest",
+    "GatewaySettings",
+    "HeaderCodec",
+    "HeaderFault",
+    "Headers",
+    "ModelWork",
+    "OrderBounds",
+    "PromptPart",
+    "RetryBounds",
+]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -0,0 +1,245 @@
+"""The gateway's side towards callers, as WSGI applications."""
+
+import random
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from datetime import timedelta
+from typing import BinaryIO, cast
+
+from runhatch_coordination import Clock
+from runhatch_server.gateway._answers import GatewayAnswer, StreamAnswer, WholeAnswer
+from runhatch_server.gateway._messages import (
+    GatewayRequest,
+    HeaderCodec,
+    HeaderFault,
+)
+from runhatch_server.gateway._relay import StreamRelay
+from runhatch_server.gateway._service import GatewayService
+from runhatch_server.observability import Metrics, log_change
+from runhatch_server.routing import RouteTable, choose_service
+from runhatch_server.serving import (
+    PROBLEM_TYPE,
+    Executed,
+    Progress,
+    Reason,
+    Refusal,
+    problem_document,
+)
+
+GONE_VARIABLE = "waitress.client_disconnected"
+NOT_READY_RETRY = timedelta(milliseconds=500)
+"""When a caller may come back to a node that has no configuration yet."""
+HEADER_PREFIX = "HTTP_"
+CONTENT_TYPE = "CONTENT_TYPE"
+
+Environ = Mapping[str, object]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+class GatewayApp:
+    """Takes callers' requests and passes them through by their route."""
+
+    def __init__(
+        self,
+        service: GatewayService,
+        codec: HeaderCodec,
+        progress: Progress,
+        metrics: Metrics,
+        clock: Clock,
+        on_request: Callable[[GatewayRequest], None],
+    ) -> None:
+        self._service = service
+        self._codec = codec
+        self._progress = progress
+        self._metrics = metrics
+        self._clock = clock
+        self._on_request = on_request
+        self._random = random.Random()
+        self.routes: RouteTable | None = None
+        """The routes in force; replaced whole."""
+        self.draining = False
+        """Set on shutdown: connections are closed after their answers."""
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        self._progress.begin()
+        handed_on = False
+        try:
+            answer = self._answer(environ)
+            status = f"{answer.status} {answer.reason or 'Status'}"
+            if isinstance(answer, StreamAnswer):
+                start_response(status, [*answer.headers])
+                handed_on = True
+                return _CountedStream(answer.events, self._progress.end)
+            return self._send(status, answer, start_response)
+        finally:
+            if not handed_on:
+                self._progress.end()
+
+    def _answer(self, environ: Environ) -> GatewayAnswer:
+        headers = _headers(environ)
+        request = self._read(environ, headers)
+        if isinstance(request, Refusal):
+            self._metrics.refusals.labels(request.reason.code).inc()
+            log_change(
+                "refused_unread",
+                outcome=request.reason.code,
+                detail=request.detail,
+                host=headers.get("host", "")[:80],
+                uri=str(environ.get("REQUEST_URI", ""))[:80],
+                configuration=None if self.routes is None else self.routes.version,
+            )
+            return self._refused(request, headers)
+        self._metrics.requests.labels(request.route.kind.value).inc()
+        self._on_request(request)
+        answer = self._service.serve(request, _gone(environ))
+        if isinstance(answer, Refusal):
+            return self._refused(answer, headers)
+        return answer
+
+    def _read(
+        self, environ: Environ, headers: Mapping[str, str]
+    ) -> GatewayRequest | Refusal:
+        """Return the request, checked, or why it cannot be taken."""
+        received = self._clock.elapsed()
+        routes = self.routes
+        if routes is None:
+            return Refusal(Reason.NOT_READY, Executed.NO, retry_after=NOT_READY_RETRY)
+        uri = str(environ.get("REQUEST_URI", ""))
+        if not uri.startswith("/"):
+            detail = f"found target {uri[:40]!r}, allowed: a path"
+            return Refusal(Reason.BAD_HEADER, Executed.NO, detail)
+        route = routes.find(headers.get("host", ""), uri.partition("?")[0])
+        if route is None:
+            return Refusal(Reason.NO_ROUTE, Executed.NO)
+        caller = self._codec.read_caller(headers)
+        if isinstance(caller, HeaderFault):
+            return Refusal(Reason.BAD_HEADER, Executed.NO, caller.detail)
+        if not caller.attempt_id:
+            return Refusal(Reason.BAD_HEADER, Executed.NO, "the request has no id")
+        time_left = route.timeout
+        if caller.time_left is not None:
+            time_left = min(time_left, caller.time_left)
+        body = cast(BinaryIO, environ["wsgi.input"]).read()
+        return GatewayRequest(
+            attempt_id=caller.attempt_id,
+            route=route,
+            service=choose_service(route, self._random),
+            method=str(environ.get("REQUEST_METHOD")),
+            uri=uri,
+            passed=caller.passed,
+            body=body,
+            received=received,
+            goal_at=received + min(route.goal, time_left),
+            deadline=received + time_left,
+            work=caller.work,
+            last_event=caller.last_event,
+        )
+
+    def _refused(self, refusal: Refusal, headers: Mapping[str, str]) -> WholeAnswer:
+        """Return the answer that tells ``refusal``."""
+        attempt_id = headers.get("x-request-id", "")
+        caller = self._codec.read_caller(headers)
+        if not isinstance(caller, HeaderFault):
+            attempt_id = caller.attempt_id
+        told = (("Content-Type", PROBLEM_TYPE), *self._codec.for_refusal(attempt_id))
+        if refusal.retry_after is not None:
+            seconds = refusal.retry_after.total_seconds()
+            told += (("Retry-After", f"{seconds:.2f}"),)
+        body = problem_document(refusal, attempt_id)
+        return WholeAnswer(refusal.reason.status, refusal.reason.title, told, body)
+
+    def _send(
+        self, status: str, answer: WholeAnswer, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        headers = [*answer.headers]
+        if self.draining:
+            # Without a length waitress closes the connection after the answer.
+            start_response(status, headers)
+            return iter([answer.body])
+        headers.append(("Content-Length", str(len(answer.body))))
+        start_response(status, headers)
+        return [answer.body]
+
+
+class ReadinessApp:
+    """Tells the balancer whether to send requests here."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer 200 or 503, whatever the path."""
+        status = "200 OK" if self._is_ready() else "503 Not Ready"
+        body = b"ready\n" if self._is_ready() else b"not ready\n"
+        start_response(status, [("Content-Length", str(len(body)))])
+        return [body]
+
+
+class MetricsApp:
+    """Serves the metrics in the text format."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer every path with the metrics."""
+        body = self._metrics.exposition()
+        headers = [
+            ("Content-Type", "text/plain; version=0.0.4"),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response("200 OK", headers)
+        return [body]
+
+
+class _CountedStream:
+    """Passes a stream on and tells when it has ended, however it did."""
+
+    def __init__(self, events: StreamRelay, on_end: Callable[[], None]) -> None:
+        self._events = events
+        self._on_end = on_end
+        self._closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        return next(self._events)
+
+    def close(self) -> None:
+        """Give back what the stream holds; called once by the HTTP server."""
+        if self._closed:
+            return
+        self._closed = True
+        try:
+            self._events.close()
+        finally:
+            self._on_end()
+
+
+def _headers(environ: Environ) -> dict[str, str]:
+    """Return the headers by name in lower case."""
+    headers = {
+        key.removeprefix(HEADER_PREFIX).replace("_", "-").lower(): str(value)
+        for key, value in environ.items()
+        if key.startswith(HEADER_PREFIX)
+    }
+    content_type = environ.get(CONTENT_TYPE)
+    if content_type:
+        headers["content-type"] = str(content_type)
+    return headers
+
+
+def _gone(environ: Environ) -> Callable[[], bool]:
+    check = environ.get(GONE_VARIABLE)
+    return check if callable(check) else _never
+
+
+def _never() -> bool:
+    return False
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_load.py
@@ -0,0 +1,175 @@
+"""How busy each target is: own requests, what peers tell, and how fast it works.
+
+All requests to a target come from the gateways, so what they have outstanding
+together is its load.  The work ahead of a new request is counted in milliseconds of
+prompt reading, which is what an engine does first and one after another.
+"""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+FIRST_MS_PER_TOKEN = 0.06
+"""Time to read a prompt token before any was measured; engines of 70 billion
+parameters read some 17 a millisecond between the tokens of other requests."""
+RATE_GAIN = 0.1
+LEAST_MS_PER_TOKEN, MOST_MS_PER_TOKEN = 0.005, 1.0
+"""Bounds of what is believed of a model, against measurements gone wrong."""
+BASE_MS = 25.0
+"""Time to the first token that no prompt explains: the way and a step or two."""
+FIRST_SERVICE_MS = 30.0
+"""Time of a plain request before any was measured."""
+SERVICE_GAIN = 0.1
+LEAST_REMAINING = 0.15
+"""Share of a request's reading that is counted until its first token is seen."""
+PEER_LOAD_VALID = timedelta(seconds=2)
+"""Age at which what a peer told of its load is no longer counted."""
+FAULT_GAIN = 0.25
+FAULT_HALF_LIFE = timedelta(seconds=3)
+"""How soon a target that failed is tried again."""
+SILENT_AFTER = timedelta(milliseconds=900)
+SILENT_FACTOR = 4.0
+"""A target is silent if its oldest request has waited so long and so many times
+longer than predicted, and nothing was heard from it meanwhile."""
+STREAM_TOKENS_AT_ONCE = 0.95
+"""Share of a target's cache that is filled on purpose; beyond it runs are preempted."""
+
+
+@dataclass(slots=True)
+class Outstanding:
+    """A request at a target: what it was expected to cost, and how far it is."""
+
+    work_ms: float
+    tokens: int
+    sent_at: timedelta
+    predicted_ms: float
+    urgency: int = 0
+    started: bool = False
+
+    def remaining_ms(self, now: timedelta) -> float:
+        """Return the prompt reading that is still ahead."""
+        if self.started:
+            return 0.0
+        age = _milliseconds(now - self.sent_at)
+        done = age / max(self.predicted_ms, 1.0)
+        return self.work_ms * max(LEAST_REMAINING, 1.0 - done)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadShare:
+    """What one node has outstanding at one target.
+
+    ``waiting_ms`` is prompt reading not yet done, ``waiting`` and ``running`` are
+    requests before and after their first token, ``tokens`` what they occupy.
+    """
+
+    waiting_ms: float = 0.0
+    waiting: int = 0
+    running: int = 0
+    tokens: int = 0
+
+
+@dataclass(slots=True)
+class TargetLoad:
+    """One target's load and health; guarded by the balancer's lock."""
+
+    own: dict[int, Outstanding] = field(default_factory=dict)
+    peers: dict[str, tuple[LoadShare, timedelta]] = field(default_factory=dict)
+    faults: float = 0.0
+    faults_at: timedelta = timedelta()
+    heard_at: timedelta = timedelta()
+    shut_until: timedelta = timedelta()
+    shut_times: int = 0
+
+    def share(self, now: timedelta) -> LoadShare:
+        """Return what this node has there."""
+        waiting = [o for o in self.own.values() if not o.started]
+        return LoadShare(
+            sum(o.remaining_ms(now) for o in waiting),
+            len(waiting),
+            len(self.own) - len(waiting),
+            sum(o.tokens for o in self.own.values()),
+        )
+
+    def total(self, now: timedelta) -> LoadShare:
+        """Return what all nodes have there, as far as it is known."""
+        own = self.share(now)
+        waiting_ms, waiting = own.waiting_ms, own.waiting
+        running, tokens = own.running, own.tokens
+        for share, at in self.peers.values():
+            age = now - at
+            if age >= PEER_LOAD_VALID:
+                continue
+            waiting_ms += max(0.0, share.waiting_ms - _milliseconds(age))
+            waiting += share.waiting
+            running += share.running
+            tokens += share.tokens
+        return LoadShare(waiting_ms, waiting, running, tokens)
+
+    def fault_rate(self, now: timedelta) -> float:
+        """Return the share of recent requests that the target failed; fades."""
+        age = (now - self.faults_at) / FAULT_HALF_LIFE
+        return float(self.faults * 0.5**age)
+
+    def noted(self, faulty: bool, now: timedelta) -> None:
+        """Take in how a request ended."""
+        rate = self.fault_rate(now)
+        self.faults = rate + ((1.0 if faulty else 0.0) - rate) * FAULT_GAIN
+        self.faults_at = now
+
+    def is_silent(self, now: timedelta) -> bool:
+        """Tell whether requests wait there far too long without a word."""
+        for outstanding in self.own.values():
+            if outstanding.started or self.heard_at > outstanding.sent_at:
+                continue
+            patience = max(
+                SILENT_AFTER,
+                timedelta(milliseconds=outstanding.predicted_ms) * SILENT_FACTOR,
+            )
+            if now - outstanding.sent_at > patience:
+                return True
+        return False
+
+
+class WorkRates:
+    """How long prompts of each model, and requests of each route, take."""
+
+    def __init__(self) -> None:
+        self._ms_per_token: dict[str, float] = {}
+        self._service_ms: dict[str, float] = {}
+
+    def prompt_ms(self, model: str, tokens: int) -> float:
+        """Return how long reading ``tokens`` takes ``model``."""
+        return tokens * self._ms_per_token.get(model, FIRST_MS_PER_TOKEN)
+
+    def service_ms(self, route: str) -> float:
+        """Return how long a plain request of ``route`` takes."""
+        return self._service_ms.get(route, FIRST_SERVICE_MS)
+
+    def first_token(
+        self, model: str, outstanding: Outstanding, took: timedelta
+    ) -> None:
+        """Learn from a first token, if its own prompt explains most of its wait."""
+        own = outstanding.work_ms
+        ahead = outstanding.predicted_ms - own - BASE_MS
+        if own <= 0 or ahead > own:
+            return
+        scale = (_milliseconds(took) - BASE_MS) / (own + max(0.0, ahead))
+        known = self._ms_per_token.get(model, FIRST_MS_PER_TOKEN)
+        seen = known * min(max(scale, 0.3), 3.0)
+        learnt = known + (seen - known) * RATE_GAIN
+        self._ms_per_token[model] = min(
+            max(learnt, LEAST_MS_PER_TOKEN), MOST_MS_PER_TOKEN
+        )
+
+    def served(self, route: str, took: timedelta) -> None:
+        """Learn from a plain request."""
+        known = self._service_ms.get(route)
+        seen = _milliseconds(took)
+        if known is None:
+            self._service_ms[route] = seen
+        else:
+            self._service_ms[route] = known + (seen - known) * SERVICE_GAIN
+
+
+def _milliseconds(duration: timedelta) -> float:
+    return duration / timedelta(milliseconds=1)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_outside.py
@@ -0,0 +1,19 @@
+"""What a gateway needs from the platform that it runs on."""
+
+from dataclasses import dataclass
+
+from runhatch_coordination import Clock, Feed, Table
+from runhatch_server.fleet import Target
+from runhatch_server.gateway._messages import HeaderCodec
+from runhatch_server.routing import RoutingConfiguration
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayOutside:
+    """The outside as one gateway reaches it; tests pass their own."""
+
+    clock: Clock
+    table: Table
+    configurations: Feed[RoutingConfiguration]
+    targets: Feed[Target]
+    headers: HeaderCodec
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -0,0 +1,93 @@
+"""What is recorded of each request: metrics, and a line of the log at its end."""
+
+from datetime import timedelta
+
+from runhatch_coordination import Clock
+from runhatch_server.gateway._balancer import Grant
+from runhatch_server.gateway._messages import GatewayRequest
+from runhatch_server.observability import Metrics, log_change
+from runhatch_server.serving import Refusal
+from runhatch_server.targets import AttemptReason
+
+
+class RequestRecord:
+    """One request as it went; filled in by its run."""
+
+    def __init__(self, request: GatewayRequest) -> None:
+        self.request = request
+        self.attempts: list[str] = []
+        self.retries: list[tuple[AttemptReason, bool]] = []
+        self.predicted_ms: float | None = None
+        self.outcome = ""
+        self.status = 0
+        self.retry_after: timedelta | None = None
+        self.pieces = 0
+
+    def attempt(self, grant: Grant, outcome: str) -> None:
+        """Note how one attempt ended or went on."""
+        if self.predicted_ms is None:
+            self.predicted_ms = grant.predicted_ms
+        self.attempts.append(f"{grant.target.incarnation}:{outcome}")
+
+    def retry(self, reason: AttemptReason, paid: bool) -> None:
+        """Note that another attempt was wanted, and whether the budget paid."""
+        self.retries.append((reason, paid))
+
+    def answered(self, status: int) -> None:
+        """Note the status of a whole answer."""
+        self.outcome = "answered"
+        self.status = status
+
+    def streamed(self, outcome: str, pieces: int) -> None:
+        """Note how a stream ended."""
+        self.outcome = outcome
+        self.status = 200
+        self.pieces = pieces
+
+    def refused(self, refusal: Refusal) -> None:
+        """Note a refusal."""
+        self.outcome = refusal.reason.code
+        self.status = refusal.reason.status
+        self.retry_after = refusal.retry_after
+
+
+class RequestRecorder:
+    """Counts and logs requests that have ended."""
+
+    def __init__(self, metrics: Metrics, clock: Clock) -> None:
+        self._metrics = metrics
+        self._clock = clock
+
+    def ended(self, record: RequestRecord) -> None:
+        """Take in one request."""
+        request = record.request
+        if record.outcome == "answered":
+            self._metrics.answers.labels(request.route.kind.value).inc()
+        else:
+            self._metrics.refusals.labels(record.outcome).inc()
+        for reason, paid in record.retries:
+            label = reason.value if paid else f"{reason.value}_no_budget"
+            self._metrics.retries.labels(label).inc()
+        took = self._clock.elapsed() - request.received
+        log_change(
+            "request",
+            request_id=request.attempt_id,
+            route=request.route.name,
+            model=request.model,
+            adapter=request.adapter,
+            outcome=record.outcome,
+            status=record.status,
+            attempts=record.attempts,
+            predicted_ms=_rounded(record.predicted_ms),
+            took_ms=round(took / timedelta(milliseconds=1)),
+            pieces=record.pieces,
+            retry_after=_seconds(record.retry_after),
+        )
+
+
+def _rounded(value: float | None) -> int | None:
+    return None if value is None else round(value)
+
+
+def _seconds(duration: timedelta | None) -> float | None:
+    return None if duration is None else round(duration.total_seconds(), 2)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_service.py
@@ -0,0 +1,30 @@
+"""Serving the requests of callers, each by a run of its own."""
+
+from collections.abc import Callable
+
+from runhatch_server.gateway._answers import GatewayAnswer
+from runhatch_server.gateway._budget import WindowBudget
+from runhatch_server.gateway._messages import GatewayRequest
+from runhatch_server.gateway._run import RequestRun, RunParts
+from runhatch_server.gateway._settings import RetryBounds
+from runhatch_server.serving import Refusal
+
+
+class GatewayService:
+    """Serves requests; safe for many threads."""
+
+    def __init__(self, parts: RunParts, bounds: RetryBounds) -> None:
+        self._parts = parts
+        self._bounds = bounds
+        self._budgets: dict[str, WindowBudget] = {}
+
+    def serve(
+        self, request: GatewayRequest, caller_gone: Callable[[], bool]
+    ) -> GatewayAnswer | Refusal:
+        """Return the answer to ``request``, which may still be arriving."""
+        budget = self._budgets.get(request.service)
+        if budget is None:
+            made = WindowBudget(self._bounds, self._parts.clock)
+            budget = self._budgets.setdefault(request.service, made)
+        budget.request()
+        return RequestRun(self._parts, request, budget, caller_gone).answer()
--- a/packages/runhatch-server/src/runhatch_server/platform/_http.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -1,16 +1,23 @@
-"""HTTP calls to one of the platform's services, over a few kept connections."""
+"""HTTP calls to one service, over a few kept connections."""
 
 import http.client
 import queue
+import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any
 from urllib.parse import urlsplit
 
 from runhatch_coordination import Unavailable, Unknown
 
 CONNECTIONS = 6
 """Connections kept to one service; more callers than that take turns."""
+DEAD_AFTER = timedelta(seconds=3)
+"""Silence of the other end's machine after which a connection is given up: as long
+as a lost lease renewal may take to be noticed."""
+PROBE_EVERY = timedelta(seconds=1)
+"""Between two keep-alive probes of the kernel on an idle connection."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,8 +28,8 @@
     body: bytes
 
 
-class PlatformHttp:
-    """Calls one service of the platform; safe for many threads.
+class HttpClient:
+    """Calls one service; safe for many threads.
 
     A call that could not be sent is ``Unavailable``; one that was sent and not
     answered in full is ``Unknown``.  ``on_date`` gets each answer's ``Date``.
@@ -48,15 +55,24 @@
             self._free.put(None)
 
     def call(
-        self, method: str, path: str, body: bytes, headers: Mapping[str, str]
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        wait: timedelta = timedelta(),
     ) -> Reply | Unavailable | Unknown:
-        """Send one request and read the whole answer."""
+        """Send one request and read the whole answer.
+
+        ``wait`` is how long the service was asked to keep the call waiting.
+        """
         try:
             kept = self._free.get(timeout=self._timeout)
         except queue.Empty:
             return Unavailable("all connections are in use")
         connection = kept or self._new_connection()
-        outcome = self._exchange(connection, method, path, body, headers)
+        timeout = self._timeout + wait.total_seconds()
+        outcome = self._exchange(connection, method, path, body, headers or {}, timeout)
         if isinstance(outcome, Reply):
             self._free.put(connection)
         else:
@@ -76,13 +92,17 @@
         path: str,
         body: bytes,
         headers: Mapping[str, str],
+        timeout: float,
     ) -> Reply | Unavailable | Unknown:
         try:
             if connection.sock is None:
                 connection.connect()
+                opened: Any = connection.sock
+                notice_dead_peers(opened, DEAD_AFTER)
         except OSError as error:
             return Unavailable(f"not reachable: {error}")
         try:
+            connection.sock.settimeout(timeout)
             connection.request(
                 method, self._prefix + path, body=body, headers=dict(headers)
             )
@@ -93,3 +113,19 @@
         except (OSError, http.client.HTTPException) as error:
             return Unknown(f"no answer: {type(error).__name__}")
         return Reply(response.status, answer)
+
+
+def notice_dead_peers(connection: socket.socket, after: timedelta) -> None:
+    """Have the kernel break a connection whose other end has been silent so long.
+
+    A machine without power, or behind a cut, sends no reset; without this a call
+    that waits for news would hear of the outage only at its own timeout.
+    """
+    probe = max(1, int(PROBE_EVERY.total_seconds()))
+    probes = max(1, int(after / PROBE_EVERY) - 1)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, probe)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, probe)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
+    milliseconds = int(after.total_seconds() * 1000)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
--- a/packages/runhatch-server/src/runhatch_server/operations/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/operations/_app.py
@@ -9,7 +9,7 @@
 from pydantic import Field, TypeAdapter, ValidationError
 
 from runhatch_coordination import Revision, Unavailable, Unknown
-from runhatch_server._border import StrictModel, fault_lines
+from runhatch_server.border import StrictModel, fault_lines
 from runhatch_server.configuration import (
     Applied,
     ApplyOutcome,
--- a/packages/runhatch-server/src/runhatch_server/operations/_commands.py
+++ b/packages/runhatch-server/src/runhatch_server/operations/_commands.py
@@ -7,7 +7,7 @@
 from pydantic import Field, TypeAdapter
 
 from runhatch_coordination import Unavailable
-from runhatch_server._border import StrictModel
+from runhatch_server.border import StrictModel
 from runhatch_server.configuration import (
     Applied,
     ApplyOutcome,
--- a/packages/runhatch-server/src/runhatch_server/operations/_query.py
+++ b/packages/runhatch-server/src/runhatch_server/operations/_query.py
@@ -8,8 +8,8 @@
 
 from pydantic import Field
 
-from runhatch_server._border import StrictModel
 from runhatch_server._errors import RunhatchError
+from runhatch_server.border import StrictModel
 from runhatch_server.operations._nouns import Noun, Record
 
 MAX_LIMIT = 10_000
--- a/packages/runhatch-server/src/runhatch_server/platform/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/platform/__init__.py
@@ -1,6 +1,6 @@
 """Clients of what the platform gives: table, object store and VM list."""
 
-from runhatch_server.platform._http import PlatformHttp, Reply
+from runhatch_server.http import HttpClient, Reply
 from runhatch_server.platform._objects import HttpObjects
 from runhatch_server.platform._table import HttpTable
 from runhatch_server.platform._time import StoreClock
@@ -11,7 +11,7 @@
     "HttpTable",
     "HttpVmList",
     "ListedVms",
-    "PlatformHttp",
+    "HttpClient",
     "Reply",
     "StoreClock",
     "VmList",
--- a/packages/runhatch-server/src/runhatch_server/platform/_objects.py
+++ b/packages/runhatch-server/src/runhatch_server/platform/_objects.py
@@ -2,7 +2,7 @@
 
 from urllib.parse import quote
 
-from runhatch_server.platform._http import PlatformHttp, Reply
+from runhatch_server.http import HttpClient, Reply
 
 PUT_TRIES = 2
 
@@ -13,7 +13,7 @@
     Names are unique to their bodies, so a put whose answer was lost is repeated.
     """
 
-    def __init__(self, http: PlatformHttp, bucket: str) -> None:
+    def __init__(self, http: HttpClient, bucket: str) -> None:
         self._http = http
         self._bucket = bucket
 
--- a/packages/runhatch-server/src/runhatch_server/platform/_table.py
+++ b/packages/runhatch-server/src/runhatch_server/platform/_table.py
@@ -30,7 +30,7 @@
     Unknown,
     Write,
 )
-from runhatch_server.platform._http import PlatformHttp, Reply
+from runhatch_server.http import HttpClient, Reply
 
 TARGET_PREFIX = "DynamoDB_20120810."
 CONTENT_TYPE = "application/x-amz-json-1.0"
@@ -64,7 +64,7 @@
 class HttpTable:
     """A :class:`runhatch_coordination.Table` behind HTTP."""
 
-    def __init__(self, http: PlatformHttp, table: str) -> None:
+    def __init__(self, http: HttpClient, table: str) -> None:
         self._http = http
         self._table = table
 
--- a/packages/runhatch-server/src/runhatch_server/platform/_vms.py
+++ b/packages/runhatch-server/src/runhatch_server/platform/_vms.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from runhatch_coordination import Unavailable, Vm
-from runhatch_server.platform._http import PlatformHttp, Reply
+from runhatch_server.http import HttpClient, Reply
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +41,7 @@
 class HttpVmList:
     """The list behind one HTTP address."""
 
-    def __init__(self, http: PlatformHttp) -> None:
+    def __init__(self, http: HttpClient) -> None:
         self._http = http
 
     def read(self) -> ListedVms | Unavailable:
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/routing/__init__.py
@@ -0,0 +1,28 @@
+"""Routes by host and path, and the services behind them."""
+
+from runhatch_server.routing._specs import (
+    EngineModel,
+    EngineSpec,
+    LoadTimes,
+    RequestKind,
+    RequestLimits,
+    RouteSpec,
+    RoutingConfiguration,
+    ServiceShare,
+    ServiceSpec,
+)
+from runhatch_server.routing._table import RouteTable, choose_service
+
+__all__ = [
+    "EngineModel",
+    "EngineSpec",
+    "LoadTimes",
+    "RequestKind",
+    "RequestLimits",
+    "RouteSpec",
+    "RouteTable",
+    "RoutingConfiguration",
+    "ServiceShare",
+    "ServiceSpec",
+    "choose_service",
+]
--- a/packages/runhatch-server/src/runhatch_server/serving/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/__init__.py
@@ -8,10 +8,17 @@
 from runhatch_server.serving._dispatch import Dispatcher, Grant
 from runhatch_server.serving._once import OnceGuard
 from runhatch_server.serving._picture import Host, Hosting, Picture
+from runhatch_server.serving._prefixes import PrefixIndex
 from runhatch_server.serving._progress import Progress
 from runhatch_server.serving._queue import Waiter
 from runhatch_server.serving._reading import RequestReader
-from runhatch_server.serving._refusals import Executed, Reason, Refusal
+from runhatch_server.serving._refusals import (
+    PROBLEM_TYPE,
+    Executed,
+    Reason,
+    Refusal,
+    problem_document,
+)
 from runhatch_server.serving._relay import AbortedStreamError
 from runhatch_server.serving._request import CallerRequest, Route, RouteKind
 from runhatch_server.serving._service import ServingService
@@ -33,6 +40,8 @@
     "Hosting",
     "OnceGuard",
     "Picture",
+    "PROBLEM_TYPE",
+    "PrefixIndex",
     "Progress",
     "Reason",
     "Refusal",
@@ -41,4 +50,5 @@
     "RouteKind",
     "ServingService",
     "Waiter",
+    "problem_document",
 ]
--- a/packages/runhatch-server/src/runhatch_server/serving/_reading.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_reading.py
@@ -11,7 +11,7 @@
 from pydantic import ValidationError
 
 from runhatch_coordination import Clock
-from runhatch_server._border import fault_lines
+from runhatch_server.border import fault_lines
 from runhatch_server.configuration import PathSpec, PlainServiceSpec
 from runhatch_server.serving._caller_models import BODY_MODELS
 from runhatch_server.serving._headers import (
--- a/packages/runhatch-server/src/runhatch_server/settings/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_load.py
@@ -6,8 +6,8 @@
 import json5
 from pydantic import ValidationError
 
-from runhatch_server._border import fault_lines
 from runhatch_server._errors import SettingsError
+from runhatch_server.border import fault_lines
 from runhatch_server.settings._models import Settings
 
 SECRET_FIELDS = frozenset({"token"})
--- a/packages/runhatch-server/src/runhatch_server/targets/_engine.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_engine.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from runhatch_coordination import Unavailable, Unknown
-from runhatch_server.platform import PlatformHttp, Reply
+from runhatch_server.http import HttpClient, Reply
 from runhatch_server.targets._cache_events import CacheEvents
 
 ENGINE_TIMEOUT = timedelta(seconds=1)
@@ -83,7 +83,7 @@
     """Gives orders to one engine and reads its reports."""
 
     def __init__(self, url: str, timeout: timedelta = ENGINE_TIMEOUT) -> None:
-        self._http = PlatformHttp(url, timeout)
+        self._http = HttpClient(url, timeout)
 
     def give(self, order: Order) -> OrderOutcome:
         """Send ``order`` once."""
--- a/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
@@ -34,10 +34,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RefusedUnrun:
-    """The target said that it did not run the request."""
+    """The target said that it did not run the request.
+
+    ``idle`` is how long its connection may be kept, ``None`` if not at all.
+    """
 
     reason: AttemptReason
     retry_after: timedelta | None = None
+    idle: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/runhatch-server/src/runhatch_server/targets/_stream.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_stream.py
@@ -25,6 +25,11 @@
     def __init__(self) -> None:
         self._buffer = b""
 
+    @property
+    def rest(self) -> bytes:
+        """What has come of an event that is not whole yet."""
+        return self._buffer
+
     def feed(self, chunk: bytes) -> Iterator[bytes]:
         """Yield the events that ``chunk`` completes."""
         self._buffer += chunk
@@ -47,10 +52,15 @@
 
 
 def event_id(event: bytes) -> bytes | None:
-    """Return the event's id, if it has one."""
-    if not event.startswith(ID_FIELD):
-        return None
-    return event[len(ID_FIELD) : event.index(b"\n")]
+    r"""Return the event's id, if it has one.
+
+    >>> event_id(b"event: x\nid: 7\ndata: y\n\n")
+    b'7'
+    """
+    for line in event.split(b"\n"):
+        if line.startswith(ID_FIELD):
+            return line[len(ID_FIELD) :].strip()
+    return None
 
 
 def event_data(event: bytes) -> bytes:
