--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -99,7 +99,9 @@
         clock: Clock,
         stopping: threading.Event,
         on_failure: Callable[[Exception], None],
+        coalesce: timedelta = COALESCE,
     ) -> None:
+        self._coalesce = coalesce
         self._feed = feed
         self._listener = listener
         self._clock = clock
@@ -135,7 +137,7 @@
         if not outcome.entries:
             return timedelta()
         self._listener.changed(outcome.entries)
-        return COALESCE
+        return self._coalesce
 
     def _list(self) -> timedelta:
         outcome = self._feed.read()
--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -95,12 +95,32 @@
         self._record: LeaseRecord | None = None
         self._version = ABSENT
         self._seen_at: timedelta | None = None
+        self._free_since = timedelta()
+        self._taken_from: str | None = None
+        self._resigned = 0
+        self._observed: tuple[int, int, timedelta] | None = None
 
     @property
     def record(self) -> LeaseRecord | None:
         """The lease row as last read, for showing who holds it."""
         return self._record
 
+    @property
+    def free_since(self) -> timedelta:
+        """When the last holder's right had surely ended, on the clock's elapsed time.
+
+        Only of meaning just after this node has acquired the lease.
+        """
+        return self._free_since
+
+    @property
+    def taken_from(self) -> str | None:
+        """Who held the lease before this node: empty if it was given up.
+
+        ``None`` if nobody ever held it.
+        """
+        return self._taken_from
+
     def held(self) -> Epoch | None:
         """Return the epoch if the lease is held by this node right now."""
         with self._lock:
@@ -108,6 +128,20 @@
                 return None
             return Epoch(self._epoch, Check(self._epoch_key, self._epoch))
 
+    def observe(self, epoch: int, renewal: int) -> None:
+        """Take in from the holder itself that it has renewed the lease.
+
+        A challenger that heard so need not watch the table: it times the holder
+        from the newest renewal that it heard of.
+        """
+        known = self._observed
+        if known is None or known[:2] < (epoch, renewal):
+            self._observed = (epoch, renewal, self._clock.elapsed())
+
+    def observe_resigned(self, epoch: int) -> None:
+        """Take in from the holder of ``epoch`` itself that it acts no longer."""
+        self._resigned = max(self._resigned, epoch)
+
     def step(self, eager: bool = True) -> LeaseChange:
         """Renew, acquire or watch, whichever is due."""
         if self._epoch and self.held() is None:
@@ -165,11 +199,36 @@
         self._record = None
         if isinstance(found, Row):
             self._record = msgspec.json.decode(found.body, type=LeaseRecord)
+            self._seen_at = self._first_seen(self._record, self._seen_at)
         if now - self._seen_at < self._patience(eager):
             return LeaseChange.NONE
+        self._free_since = self._free_from(now)
+        self._taken_from = None if self._record is None else self._record.holder
         return self._acquire(now)
 
+    def _first_seen(self, record: LeaseRecord, seen_at: timedelta) -> timedelta:
+        """Return when this renewal was first heard of, from whichever source."""
+        observed = self._observed
+        if observed is None or observed[:2] != (record.epoch, record.renewal):
+            return seen_at
+        return min(seen_at, observed[2])
+
+    def _free_from(self, now: timedelta) -> timedelta:
+        """Return when the holder of the row as last read had surely stopped."""
+        record = self._record
+        seen_at = now if self._seen_at is None else self._seen_at
+        if record is None or not record.holder:
+            return seen_at
+        if record.epoch <= self._resigned:
+            return now
+        return min(now, seen_at + self._ttl)
+
     def _patience(self, eager: bool) -> timedelta:
+        if self._record is not None and self._record.holder == self._holder:
+            # An earlier life of this node held it, and is surely over.
+            return timedelta()
+        if self._record is not None and self._record.epoch <= self._resigned:
+            return timedelta()
         free = self._record is None or not self._record.holder
         if free:
             return timedelta() if eager else self._ttl
--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -21,9 +21,10 @@
 """How long the orderer's word on a target counts for more than the target's own
 entry.  It repeats itself every few seconds; entries are written each 1.2 s and only
 if more than adapters changed."""
-CORRECTION_HOLDS = timedelta(seconds=1)
+CORRECTION_HOLDS = timedelta(milliseconds=120)
 """How long a target that said it lacks a model is not asked for it, unless it or
-its orderer tells something newer."""
+its orderer tells something newer: an adapter may be some ten milliseconds from
+being loaded."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +180,8 @@
                 service=entry.value.service,
                 address=f"{entry.value.host}:{entry.value.port}",
                 state=entry.value.state.value,
+                models=sorted(entry.value.held.adapters_by_model),
+                on_disk=len(entry.value.copies.on_disk),
             )
         elif known.state is not entry.value.state:
             log_change(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -16,6 +16,7 @@
 from runhatch_server.fleet import Directory, Target
 from runhatch_server.gateway._load import (
     BASE_MS,
+    LATE_TIER,
     STREAM_TOKENS_AT_ONCE,
     LoadShare,
     Outstanding,
@@ -38,13 +39,22 @@
 RUN_MS = 1_500.0
 """Usual time between first and last token; a request beyond the slots waits for
 one to end."""
+TOKEN_MS = 20.0
+"""Usual time between two tokens of a stream at a busy engine."""
+BEGIN_SLACK = timedelta(milliseconds=200)
+"""A late answer is begun only if it is predicted so long before its caller leaves."""
 SCORE_JITTER = 0.03
 """Keeps nodes that know the same from choosing the same target at once."""
 ADAPTER_WAIT = timedelta(milliseconds=400)
 """How long a request waits for an adapter whose model is held: loading one takes
 some ten milliseconds, telling of it as much again."""
 PLAN_WAIT = timedelta(milliseconds=100)
-"""How long a request waits to hear whether its model will be loaded."""
+PLAN_WAIT_SHARE = 0.125
+"""How long a request waits to hear whether its model will be loaded: so long, or
+this share of its goal, in which others may be loaded first."""
+MISSING_RETRY = timedelta(seconds=1.5)
+"""When a caller may come back whose model nobody holds: a load takes two seconds
+from a target's disk, and callers wait a third of their time at the most."""
 LOAD_SLACK = timedelta(seconds=1)
 """How much later than announced a load may be done."""
 AFTER_LOAD = timedelta(milliseconds=500)
@@ -71,6 +81,7 @@
     request: GatewayRequest
     predicted_ms: float
     granted_at: timedelta
+    tier: int
     candidates: int
     most_connections: int
 
@@ -141,7 +152,8 @@
                 self._on_missing(request)
             now = self._clock.elapsed()
             if now >= found.until or self._held >= MOST_HELD:
-                return self._refuse(request, found.reason)
+                helps = MISSING_RETRY if request.model else timedelta()
+                return self._refuse(request, found.reason, helps)
             if caller_gone():
                 return Refusal(Reason.CALLER_GONE, Executed.NO)
             self._hold(min(found.until - now, GONE_CHECK))
@@ -198,6 +210,14 @@
         target = grant.target.incarnation
         self._directory.correct(target, request.model, request.adapter)
 
+    def work_ms(self, request: GatewayRequest) -> float:
+        """Return how long reading the whole prompt of ``request`` would take."""
+        work = request.work
+        if work is None:
+            return 0.0
+        with self._lock:
+            return self._rates.prompt_ms(work.model, work.prompt_tokens)
+
     def shares(self) -> dict[str, LoadShare]:
         """Return what this node has outstanding at each target."""
         now = self._clock.elapsed()
@@ -250,11 +270,12 @@
             return _Wait(until, Reason.NO_REPLICA)
         expected = self._directory.expected(request.service, request.model)
         if expected is None:
-            return _Wait(request.received + PLAN_WAIT, Reason.NO_REPLICA)
+            wait = max(PLAN_WAIT, request.route.goal * PLAN_WAIT_SHARE)
+            return _Wait(request.received + wait, Reason.NO_REPLICA)
         ready_at = max(expected.ready_at, now)
-        if ready_at + AFTER_LOAD >= request.deadline:
+        if ready_at + AFTER_LOAD >= request.begin_by:
             return self._refuse(request, Reason.NO_REPLICA, ready_at - now)
-        until = min(ready_at + LOAD_SLACK, request.deadline - AFTER_LOAD)
+        until = min(ready_at + LOAD_SLACK, request.begin_by - AFTER_LOAD)
         return _Wait(until, Reason.NO_REPLICA)
 
     def _choose(
@@ -262,18 +283,22 @@
     ) -> Grant | Refusal:
         now = self._clock.elapsed()
         open_targets = [t for t in targets if self._is_open(t, now)] or targets
-        scored = [self._score(request, service, t, now) for t in open_targets]
-        best = min(scored, key=lambda found: found.score)
-        late_by = self._late_by(request, best.predicted_ms, now)
-        if late_by > timedelta():
-            return self._refuse(request, Reason.GOAL_UNMEETABLE, late_by)
+        tier = _tier(request)
+        best = self._best(request, service, open_targets, tier, now)
+        if self._late_by(request, best.predicted_ms, now) > timedelta():
+            # It gives way to requests in time, and is still worth something late.
+            tier = LATE_TIER
+            best = self._best(request, service, open_targets, tier, now)
+            late_by = _too_late(request, best.predicted_ms, now)
+            if late_by > timedelta():
+                return self._refuse(request, Reason.GOAL_UNMEETABLE, late_by)
         number = next(self._numbers)
         tokens = 0
         if request.work is not None:
             tokens = request.work.prompt_tokens + request.work.expected_output
         load = self._load(best.target.incarnation)
         load.own[number] = Outstanding(
-            best.work_ms, tokens, now, best.predicted_ms, request.route.priority
+            best.work_ms, tokens, now, best.predicted_ms, tier
         )
         share = service.max_connections // max(1, self.nodes)
         return Grant(
@@ -282,10 +307,23 @@
             request,
             best.predicted_ms,
             now,
+            tier,
             len(open_targets),
             max(LEAST_CONNECTIONS, share),
         )
 
+    def _best(
+        self,
+        request: GatewayRequest,
+        service: ServiceSpec,
+        targets: list[Target],
+        tier: int,
+        now: timedelta,
+    ) -> _Scored:
+        """Return the target that would begin first, counting what goes before."""
+        scored = [self._score(request, service, t, tier, now) for t in targets]
+        return min(scored, key=lambda found: found.score)
+
     def _late_by(
         self, request: GatewayRequest, predicted_ms: float, now: timedelta
     ) -> timedelta:
@@ -300,6 +338,7 @@
         request: GatewayRequest,
         service: ServiceSpec,
         target: Target,
+        tier: int,
         now: timedelta,
     ) -> _Scored:
         load = self._load(target.incarnation)
@@ -308,7 +347,7 @@
         if request.work is not None and service.engine is not None:
             uncached = self._uncached(target, request.work)
             work_ms = self._rates.prompt_ms(request.work.model, uncached)
-            predicted = _engine_ms(service.engine, request.work, total, work_ms)
+            predicted = _engine_ms(service.engine, request.work, total, work_ms, tier)
         else:
             usual = self._rates.service_ms(request.route.name)
             beyond = max(0, total.waiting + total.running + 1 - target.slots)
@@ -368,10 +407,14 @@
 
 
 def _engine_ms(
-    engine: EngineSpec, work: ModelWork, total: LoadShare, work_ms: float
+    engine: EngineSpec,
+    work: ModelWork,
+    total: LoadShare,
+    work_ms: float,
+    tier: int,
 ) -> float:
     """Return the predicted time to the first token at an engine."""
-    predicted = BASE_MS + total.waiting_ms + work_ms
+    predicted = BASE_MS + sum(total.waiting_ms[: tier + 1]) + work_ms
     beyond = total.waiting + total.running + 1 - engine.slots
     if beyond > 0:
         predicted += RUN_MS * beyond / engine.slots
@@ -382,6 +425,21 @@
     return predicted
 
 
+def _too_late(
+    request: GatewayRequest, predicted_ms: float, now: timedelta
+) -> timedelta:
+    """Return by how much an answer would begin or end too late to be of any use."""
+    begins = now + timedelta(milliseconds=predicted_ms)
+    output = 0 if request.work is None else request.work.expected_output
+    ends = begins + timedelta(milliseconds=output * TOKEN_MS)
+    return max(begins + BEGIN_SLACK - request.begin_by, ends - request.deadline)
+
+
+def _tier(request: GatewayRequest) -> int:
+    """Return the rank of a request that is in time."""
+    return min(max(request.route.priority, 0), LATE_TIER - 1)
+
+
 def _prefix_blocks(work: ModelWork) -> tuple[str, ...]:
     """Return a name for each leading run of parts, which only like prompts share."""
     names = []
--- a/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
-from runhatch_server.fleet import Target
+from runhatch_server.gateway._balancer import Grant
 from runhatch_server.gateway._connections import ConnectionPool, TargetConnection
 from runhatch_server.gateway._messages import (
     AnswerHead,
@@ -51,13 +51,12 @@
     def send(
         self,
         request: GatewayRequest,
-        target: Target,
-        most_connections: int,
+        grant: Grant,
         until: timedelta,
         caller_gone: Callable[[], bool],
         resume_after: str = "",
     ) -> AttemptResult:
-        """Send ``request`` to ``target`` and wait for an answer's head.
+        """Send ``request`` to the target of ``grant`` and wait for an answer's head.
 
         ``until`` is when waiting ends; the target is given the time that is left
         to the request's own deadline.
@@ -65,11 +64,11 @@
         left = request.deadline - self._clock.elapsed()
         if left <= timedelta():
             return NotSent(AttemptReason.TIMED_OUT)
-        connection = self._pool.take(target, most_connections, left)
+        connection = self._pool.take(grant.target, grant.most_connections, left)
         if isinstance(connection, NotSent):
             return connection
         left = request.deadline - self._clock.elapsed()
-        headers = self._codec.for_target(request, target, left)
+        headers = self._codec.for_target(request, grant.target, left, grant.tier)
         if resume_after:
             headers = self._codec.resumed_after(headers, resume_after)
         result = self._exchange(connection, request, headers, until, caller_gone)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_load.py
@@ -11,6 +11,9 @@
 FIRST_MS_PER_TOKEN = 0.06
 """Time to read a prompt token before any was measured; engines of 70 billion
 parameters read some 17 a millisecond between the tokens of other requests."""
+TIERS = 4
+"""Ranks by which targets take requests: three of requests in time, one of late ones."""
+LATE_TIER = TIERS - 1
 RATE_GAIN = 0.1
 LEAST_MS_PER_TOKEN, MOST_MS_PER_TOKEN = 0.005, 1.0
 """Bounds of what is believed of a model, against measurements gone wrong."""
@@ -42,7 +45,7 @@
     tokens: int
     sent_at: timedelta
     predicted_ms: float
-    urgency: int = 0
+    tier: int = 0
     started: bool = False
 
     def remaining_ms(self, now: timedelta) -> float:
@@ -58,11 +61,12 @@
 class LoadShare:
     """What one node has outstanding at one target.
 
-    ``waiting_ms`` is prompt reading not yet done, ``waiting`` and ``running`` are
-    requests before and after their first token, ``tokens`` what they occupy.
+    ``waiting_ms`` is prompt reading not yet done, by tier; ``waiting`` and
+    ``running`` are requests before and after their first token, ``tokens`` what
+    they occupy.
     """
 
-    waiting_ms: float = 0.0
+    waiting_ms: tuple[float, ...] = (0.0,) * TIERS
     waiting: int = 0
     running: int = 0
     tokens: int = 0
@@ -83,8 +87,11 @@
     def share(self, now: timedelta) -> LoadShare:
         """Return what this node has there."""
         waiting = [o for o in self.own.values() if not o.started]
+        waiting_ms = [0.0] * TIERS
+        for outstanding in waiting:
+            waiting_ms[outstanding.tier] += outstanding.remaining_ms(now)
         return LoadShare(
-            sum(o.remaining_ms(now) for o in waiting),
+            tuple(waiting_ms),
             len(waiting),
             len(self.own) - len(waiting),
             sum(o.tokens for o in self.own.values()),
@@ -93,17 +100,18 @@
     def total(self, now: timedelta) -> LoadShare:
         """Return what all nodes have there, as far as it is known."""
         own = self.share(now)
-        waiting_ms, waiting = own.waiting_ms, own.waiting
+        waiting_ms, waiting = list(own.waiting_ms), own.waiting
         running, tokens = own.running, own.tokens
         for share, at in self.peers.values():
             age = now - at
             if age >= PEER_LOAD_VALID:
                 continue
-            waiting_ms += max(0.0, share.waiting_ms - _milliseconds(age))
+            left = [max(0.0, ms - _milliseconds(age)) for ms in share.waiting_ms]
+            waiting_ms = [a + b for a, b in zip(waiting_ms, left, strict=False)]
             waiting += share.waiting
             running += share.running
             tokens += share.tokens
-        return LoadShare(waiting_ms, waiting, running, tokens)
+        return LoadShare(tuple(waiting_ms), waiting, running, tokens)
 
     def fault_rate(self, now: timedelta) -> float:
         """Return the share of recent requests that the target failed; fades."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
@@ -75,6 +75,14 @@
     work: ModelWork | None = None
     last_event: str = ""
 
+    @property
+    def begin_by(self) -> timedelta:
+        """When the first byte of an answer finds the caller still there."""
+        patience = self.route.patience
+        if patience is None:
+            return self.deadline
+        return min(self.deadline, self.received + patience)
+
     @property
     def model(self) -> str:
         """The model asked for, empty for plain services."""
@@ -114,12 +122,17 @@
         """Decode a caller's headers, by name in lower case."""
 
     def for_target(
-        self, request: GatewayRequest, target: Target, time_left: timedelta
+        self,
+        request: GatewayRequest,
+        target: Target,
+        time_left: timedelta,
+        tier: int,
     ) -> Headers:
         """Return all headers for sending ``request`` to ``target``.
 
-        It gets ``time_left`` for its work, and is asked to do it only if it is
-        the life of the target that is meant.
+        It gets ``time_left`` for its work, takes requests of a lower ``tier``
+        first, and is asked to work only if it is the life of the target that is
+        meant.
         """
 
     def resumed_after(self, headers: Headers, event: str) -> Headers:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -1,6 +1,7 @@
 """A gateway put together: what it owns, how its parts refer to each other."""
 
 import threading
+import time
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import TypeVar
@@ -11,7 +12,12 @@
     Feed,
     FeedListener,
     InvariantError,
+    Lease,
+    LeaseChange,
+    Membership,
     TableWatcher,
+    Vm,
+    rank,
 )
 from runhatch_server._tasks import Tasks
 from runhatch_server.fleet import Directory
@@ -21,13 +27,17 @@
 from runhatch_server.gateway._connections import ConnectionPool
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._forward import Forwarder
+from runhatch_server.gateway._messages import GatewayRequest
 from runhatch_server.gateway._outside import GatewayOutside
+from runhatch_server.gateway._peers import GatewayPeers
 from runhatch_server.gateway._records import RequestRecorder
 from runhatch_server.gateway._run import RunParts
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.gateway._settings import Endpoint, GatewaySettings
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, log_change
+from runhatch_server.peers import DemandOfModel, PeerLinks
+from runhatch_server.residency import Orderer
 from runhatch_server.routing import RequestLimits, RouteTable
 from runhatch_server.serving import Progress
 
@@ -42,6 +52,26 @@
 IDLE_SLACK = timedelta(seconds=10)
 """Idle connections are kept longer than callers are told: the time of day, by which
 the HTTP server judges, may jump by seconds."""
+HEARTBEAT = timedelta(seconds=1)
+SUSPECT_AFTER = timedelta(seconds=3.5)
+"""Three heartbeats lost."""
+MOST_MESSAGE = 1_048_576
+ORDERS_LEASE = "orders"
+LEASE_TTL = timedelta(seconds=3)
+"""Long enough for two renewals to fail, short enough for models to be loaded again
+within some seconds of the holder's death."""
+LEASE_EVERY = timedelta(milliseconds=500)
+LEASE_CANDIDATES = 3
+"""Nodes that challenge the lease; were all to, the store's reads would grow with
+their number."""
+SHARE_EVERY = timedelta(milliseconds=250)
+"""How often loads and demand are told; a prompt takes some 100 ms to read."""
+ORDER_EVERY = timedelta(milliseconds=60)
+"""Between two rounds of the orderer; an adapter takes some 10 ms to load."""
+CHANGES_TOGETHER = timedelta(milliseconds=150)
+TARGET_CHANGES_TOGETHER = timedelta(milliseconds=700)
+"""Changes within so long are read in one call, each of which is paid.  Of targets
+only leaving is urgent, and must be known within two seconds."""
 SETTLE_EVERY = timedelta(milliseconds=250)
 LEAST_STOP = timedelta(seconds=4.2)
 """How long a stopping node serves on at least: the balancer asks once a second, needs
@@ -70,6 +100,21 @@
         self._balancer = Balancer(
             self._directory, self._clock, settings.failure_domain, self._demand.miss
         )
+        self._membership = self._build_membership()
+        self._orderer = self._build_orderer()
+        self._peers = GatewayPeers(
+            self._membership,
+            self._clock,
+            self._metrics,
+            self._balancer,
+            self._directory,
+            settings.seeds,
+            self._on_demand,
+            self._lease.observe,
+            self._lease.observe_resigned,
+        )
+        self._order_now = threading.Event()
+        self._links: PeerLinks | None = None
         self._app = self._build_app()
         self._servers = self._build_servers()
 
@@ -81,9 +126,18 @@
     def start(self) -> None:
         """Open the listeners and start every task."""
         outside = self._outside
-        self._watch("configuration", outside.configurations, self._keeper)
-        self._watch("targets", outside.targets, self._directory)
+        self._watch(
+            "configuration", outside.configurations, self._keeper, CHANGES_TOGETHER
+        )
+        self._watch(
+            "targets", outside.targets, self._directory, TARGET_CHANGES_TOGETHER
+        )
+        self._open_links()
         self._tasks.every("settle", SETTLE_EVERY, self._settle)
+        self._tasks.every("members", HEARTBEAT, self._keep_members)
+        self._tasks.every("lease", LEASE_EVERY, self._keep_lease)
+        self._tasks.every("share", SHARE_EVERY, self._share, self._demand.wake)
+        self._tasks.every("orders", ORDER_EVERY, self._order, self._order_now)
         for server in self._servers:
             server.start()
         log_change("started", node=self._settings.name)
@@ -94,6 +148,12 @@
         log_change("stopping", in_progress=self._progress.count)
         self._stopping.set()
         self._app.draining = True
+        self._membership.leave()
+        self._peers.look_round()
+        epoch = self._orderer.resign()
+        self._orderer.stop()
+        if epoch:
+            self._peers.tell_resigned(epoch)
         latest = begun + self._settings.shutdown_grace - KILL_SLACK
         self._sleep_until(min(begun + LEAST_STOP, latest))
         callers = self._servers[0]
@@ -105,6 +165,8 @@
                 self._clock.sleep(QUIET)
                 if self._progress.begun == seen:
                     break
+        if self._links is not None:
+            self._links.close()
         log_change("stopped", in_progress=self._progress.count)
 
     def on_broken_invariant(self, stop: Callable[[InvariantError], None]) -> None:
@@ -121,8 +183,51 @@
             self._progress,
             self._metrics,
             self._clock,
-            self._demand.note,
+            self._note_demand,
+        )
+
+    def _build_membership(self) -> Membership:
+        settings = self._settings
+        # A node that comes back must outrank what is still said of its last life.
+        born = int(time.time())
+        own = Vm(settings.name, settings.failure_domain, str(settings.peers), born)
+        return Membership(own, self._clock, SUSPECT_AFTER)
+
+    def _build_orderer(self) -> Orderer:
+        bounds = self._settings.orders
+        self._lease = Lease(
+            self._outside.table,
+            self._clock,
+            ORDERS_LEASE,
+            self._settings.name,
+            LEASE_TTL,
+            str(self._settings.peers),
+        )
+        return Orderer(
+            self._lease,
+            self._settings.name,
+            self._directory,
+            self._outside.orders,
+            self._clock,
+            self._metrics,
+            lambda epoch, holdings: self._peers.tell_holdings(epoch, holdings),
+            lambda: self._order_now.set(),
+            bounds.handover,
+            bounds.load_window,
+        )
+
+    def _open_links(self) -> None:
+        self._links = PeerLinks(
+            str(self._settings.peers),
+            self._peers.own,
+            self._peers.receive,
+            self._metrics,
+            HEARTBEAT,
+            MOST_MESSAGE,
+            None,
+            lambda error: self._tasks.on_broken(error),
         )
+        self._peers.attach(self._links)
 
     def _build_servers(self) -> list[HttpServer]:
         settings = self._settings
@@ -141,7 +246,11 @@
         return servers
 
     def _watch(
-        self, name: str, feed: Feed[ValueT], listener: FeedListener[ValueT]
+        self,
+        name: str,
+        feed: Feed[ValueT],
+        listener: FeedListener[ValueT],
+        coalesce: timedelta,
     ) -> None:
         watcher = TableWatcher(
             feed,
@@ -149,14 +258,63 @@
             self._clock,
             self._stopping,
             lambda error: eliot.write_traceback(),
+            coalesce,
         )
         threading.Thread(target=watcher.run, name=name, daemon=True).start()
 
     def _on_routes(self, routes: RouteTable) -> None:
         self._balancer.configure(routes.services)
+        self._orderer.services = routes.services
         self._servers[0].limit(_server_limits(routes.configuration.limits))
         self._app.routes = routes
 
+    def _note_demand(self, request: GatewayRequest) -> None:
+        self._demand.note(request, self._balancer.work_ms(request))
+
+    def _on_demand(self, node: str, demand: list[DemandOfModel]) -> None:
+        missed = False
+        for each in demand:
+            name = (each.service, each.model, each.adapter)
+            self._orderer.asked(
+                node, name, each.priority, each.requests, each.missed, each.work_ms
+            )
+            missed = missed or bool(each.missed)
+        if missed:
+            self._order_now.set()
+
+    def _keep_members(self) -> None:
+        self._peers.look_for_members()
+        self._peers.keep_links()
+        self._peers.look_round()
+        self._balancer.nodes = len(self._membership.alive())
+        epoch = self._orderer.holds_lease()
+        record = self._orderer.record
+        if epoch is not None and record is not None:
+            self._peers.tell_orderer(epoch.number, record.renewal)
+
+    def _keep_lease(self) -> None:
+        """Renew the lease, or challenge it if its holder is not heard."""
+        if self._orderer.holds_lease() is None and self._peers.orderer_is_heard():
+            return
+        names = [vm.name for vm in self._membership.alive()]
+        ranked = rank(ORDERS_LEASE, names)[:LEASE_CANDIDATES]
+        own = self._settings.name
+        if own not in ranked and self._orderer.holds_lease() is None:
+            return
+        change = self._orderer.keep_lease(eager=ranked[0] == own)
+        epoch = self._orderer.holds_lease()
+        if change is LeaseChange.ACQUIRED and epoch is not None:
+            self._peers.tell_orderer(epoch.number, 0)
+
+    def _share(self) -> None:
+        self._peers.tell_loads()
+        shares = self._demand.take()
+        if shares:
+            self._peers.tell_demand(shares)
+
+    def _order(self) -> None:
+        self._orderer.step()
+
     def _settle(self) -> None:
         self._directory.settle()
         known = frozenset(target.incarnation for target in self._directory.all())
--- a/packages/runhatch-server/src/runhatch_server/gateway/_outside.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_outside.py
@@ -5,6 +5,7 @@
 from runhatch_coordination import Clock, Feed, Table
 from runhatch_server.fleet import Target
 from runhatch_server.gateway._messages import HeaderCodec
+from runhatch_server.residency import OrderClient
 from runhatch_server.routing import RoutingConfiguration
 
 
@@ -17,3 +18,4 @@
     configurations: Feed[RoutingConfiguration]
     targets: Feed[Target]
     headers: HeaderCodec
+    orders: OrderClient
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -0,0 +1,223 @@
+"""What gateways tell each other: loads, demand, and what targets hold."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from functools import singledispatchmethod
+
+from runhatch_coordination import Clock, Membership
+from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels
+from runhatch_server.gateway._balancer import Balancer
+from runhatch_server.gateway._demand import DemandShare
+from runhatch_server.gateway._load import LoadShare
+from runhatch_server.gateway._settings import Endpoint
+from runhatch_server.observability import Metrics
+from runhatch_server.peers import (
+    DemandOfModel,
+    Envelope,
+    Fact,
+    HoldingOfTarget,
+    LinkClosed,
+    LoadOfTarget,
+    Member,
+    MemberExchange,
+    ModelDemand,
+    OrdererNotice,
+    TargetHoldings,
+    TargetLoads,
+)
+from runhatch_server.residency import Holding
+
+ORDERER_SILENT = timedelta(seconds=2.5)
+"""Time without a renewal after which the orderer's lease is looked at: it renews it,
+and tells so, each second."""
+
+OnDemand = Callable[[str, list[DemandOfModel]], None]
+
+
+class GatewayPeers(MemberExchange):
+    """Facts in and out of one gateway."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        clock: Clock,
+        metrics: Metrics,
+        balancer: Balancer,
+        directory: Directory,
+        seeds: tuple[Endpoint, ...],
+        on_demand: OnDemand,
+        on_orderer: Callable[[int, int], None],
+        on_resigned: Callable[[int], None],
+    ) -> None:
+        super().__init__(membership, metrics)
+        self._clock = clock
+        self._balancer = balancer
+        self._directory = directory
+        self._seeds = seeds
+        self._on_demand = on_demand
+        self._on_orderer = on_orderer
+        self._on_resigned = on_resigned
+        self._orderer_address = ""
+        self._orderer_epoch = 0
+        self._orderer_renewal = (0, -1)
+        self._orderer_heard = timedelta(days=-1)
+        self._told_loads = False
+
+    def orderer_is_heard(self) -> bool:
+        """Tell whether the node that orders the targets has renewed its lease."""
+        return self._clock.elapsed() - self._orderer_heard < ORDERER_SILENT
+
+    def look_for_members(self) -> None:
+        """Make this node known to its seeds while it knows nobody else."""
+        if len(self._membership.alive()) > 1:
+            return
+        for seed in self._seeds:
+            if str(seed) != self._membership.own.address:
+                self.tell(str(seed), self.own())
+
+    def tell_loads(self) -> None:
+        """Tell peers what this node has outstanding; nothing twice."""
+        shares = self._balancer.shares()
+        if not shares and not self._told_loads:
+            return
+        self._told_loads = bool(shares)
+        loads = [
+            LoadOfTarget(
+                target,
+                tuple(round(waiting) for waiting in share.waiting_ms),
+                share.waiting,
+                share.running,
+                share.tokens,
+            )
+            for target, share in shares.items()
+        ]
+        self.tell_all(TargetLoads(loads))
+
+    def tell_demand(self, shares: list[DemandShare]) -> None:
+        """Send demand to the node that orders the targets, if it is known."""
+        demand = [
+            DemandOfModel(
+                share.wanted.service,
+                share.wanted.model,
+                share.wanted.adapter,
+                share.wanted.priority,
+                share.requests,
+                share.missed,
+                round(share.work_ms),
+            )
+            for share in shares
+        ]
+        own = self._membership.own
+        if self._orderer_address == own.address:
+            self._on_demand(own.name, demand)
+        elif self._orderer_address:
+            self.tell(self._orderer_address, ModelDemand(demand))
+
+    def tell_holdings(self, epoch: int, holdings: list[Holding]) -> None:
+        """Tell peers, and this node itself, what targets hold."""
+        now = self._clock.elapsed()
+        told = [
+            HoldingOfTarget(
+                holding.target,
+                {
+                    model: sorted(adapters)
+                    for model, adapters in holding.held.adapters_by_model.items()
+                },
+                [
+                    (load.model, (load.ready_at - now).total_seconds())
+                    for load in holding.loads
+                ],
+            )
+            for holding in holdings
+        ]
+        self.tell_all(TargetHoldings(epoch, told))
+        for holding in holdings:
+            self._directory.told(holding.target, holding.held, holding.loads)
+
+    def tell_orderer(self, epoch: int, renewal: int) -> None:
+        """Tell peers that this node orders the targets."""
+        self._orderer_is(self._membership.own.address, epoch)
+        self._renewed(epoch, renewal)
+        self.tell_all(OrdererNotice(epoch, renewal))
+
+    def tell_resigned(self, epoch: int) -> None:
+        """Tell peers that this node orders the targets no longer."""
+        self._orderer_heard = timedelta(days=-1)
+        self.tell_all(OrdererNotice(epoch, 0, resigned=True))
+
+    def receive(self, envelope: Envelope) -> None:
+        """Take in one envelope."""
+        if not self.heard(envelope):
+            return
+        for fact in envelope.facts:
+            self._take_in(fact, envelope.sender)
+
+    @singledispatchmethod
+    def _take_in(self, fact: Fact, sender: Member) -> None:
+        """Pass over what only nodes with declared targets tell each other."""
+
+    @_take_in.register
+    def _take_in_member(self, fact: Member, sender: Member) -> None:
+        self.learn_member(fact, sender)
+
+    @_take_in.register
+    def _take_in_closed(self, fact: LinkClosed, sender: Member) -> None:
+        self._membership.forget(sender.name)
+
+    @_take_in.register
+    def _take_in_loads(self, fact: TargetLoads, sender: Member) -> None:
+        shares = {
+            load.target: LoadShare(
+                tuple(float(waiting) for waiting in load.waiting_ms),
+                load.waiting,
+                load.running,
+                load.tokens,
+            )
+            for load in fact.loads
+        }
+        self._balancer.peer_shares(sender.name, shares)
+
+    @_take_in.register
+    def _take_in_demand(self, fact: ModelDemand, sender: Member) -> None:
+        self._on_demand(sender.name, fact.demand)
+
+    @_take_in.register
+    def _take_in_holdings(self, fact: TargetHoldings, sender: Member) -> None:
+        if fact.epoch < self._orderer_epoch:
+            return
+        self._orderer_is(sender.address, fact.epoch)
+        now = self._clock.elapsed()
+        for holding in fact.holdings:
+            held = HeldModels(
+                {
+                    model: frozenset(adapters)
+                    for model, adapters in holding.models.items()
+                }
+            )
+            loads = [
+                ExpectedLoad(holding.target, model, now + timedelta(seconds=left))
+                for model, left in holding.loading
+            ]
+            self._directory.told(holding.target, held, loads)
+
+    @_take_in.register
+    def _take_in_orderer(self, fact: OrdererNotice, sender: Member) -> None:
+        if fact.epoch < self._orderer_epoch:
+            return
+        if fact.resigned:
+            self._orderer_heard = timedelta(days=-1)
+            self._on_resigned(fact.epoch)
+            return
+        self._orderer_is(sender.address, fact.epoch)
+        self._renewed(fact.epoch, fact.renewal)
+        self._on_orderer(fact.epoch, fact.renewal)
+
+    def _orderer_is(self, address: str, epoch: int) -> None:
+        self._orderer_address = address
+        self._orderer_epoch = epoch
+
+    def _renewed(self, epoch: int, renewal: int) -> None:
+        """Note a renewal; a holder that cannot renew may be heard all the same."""
+        if (epoch, renewal) > self._orderer_renewal:
+            self._orderer_renewal = (epoch, renewal)
+            self._orderer_heard = self._clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -18,6 +18,7 @@
         self.attempts: list[str] = []
         self.retries: list[tuple[AttemptReason, bool]] = []
         self.predicted_ms: float | None = None
+        self.tier = 0
         self.outcome = ""
         self.status = 0
         self.retry_after: timedelta | None = None
@@ -27,6 +28,7 @@
         """Note how one attempt ended or went on."""
         if self.predicted_ms is None:
             self.predicted_ms = grant.predicted_ms
+            self.tier = grant.tier
         self.attempts.append(f"{grant.target.incarnation}:{outcome}")
 
     def retry(self, reason: AttemptReason, paid: bool) -> None:
@@ -78,6 +80,7 @@
             outcome=record.outcome,
             status=record.status,
             attempts=record.attempts,
+            tier=record.tier,
             predicted_ms=_rounded(record.predicted_ms),
             took_ms=round(took / timedelta(milliseconds=1)),
             pieces=record.pieces,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -114,8 +114,7 @@
                 return grant.as_unknown() if self._maybe_ran else grant
             result = self._parts.forwarder.send(
                 self._request,
-                grant.target,
-                grant.most_connections,
+                grant,
                 self._patience(grant),
                 self._caller_gone,
                 resume_after,
--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -1,25 +1,41 @@
 """Links between nodes: hints that speed things up, never the truth."""
 
+from runhatch_server.peers._exchange import MemberExchange
 from runhatch_server.peers._links import Links, PeerLinks
 from runhatch_server.peers._messages import (
     DemandCounts,
+    DemandOfModel,
     DrainingTargets,
     Envelope,
     Fact,
+    HoldingOfTarget,
     HostingFact,
     LinkClosed,
+    LoadOfTarget,
     Member,
+    ModelDemand,
+    OrdererNotice,
     PictureDigest,
     PlannerNotice,
     RevisionBody,
     RevisionNotice,
     StateWanted,
+    TargetHoldings,
+    TargetLoads,
     fact_of_member,
     member_of_fact,
 )
 from runhatch_server.peers._service import PeerService
 
 __all__ = [
+    "MemberExchange",
+    "DemandOfModel",
+    "HoldingOfTarget",
+    "LoadOfTarget",
+    "ModelDemand",
+    "OrdererNotice",
+    "TargetHoldings",
+    "TargetLoads",
     "DemandCounts",
     "DrainingTargets",
     "Envelope",
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -0,0 +1,95 @@
+"""Who else is there: heartbeats, links to peers, and news about members."""
+
+import random
+
+from runhatch_coordination import (
+    MemberFact,
+    Membership,
+    Standing,
+    choose_peers,
+)
+from runhatch_server.observability import Metrics, log_change
+from runhatch_server.peers._links import Links
+from runhatch_server.peers._messages import (
+    VERSION,
+    Envelope,
+    Fact,
+    Member,
+    fact_of_member,
+    member_of_fact,
+)
+
+
+class MemberExchange:
+    """Keeps links to peers and tells them who is there."""
+
+    def __init__(
+        self, membership: Membership, metrics: Metrics, seed: int | None = None
+    ) -> None:
+        self._membership = membership
+        self._metrics = metrics
+        self._links: Links | None = None
+        self._random = random.Random(seed)
+
+    def attach(self, links: Links) -> None:
+        """Use ``links`` from now on."""
+        self._links = links
+
+    def own(self) -> Member:
+        """Return the sender's part of every envelope."""
+        own = self._membership.own
+        standing = self._membership.standing(own.name) or Standing.ALIVE
+        return member_of_fact(MemberFact(own, standing))
+
+    def keep_links(self) -> None:
+        """Link to the peers that the membership now asks for."""
+        if self._links is None:
+            return
+        peers = choose_peers(self._membership.own, self._membership.alive())
+        self._links.keep(frozenset(vm.address for vm in peers))
+
+    def look_round(self) -> None:
+        """Suspect silent peers and pass on what is new about members.
+
+        One suspected VM is told so each time, whether linked or not: if it lives
+        it refutes that, and after a parted network heals nothing else would.
+        """
+        for name in self._membership.suspect_silent():
+            self._metrics.suspicions.inc()
+            log_change("suspected", node=name)
+        for fact in self._membership.take_news():
+            self.tell_all(member_of_fact(fact))
+        suspects = self._membership.suspects()
+        if suspects:
+            suspect = self._random.choice(suspects)
+            self._tell_belief(MemberFact(suspect, Standing.SUSPECT))
+
+    def tell_all(self, fact: Fact) -> None:
+        """Send ``fact`` to every linked peer."""
+        if self._links is not None:
+            self._links.tell_all(fact)
+
+    def tell(self, address: str, fact: Fact) -> None:
+        """Send ``fact`` to one address."""
+        if self._links is not None:
+            self._links.tell(address, [fact])
+
+    def heard(self, envelope: Envelope) -> bool:
+        """Take in that a peer lives; false if its message is of another version."""
+        if envelope.version != VERSION:
+            return False
+        sender = fact_of_member(envelope.sender)
+        believed = self._membership.heartbeat(sender, envelope.linked)
+        if believed is not None:
+            self._tell_belief(believed)
+        return True
+
+    def learn_member(self, fact: Member, sender: Member) -> None:
+        """Take in what a peer believes of a VM."""
+        denied = self._membership.learn([fact_of_member(fact)])
+        if denied:
+            self.tell(sender.address, self.own())
+
+    def _tell_belief(self, believed: MemberFact) -> None:
+        """Tell a VM what is believed of it, so that it can refute it."""
+        self.tell(believed.vm.address, member_of_fact(believed))
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -74,6 +74,73 @@
     epoch: int
 
 
+class LoadOfTarget(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender has outstanding at one target.
+
+    ``waiting_ms`` is prompt reading still ahead, by tier, most urgent first.
+    """
+
+    target: str
+    waiting_ms: tuple[int, ...]
+    waiting: int
+    running: int
+    tokens: int
+
+
+class TargetLoads(msgspec.Struct, frozen=True, tag="loads", array_like=True):
+    """All that the sender has outstanding; replaces what it told before."""
+
+    loads: list[LoadOfTarget]
+
+
+class DemandOfModel(msgspec.Struct, frozen=True, array_like=True):
+    """Requests for a model, perhaps with an adapter, since the last count.
+
+    ``missed`` of them found no target that holds it; ``work_ms`` is the prompt
+    reading that they ask for.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    priority: int
+    requests: int
+    missed: int
+    work_ms: int
+
+
+class ModelDemand(msgspec.Struct, frozen=True, tag="asked", array_like=True):
+    """What callers have asked of the sender since it told last."""
+
+    demand: list[DemandOfModel]
+
+
+class HoldingOfTarget(msgspec.Struct, frozen=True, array_like=True):
+    """What a target holds, and what it is loading, with the seconds left."""
+
+    target: str
+    models: dict[str, list[str]]
+    loading: list[tuple[str, float]]
+
+
+class TargetHoldings(msgspec.Struct, frozen=True, tag="holdings", array_like=True):
+    """What the node that orders the targets knows of some of them."""
+
+    epoch: int
+    holdings: list[HoldingOfTarget]
+
+
+class OrdererNotice(msgspec.Struct, frozen=True, tag="orderer", array_like=True):
+    """The sender holds the lease for ordering targets, renewed so many times.
+
+    ``resigned`` says that it gives no further order.
+    """
+
+    epoch: int
+    renewal: int
+    resigned: bool = False
+
+
 class LinkClosed(msgspec.Struct, frozen=True, tag="closed", array_like=True):
     """The sender links to the receiver no more, and its silence means nothing."""
 
@@ -96,6 +163,10 @@
     | PictureDigest
     | LinkClosed
     | StateWanted
+    | TargetLoads
+    | ModelDemand
+    | TargetHoldings
+    | OrdererNotice
 )
 
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_service.py
@@ -1,23 +1,18 @@
 """What a node tells its peers and makes of what they tell it."""
 
-import random
 from collections.abc import Callable
 from functools import singledispatchmethod
 
 from runhatch_coordination import (
-    MemberFact,
     Membership,
     Revision,
     RevisionEntry,
     RevisionFeed,
     Standing,
-    Vm,
-    choose_peers,
 )
-from runhatch_server.observability import Metrics, log_change
-from runhatch_server.peers._links import Links
+from runhatch_server.observability import Metrics
+from runhatch_server.peers._exchange import MemberExchange
 from runhatch_server.peers._messages import (
-    VERSION,
     DemandCounts,
     DrainingTargets,
     Envelope,
@@ -30,13 +25,12 @@
     RevisionBody,
     RevisionNotice,
     StateWanted,
-    fact_of_member,
     member_of_fact,
 )
 from runhatch_server.serving import Hosting, Picture
 
 
-class PeerService:
+class PeerService(MemberExchange):
     """Facts in and out of one node; truth stays with the platform's store."""
 
     def __init__(
@@ -53,52 +47,16 @@
         planners: Callable[[], list[PlannerNotice]],
         seed: int | None = None,
     ) -> None:
-        self._membership = membership
+        super().__init__(membership, metrics, seed)
         self._feed = feed
         self._picture = picture
-        self._metrics = metrics
         self._on_notice = on_notice
         self._on_hosting = on_hosting
         self._on_draining = on_draining
         self._on_demand = on_demand
         self._on_planner = on_planner
         self._planners = planners
-        self._links: Links | None = None
         self._differing: set[str] = set()
-        self._random = random.Random(seed)
-
-    def attach(self, links: Links) -> None:
-        """Use ``links`` from now on."""
-        self._links = links
-
-    def own(self) -> Member:
-        """Return the sender's part of every envelope."""
-        own = self._membership.own
-        standing = self._membership.standing(own.name) or Standing.ALIVE
-        return member_of_fact(MemberFact(own, standing))
-
-    def keep_links(self) -> None:
-        """Link to the peers that the membership now asks for."""
-        if self._links is None:
-            return
-        peers = choose_peers(self._membership.own, self._membership.alive())
-        self._links.keep(frozenset(vm.address for vm in peers))
-
-    def look_round(self) -> None:
-        """Suspect silent peers and pass on what is new about members.
-
-        One suspected VM is told so each time, whether linked or not: if it lives
-        it refutes that, and after a parted network heals nothing else would.
-        """
-        for name in self._membership.suspect_silent():
-            self._metrics.suspicions.inc()
-            log_change("suspected", node=name)
-        for fact in self._membership.take_news():
-            self.tell_all(member_of_fact(fact))
-        suspects = self._membership.suspects()
-        if suspects:
-            suspect = self._random.choice(suspects)
-            self._tell_belief(MemberFact(suspect, Standing.SUSPECT))
 
     def tell_revision(self, number: int) -> None:
         """Tell peers that revision ``number`` is in force here."""
@@ -132,78 +90,62 @@
             wanted = StateWanted(self._feed.number, self._membership.own.address)
             self._links.tell(self._random.choice(others).address, [wanted])
 
-    def tell_all(self, fact: Fact) -> None:
-        """Send ``fact`` to every linked peer."""
-        if self._links is not None:
-            self._links.tell_all(fact)
-
     def receive(self, envelope: Envelope) -> None:
         """Take in one envelope."""
-        if envelope.version != VERSION:
+        if not self.heard(envelope):
             return
-        sender = fact_of_member(envelope.sender)
-        believed = self._membership.heartbeat(sender, envelope.linked)
-        if believed is not None:
-            self._tell_belief(believed)
         for fact in envelope.facts:
-            self._take_in(fact, sender.vm)
+            self._take_in(fact, envelope.sender)
 
     @singledispatchmethod
-    def _take_in(self, fact: Fact, sender: Vm) -> None:
+    def _take_in(self, fact: Fact, sender: Member) -> None:
         raise NotImplementedError(type(fact))
 
     @_take_in.register
-    def _take_in_member(self, fact: Member, sender: Vm) -> None:
-        denied = self._membership.learn([fact_of_member(fact)])
-        if denied and self._links is not None:
-            self._links.tell(sender.address, [self.own()])
+    def _take_in_member(self, fact: Member, sender: Member) -> None:
+        self.learn_member(fact, sender)
 
     @_take_in.register
-    def _take_in_notice(self, fact: RevisionNotice, sender: Vm) -> None:
+    def _take_in_notice(self, fact: RevisionNotice, sender: Member) -> None:
         self._on_notice(fact.number)
 
     @_take_in.register
-    def _take_in_body(self, fact: RevisionBody, sender: Vm) -> None:
+    def _take_in_body(self, fact: RevisionBody, sender: Member) -> None:
         self._feed.offer(_revision(fact))
 
     @_take_in.register
-    def _take_in_hosting(self, fact: HostingFact, sender: Vm) -> None:
+    def _take_in_hosting(self, fact: HostingFact, sender: Member) -> None:
         # Passed on only if it was news, so that it dies out.
         if self._on_hosting(Hosting(fact.target, fact.version, fact.units)):
             self.tell_all(fact)
 
     @_take_in.register
-    def _take_in_draining(self, fact: DrainingTargets, sender: Vm) -> None:
+    def _take_in_draining(self, fact: DrainingTargets, sender: Member) -> None:
         if self._on_draining(frozenset(fact.targets)):
             self.tell_all(fact)
 
     @_take_in.register
-    def _take_in_demand(self, fact: DemandCounts, sender: Vm) -> None:
+    def _take_in_demand(self, fact: DemandCounts, sender: Member) -> None:
         self._on_demand(fact.counts)
 
     @_take_in.register
-    def _take_in_planner(self, fact: PlannerNotice, sender: Vm) -> None:
+    def _take_in_planner(self, fact: PlannerNotice, sender: Member) -> None:
         if self._on_planner(fact):
             self.tell_all(fact)
 
     @_take_in.register
-    def _take_in_digest(self, fact: PictureDigest, sender: Vm) -> None:
+    def _take_in_digest(self, fact: PictureDigest, sender: Member) -> None:
         self._compare(sender, fact.digest)
 
     @_take_in.register
-    def _take_in_closed(self, fact: LinkClosed, sender: Vm) -> None:
+    def _take_in_closed(self, fact: LinkClosed, sender: Member) -> None:
         self._membership.forget(sender.name)
 
     @_take_in.register
-    def _take_in_wanted(self, fact: StateWanted, sender: Vm) -> None:
+    def _take_in_wanted(self, fact: StateWanted, sender: Member) -> None:
         self._reply(fact.known, fact.reply_to)
 
-    def _tell_belief(self, believed: MemberFact) -> None:
-        """Tell a VM what is believed of it, so that it can refute it."""
-        if self._links is not None:
-            self._links.tell(believed.vm.address, [member_of_fact(believed)])
-
-    def _compare(self, sender: Vm, digest: int) -> None:
+    def _compare(self, sender: Member, digest: int) -> None:
         """Ask for all hostings if the sender's differ twice in a row.
 
         Once may be a change that is still on its way.
--- a/packages/runhatch-server/src/runhatch_server/placement/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/__init__.py
@@ -6,6 +6,7 @@
     RetireUnit,
     Urgency,
 )
+from runhatch_server.placement._balance import Spread, spread
 from runhatch_server.placement._ledger import Charge, ChargeState, LedgerRow
 from runhatch_server.placement._planner import explain, plan
 from runhatch_server.placement._reconcile import (
@@ -36,6 +37,7 @@
     "Reconciled",
     "RetireUnit",
     "ShardPlanner",
+    "Spread",
     "TargetView",
     "UnitTimes",
     "Urgency",
@@ -44,4 +46,5 @@
     "hosting_of",
     "plan",
     "reconcile",
+    "spread",
 ]
--- a/packages/runhatch-server/src/runhatch_server/placement/_balance.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_balance.py
@@ -1,6 +1,7 @@
-"""How work spreads over the replicas of a pool, and where it is too much."""
+"""How work spreads over the replicas of models, and where it is too much."""
 
 from collections import defaultdict
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from runhatch_server.placement._ledger import ChargeState
@@ -10,7 +11,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Balance:
+class Spread:
     """Concurrent requests by target, and by model and target."""
 
     loads: dict[str, float]
@@ -34,16 +35,12 @@
         return max(0.0, high * self.capacities[target] - self.loads[target])
 
 
-def balance(state: PoolState) -> Balance:
-    """Spread each model's work over its replicas as the routers would.
+def balance(state: PoolState) -> Spread:
+    """Spread the work of a pool over its replicas as the routers would.
 
-    Work goes to the least utilised replicas first; a few passes come close to
-    the even spread that routing by predicted wait reaches.  Loading replicas
-    count, so that a need is not met twice.
+    Loading replicas count, so that a need is not met twice.
     """
     capacities = {t.name: float(t.concurrency) for t in state.pool.targets}
-    loads: dict[str, float] = dict.fromkeys(capacities, 0.0)
-    shares: dict[tuple[str, str], float] = defaultdict(float)
     hosts = {
         model.name: [
             host
@@ -54,21 +51,35 @@
         ]
         for model in state.models
     }
-    heaviest = sorted(hosts, key=lambda name: state.work.get(name, 0.0), reverse=True)
+    return spread(state.work, hosts, capacities)
+
+
+def spread(
+    work: Mapping[str, float],
+    hosts: Mapping[str, Sequence[str]],
+    capacities: dict[str, float],
+) -> Spread:
+    """Spread each model's work over its hosts as the routers would.
+
+    Work goes to the least utilised replicas first; a few passes come close to
+    the even spread that routing by predicted wait reaches.
+    """
+    loads: dict[str, float] = dict.fromkeys(capacities, 0.0)
+    shares: dict[tuple[str, str], float] = defaultdict(float)
+    heaviest = sorted(hosts, key=lambda name: work.get(name, 0.0), reverse=True)
     for _ in range(PASSES):
         for name in heaviest:
             for host in hosts[name]:
                 loads[host] -= shares[name, host]
                 shares[name, host] = 0.0
-            work = state.work.get(name, 0.0)
-            _fill(name, work, hosts[name], loads, shares, capacities)
-    return Balance(loads, dict(shares), capacities)
+            _fill(name, work.get(name, 0.0), hosts[name], loads, shares, capacities)
+    return Spread(loads, dict(shares), capacities)
 
 
 def _fill(
     name: str,
     work: float,
-    hosts: list[str],
+    hosts: Sequence[str],
     loads: dict[str, float],
     shares: dict[tuple[str, str], float],
     capacities: dict[str, float],
--- a/packages/runhatch-server/src/runhatch_server/placement/_planner.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_planner.py
@@ -8,7 +8,7 @@
 
 from runhatch_server.configuration import ModelSpec
 from runhatch_server.placement._actions import Action, LoadUnit
-from runhatch_server.placement._balance import Balance, balance
+from runhatch_server.placement._balance import Spread, balance
 from runhatch_server.placement._draft import Draft
 from runhatch_server.placement._reachability import (
     keep_reachable,
@@ -32,7 +32,7 @@
 
 def explain(state: PoolState, model: ModelSpec) -> list[str]:
     """Return lines that tell where ``model`` is, and what speaks for changes."""
-    spread: Balance = balance(state)
+    spread: Spread = balance(state)
     work = state.work.get(model.name, 0.0)
     lines = [f"expected work: {work:.2f} concurrent requests"]
     for name, row in state.rows.items():
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/__init__.py
@@ -0,0 +1,38 @@
+"""Which models are resident where, when targets hold fewer than are declared."""
+
+from runhatch_server.residency._control import Intent, Step, TargetControl
+from runhatch_server.residency._demand import Demand, DemandBook, rank_weight
+from runhatch_server.residency._orderer import Holding, Orderer
+from runhatch_server.residency._orders import (
+    OrderClient,
+    TargetOrder,
+    TargetReport,
+)
+from runhatch_server.residency._permits import LoadPermits
+from runhatch_server.residency._policy import (
+    FleetView,
+    LoadAdapter,
+    LoadModel,
+    plan_adapters,
+    plan_models,
+)
+
+__all__ = [
+    "Demand",
+    "DemandBook",
+    "FleetView",
+    "Holding",
+    "Intent",
+    "LoadAdapter",
+    "LoadModel",
+    "LoadPermits",
+    "OrderClient",
+    "Orderer",
+    "Step",
+    "TargetControl",
+    "TargetOrder",
+    "TargetReport",
+    "plan_adapters",
+    "plan_models",
+    "rank_weight",
+]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -0,0 +1,116 @@
+"""What callers ask for, as a rate that rises at once and fades within seconds."""
+
+import math
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+TIME_CONSTANT = timedelta(seconds=5)
+"""Over which requests are averaged.  Demand moves to other models within some five
+seconds; a longer average keeps models that nobody asks for."""
+MISS_VALID = timedelta(milliseconds=700)
+"""How long a request that found no holder counts as waiting for one; its caller
+comes back, and its node tells again."""
+RANK_WEIGHTS = (2.0, 1.6, 1.0)
+"""What a request counts by its route's priority: the urgent ones must not be served
+less often than those that can wait.  Ratios near those of their declared goals'
+ranks; later ranks count as the last."""
+
+
+def rank_weight(priority: int) -> float:
+    """Return what one request of ``priority`` counts."""
+    return RANK_WEIGHTS[min(max(priority, 0), len(RANK_WEIGHTS) - 1)]
+
+
+@dataclass(slots=True)
+class Demand:
+    """Demand for one model or adapter."""
+
+    rate: float = 0.0
+    """Requests a second."""
+    weighted: float = 0.0
+    """The same, each request counted by its rank."""
+    work: float = 0.0
+    """Share of an engine's time that reading their prompts takes."""
+    at: timedelta = timedelta()
+    asked: bool = False
+    """Whether any request was ever seen for it."""
+    misses: dict[str, tuple[float, timedelta]] = field(default_factory=dict)
+
+    def fade(self, now: timedelta) -> None:
+        """Bring the averages up to ``now``."""
+        kept = math.exp(-max(0.0, (now - self.at) / TIME_CONSTANT))
+        self.rate *= kept
+        self.weighted *= kept
+        self.work *= kept
+        self.at = now
+
+    def add(self, requests: int, weight: float, work_ms: float, now: timedelta) -> None:
+        """Take in requests, each of which counts ``weight``."""
+        self.fade(now)
+        self.asked = True
+        seconds = TIME_CONSTANT.total_seconds()
+        self.rate += requests / seconds
+        self.weighted += requests * weight / seconds
+        self.work += work_ms / 1000 / seconds
+
+    def miss(self, node: str, weighted: float, now: timedelta) -> None:
+        """Take in that requests of ``node`` wait for a holder."""
+        self.misses[node] = (weighted, now)
+
+    def waiting(self, now: timedelta) -> float:
+        """Return the weighted requests that wait for a holder now."""
+        return sum(
+            weighted for weighted, at in self.misses.values() if now - at < MISS_VALID
+        )
+
+
+class DemandBook:
+    """Demand by service and model, and by service, model and adapter."""
+
+    def __init__(self) -> None:
+        self._models: dict[tuple[str, str], Demand] = {}
+        self._adapters: dict[tuple[str, str, str], Demand] = {}
+
+    def add(
+        self,
+        node: str,
+        name: tuple[str, str, str],
+        priority: int,
+        requests: int,
+        missed: int,
+        work_ms: float,
+        now: timedelta,
+    ) -> None:
+        """Take in what ``node`` was asked for; ``name`` is service, model, adapter."""
+        service, model, adapter = name
+        weight = rank_weight(priority)
+        of_model = self._models.setdefault((service, model), Demand(at=now))
+        of_model.add(requests, weight, work_ms, now)
+        if missed:
+            of_model.miss(node, missed * weight, now)
+        if not adapter:
+            return
+        of_adapter = self._adapters.setdefault(name, Demand(at=now))
+        of_adapter.add(requests, weight, work_ms, now)
+        if missed:
+            of_adapter.miss(node, missed * weight, now)
+
+    def model(self, service: str, model: str, now: timedelta) -> Demand:
+        """Return the demand for a model."""
+        demand = self._models.get((service, model))
+        if demand is None:
+            return Demand(at=now)
+        demand.fade(now)
+        return demand
+
+    def adapter(self, service: str, model: str, adapter: str, now: timedelta) -> Demand:
+        """Return the demand for an adapter."""
+        demand = self._adapters.get((service, model, adapter))
+        if demand is None:
+            return Demand(at=now)
+        demand.fade(now)
+        return demand
+
+    def adapters(self, service: str) -> list[tuple[str, str]]:
+        """Return model and adapter of every adapter asked for so far."""
+        return [(m, a) for s, m, a in self._adapters if s == service]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -0,0 +1,457 @@
+"""The one node that orders targets: its lease, its rounds, and what it tells.
+
+Whichever node holds the lease reads reports, plans, and sends orders.  Everything it
+knows beyond the store is rebuilt from reports after a takeover.
+"""
+
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass
+from datetime import timedelta
+
+from runhatch_coordination import (
+    Clock,
+    Epoch,
+    Lease,
+    LeaseChange,
+    LeaseRecord,
+    Unavailable,
+)
+from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels, Target
+from runhatch_server.observability import Metrics, log_change
+from runhatch_server.residency._control import (
+    UNLOAD_TIME,
+    Intent,
+    Step,
+    TargetControl,
+)
+from runhatch_server.residency._demand import DemandBook
+from runhatch_server.residency._orders import (
+    OrderClient,
+    TargetOrder,
+    TargetReport,
+)
+from runhatch_server.residency._permits import LoadPermits
+from runhatch_server.residency._policy import (
+    FleetView,
+    LoadAdapter,
+    LoadModel,
+    by_service,
+    plan_adapters,
+    plan_models,
+)
+from runhatch_server.routing import EngineSpec, ServiceSpec
+from runhatch_server.targets import OrderKind, OrderOutcome
+
+CALL_WORKERS = 8
+"""Calls to targets at once; one that is dark holds a worker for its timeout."""
+TELL_ALL_EVERY = timedelta(seconds=3)
+"""How often what all targets hold is told again, for nodes that missed some of it."""
+RECHECK_AFTER = timedelta(seconds=4)
+"""How long a target's own entry may differ from what the orderer believes before a
+report is asked for."""
+HANDOVER_SLACK = timedelta(milliseconds=200)
+REPORT_TIME = timedelta(milliseconds=220)
+"""From the end of a load until it is known here: the report's lag and a round."""
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """What one target holds, and the loads under way there."""
+
+    target: str
+    held: HeldModels
+    loads: tuple[ExpectedLoad, ...]
+
+
+OnHoldings = Callable[[int, list[Holding]], None]
+
+
+class Orderer:
+    """Orders all targets while this node holds the lease.
+
+    One task calls :meth:`keep_lease`, another :meth:`step`, so that targets which
+    do not answer cannot make the holder miss its renewal.
+    """
+
+    def __init__(
+        self,
+        lease: Lease,
+        node: str,
+        directory: Directory,
+        client: OrderClient,
+        clock: Clock,
+        metrics: Metrics,
+        on_holdings: OnHoldings,
+        on_answer: Callable[[], None],
+        handover: timedelta,
+        load_window: timedelta,
+    ) -> None:
+        self._lease = lease
+        self._node = node
+        self._directory = directory
+        self._client = client
+        self._clock = clock
+        self._metrics = metrics
+        self._on_holdings = on_holdings
+        self._on_answer = on_answer
+        self._handover = handover
+        self._load_window = load_window
+        self._executor = ThreadPoolExecutor(CALL_WORKERS, thread_name_prefix="orders")
+        self._lock = threading.Lock()
+        self._demand = DemandBook()
+        self._controls: dict[str, TargetControl] = {}
+        self._calls: dict[str, tuple[Future[object], Callable[[object], None]]] = {}
+        self._permits = LoadPermits(load_window, clock.elapsed())
+        self._epoch = 0
+        self._order_from = timedelta()
+        self._told_all = timedelta(days=-1)
+        self._stopped = False
+        self.services: Mapping[str, ServiceSpec] = {}
+        """What is declared; replaced whole."""
+
+    @property
+    def record(self) -> LeaseRecord | None:
+        """The lease as last read or written here."""
+        return self._lease.record
+
+    def holds_lease(self) -> Epoch | None:
+        """Return the epoch if this node orders the targets right now."""
+        return None if self._stopped else self._lease.held()
+
+    def keep_lease(self, eager: bool) -> LeaseChange:
+        """Renew, acquire or watch the lease, whichever is due."""
+        if self._stopped:
+            return LeaseChange.NONE
+        change = self._lease.step(eager)
+        if change is LeaseChange.ACQUIRED:
+            self._taken_over()
+        if change is not LeaseChange.NONE:
+            self._metrics.leases.labels(change.value).inc()
+            log_change("lease", change=change.value, epoch=self._epoch)
+        return change
+
+    def resign(self) -> int:
+        """Give no further order under the lease; returns its epoch, 0 if not held."""
+        with self._lock:
+            epoch, self._epoch = self._epoch, 0
+            self._controls.clear()
+            return epoch
+
+    def stop(self) -> None:
+        """Give no further order, and give the lease up."""
+        self._stopped = True
+        self._executor.shutdown(wait=True, cancel_futures=True)
+        self._lease.release()
+
+    def asked(
+        self,
+        node: str,
+        name: tuple[str, str, str],
+        priority: int,
+        requests: int,
+        missed: int,
+        work_ms: float,
+    ) -> None:
+        """Take in what ``node`` was asked for; ``name`` is service, model, adapter."""
+        now = self._clock.elapsed()
+        with self._lock:
+            self._demand.add(node, name, priority, requests, missed, work_ms, now)
+
+    def step(self) -> None:
+        """Make one round: take in answers, ask for reports, plan, order, tell."""
+        epoch = self.holds_lease()
+        if epoch is None:
+            if self._epoch:
+                self._forget()
+            return
+        if epoch.number != self._epoch:
+            return
+        with self._lock:
+            self._meet_targets()
+            self._take_answers()
+            now = self._clock.elapsed()
+            if now >= self._order_from:
+                self._ask_reports(now)
+                self._go_on_with_intents(epoch, now)
+                self._plan(epoch, now)
+            self._tell(now)
+
+    def _taken_over(self) -> None:
+        """Begin anew, so late that no order of the last holder is close behind."""
+        epoch = self._lease.held()
+        now = self._clock.elapsed()
+        with self._lock:
+            self._controls.clear()
+            self._epoch = 0 if epoch is None else epoch.number
+            self._permits = LoadPermits(self._load_window, now)
+            self._order_from = now
+            if self._lease.taken_from not in (None, self._node):
+                free_since = self._lease.free_since
+                self._order_from = free_since + self._handover + HANDOVER_SLACK
+            self._told_all = timedelta(days=-1)
+
+    def _forget(self) -> None:
+        with self._lock:
+            self._controls.clear()
+            self._calls.clear()
+            self._epoch = 0
+
+    def _meet_targets(self) -> None:
+        known = {
+            target.incarnation: target
+            for target in self._directory.all()
+            if self._has_engine(target)
+        }
+        for name in set(self._controls) - set(known):
+            del self._controls[name]
+        for name, target in known.items():
+            control = self._controls.get(name)
+            if control is None:
+                control = TargetControl(target, ask_at=self._clock.elapsed())
+                held = target.held.adapters_by_model
+                control.held = {model: set(names) for model, names in held.items()}
+                self._controls[name] = control
+            control.met(target)
+            control.arrive(self._clock.elapsed())
+
+    def _has_engine(self, target: Target) -> bool:
+        service = self.services.get(target.service)
+        return service is not None and service.engine is not None
+
+    # Calls to targets, each in a worker; their answers are taken in by rounds.
+
+    def _call(
+        self,
+        control: TargetControl,
+        work: Callable[[], object],
+        take: Callable[[object], None],
+    ) -> None:
+        control.calling = True
+        name = control.target.incarnation
+        future = self._executor.submit(work)
+        self._calls[name] = (future, take)
+        future.add_done_callback(lambda done: self._on_answer())
+
+    def _take_answers(self) -> None:
+        for name in list(self._calls):
+            future, take = self._calls[name]
+            if not future.done():
+                continue
+            del self._calls[name]
+            if name in self._controls:
+                take(future.result())
+
+    def _ask_reports(self, now: timedelta) -> None:
+        for control in self._controls.values():
+            if control.calling:
+                continue
+            if control.step is Step.IDLE:
+                self._recheck(control, now)
+                continue
+            if now >= control.ask_at:
+                self._ask(control)
+
+    def _recheck(self, control: TargetControl, now: timedelta) -> None:
+        """Ask again if the target itself tells something else for long."""
+        listed = frozenset(control.target.held.adapters_by_model)
+        if listed == frozenset(control.held):
+            control.ask_at = now + RECHECK_AFTER
+        elif now >= control.ask_at:
+            control.ask_at = now + RECHECK_AFTER
+            self._ask(control)
+
+    def _ask(self, control: TargetControl) -> None:
+        target = control.target
+        self._call(
+            control,
+            lambda: self._client.report(target),
+            lambda report: self._reported(control, report),
+        )
+
+    def _reported(self, control: TargetControl, report: object) -> None:
+        now = self._clock.elapsed()
+        if isinstance(report, TargetReport):
+            before = control.step
+            control.reported(report, now)
+            if before is not control.step:
+                log_change(
+                    "target_settled",
+                    target=control.target.incarnation,
+                    after=before.value,
+                    models=sorted(control.held),
+                    orders=control.orders,
+                )
+            return
+        assert isinstance(report, Unavailable)
+        control.unanswered(now)
+
+    # Planning and ordering.
+
+    def _plan(self, epoch: Epoch, now: timedelta) -> None:
+        ready = {
+            target.incarnation
+            for service in self.services
+            for target in self._directory.ready(service)
+        }
+        controls = [c for c in self._controls.values() if c.target.incarnation in ready]
+        for service, members in by_service(controls).items():
+            engine = self.services[service].engine
+            if engine is None:
+                continue
+            view = FleetView(service, engine, members, self._demand, now)
+            for adapter in plan_adapters(view):
+                self._load_adapter(adapter, epoch)
+            for load in plan_models(view):
+                self._begin(load, epoch, now)
+
+    def _begin(self, load: LoadModel, epoch: Epoch, now: timedelta) -> None:
+        control = self._controls[load.target]
+        if not control.is_free:
+            return
+        engine = self._engine(control)
+        spec = None if engine is None else engine.by_name.get(load.model)
+        if engine is None or spec is None:
+            return
+        if control.loads_from_store(load.model) and not self._permits.take(
+            engine.loads_per_second, now
+        ):
+            return
+        log_change(
+            "load_planned",
+            target=load.target,
+            model=load.model,
+            evict=list(load.evict),
+            reason=load.reason,
+            value=round(load.value, 2),
+            seconds=control.load_time(spec).total_seconds(),
+        )
+        control.intent = Intent(load.model, load.evict, load.reason)
+        control.changed = True
+        self._go_on(control, epoch)
+
+    def _go_on_with_intents(self, epoch: Epoch, now: timedelta) -> None:
+        for control in self._controls.values():
+            if control.intent is not None and control.is_free:
+                self._go_on(control, epoch)
+
+    def _go_on(self, control: TargetControl, epoch: Epoch) -> None:
+        """Send the next order of the control's intent."""
+        intent = control.intent
+        engine = self._engine(control)
+        if intent is None or engine is None:
+            return
+        left = [model for model in intent.evict if model in control.held]
+        if left:
+            self._order(control, OrderKind.UNLOAD, left[0], "", epoch)
+            return
+        spec = engine.by_name.get(intent.model)
+        fits = spec is not None and (
+            control.used_mb(engine) + spec.memory_mb <= engine.memory_mb
+        )
+        if intent.model in control.held or not fits:
+            control.intent = None
+            control.changed = True
+            return
+        self._order(control, OrderKind.LOAD, intent.model, "", epoch)
+
+    def _load_adapter(self, load: LoadAdapter, epoch: Epoch) -> None:
+        control = self._controls[load.target]
+        if not control.takes_adapters:
+            return
+        if load.evict is not None:
+            self._order(control, OrderKind.UNLOAD, *load.evict, epoch)
+            return
+        self._order(control, OrderKind.LOAD, load.model, load.adapter, epoch)
+
+    def _order(
+        self,
+        control: TargetControl,
+        kind: OrderKind,
+        model: str,
+        adapter: str,
+        epoch: Epoch,
+    ) -> None:
+        order = TargetOrder(
+            kind, model, adapter, control.orders, self._node, epoch.number
+        )
+        target = control.target
+        self._call(
+            control,
+            lambda: self._give(target, order),
+            lambda outcome: self._ordered(control, order, outcome),
+        )
+
+    def _give(self, target: Target, order: TargetOrder) -> OrderOutcome | None:
+        """Send ``order`` unless the lease has lapsed meanwhile."""
+        epoch = self.holds_lease()
+        if epoch is None or epoch.number != order.fence:
+            return None
+        return self._client.give(target, order)
+
+    def _ordered(
+        self, control: TargetControl, order: TargetOrder, outcome: object
+    ) -> None:
+        if not isinstance(outcome, OrderOutcome):
+            control.calling = False
+            return
+        engine = self._engine(control)
+        spec = None if engine is None else engine.by_name.get(order.model)
+        took = timedelta() if spec is None else control.load_time(spec)
+        control.ordered(order, outcome, took, self._clock.elapsed())
+        self._metrics.orders.labels(order.kind.value, outcome.value).inc()
+        log_change(
+            "order",
+            target=control.target.incarnation,
+            kind=order.kind.value,
+            model=order.model,
+            adapter=order.adapter,
+            after_orders=order.after_orders,
+            fence=order.fence,
+            outcome=outcome.value,
+        )
+
+    def _engine(self, control: TargetControl) -> EngineSpec | None:
+        service = self.services.get(control.target.service)
+        return None if service is None else service.engine
+
+    # Telling.
+
+    def _tell(self, now: timedelta) -> None:
+        everything = now - self._told_all >= TELL_ALL_EVERY
+        if everything:
+            self._told_all = now
+        told: Iterable[TargetControl] = [
+            control
+            for control in self._controls.values()
+            if control.step is not Step.UNKNOWN and (everything or control.changed)
+        ]
+        holdings = [self._holding(control, now) for control in told]
+        for control in told:
+            control.changed = False
+        if holdings:
+            self._on_holdings(self._epoch, holdings)
+
+    def _holding(self, control: TargetControl, now: timedelta) -> Holding:
+        name = control.target.incarnation
+        loads: tuple[ExpectedLoad, ...] = ()
+        if control.loading:
+            ready_at = control.ready_at + REPORT_TIME
+            loads = (ExpectedLoad(name, control.loading, ready_at),)
+        elif control.intent is not None:
+            loads = (self._expected(control, now),)
+        return Holding(name, control.view(), loads)
+
+    def _expected(self, control: TargetControl, now: timedelta) -> ExpectedLoad:
+        """Return when a load that waits for room may be done."""
+        intent = control.intent
+        assert intent is not None
+        engine = self._engine(control)
+        spec = None if engine is None else engine.by_name.get(intent.model)
+        took = timedelta() if spec is None else control.load_time(spec)
+        unloading = len([m for m in intent.evict if m in control.held])
+        pause = UNLOAD_TIME * unloading
+        return ExpectedLoad(
+            control.target.incarnation, intent.model, now + pause + took
+        )
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -0,0 +1,350 @@
+"""Which model goes where: decided by what requests wait for and what would be lost.
+
+All values are in weighted requests.  What waits for a model, and what would ask for
+it within a few seconds, speaks for loading it; the same measure speaks for keeping
+what must give way.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from runhatch_server.placement import Spread, spread
+from runhatch_server.residency._control import TargetControl
+from runhatch_server.residency._demand import DemandBook
+from runhatch_server.routing import EngineModel, EngineSpec
+
+HORIZON_SECONDS = 3.0
+"""How far ahead demand counts.  A model that gave way is back two seconds after it
+is asked for, where its target kept a copy on disk."""
+STORE_LOAD_PRICE = 1.0
+"""What a load from the weight store costs, in weighted requests; one loaded from a
+target's own copy costs the time alone."""
+LOAD_SECOND_PRICE = 0.15
+"""What each second costs that a load keeps its target from other orders."""
+HYSTERESIS = 1.3
+"""Times what is lost that must be won: against models that take turns."""
+REPLICA_LOAD = 0.65
+"""Share of a target's time for prompts beyond which requests wait long enough for
+another replica to be worth its load: at 0.65 a prompt of 100 ms waits as long
+again."""
+LEAST_DIFFERENCE = 0.25
+"""A replica goes only to targets with so much less to do."""
+EASY_LOAD = 0.3
+"""Share of a target's time up to which it takes over another replica's requests
+without a loss; at ``REPLICA_LOAD`` all of them are counted as lost."""
+UNKNOWN_MODEL = 2.5
+"""What the last replica of a model is worth that nobody has asked for yet, in
+weighted requests: demand moves to other models without warning, and the targets
+were given these models by those who know the demand."""
+KNOWN_MODEL = 0.2
+"""The same of a model that has been asked for; its rate tells the rest."""
+WORTH_KEEPING_RATE = 0.05
+"""Requests a second from which a model that no target holds any more is loaded again
+without waiting for the next request."""
+ADAPTER_RATE_PER_REPLICA = 1.5
+"""Requests a second for one adapter from which it is put on another target."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadModel:
+    """Load ``model`` on ``target`` after unloading ``evict``."""
+
+    target: str
+    model: str
+    evict: tuple[str, ...]
+    reason: str
+    value: float
+    startable: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class LoadAdapter:
+    """Load an adapter on ``target``, after unloading ``evict`` if it has no room."""
+
+    target: str
+    model: str
+    adapter: str
+    evict: tuple[str, str] | None
+
+
+class FleetView:
+    """The targets of one service as they are to be planned for."""
+
+    def __init__(
+        self,
+        service: str,
+        engine: EngineSpec,
+        controls: Sequence[TargetControl],
+        demand: DemandBook,
+        now: timedelta,
+    ) -> None:
+        self.service = service
+        self.engine = engine
+        self.controls = controls
+        self.demand = demand
+        self.now = now
+        self._reserve_mb = engine.adapter_slots * max(
+            (model.adapter_mb for model in engine.models), default=0.0
+        )
+        self._holders: dict[str, list[TargetControl]] = {}
+        for control in controls:
+            for model in control.held:
+                if control.holds(model):
+                    self._holders.setdefault(model, []).append(control)
+        work = {
+            model.name: demand.model(service, model.name, now).work
+            for model in engine.models
+        }
+        hosts = {
+            model: [control.target.incarnation for control in holders]
+            for model, holders in self._holders.items()
+        }
+        capacities = {control.target.incarnation: 1.0 for control in controls}
+        self.spread: Spread = spread(work, hosts, capacities)
+
+    def holders(self, model: str) -> list[TargetControl]:
+        """Return the targets that hold ``model``."""
+        return self._holders.get(model, [])
+
+    def is_coming(self, model: str) -> bool:
+        """Tell whether ``model`` is being loaded, or about to be."""
+        return any(
+            control.loading == model
+            or (control.intent is not None and control.intent.model == model)
+            for control in self.controls
+        )
+
+    def free_mb(self, control: TargetControl) -> float:
+        """Return the memory for models that is free, room for adapters apart."""
+        used = control.used_mb(self.engine)
+        return self.engine.memory_mb - self._reserve_mb - used
+
+    def load_of(self, control: TargetControl) -> float:
+        """Return the share of a target's time that prompts take."""
+        return self.spread.utilisation(control.target.incarnation)
+
+    def keep_value(self, control: TargetControl, model: str) -> float:
+        """Return what would be lost if ``control`` dropped ``model``."""
+        demand = self.demand.model(self.service, model, self.now)
+        value = demand.weighted * HORIZON_SECONDS
+        others = [c for c in self.holders(model) if c is not control]
+        if not others:
+            unasked = KNOWN_MODEL if demand.asked else UNKNOWN_MODEL
+            return unasked + value + demand.waiting(self.now)
+        share = self.spread.share(model, control.target.incarnation)
+        moved = share / len(others)
+        after = min(self.load_of(other) + moved for other in others)
+        crowded = (after - EASY_LOAD) / (REPLICA_LOAD - EASY_LOAD)
+        return value / (len(others) + 1) * min(max(crowded, 0.0), 1.0)
+
+
+def plan_models(view: FleetView) -> list[LoadModel]:
+    """Return the loads to begin now, no two on one target."""
+    taken: set[str] = set()
+    planned = []
+    for model, value, reason in _wanted(view):
+        best = _best_place(view, model, value, reason, taken)
+        if best is None:
+            continue
+        # A target that is busy for a moment may still be the best place.
+        taken.add(best.target)
+        if best.startable:
+            planned.append(best)
+    return planned
+
+
+def _wanted(view: FleetView) -> list[tuple[EngineModel, float, str]]:
+    """Return models to load with what that would win, the most valuable first."""
+    wanted = []
+    for model in view.engine.models:
+        demand = view.demand.model(view.service, model.name, view.now)
+        if view.is_coming(model.name):
+            continue
+        waiting = demand.waiting(view.now)
+        if not view.holders(model.name):
+            if waiting <= 0 and demand.rate < WORTH_KEEPING_RATE:
+                continue
+            value = waiting + demand.weighted * HORIZON_SECONDS
+            wanted.append((model, value, "no target holds it"))
+            continue
+        relief = _relief(view, model.name)
+        if relief > 0:
+            value = relief * demand.weighted * HORIZON_SECONDS
+            wanted.append((model, value, "its targets are too busy"))
+    wanted.sort(key=lambda found: found[1], reverse=True)
+    return wanted
+
+
+def _relief(view: FleetView, model: str) -> float:
+    """Return the share of a model's requests that wait too long where they go."""
+    holders = view.holders(model)
+    total = sum(view.spread.share(model, c.target.incarnation) for c in holders)
+    if total <= 0:
+        return 0.0
+    beyond = 0.0
+    for control in holders:
+        load = view.load_of(control)
+        if load > REPLICA_LOAD:
+            share = view.spread.share(model, control.target.incarnation)
+            beyond += share * (load - REPLICA_LOAD) / load
+    return min(1.0, beyond / total)
+
+
+def _best_place(
+    view: FleetView, model: EngineModel, value: float, reason: str, taken: set[str]
+) -> LoadModel | None:
+    places = [
+        place
+        for control in view.controls
+        if control.target.incarnation not in taken
+        if (place := _place(view, control, model, value, reason)) is not None
+    ]
+    return max(places, key=lambda place: place.value, default=None)
+
+
+def _place(
+    view: FleetView,
+    control: TargetControl,
+    model: EngineModel,
+    value: float,
+    reason: str,
+) -> LoadModel | None:
+    """Return what loading ``model`` on ``control`` would win, if it would."""
+    startable = control.is_free and control.intent is None
+    if model.name in control.held:
+        return None
+    holders = view.holders(model.name)
+    if holders:
+        busiest = max(view.load_of(holder) for holder in holders)
+        if busiest - view.load_of(control) < LEAST_DIFFERENCE:
+            return None
+    evicted = _victims(view, control, model)
+    if evicted is None:
+        return None
+    victims, lost = evicted
+    demand = view.demand.model(view.service, model.name, view.now)
+    free_in = control.free_at(view.engine, view.now) - view.now
+    seconds = (free_in + control.load_time(model)).total_seconds()
+    lost_a_second = LOAD_SECOND_PRICE
+    if not holders:
+        lost_a_second += demand.weighted
+    price = seconds * lost_a_second
+    if control.loads_from_store(model.name):
+        price += STORE_LOAD_PRICE
+    won = value - lost * HYSTERESIS
+    if won <= STORE_LOAD_PRICE * control.loads_from_store(model.name):
+        return None
+    # Between places that are worth it, the soonest and the least busy one.
+    won -= price + view.load_of(control)
+    return LoadModel(
+        control.target.incarnation, model.name, victims, reason, won, startable
+    )
+
+
+def _victims(
+    view: FleetView, control: TargetControl, model: EngineModel
+) -> tuple[tuple[str, ...], float] | None:
+    """Return what must give way for ``model``, and what is lost by it."""
+    lacking = model.memory_mb - view.free_mb(control)
+    if lacking <= 0:
+        return (), 0.0
+    known = view.engine.by_name
+    candidates = [
+        (view.keep_value(control, name), name)
+        for name in control.held
+        if not control.protected(name, "", view.now)
+    ]
+    victims: list[str] = []
+    lost = 0.0
+    for value, name in sorted(candidates):
+        if lacking <= 0:
+            break
+        victims.append(name)
+        lost += value
+        lacking -= known[name].memory_mb if name in known else 0.0
+    return (tuple(victims), lost) if lacking <= 0 else None
+
+
+def plan_adapters(view: FleetView) -> list[LoadAdapter]:
+    """Return the adapters to load now, no two on one target."""
+    taken: set[str] = set()
+    planned = []
+    for model, adapter in _adapters_wanted(view):
+        best = _adapter_place(view, model, adapter, taken)
+        if best is not None:
+            taken.add(best.target)
+            planned.append(best)
+    return planned
+
+
+def _adapters_wanted(view: FleetView) -> Iterable[tuple[str, str]]:
+    """Return adapters to load, those most waited for first."""
+    wanted: list[tuple[float, str, str]] = []
+    for model, adapter in view.demand.adapters(view.service):
+        holders = view.holders(model)
+        demand = view.demand.adapter(view.service, model, adapter, view.now)
+        have = sum(control.holds(model, adapter) for control in holders)
+        if not holders or have == len(holders):
+            continue
+        waiting = demand.waiting(view.now)
+        enough = max(1, round(demand.rate / ADAPTER_RATE_PER_REPLICA))
+        if (not have and (waiting > 0 or demand.rate > WORTH_KEEPING_RATE)) or (
+            have and have < enough
+        ):
+            wanted.append((waiting + demand.weighted, model, adapter))
+    wanted.sort(reverse=True)
+    return [(model, adapter) for _, model, adapter in wanted]
+
+
+def _adapter_place(
+    view: FleetView, model: str, adapter: str, taken: set[str]
+) -> LoadAdapter | None:
+    """Return the best holder of ``model`` for ``adapter``: one with room first."""
+    places: list[tuple[float, LoadAdapter]] = []
+    own = view.demand.adapter(view.service, model, adapter, view.now)
+    worth = own.weighted + own.waiting(view.now)
+    for control in view.holders(model):
+        name = control.target.incarnation
+        if name in taken or not control.takes_adapters:
+            continue
+        if control.holds(model, adapter):
+            continue
+        if control.intent is not None and model in control.intent.evict:
+            continue
+        crowding = control.adapter_count() / max(1, view.engine.adapter_slots)
+        if control.adapter_count() < view.engine.adapter_slots:
+            cost = view.load_of(control) + crowding
+            places.append((cost, LoadAdapter(name, model, adapter, None)))
+            continue
+        victim = _adapter_victim(view, control)
+        if victim is not None and victim[0] < worth:
+            cost = 2.0 + view.load_of(control) + victim[0]
+            places.append((cost, LoadAdapter(name, model, adapter, victim[1])))
+    return min(places, key=lambda place: place[0])[1] if places else None
+
+
+def _adapter_victim(
+    view: FleetView, control: TargetControl
+) -> tuple[float, tuple[str, str]] | None:
+    """Return the adapter that is asked for least, and how much that is."""
+    found = [
+        (
+            view.demand.adapter(view.service, model, adapter, view.now).weighted,
+            (model, adapter),
+        )
+        for model, adapters in control.held.items()
+        for adapter in adapters
+        if not control.protected(model, adapter, view.now)
+    ]
+    return min(found, default=None)
+
+
+def by_service(
+    controls: Iterable[TargetControl],
+) -> Mapping[str, list[TargetControl]]:
+    """Return the targets of each service, in a fixed order."""
+    services: dict[str, list[TargetControl]] = {}
+    for control in sorted(controls, key=lambda each: each.target.incarnation):
+        services.setdefault(control.target.service, []).append(control)
+    return services
--- a/packages/runhatch-server/src/runhatch_server/routing/_specs.py
+++ b/packages/runhatch-server/src/runhatch_server/routing/_specs.py
@@ -37,7 +37,8 @@
 
     ``timeout`` is the longest that an answer may take, ``goal`` the time in which
     it is worth its full price, ``priority`` the rank, 0 first.  ``max_gap`` is the
-    longest pause between two events of a stream that is still on time.
+    longest pause between two events of a stream that is still on time, ``patience``
+    how long callers wait for the first one before they leave.
     """
 
     name: str
@@ -52,6 +53,7 @@
     prefix_affinity: bool = False
     resumable: bool = False
     max_gap: timedelta | None = None
+    patience: timedelta | None = None
 
     @property
     def may_repeat(self) -> bool:
--- a/packages/runhatch-server/src/runhatch_server/targets/_engine.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_engine.py
@@ -44,6 +44,12 @@
     """What became of sending an order."""
 
     ACCEPTED = "accepted"
+    ALREADY = "already"
+    """What it asks for holds already."""
+    CONFLICT = "conflict"
+    """Another order is being carried out, or was since the one it follows."""
+    GONE = "gone"
+    """Another target has the address."""
     REFUSED_OLD = "refused_old"
     REFUSED = "refused"
     NOT_SENT = "not_sent"
