--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -18,9 +18,12 @@
 ValueT_co = TypeVar("ValueT_co", covariant=True)
 ValueT_contra = TypeVar("ValueT_contra", contravariant=True)
 
-LONGEST_WAIT = timedelta(seconds=15)
-"""How long the store is asked to keep a call waiting for a change; each end of a
-wait without one is a call paid for nothing."""
+LONGEST_WAIT = timedelta(seconds=8)
+"""How long the store is asked to keep a call waiting for a change.  Each end of a
+wait without one is a call paid for nothing; a wait whose answer was lost makes the
+reader so much later, if nothing tells it sooner."""
+OVERDUE = timedelta(milliseconds=900)
+"""How long after hearing of a change elsewhere a reader waits for it itself."""
 COALESCE = timedelta(milliseconds=150)
 """Pause between a change and the next call.  Changes come in bursts, and each
 call that brings one of them alone is paid; readers are this much later at most."""
@@ -69,6 +72,9 @@
     ) -> Changes[ValueT_co] | HistoryLost | Unavailable:
         """Return what changed after version ``after``, waiting for a first change."""
 
+    def hurry(self) -> None:
+        """Have a call that waits for changes end at once; it will be made again."""
+
 
 class FeedListener(Protocol[ValueT_contra]):
     """Is told what a watched table holds; called by one thread, in order."""
@@ -110,6 +116,29 @@
         self._version: int | None = None
         self._passed = 0
         self._failures = 0
+        self._noticed: tuple[int, timedelta] | None = None
+
+    @property
+    def version(self) -> int:
+        """The newest version passed on."""
+        return self._passed
+
+    def noticed(self, version: int) -> None:
+        """Take in from elsewhere that the table has had ``version``."""
+        if version > self._passed and self._noticed is None:
+            self._noticed = (version, self._clock.elapsed())
+
+    def check(self) -> None:
+        """Hurry if a change that was noticed elsewhere is overdue here."""
+        noticed = self._noticed
+        if noticed is None:
+            return
+        version, at = noticed
+        if version <= self._passed:
+            self._noticed = None
+        elif self._clock.elapsed() - at >= OVERDUE:
+            self._noticed = None
+            self._feed.hurry()
 
     def run(self) -> None:
         """Watch until told to stop, whatever a round raises."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -125,6 +125,7 @@
         self._services: Mapping[str, ServiceSpec] = {}
         self._numbers = itertools.count(1)
         self._held = 0
+        self._closing = False
         self.nodes = 1
         """Nodes that share the targets' connections."""
 
@@ -132,6 +133,15 @@
         """Use other declarations from now on."""
         self._services = services
 
+    def close(self) -> None:
+        """Refuse requests that wait for a model, now and from now on.
+
+        Another node may wait for it; this one will not be there.
+        """
+        self._closing = True
+        with self._directory.news:
+            self._directory.news.notify_all()
+
     def acquire(
         self,
         request: GatewayRequest,
@@ -151,6 +161,8 @@
                 asked = True
                 self._on_missing(request)
             now = self._clock.elapsed()
+            if self._closing:
+                return self._refuse(request, found.reason)
             if now >= found.until or self._held >= MOST_HELD:
                 helps = MISSING_RETRY if request.model else timedelta()
                 return self._refuse(request, found.reason, helps)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import eliot
 
@@ -112,9 +112,12 @@
             self._on_demand,
             self._lease.observe,
             self._lease.observe_resigned,
+            self._on_version,
         )
         self._order_now = threading.Event()
         self._links: PeerLinks | None = None
+        self._watchers: dict[str, TableWatcher[Any]] = {}
+        self._told_versions: dict[str, int] = {}
         self._app = self._build_app()
         self._servers = self._build_servers()
 
@@ -148,6 +151,7 @@
         log_change("stopping", in_progress=self._progress.count)
         self._stopping.set()
         self._app.draining = True
+        self._balancer.close()
         self._membership.leave()
         self._peers.look_round()
         epoch = self._orderer.resign()
@@ -260,8 +264,22 @@
             lambda error: eliot.write_traceback(),
             coalesce,
         )
+        self._watchers[name] = watcher
         threading.Thread(target=watcher.run, name=name, daemon=True).start()
 
+    def _on_version(self, table: str, version: int) -> None:
+        watcher = self._watchers.get(table)
+        if watcher is not None:
+            watcher.noticed(version)
+
+    def _check_watchers(self) -> None:
+        """Tell peers what was seen of the watched tables, and catch up with them."""
+        for name, watcher in self._watchers.items():
+            watcher.check()
+            if watcher.version > self._told_versions.get(name, 0):
+                self._told_versions[name] = watcher.version
+                self._peers.tell_version(name, watcher.version)
+
     def _on_routes(self, routes: RouteTable) -> None:
         self._balancer.configure(routes.services)
         self._orderer.services = routes.services
@@ -316,6 +334,7 @@
         self._orderer.step()
 
     def _settle(self) -> None:
+        self._check_watchers()
         self._directory.settle()
         known = frozenset(target.incarnation for target in self._directory.all())
         self._pool.close_expired(known)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -22,6 +22,7 @@
     MemberExchange,
     ModelDemand,
     OrdererNotice,
+    TableVersion,
     TargetHoldings,
     TargetLoads,
 )
@@ -48,6 +49,7 @@
         on_demand: OnDemand,
         on_orderer: Callable[[int, int], None],
         on_resigned: Callable[[int], None],
+        on_version: Callable[[str, int], None],
     ) -> None:
         super().__init__(membership, metrics)
         self._clock = clock
@@ -57,6 +59,7 @@
         self._on_demand = on_demand
         self._on_orderer = on_orderer
         self._on_resigned = on_resigned
+        self._on_version = on_version
         self._orderer_address = ""
         self._orderer_epoch = 0
         self._orderer_renewal = (0, -1)
@@ -145,6 +148,10 @@
         self._orderer_heard = timedelta(days=-1)
         self.tell_all(OrdererNotice(epoch, 0, resigned=True))
 
+    def tell_version(self, table: str, version: int) -> None:
+        """Tell peers what this node has seen of a watched table."""
+        self.tell_all(TableVersion(table, version))
+
     def receive(self, envelope: Envelope) -> None:
         """Take in one envelope."""
         if not self.heard(envelope):
@@ -164,6 +171,10 @@
     def _take_in_closed(self, fact: LinkClosed, sender: Member) -> None:
         self._membership.forget(sender.name)
 
+    @_take_in.register
+    def _take_in_version(self, fact: TableVersion, sender: Member) -> None:
+        self._on_version(fact.table, fact.version)
+
     @_take_in.register
     def _take_in_loads(self, fact: TargetLoads, sender: Member) -> None:
         shares = {
--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -1,8 +1,10 @@
 """HTTP calls to one service, over a few kept connections."""
 
 import http.client
+import itertools
 import queue
 import socket
+import threading
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
@@ -53,6 +55,9 @@
         self._free = queue.LifoQueue()
         for _ in range(connections):
             self._free.put(None)
+        self._waits: dict[int, socket.socket] = {}
+        self._waits_lock = threading.Lock()
+        self._numbers = itertools.count()
 
     def call(
         self,
@@ -72,7 +77,9 @@
             return Unavailable("all connections are in use")
         connection = kept or self._new_connection()
         timeout = self._timeout + wait.total_seconds()
-        outcome = self._exchange(connection, method, path, body, headers or {}, timeout)
+        outcome = self._exchange(
+            connection, method, path, body, headers or {}, timeout, bool(wait)
+        )
         if isinstance(outcome, Reply):
             self._free.put(connection)
         else:
@@ -80,6 +87,20 @@
             self._free.put(None)
         return outcome
 
+    def abort_waits(self) -> None:
+        """Break off all calls that the service was asked to keep waiting.
+
+        One whose answer was lost, or that never arrived, would wait to its end.
+        """
+        with self._waits_lock:
+            waits = list(self._waits.values())
+        for waiting in waits:
+            try:
+                waiting.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # It has ended by itself meanwhile.
+                continue
+
     def _new_connection(self) -> http.client.HTTPConnection:
         secure = self._secure
         kind = http.client.HTTPSConnection if secure else http.client.HTTPConnection
@@ -93,6 +114,7 @@
         body: bytes,
         headers: Mapping[str, str],
         timeout: float,
+        waits: bool,
     ) -> Reply | Unavailable | Unknown:
         try:
             if connection.sock is None:
@@ -101,6 +123,7 @@
                 notice_dead_peers(opened, DEAD_AFTER)
         except OSError as error:
             return Unavailable(f"not reachable: {error}")
+        number = self._note_wait(connection) if waits else None
         try:
             connection.sock.settimeout(timeout)
             connection.request(
@@ -112,8 +135,18 @@
                 self._on_date(response.getheader("Date"))
         except (OSError, http.client.HTTPException) as error:
             return Unknown(f"no answer: {type(error).__name__}")
+        finally:
+            if number is not None:
+                with self._waits_lock:
+                    self._waits.pop(number, None)
         return Reply(response.status, answer)
 
+    def _note_wait(self, connection: http.client.HTTPConnection) -> int:
+        number = next(self._numbers)
+        with self._waits_lock:
+            self._waits[number] = connection.sock
+        return number
+
 
 def notice_dead_peers(connection: socket.socket, after: timedelta) -> None:
     """Have the kernel break a connection whose other end has been silent so long.
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -141,6 +141,13 @@
     resigned: bool = False
 
 
+class TableVersion(msgspec.Struct, frozen=True, tag="version", array_like=True):
+    """The sender has seen ``version`` of a watched table."""
+
+    table: str
+    version: int
+
+
 class LinkClosed(msgspec.Struct, frozen=True, tag="closed", array_like=True):
     """The sender links to the receiver no more, and its silence means nothing."""
 
@@ -167,6 +174,7 @@
     | ModelDemand
     | TargetHoldings
     | OrdererNotice
+    | TableVersion
 )
 
 
