Loads are told as they change, held requests counted, models loaded by what they win

Cause: nodes sent what they had held to a target at the same moment, each counting its own alone; predictions were 2 to 5 times too low; loads from the weight store took nine seconds of a target for demand that had moved on.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -30,6 +30,9 @@
 ELSEWHERE_MS = 3.0
 """What another failure domain costs: the way there and back, and bytes that are
 paid for."""
+HANDSHAKE_MS = 8.0
+"""What a new connection costs: a millisecond or more at the target, a slot that may
+be held meanwhile, and its price."""
 FAULT_COST = 1.5
 """Times the goal that a failed request is taken to cost beside waiting."""
 SILENT_COST_MS = 10_000.0
@@ -52,23 +55,31 @@
 PLAN_WAIT_SHARE = 0.125
 """How long a request waits to hear whether its model will be loaded: so long, or
 this share of its goal, in which others may be loaded first."""
-MISSING_RETRY = timedelta(seconds=1.5)
-"""When a caller may come back whose model nobody holds: a load takes two seconds
-from a target's disk, and callers wait a third of their time at the most."""
+MISSING_RETRY = (
+    timedelta(seconds=1.5),
+    timedelta(seconds=1.5),
+    timedelta(seconds=3),
+    timedelta(seconds=3),
+)
+"""When a caller may come back whose model nobody holds, by rank: a load takes two
+seconds from a target's disk, and callers wait a third of their time at the most."""
 LOAD_SLACK = timedelta(seconds=1)
 """How much later than announced a load may be done."""
-AFTER_LOAD = timedelta(milliseconds=500)
-"""Time an answer needs once its model is there, to be worth waiting for."""
 MOST_HELD = 48
 """Requests that wait for a model on one node; each holds a thread."""
 GONE_CHECK = timedelta(milliseconds=150)
 SHORTEST_RETRY = timedelta(milliseconds=250)
-LONGEST_RETRY = timedelta(seconds=2)
+LONGEST_RETRY = timedelta(seconds=4)
 BUSY_HOLDS = timedelta(milliseconds=200)
 """How long a target that refused for load is passed over."""
+DOWN_AFTER = 2
+"""Times in a row that a target could not be reached before others replace it."""
 FIRST_SHUT = timedelta(milliseconds=500)
 LONGEST_SHUT = timedelta(seconds=4)
 """How long a target that could not be reached is passed over, doubled each time."""
+LAST_STREAMS = timedelta(seconds=2.5)
+"""How long a stopping node begins streams: later ones would be cut at its end, and
+the balancer has had time to look twice by then."""
 LEAST_CONNECTIONS = 4
 
 
@@ -92,6 +103,16 @@
 
     until: timedelta
     reason: Reason
+    target: str = ""
+
+
+@dataclass(slots=True)
+class _HeldPlace:
+    """A held request, and the target whose load it waits for."""
+
+    number: int
+    since: timedelta
+    target: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,12 +132,16 @@
         clock: Clock,
         failure_domain: str,
         on_missing: Callable[[GatewayRequest], None],
+        has_connection: Callable[[str], bool],
+        on_change: Callable[[], None],
         seed: int | None = None,
     ) -> None:
         self._directory = directory
         self._clock = clock
         self._failure_domain = failure_domain
         self._on_missing = on_missing
+        self._has_connection = has_connection
+        self._on_change = on_change
         self._random = random.Random(seed)
         self._lock = threading.Lock()
         self._loads: dict[str, TargetLoad] = {}
@@ -125,7 +150,7 @@
         self._services: Mapping[str, ServiceSpec] = {}
         self._numbers = itertools.count(1)
         self._held = 0
-        self._closing = False
+        self._closing_at: timedelta | None = None
         self.nodes = 1
         """Nodes that share the targets' connections."""
 
@@ -138,7 +163,7 @@
 
         Another node may wait for it; this one will not be there.
         """
-        self._closing = True
+        self._closing_at = self._clock.elapsed()
         with self._directory.news:
             self._directory.news.notify_all()
 
@@ -152,23 +177,42 @@
 
         Targets in ``tried`` are passed over if there are others.
         """
-        asked = False
+        if self._ends_too_soon_for(request):
+            return Refusal(Reason.STOPPING, Executed.NO, retry_after=timedelta())
+        found = self._find(request, tried, None)
+        if not isinstance(found, _Wait):
+            return found
+        self._on_missing(request)
+        place = _HeldPlace(next(self._numbers), self._clock.elapsed())
+        try:
+            return self._wait(request, tried, caller_gone, found, place)
+        finally:
+            self._leave(place)
+
+    def _wait(
+        self,
+        request: GatewayRequest,
+        tried: frozenset[str],
+        caller_gone: Callable[[], bool],
+        found: _Wait,
+        place: _HeldPlace,
+    ) -> Grant | Refusal:
+        """Hold ``request`` until its model is there or it is known not to help."""
         while True:
-            found = self._find(request, tried)
-            if not isinstance(found, _Wait):
-                return found
-            if not asked:
-                asked = True
-                self._on_missing(request)
             now = self._clock.elapsed()
-            if self._closing:
+            if self._closing_at is not None:
                 return self._refuse(request, found.reason)
             if now >= found.until or self._held >= MOST_HELD:
-                helps = MISSING_RETRY if request.model else timedelta()
+                helps = MISSING_RETRY[_tier(request)]
                 return self._refuse(request, found.reason, helps)
             if caller_gone():
                 return Refusal(Reason.CALLER_GONE, Executed.NO)
+            self._hold_at(request, found.target, place)
             self._hold(min(found.until - now, GONE_CHECK))
+            following = self._find(request, tried, place)
+            if not isinstance(following, _Wait):
+                return following
+            found = following
 
     def started(self, grant: Grant) -> None:
         """Take in that the first byte of the answer has come."""
@@ -185,6 +229,7 @@
             work = grant.request.work
             if work is not None:
                 took = now - outstanding.sent_at
+                load.began(outstanding.predicted_ms, took, now)
                 self._rates.first_token(work.model, outstanding, took)
                 blocks = _prefix_blocks(work)
                 self._prefixes.stored(grant.target.incarnation, blocks)
@@ -222,13 +267,16 @@
         target = grant.target.incarnation
         self._directory.correct(target, request.model, request.adapter)
 
+    def is_down(self, target: str) -> bool:
+        """Tell whether ``target`` could not be reached, again and again, till now."""
+        with self._lock:
+            load = self._loads.get(target)
+            return load is not None and load.shut_times >= DOWN_AFTER
+
     def work_ms(self, request: GatewayRequest) -> float:
         """Return how long reading the whole prompt of ``request`` would take."""
-        work = request.work
-        if work is None:
-            return 0.0
         with self._lock:
-            return self._rates.prompt_ms(work.model, work.prompt_tokens)
+            return self._full_work_ms(request)
 
     def shares(self) -> dict[str, LoadShare]:
         """Return what this node has outstanding at each target."""
@@ -240,11 +288,16 @@
                 if load.own
             }
 
-    def peer_shares(self, node: str, shares: Mapping[str, LoadShare]) -> None:
-        """Take in what ``node`` has outstanding; replaces what it told before."""
+    def peer_shares(
+        self, node: str, shares: Mapping[str, LoadShare], whole: bool
+    ) -> None:
+        """Take in what ``node`` has outstanding at some targets.
+
+        If ``whole``, it has nothing at others.
+        """
         now = self._clock.elapsed()
         with self._lock:
-            for load in self._loads.values():
+            for load in self._loads.values() if whole else ():
                 load.peers.pop(node, None)
             for target, share in shares.items():
                 self._load(target).peers[node] = (share, now)
@@ -258,8 +311,18 @@
                     del self._loads[target]
                     self._prefixes.forget(target)
 
+    def _ends_too_soon_for(self, request: GatewayRequest) -> bool:
+        """Tell whether this node is about to end, with ``request`` in progress."""
+        closing_at = self._closing_at
+        if closing_at is None or request.route.kind is not RequestKind.STREAM:
+            return False
+        return self._clock.elapsed() - closing_at >= LAST_STREAMS
+
     def _find(
-        self, request: GatewayRequest, tried: frozenset[str]
+        self,
+        request: GatewayRequest,
+        tried: frozenset[str],
+        place: _HeldPlace | None,
     ) -> Grant | Refusal | _Wait:
         service = self._services.get(request.service)
         if service is None or not self._directory.ready(request.service):
@@ -268,12 +331,14 @@
             request.service, request.model, request.adapter
         )
         if not holders:
-            return self._missing(request)
+            return self._missing(request, place)
         fresh = [t for t in holders if t.incarnation not in tried]
         with self._lock:
-            return self._choose(request, service, fresh or holders)
+            return self._choose(request, service, fresh or holders, place)
 
-    def _missing(self, request: GatewayRequest) -> _Wait | Refusal:
+    def _missing(
+        self, request: GatewayRequest, place: _HeldPlace | None
+    ) -> _Wait | Refusal:
         """Decide about a request whose model or adapter no target holds."""
         now = self._clock.elapsed()
         model_held = self._directory.holders(request.service, request.model, "")
@@ -285,22 +350,31 @@
             wait = max(PLAN_WAIT, request.route.goal * PLAN_WAIT_SHARE)
             return _Wait(request.received + wait, Reason.NO_REPLICA)
         ready_at = max(expected.ready_at, now)
-        if ready_at + AFTER_LOAD >= request.begin_by:
-            return self._refuse(request, Reason.NO_REPLICA, ready_at - now)
-        until = min(ready_at + LOAD_SLACK, request.begin_by - AFTER_LOAD)
-        return _Wait(until, Reason.NO_REPLICA)
+        with self._lock:
+            load = self._load(expected.target)
+            since = now if place is None else place.since
+            ahead_ms = load.held_ahead_ms(since, now) + self._full_work_ms(request)
+        begins = ready_at + timedelta(milliseconds=ahead_ms)
+        if begins + BEGIN_SLACK >= request.begin_by:
+            return self._refuse(request, Reason.NO_REPLICA, begins - now)
+        until = min(ready_at + LOAD_SLACK, request.begin_by - BEGIN_SLACK)
+        return _Wait(until, Reason.NO_REPLICA, expected.target)
 
     def _choose(
-        self, request: GatewayRequest, service: ServiceSpec, targets: list[Target]
+        self,
+        request: GatewayRequest,
+        service: ServiceSpec,
+        targets: list[Target],
+        place: _HeldPlace | None,
     ) -> Grant | Refusal:
         now = self._clock.elapsed()
         open_targets = [t for t in targets if self._is_open(t, now)] or targets
         tier = _tier(request)
-        best = self._best(request, service, open_targets, tier, now)
+        best = self._best(request, service, open_targets, tier, now, place)
         if self._late_by(request, best.predicted_ms, now) > timedelta():
             # It gives way to requests in time, and is still worth something late.
             tier = LATE_TIER
-            best = self._best(request, service, open_targets, tier, now)
+            best = self._best(request, service, open_targets, tier, now, place)
             late_by = _too_late(request, best.predicted_ms, now)
             if late_by > timedelta():
                 return self._refuse(request, Reason.GOAL_UNMEETABLE, late_by)
@@ -312,6 +386,7 @@
         load.own[number] = Outstanding(
             best.work_ms, tokens, now, best.predicted_ms, tier
         )
+        self._on_change()
         share = service.max_connections // max(1, self.nodes)
         return Grant(
             number,
@@ -331,9 +406,10 @@
         targets: list[Target],
         tier: int,
         now: timedelta,
+        place: _HeldPlace | None,
     ) -> _Scored:
         """Return the target that would begin first, counting what goes before."""
-        scored = [self._score(request, service, t, tier, now) for t in targets]
+        scored = [self._score(request, service, t, tier, now, place) for t in targets]
         return min(scored, key=lambda found: found.score)
 
     def _late_by(
@@ -352,6 +428,7 @@
         target: Target,
         tier: int,
         now: timedelta,
+        place: _HeldPlace | None,
     ) -> _Scored:
         load = self._load(target.incarnation)
         total = load.total(now)
@@ -360,6 +437,10 @@
             uncached = self._uncached(target, request.work)
             work_ms = self._rates.prompt_ms(request.work.model, uncached)
             predicted = _engine_ms(service.engine, request.work, total, work_ms, tier)
+            predicted *= load.factor(now)
+            if place is not None or tier == LATE_TIER:
+                since = now if place is None else place.since
+                predicted += load.held_ahead_ms(since, now)
         else:
             usual = self._rates.service_ms(request.route.name)
             beyond = max(0, total.waiting + total.running + 1 - target.slots)
@@ -369,12 +450,20 @@
         score = predicted * self._random.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
         if target.failure_domain != self._failure_domain:
             score += ELSEWHERE_MS
+        if not self._has_connection(target.incarnation):
+            score += HANDSHAKE_MS
         goal_ms = request.route.goal / timedelta(milliseconds=1)
         score += load.fault_rate(now) * FAULT_COST * goal_ms
         if load.is_silent(now):
             score += SILENT_COST_MS
         return _Scored(target, score, predicted, work_ms)
 
+    def _full_work_ms(self, request: GatewayRequest) -> float:
+        work = request.work
+        if work is None:
+            return 0.0
+        return self._rates.prompt_ms(work.model, work.prompt_tokens)
+
     def _uncached(self, target: Target, work: ModelWork) -> int:
         blocks = _prefix_blocks(work)
         matched = self._prefixes.matched(target.incarnation, blocks)
@@ -401,6 +490,27 @@
         wait *= self._random.uniform(1.0, 1.25)
         return Refusal(reason, Executed.NO, retry_after=wait)
 
+    def _hold_at(self, request: GatewayRequest, target: str, place: _HeldPlace) -> None:
+        """Count ``request`` among what waits for a load at ``target``."""
+        if place.target == target:
+            return
+        self._leave(place)
+        if not target:
+            return
+        place.target = target
+        with self._lock:
+            held = Outstanding(
+                self._full_work_ms(request), 0, place.since, 0.0, LATE_TIER, held=True
+            )
+            self._load(target).own[place.number] = held
+
+    def _leave(self, place: _HeldPlace) -> None:
+        """Count a held request no longer."""
+        if place.target:
+            with self._lock:
+                self._load(place.target).own.pop(place.number, None)
+            place.target = ""
+
     def _hold(self, longest: timedelta) -> None:
         """Wait for news of the targets."""
         self._held += 1
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -224,6 +224,11 @@
             return NotSent(AttemptReason.CONNECT_FAILED)
         return connection
 
+    def has_idle(self, target: str) -> bool:
+        """Tell whether a kept connection to ``target`` could be used now."""
+        with self._lock:
+            return bool(self._idle.get(target))
+
     def give_back(self, connection: TargetConnection, idle: timedelta) -> None:
         """Keep ``connection``, whose answer was read to its end, for ``idle``."""
         now = self._clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_load.py
@@ -14,7 +14,7 @@
 TIERS = 4
 """Ranks by which targets take requests: three of requests in time, one of late ones."""
 LATE_TIER = TIERS - 1
-RATE_GAIN = 0.1
+RATE_GAIN = 0.2
 LEAST_MS_PER_TOKEN, MOST_MS_PER_TOKEN = 0.005, 1.0
 """Bounds of what is believed of a model, against measurements gone wrong."""
 BASE_MS = 25.0
@@ -24,8 +24,15 @@
 SERVICE_GAIN = 0.1
 LEAST_REMAINING = 0.15
 """Share of a request's reading that is counted until its first token is seen."""
+OLDER_SHARE = 0.5
+"""Share of the requests held on other nodes that go before one held here."""
 PEER_LOAD_VALID = timedelta(seconds=2)
 """Age at which what a peer told of its load is no longer counted."""
+SLOWNESS_GAIN = 0.15
+SLOWNESS_HALF_LIFE = timedelta(seconds=3)
+"""How soon a target that was slower than predicted is believed in again."""
+LEAST_SLOWNESS, MOST_SLOWNESS = 0.4, 4.0
+"""Bounds of one observation: others may have been sent there unseen."""
 FAULT_GAIN = 0.25
 FAULT_HALF_LIFE = timedelta(seconds=3)
 """How soon a target that failed is tried again."""
@@ -47,10 +54,12 @@
     predicted_ms: float
     tier: int = 0
     started: bool = False
+    held: bool = False
+    """Whether it waits on its node for the target to load its model."""
 
     def remaining_ms(self, now: timedelta) -> float:
         """Return the prompt reading that is still ahead."""
-        if self.started:
+        if self.started or self.held:
             return 0.0
         age = _milliseconds(now - self.sent_at)
         done = age / max(self.predicted_ms, 1.0)
@@ -63,13 +72,15 @@
 
     ``waiting_ms`` is prompt reading not yet done, by tier; ``waiting`` and
     ``running`` are requests before and after their first token, ``tokens`` what
-    they occupy.
+    they occupy.  ``held_ms`` is prompt reading of requests that wait for their
+    model to be loaded there.
     """
 
     waiting_ms: tuple[float, ...] = (0.0,) * TIERS
     waiting: int = 0
     running: int = 0
     tokens: int = 0
+    held_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -78,6 +89,8 @@
 
     own: dict[int, Outstanding] = field(default_factory=dict)
     peers: dict[str, tuple[LoadShare, timedelta]] = field(default_factory=dict)
+    slowness: float = 1.0
+    slowness_at: timedelta = timedelta()
     faults: float = 0.0
     faults_at: timedelta = timedelta()
     heard_at: timedelta = timedelta()
@@ -86,17 +99,33 @@
 
     def share(self, now: timedelta) -> LoadShare:
         """Return what this node has there."""
-        waiting = [o for o in self.own.values() if not o.started]
+        held = [o for o in self.own.values() if o.held]
+        sent = [o for o in self.own.values() if not o.held]
+        waiting = [o for o in sent if not o.started]
         waiting_ms = [0.0] * TIERS
         for outstanding in waiting:
             waiting_ms[outstanding.tier] += outstanding.remaining_ms(now)
         return LoadShare(
             tuple(waiting_ms),
             len(waiting),
-            len(self.own) - len(waiting),
-            sum(o.tokens for o in self.own.values()),
+            len(sent) - len(waiting),
+            sum(o.tokens for o in sent),
+            sum(o.work_ms for o in held),
         )
 
+    def held_ahead_ms(self, since: timedelta, now: timedelta) -> float:
+        """Return the prompt reading of held requests that go before one held since.
+
+        Of those on other nodes half are taken to be older.
+        """
+        own = sum(o.work_ms for o in self.own.values() if o.held and o.sent_at < since)
+        others = sum(
+            share.held_ms
+            for share, at in self.peers.values()
+            if now - at < PEER_LOAD_VALID
+        )
+        return own + others * OLDER_SHARE
+
     def total(self, now: timedelta) -> LoadShare:
         """Return what all nodes have there, as far as it is known."""
         own = self.share(now)
@@ -113,6 +142,19 @@
             tokens += share.tokens
         return LoadShare(tuple(waiting_ms), waiting, running, tokens)
 
+    def factor(self, now: timedelta) -> float:
+        """Return how many times longer than predicted requests take here of late."""
+        age = (now - self.slowness_at) / SLOWNESS_HALF_LIFE
+        return float(1.0 + (self.slowness - 1.0) * 0.5**age)
+
+    def began(self, predicted_ms: float, took: timedelta, now: timedelta) -> None:
+        """Take in how long the first byte took, as against the prediction."""
+        seen = _milliseconds(took) / max(predicted_ms, BASE_MS)
+        seen = min(max(seen, LEAST_SLOWNESS), MOST_SLOWNESS)
+        known = self.factor(now)
+        self.slowness = known + (seen - known) * SLOWNESS_GAIN
+        self.slowness_at = now
+
     def fault_rate(self, now: timedelta) -> float:
         """Return the share of recent requests that the target failed; fades."""
         age = (now - self.faults_at) / FAULT_HALF_LIFE
@@ -127,7 +169,9 @@
     def is_silent(self, now: timedelta) -> bool:
         """Tell whether requests wait there far too long without a word."""
         for outstanding in self.own.values():
-            if outstanding.started or self.heard_at > outstanding.sent_at:
+            if outstanding.started or outstanding.held:
+                continue
+            if self.heard_at > outstanding.sent_at:
                 continue
             patience = max(
                 SILENT_AFTER,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -65,7 +65,10 @@
 """Nodes that challenge the lease; were all to, the store's reads would grow with
 their number."""
 SHARE_EVERY = timedelta(milliseconds=250)
-"""How often loads and demand are told; a prompt takes some 100 ms to read."""
+"""How often loads and demand are told at least; each request that is sent is told
+of at once, since its prompt takes some 100 ms to read and others are sent by it."""
+SHARE_TOGETHER = timedelta(milliseconds=25)
+"""Requests that are sent within so long are told of together."""
 ORDER_EVERY = timedelta(milliseconds=60)
 """Between two rounds of the orderer; an adapter takes some 10 ms to load."""
 CHANGES_TOGETHER = timedelta(milliseconds=150)
@@ -98,7 +101,12 @@
         self._keeper = ConfigurationKeeper(self._on_routes, self._metrics)
         self._pool = ConnectionPool(self._clock)
         self._balancer = Balancer(
-            self._directory, self._clock, settings.failure_domain, self._demand.miss
+            self._directory,
+            self._clock,
+            settings.failure_domain,
+            self._demand.miss,
+            self._pool.has_idle,
+            self._demand.wake.set,
         )
         self._membership = self._build_membership()
         self._orderer = self._build_orderer()
@@ -216,6 +224,7 @@
             self._metrics,
             lambda epoch, holdings: self._peers.tell_holdings(epoch, holdings),
             lambda: self._order_now.set(),
+            self._balancer.is_down,
             bounds.handover,
             bounds.load_window,
         )
@@ -325,6 +334,8 @@
             self._peers.tell_orderer(epoch.number, 0)
 
     def _share(self) -> None:
+        """Tell loads and demand; what comes within a moment goes together."""
+        self._clock.sleep(SHARE_TOGETHER)
         self._peers.tell_loads()
         shares = self._demand.take()
         if shares:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -32,6 +32,8 @@
 """Time without a renewal after which the orderer's lease is looked at: it renews it,
 and tells so, each second."""
 
+TELL_WHOLE_EVERY = timedelta(seconds=1)
+
 OnDemand = Callable[[str, list[DemandOfModel]], None]
 
 
@@ -64,7 +66,8 @@
         self._orderer_epoch = 0
         self._orderer_renewal = (0, -1)
         self._orderer_heard = timedelta(days=-1)
-        self._told_loads = False
+        self._told_shares: dict[str, LoadShare] = {}
+        self._told_whole = timedelta(days=-1)
 
     def orderer_is_heard(self) -> bool:
         """Tell whether the node that orders the targets has renewed its lease."""
@@ -79,22 +82,28 @@
                 self.tell(str(seed), self.own())
 
     def tell_loads(self) -> None:
-        """Tell peers what this node has outstanding; nothing twice."""
+        """Tell peers what has changed of what this node has outstanding.
+
+        Now and then all is told, for peers that missed some of it.
+        """
+        now = self._clock.elapsed()
+        whole = now - self._told_whole >= TELL_WHOLE_EVERY
         shares = self._balancer.shares()
-        if not shares and not self._told_loads:
+        if whole:
+            self._told_whole = now
+            told = shares
+        else:
+            known = {**dict.fromkeys(self._told_shares, LoadShare()), **shares}
+            told = {
+                target: share
+                for target, share in known.items()
+                if share != self._told_shares.get(target, LoadShare())
+            }
+        if not told and not (whole and self._told_shares):
             return
-        self._told_loads = bool(shares)
-        loads = [
-            LoadOfTarget(
-                target,
-                tuple(round(waiting) for waiting in share.waiting_ms),
-                share.waiting,
-                share.running,
-                share.tokens,
-            )
-            for target, share in shares.items()
-        ]
-        self.tell_all(TargetLoads(loads))
+        self._told_shares = shares
+        loads = [_load_of(target, share) for target, share in told.items()]
+        self.tell_all(TargetLoads(loads, whole))
 
     def tell_demand(self, shares: list[DemandShare]) -> None:
         """Send demand to the node that orders the targets, if it is known."""
@@ -183,10 +192,11 @@
                 load.waiting,
                 load.running,
                 load.tokens,
+                float(load.held_ms),
             )
             for load in fact.loads
         }
-        self._balancer.peer_shares(sender.name, shares)
+        self._balancer.peer_shares(sender.name, shares, fact.whole)
 
     @_take_in.register
     def _take_in_demand(self, fact: ModelDemand, sender: Member) -> None:
@@ -232,3 +242,14 @@
         if (epoch, renewal) > self._orderer_renewal:
             self._orderer_renewal = (epoch, renewal)
             self._orderer_heard = self._clock.elapsed()
+
+
+def _load_of(target: str, share: LoadShare) -> LoadOfTarget:
+    return LoadOfTarget(
+        target,
+        tuple(round(waiting) for waiting in share.waiting_ms),
+        share.waiting,
+        share.running,
+        share.tokens,
+        round(share.held_ms),
+    )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -23,6 +23,7 @@
         self.status = 0
         self.retry_after: timedelta | None = None
         self.pieces = 0
+        self.first_byte: timedelta | None = None
 
     def attempt(self, grant: Grant, outcome: str) -> None:
         """Note how one attempt ended or went on."""
@@ -31,6 +32,10 @@
             self.tier = grant.tier
         self.attempts.append(f"{grant.target.incarnation}:{outcome}")
 
+    def first_byte_after(self, took: timedelta) -> None:
+        """Note how long the target took to begin its answer."""
+        self.first_byte = took
+
     def retry(self, reason: AttemptReason, paid: bool) -> None:
         """Note that another attempt was wanted, and whether the budget paid."""
         self.retries.append((reason, paid))
@@ -82,6 +87,7 @@
             attempts=record.attempts,
             tier=record.tier,
             predicted_ms=_rounded(record.predicted_ms),
+            first_byte_ms=_milliseconds(record.first_byte),
             took_ms=round(took / timedelta(milliseconds=1)),
             pieces=record.pieces,
             retry_after=_seconds(record.retry_after),
@@ -92,5 +98,9 @@
     return None if value is None else round(value)
 
 
+def _milliseconds(duration: timedelta | None) -> int | None:
+    return None if duration is None else round(duration / timedelta(milliseconds=1))
+
+
 def _seconds(duration: timedelta | None) -> float | None:
     return None if duration is None else round(duration.total_seconds(), 2)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -122,6 +122,8 @@
             if isinstance(result, OpenedAnswer):
                 self._attempts += 1
                 self._parts.balancer.started(grant)
+                took = self._parts.clock.elapsed() - grant.granted_at
+                self.record.first_byte_after(took)
                 self.record.attempt(grant, f"status_{result.head.status}")
                 return grant, result
             refusal = self._judge(grant, result)
--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import queue
+import select
 import socket
 import threading
 from collections.abc import Callable, Mapping
@@ -117,6 +118,8 @@
         waits: bool,
     ) -> Reply | Unavailable | Unknown:
         try:
+            if connection.sock is not None and _is_stale(connection.sock):
+                connection.close()
             if connection.sock is None:
                 connection.connect()
                 opened: Any = connection.sock
@@ -148,6 +151,12 @@
         return number
 
 
+def _is_stale(kept: socket.socket) -> bool:
+    """Tell whether the other end has closed a connection on which nothing is asked."""
+    readable, _, _ = select.select([kept], [], [], 0)
+    return bool(readable)
+
+
 def notice_dead_peers(connection: socket.socket, after: timedelta) -> None:
     """Have the kernel break a connection whose other end has been silent so long.
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -85,12 +85,14 @@
     waiting: int
     running: int
     tokens: int
+    held_ms: int = 0
 
 
 class TargetLoads(msgspec.Struct, frozen=True, tag="loads", array_like=True):
-    """All that the sender has outstanding; replaces what it told before."""
+    """What the sender has outstanding at some targets, all of them if ``whole``."""
 
     loads: list[LoadOfTarget]
+    whole: bool
 
 
 class DemandOfModel(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -1,15 +1,24 @@
 """What callers ask for, as a rate that rises at once and fades within seconds."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 TIME_CONSTANT = timedelta(seconds=5)
 """Over which requests are averaged.  Demand moves to other models within some five
 seconds; a longer average keeps models that nobody asks for."""
-MISS_VALID = timedelta(milliseconds=700)
-"""How long a request that found no holder counts as waiting for one; its caller
-comes back, and its node tells again."""
+MISS_VALID = (
+    timedelta(milliseconds=700),
+    timedelta(milliseconds=700),
+    timedelta(seconds=4),
+)
+"""How long a request that found no holder counts as waiting for one, by rank: those
+that can wait are told to come back after a load's time."""
+SILENT_RATE = 0.02
+"""Requests a second below which demand counts as ended."""
+ENOUGH_REQUESTS = 4
+SHORTEST_AGE = timedelta(seconds=1)
+"""Requests, and time since the first, from which a rate is told."""
 RANK_WEIGHTS = (2.0, 1.6, 1.0)
 """What a request counts by its route's priority: the urgent ones must not be served
 less often than those that can wait.  Ratios near those of their declared goals'
@@ -32,9 +41,11 @@
     work: float = 0.0
     """Share of an engine's time that reading their prompts takes."""
     at: timedelta = timedelta()
-    asked: bool = False
-    """Whether any request was ever seen for it."""
-    misses: dict[str, tuple[float, timedelta]] = field(default_factory=dict)
+    first_at: timedelta | None = None
+    """When the first request for it was seen, after a silence."""
+    count: int = 0
+    """Requests since then."""
+    misses: dict[tuple[str, int], tuple[float, timedelta]] = field(default_factory=dict)
 
     def fade(self, now: timedelta) -> None:
         """Bring the averages up to ``now``."""
@@ -47,21 +58,52 @@
     def add(self, requests: int, weight: float, work_ms: float, now: timedelta) -> None:
         """Take in requests, each of which counts ``weight``."""
         self.fade(now)
-        self.asked = True
+        if self.first_at is None or self.rate < SILENT_RATE:
+            self.first_at = now
+            self.count = 0
+        self.count += requests
         seconds = TIME_CONSTANT.total_seconds()
         self.rate += requests / seconds
         self.weighted += requests * weight / seconds
         self.work += work_ms / 1000 / seconds
 
-    def miss(self, node: str, weighted: float, now: timedelta) -> None:
+    def miss(self, node: str, priority: int, missed: int, now: timedelta) -> None:
         """Take in that requests of ``node`` wait for a holder."""
-        self.misses[node] = (weighted, now)
+        weighted = missed * rank_weight(priority)
+        valid = MISS_VALID[min(max(priority, 0), len(MISS_VALID) - 1)]
+        self.misses[node, priority] = (weighted, now + valid)
+
+    @property
+    def asked(self) -> bool:
+        """Whether any request was ever seen for it."""
+        return self.first_at is not None
+
+    def rise(self, now: timedelta) -> float:
+        """Return by what the averages fall short because demand has just begun.
+
+        One request tells nothing of a rate, several within a second do.
+        """
+        if self.first_at is None or self.count < ENOUGH_REQUESTS:
+            return 1.0
+        age = max(now - self.first_at, SHORTEST_AGE)
+        return 1.0 / (1.0 - math.exp(-(age / TIME_CONSTANT)))
 
     def waiting(self, now: timedelta) -> float:
         """Return the weighted requests that wait for a holder now."""
-        return sum(
-            weighted for weighted, at in self.misses.values() if now - at < MISS_VALID
-        )
+        return sum(weighted for weighted, until in self.misses.values() if now < until)
+
+
+def _risen(demand: Demand, now: timedelta) -> Demand:
+    """Return ``demand`` with its averages as they would be after a longer time."""
+    factor = demand.rise(now)
+    if factor == 1.0:
+        return demand
+    return replace(
+        demand,
+        rate=demand.rate * factor,
+        weighted=demand.weighted * factor,
+        work=demand.work * factor,
+    )
 
 
 class DemandBook:
@@ -87,13 +129,13 @@
         of_model = self._models.setdefault((service, model), Demand(at=now))
         of_model.add(requests, weight, work_ms, now)
         if missed:
-            of_model.miss(node, missed * weight, now)
+            of_model.miss(node, priority, missed, now)
         if not adapter:
             return
         of_adapter = self._adapters.setdefault(name, Demand(at=now))
         of_adapter.add(requests, weight, work_ms, now)
         if missed:
-            of_adapter.miss(node, missed * weight, now)
+            of_adapter.miss(node, priority, missed, now)
 
     def model(self, service: str, model: str, now: timedelta) -> Demand:
         """Return the demand for a model."""
@@ -101,7 +143,7 @@
         if demand is None:
             return Demand(at=now)
         demand.fade(now)
-        return demand
+        return _risen(demand, now)
 
     def adapter(self, service: str, model: str, adapter: str, now: timedelta) -> Demand:
         """Return the demand for an adapter."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -85,6 +85,7 @@
         metrics: Metrics,
         on_holdings: OnHoldings,
         on_answer: Callable[[], None],
+        is_down: Callable[[str], bool],
         handover: timedelta,
         load_window: timedelta,
     ) -> None:
@@ -96,6 +97,7 @@
         self._metrics = metrics
         self._on_holdings = on_holdings
         self._on_answer = on_answer
+        self._is_down = is_down
         self._handover = handover
         self._load_window = load_window
         self._executor = ThreadPoolExecutor(CALL_WORKERS, thread_name_prefix="orders")
@@ -294,6 +296,7 @@
             target.incarnation
             for service in self.services
             for target in self._directory.ready(service)
+            if not self._is_down(target.incarnation)
         }
         controls = [c for c in self._controls.values() if c.target.incarnation in ready]
         for service, members in by_service(controls).items():
--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -15,28 +15,36 @@
 from runhatch_server.routing import EngineModel, EngineSpec
 
 HORIZON_SECONDS = 3.0
-"""How far ahead demand counts.  A model that gave way is back two seconds after it
-is asked for, where its target kept a copy on disk."""
+"""How long a model that gave way is missed: it is back that much after it is asked
+for, where a target kept a copy on disk."""
+PERSISTENCE_SECONDS = 10.0
+"""How long demand is taken to stay with a model.  Loads that take longer win nothing
+but what waits for them."""
 STORE_LOAD_PRICE = 1.0
 """What a load from the weight store costs, in weighted requests; one loaded from a
 target's own copy costs the time alone."""
-LOAD_SECOND_PRICE = 0.15
+LOAD_SECOND_PRICE = 0.2
 """What each second costs that a load keeps its target from other orders."""
+BUSY_PRICE = 0.5
+"""What a load on a target costs whose time is all taken."""
 HYSTERESIS = 1.3
 """Times what is lost that must be won: against models that take turns."""
-REPLICA_LOAD = 0.65
+REPLICA_LOAD = 0.5
 """Share of a target's time for prompts beyond which requests wait long enough for
-another replica to be worth its load: at 0.65 a prompt of 100 ms waits as long
-again."""
-LEAST_DIFFERENCE = 0.25
+another replica to be worth its load: at 0.5 a prompt of 100 ms waits half as long
+again, and requests come in clumps."""
+LEAST_DIFFERENCE = 0.2
 """A replica goes only to targets with so much less to do."""
-EASY_LOAD = 0.3
+EASY_LOAD = 0.25
 """Share of a target's time up to which it takes over another replica's requests
 without a loss; at ``REPLICA_LOAD`` all of them are counted as lost."""
-UNKNOWN_MODEL = 2.5
+UNKNOWN_MODEL = 1.0
 """What the last replica of a model is worth that nobody has asked for yet, in
 weighted requests: demand moves to other models without warning, and the targets
 were given these models by those who know the demand."""
+MUCH_SOONER = timedelta(seconds=2)
+"""A load that is under way is passed by if another would be done so much sooner, as
+when a target with a copy on its disk has come back."""
 KNOWN_MODEL = 0.2
 """The same of a model that has been asked for; its rate tells the rest."""
 WORTH_KEEPING_RATE = 0.05
@@ -107,13 +115,15 @@
         """Return the targets that hold ``model``."""
         return self._holders.get(model, [])
 
-    def is_coming(self, model: str) -> bool:
-        """Tell whether ``model`` is being loaded, or about to be."""
-        return any(
-            control.loading == model
-            or (control.intent is not None and control.intent.model == model)
+    def coming_at(self, model: str) -> timedelta | None:
+        """Return when a load of ``model`` that is under way or planned is done."""
+        ready = [
+            control.free_at(self.engine, self.now)
             for control in self.controls
-        )
+            if control.loading == model
+            or (control.intent is not None and control.intent.model == model)
+        ]
+        return min(ready, default=None)
 
     def free_mb(self, control: TargetControl) -> float:
         """Return the memory for models that is free, room for adapters apart."""
@@ -143,8 +153,8 @@
     """Return the loads to begin now, no two on one target."""
     taken: set[str] = set()
     planned = []
-    for model, value, reason in _wanted(view):
-        best = _best_place(view, model, value, reason, taken)
+    for need in _needs(view):
+        best = _best_place(view, need, taken)
         if best is None:
             continue
         # A target that is busy for a moment may still be the best place.
@@ -154,26 +164,40 @@
     return planned
 
 
-def _wanted(view: FleetView) -> list[tuple[EngineModel, float, str]]:
-    """Return models to load with what that would win, the most valuable first."""
-    wanted = []
+@dataclass(frozen=True, slots=True)
+class _Need:
+    """A model to load: what waits for it, and what it would serve a second."""
+
+    model: EngineModel
+    waiting: float
+    rate: float
+    reason: str
+
+    def won(self, seconds: float) -> float:
+        """Return what a load that is done after ``seconds`` wins."""
+        lasting = max(0.0, PERSISTENCE_SECONDS - seconds)
+        return self.waiting + self.rate * lasting
+
+
+def _needs(view: FleetView) -> list[_Need]:
+    """Return the models to load, the most valuable first."""
+    needs = []
     for model in view.engine.models:
         demand = view.demand.model(view.service, model.name, view.now)
-        if view.is_coming(model.name):
+        coming_at = view.coming_at(model.name)
+        holders = view.holders(model.name)
+        if coming_at is not None and (holders or coming_at - view.now < MUCH_SOONER):
             continue
-        waiting = demand.waiting(view.now)
-        if not view.holders(model.name):
-            if waiting <= 0 and demand.rate < WORTH_KEEPING_RATE:
-                continue
-            value = waiting + demand.weighted * HORIZON_SECONDS
-            wanted.append((model, value, "no target holds it"))
+        if not holders:
+            waiting = demand.waiting(view.now)
+            if waiting > 0 or demand.rate >= WORTH_KEEPING_RATE:
+                needs.append(_Need(model, waiting, demand.weighted, "not held"))
             continue
         relief = _relief(view, model.name)
         if relief > 0:
-            value = relief * demand.weighted * HORIZON_SECONDS
-            wanted.append((model, value, "its targets are too busy"))
-    wanted.sort(key=lambda found: found[1], reverse=True)
-    return wanted
+            needs.append(_Need(model, 0.0, relief * demand.weighted, "too busy"))
+    needs.sort(key=lambda need: need.won(0.0), reverse=True)
+    return needs
 
 
 def _relief(view: FleetView, model: str) -> float:
@@ -191,27 +215,19 @@
     return min(1.0, beyond / total)
 
 
-def _best_place(
-    view: FleetView, model: EngineModel, value: float, reason: str, taken: set[str]
-) -> LoadModel | None:
+def _best_place(view: FleetView, need: _Need, taken: set[str]) -> LoadModel | None:
     places = [
         place
         for control in view.controls
         if control.target.incarnation not in taken
-        if (place := _place(view, control, model, value, reason)) is not None
+        if (place := _place(view, control, need)) is not None
     ]
     return max(places, key=lambda place: place.value, default=None)
 
 
-def _place(
-    view: FleetView,
-    control: TargetControl,
-    model: EngineModel,
-    value: float,
-    reason: str,
-) -> LoadModel | None:
-    """Return what loading ``model`` on ``control`` would win, if it would."""
-    startable = control.is_free and control.intent is None
+def _place(view: FleetView, control: TargetControl, need: _Need) -> LoadModel | None:
+    """Return what loading a model on ``control`` would win, if it would."""
+    model = need.model
     if model.name in control.held:
         return None
     holders = view.holders(model.name)
@@ -219,27 +235,26 @@
         busiest = max(view.load_of(holder) for holder in holders)
         if busiest - view.load_of(control) < LEAST_DIFFERENCE:
             return None
+    free_in = control.free_at(view.engine, view.now) - view.now
+    ready_in = free_in + control.load_time(model)
+    coming_at = view.coming_at(model.name)
+    if coming_at is not None and coming_at - view.now - ready_in < MUCH_SOONER:
+        return None
     evicted = _victims(view, control, model)
     if evicted is None:
         return None
     victims, lost = evicted
-    demand = view.demand.model(view.service, model.name, view.now)
-    free_in = control.free_at(view.engine, view.now) - view.now
-    seconds = (free_in + control.load_time(model)).total_seconds()
-    lost_a_second = LOAD_SECOND_PRICE
-    if not holders:
-        lost_a_second += demand.weighted
-    price = seconds * lost_a_second
+    seconds = ready_in.total_seconds()
+    won = need.won(seconds) - lost * HYSTERESIS - seconds * LOAD_SECOND_PRICE
     if control.loads_from_store(model.name):
-        price += STORE_LOAD_PRICE
-    won = value - lost * HYSTERESIS
-    if won <= STORE_LOAD_PRICE * control.loads_from_store(model.name):
+        won -= STORE_LOAD_PRICE
+    if won <= 0:
         return None
-    # Between places that are worth it, the soonest and the least busy one.
-    won -= price + view.load_of(control)
-    return LoadModel(
-        control.target.incarnation, model.name, victims, reason, won, startable
-    )
+    # Between places that win as much, the least busy one.
+    won -= view.load_of(control) * BUSY_PRICE
+    startable = control.is_free and control.intent is None
+    name = control.target.incarnation
+    return LoadModel(name, model.name, victims, need.reason, won, startable)
 
 
 def _victims(
