--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -1,6 +1,7 @@
 """What callers ask for, as a rate that rises at once and fades within seconds."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
@@ -19,6 +20,9 @@
 ENOUGH_REQUESTS = 4
 SHORTEST_AGE = timedelta(seconds=1)
 """Requests, and time since the first, from which a rate is told."""
+UNMET_TIME_CONSTANT = timedelta(seconds=20)
+"""Over which requests that were missed are remembered, so that a model asked for
+seldom gets its turn."""
 RANK_WEIGHTS = (2.0, 1.6, 1.0)
 """What a request counts by its route's priority: the urgent ones must not be served
 less often than those that can wait.  Ratios near those of their declared goals'
@@ -45,11 +49,15 @@
     """When the first request for it was seen, after a silence."""
     count: int = 0
     """Requests since then."""
+    unmet: float = 0.0
+    """Weighted requests that were missed since it was held last; fades slowly."""
     misses: dict[tuple[str, int], tuple[float, timedelta]] = field(default_factory=dict)
 
     def fade(self, now: timedelta) -> None:
         """Bring the averages up to ``now``."""
-        kept = math.exp(-max(0.0, (now - self.at) / TIME_CONSTANT))
+        age = max(timedelta(), now - self.at)
+        kept = math.exp(-(age / TIME_CONSTANT))
+        self.unmet *= math.exp(-(age / UNMET_TIME_CONSTANT))
         self.rate *= kept
         self.weighted *= kept
         self.work *= kept
@@ -70,6 +78,7 @@
     def miss(self, node: str, priority: int, missed: int, now: timedelta) -> None:
         """Take in that requests of ``node`` wait for a holder."""
         weighted = missed * rank_weight(priority)
+        self.unmet += weighted
         valid = MISS_VALID[min(max(priority, 0), len(MISS_VALID) - 1)]
         self.misses[node, priority] = (weighted, now + valid)
 
@@ -88,6 +97,10 @@
         age = max(now - self.first_at, SHORTEST_AGE)
         return 1.0 / (1.0 - math.exp(-(age / TIME_CONSTANT)))
 
+    def met(self) -> None:
+        """Take in that it is held, so that nothing is owed any more."""
+        self.unmet = 0.0
+
     def waiting(self, now: timedelta) -> float:
         """Return the weighted requests that wait for a holder now."""
         return sum(weighted for weighted, until in self.misses.values() if now < until)
@@ -153,6 +166,16 @@
         demand.fade(now)
         return demand
 
+    def met(self, service: str, model: str, adapters: Iterable[str]) -> None:
+        """Take in that a target holds ``model`` with ``adapters``."""
+        demand = self._models.get((service, model))
+        if demand is not None:
+            demand.met()
+        for adapter in adapters:
+            of_adapter = self._adapters.get((service, model, adapter))
+            if of_adapter is not None:
+                of_adapter.met()
+
     def adapters(self, service: str) -> list[tuple[str, str]]:
         """Return model and adapter of every adapter asked for so far."""
         return [(m, a) for s, m, a in self._adapters if s == service]
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -303,6 +303,9 @@
             engine = self.services[service].engine
             if engine is None:
                 continue
+            for member in members:
+                for model, adapters in member.view().adapters_by_model.items():
+                    self._demand.met(service, model, adapters)
             view = FleetView(service, engine, members, self._demand, now)
             for adapter in plan_adapters(view):
                 self._load_adapter(adapter, epoch)
--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -50,6 +50,8 @@
 WORTH_KEEPING_RATE = 0.05
 """Requests a second from which a model that no target holds any more is loaded again
 without waiting for the next request."""
+UNMET_WEIGHT = 0.7
+"""What a request that was missed still counts, until its model is held again."""
 ADAPTER_RATE_PER_REPLICA = 1.5
 """Requests a second for one adapter from which it is put on another target."""
 
@@ -189,7 +191,7 @@
         if coming_at is not None and (holders or coming_at - view.now < MUCH_SOONER):
             continue
         if not holders:
-            waiting = demand.waiting(view.now)
+            waiting = demand.waiting(view.now) + demand.unmet * UNMET_WEIGHT
             if waiting > 0 or demand.rate >= WORTH_KEEPING_RATE:
                 needs.append(_Need(model, waiting, demand.weighted, "not held"))
             continue
@@ -302,7 +304,7 @@
         have = sum(control.holds(model, adapter) for control in holders)
         if not holders or have == len(holders):
             continue
-        waiting = demand.waiting(view.now)
+        waiting = demand.waiting(view.now) + demand.unmet * UNMET_WEIGHT
         enough = max(1, round(demand.rate / ADAPTER_RATE_PER_REPLICA))
         if (not have and (waiting > 0 or demand.rate > WORTH_KEEPING_RATE)) or (
             have and have < enough
@@ -318,7 +320,7 @@
     """Return the best holder of ``model`` for ``adapter``: one with room first."""
     places: list[tuple[float, LoadAdapter]] = []
     own = view.demand.adapter(view.service, model, adapter, view.now)
-    worth = own.weighted + own.waiting(view.now)
+    worth = own.weighted + own.waiting(view.now) + own.unmet * UNMET_WEIGHT
     for control in view.holders(model):
         name = control.target.incarnation
         if name in taken or not control.takes_adapters:
