--- a/packages/runhatch-coordination/tests/test_leases.py
+++ b/packages/runhatch-coordination/tests/test_leases.py
@@ -149,3 +149,64 @@
             epochs.append(contest.leases[name].held().number)
             contest.leases[name].release()
         assert epochs == [1, 2, 3, 4]
+
+
+class TestHeardElsewhere:
+    """What a challenger hears of the holder past the table."""
+
+    def challenger(self, table, clock):
+        return Lease(table, clock, "plan", "b", TTL)
+
+    def holder(self, table, clock):
+        lease = Lease(table, clock, "plan", "a", TTL)
+        assert lease.step() is LeaseChange.ACQUIRED
+        return lease
+
+    def test_times_the_holder_from_the_renewal_it_heard_of(self):
+        table, clock = MemoryTable(), ManualClock()
+        holder = self.holder(table, clock)
+        challenger = self.challenger(table, clock)
+        challenger.observe(holder.record.epoch, holder.record.renewal)
+
+        clock.advance(TTL * 1.5)
+
+        assert challenger.step() is LeaseChange.ACQUIRED
+        assert challenger.free_since == TTL
+
+    def test_waits_for_a_renewal_it_did_not_hear_of(self):
+        table, clock = MemoryTable(), ManualClock()
+        holder = self.holder(table, clock)
+        challenger = self.challenger(table, clock)
+        challenger.observe(holder.record.epoch, holder.record.renewal)
+        clock.advance(TTL / 2)
+        holder.step()
+        clock.advance(TTL)
+
+        assert challenger.step() is LeaseChange.NONE
+
+    def test_takes_over_at_once_from_a_holder_that_resigned(self):
+        table, clock = MemoryTable(), ManualClock()
+        holder = self.holder(table, clock)
+        challenger = self.challenger(table, clock)
+
+        challenger.observe_resigned(holder.record.epoch)
+
+        assert challenger.step() is LeaseChange.ACQUIRED
+        assert challenger.taken_from == "a"
+
+    def test_an_old_resignation_says_nothing_of_a_later_epoch(self):
+        table, clock = MemoryTable(), ManualClock()
+        holder = self.holder(table, clock)
+        challenger = self.challenger(table, clock)
+
+        challenger.observe_resigned(holder.record.epoch - 1)
+
+        assert challenger.step() is LeaseChange.NONE
+
+    def test_a_restarted_holder_takes_its_own_lease_back_at_once(self):
+        table, clock = MemoryTable(), ManualClock()
+        first = self.holder(table, clock)
+        restarted = Lease(table, clock, "plan", "a", TTL)
+
+        assert restarted.step() is LeaseChange.ACQUIRED
+        assert restarted.held().number == first.record.epoch + 1
--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -10,9 +10,9 @@
     Membership,
     RetryBudget,
 )
-from runhatch_server._outside import Outside
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, TraceLog
+from runhatch_server.outside import Outside
 from runhatch_server.serving import (
     AnswerStore,
     Attempter,
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -14,11 +14,11 @@
     RevisionLog,
     Unavailable,
     Vm,
+    rank,
 )
 from runhatch_server._caller_side import CallerSide
 from runhatch_server._demand_reports import DemandReporter
 from runhatch_server._drains import DrainTracker
-from runhatch_server._outside import Outside
 from runhatch_server._tasks import Tasks
 from runhatch_server.configuration import (
     ConfigurationService,
@@ -28,6 +28,7 @@
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, TraceLog, log_change
 from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
+from runhatch_server.outside import Outside
 from runhatch_server.peers import PeerLinks, PeerService, PlannerNotice
 from runhatch_server.placement import PlacementService
 from runhatch_server.serving import Hosting, Picture
@@ -41,6 +42,9 @@
 CACHES_EVERY = timedelta(seconds=1)
 KEYS_EVERY = timedelta(seconds=10)
 """Between two looks at the key files of peer links."""
+SWEEP = "sweep"
+SWEEP_EVERY = timedelta(minutes=10)
+"""Claims are kept for a day; rows that live some minutes longer cost little."""
 LEDGER_READ_PER_TARGET = timedelta(seconds=2)
 STATE_RETRY = timedelta(seconds=1)
 """Between two tries of a node that knows of a newer configuration than its own."""
@@ -159,6 +163,7 @@
         self._tasks.every("caches", CACHES_EVERY, self._callers.caches.read_round)
         self._tasks.every("keys", KEYS_EVERY, self._links.renew_keys)
         self._tasks.every("state", STATE_RETRY, follower.catch_up)
+        self._tasks.every("sweep", SWEEP_EVERY, self._sweep)
         self._operators.start()
         self._callers.start()
 
@@ -281,6 +286,12 @@
             len(self._membership.facts()),
         )
 
+    def _sweep(self) -> None:
+        """Have one node of all drop what has expired."""
+        names = [vm.name for vm in self._membership.alive()]
+        if rank(SWEEP, names)[0] == self._settings.node.name:
+            self._outside.sweep(self._clock.now())
+
     def _refresh_picture(self) -> None:
         """Compare with peers each time, with the ledger ever more seldom.
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -153,6 +153,12 @@
             server.start()
         log_change("started", node=self._settings.name)
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Put changed settings in force; addresses to listen on need a new start."""
+        log_change("reload", node=settings.name, seeds=len(settings.seeds))
+        self._settings = settings
+        self._peers.seeds = settings.seeds
+
     def drain(self) -> None:
         """Stop taking requests and finish those there are, within the grace."""
         begun = self._clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -57,7 +57,8 @@
         self._clock = clock
         self._balancer = balancer
         self._directory = directory
-        self._seeds = seeds
+        self.seeds = seeds
+        """Addresses of some other nodes, old ones perhaps."""
         self._on_demand = on_demand
         self._on_orderer = on_orderer
         self._on_resigned = on_resigned
@@ -77,7 +78,7 @@
         """Make this node known to its seeds while it knows nobody else."""
         if len(self._membership.alive()) > 1:
             return
-        for seed in self._seeds:
+        for seed in self.seeds:
             if str(seed) != self._membership.own.address:
                 self.tell(str(seed), self.own())
 
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -43,13 +43,9 @@
 
 
 class PlatformSettings(StrictModel):
-    """Where the platform's services are."""
+    """Where the platform's store is."""
 
-    table_url: str = Field(description="Table service, base address")
-    table: Name = Field(default="runhatch", description="Name of the table")
-    objects_url: str = Field(description="Object store, base address")
-    bucket: Name = Field(default="runhatch", description="Bucket for bodies")
-    vms_url: str = Field(description="Address of the list of VMs")
+    store_url: str = Field(description="Store of rows and objects, base address")
     timeout_seconds: Seconds = Field(
         default=1.0, description="Longest wait for one call to the store"
     )
--- /dev/null
+++ b/packages/runhatch-server/tests/gateway_cases.py
@@ -0,0 +1,99 @@
+"""Targets, routes and requests that the gateway's tests share."""
+
+from datetime import timedelta
+
+from runhatch_coordination import Entry
+from runhatch_server.fleet import Directory, HeldModels, Target, TargetState
+from runhatch_server.gateway import GatewayRequest, ModelWork, PromptPart
+from runhatch_server.routing import (
+    EngineModel,
+    EngineSpec,
+    LoadTimes,
+    RequestKind,
+    RouteSpec,
+    ServiceShare,
+    ServiceSpec,
+)
+
+
+def seconds(value):
+    return timedelta(seconds=value)
+
+
+ENGINE = EngineSpec(
+    models=tuple(
+        EngineModel(
+            f"m{i}",
+            70.0,
+            LoadTimes(seconds(9), seconds(2), seconds(0.8)),
+            adapters=4,
+            adapter_mb=1.0,
+        )
+        for i in range(8)
+    ),
+    slots=8,
+    memory_mb=220.0,
+    adapter_slots=4,
+    kv_tokens=100_000,
+    loads_per_second=1.0,
+)
+SERVICES = {
+    "engine": ServiceSpec("engine", "/health", 100, ENGINE),
+    "plain": ServiceSpec("plain", "/health", 20),
+}
+
+
+def make_target(
+    name="t1", service="engine", models=("m0",), adapters=(), state=TargetState.READY
+):
+    held = {model: frozenset(adapters) for model in models}
+    return Target(name, service, "127.0.0.1", 1, "d1", 8, state, HeldModels(held))
+
+
+def make_directory(clock, *targets):
+    directory = Directory(clock)
+    directory.listed(tuple(Entry(t.incarnation, t) for t in targets))
+    return directory
+
+
+def make_route(kind=RequestKind.STREAM, **changes):
+    defaults = {
+        "name": "r",
+        "host": "a.example",
+        "path_prefix": "/",
+        "kind": kind,
+        "shares": (ServiceShare("engine", 1.0),),
+        "timeout": seconds(5),
+        "goal": seconds(0.8),
+        "priority": 1,
+        "patience": seconds(3.2) if kind is RequestKind.STREAM else None,
+    }
+    return RouteSpec(**{**defaults, **changes})
+
+
+def make_request(
+    clock, route=None, service="engine", model="m0", adapter="", tokens=1_000, name="id"
+):
+    route = route or make_route()
+    now = clock.elapsed()
+    work = None
+    if model:
+        parts = (PromptPart("shared", tokens // 2), PromptPart(name, tokens // 2))
+        work = ModelWork(model, adapter, parts, tokens, 20, 20)
+    return GatewayRequest(
+        attempt_id=name,
+        route=route,
+        service=service,
+        method="POST",
+        uri="/x",
+        passed=(("host", "a.example"),),
+        body=b"body",
+        received=now,
+        goal_at=now + route.goal,
+        deadline=now + route.timeout,
+        work=work,
+    )
+
+
+def never_gone():
+    return False
--- /dev/null
+++ b/packages/runhatch-server/tests/test_balancer.py
@@ -0,0 +1,240 @@
+"""Admission and routing: who is sent where, who waits, who is refused at once."""
+
+import threading
+import time
+
+import pytest
+from gateway_cases import (
+    SERVICES,
+    make_directory,
+    make_request,
+    make_route,
+    make_target,
+    never_gone,
+    seconds,
+)
+
+from runhatch_coordination import SystemClock
+from runhatch_server.fleet import ExpectedLoad, HeldModels
+from runhatch_server.gateway._balancer import Balancer, Grant
+from runhatch_server.gateway._load import LATE_TIER, LoadShare
+from runhatch_server.routing import RequestKind
+from runhatch_server.serving import Reason, Refusal
+
+PATIENT = make_route(
+    goal=seconds(8), timeout=seconds(20), patience=seconds(32), priority=2
+)
+
+
+def wait_until(holds, longest=5.0):
+    """Wait until ``holds`` is true; false if that takes too long."""
+    end = time.monotonic() + longest
+    while not holds() and time.monotonic() < end:
+        time.sleep(0.005)
+    return bool(holds())
+
+
+class Bench:
+    """A balancer over some targets, and what it reports."""
+
+    def __init__(self, clock, *targets):
+        self.clock = clock
+        self.directory = make_directory(clock, *targets)
+        self.missing = []
+        self.balancer = Balancer(
+            self.directory,
+            clock,
+            "d1",
+            self.missing.append,
+            lambda target: True,
+            lambda: None,
+            seed=1,
+        )
+        self.balancer.configure(SERVICES)
+
+    def acquire(self, request=None, tried=frozenset(), gone=never_gone):
+        request = request or make_request(self.clock)
+        return self.balancer.acquire(request, frozenset(tried), gone)
+
+    def peer(self, target, waiting_ms=0.0, **share):
+        waiting = (waiting_ms, 0.0, 0.0, 0.0)
+        shares = {target: LoadShare(waiting, **share)}
+        self.balancer.peer_shares("other", shares, whole=True)
+
+
+@pytest.fixture
+def two(clock):
+    return Bench(clock, make_target("t1"), make_target("t2"))
+
+
+class TestRouting:
+    """The target whose answer begins first."""
+
+    def test_requests_spread(self, two):
+        assert {two.acquire().target.incarnation for _ in range(2)} == {"t1", "t2"}
+
+    def test_what_peers_have_outstanding_counts(self, two):
+        two.peer("t1", waiting_ms=400.0, waiting=4)
+
+        chosen = [two.acquire().target.incarnation for _ in range(3)]
+
+        assert chosen == ["t2", "t2", "t2"]
+
+    def test_what_peers_told_long_ago_does_not(self, two):
+        two.peer("t1", waiting_ms=10_000.0, waiting=50)
+        two.clock.advance(seconds(3))
+
+        chosen = {two.acquire().target.incarnation for _ in range(2)}
+
+        assert chosen == {"t1", "t2"}
+
+    def test_a_prompt_goes_where_its_parts_were_read(self, two):
+        first = two.acquire()
+        two.balancer.started(first)
+        two.balancer.released(first, faulty=False)
+
+        again = two.acquire()
+
+        assert again.target == first.target
+
+    def test_a_failing_target_is_passed_over(self, two):
+        grant = two.acquire()
+        two.balancer.released(grant, faulty=True)
+
+        chosen = [two.acquire().target for _ in range(2)]
+
+        assert grant.target not in chosen
+
+    def test_a_silent_target_is_passed_over(self, two):
+        waiting = two.acquire()
+        two.clock.advance(seconds(1.5))
+        for _ in range(3):
+            fresh = two.acquire()
+            two.balancer.started(fresh)
+            assert fresh.target != waiting.target
+
+    def test_a_target_that_was_tried_is_the_last_choice(self, two):
+        assert two.acquire(tried={"t1"}).target.incarnation == "t2"
+        assert isinstance(two.acquire(tried={"t1", "t2"}), Grant)
+
+    def test_one_that_cannot_be_reached_is_shut_for_a_while(self, two):
+        grant = two.acquire()
+        two.balancer.unreachable(grant)
+
+        assert two.acquire().target != grant.target
+        assert not two.balancer.is_down(grant.target.incarnation)
+
+
+class TestAdmission:
+    """What cannot begin in time."""
+
+    def test_gives_way_to_requests_in_time_and_is_served_late(self, clock):
+        bench = Bench(clock, make_target())
+        bench.peer("t1", waiting_ms=1_500.0, waiting=10)
+
+        assert bench.acquire().tier == LATE_TIER
+
+    def test_is_refused_at_once_if_its_caller_would_have_left(self, clock):
+        bench = Bench(clock, make_target())
+        bench.peer("t1", waiting_ms=4_000.0, waiting=30)
+
+        refusal = bench.acquire()
+
+        assert refusal.reason is Reason.GOAL_UNMEETABLE
+        assert refusal.retry_after > seconds(0)
+
+    def test_one_with_more_time_is_taken(self, clock):
+        bench = Bench(clock, make_target())
+        bench.peer("t1", waiting_ms=4_000.0, waiting=5)
+
+        grant = bench.acquire(make_request(clock, PATIENT))
+
+        assert grant.tier == PATIENT.priority
+
+    @pytest.mark.parametrize(
+        ("service", "model", "reason"),
+        [
+            ("plain", "", Reason.NO_TARGET),
+            ("unknown", "", Reason.NO_TARGET),
+        ],
+    )
+    def test_without_any_target_it_is_refused(self, clock, service, model, reason):
+        bench = Bench(clock, make_target())
+        request = make_request(
+            clock, make_route(RequestKind.IDEMPOTENT), service, model
+        )
+
+        assert bench.acquire(request).reason is reason
+
+
+class TestWaitingForAModel:
+    """Requests whose model no target holds."""
+
+    def expect(self, bench, model, at):
+        load = ExpectedLoad("t1", model, bench.clock.elapsed() + seconds(at))
+        bench.directory.told("t1", HeldModels({"m0": frozenset()}), (load,))
+
+    def test_the_orderer_is_told_at_once(self, clock):
+        bench = Bench(clock, make_target())
+        bench.acquire(make_request(clock, model="m1"), gone=lambda: True)
+
+        assert [request.model for request in bench.missing] == ["m1"]
+
+    def test_a_load_that_ends_too_late_is_not_waited_for(self, clock):
+        bench = Bench(clock, make_target())
+        self.expect(bench, "m1", 9)
+
+        refusal = bench.acquire(make_request(clock, model="m1"))
+
+        assert refusal.reason is Reason.NO_REPLICA
+
+    def test_what_waits_already_counts(self):
+        clock = SystemClock()
+        bench = Bench(clock, make_target())
+        self.expect(bench, "m1", 2)
+        leave = threading.Event()
+        first = make_request(clock, model="m1", tokens=8_000)
+        waiting = threading.Thread(
+            target=bench.acquire, args=(first,), kwargs={"gone": leave.is_set}
+        )
+        waiting.start()
+        assert wait_until(bench.balancer.shares)
+
+        refusal = bench.acquire(make_request(clock, model="m1", tokens=12_000))
+
+        leave.set()
+        waiting.join()
+        assert isinstance(refusal, Refusal)
+        assert bench.balancer.shares() == {}
+
+    def test_it_is_sent_once_the_model_is_there(self):
+        clock = SystemClock()
+        bench = Bench(clock, make_target())
+        self.expect(bench, "m1", 0.3)
+        results = []
+        waiting = threading.Thread(
+            target=lambda: results.append(
+                bench.acquire(make_request(clock, PATIENT, model="m1"))
+            )
+        )
+        waiting.start()
+        bench.directory.told("t1", HeldModels({"m1": frozenset()}), ())
+        waiting.join(5)
+
+        assert results[0].target.incarnation == "t1"
+
+    def test_a_stopping_node_does_not_hold_it(self, clock):
+        bench = Bench(clock, make_target())
+        self.expect(bench, "m1", 2)
+        bench.balancer.close()
+
+        refusal = bench.acquire(make_request(clock, PATIENT, model="m1"))
+
+        assert refusal.reason is Reason.NO_REPLICA
+
+    def test_a_stopping_node_begins_no_stream_that_would_be_cut(self, clock):
+        bench = Bench(clock, make_target())
+        bench.balancer.close()
+        clock.advance(seconds(3))
+
+        assert bench.acquire().reason is Reason.STOPPING
--- /dev/null
+++ b/packages/runhatch-server/tests/test_directory.py
@@ -0,0 +1,141 @@
+"""Learned targets: entries, what the orderer tells, outages of the store."""
+
+import pytest
+from gateway_cases import make_directory, make_target, seconds
+
+from runhatch_coordination import Entry
+from runhatch_server.fleet import ExpectedLoad, HeldModels, TargetState
+
+
+def entry(target):
+    return Entry(target.incarnation, target)
+
+
+def names(targets):
+    return [target.incarnation for target in targets]
+
+
+class TestEntries:
+    """What targets write of themselves."""
+
+    @pytest.mark.parametrize(
+        ("state", "ready"),
+        [(TargetState.READY, ["t1"]), (TargetState.DRAINING, [])],
+    )
+    def test_only_ready_targets_take_work(self, clock, state, ready):
+        directory = make_directory(clock, make_target(state=state))
+
+        assert names(directory.ready("engine")) == ready
+
+    def test_a_target_that_drains_gets_nothing_from_then_on(self, clock):
+        directory = make_directory(clock, make_target())
+
+        directory.changed((entry(make_target(state=TargetState.DRAINING)),))
+
+        assert directory.ready("engine") == ()
+
+    def test_a_removed_target_is_gone_at_once_in_quiet_times(self, clock):
+        directory = make_directory(clock, make_target())
+        clock.advance(seconds(10))
+
+        directory.changed((Entry("t1", None),))
+
+        assert directory.get("t1") is None
+
+    def test_an_address_used_again_belongs_to_the_new_target_alone(self, clock):
+        directory = make_directory(clock, make_target("t1"))
+        clock.advance(seconds(10))
+
+        directory.changed(
+            (Entry("t1", None), entry(make_target("t2", service="plain")))
+        )
+
+        assert names(directory.ready("engine")) == []
+        assert names(directory.ready("plain")) == ["t2"]
+
+
+class TestOutages:
+    """Entries that lapsed while the store was away."""
+
+    def regained(self, clock):
+        directory = make_directory(clock, make_target())
+        clock.advance(seconds(10))
+        directory.unreachable("down")
+        clock.advance(seconds(5))
+        directory.reachable()
+        directory.listed(())
+        return directory
+
+    def test_stay_until_they_could_be_listed_again(self, clock):
+        directory = self.regained(clock)
+
+        clock.advance(seconds(1.5))
+        directory.settle()
+
+        assert names(directory.ready("engine")) == ["t1"]
+
+    def test_are_gone_if_still_missing_then(self, clock):
+        directory = self.regained(clock)
+
+        clock.advance(seconds(2))
+        directory.settle()
+
+        assert directory.ready("engine") == ()
+
+    def test_that_are_listed_again_stay(self, clock):
+        directory = self.regained(clock)
+        directory.changed((entry(make_target()),))
+
+        clock.advance(seconds(2))
+        directory.settle()
+
+        assert names(directory.ready("engine")) == ["t1"]
+
+
+class TestHolders:
+    """Who holds a model, by entries, by the orderer's word and by answers."""
+
+    @pytest.mark.parametrize(
+        ("model", "adapter", "holders"),
+        [
+            ("m0", "", ["t1"]),
+            ("m0", "a1", ["t1"]),
+            ("m0", "a2", []),
+            ("m1", "", []),
+            ("", "", ["t1"]),
+        ],
+    )
+    def test_by_entries(self, clock, model, adapter, holders):
+        directory = make_directory(clock, make_target(adapters=("a1",)))
+
+        assert names(directory.holders("engine", model, adapter)) == holders
+
+    def test_the_orderers_word_goes_first_while_it_is_fresh(self, clock):
+        directory = make_directory(clock, make_target())
+        directory.told("t1", HeldModels({"m5": frozenset()}), ())
+
+        assert names(directory.holders("engine", "m5", "")) == ["t1"]
+        assert directory.holders("engine", "m0", "") == []
+
+        clock.advance(seconds(9))
+        directory.changed((entry(make_target()),))
+
+        assert names(directory.holders("engine", "m0", "")) == ["t1"]
+
+    def test_a_target_that_lacks_a_model_is_not_asked_for_a_moment(self, clock):
+        directory = make_directory(clock, make_target())
+
+        directory.correct("t1", "m0", "")
+
+        assert directory.holders("engine", "m0", "") == []
+        clock.advance(seconds(0.2))
+        assert names(directory.holders("engine", "m0", "")) == ["t1"]
+
+    def test_the_load_that_is_done_first_is_expected(self, clock):
+        directory = make_directory(clock, make_target("t1"), make_target("t2"))
+        for name, at in (("t1", 9), ("t2", 2)):
+            load = ExpectedLoad(name, "m7", seconds(at))
+            directory.told(name, HeldModels(), (load,))
+
+        assert directory.expected("engine", "m7").target == "t2"
+        assert directory.expected("engine", "m6") is None
--- a/packages/runhatch-server/tests/test_settings.py
+++ b/packages/runhatch-server/tests/test_settings.py
@@ -15,9 +15,7 @@
     "operators": {"host": "127.0.0.1", "port": 7402},
     "peers": {"host": "127.0.0.1", "port": 7403},
     "platform": {
-        "table_url": "http://127.0.0.1:1",
-        "objects_url": "http://127.0.0.1:2",
-        "vms_url": "http://127.0.0.1:3/vms",
+        "store_url": "http://127.0.0.1:1",
     },
 }
 
--- a/standins/src/runhatch_standins/_cluster.py
+++ b/standins/src/runhatch_standins/_cluster.py
@@ -14,6 +14,16 @@
 from typing import Any
 from urllib.parse import urlsplit
 
+from runhatch_coordination import (
+    ABSENT,
+    Committed,
+    Delete,
+    Key,
+    Put,
+    Write,
+)
+from runhatch_platform import Store, StoreTable
+from runhatch_server.outside import VMS_PARTITION
 from runhatch_standins._launch import Launched, launch
 from runhatch_standins._tcp_relay import TcpRelay
 
@@ -90,28 +100,48 @@
             "// Written by the test bench.\n" + json.dumps(self.settings[name])
         )
         log = self.folder / f"{name}-{time.monotonic_ns()}.err"
-        node = launch(name, "runhatch_server", "--settings", str(path), errors=log)
+        node = launch(name, "runhatch_platform", "--settings", str(path), errors=log)
         self.nodes[name] = node
         self.stack.callback(node.kill)
         return node
 
     def publish_vms(self, leaving: tuple[str, ...] = ()) -> None:
         """Tell the platform which VMs there are."""
-        vms = [
-            {
-                "name": name,
+        entries = {
+            name: {
                 "failure_domain": settings["node"]["failure_domain"],
                 "peer_address": f"127.0.0.1:{settings['peers']['port']}",
                 "leaving": name in leaving,
             }
             for name, settings in self.settings.items()
-        ]
-        vms += [
-            {"name": f"vm-{engine.name}", "failure_domain": "d1", "leaving": True}
+        }
+        entries |= {
+            f"vm-{engine.name}": {"failure_domain": "d1", "leaving": True}
             for engine in self.engines
             if f"vm-{engine.name}" in leaving
+        }
+        self._write_vms(entries)
+
+    def _write_vms(self, entries: Document) -> None:
+        """Replace the rows of the VMs."""
+        table = StoreTable(Store(self.platform.url))
+        known = table.query(VMS_PARTITION)
+        assert isinstance(known, tuple)
+        versions = {row.key.sort: row.version for row in known}
+        writes: list[Write] = [
+            Delete(Key(VMS_PARTITION, name), version)
+            for name, version in versions.items()
+            if name not in entries
+        ]
+        writes += [
+            Put(
+                Key(VMS_PARTITION, name),
+                json.dumps(entry).encode(),
+                versions.get(name, ABSENT),
+            )
+            for name, entry in entries.items()
         ]
-        call(self.platform.url, "PUT", "/vms", {"vms": vms})
+        assert isinstance(table.transact(writes), Committed)
 
     def deployment(self) -> Document:
         """Return the configuration document for what is running."""
@@ -303,9 +333,7 @@
         "operators": {"host": "127.0.0.1", "port": operators},
         "peers": {"host": "127.0.0.1", "port": peers},
         "platform": {
-            "table_url": platform_url,
-            "objects_url": platform_url,
-            "vms_url": f"{platform_url}/vms",
+            "store_url": platform_url,
         },
         "serving": {"drain_lag_seconds": 0.5},
         "placement": {
--- a/standins/src/runhatch_standins/platform.py
+++ b/standins/src/runhatch_standins/platform.py
@@ -1,7 +1,8 @@
-"""The platform's stand-in: table, object store and VM list, with their faults.
+"""The platform's stand-in: its store, by the store's published calls, with faults.
 
-The table speaks the part of DynamoDB JSON 1.0 that runhatch uses, the object store
-plain S3 PUT and GET.  ``POST /faults`` sets faults, ``GET /stats`` tells counts.
+Rows in tables with one version counter, transactions under conditions, feeds that
+wait for changes, and raw objects.  ``POST /faults`` sets faults, ``GET /stats`` tells
+counts, ``PUT /rows`` writes rows past all conditions, as operators and targets do.
 """
 
 import argparse
@@ -10,43 +11,125 @@
 import random
 import threading
 import time
+from dataclasses import dataclass
 from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
 
-from runhatch_coordination import (
-    Check,
-    Conflict,
-    Delete,
-    Key,
-    Put,
-    Row,
-    Write,
-)
-from runhatch_coordination.testing import MemoryTable
 from runhatch_standins._holds import Holds
 from runhatch_standins._wsgi import Call, Reply, Routes, reply_json, serve
 
-PAGE = 200
+PAGE = 500
+"""Rows in one answer."""
 ANSWER = "answer"
-CLAIM_PARTITION = "claim"
+CLAIM_TABLE = "claim"
+UNANSWERED_SECONDS = 30.0
+"""How long a call that is never answered is kept open."""
 NO_FAULTS: dict[str, Any] = {
     "down": False,
+    "busy": False,
+    "silent": False,
     "slow_seconds": 0.0,
     "lose_answer": 0.0,
     "lose_request": 0.0,
-    "vm_lag_seconds": 0.0,
     "hold": None,
 }
+Document = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class RowName:
+    """Names one row."""
+
+    table: str
+    part: str
+    key: str
+
+
+class Rows:
+    """Rows, their versions and the history of changes."""
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition()
+        self.version = 0
+        self._rows: dict[RowName, tuple[str, int]] = {}
+        self._history: list[tuple[int, RowName, str | None]] = []
+        self._forgotten = 0
+
+    def transact(self, document: Document) -> Document | None:
+        """Apply a transaction; returns the rows that failed it, ``None`` if none."""
+        with self.changed:
+            expected = document.get("expected", [])
+            if any(self._version(_name(row)) != row["ver"] for row in expected):
+                found = [self._told(_name(row)) for row in expected]
+                rows = [row for row in found if row is not None]
+                return {"rows": rows, "ver": self.version}
+            self.version += 1
+            for row in document.get("puts", []):
+                self._put(_name(row), row["value"])
+            for row in document.get("remove", []):
+                self._put(_name(row), None)
+            self.changed.notify_all()
+            return None
+
+    def read(self, table: str, part: str, first: str, end: str) -> list[Document]:
+        """Return rows of one part, by key, from ``first`` to before ``end``."""
+        with self.changed:
+            names = sorted(
+                name
+                for name in self._rows
+                if (name.table, name.part) == (table, part)
+                and name.key >= first
+                and (not end or name.key < end)
+            )
+            return [row for name in names if (row := self._told(name)) is not None]
+
+    def since(self, table: str, after: int, wait: float) -> list[Document] | None:
+        """Return what changed, waiting for a first change; ``None`` if forgotten."""
+        with self.changed:
+            self.changed.wait_for(lambda: bool(self._changes(table, after)), wait)
+            if after < self._forgotten:
+                return None
+            return self._changes(table, after)
+
+    def forget_history(self) -> None:
+        """Drop all history, as the store may at any time."""
+        with self.changed:
+            self._history.clear()
+            self._forgotten = self.version
+
+    def _changes(self, table: str, after: int) -> list[Document]:
+        return [
+            {**_told(name, value or "", version), "removed": value is None}
+            for version, name, value in self._history
+            if version > after and name.table == table
+        ]
+
+    def _put(self, name: RowName, value: str | None) -> None:
+        self._history.append((self.version, name, value))
+        if value is None:
+            self._rows.pop(name, None)
+        else:
+            self._rows[name] = (value, self.version)
+
+    def _version(self, name: RowName) -> int:
+        row = self._rows.get(name)
+        return 0 if row is None else row[1]
+
+    def _told(self, name: RowName) -> Document | None:
+        row = self._rows.get(name)
+        return None if row is None else _told(name, *row)
 
 
 class Platform:
     """State and faults of one platform."""
 
     def __init__(self, seed: int) -> None:
-        self._table = MemoryTable()
+        self._rows = Rows()
         self._objects: dict[str, bytes] = {}
         self._random = random.Random(seed)
         self._lock = threading.Lock()
-        self._vms: list[tuple[float, list[dict[str, Any]]]] = [(0.0, [])]
         self.faults = dict(NO_FAULTS)
         self._holds = Holds()
         self.counts = {"writes": 0, "reads": 0, "object_puts": 0, "object_gets": 0}
@@ -54,14 +137,16 @@
     def routes(self) -> Routes:
         """Return the application."""
         routes = Routes()
-        routes.add("POST", "/", self.operate)
-        routes.add("PUT", "/vms", self.set_vms)
-        routes.add("GET", "/vms", self.list_vms)
+        routes.add("POST", "/api/rows-tx", self.transact)
+        routes.add("GET", "/api/rows-get", self.get)
+        routes.add("GET", "/api/rows-feed", self.feed)
+        routes.add("PUT", "/api/blob-put/(.+)", self.put_object)
+        routes.add("GET", "/api/blob-get/(.+)", self.get_object)
         routes.add("POST", "/faults", self.set_faults)
+        routes.add("POST", "/forget", self.forget)
         routes.add("GET", "/stats", self.stats)
-        routes.add("GET", "/rows/(.*)", self.rows)
-        routes.add("PUT", "/[^/]+/(.+)", self.put_object)
-        routes.add("GET", "/[^/]+/(.+)", self.get_object)
+        routes.add("PUT", "/rows", self.put_rows)
+        routes.add("GET", "/rows/(.*)", self.show_rows)
         return routes
 
     def set_faults(self, call: Call) -> Reply:
@@ -70,41 +155,74 @@
         self._holds.set(self.faults["hold"])
         return reply_json(self.faults)
 
+    def forget(self, call: Call) -> Reply:
+        """Drop the history of changes."""
+        self._rows.forget_history()
+        return reply_json({})
+
     def stats(self, call: Call) -> Reply:
         """Tell how many calls were served."""
         return reply_json({**self.counts, "held": self._holds.held})
 
-    def rows(self, call: Call) -> Reply:
-        """Tell a partition's rows, past all faults, for checking."""
-        rows = self._table.query(call.match.group(1))
-        assert isinstance(rows, tuple)
-        return reply_json([[row.key.sort, row.body.decode()] for row in rows])
-
-    def set_vms(self, call: Call) -> Reply:
-        """Replace the list of VMs; readers see it after the lag."""
-        with self._lock:
-            self._vms.append((time.monotonic(), call.json()["vms"]))
-        return reply_json({})
+    def put_rows(self, call: Call) -> Reply:
+        """Write rows and remove others, past all faults and conditions."""
+        document = call.json()
+        puts = [_encoded(row) for row in document.get("puts", [])]
+        self._rows.transact({"puts": puts, "remove": document.get("remove", [])})
+        return reply_json({"ver": self._rows.version})
 
-    def list_vms(self, call: Call) -> Reply:
-        """Tell the list as of the lag ago."""
-        seen = time.monotonic() - float(self.faults["vm_lag_seconds"])
-        with self._lock:
-            current = [vms for at, vms in self._vms if at <= seen][-1]
-        return reply_json({"vms": current})
+    def show_rows(self, call: Call) -> Reply:
+        """Tell a table's rows and their bodies, past all faults, for checking."""
+        rows = self._rows.read(call.match.group(1), "", "", "")
+        return reply_json([[row["key"], _body(row["value"]).decode()] for row in rows])
 
-    def operate(self, call: Call) -> Reply:
-        """Serve one table operation, if the faults let it through."""
+    def transact(self, call: Call) -> Reply:
+        """Serve a transaction, if the faults let it through."""
         failed = self._fail_before()
         if failed is not None:
             return failed
-        operation = call.headers["x-amz-target"].partition(".")[2]
+        self.counts["writes"] += 1
+        if self._happens("lose_request"):
+            return Reply(500)
         document = call.json()
-        if operation == "GetItem":
-            return self._get(document)
-        if operation == "Query":
-            return self._query(document)
-        return self._transact(document)
+        kind = _kind(document)
+        self._holds.pass_by(kind, "before")
+        refused = self._rows.transact(document)
+        self._holds.pass_by(kind, "after")
+        if self._happens("lose_answer"):
+            return Reply(500)
+        if refused is not None:
+            return reply_json(refused, 412)
+        return reply_json({"ver": self._rows.version, "now_ms": _now_ms()})
+
+    def get(self, call: Call) -> Reply:
+        """Serve a range of rows."""
+        failed = self._fail_before()
+        if failed is not None:
+            return failed
+        self.counts["reads"] += 1
+        query = _query(call)
+        rows = self._rows.read(
+            query["table"],
+            query.get("part", ""),
+            query.get("from", ""),
+            query.get("to", ""),
+        )
+        page = rows[: int(query.get("limit", PAGE))]
+        return self._reply_rows(page, len(rows) > len(page))
+
+    def feed(self, call: Call) -> Reply:
+        """Serve what has changed, keeping the call waiting for a first change."""
+        failed = self._fail_before()
+        if failed is not None:
+            return failed
+        self.counts["reads"] += 1
+        query = _query(call)
+        wait = float(query.get("wait_ms", 0)) / 1000
+        rows = self._rows.since(query["table"], int(query["after"]), wait)
+        if rows is None:
+            return reply_json({"error": "the history is gone"}, 410)
+        return self._reply_rows(rows, more=False)
 
     def put_object(self, call: Call) -> Reply:
         """Store an object."""
@@ -128,93 +246,63 @@
             body = self._objects.get(call.match.group(1))
         return Reply(404) if body is None else Reply(200, body)
 
+    def _reply_rows(self, rows: list[Document], more: bool) -> Reply:
+        answer = {"rows": rows, "has_more": more, "ver": self._rows.version}
+        return reply_json({**answer, "now_ms": _now_ms()})
+
     def _fail_before(self) -> Reply | None:
+        if self.faults["silent"]:
+            time.sleep(UNANSWERED_SECONDS)
         time.sleep(float(self.faults["slow_seconds"]))
+        if self.faults["busy"]:
+            return Reply(429)
         return Reply(503) if self.faults["down"] else None
 
     def _happens(self, fault: str) -> bool:
         with self._lock:
             return self._random.random() < float(self.faults[fault])
 
-    def _get(self, document: dict[str, Any]) -> Reply:
-        self.counts["reads"] += 1
-        found = self._table.get(_key(document["Key"]))
-        return reply_json({"Item": _item(found)} if isinstance(found, Row) else {})
 
-    def _query(self, document: dict[str, Any]) -> Reply:
-        self.counts["reads"] += 1
-        partition = document["ExpressionAttributeValues"][":p"]["S"]
-        rows = self._table.query(partition)
-        assert isinstance(rows, tuple)
-        start = document.get("ExclusiveStartKey")
-        if start is not None:
-            rows = tuple(row for row in rows if row.key > _key(start))
-        answer: dict[str, Any] = {"Items": [_item(row) for row in rows[:PAGE]]}
-        if len(rows) > PAGE:
-            last = rows[PAGE - 1].key
-            answer["LastEvaluatedKey"] = {
-                "p": {"S": last.partition},
-                "s": {"S": last.sort},
-            }
-        return reply_json(answer)
-
-    def _transact(self, document: dict[str, Any]) -> Reply:
-        self.counts["writes"] += 1
-        if self._happens("lose_request"):
-            return Reply(500)
-        writes = [_write(item) for item in document["TransactItems"]]
-        kind = _kind(writes)
-        self._holds.pass_by(kind, "before")
-        outcome = self._table.transact(writes)
-        self._holds.pass_by(kind, "after")
-        if self._happens("lose_answer"):
-            return Reply(500)
-        if not isinstance(outcome, Conflict):
-            return reply_json({})
-        reasons = [
-            {"Code": "ConditionalCheckFailed" if i in outcome.failed else "None"}
-            for i in range(len(writes))
-        ]
-        kind = "com.amazonaws.dynamodb.v20120810#TransactionCanceledException"
-        return reply_json({"__type": kind, "CancellationReasons": reasons}, 400)
+def _name(row: Document) -> RowName:
+    return RowName(row["table"], row.get("part", ""), row["key"])
 
 
-def _kind(writes: list[Write]) -> str:
-    """Return what a transaction is, for holding it: a claim's state, or other."""
-    for write in writes:
-        if isinstance(write, Put) and write.key.partition == CLAIM_PARTITION:
-            return str(json.loads(write.body)["state"])
-    return "other"
+def _told(name: RowName, value: str, version: int) -> Document:
+    return {
+        "table": name.table,
+        "part": name.part,
+        "key": name.key,
+        "value": value,
+        "ver": version,
+    }
 
 
-def _key(item: dict[str, Any]) -> Key:
-    return Key(item["p"]["S"], item["s"]["S"])
+def _encoded(row: Document) -> Document:
+    """Return a row whose ``document`` stands as JSON in its value."""
+    body = json.dumps(row["document"]).encode()
+    return {**row, "value": base64.b64encode(body).decode()}
 
 
-def _item(row: Row) -> dict[str, Any]:
-    return {
-        "p": {"S": row.key.partition},
-        "s": {"S": row.key.sort},
-        "v": {"N": str(row.version)},
-        "b": {"B": base64.b64encode(row.body).decode()},
-    }
+def _body(value: str) -> bytes:
+    """Return the body of a row that the library's table wrote: version, body, end."""
+    return bytes(msgspec.msgpack.decode(base64.b64decode(value))[1])
+
+
+def _kind(document: Document) -> str:
+    """Return what a transaction is, for holding it: a claim's state, or other."""
+    for row in document.get("puts", []):
+        if row["table"] == CLAIM_TABLE:
+            return str(json.loads(_body(row["value"]))["state"])
+    return "other"
 
 
-def _expect(part: dict[str, Any]) -> int:
-    if part["ConditionExpression"] == "v = :v":
-        return int(part["ExpressionAttributeValues"][":v"]["N"])
-    return 0
+def _query(call: Call) -> dict[str, str]:
+    found = parse_qs(call.query, keep_blank_values=True)
+    return {name: values[-1] for name, values in found.items()}
 
 
-def _write(item: dict[str, Any]) -> Write:
-    if "Put" in item:
-        part = item["Put"]
-        body = base64.b64decode(part["Item"]["b"]["B"])
-        return Put(_key(part["Item"]), body, _expect(part))
-    if "Delete" in item:
-        return Delete(_key(item["Delete"]["Key"]), _expect(item["Delete"]))
-    check = item["ConditionCheck"]
-    return Check(_key(check["Key"]), _expect(check))
+def _now_ms() -> int:
+    return int(time.monotonic() * 1000)
 
 
 def main() -> None:
