--- /dev/null
+++ b/packages/runhatch-server/tests/test_residency_policy.py
@@ -0,0 +1,152 @@
+"""Which model is loaded where, and what gives way for it."""
+
+import pytest
+from gateway_cases import ENGINE, make_target, seconds
+
+from runhatch_server.fleet import HeldModels, StoredCopies
+from runhatch_server.residency import (
+    DemandBook,
+    FleetView,
+    TargetControl,
+    TargetReport,
+    plan_adapters,
+    plan_models,
+)
+
+NOW = seconds(100)
+
+
+def control(name, models, on_disk=(), adapters=()):
+    made = TargetControl(make_target(name, models=models))
+    held = HeldModels({model: frozenset(adapters) for model in models})
+    copies = StoredCopies(on_disk=frozenset({*models, *on_disk}))
+    report = TargetReport(0, held, False, frozenset(), copies, 0, 0)
+    made.reported(report, seconds(0))
+    return made
+
+
+def asked(*demands):
+    """Return demand of the last ten seconds, from tuples.
+
+    Each is a model, its priority, requests a second and requests missed now.
+    """
+    book = DemandBook()
+    for model, priority, rate, missed, *rest in demands:
+        adapter = rest[0] if rest else ""
+        name = ("engine", model, adapter)
+        for second in range(10):
+            at = NOW - seconds(9 - second)
+            book.add("n1", name, priority, rate, 0, rate * 100.0, at)
+        if missed:
+            book.add("n1", name, priority, missed, missed, missed * 100.0, NOW)
+    return book
+
+
+def view(controls, book):
+    return FleetView("engine", ENGINE, controls, book, NOW)
+
+
+def loads(controls, book):
+    planned = plan_models(view(controls, book))
+    return [(load.model, load.target, load.evict) for load in planned]
+
+
+class TestMissingModels:
+    """Models that requests wait for."""
+
+    def test_nothing_is_loaded_unasked(self):
+        assert loads([control("t1", ["m0"])], asked()) == []
+
+    def test_one_goes_where_there_is_room(self):
+        controls = [control("t1", ["m0", "m1", "m2"]), control("t2", ["m3"])]
+
+        assert loads(controls, asked(("m5", 1, 0, 1))) == [("m5", "t2", ())]
+
+    def test_one_goes_where_its_weights_lie(self):
+        controls = [control("t1", ["m0"]), control("t2", ["m3"], on_disk=["m5"])]
+
+        assert loads(controls, asked(("m5", 1, 0, 1)))[0][1] == "t2"
+
+    def test_what_is_asked_for_least_gives_way(self):
+        controls = [control("t1", ["m0", "m1", "m2"], on_disk=["m5"])]
+        book = asked(("m0", 1, 2, 0), ("m2", 1, 2, 0))
+        book.add("n1", ("engine", "m1", ""), 2, 1, 0, 100.0, NOW)
+        book.add("n1", ("engine", "m5", ""), 1, 3, 3, 300.0, NOW)
+
+        assert loads(controls, book) == [("m5", "t1", ("m1",))]
+
+    def test_busy_models_do_not_give_way_to_one_request(self):
+        controls = [control("t1", ["m0", "m1", "m2"], on_disk=["m5"])]
+        book = asked(*((f"m{i}", 1, 2, 0) for i in range(3)), ("m5", 2, 0, 1))
+
+        assert loads(controls, book) == []
+
+    def test_a_model_missed_again_and_again_gets_its_turn(self):
+        controls = [control("t1", ["m0", "m1", "m2"])]
+        book = asked()
+        for i in range(3):
+            book.add("n1", ("engine", f"m{i}", ""), 2, 1, 0, 100.0, NOW)
+        for _ in range(4):
+            book.add("n1", ("engine", "m5", ""), 2, 1, 1, 100.0, NOW)
+
+        assert [load[0] for load in loads(controls, book)] == ["m5"]
+
+    def test_a_replica_others_stand_beside_goes_before_a_last_one(self):
+        controls = [
+            control("t1", ["m0", "m1", "m2"], on_disk=["m5"]),
+            control("t2", ["m0", "m3", "m4"]),
+        ]
+        book = asked(("m0", 1, 0.2, 0), ("m5", 1, 0, 2))
+
+        assert loads(controls, book) == [("m5", "t1", ("m0",))]
+
+    def test_a_load_on_its_way_is_not_ordered_twice(self):
+        first, second = control("t1", ["m0"]), control("t2", ["m1"])
+        first.loading = "m5"
+        first.ready_at = NOW + seconds(1)
+
+        assert loads([first, second], asked(("m5", 1, 0, 1))) == []
+
+
+class TestReplicas:
+    """Models whose targets are too busy."""
+
+    def book(self, rate):
+        return asked(("m0", 1, rate, 0))
+
+    @pytest.mark.parametrize(("rate", "replicas"), [(2, 0), (8, 1)])
+    def test_are_added_as_demand_asks(self, rate, replicas):
+        controls = [control("t1", ["m0"]), control("t2", ["m1"], on_disk=["m0"])]
+
+        planned = loads(controls, self.book(rate))
+
+        assert [load[0] for load in planned] == ["m0"] * replicas
+
+    def test_are_not_loaded_from_the_store_for_demand_that_moves_on(self):
+        controls = [control("t1", ["m0"]), control("t2", ["m1", "m2", "m3"])]
+
+        assert loads(controls, self.book(6)) == []
+
+
+class TestAdapters:
+    """Adapters of models that are held."""
+
+    def test_one_that_is_waited_for_goes_to_a_holder(self):
+        controls = [control("t1", ["m0"]), control("t2", ["m1"])]
+        planned = plan_adapters(view(controls, asked(("m0", 0, 0, 1, "a1"))))
+
+        assert [(load.target, load.adapter) for load in planned] == [("t1", "a1")]
+
+    def test_the_one_asked_for_least_gives_way(self):
+        full = control("t1", ["m0"], adapters=["a1", "a2", "a3", "a4"])
+        book = asked(*(("m0", 0, 1, 0, f"a{i}") for i in (1, 2, 4)))
+        book.add("n1", ("engine", "m0", "a9"), 0, 1, 1, 100.0, NOW)
+
+        planned = plan_adapters(view([full], book))
+
+        assert [load.evict for load in planned] == [("m0", "a3")]
+
+    def test_none_is_loaded_without_its_model(self):
+        controls = [control("t2", ["m1"])]
+
+        assert plan_adapters(view(controls, asked(("m0", 0, 0, 1, "a1")))) == []
--- /dev/null
+++ b/packages/runhatch-server/tests/test_target_control.py
@@ -0,0 +1,192 @@
+"""One target under the orderer: memory stays safe with late orders and reports."""
+
+import pytest
+from gateway_cases import ENGINE, make_target, seconds
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from runhatch_server.fleet import HeldModels, StoredCopies
+from runhatch_server.residency import (
+    Step,
+    TargetControl,
+    TargetOrder,
+    TargetReport,
+)
+from runhatch_server.targets import OrderKind, OrderOutcome
+
+LOAD_TIME = seconds(2)
+
+
+def order(kind, model, after, adapter=""):
+    return TargetOrder(kind, model, adapter, after, "n1", 1)
+
+
+def report(orders, models=(), busy=False, coming=()):
+    held = {model: frozenset() for model in models}
+    return TargetReport(
+        orders, HeldModels(held), busy, frozenset(coming), StoredCopies(), 0, 0
+    )
+
+
+def settled(*models, orders=0):
+    control = TargetControl(make_target(models=models))
+    control.reported(report(orders, models), seconds(0))
+    return control
+
+
+class TestSteps:
+    """What is known after each answer."""
+
+    def test_nothing_may_be_ordered_before_a_first_report(self):
+        assert not TargetControl(make_target()).is_free
+
+    def test_a_load_that_was_taken_is_held_once_reported(self):
+        control = settled("m0")
+        control.ordered(
+            order(OrderKind.LOAD, "m1", 0), OrderOutcome.ACCEPTED, LOAD_TIME, seconds(1)
+        )
+        assert control.step is Step.LOADING
+        assert not control.holds("m1")
+
+        control.reported(report(1, ["m0", "m1"]), seconds(4))
+
+        assert control.is_free
+        assert control.holds("m1")
+
+    def test_an_unloaded_model_is_not_asked_for_and_its_memory_not_free(self):
+        control = settled("m0", "m1", "m2")
+        before = control.used_mb(ENGINE)
+        control.ordered(
+            order(OrderKind.UNLOAD, "m1", 0),
+            OrderOutcome.ACCEPTED,
+            LOAD_TIME,
+            seconds(1),
+        )
+
+        assert not control.holds("m1")
+        assert control.used_mb(ENGINE) == before
+        control.reported(report(1, ["m0", "m2"]), seconds(2))
+        assert control.used_mb(ENGINE) < before
+
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            OrderOutcome.UNKNOWN,
+            OrderOutcome.CONFLICT,
+            OrderOutcome.NOT_SENT,
+            OrderOutcome.REFUSED,
+            OrderOutcome.REFUSED_OLD,
+            OrderOutcome.GONE,
+        ],
+    )
+    def test_any_other_outcome_waits_for_a_report(self, outcome):
+        control = settled("m0")
+        control.ordered(order(OrderKind.LOAD, "m1", 0), outcome, LOAD_TIME, seconds(1))
+
+        assert control.step is Step.DOUBT
+        control.reported(report(0, ["m0"]), seconds(2))
+        assert control.is_free
+
+    def test_an_old_report_changes_nothing(self):
+        control = settled("m0", orders=3)
+
+        control.reported(report(2, ["m0", "m1"]), seconds(2))
+
+        assert not control.holds("m1")
+
+    def test_an_adapter_is_told_of_once_it_is_loaded(self):
+        control = settled("m0")
+        control.ordered(
+            order(OrderKind.LOAD, "m0", 0, "a1"),
+            OrderOutcome.ACCEPTED,
+            LOAD_TIME,
+            seconds(1),
+        )
+        assert not control.view().holds("m0", "a1")
+
+        control.arrive(seconds(1.2))
+
+        assert control.view().holds("m0", "a1")
+        assert control.is_free
+
+
+class Engine(RuleBasedStateMachine):
+    """A target that carries orders out late, against a control that plans for it.
+
+    Answers are lost at will, and lost orders may arrive at any later time.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.orders = 0
+        self.models = {"m0", "m1"}
+        self.late = []
+        self.control = TargetControl(make_target(models=()))
+
+    @initialize()
+    def first_report(self):
+        self.control.reported(self.report(), seconds(self.now))
+
+    def report(self):
+        return report(self.orders, sorted(self.models))
+
+    def carry_out(self, late):
+        if late.after_orders != self.orders:
+            return OrderOutcome.CONFLICT
+        self.orders += 1
+        if late.kind is OrderKind.LOAD:
+            self.models.add(late.model)
+        else:
+            self.models.discard(late.model)
+        return OrderOutcome.ACCEPTED
+
+    def send(self, sent, lost):
+        if lost:
+            self.late.append(sent)
+            outcome = OrderOutcome.UNKNOWN
+        else:
+            outcome = self.carry_out(sent)
+        self.control.ordered(sent, outcome, LOAD_TIME, seconds(self.now))
+
+    @precondition(lambda self: self.control.is_free)
+    @rule(number=st.integers(0, 7), lost=st.booleans())
+    def load(self, number, lost):
+        model = ENGINE.by_name[f"m{number}"]
+        used = self.control.used_mb(ENGINE)
+        fits = used + model.memory_mb <= ENGINE.memory_mb
+        if model.name not in self.control.held and fits:
+            self.send(order(OrderKind.LOAD, model.name, self.control.orders), lost)
+
+    @precondition(lambda self: self.control.is_free and self.control.held)
+    @rule(lost=st.booleans())
+    def unload(self, lost):
+        model = min(self.control.held)
+        self.send(order(OrderKind.UNLOAD, model, self.control.orders), lost)
+
+    @precondition(lambda self: self.control.step is not Step.IDLE)
+    @rule()
+    def ask(self):
+        self.now += 1
+        self.control.reported(self.report(), seconds(self.now))
+
+    @precondition(lambda self: bool(self.late))
+    @rule()
+    def arrive_late(self):
+        self.carry_out(self.late.pop(0))
+
+    @invariant()
+    def memory_is_never_overcommitted(self):
+        used = sum(ENGINE.by_name[model].memory_mb for model in self.models)
+        assert used <= ENGINE.memory_mb
+
+
+TestEngine = Engine.TestCase
+TestEngine.settings = settings(max_examples=150, stateful_step_count=30, deadline=None)
--- a/standins/src/runhatch_standins/_launch.py
+++ b/standins/src/runhatch_standins/_launch.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import threading
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -57,9 +58,13 @@
 
 
 def launch(
-    name: str, module: str, *arguments: str, errors: Path | None = None
+    name: str,
+    module: str,
+    *arguments: str,
+    errors: Path | None = None,
+    variables: Mapping[str, str] | None = None,
 ) -> Launched:
-    """Start ``python -m module`` and wait for the line that tells its port.
+    """Start ``python -m module`` and wait for its first line, which tells its port.
 
     Raises ``RuntimeError`` with what it wrote if it ends or stays silent.
     """
@@ -69,6 +74,7 @@
         stdout=subprocess.PIPE,
         stderr=log,
         text=True,
+        env={**os.environ, **(variables or {})},
     )
     launched = Launched(name, process)
     first = threading.Event()
--- /dev/null
+++ b/standins/src/runhatch_standins/worker.py
@@ -0,0 +1,195 @@
+"""A target of the platform: an engine or a plain service, by the published calls.
+
+It registers itself in the store, takes orders, reports, and serves any path.
+``GET /journal`` tells what it ran, ``POST /faults`` sets faults.
+"""
+
+import argparse
+import threading
+import time
+import uuid
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from runhatch_standins._cluster import call as call_json
+from runhatch_standins._wsgi import Call, Reply, Routes, reply_json, serve
+
+NOT_RUN = (("X-Runhatch-Not-Executed", "1"),)
+EVENT_SECONDS = 0.01
+LOAD_SECONDS = 0.3
+NO_FAULTS: dict[str, Any] = {"status": 0, "hang_seconds": 0.0, "lose_orders": False}
+Document = dict[str, Any]
+
+
+@dataclass(slots=True)
+class Run:
+    """One request that was run."""
+
+    attempt_id: str
+    model: str
+    events: int = 0
+    ended: str = "running"
+
+
+@dataclass(slots=True)
+class Worker:
+    """State and faults of one target."""
+
+    store_url: str
+    service: str
+    zone: str
+    models: dict[str, set[str]]
+    identity: str = field(default_factory=lambda: f"i-{uuid.uuid4().hex[:10]}")
+    port: int = 0
+    state: str = "ready"
+    orders: int = 0
+    busy: bool = False
+    runs: list[Run] = field(default_factory=list)
+    faults: Document = field(default_factory=lambda: dict(NO_FAULTS))
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def routes(self) -> Routes:
+        """Return the application."""
+        routes = Routes()
+        routes.add("GET", "/api/report", self.report)
+        routes.add("POST", "/api/order", self.order)
+        routes.add("GET", "/journal", self.journal)
+        routes.add("POST", "/faults", self.set_faults)
+        routes.add("POST", "/drain", self.drain)
+        for method in ("GET", "POST"):
+            routes.add(method, "/.*", self.serve)
+        return routes
+
+    def register(self) -> None:
+        """Write this target's entry."""
+        entry = {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "slots": 8,
+            "state": self.state,
+            "models": self._held(),
+            "available": {"in_memory": [], "on_disk": sorted(self.models)},
+        }
+        row = {"table": "servers", "key": self.identity, "document": entry}
+        call_json(self.store_url, "PUT", "/rows", {"puts": [row]})
+
+    def report(self, call: Call) -> Reply:
+        """Tell what is held."""
+        return reply_json(
+            {"models": self._held(), "busy": self.busy, "sequence": self.orders}
+        )
+
+    def order(self, call: Call) -> Reply:
+        """Carry out an order, unless another came between."""
+        document = call.json()
+        if call.headers.get("x-runhatch-expect-instance") != self.identity:
+            return Reply(421)
+        if self.faults["lose_orders"]:
+            return Reply(500)
+        with self.lock:
+            if self.busy or document.get("expected", self.orders) != self.orders:
+                return reply_json({"error": "conflict"}, 409)
+            self.orders += 1
+            if "adapter" in document:
+                adapters = self.models[document["model"]]
+                change = adapters.add if document["op"] == "load" else adapters.discard
+                change(document["adapter"])
+                return Reply(202)
+            self.busy = True
+        threading.Thread(target=self._carry_out, args=(document,)).start()
+        return Reply(202)
+
+    def journal(self, call: Call) -> Reply:
+        """Tell what was run."""
+        runs = [[run.attempt_id, run.model, run.ended] for run in self.runs]
+        return reply_json({"runs": runs, "identity": self.identity})
+
+    def set_faults(self, call: Call) -> Reply:
+        """Replace all faults; what is not named is healthy."""
+        self.faults = {**NO_FAULTS, **call.json()}
+        return reply_json(self.faults)
+
+    def drain(self, call: Call) -> Reply:
+        """Announce that no new work is wanted."""
+        self.state = "draining"
+        self.register()
+        return reply_json({})
+
+    def serve(self, call: Call) -> Reply:
+        """Run one request."""
+        attempt_id = call.headers.get("x-runhatch-attempt-id", "")
+        model, _, adapter = call.headers.get("x-runhatch-model", "").partition("/")
+        expected = call.headers.get("x-runhatch-expect-instance", self.identity)
+        if expected != self.identity or not self._holds(model, adapter):
+            return Reply(421, headers=(("X-Runhatch-Attempt-Id", attempt_id),))
+        if not attempt_id:
+            return Reply(400, headers=NOT_RUN)
+        run = Run(attempt_id, model)
+        self.runs.append(run)
+        time.sleep(float(self.faults["hang_seconds"]))
+        headers = (
+            ("X-Runhatch-Attempt-Id", attempt_id),
+            ("X-Runhatch-Response-Seal", f"seal-{self.identity}"),
+        )
+        if self.faults["status"]:
+            run.ended = "failed"
+            return Reply(int(self.faults["status"]), b"failed", headers)
+        if not model:
+            run.ended = "answered"
+            return Reply(200, f"{call.path} {attempt_id}".encode(), headers)
+        count = int(call.headers.get("x-runhatch-token-count", "0,8").split(",")[1])
+        first = int(call.headers.get("last-event-id", "0"))
+        events = self._events(run, first, count)
+        stream = (*headers, ("Content-Type", "text/event-stream"))
+        return Reply(200, headers=stream, chunks=events)
+
+    def _events(self, run: Run, first: int, count: int) -> Iterator[bytes]:
+        run.ended = "left"
+        for number in range(first + 1, count + 1):
+            time.sleep(EVENT_SECONDS)
+            run.events += 1
+            yield f"id: {number}\ndata: {run.attempt_id}\n\n".encode()
+        run.ended = "answered"
+
+    def _carry_out(self, document: Document) -> None:
+        time.sleep(LOAD_SECONDS)
+        with self.lock:
+            if document["op"] == "load":
+                self.models[document["model"]] = set()
+            else:
+                self.models.pop(document["model"], None)
+            self.busy = False
+        self.register()
+
+    def _holds(self, model: str, adapter: str) -> bool:
+        if not model:
+            return True
+        return model in self.models and (not adapter or adapter in self.models[model])
+
+    def _held(self) -> list[Document]:
+        return [
+            {"name": model, "version": 1, "adapters": sorted(adapters)}
+            for model, adapters in sorted(self.models.items())
+        ]
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--store", required=True)
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--zone", default="d1")
+    parser.add_argument("--models", default="")
+    arguments = parser.parse_args()
+    models = {name: set[str]() for name in arguments.models.split(",") if name}
+    worker = Worker(arguments.store, arguments.service, arguments.zone, models)
+    worker.port = arguments.port
+    worker.register()
+    serve(worker.routes(), arguments.port, threads=32)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/adapter/test_platform_decoding.py
@@ -0,0 +1,303 @@
+"""What the platform says, decoded once; what it does not say, refused by name."""
+
+import json
+from datetime import timedelta
+
+import pytest
+
+from runhatch_platform import (
+    PlatformHeaders,
+    decode_configuration,
+    decode_settings,
+    decode_target,
+)
+from runhatch_server import SettingsError
+from runhatch_server.fleet import Target, TargetState
+from runhatch_server.gateway import GatewayRequest, HeaderFault
+from runhatch_server.routing import RequestKind, RouteSpec
+
+MS = timedelta(milliseconds=1)
+ROUTE = {
+    "name": "r",
+    "host": "a.example",
+    "path_prefix": "/x/",
+    "kind": "stream",
+    "timeout_ms": 5000,
+    "goal_ms": 800,
+    "priority": 1,
+    "service": "s",
+    "max_attempts": 2,
+    "resumable": True,
+    "gap_target_ms": 400,
+}
+ENGINE = {
+    "slots": 64,
+    "kv_capacity": 132029,
+    "weight_size": 220000.0,
+    "adapter_slots": 8,
+    "loads_per_s": 1.4,
+    "models": [
+        {
+            "name": "m",
+            "weight_size": 65100.0,
+            "load_s": 9.0,
+            "disk_s": 2.0,
+            "warm_s": 0.8,
+            "adapters": 24,
+            "adapter_mb": 12.0,
+        }
+    ],
+}
+SETTINGS = """
+node_name: "n1"
+ip: "10.1.0.38"
+zone: "d1"
+region: "r1"
+listen: {front: "10.1.0.38:8149", ready: "10.1.0.38:8141", control: "10.1.0.38:8144"}
+seeds: ["10.2.0.40:8144"]
+limits: {memory_mb: 300}
+bounds: {grace_s: 8, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52}
+platform: {address: "10.200.1.7:8142", row_bytes: 65536, blob_bytes: 8388608}
+unknown_to_us: 7
+"""
+
+
+def document(routes=(ROUTE,), **changes):
+    service = {"name": "s", "max_conns": 360, "engine": ENGINE}
+    whole = {"version": 7, "routes": list(routes), "services": [service], **changes}
+    return json.dumps(whole).encode()
+
+
+class TestConfiguration:
+    """Routes, services and models."""
+
+    def test_a_route(self):
+        route = decode_configuration(document()).routes[0]
+
+        assert route.kind is RequestKind.STREAM
+        assert (route.goal, route.timeout) == (800 * MS, 5_000 * MS)
+        assert route.may_repeat
+        assert route.patience == 3_200 * MS
+
+    @pytest.mark.parametrize(
+        ("changes", "shares"),
+        [
+            ({}, [("s", 1.0)]),
+            ({"service": None, "split": [{"service": "t", "weight": 9}]}, [("t", 9.0)]),
+            ({"service": None}, []),
+        ],
+    )
+    def test_shares_of_a_route(self, changes, shares):
+        route = decode_configuration(document([{**ROUTE, **changes}])).routes[0]
+
+        assert [(share.service, share.weight) for share in route.shares] == shares
+
+    def test_a_model(self):
+        service = decode_configuration(document()).services[0]
+        model = service.engine.models[0]
+
+        assert service.engine.memory_mb == 220_000
+        assert model.memory_mb == 65_100
+        assert model.loads.from_disk == timedelta(seconds=2)
+
+    @pytest.mark.parametrize(
+        ("body", "names"),
+        [
+            (b"{", "truncated"),
+            (document([{**ROUTE, "timeout_ms": "5 s"}]), "timeout_ms"),
+            (document([{**ROUTE, "kind": "sometimes"}]), "sometimes"),
+            (b'{"version": 1}', "routes"),
+        ],
+    )
+    def test_another_shape_is_refused_whole_and_named(self, body, names):
+        with pytest.raises(ValueError, match=names):
+            decode_configuration(body)
+
+
+class TestTargets:
+    """Entries of targets."""
+
+    @pytest.mark.parametrize(
+        ("changes", "state"),
+        [
+            ({}, TargetState.READY),
+            ({"state": "draining"}, TargetState.DRAINING),
+            ({"state": "some new word"}, TargetState.DRAINING),
+        ],
+    )
+    def test_a_state_that_is_not_known_takes_no_work(self, changes, state):
+        entry = {"service": "s", "address": "10.0.0.9:80", "state": "ready", **changes}
+
+        assert decode_target("i-1", json.dumps(entry).encode()).state is state
+
+    def test_what_it_holds(self):
+        entry = {
+            "service": "s",
+            "address": "10.0.0.9:80",
+            "models": [{"name": "m", "version": 1, "adapters": ["a1"]}],
+            "available": {"in_memory": ["m"], "on_disk": ["m", "n"]},
+            "remaining_ms": 2000,
+        }
+        target = decode_target("i-1", json.dumps(entry).encode())
+
+        assert target.held.holds("m", "a1")
+        assert target.copies.on_disk == {"m", "n"}
+        assert target.leaves_in == timedelta(seconds=2)
+
+    @pytest.mark.parametrize("body", [b"[]", b'{"address": "x:1"}', b"\xff"])
+    def test_another_shape_is_refused(self, body):
+        with pytest.raises(ValueError, match=r"."):
+            decode_target("i-1", body)
+
+
+class TestSettings:
+    """The settings file of a process."""
+
+    def test_fields(self):
+        settings = decode_settings(SETTINGS.encode())
+
+        assert settings.gateway.callers.port == 8149
+        assert settings.gateway.peers.port == 8144
+        assert settings.store.url == "http://10.200.1.7:8142"
+
+    @pytest.mark.parametrize(
+        ("before", "after", "fault"),
+        [
+            ('zone: "d1"', "", "zone: missing"),
+            ("grace_s: 8", 'grace_s: "soon"', "bounds.grace_s: found 'soon'"),
+            ("10.1.0.38:8149", "10.1.0.38", "allowed: IP:PORT"),
+            ("node_name:", "node_name: [", "not YAML"),
+        ],
+    )
+    def test_each_fault_names_its_field(self, before, after, fault):
+        with pytest.raises(SettingsError) as caught:
+            decode_settings(SETTINGS.replace(before, after).encode())
+
+        assert fault in str(caught.value)
+
+
+def request(**changes):
+    route = RouteSpec(
+        "r", "a", "/", RequestKind.STREAM, (), 5_000 * MS, 800 * MS, priority=1
+    )
+    defaults = {
+        "attempt_id": "id",
+        "route": route,
+        "service": "s",
+        "method": "POST",
+        "uri": "/",
+        "passed": (("host", "a"),),
+        "body": b"",
+        "received": timedelta(),
+        "goal_at": timedelta(),
+        "deadline": timedelta(),
+    }
+    return GatewayRequest(**{**defaults, **changes})
+
+
+TARGET = Target("i-1", "s", "10.0.0.9", 80, "d1", 8, TargetState.READY)
+
+
+class TestCallerHeaders:
+    """What callers say."""
+
+    HEADERS = {  # noqa: RUF012
+        "x-runhatch-attempt-id": "id",
+        "x-runhatch-model": "m/a3",
+        "x-runhatch-token-count": "1460,80",
+        "x-runhatch-prompt-prefix": "5c:800,91:410",
+        "x-runhatch-deadline-ms": "5000",
+        "x-runhatch-length-hint": "33",
+        "host": "a.example",
+    }
+
+    def test_decoded(self):
+        caller = PlatformHeaders().read_caller(self.HEADERS)
+
+        assert (caller.work.model, caller.work.adapter) == ("m", "a3")
+        assert [part.tokens for part in caller.work.prompt] == [800, 410]
+        assert (caller.work.most_output, caller.work.expected_output) == (80, 33)
+        assert caller.time_left == 5_000 * MS
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "connection",
+            "transfer-encoding",
+            "x-runhatch-expect-instance",
+            "x-runhatch-hold",
+            "x-runhatch-request-urgency",
+            "kv-from",
+        ],
+    )
+    def test_what_only_the_system_may_say_is_not_passed_on(self, name):
+        caller = PlatformHeaders().read_caller({**self.HEADERS, name: "x"})
+
+        assert name not in dict(caller.passed)
+
+    def test_what_belongs_to_the_request_is_passed_on(self):
+        caller = PlatformHeaders().read_caller({**self.HEADERS, "x-own": "1"})
+        passed = dict(caller.passed)
+
+        assert passed["x-runhatch-model"] == "m/a3"
+        assert passed["x-own"] == "1"
+
+    @pytest.mark.parametrize(
+        ("name", "value"),
+        [
+            ("x-runhatch-deadline-ms", "soon"),
+            ("x-runhatch-deadline-ms", "-1"),
+            ("x-runhatch-token-count", "12"),
+            ("x-runhatch-prompt-prefix", "5c"),
+        ],
+    )
+    def test_one_that_cannot_be_read_is_a_fault(self, name, value):
+        found = PlatformHeaders().read_caller({**self.HEADERS, name: value})
+
+        assert isinstance(found, HeaderFault)
+
+
+class TestTargetHeaders:
+    """What targets are told, and what they answer."""
+
+    def test_a_target_is_told_who_is_meant_and_the_time_left(self):
+        headers = dict(
+            PlatformHeaders().for_target(request(), TARGET, 1_234.7 * MS, tier=3)
+        )
+
+        assert headers["X-Runhatch-Expect-Instance"] == "i-1"
+        assert headers["X-Runhatch-Deadline-Ms"] == "1234"
+
+    def test_a_stream_goes_on_after_the_newest_event_only(self):
+        codec = PlatformHeaders()
+        first = codec.for_target(request(last_event="3"), TARGET, 1_000 * MS, 0)
+        again = codec.resumed_after(first, "9")
+
+        assert [v for n, v in again if n == "Last-Event-Id"] == ["9"]
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "closes", "not_run", "idle"),
+        [
+            (200, {"keep-alive": "timeout=5"}, False, False, 4_700 * MS),
+            (200, {}, False, False, 400 * MS),
+            (200, {"keep-alive": "timeout=5"}, True, False, None),
+            (503, {"x-runhatch-not-executed": "1"}, False, True, 400 * MS),
+            (503, {}, False, False, 400 * MS),
+            (421, {}, False, True, 400 * MS),
+            (500, {}, False, False, 400 * MS),
+        ],
+    )
+    def test_an_answers_head(self, status, headers, closes, not_run, idle):
+        head = PlatformHeaders().read_answer(status, "", headers, closes)
+
+        assert (head.not_run, head.idle) == (not_run, idle)
+
+    @pytest.mark.parametrize(
+        ("value", "load"),
+        [("3,1,8", (3, 1)), ("3,1", (3, 1)), ("3", None), ("a,b,c", None)],
+    )
+    def test_reported_load(self, value, load):
+        headers = {"x-runhatch-server-load": value}
+        found = PlatformHeaders().read_answer(200, "", headers, False).load
+
+        assert (found and (found.running, found.waiting)) == load
