--- a/packages/runhatch-server/src/runhatch_server/daemon.py
+++ b/packages/runhatch-server/src/runhatch_server/daemon.py
@@ -14,7 +14,7 @@
 from runhatch_server._errors import SettingsError
 from runhatch_server._node import Node
 from runhatch_server.gateway import GatewayNode, GatewayOutside, GatewaySettings
-from runhatch_server.observability import configure_logs
+from runhatch_server.observability import configure_logs, flush_logs
 from runhatch_server.outside import Outside
 from runhatch_server.settings import LogSettings, Settings, load_settings
 
@@ -68,6 +68,7 @@
         if changed is not None:
             node.reload(changed)
     node.drain()
+    flush_logs()
     return 0
 
 
@@ -89,6 +90,7 @@
     while not signals.stop.wait(LOOK_EVERY.total_seconds()):
         pass
     node.drain()
+    flush_logs()
     return 0
 
 
@@ -109,5 +111,5 @@
 def stop_broken(broken: InvariantError) -> None:
     """Stop at once: going on would break a promise further."""
     eliot.log_message(message_type="broken_invariant", promise=str(broken))
-    sys.stderr.flush()
+    flush_logs()
     os._exit(EXIT_BROKEN_INVARIANT)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -154,6 +154,11 @@
         self.nodes = 1
         """Nodes that share the targets' connections."""
 
+    @property
+    def held(self) -> int:
+        """Requests that wait for a model now."""
+        return self._held
+
     def configure(self, services: Mapping[str, ServiceSpec]) -> None:
         """Use other declarations from now on."""
         self._services = services
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -356,6 +356,10 @@
         known = frozenset(target.incarnation for target in self._directory.all())
         self._pool.close_expired(known)
         self._balancer.forget_unknown()
+        ready = [target for target in self._directory.all() if target.is_ready]
+        self._metrics.targets.set(len(ready))
+        self._metrics.held.set(self._balancer.held)
+        self._metrics.in_progress.set(self._progress.count)
 
     def _sleep_until(self, moment: timedelta) -> None:
         left = moment - self._clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -75,7 +75,14 @@
         for reason, paid in record.retries:
             label = reason.value if paid else f"{reason.value}_no_budget"
             self._metrics.retries.labels(label).inc()
+        for attempt in record.attempts:
+            self._metrics.attempts.labels(attempt.partition(":")[2]).inc()
+        kind = request.route.kind.value
+        if record.first_byte is not None:
+            seconds = record.first_byte.total_seconds()
+            self._metrics.first_token.labels(kind).observe(seconds)
         took = self._clock.elapsed() - request.received
+        self._metrics.first_byte.labels(kind).observe(took.total_seconds())
         log_change(
             "request",
             request_id=request.attempt_id,
--- a/packages/runhatch-server/src/runhatch_server/observability/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/__init__.py
@@ -1,6 +1,12 @@
 """Metrics, structured logs and request traces."""
 
-from runhatch_server.observability._logs import RequestLog, configure_logs, log_change
+from runhatch_server.observability._logs import (
+    LogQueue,
+    RequestLog,
+    configure_logs,
+    flush_logs,
+    log_change,
+)
 from runhatch_server.observability._metrics import Metrics
 from runhatch_server.observability._traces import (
     AttemptTrace,
@@ -10,10 +16,12 @@
 
 __all__ = [
     "AttemptTrace",
+    "LogQueue",
     "Metrics",
     "RequestLog",
     "RequestTrace",
     "TraceLog",
     "configure_logs",
+    "flush_logs",
     "log_change",
 ]
--- a/packages/runhatch-server/src/runhatch_server/observability/_logs.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_logs.py
@@ -1,8 +1,14 @@
-"""Structured logs by eliot: one JSON object a line, a request under one action."""
+"""Structured logs by eliot: one JSON object a line, a request under one action.
+
+Whoever logs never waits for the pipe: lines go into a bounded queue, and one thread
+writes them.  When the queue fills, lines of requests that were answered are left out
+first; what is left out is counted, and told in a line of its own.
+"""
 
 import logging
 import sys
 import threading
+from collections import deque
 from pathlib import Path
 from typing import TextIO
 
@@ -13,24 +19,94 @@
 
 LEVEL_FIELD = "level"
 ORDER = (LogLevel.ERROR, LogLevel.CHANGE, LogLevel.REQUEST)
+QUEUE_LINES = 4_096
+"""Lines that may wait: some 2 MB, a few seconds of a node at 300 requests a second."""
+PLENTY = 0.5
+"""Share of the queue from which on only what matters most is taken."""
+MOST_WRITTEN = 256
+"""Lines written at once."""
+FLUSH_SECONDS = 1.0
+"""Longest wait for the writer at the end of the process."""
+
 
+class LogQueue:
+    """Takes messages from any thread and writes them from one.
 
-class _Destination:
-    """Writes messages up to a level; eliot calls it from any thread."""
+    A reader of the log that stops reading stops the writer alone.
+    """
 
-    def __init__(self, stream: TextIO, level: LogLevel) -> None:
+    def __init__(self, stream: TextIO, level: LogLevel, limit: int = QUEUE_LINES):
         self._stream = stream
-        self._lock = threading.Lock()
+        self._limit = limit
+        self._lines: deque[dict[str, object]] = deque()
+        self._changed = threading.Condition()
+        self._writing = False
+        self._dropped = 0
         rank = ORDER.index(level)
         self._shown = frozenset(shown.value for shown in ORDER[: rank + 1])
+        threading.Thread(target=self._run, name="log", daemon=True).start()
+
+    @property
+    def dropped(self) -> int:
+        """Lines left out since they were told of last."""
+        return self._dropped
 
     def __call__(self, message: dict[str, object]) -> None:
+        """Take in one message; never waits for the writer."""
         if message.get(LEVEL_FIELD, LogLevel.ERROR.value) not in self._shown:
             return
-        line = eliot.json.EliotJSONEncoder().encode(message)
-        with self._lock:
-            self._stream.write(line + "\n")
-            self._stream.flush()
+        with self._changed:
+            if len(self._lines) >= self._room_for(message):
+                self._dropped += 1
+                return
+            self._lines.append(message)
+            self._changed.notify()
+
+    def flush(self, longest: float = FLUSH_SECONDS) -> bool:
+        """Wait until all is written; false if that takes too long."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: not self._lines and not self._writing, longest
+            )
+
+    def _room_for(self, message: dict[str, object]) -> int:
+        common = message.get("outcome") == "answered"
+        return int(self._limit * PLENTY) if common else self._limit
+
+    def _run(self) -> None:
+        encoder = eliot.json.EliotJSONEncoder()
+        while True:
+            batch = self._take()
+            try:
+                self._stream.write(
+                    "".join(f"{encoder.encode(line)}\n" for line in batch)
+                )
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads the log; there is nowhere else to say so.
+                continue
+            finally:
+                with self._changed:
+                    self._writing = False
+                    self._changed.notify_all()
+
+    def _take(self) -> list[dict[str, object]]:
+        with self._changed:
+            self._changed.wait_for(lambda: bool(self._lines))
+            self._writing = True
+            batch = [
+                self._lines.popleft()
+                for _ in range(min(len(self._lines), MOST_WRITTEN))
+            ]
+            if self._dropped:
+                batch.append(
+                    {"message_type": "log_lines_dropped", "count": self._dropped}
+                )
+                self._dropped = 0
+            return batch
+
+
+_queues: list[LogQueue] = []
 
 
 def configure_logs(settings: LogSettings) -> None:
@@ -38,11 +114,19 @@
 
     Raises ``OSError`` if the file cannot be opened.
     """
-    eliot.add_destinations(_Destination(_open(settings.destination), settings.level))
+    queue = LogQueue(_open(settings.destination), settings.level)
+    _queues.append(queue)
+    eliot.add_destinations(queue)
     # What libraries log, the HTTP server's failures among them, goes the same way.
     logging.getLogger().addHandler(EliotHandler())
 
 
+def flush_logs() -> None:
+    """Have what was logged so far written, before the process ends."""
+    for queue in _queues:
+        queue.flush()
+
+
 def log_change(message_type: str, **fields: object) -> None:
     """Log one change of state: a lease, an order, a configuration, a member."""
     fields[LEVEL_FIELD] = LogLevel.CHANGE.value
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -38,6 +38,15 @@
         self.queued = self._gauge("requests_queued", "Requests waiting for a slot")
         self.revision = self._gauge("configuration_revision", "Revision in force")
         self.shards = self._gauge("planning_leases", "Planning leases held")
+        self.targets = self._gauge("targets", "Targets that take new work")
+        self.held = self._gauge("requests_held", "Requests that wait for a model")
+        self.first_token = Histogram(
+            "runhatch_target_first_byte_seconds",
+            "Time from sending a request until its target began to answer",
+            ["kind"],
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
         self.first_byte = Histogram(
             "runhatch_first_byte_seconds",
             "Time from receipt to the first byte of the answer",
