--- a/packages/runhatch-server/src/runhatch_server/residency/_control.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_control.py
@@ -31,7 +31,7 @@
 """Between two reports while it is not known whether an order was taken."""
 ADAPTER_PROTECTED = timedelta(seconds=1)
 """An adapter stays so long at least: requests that waited for it are on their way."""
-MODEL_PROTECTED = timedelta(milliseconds=1500)
+MODEL_PROTECTED = timedelta(seconds=2.5)
 """The same for a model."""
 
 
--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -87,12 +87,17 @@
         """Whether any request was ever seen for it."""
         return self.first_at is not None
 
+    @property
+    def is_steady(self) -> bool:
+        """Whether enough requests were seen to tell of a rate."""
+        return self.count >= ENOUGH_REQUESTS
+
     def rise(self, now: timedelta) -> float:
         """Return by what the averages fall short because demand has just begun.
 
         One request tells nothing of a rate, several within a second do.
         """
-        if self.first_at is None or self.count < ENOUGH_REQUESTS:
+        if self.first_at is None or not self.is_steady:
             return 1.0
         age = max(now - self.first_at, SHORTEST_AGE)
         return 1.0 / (1.0 - math.exp(-(age / TIME_CONSTANT)))
--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -38,7 +38,7 @@
 EASY_LOAD = 0.25
 """Share of a target's time up to which it takes over another replica's requests
 without a loss; at ``REPLICA_LOAD`` all of them are counted as lost."""
-UNKNOWN_MODEL = 1.0
+UNKNOWN_MODEL = 1.5
 """What the last replica of a model is worth that nobody has asked for yet, in
 weighted requests: demand moves to other models without warning, and the targets
 were given these models by those who know the demand."""
@@ -50,8 +50,11 @@
 WORTH_KEEPING_RATE = 0.05
 """Requests a second from which a model that no target holds any more is loaded again
 without waiting for the next request."""
+SELDOM_SECONDS = 4.0
+"""The same for a model that a few requests have asked for: they tell of no demand
+that stays."""
 UNMET_WEIGHT = 0.7
-"""What a request that was missed still counts, until its model is held again."""
+"""What each missed request but the first still counts, until its model is held."""
 ADAPTER_RATE_PER_REPLICA = 1.5
 """Requests a second for one adapter from which it is put on another target."""
 
@@ -175,9 +178,11 @@
     rate: float
     reason: str
 
+    persistence: float = PERSISTENCE_SECONDS
+
     def won(self, seconds: float) -> float:
         """Return what a load that is done after ``seconds`` wins."""
-        lasting = max(0.0, PERSISTENCE_SECONDS - seconds)
+        lasting = max(0.0, self.persistence - seconds)
         return self.waiting + self.rate * lasting
 
 
@@ -191,9 +196,12 @@
         if coming_at is not None and (holders or coming_at - view.now < MUCH_SOONER):
             continue
         if not holders:
-            waiting = demand.waiting(view.now) + demand.unmet * UNMET_WEIGHT
+            waiting = demand.waiting(view.now)
+            waiting += max(0.0, demand.unmet - 1.0) * UNMET_WEIGHT
             if waiting > 0 or demand.rate >= WORTH_KEEPING_RATE:
-                needs.append(_Need(model, waiting, demand.weighted, "not held"))
+                lasts = PERSISTENCE_SECONDS if demand.is_steady else SELDOM_SECONDS
+                need = _Need(model, waiting, demand.weighted, "not held", lasts)
+                needs.append(need)
             continue
         relief = _relief(view, model.name)
         if relief > 0:
