Seeds for a start while the store is away

Cause: with the list of VMs in the store a node that starts while the store is away knew nobody (test_takes_all_from_peers failed; now passes, 3 runs).

--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -277,6 +277,7 @@
         self._drains.listed(listing.leaving)
 
     def _keep_members(self) -> None:
+        self._peers.look_for_members(self._settings.peering.seeds)
         self._peers.keep_links()
         self._peers.look_round()
         self._drains.forget_old()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -116,7 +116,6 @@
             self._metrics,
             self._balancer,
             self._directory,
-            settings.seeds,
             self._on_demand,
             self._lease.observe,
             self._lease.observe_resigned,
@@ -157,7 +156,6 @@
         """Put changed settings in force; addresses to listen on need a new start."""
         log_change("reload", node=settings.name, seeds=len(settings.seeds))
         self._settings = settings
-        self._peers.seeds = settings.seeds
 
     def drain(self) -> None:
         """Stop taking requests and finish those there are, within the grace."""
@@ -316,7 +314,7 @@
             self._order_now.set()
 
     def _keep_members(self) -> None:
-        self._peers.look_for_members()
+        self._peers.look_for_members(map(str, self._settings.seeds))
         self._peers.keep_links()
         self._peers.look_round()
         self._balancer.nodes = len(self._membership.alive())
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -9,7 +9,6 @@
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._demand import DemandShare
 from runhatch_server.gateway._load import LoadShare
-from runhatch_server.gateway._settings import Endpoint
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
     DemandOfModel,
@@ -47,7 +46,6 @@
         metrics: Metrics,
         balancer: Balancer,
         directory: Directory,
-        seeds: tuple[Endpoint, ...],
         on_demand: OnDemand,
         on_orderer: Callable[[int, int], None],
         on_resigned: Callable[[int], None],
@@ -57,8 +55,6 @@
         self._clock = clock
         self._balancer = balancer
         self._directory = directory
-        self.seeds = seeds
-        """Addresses of some other nodes, old ones perhaps."""
         self._on_demand = on_demand
         self._on_orderer = on_orderer
         self._on_resigned = on_resigned
@@ -74,14 +70,6 @@
         """Tell whether the node that orders the targets has renewed its lease."""
         return self._clock.elapsed() - self._orderer_heard < ORDERER_SILENT
 
-    def look_for_members(self) -> None:
-        """Make this node known to its seeds while it knows nobody else."""
-        if len(self._membership.alive()) > 1:
-            return
-        for seed in self.seeds:
-            if str(seed) != self._membership.own.address:
-                self.tell(str(seed), self.own())
-
     def tell_loads(self) -> None:
         """Tell peers what has changed of what this node has outstanding.
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -1,6 +1,7 @@
 """Who else is there: heartbeats, links to peers, and news about members."""
 
 import random
+from collections.abc import Iterable
 
 from runhatch_coordination import (
     MemberFact,
@@ -48,6 +49,14 @@
         peers = choose_peers(self._membership.own, self._membership.alive())
         self._links.keep(frozenset(vm.address for vm in peers))
 
+    def look_for_members(self, seeds: Iterable[str]) -> None:
+        """Make this node known at ``seeds`` while it knows nobody else."""
+        if len(self._membership.alive()) > 1:
+            return
+        for seed in seeds:
+            if seed != self._membership.own.address:
+                self.tell(seed, self.own())
+
     def look_round(self) -> None:
         """Suspect silent peers and pass on what is new about members.
 
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -136,6 +136,10 @@
     max_message_bytes: int = Field(
         default=4_194_304, ge=65_536, le=67_108_864, description="Largest message"
     )
+    seeds: tuple[str, ...] = Field(
+        default=(),
+        description="Addresses of some peers, for a start while the store is away",
+    )
     tls: PeerTls | None = Field(default=None, description="Keys; none means plain")
 
     @model_validator(mode="after")
--- a/standins/src/runhatch_standins/_cluster.py
+++ b/standins/src/runhatch_standins/_cluster.py
@@ -305,6 +305,9 @@
         for section, values in overrides.items():
             base[section] = {**base.get(section, {}), **values}
         cluster.settings[name] = base
+    seeds = [f"127.0.0.1:{s['peers']['port']}" for s in cluster.settings.values()]
+    for settings in cluster.settings.values():
+        settings["peering"] = {**settings.get("peering", {}), "seeds": seeds}
     for relay in cluster.relays.values():
         stack.callback(relay.close)
     cluster.publish_vms()
