--- a/packages/runhatch-cli/src/runhatch_cli/__main__.py
+++ b/packages/runhatch-cli/src/runhatch_cli/__main__.py
@@ -9,6 +9,7 @@
 from runhatch_cli._apply import apply_document, read_document, wait_in_force
 from runhatch_cli._client import DEFAULT_NODE, NODE_VARIABLE, NodeClient
 from runhatch_cli._errors import CommandError
+from runhatch_cli._explain import explain_request
 from runhatch_cli._language import Sentence, SentenceKind, parse
 from runhatch_cli._render import Output, show_document, show_records
 
@@ -83,6 +84,23 @@
         show_records(records, output)
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="The request's id.")],
+    logs: Annotated[list[Path], typer.Argument(help="Logs of all nodes.")],
+) -> None:
+    """Tell from logs why a request ended as it did.
+
+    Example: runhatch explain 9c41d07be2a35f68 logs/*.log
+    """
+    found = explain_request(request_id, logs)
+    for line in found.lines:
+        print(line)
+    if found.torn:
+        print(f"{found.torn} torn lines were passed over")
+    print(f"cause: {found.cause}")
+
+
 @config.command("show")
 def config_show(
     node: NodeOption = DEFAULT_NODE,
--- /dev/null
+++ b/packages/runhatch-cli/tests/test_explain.py
@@ -0,0 +1,102 @@
+"""Causes from logs, with lines missing and torn."""
+
+import json
+
+import pytest
+
+from runhatch_cli._explain import UnknownRequestError, explain_request
+
+
+def line(kind, at, prefix="", **fields):
+    return prefix + json.dumps({"message_type": kind, "timestamp": at, **fields})
+
+
+def request(outcome, at=100.0, **fields):
+    return line(
+        "request",
+        at,
+        request_id="r1",
+        model="m1",
+        outcome=outcome,
+        attempts=fields.pop("attempts", []),
+        **fields,
+    )
+
+
+@pytest.fixture
+def write(tmp_path):
+    def write(*lines, name="n1.log"):
+        path = tmp_path / name
+        path.write_text("\n".join(lines))
+        return path
+
+    return write
+
+
+class TestExplain:
+    """One request in the logs of several nodes."""
+
+    @pytest.mark.parametrize(
+        ("lines", "cause"),
+        [
+            ([request("answered")], "It was answered."),
+            ([request("no_replica")], "No load of it was planned"),
+            (
+                [
+                    line("load_planned", 95.0, model="m1", evict=[]),
+                    request("no_replica"),
+                ],
+                "A load of it was planned",
+            ),
+            (
+                [
+                    line("load_planned", 95.0, model="m2", evict=["m1"]),
+                    request("no_replica"),
+                ],
+                "It had given way to m2.",
+            ),
+            ([request("some_new_outcome")], "It ended as some_new_outcome."),
+        ],
+    )
+    def test_cause(self, write, lines, cause):
+        assert cause in explain_request("r1", [write(*lines)]).cause
+
+    def test_shows_what_other_nodes_did_before(self, write):
+        first = write(request("no_replica"))
+        second = write(
+            line("order", 97.0, model="m1", outcome="conflict"),
+            line("order", 97.0, model="m9", outcome="accepted"),
+            line("order", 50.0, model="m1", outcome="accepted"),
+            line("lease", 98.0, change="lost"),
+            name="n2.log",
+        )
+
+        found = explain_request("r1", [first, second])
+
+        kinds = [shown.split()[3] for shown in found.lines]
+        assert kinds == ["order", "lease", "request"]
+
+    def test_shows_what_became_of_its_targets(self, write):
+        path = write(
+            line("target_gone", 100.5, target="i-1", why="removed"),
+            line("target_gone", 100.5, target="i-2", why="removed"),
+            request("target_broke_off", attempts=["i-1:status_200"]),
+        )
+
+        found = explain_request("r1", [path])
+
+        assert sum("target_gone" in shown for shown in found.lines) == 1
+
+    def test_torn_lines_are_counted(self, write):
+        path = write(request("answered"), '{"message_type": "req', "not json at all")
+
+        assert explain_request("r1", [path]).torn == 1
+
+    def test_what_stands_before_a_line_is_its_source(self, write):
+        path = write(line("x", 1.0, prefix="12.5 vm-7 ", request_id="r1"))
+
+        assert "vm-7" in explain_request("r1", [path]).lines[0]
+
+    def test_an_unknown_id_gets_a_clear_word(self, write):
+        with pytest.raises(UnknownRequestError, match="no line of request r2"):
+            explain_request("r2", [write(request("answered"))])
