--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -29,6 +29,7 @@
     HistoryLost,
     Listing,
     TableWatcher,
+    WaitEnded,
 )
 from runhatch_coordination._group import GroupCommitter
 from runhatch_coordination._leases import (
@@ -71,6 +72,7 @@
 )
 
 __all__ = [
+    "WaitEnded",
     "TableWatcher",
     "Listing",
     "HistoryLost",
--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -61,6 +61,11 @@
     """The store has dropped changes that were asked for."""
 
 
+@dataclass(frozen=True, slots=True)
+class WaitEnded:
+    """The wait was ended on this side; it says nothing of the store."""
+
+
 class Feed(Protocol[ValueT_co]):
     """One table of a store that tells its changes."""
 
@@ -69,7 +74,7 @@
 
     def changes(
         self, after: int, wait: timedelta
-    ) -> Changes[ValueT_co] | HistoryLost | Unavailable:
+    ) -> Changes[ValueT_co] | HistoryLost | WaitEnded | Unavailable:
         """Return what changed after version ``after``, waiting for a first change."""
 
     def hurry(self) -> None:
@@ -155,6 +160,8 @@
         if self._version is None:
             return self._list()
         outcome = self._feed.changes(self._version, LONGEST_WAIT)
+        if isinstance(outcome, WaitEnded):
+            return timedelta()
         if isinstance(outcome, Unavailable):
             return self._failed(outcome)
         self._succeeded()
--- a/packages/runhatch-coordination/tests/test_feed.py
+++ b/packages/runhatch-coordination/tests/test_feed.py
@@ -12,6 +12,7 @@
     Listing,
     TableWatcher,
     Unavailable,
+    WaitEnded,
 )
 from runhatch_coordination.testing import ManualClock
 
@@ -97,6 +98,11 @@
                 [],
                 [("unreachable", "down"), ("reachable",), ("listed", ("a",))],
             ),
+            (
+                [listing(5, a=1)],
+                [WaitEnded(), changes(6, b=1)],
+                [("listed", ("a",)), ("changed", ("b",))],
+            ),
             (
                 [listing(5, a=1)],
                 [DOWN, DOWN, changes(6, b=1)],
@@ -108,7 +114,14 @@
                 ],
             ),
         ],
-        ids=["listing", "changes", "history lost", "down at first", "down later"],
+        ids=[
+            "listing",
+            "changes",
+            "history lost",
+            "down at first",
+            "wait ended here",
+            "down later",
+        ],
     )
     def test_tells_what_happened_in_order(self, reads, polls, told):
         _, _, heard, _ = watch(reads, polls)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -51,7 +51,7 @@
 ADAPTER_WAIT = timedelta(milliseconds=400)
 """How long a request waits for an adapter whose model is held: loading one takes
 some ten milliseconds, telling of it as much again."""
-PLAN_WAIT = timedelta(milliseconds=100)
+PLAN_WAIT = timedelta(milliseconds=200)
 PLAN_WAIT_SHARE = 0.125
 """How long a request waits to hear whether its model will be loaded: so long, or
 this share of its goal, in which others may be loaded first."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -57,10 +57,10 @@
 """Three heartbeats lost."""
 MOST_MESSAGE = 1_048_576
 ORDERS_LEASE = "orders"
-LEASE_TTL = timedelta(seconds=3)
+LEASE_TTL = timedelta(seconds=2)
 """Long enough for two renewals to fail, short enough for models to be loaded again
 within some seconds of the holder's death."""
-LEASE_EVERY = timedelta(milliseconds=500)
+LEASE_EVERY = timedelta(milliseconds=300)
 LEASE_CANDIDATES = 3
 """Nodes that challenge the lease; were all to, the store's reads would grow with
 their number."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -27,7 +27,7 @@
 )
 from runhatch_server.residency import Holding
 
-ORDERER_SILENT = timedelta(seconds=2.5)
+ORDERER_SILENT = timedelta(seconds=2)
 """Time without a renewal after which the orderer's lease is looked at: it renews it,
 and tells so, each second."""
 
--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -23,6 +23,13 @@
 """Between two keep-alive probes of the kernel on an idle connection."""
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenOff(Unknown):
+    """This side gave up a call that waited; it says nothing of the service."""
+
+    reason: str = "broken off here"
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """A complete answer."""
@@ -57,6 +64,7 @@
         for _ in range(connections):
             self._free.put(None)
         self._waits: dict[int, socket.socket] = {}
+        self._broken_off: set[int] = set()
         self._waits_lock = threading.Lock()
         self._numbers = itertools.count()
 
@@ -95,6 +103,7 @@
         """
         with self._waits_lock:
             waits = list(self._waits.values())
+            self._broken_off.update(self._waits)
         for waiting in waits:
             try:
                 waiting.shutdown(socket.SHUT_RDWR)
@@ -137,13 +146,24 @@
             if self._on_date is not None:
                 self._on_date(response.getheader("Date"))
         except (OSError, http.client.HTTPException) as error:
+            if self._was_broken_off(number):
+                return BrokenOff()
             return Unknown(f"no answer: {type(error).__name__}")
         finally:
-            if number is not None:
-                with self._waits_lock:
-                    self._waits.pop(number, None)
+            self._end_wait(number)
         return Reply(response.status, answer)
 
+    def _was_broken_off(self, number: int | None) -> bool:
+        with self._waits_lock:
+            return number in self._broken_off
+
+    def _end_wait(self, number: int | None) -> None:
+        if number is None:
+            return
+        with self._waits_lock:
+            self._waits.pop(number, None)
+            self._broken_off.discard(number)
+
     def _note_wait(self, connection: http.client.HTTPConnection) -> int:
         number = next(self._numbers)
         with self._waits_lock:
--- a/tests/adapter/test_platform_store.py
+++ b/tests/adapter/test_platform_store.py
@@ -18,6 +18,7 @@
     Put,
     Unavailable,
     Unknown,
+    WaitEnded,
 )
 from runhatch_platform import Store, StoreFeed, StoreObjects, StoreTable
 from runhatch_standins import launch
@@ -185,7 +186,7 @@
 
         outcome = feed.changes(version, timedelta(seconds=8))
 
-        assert isinstance(outcome, Unavailable)
+        assert outcome == WaitEnded()
 
     def test_a_wait_is_broken_off_when_another_call_fails(self, platform, feed, table):
         version = feed.read().version
@@ -198,7 +199,7 @@
         table.get(KEY)
         waiting.join(3)
 
-        assert isinstance(outcomes[0], Unavailable)
+        assert outcomes == [WaitEnded()]
 
 
 class TestObjects:
