--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -14,40 +14,17 @@
 
 from runhatch_coordination import Clock
 from runhatch_server.fleet import Directory, Target
-from runhatch_server.gateway._load import (
-    BASE_MS,
-    LATE_TIER,
-    STREAM_TOKENS_AT_ONCE,
-    LoadShare,
-    Outstanding,
-    TargetLoad,
-    WorkRates,
-)
-from runhatch_server.gateway._messages import GatewayRequest, ModelWork
-from runhatch_server.routing import EngineSpec, RequestKind, ServiceSpec
-from runhatch_server.serving import Executed, PrefixIndex, Reason, Refusal
-
-ELSEWHERE_MS = 3.0
-"""What another failure domain costs: the way there and back, and bytes that are
-paid for."""
-HANDSHAKE_MS = 8.0
-"""What a new connection costs: a millisecond or more at the target, a slot that may
-be held meanwhile, and its price."""
-FAULT_COST = 1.5
-"""Times the goal that a failed request is taken to cost beside waiting."""
-SILENT_COST_MS = 10_000.0
-"""Put on a target from which nothing is heard: any other goes first."""
-SLOW_START_FACTOR = 1.5
-"""Slowness of a target that has just started, until it says otherwise."""
-RUN_MS = 1_500.0
-"""Usual time between first and last token; a request beyond the slots waits for
-one to end."""
+from runhatch_server.gateway._load import LATE_TIER, LoadShare, Outstanding
+from runhatch_server.gateway._load_book import LoadBook
+from runhatch_server.gateway._messages import GatewayRequest
+from runhatch_server.gateway._scoring import HeldPlace, Scorer
+from runhatch_server.routing import RequestKind, ServiceSpec
+from runhatch_server.serving import Executed, Reason, Refusal
+
 TOKEN_MS = 20.0
 """Usual time between two tokens of a stream at a busy engine."""
 BEGIN_SLACK = timedelta(milliseconds=200)
 """A late answer is begun only if it is predicted so long before its caller leaves."""
-SCORE_JITTER = 0.03
-"""Keeps nodes that know the same from choosing the same target at once."""
 ADAPTER_WAIT = timedelta(milliseconds=400)
 """How long a request waits for an adapter whose model is held: loading one takes
 some ten milliseconds, telling of it as much again."""
@@ -106,23 +83,6 @@
     target: str = ""
 
 
-@dataclass(slots=True)
-class _HeldPlace:
-    """A held request, and the target whose load it waits for."""
-
-    number: int
-    since: timedelta
-    target: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class _Scored:
-    target: Target
-    score: float
-    predicted_ms: float
-    work_ms: float
-
-
 class Balancer:
     """All requests of one node that are at targets; safe for many threads."""
 
@@ -138,15 +98,12 @@
     ) -> None:
         self._directory = directory
         self._clock = clock
-        self._failure_domain = failure_domain
         self._on_missing = on_missing
-        self._has_connection = has_connection
         self._on_change = on_change
         self._random = random.Random(seed)
         self._lock = threading.Lock()
-        self._loads: dict[str, TargetLoad] = {}
-        self._rates = WorkRates()
-        self._prefixes = PrefixIndex()
+        self._book = LoadBook()
+        self._scorer = Scorer(self._book, failure_domain, has_connection, seed)
         self._services: Mapping[str, ServiceSpec] = {}
         self._numbers = itertools.count(1)
         self._held = 0
@@ -188,7 +145,7 @@
         if not isinstance(found, _Wait):
             return found
         self._on_missing(request)
-        place = _HeldPlace(next(self._numbers), self._clock.elapsed())
+        place = HeldPlace(next(self._numbers), self._clock.elapsed())
         try:
             return self._wait(request, tried, caller_gone, found, place)
         finally:
@@ -200,7 +157,7 @@
         tried: frozenset[str],
         caller_gone: Callable[[], bool],
         found: _Wait,
-        place: _HeldPlace,
+        place: HeldPlace,
     ) -> Grant | Refusal:
         """Hold ``request`` until its model is there or it is known not to help."""
         while True:
@@ -223,9 +180,7 @@
         """Take in that the first byte of the answer has come."""
         now = self._clock.elapsed()
         with self._lock:
-            load = self._loads.get(grant.target.incarnation)
-            if load is None:
-                return
+            load = self._book.load(grant.target.incarnation)
             load.heard_at = now
             outstanding = load.own.get(grant.number)
             if outstanding is None or outstanding.started:
@@ -234,16 +189,13 @@
             work = grant.request.work
             if work is not None:
                 took = now - outstanding.sent_at
-                load.began(outstanding.predicted_ms, took, now)
-                self._rates.first_token(work.model, outstanding, took)
-                blocks = _prefix_blocks(work)
-                self._prefixes.stored(grant.target.incarnation, blocks)
+                self._book.began(grant.target.incarnation, work, outstanding, took)
 
     def released(self, grant: Grant, faulty: bool) -> None:
         """Give the place back; ``faulty`` if the target failed the request."""
         now = self._clock.elapsed()
         with self._lock:
-            load = self._load(grant.target.incarnation)
+            load = self._book.load(grant.target.incarnation)
             load.own.pop(grant.number, None)
             load.noted(faulty, now)
             if not faulty:
@@ -251,7 +203,7 @@
                 load.shut_times = 0
                 if grant.request.work is None:
                     took = now - grant.granted_at
-                    self._rates.served(grant.request.route.name, took)
+                    self._book.rates.served(grant.request.route.name, took)
 
     def refused(self, grant: Grant) -> None:
         """Give the place back; the target had no room, and ran nothing."""
@@ -260,7 +212,7 @@
     def unreachable(self, grant: Grant) -> None:
         """Give the place back; no connection to the target could be made."""
         with self._lock:
-            load = self._load(grant.target.incarnation)
+            load = self._book.load(grant.target.incarnation)
             pause = min(LONGEST_SHUT, FIRST_SHUT * (1 << min(load.shut_times, 4)))
             load.shut_times += 1
         self._pass_over(grant, pause)
@@ -275,23 +227,18 @@
     def is_down(self, target: str) -> bool:
         """Tell whether ``target`` could not be reached, again and again, till now."""
         with self._lock:
-            load = self._loads.get(target)
-            return load is not None and load.shut_times >= DOWN_AFTER
+            return self._book.load(target).shut_times >= DOWN_AFTER
 
     def work_ms(self, request: GatewayRequest) -> float:
         """Return how long reading the whole prompt of ``request`` would take."""
         with self._lock:
-            return self._full_work_ms(request)
+            return self._book.full_work_ms(request)
 
     def shares(self) -> dict[str, LoadShare]:
         """Return what this node has outstanding at each target."""
         now = self._clock.elapsed()
         with self._lock:
-            return {
-                target: load.share(now)
-                for target, load in self._loads.items()
-                if load.own
-            }
+            return self._book.shares(now)
 
     def peer_shares(
         self, node: str, shares: Mapping[str, LoadShare], whole: bool
@@ -302,19 +249,12 @@
         """
         now = self._clock.elapsed()
         with self._lock:
-            for load in self._loads.values() if whole else ():
-                load.peers.pop(node, None)
-            for target, share in shares.items():
-                self._load(target).peers[node] = (share, now)
+            self._book.peer_shares(node, shares, whole, now)
 
     def forget_unknown(self) -> None:
         """Drop what is kept of targets that are no more."""
         with self._lock:
-            for target in list(self._loads):
-                known = self._directory.get(target) is not None
-                if not known and not self._loads[target].own:
-                    del self._loads[target]
-                    self._prefixes.forget(target)
+            self._book.forget(lambda name: self._directory.get(name) is not None)
 
     def _ends_too_soon_for(self, request: GatewayRequest) -> bool:
         """Tell whether this node is about to end, with ``request`` in progress."""
@@ -327,7 +267,7 @@
         self,
         request: GatewayRequest,
         tried: frozenset[str],
-        place: _HeldPlace | None,
+        place: HeldPlace | None,
     ) -> Grant | Refusal | _Wait:
         service = self._services.get(request.service)
         if service is None or not self._directory.ready(request.service):
@@ -342,7 +282,7 @@
             return self._choose(request, service, fresh or holders, place)
 
     def _missing(
-        self, request: GatewayRequest, place: _HeldPlace | None
+        self, request: GatewayRequest, place: HeldPlace | None
     ) -> _Wait | Refusal:
         """Decide about a request whose model or adapter no target holds."""
         now = self._clock.elapsed()
@@ -356,9 +296,9 @@
             return _Wait(request.received + wait, Reason.NO_REPLICA)
         ready_at = max(expected.ready_at, now)
         with self._lock:
-            load = self._load(expected.target)
+            load = self._book.load(expected.target)
             since = now if place is None else place.since
-            ahead_ms = load.held_ahead_ms(since, now) + self._full_work_ms(request)
+            ahead_ms = load.held_ahead_ms(since, now) + self._book.full_work_ms(request)
         begins = ready_at + timedelta(milliseconds=ahead_ms)
         if begins + BEGIN_SLACK >= request.begin_by:
             return self._refuse(request, Reason.NO_REPLICA, begins - now)
@@ -370,16 +310,16 @@
         request: GatewayRequest,
         service: ServiceSpec,
         targets: list[Target],
-        place: _HeldPlace | None,
+        place: HeldPlace | None,
     ) -> Grant | Refusal:
         now = self._clock.elapsed()
         open_targets = [t for t in targets if self._is_open(t, now)] or targets
         tier = _tier(request)
-        best = self._best(request, service, open_targets, tier, now, place)
+        best = self._scorer.best(request, service, open_targets, tier, now, place)
         if self._late_by(request, best.predicted_ms, now) > timedelta():
             # It gives way to requests in time, and is still worth something late.
             tier = LATE_TIER
-            best = self._best(request, service, open_targets, tier, now, place)
+            best = self._scorer.best(request, service, open_targets, tier, now, place)
             late_by = _too_late(request, best.predicted_ms, now)
             if late_by > timedelta():
                 return self._refuse(request, Reason.GOAL_UNMEETABLE, late_by)
@@ -387,7 +327,7 @@
         tokens = 0
         if request.work is not None:
             tokens = request.work.prompt_tokens + request.work.expected_output
-        load = self._load(best.target.incarnation)
+        load = self._book.load(best.target.incarnation)
         load.own[number] = Outstanding(
             best.work_ms, tokens, now, best.predicted_ms, tier
         )
@@ -404,19 +344,6 @@
             max(LEAST_CONNECTIONS, share),
         )
 
-    def _best(
-        self,
-        request: GatewayRequest,
-        service: ServiceSpec,
-        targets: list[Target],
-        tier: int,
-        now: timedelta,
-        place: _HeldPlace | None,
-    ) -> _Scored:
-        """Return the target that would begin first, counting what goes before."""
-        scored = [self._score(request, service, t, tier, now, place) for t in targets]
-        return min(scored, key=lambda found: found.score)
-
     def _late_by(
         self, request: GatewayRequest, predicted_ms: float, now: timedelta
     ) -> timedelta:
@@ -426,62 +353,13 @@
             return max(timedelta(), begins - request.goal_at)
         return max(timedelta(), begins - request.deadline)
 
-    def _score(
-        self,
-        request: GatewayRequest,
-        service: ServiceSpec,
-        target: Target,
-        tier: int,
-        now: timedelta,
-        place: _HeldPlace | None,
-    ) -> _Scored:
-        load = self._load(target.incarnation)
-        total = load.total(now)
-        work_ms = 0.0
-        if request.work is not None and service.engine is not None:
-            uncached = self._uncached(target, request.work)
-            work_ms = self._rates.prompt_ms(request.work.model, uncached)
-            predicted = _engine_ms(service.engine, request.work, total, work_ms, tier)
-            predicted *= load.factor(now)
-            if place is not None or tier == LATE_TIER:
-                since = now if place is None else place.since
-                predicted += load.held_ahead_ms(since, now)
-        else:
-            usual = self._rates.service_ms(request.route.name)
-            beyond = max(0, total.waiting + total.running + 1 - target.slots)
-            predicted = usual * (1 + beyond / max(1, target.slots))
-        if target.slow_start_left > timedelta():
-            predicted *= SLOW_START_FACTOR
-        score = predicted * self._random.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
-        if target.failure_domain != self._failure_domain:
-            score += ELSEWHERE_MS
-        if not self._has_connection(target.incarnation):
-            score += HANDSHAKE_MS
-        goal_ms = request.route.goal / timedelta(milliseconds=1)
-        score += load.fault_rate(now) * FAULT_COST * goal_ms
-        if load.is_silent(now):
-            score += SILENT_COST_MS
-        return _Scored(target, score, predicted, work_ms)
-
-    def _full_work_ms(self, request: GatewayRequest) -> float:
-        work = request.work
-        if work is None:
-            return 0.0
-        return self._rates.prompt_ms(work.model, work.prompt_tokens)
-
-    def _uncached(self, target: Target, work: ModelWork) -> int:
-        blocks = _prefix_blocks(work)
-        matched = self._prefixes.matched(target.incarnation, blocks)
-        cached = sum(part.tokens for part in work.prompt[:matched])
-        return max(1, work.prompt_tokens - cached)
-
     def _is_open(self, target: Target, now: timedelta) -> bool:
-        return now >= self._load(target.incarnation).shut_until
+        return now >= self._book.load(target.incarnation).shut_until
 
     def _pass_over(self, grant: Grant, pause: timedelta) -> None:
         now = self._clock.elapsed()
         with self._lock:
-            load = self._load(grant.target.incarnation)
+            load = self._book.load(grant.target.incarnation)
             load.own.pop(grant.number, None)
             load.shut_until = max(load.shut_until, now + pause)
 
@@ -495,7 +373,7 @@
         wait *= self._random.uniform(1.0, 1.25)
         return Refusal(reason, Executed.NO, retry_after=wait)
 
-    def _hold_at(self, request: GatewayRequest, target: str, place: _HeldPlace) -> None:
+    def _hold_at(self, request: GatewayRequest, target: str, place: HeldPlace) -> None:
         """Count ``request`` among what waits for a load at ``target``."""
         if place.target == target:
             return
@@ -505,15 +383,20 @@
         place.target = target
         with self._lock:
             held = Outstanding(
-                self._full_work_ms(request), 0, place.since, 0.0, LATE_TIER, held=True
+                self._book.full_work_ms(request),
+                0,
+                place.since,
+                0.0,
+                LATE_TIER,
+                held=True,
             )
-            self._load(target).own[place.number] = held
+            self._book.load(target).own[place.number] = held
 
-    def _leave(self, place: _HeldPlace) -> None:
+    def _leave(self, place: HeldPlace) -> None:
         """Count a held request no longer."""
         if place.target:
             with self._lock:
-                self._load(place.target).own.pop(place.number, None)
+                self._book.load(place.target).own.pop(place.number, None)
             place.target = ""
 
     def _hold(self, longest: timedelta) -> None:
@@ -525,32 +408,6 @@
         finally:
             self._held -= 1
 
-    def _load(self, target: str) -> TargetLoad:
-        load = self._loads.get(target)
-        if load is None:
-            load = TargetLoad()
-            self._loads[target] = load
-        return load
-
-
-def _engine_ms(
-    engine: EngineSpec,
-    work: ModelWork,
-    total: LoadShare,
-    work_ms: float,
-    tier: int,
-) -> float:
-    """Return the predicted time to the first token at an engine."""
-    predicted = BASE_MS + sum(total.waiting_ms[: tier + 1]) + work_ms
-    beyond = total.waiting + total.running + 1 - engine.slots
-    if beyond > 0:
-        predicted += RUN_MS * beyond / engine.slots
-    room = engine.kv_tokens * STREAM_TOKENS_AT_ONCE
-    lacking = total.tokens + work.prompt_tokens + work.expected_output - room
-    if engine.kv_tokens and lacking > 0:
-        predicted += RUN_MS * lacking / engine.kv_tokens
-    return predicted
-
 
 def _too_late(
     request: GatewayRequest, predicted_ms: float, now: timedelta
@@ -565,13 +422,3 @@
 def _tier(request: GatewayRequest) -> int:
     """Return the rank of a request that is in time."""
     return min(max(request.route.priority, 0), LATE_TIER - 1)
-
-
-def _prefix_blocks(work: ModelWork) -> tuple[str, ...]:
-    """Return a name for each leading run of parts, which only like prompts share."""
-    names = []
-    chain = f"{work.model}/{work.adapter}"
-    for part in work.prompt:
-        chain = f"{chain}:{part.name}"
-        names.append(chain)
-    return tuple(names)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_load_book.py
@@ -0,0 +1,84 @@
+"""What is known of all targets' loads, and of how long work takes."""
+
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+from runhatch_server.gateway._load import (
+    LoadShare,
+    Outstanding,
+    TargetLoad,
+    WorkRates,
+)
+from runhatch_server.gateway._messages import GatewayRequest, ModelWork
+from runhatch_server.serving import PrefixIndex
+
+
+class LoadBook:
+    """Loads by target; guarded by the balancer's lock."""
+
+    def __init__(self) -> None:
+        self._loads: dict[str, TargetLoad] = {}
+        self._prefixes = PrefixIndex()
+        self.rates = WorkRates()
+
+    def load(self, target: str) -> TargetLoad:
+        """Return the load of ``target``, an empty one if nothing is known."""
+        load = self._loads.get(target)
+        if load is None:
+            load = TargetLoad()
+            self._loads[target] = load
+        return load
+
+    def began(
+        self, target: str, work: ModelWork, outstanding: Outstanding, took: timedelta
+    ) -> None:
+        """Learn from the first byte of an answer, which came after ``took``."""
+        load = self.load(target)
+        load.began(outstanding.predicted_ms, took, outstanding.sent_at + took)
+        self.rates.first_token(work.model, outstanding, took)
+        self._prefixes.stored(target, _prefix_blocks(work))
+
+    def full_work_ms(self, request: GatewayRequest) -> float:
+        """Return how long reading the whole prompt of ``request`` takes."""
+        work = request.work
+        if work is None:
+            return 0.0
+        return self.rates.prompt_ms(work.model, work.prompt_tokens)
+
+    def uncached(self, target: str, work: ModelWork) -> int:
+        """Return the tokens of a prompt that ``target`` has not read lately."""
+        matched = self._prefixes.matched(target, _prefix_blocks(work))
+        cached = sum(part.tokens for part in work.prompt[:matched])
+        return max(1, work.prompt_tokens - cached)
+
+    def shares(self, now: timedelta) -> dict[str, LoadShare]:
+        """Return what this node has outstanding at each target."""
+        return {
+            target: load.share(now) for target, load in self._loads.items() if load.own
+        }
+
+    def peer_shares(
+        self, node: str, shares: Mapping[str, LoadShare], whole: bool, now: timedelta
+    ) -> None:
+        """Take in what ``node`` has outstanding; all of it if ``whole``."""
+        for load in self._loads.values() if whole else ():
+            load.peers.pop(node, None)
+        for target, share in shares.items():
+            self.load(target).peers[node] = (share, now)
+
+    def forget(self, is_known: Callable[[str], bool]) -> None:
+        """Drop what is kept of targets that are no more."""
+        for target in list(self._loads):
+            if not is_known(target) and not self._loads[target].own:
+                del self._loads[target]
+                self._prefixes.forget(target)
+
+
+def _prefix_blocks(work: ModelWork) -> tuple[str, ...]:
+    """Return a name for each leading run of parts, which only like prompts share."""
+    names = []
+    chain = f"{work.model}/{work.adapter}"
+    for part in work.prompt:
+        chain = f"{chain}:{part.name}"
+        names.append(chain)
+    return tuple(names)
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_scoring.py
@@ -0,0 +1,143 @@
+"""How soon each target would begin to answer, and which is the best choice."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from runhatch_server.fleet import Target
+from runhatch_server.gateway._load import (
+    BASE_MS,
+    LATE_TIER,
+    STREAM_TOKENS_AT_ONCE,
+    LoadShare,
+)
+from runhatch_server.gateway._load_book import LoadBook
+from runhatch_server.gateway._messages import GatewayRequest, ModelWork
+from runhatch_server.routing import EngineSpec, ServiceSpec
+
+ELSEWHERE_MS = 3.0
+"""What another failure domain costs: the way there and back, and bytes that are
+paid for."""
+HANDSHAKE_MS = 8.0
+"""What a new connection costs: a millisecond or more at the target, a slot that may
+be held meanwhile, and its price."""
+FAULT_COST = 1.5
+"""Times the goal that a failed request is taken to cost beside waiting."""
+SILENT_COST_MS = 10_000.0
+"""Put on a target from which nothing is heard: any other goes first."""
+SLOW_START_FACTOR = 1.5
+"""Slowness of a target that has just started, until it says otherwise."""
+RUN_MS = 1_500.0
+"""Usual time between first and last token; a request beyond the slots waits for
+one to end."""
+SCORE_JITTER = 0.03
+"""Keeps nodes that know the same from choosing the same target at once."""
+
+
+@dataclass(slots=True)
+class HeldPlace:
+    """A held request, and the target whose load it waits for."""
+
+    number: int
+    since: timedelta
+    target: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Scored:
+    """A target for a request; the lowest ``score`` is the best.
+
+    Times are in milliseconds; ``work_ms`` is this prompt's part alone.
+    """
+
+    target: Target
+    score: float
+    predicted_ms: float
+    work_ms: float
+
+
+class Scorer:
+    """Scores targets for requests; guarded by the balancer's lock."""
+
+    def __init__(
+        self,
+        book: LoadBook,
+        failure_domain: str,
+        has_connection: Callable[[str], bool],
+        seed: int | None,
+    ) -> None:
+        self._book = book
+        self._failure_domain = failure_domain
+        self._has_connection = has_connection
+        self._random = random.Random(seed)
+
+    def best(
+        self,
+        request: GatewayRequest,
+        service: ServiceSpec,
+        targets: list[Target],
+        tier: int,
+        now: timedelta,
+        place: HeldPlace | None,
+    ) -> Scored:
+        """Return the target that would begin first, counting what goes before."""
+        scored = [self.score(request, service, t, tier, now, place) for t in targets]
+        return min(scored, key=lambda found: found.score)
+
+    def score(
+        self,
+        request: GatewayRequest,
+        service: ServiceSpec,
+        target: Target,
+        tier: int,
+        now: timedelta,
+        place: HeldPlace | None,
+    ) -> Scored:
+        """Return what sending ``request`` to ``target`` now would come to."""
+        load = self._book.load(target.incarnation)
+        total = load.total(now)
+        work_ms = 0.0
+        if request.work is not None and service.engine is not None:
+            uncached = self._book.uncached(target.incarnation, request.work)
+            work_ms = self._book.rates.prompt_ms(request.work.model, uncached)
+            predicted = _engine_ms(service.engine, request.work, total, work_ms, tier)
+            predicted *= load.factor(now)
+            if place is not None or tier == LATE_TIER:
+                since = now if place is None else place.since
+                predicted += load.held_ahead_ms(since, now)
+        else:
+            usual = self._book.rates.service_ms(request.route.name)
+            beyond = max(0, total.waiting + total.running + 1 - target.slots)
+            predicted = usual * (1 + beyond / max(1, target.slots))
+        if target.slow_start_left > timedelta():
+            predicted *= SLOW_START_FACTOR
+        score = predicted * self._random.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
+        if target.failure_domain != self._failure_domain:
+            score += ELSEWHERE_MS
+        if not self._has_connection(target.incarnation):
+            score += HANDSHAKE_MS
+        goal_ms = request.route.goal / timedelta(milliseconds=1)
+        score += load.fault_rate(now) * FAULT_COST * goal_ms
+        if load.is_silent(now):
+            score += SILENT_COST_MS
+        return Scored(target, score, predicted, work_ms)
+
+
+def _engine_ms(
+    engine: EngineSpec,
+    work: ModelWork,
+    total: LoadShare,
+    work_ms: float,
+    tier: int,
+) -> float:
+    """Return the predicted time to the first token at an engine."""
+    predicted = BASE_MS + sum(total.waiting_ms[: tier + 1]) + work_ms
+    beyond = total.waiting + total.running + 1 - engine.slots
+    if beyond > 0:
+        predicted += RUN_MS * beyond / engine.slots
+    room = engine.kv_tokens * STREAM_TOKENS_AT_ONCE
+    lacking = total.tokens + work.prompt_tokens + work.expected_output - room
+    if engine.kv_tokens and lacking > 0:
+        predicted += RUN_MS * lacking / engine.kv_tokens
+    return predicted
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/_calls.py
@@ -0,0 +1,45 @@
+"""Calls to targets in workers, whose answers are taken in by the orderer's rounds."""
+
+from collections.abc import Callable, Container
+from concurrent.futures import Future, ThreadPoolExecutor
+
+CALL_WORKERS = 8
+"""Calls to targets at once; one that is dark holds a worker for its timeout."""
+
+Take = Callable[[object], None]
+
+
+class TargetCalls:
+    """At most one call to each target; used by one thread.
+
+    ``on_answer`` is called by a worker once an answer waits to be taken in.
+    """
+
+    def __init__(self, on_answer: Callable[[], None]) -> None:
+        self._on_answer = on_answer
+        self._executor = ThreadPoolExecutor(CALL_WORKERS, thread_name_prefix="orders")
+        self._pending: dict[str, tuple[Future[object], Take]] = {}
+
+    def start(self, target: str, work: Callable[[], object], take: Take) -> None:
+        """Have a worker do ``work``; ``take`` gets what it returns."""
+        future = self._executor.submit(work)
+        self._pending[target] = (future, take)
+        future.add_done_callback(lambda done: self._on_answer())
+
+    def take_answers(self, known: Container[str]) -> None:
+        """Take in what has come, but for targets that are not ``known`` any more."""
+        for target in list(self._pending):
+            future, take = self._pending[target]
+            if not future.done():
+                continue
+            del self._pending[target]
+            if target in known:
+                take(future.result())
+
+    def forget(self) -> None:
+        """Take in nothing of what is on its way."""
+        self._pending.clear()
+
+    def close(self) -> None:
+        """Begin nothing more, and wait for what has begun."""
+        self._executor.shutdown(wait=True, cancel_futures=True)
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -6,7 +6,6 @@
 
 import threading
 from collections.abc import Callable, Iterable, Mapping
-from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -20,6 +19,7 @@
 )
 from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels, Target
 from runhatch_server.observability import Metrics, log_change
+from runhatch_server.residency._calls import TargetCalls
 from runhatch_server.residency._control import (
     UNLOAD_TIME,
     Intent,
@@ -44,8 +44,6 @@
 from runhatch_server.routing import EngineSpec, ServiceSpec
 from runhatch_server.targets import OrderKind, OrderOutcome
 
-CALL_WORKERS = 8
-"""Calls to targets at once; one that is dark holds a worker for its timeout."""
 TELL_ALL_EVERY = timedelta(seconds=3)
 """How often what all targets hold is told again, for nodes that missed some of it."""
 RECHECK_AFTER = timedelta(seconds=4)
@@ -96,15 +94,13 @@
         self._clock = clock
         self._metrics = metrics
         self._on_holdings = on_holdings
-        self._on_answer = on_answer
         self._is_down = is_down
         self._handover = handover
         self._load_window = load_window
-        self._executor = ThreadPoolExecutor(CALL_WORKERS, thread_name_prefix="orders")
+        self._calls = TargetCalls(on_answer)
         self._lock = threading.Lock()
         self._demand = DemandBook()
         self._controls: dict[str, TargetControl] = {}
-        self._calls: dict[str, tuple[Future[object], Callable[[object], None]]] = {}
         self._permits = LoadPermits(load_window, clock.elapsed())
         self._epoch = 0
         self._order_from = timedelta()
@@ -144,7 +140,7 @@
     def stop(self) -> None:
         """Give no further order, and give the lease up."""
         self._stopped = True
-        self._executor.shutdown(wait=True, cancel_futures=True)
+        self._calls.close()
         self._lease.release()
 
     def asked(
@@ -172,7 +168,7 @@
             return
         with self._lock:
             self._meet_targets()
-            self._take_answers()
+            self._calls.take_answers(self._controls)
             now = self._clock.elapsed()
             if now >= self._order_from:
                 self._ask_reports(now)
@@ -197,7 +193,7 @@
     def _forget(self) -> None:
         with self._lock:
             self._controls.clear()
-            self._calls.clear()
+            self._calls.forget()
             self._epoch = 0
 
     def _meet_targets(self) -> None:
@@ -222,8 +218,6 @@
         service = self.services.get(target.service)
         return service is not None and service.engine is not None
 
-    # Calls to targets, each in a worker; their answers are taken in by rounds.
-
     def _call(
         self,
         control: TargetControl,
@@ -231,19 +225,7 @@
         take: Callable[[object], None],
     ) -> None:
         control.calling = True
-        name = control.target.incarnation
-        future = self._executor.submit(work)
-        self._calls[name] = (future, take)
-        future.add_done_callback(lambda done: self._on_answer())
-
-    def _take_answers(self) -> None:
-        for name in list(self._calls):
-            future, take = self._calls[name]
-            if not future.done():
-                continue
-            del self._calls[name]
-            if name in self._controls:
-                take(future.result())
+        self._calls.start(control.target.incarnation, work, take)
 
     def _ask_reports(self, now: timedelta) -> None:
         for control in self._controls.values():
