--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -139,6 +139,13 @@
         """Return the share of a target's time that prompts take."""
         return self.spread.utilisation(control.target.incarnation)
 
+    def is_last_asked(self, control: TargetControl, model: str) -> bool:
+        """Tell whether ``control`` alone holds a model that is asked for."""
+        if any(holder is not control for holder in self.holders(model)):
+            return False
+        demand = self.demand.model(self.service, model, self.now)
+        return demand.rate >= WORTH_KEEPING_RATE
+
     def keep_value(self, control: TargetControl, model: str) -> float:
         """Return what would be lost if ``control`` dropped ``model``."""
         demand = self.demand.model(self.service, model, self.now)
@@ -250,13 +257,18 @@
     coming_at = view.coming_at(model.name)
     if coming_at is not None and coming_at - view.now - ready_in < MUCH_SOONER:
         return None
-    evicted = _victims(view, control, model)
+    evicted = _victims(view, control, model, replica=bool(holders))
     if evicted is None:
         return None
     victims, lost = evicted
+    from_store = control.loads_from_store(model.name)
+    if victims and holders and from_store:
+        # What gives way would be missed all the time that the load takes.
+        return None
     seconds = ready_in.total_seconds()
-    won = need.won(seconds) - lost * HYSTERESIS - seconds * LOAD_SECOND_PRICE
-    if control.loads_from_store(model.name):
+    missed = lost * max(1.0, seconds / HORIZON_SECONDS)
+    won = need.won(seconds) - missed * HYSTERESIS - seconds * LOAD_SECOND_PRICE
+    if from_store:
         won -= STORE_LOAD_PRICE
     if won <= 0:
         return None
@@ -268,9 +280,12 @@
 
 
 def _victims(
-    view: FleetView, control: TargetControl, model: EngineModel
+    view: FleetView, control: TargetControl, model: EngineModel, replica: bool
 ) -> tuple[tuple[str, ...], float] | None:
-    """Return what must give way for ``model``, and what is lost by it."""
+    """Return what must give way for ``model``, and what is lost by it.
+
+    For one more replica no other model loses its last one while it is asked for.
+    """
     lacking = model.memory_mb - view.free_mb(control)
     if lacking <= 0:
         return (), 0.0
@@ -279,6 +294,7 @@
         (view.keep_value(control, name), name)
         for name in control.held
         if not control.protected(name, "", view.now)
+        if not (replica and view.is_last_asked(control, name))
     ]
     victims: list[str] = []
     lost = 0.0
--- a/packages/runhatch-server/tests/test_residency_policy.py
+++ b/packages/runhatch-server/tests/test_residency_policy.py
@@ -122,6 +122,17 @@
 
         assert [load[0] for load in planned] == ["m0"] * replicas
 
+    def test_take_no_last_replica_that_is_asked_for(self):
+        controls = [
+            control("t1", ["m0"]),
+            control("t2", ["m1", "m2", "m3"], on_disk=["m0"]),
+        ]
+        book = self.book(8)
+        for model in ("m1", "m2", "m3"):
+            book.add("n1", ("engine", model, ""), 2, 1, 0, 100.0, NOW)
+
+        assert loads(controls, book) == []
+
     def test_are_not_loaded_from_the_store_for_demand_that_moves_on(self):
         controls = [control("t1", ["m0"]), control("t2", ["m1", "m2", "m3"])]
 
