--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -20,6 +20,9 @@
 ENOUGH_REQUESTS = 4
 SHORTEST_AGE = timedelta(seconds=1)
 """Requests, and time since the first, from which a rate is told."""
+URGENT_LASTS = timedelta(seconds=8)
+"""How long an urgent request tells that more will follow: urgent routes ask for few
+models at a time, and demand stays with them for some ten seconds."""
 UNMET_TIME_CONSTANT = timedelta(seconds=20)
 """Over which requests that were missed are remembered, so that a model asked for
 seldom gets its turn."""
@@ -51,6 +54,8 @@
     """Requests since then."""
     unmet: float = 0.0
     """Weighted requests that were missed since it was held last; fades slowly."""
+    urgent_at: timedelta | None = None
+    """When a request of an urgent route asked for it last."""
     misses: dict[tuple[str, int], tuple[float, timedelta]] = field(default_factory=dict)
 
     def fade(self, now: timedelta) -> None:
@@ -70,6 +75,8 @@
             self.first_at = now
             self.count = 0
         self.count += requests
+        if requests and weight > RANK_WEIGHTS[-1]:
+            self.urgent_at = now
         seconds = TIME_CONSTANT.total_seconds()
         self.rate += requests / seconds
         self.weighted += requests * weight / seconds
@@ -87,6 +94,10 @@
         """Whether any request was ever seen for it."""
         return self.first_at is not None
 
+    def is_urgent(self, now: timedelta) -> bool:
+        """Tell whether urgent routes have asked for it lately."""
+        return self.urgent_at is not None and now - self.urgent_at < URGENT_LASTS
+
     @property
     def is_steady(self) -> bool:
         """Whether enough requests were seen to tell of a rate."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -23,7 +23,7 @@
 STORE_LOAD_PRICE = 1.0
 """What a load from the weight store costs, in weighted requests; one loaded from a
 target's own copy costs the time alone."""
-LOAD_SECOND_PRICE = 0.2
+LOAD_SECOND_PRICE = 0.25
 """What each second costs that a load keeps its target from other orders."""
 BUSY_PRICE = 0.5
 """What a load on a target costs whose time is all taken."""
@@ -42,6 +42,9 @@
 """What the last replica of a model is worth that nobody has asked for yet, in
 weighted requests: demand moves to other models without warning, and the targets
 were given these models by those who know the demand."""
+URGENT_MODEL = 3.0
+"""What it is worth beside its rate if urgent routes have asked for it lately: the
+rate of demand that has just begun is told too low."""
 MUCH_SOONER = timedelta(seconds=2)
 """A load that is under way is passed by if another would be done so much sooner, as
 when a target with a copy on its disk has come back."""
@@ -153,6 +156,8 @@
         others = [c for c in self.holders(model) if c is not control]
         if not others:
             unasked = KNOWN_MODEL if demand.asked else UNKNOWN_MODEL
+            if demand.is_urgent(self.now):
+                unasked += URGENT_MODEL
             return unasked + value + demand.waiting(self.now)
         share = self.spread.share(model, control.target.incarnation)
         moved = share / len(others)
--- a/packages/runhatch-server/tests/test_residency_policy.py
+++ b/packages/runhatch-server/tests/test_residency_policy.py
@@ -107,6 +107,15 @@
 
         assert loads([first, second], asked(("m5", 1, 0, 1))) == []
 
+    def test_one_that_urgent_routes_just_asked_for_stays(self):
+        controls = [control("t1", ["m0", "m1", "m2"], on_disk=["m5"])]
+        book = asked()
+        for model, priority in (("m0", 1), ("m1", 0), ("m2", 1)):
+            book.add("n1", ("engine", model, ""), priority, 1, 0, 100.0, NOW)
+        book.add("n1", ("engine", "m5", ""), 2, 1, 1, 100.0, NOW)
+
+        assert loads(controls, book) == []
+
 
 class TestReplicas:
     """Models whose targets are too busy."""
