--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -6,7 +6,7 @@
 
 import threading
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
@@ -60,14 +60,9 @@
         self._by_service: dict[str, tuple[Target, ...]] = {}
         self._reachable = True
         self._regained_at = clock.elapsed()
-        self._listeners: list[Callable[[], None]] = []
         self.known = False
         """Whether the targets were listed at least once."""
 
-    def on_change(self, listener: Callable[[], None]) -> None:
-        """Have ``listener`` called after each change of the targets."""
-        self._listeners.append(listener)
-
     # What the store tells.
 
     def listed(self, entries: tuple[Entry[Target], ...]) -> None:
@@ -229,8 +224,6 @@
             for service, targets in by_service.items()
         }
         self.news.notify_all()
-        for listener in self._listeners:
-            listener()
 
     def _newest(self, key: str, target: Target) -> HeldModels:
         told = self._told.get(key)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -70,7 +70,6 @@
     predicted_ms: float
     granted_at: timedelta
     tier: int
-    candidates: int
     most_connections: int
 
 
@@ -340,7 +339,6 @@
             best.predicted_ms,
             now,
             tier,
-            len(open_targets),
             max(LEAST_CONNECTIONS, share),
         )
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
@@ -32,14 +32,12 @@
 class OrderBounds:
     """What must hold for orders to targets.
 
-    Two nodes must not order within ``handover`` of each other.  In any
-    ``load_window`` at most ``load_excess`` times the rate of the weight store may
-    be loaded from it.
+    Two nodes must not order within ``handover`` of each other.  The rate of the
+    weight store holds over any ``load_window``.
     """
 
     handover: timedelta
     load_window: timedelta
-    load_excess: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -63,13 +63,6 @@
         """The port it listens on."""
         return int(self._server.effective_port)
 
-    @property
-    def idle_threads(self) -> int:
-        """Threads that could take a request at once."""
-        dispatcher = self._server.task_dispatcher
-        waiting = len(dispatcher.queue)
-        return max(0, int(len(dispatcher.threads) - dispatcher.active_count - waiting))
-
     def limit(self, limits: ServerLimits) -> None:
         """Apply ``limits`` to what arrives from now on."""
         settings = self._server.adj
