Old versions make room where another old one serves

Cause: the state machine over two planners failed at its end: a pool whose targets were full of old versions, some twice, stood still for 800 s. No old version may go before its successor serves, and no successor had room. Surplus replicas were looked for among the current versions only.

Ruled out: the lease's own-holder reclaim, suspected because the test passed before it.

The new planner test failed first.

--- a/packages/runhatch-server/src/runhatch_server/placement/_draft.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_draft.py
@@ -112,17 +112,20 @@
         ]
         return len(others) >= model.min_replicas
 
+    def unloading_mb(self, target: str) -> int:
+        """Return what is being unloaded from ``target``."""
+        return sum(
+            charge.held_mb
+            for charge in self.rows[target].charges
+            if charge.state is ChargeState.UNLOADING
+        )
+
     def victims(self, target: str, lacking: int) -> list[ModelSpec] | None:
         """Return surplus replicas that free ``lacking`` MB, ``None`` if too few.
 
         What is being unloaded already counts; those with the least work go first.
         """
-        row = self.rows[target]
-        freed = sum(
-            charge.held_mb
-            for charge in row.charges
-            if charge.state is ChargeState.UNLOADING
-        )
+        freed = self.unloading_mb(target)
         surplus = [
             model
             for model in self.state.models
--- a/packages/runhatch-server/src/runhatch_server/placement/_reachability.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_reachability.py
@@ -88,11 +88,60 @@
         victims = draft.victims(name, needed - draft.rows[name].free_mb)
         if victims is not None and (best is None or len(victims) < len(best[1])):
             best = name, victims
-    if best is None:
-        _relocate(draft, needing, needed)
+    if best is not None:
+        for model in best[1]:
+            draft.retire(best[0], model.unit, f"room for {needing.name}")
         return
-    for model in best[1]:
-        draft.retire(best[0], model.unit, f"room for {needing.name}")
+    if not _retire_superseded(draft, needing, needed, targets):
+        _relocate(draft, needing, needed)
+
+
+def _retire_superseded(
+    draft: Draft, needing: ModelSpec, needed: int, targets: Sequence[str]
+) -> bool:
+    """Retire replicas of old versions of which another one serves.
+
+    Without this a pool full of old versions, none of which may go before its
+    successor serves, never has room for the first successor.
+    """
+    for name in targets:
+        lacking = needed - draft.rows[name].free_mb - draft.unloading_mb(name)
+        chosen: list[str] = []
+        for charge in _superseded(draft, name):
+            if lacking <= 0:
+                break
+            if _serves_without(draft, charge.unit, name, chosen):
+                chosen.append(charge.unit)
+                lacking -= charge.held_mb
+        if lacking > 0:
+            continue
+        for unit in chosen:
+            draft.retire(name, unit, f"old version, room for {needing.name}")
+        return True
+    return False
+
+
+def _superseded(draft: Draft, target: str) -> list[Charge]:
+    """Return the serving charges on ``target`` of models' older versions."""
+    older = {pair for m in draft.state.models for pair in draft.state.older_units(m)}
+    return [
+        charge
+        for charge in draft.rows[target].charges
+        if (target, charge.unit) in older and charge.state is ChargeState.SERVING
+    ]
+
+
+def _serves_without(draft: Draft, unit: str, target: str, gone: Sequence[str]) -> bool:
+    """Whether any version of the unit's model serves beside this replica."""
+    model = unit.rpartition("@")[0]
+    return any(
+        charge.state is ChargeState.SERVING
+        and charge.unit.rpartition("@")[0] == model
+        and not (name == target and charge.unit in (unit, *gone))
+        for name, row in draft.rows.items()
+        if name not in draft.state.closed
+        for charge in row.charges
+    )
 
 
 def _relocate(draft: Draft, needing: ModelSpec, needed: int) -> None:
--- a/packages/runhatch-server/tests/test_planner.py
+++ b/packages/runhatch-server/tests/test_planner.py
@@ -1,6 +1,7 @@
 """Plans: reachability first, moves only for what they win."""
 
 import json
+from dataclasses import replace
 
 import pytest
 from server_cases import deployment_document
@@ -111,6 +112,31 @@
         models[1] = {**models[1], "version": "2"}
         assert brief(plan(state(rows, models=models))) == expected
 
+    def test_pool_full_of_old_versions_makes_room(self):
+        """An old version goes where another old one serves, or none could come."""
+        models = [
+            {**model, "version": "9", "memory_mb": 40, "loading_peak_mb": 12}
+            for model in deployment_document()["models"]
+        ]
+        rows = (("m0@1", "m3@1"), ("m1@2", "m1@4"), ("m2@1", "m3@1"))
+        full = state(rows, models=models)
+        old = Charge("", 40, 0, SERVING, 1)
+        ledger = {
+            name: replace(row, charges=tuple(replace(old, unit=u) for u in units))
+            for (name, row), units in zip(full.rows.items(), rows, strict=True)
+        }
+        actions = plan(replace(full, rows=ledger))
+        gone = {(a.target, a.unit) for a in actions}
+        assert all(isinstance(a, RetireUnit) for a in actions)
+        assert gone
+        left = {
+            u
+            for name, row in zip(NAMES, rows, strict=True)
+            for u in row
+            if (name, u) not in gone
+        }
+        assert {unit.partition("@")[0] for unit in left} == {"m0", "m1", "m2", "m3"}
+
     def test_drained_target_is_emptied_last_replica_kept(self):
         """A drained target's models are loaded elsewhere before they go."""
         actions = plan(state(FULL, closed=frozenset({"w2"})))
