A new node knows the orderer from the store, and demand waits for it

Traced from both gateways' logs of a failing run: the request came 0.75 s after n2's start, n1 (which held the lease) planned nothing. The node had read the lease row, which has the holder's address, and did not use it; and each side linked the other only at its next heartbeat, so up to 1 s later.

Ruled out: too short a wait for the adapter. Nothing had been ordered, so a longer wait would only have held the request longer.

Now: the address comes from the lease row where that is newer; a VM heard for the first time is linked and told at once; demand is kept for 2 s while no orderer is known, and dropping it is logged.

--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -153,7 +153,9 @@
         placement = self._settings.placement
         refresh = timedelta(seconds=placement.refresh_seconds)
         self._tasks.every("vms", VM_LIST_EVERY, self._read_vms)
-        self._tasks.every("members", heartbeat, self._keep_members)
+        self._tasks.every(
+            "members", heartbeat, self._keep_members, self._peers.met_member
+        )
         follower = self._follower
         self._tasks.every("configuration", refresh, follower.poll, follower.wake)
         interval = timedelta(seconds=placement.interval_seconds)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -144,7 +144,9 @@
         )
         self._open_links()
         self._tasks.every("settle", SETTLE_EVERY, self._settle)
-        self._tasks.every("members", HEARTBEAT, self._keep_members)
+        self._tasks.every(
+            "members", HEARTBEAT, self._keep_members, self._peers.met_member
+        )
         self._tasks.every("lease", LEASE_EVERY, self._keep_lease)
         self._tasks.every("share", SHARE_EVERY, self._share, self._demand.wake)
         self._tasks.every("orders", ORDER_EVERY, self._order, self._order_now)
@@ -333,6 +335,7 @@
         if own not in ranked and self._orderer.holds_lease() is None:
             return
         change = self._orderer.keep_lease(eager=ranked[0] == own)
+        self._peers.learn_orderer(self._orderer.record)
         epoch = self._orderer.holds_lease()
         if change is LeaseChange.ACQUIRED and epoch is not None:
             self._peers.tell_orderer(epoch.number, 0)
@@ -341,9 +344,7 @@
         """Tell loads and demand; what comes within a moment goes together."""
         self._clock.sleep(SHARE_TOGETHER)
         self._peers.tell_loads()
-        shares = self._demand.take()
-        if shares:
-            self._peers.tell_demand(shares)
+        self._peers.tell_demand(self._demand)
 
     def _order(self) -> None:
         self._orderer.step()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -4,12 +4,12 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from runhatch_coordination import Clock, Membership
+from runhatch_coordination import Clock, LeaseRecord, Membership
 from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels
 from runhatch_server.gateway._balancer import Balancer
-from runhatch_server.gateway._demand import DemandShare
+from runhatch_server.gateway._demand import DemandCounter, DemandShare
 from runhatch_server.gateway._load import LoadShare
-from runhatch_server.observability import Metrics
+from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
     DemandOfModel,
     Envelope,
@@ -31,6 +31,9 @@
 """Time without a renewal after which the orderer's lease is looked at: it renews it,
 and tells so, each second."""
 
+DEMAND_KEPT = timedelta(seconds=2)
+"""How long demand is kept for an orderer that is not known yet, twice the time in
+which each is heard; told later still, it would look like a sudden rise."""
 TELL_WHOLE_EVERY = timedelta(seconds=1)
 
 OnDemand = Callable[[str, list[DemandOfModel]], None]
@@ -65,6 +68,7 @@
         self._orderer_heard = timedelta(days=-1)
         self._told_shares: dict[str, LoadShare] = {}
         self._told_whole = timedelta(days=-1)
+        self._told_demand = clock.elapsed()
 
     def orderer_is_heard(self) -> bool:
         """Tell whether the node that orders the targets has renewed its lease."""
@@ -94,24 +98,33 @@
         loads = [_load_of(target, share) for target, share in told.items()]
         self.tell_all(TargetLoads(loads, whole))
 
-    def tell_demand(self, shares: list[DemandShare]) -> None:
-        """Send demand to the node that orders the targets, if it is known."""
-        demand = [
-            DemandOfModel(
-                share.wanted.service,
-                share.wanted.model,
-                share.wanted.adapter,
-                share.wanted.priority,
-                share.requests,
-                share.missed,
-                round(share.work_ms),
-            )
-            for share in shares
-        ]
+    def learn_orderer(self, record: LeaseRecord | None) -> None:
+        """Take in who holds the orders' lease by the store.
+
+        A node that has just started has heard no peer yet.
+        """
+        if record is not None and record.holder and record.epoch > self._orderer_epoch:
+            self._orderer_is(record.address, record.epoch)
+
+    def tell_demand(self, counter: DemandCounter) -> None:
+        """Send what was counted to the node that orders the targets.
+
+        While none is known it stays counted for a while: dropped, what was missed
+        would be loaded only once it is missed again.
+        """
+        now = self._clock.elapsed()
+        if not self._orderer_address and now - self._told_demand < DEMAND_KEPT:
+            return
+        self._told_demand = now
+        demand = [_demand_of(share) for share in counter.take()]
+        if not demand:
+            return
         own = self._membership.own
-        if self._orderer_address == own.address:
+        if not self._orderer_address:
+            log_change("demand_dropped", shares=len(demand), reason="no orderer known")
+        elif self._orderer_address == own.address:
             self._on_demand(own.name, demand)
-        elif self._orderer_address:
+        else:
             self.tell(self._orderer_address, ModelDemand(demand))
 
     def tell_holdings(self, epoch: int, holdings: list[Holding]) -> None:
@@ -233,6 +246,18 @@
             self._orderer_heard = self._clock.elapsed()
 
 
+def _demand_of(share: DemandShare) -> DemandOfModel:
+    return DemandOfModel(
+        share.wanted.service,
+        share.wanted.model,
+        share.wanted.adapter,
+        share.wanted.priority,
+        share.requests,
+        share.missed,
+        round(share.work_ms),
+    )
+
+
 def _load_of(target: str, share: LoadShare) -> LoadOfTarget:
     return LoadOfTarget(
         target,
--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -1,6 +1,7 @@
 """Who else is there: heartbeats, links to peers, and news about members."""
 
 import random
+import threading
 from collections.abc import Iterable
 
 from runhatch_coordination import (
@@ -31,6 +32,11 @@
         self._metrics = metrics
         self._links: Links | None = None
         self._random = random.Random(seed)
+        self.met_member = threading.Event()
+        """Set when a VM is heard that was not known to live.
+
+        Until it is linked and told what goes on, it cannot serve what needs others.
+        """
 
     def attach(self, links: Links) -> None:
         """Use ``links`` from now on."""
@@ -88,7 +94,10 @@
         if envelope.version != VERSION:
             return False
         sender = fact_of_member(envelope.sender)
+        before = self._membership.standing(sender.vm.name)
         believed = self._membership.heartbeat(sender, envelope.linked)
+        if before is not Standing.ALIVE:
+            self.met_member.set()
         if believed is not None:
             self._tell_belief(believed)
         return True
