--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -17,7 +17,7 @@
 CONNECTIONS = 6
 """Connections kept to one service; more callers than that take turns."""
 DEAD_AFTER = timedelta(seconds=3)
-"""Silence of the other end's machine after which a connection is given up: as long
+"""Silence of the other end's host after which a connection is given up: as long
 as a lost lease renewal may take to be noticed."""
 PROBE_EVERY = timedelta(seconds=1)
 """Between two keep-alive probes of the kernel on an idle connection."""
@@ -180,7 +180,7 @@
 def notice_dead_peers(connection: socket.socket, after: timedelta) -> None:
     """Have the kernel break a connection whose other end has been silent so long.
 
-    A machine without power, or behind a cut, sends no reset; without this a call
+    A host without power, or behind a cut, sends no reset; without this a call
     that waits for news would hear of the outage only at its own timeout.
     """
     probe = max(1, int(PROBE_EVERY.total_seconds()))
--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -38,7 +38,7 @@
 
     store_url: str
     service: str
-    zone: str
+    failure_domain: str
     models: dict[str, set[str]]
     identity: str = field(default_factory=lambda: f"i-{uuid.uuid4().hex[:10]}")
     port: int = 0
@@ -66,7 +66,8 @@
         entry = {
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
-            "zone": self.zone,
+            # The published name of the failure domain.
+            "zone": self.failure_domain,
             "slots": 8,
             "state": self.state,
             "models": self._held(),
@@ -181,11 +182,13 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--store", required=True)
     parser.add_argument("--service", required=True)
-    parser.add_argument("--zone", default="d1")
+    parser.add_argument("--failure-domain", default="d1")
     parser.add_argument("--models", default="")
     arguments = parser.parse_args()
     models = {name: set[str]() for name in arguments.models.split(",") if name}
-    worker = Worker(arguments.store, arguments.service, arguments.zone, models)
+    worker = Worker(
+        arguments.store, arguments.service, arguments.failure_domain, models
+    )
     worker.port = arguments.port
     worker.register()
     serve(worker.routes(), arguments.port, threads=32)
--- a/standins/tests/test_shutdown.py
+++ b/standins/tests/test_shutdown.py
@@ -15,7 +15,7 @@
 @pytest.fixture(scope="module")
 def own_cluster():
     """A system of its own, since its nodes are restarted."""
-    # A lag well above the balancer's here, so that a slow machine cuts nothing.
+    # A lag well above the balancer's here, so that a slow host cuts nothing.
     settings = {"serving": {"drain_lag_seconds": 2.0}}
     cluster = start_cluster(Sizes(models=4, adapters=2), settings)
     try:
