One way for both caller interfaces to send, count and notice callers

Cause: the gateway's WSGI application had copies of the other's counted stream, its way of closing connections on shutdown, and its look at a caller that has gone. They stand in http/_wsgi.py now; a generator's own clean-up stays beside the generators. Settings' faults are printed in one place.

Found on the way: the readiness application asked twice whether the node is ready, so that status and body could differ; it asks once.

--- a/packages/runhatch-server/src/runhatch_server/daemon.py
+++ b/packages/runhatch-server/src/runhatch_server/daemon.py
@@ -35,15 +35,20 @@
     try:
         settings = load_settings(path)
     except SettingsError as error:
-        for fault in error.faults:
-            print(f"runhatchd: settings: {fault}", file=sys.stderr)
-        return EXIT_BAD_SETTINGS
+        return report_faults(error)
     if check:
         print(f"runhatchd: {path}: settings are sound")
         return 0
     return _run(settings, connect)
 
 
+def report_faults(error: SettingsError) -> int:
+    """Tell what is wrong with the settings; returns the exit status."""
+    for fault in error.faults:
+        print(f"runhatchd: settings: {fault}", file=sys.stderr)
+    return EXIT_BAD_SETTINGS
+
+
 def run_gateway(
     settings: GatewaySettings,
     outside: GatewayOutside,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -1,7 +1,7 @@
 """The gateway's side towards callers, as WSGI applications."""
 
 import random
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from typing import BinaryIO, cast
 
@@ -12,8 +12,14 @@
     HeaderCodec,
     HeaderFault,
 )
-from runhatch_server.gateway._relay import StreamRelay
 from runhatch_server.gateway._service import GatewayService
+from runhatch_server.http import (
+    CountedEvents,
+    Environ,
+    StartResponse,
+    caller_gone,
+    send_whole,
+)
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.routing import RouteTable, choose_service
 from runhatch_server.serving import (
@@ -25,14 +31,12 @@
     problem_document,
 )
 
-GONE_VARIABLE = "waitress.client_disconnected"
 NOT_READY_RETRY = timedelta(milliseconds=500)
 """When a caller may come back to a node that has no configuration yet."""
 HEADER_PREFIX = "HTTP_"
 CONTENT_TYPE = "CONTENT_TYPE"
-
-Environ = Mapping[str, object]
-StartResponse = Callable[[str, list[tuple[str, str]]], object]
+MOST_LOGGED = 80
+"""Characters of a refused request's host and path that are logged."""
 
 
 class GatewayApp:
@@ -71,8 +75,10 @@
             if isinstance(answer, StreamAnswer):
                 start_response(status, [*answer.headers])
                 handed_on = True
-                return _CountedStream(answer.events, self._progress.end)
-            return self._send(status, answer, start_response)
+                return CountedEvents(answer.events, self._progress.end)
+            return send_whole(
+                status, answer.headers, answer.body, start_response, self.draining
+            )
         finally:
             if not handed_on:
                 self._progress.end()
@@ -86,14 +92,14 @@
                 "refused_unread",
                 outcome=request.reason.code,
                 detail=request.detail,
-                host=headers.get("host", "")[:80],
-                uri=str(environ.get("REQUEST_URI", ""))[:80],
+                host=headers.get("host", "")[:MOST_LOGGED],
+                uri=str(environ.get("REQUEST_URI", ""))[:MOST_LOGGED],
                 configuration=None if self.routes is None else self.routes.version,
             )
             return self._refused(request, headers)
         self._metrics.requests.labels(request.route.kind.value).inc()
         self._on_request(request)
-        answer = self._service.serve(request, _gone(environ))
+        answer = self._service.serve(request, caller_gone(environ))
         if isinstance(answer, Refusal):
             return self._refused(answer, headers)
         return answer
@@ -108,7 +114,7 @@
             return Refusal(Reason.NOT_READY, Executed.NO, retry_after=NOT_READY_RETRY)
         uri = str(environ.get("REQUEST_URI", ""))
         if not uri.startswith("/"):
-            detail = f"found target {uri[:40]!r}, allowed: a path"
+            detail = f"found target {uri[:MOST_LOGGED]!r}, allowed: a path"
             return Refusal(Reason.BAD_HEADER, Executed.NO, detail)
         route = routes.find(headers.get("host", ""), uri.partition("?")[0])
         if route is None:
@@ -150,18 +156,6 @@
         body = problem_document(refusal, attempt_id)
         return WholeAnswer(refusal.reason.status, refusal.reason.title, told, body)
 
-    def _send(
-        self, status: str, answer: WholeAnswer, start_response: StartResponse
-    ) -> Iterable[bytes]:
-        headers = [*answer.headers]
-        if self.draining:
-            # Without a length waitress closes the connection after the answer.
-            start_response(status, headers)
-            return iter([answer.body])
-        headers.append(("Content-Length", str(len(answer.body))))
-        start_response(status, headers)
-        return [answer.body]
-
 
 class ReadinessApp:
     """Tells the balancer whether to send requests here."""
@@ -173,8 +167,9 @@
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answer 200 or 503, whatever the path."""
-        status = "200 OK" if self._is_ready() else "503 Not Ready"
-        body = b"ready\n" if self._is_ready() else b"not ready\n"
+        ready = self._is_ready()
+        status = "200 OK" if ready else "503 Not Ready"
+        body = b"ready\n" if ready else b"not ready\n"
         start_response(status, [("Content-Length", str(len(body)))])
         return [body]
 
@@ -198,31 +193,6 @@
         return [body]
 
 
-class _CountedStream:
-    """Passes a stream on and tells when it has ended, however it did."""
-
-    def __init__(self, events: StreamRelay, on_end: Callable[[], None]) -> None:
-        self._events = events
-        self._on_end = on_end
-        self._closed = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self
-
-    def __next__(self) -> bytes:
-        return next(self._events)
-
-    def close(self) -> None:
-        """Give back what the stream holds; called once by the HTTP server."""
-        if self._closed:
-            return
-        self._closed = True
-        try:
-            self._events.close()
-        finally:
-            self._on_end()
-
-
 def _headers(environ: Environ) -> dict[str, str]:
     """Return the headers by name in lower case."""
     headers = {
@@ -234,12 +204,3 @@
     if content_type:
         headers["content-type"] = str(content_type)
     return headers
-
-
-def _gone(environ: Environ) -> Callable[[], bool]:
-    check = environ.get(GONE_VARIABLE)
-    return check if callable(check) else _never
-
-
-def _never() -> bool:
-    return False
--- a/packages/runhatch-server/src/runhatch_server/http/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/http/__init__.py
@@ -7,12 +7,26 @@
     notice_dead_peers,
 )
 from runhatch_server.http._server import HttpServer, ServerLimits
+from runhatch_server.http._wsgi import (
+    CountedEvents,
+    Environ,
+    Events,
+    StartResponse,
+    caller_gone,
+    send_whole,
+)
 
 __all__ = [
     "BrokenOff",
+    "CountedEvents",
+    "Environ",
+    "Events",
     "HttpClient",
     "HttpServer",
     "Reply",
     "ServerLimits",
+    "StartResponse",
+    "caller_gone",
     "notice_dead_peers",
+    "send_whole",
 ]
--- a/packages/runhatch-server/src/runhatch_server/serving/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_app.py
@@ -6,6 +6,13 @@
 import msgspec
 
 from runhatch_coordination import Clock, InvariantError
+from runhatch_server.http import (
+    CountedEvents,
+    Environ,
+    StartResponse,
+    caller_gone,
+    send_whole,
+)
 from runhatch_server.observability import Metrics
 from runhatch_server.serving._caller_answers import (
     CallerAnswer,
@@ -15,20 +22,17 @@
 )
 from runhatch_server.serving._picture import Picture
 from runhatch_server.serving._progress import Progress
-from runhatch_server.serving._reading import MODELS_PATH, Environ, RequestReader
+from runhatch_server.serving._reading import MODELS_PATH, RequestReader
 from runhatch_server.serving._refusals import Executed, Reason, Refusal
 from runhatch_server.serving._relay import AbortedStreamError
 from runhatch_server.serving._request import RouteKind
 from runhatch_server.serving._service import ServingService
 
-GONE_VARIABLE = "waitress.client_disconnected"
 JSON_HEADERS = (("Content-Type", "application/json"),)
 HEALTH_PATHS = ("/healthz", "/readyz")
 NO_REQUEST = "-"
 NOT_READY_RETRY_AFTER = timedelta(seconds=1)
 
-StartResponse = Callable[[str, list[tuple[str, str]]], object]
-
 
 class _ModelEntry(msgspec.Struct):
     id: str
@@ -84,9 +88,10 @@
         try:
             answer = self._answer(environ)
             if isinstance(answer, StreamedAnswer):
-                start_response(*self._head(answer))
+                start_response(_status(answer), list(answer.headers))
                 handed_on = True
-                return _CountedEvents(answer.events, self._end)
+                events = _GeneratedEvents(answer.events)
+                return CountedEvents(events, self._end)
             return self._send(answer, start_response)
         except InvariantError as broken:
             self._on_broken(broken)
@@ -103,7 +108,7 @@
         if isinstance(request, Refusal):
             self._metrics.refusals.labels(request.reason.code).inc()
             return refused(request, NO_REQUEST)
-        answer = self._service.serve(request, _gone(environ))
+        answer = self._service.serve(request, caller_gone(environ))
         took = self._clock.elapsed() - started
         kind = request.route.kind.value
         self._metrics.first_byte.labels(kind).observe(took.total_seconds())
@@ -124,17 +129,9 @@
     def _send(
         self, answer: WholeAnswer, start_response: StartResponse
     ) -> Iterable[bytes]:
-        start_response(*self._head(answer))
-        if self.draining:
-            # Without a length waitress closes the connection after the answer.
-            return iter([answer.body])
-        return [answer.body]
-
-    def _head(self, answer: CallerAnswer) -> tuple[str, list[tuple[str, str]]]:
-        headers = list(answer.headers)
-        if isinstance(answer, WholeAnswer) and not self.draining:
-            headers.append(("Content-Length", str(len(answer.body))))
-        return f"{answer.status} Status", headers
+        return send_whole(
+            _status(answer), answer.headers, answer.body, start_response, self.draining
+        )
 
     def _health(self, path: str) -> WholeAnswer:
         sound = path == "/healthz" or self._is_ready()
@@ -154,27 +151,19 @@
         return WholeAnswer(200, JSON_HEADERS, body)
 
 
-class _CountedEvents:
-    """Passes events on and tells when they end, however they end."""
+class _GeneratedEvents:
+    """Events from a generator, whose clean-up runs even if it was never begun."""
 
-    def __init__(self, events: Iterator[bytes], on_end: Callable[[], None]) -> None:
+    def __init__(self, events: Iterator[bytes]) -> None:
         self._events = events
-        self._on_end = on_end
         self._started = False
-        self._closed = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self
 
     def __next__(self) -> bytes:
         self._started = True
         return next(self._events)
 
     def close(self) -> None:
-        """Give back what the stream holds; called once by the HTTP server."""
-        if self._closed:
-            return
-        self._closed = True
+        """End the generator."""
         try:
             if not self._started:
                 # A generator that never ran would skip its own clean-up.
@@ -183,14 +172,7 @@
                 self._events.close()
         except AbortedStreamError:
             pass
-        finally:
-            self._on_end()
-
-
-def _gone(environ: Environ) -> Callable[[], bool]:
-    check = environ.get(GONE_VARIABLE)
-    return check if callable(check) else _never
 
 
-def _never() -> bool:
-    return False
+def _status(answer: CallerAnswer) -> str:
+    return f"{answer.status} Status"
