--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -14,6 +14,7 @@
 
 from runhatch_coordination import Clock
 from runhatch_server.fleet import Directory, Target
+from runhatch_server.gateway._held import BEGIN_SLACK, HeldRequests, Wait
 from runhatch_server.gateway._load import LATE_TIER, LoadShare, Outstanding
 from runhatch_server.gateway._load_book import LoadBook
 from runhatch_server.gateway._messages import GatewayRequest
@@ -23,15 +24,6 @@
 
 TOKEN_MS = 20.0
 """Usual time between two tokens of a stream at a busy engine."""
-BEGIN_SLACK = timedelta(milliseconds=200)
-"""A late answer is begun only if it is predicted so long before its caller leaves."""
-ADAPTER_WAIT = timedelta(milliseconds=400)
-"""How long a request waits for an adapter whose model is held: loading one takes
-some ten milliseconds, telling of it as much again."""
-PLAN_WAIT = timedelta(milliseconds=200)
-PLAN_WAIT_SHARE = 0.125
-"""How long a request waits to hear whether its model will be loaded: so long, or
-this share of its goal, in which others may be loaded first."""
 MISSING_RETRY = (
     timedelta(seconds=1.5),
     timedelta(seconds=1.5),
@@ -40,13 +32,15 @@
 )
 """When a caller may come back whose model nobody holds, by rank: a load takes two
 seconds from a target's disk, and callers wait a third of their time at the most."""
-LOAD_SLACK = timedelta(seconds=1)
-"""How much later than announced a load may be done."""
-MOST_HELD = 48
-"""Requests that wait for a model on one node; each holds a thread."""
 GONE_CHECK = timedelta(milliseconds=150)
+"""How often a held request looks whether its caller is there: work must end within
+half a second of its leaving."""
 SHORTEST_RETRY = timedelta(milliseconds=250)
 LONGEST_RETRY = timedelta(seconds=4)
+"""Bounds of what callers are told to wait: sooner little has changed at a target,
+and those who wait longer seldom come back in time."""
+RETRY_JITTER = 0.25
+"""Share by which waits told to callers differ, so that they do not come at once."""
 BUSY_HOLDS = timedelta(milliseconds=200)
 """How long a target that refused for load is passed over."""
 DOWN_AFTER = 2
@@ -57,7 +51,10 @@
 LAST_STREAMS = timedelta(seconds=2.5)
 """How long a stopping node begins streams: later ones would be cut at its end, and
 the balancer has had time to look twice by then."""
+SHUT_DOUBLINGS = 4
+"""Times that doubling matters: by then the pause is the longest."""
 LEAST_CONNECTIONS = 4
+"""A node's share of a target's connections, however many nodes there are."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,15 +70,6 @@
     most_connections: int
 
 
-@dataclass(frozen=True, slots=True)
-class _Wait:
-    """Nothing yet; it is worth waiting for news until then."""
-
-    until: timedelta
-    reason: Reason
-    target: str = ""
-
-
 class Balancer:
     """All requests of one node that are at targets; safe for many threads."""
 
@@ -105,7 +93,7 @@
         self._scorer = Scorer(self._book, failure_domain, has_connection, seed)
         self._services: Mapping[str, ServiceSpec] = {}
         self._numbers = itertools.count(1)
-        self._held = 0
+        self._held = HeldRequests(directory, clock, self._book, self._lock)
         self._closing_at: timedelta | None = None
         self.nodes = 1
         """Nodes that share the targets' connections."""
@@ -113,7 +101,7 @@
     @property
     def held(self) -> int:
         """Requests that wait for a model now."""
-        return self._held
+        return self._held.count
 
     def configure(self, services: Mapping[str, ServiceSpec]) -> None:
         """Use other declarations from now on."""
@@ -141,21 +129,21 @@
         if self._ends_too_soon_for(request):
             return Refusal(Reason.STOPPING, Executed.NO, retry_after=timedelta())
         found = self._find(request, tried, None)
-        if not isinstance(found, _Wait):
+        if not isinstance(found, Wait):
             return found
         self._on_missing(request)
         place = HeldPlace(next(self._numbers), self._clock.elapsed())
         try:
             return self._wait(request, tried, caller_gone, found, place)
         finally:
-            self._leave(place)
+            self._held.leave(place)
 
     def _wait(
         self,
         request: GatewayRequest,
         tried: frozenset[str],
         caller_gone: Callable[[], bool],
-        found: _Wait,
+        found: Wait,
         place: HeldPlace,
     ) -> Grant | Refusal:
         """Hold ``request`` until its model is there or it is known not to help."""
@@ -163,15 +151,15 @@
             now = self._clock.elapsed()
             if self._closing_at is not None:
                 return self._refuse(request, found.reason)
-            if now >= found.until or self._held >= MOST_HELD:
+            if now >= found.until or self._held.full:
                 helps = MISSING_RETRY[_tier(request)]
                 return self._refuse(request, found.reason, helps)
             if caller_gone():
                 return Refusal(Reason.CALLER_GONE, Executed.NO)
-            self._hold_at(request, found.target, place)
-            self._hold(min(found.until - now, GONE_CHECK))
+            self._held.count_at(request, found.target, place)
+            self._held.pause(min(found.until - now, GONE_CHECK))
             following = self._find(request, tried, place)
-            if not isinstance(following, _Wait):
+            if not isinstance(following, Wait):
                 return following
             found = following
 
@@ -212,7 +200,9 @@
         """Give the place back; no connection to the target could be made."""
         with self._lock:
             load = self._book.load(grant.target.incarnation)
-            pause = min(LONGEST_SHUT, FIRST_SHUT * (1 << min(load.shut_times, 4)))
+            pause = min(
+                LONGEST_SHUT, FIRST_SHUT * (1 << min(load.shut_times, SHUT_DOUBLINGS))
+            )
             load.shut_times += 1
         self._pass_over(grant, pause)
 
@@ -267,7 +257,7 @@
         request: GatewayRequest,
         tried: frozenset[str],
         place: HeldPlace | None,
-    ) -> Grant | Refusal | _Wait:
+    ) -> Grant | Refusal | Wait:
         service = self._services.get(request.service)
         if service is None or not self._directory.ready(request.service):
             return self._refuse(request, Reason.NO_TARGET)
@@ -275,35 +265,14 @@
             request.service, request.model, request.adapter
         )
         if not holders:
-            return self._missing(request, place)
+            judged = self._held.judge(request, place)
+            if isinstance(judged, Wait):
+                return judged
+            return self._refuse(request, Reason.NO_REPLICA, judged.retry_after)
         fresh = [t for t in holders if t.incarnation not in tried]
         with self._lock:
             return self._choose(request, service, fresh or holders, place)
 
-    def _missing(
-        self, request: GatewayRequest, place: HeldPlace | None
-    ) -> _Wait | Refusal:
-        """Decide about a request whose model or adapter no target holds."""
-        now = self._clock.elapsed()
-        model_held = self._directory.holders(request.service, request.model, "")
-        if model_held and request.adapter:
-            until = request.received + min(ADAPTER_WAIT, request.route.goal / 2)
-            return _Wait(until, Reason.NO_REPLICA)
-        expected = self._directory.expected(request.service, request.model)
-        if expected is None:
-            wait = max(PLAN_WAIT, request.route.goal * PLAN_WAIT_SHARE)
-            return _Wait(request.received + wait, Reason.NO_REPLICA)
-        ready_at = max(expected.ready_at, now)
-        with self._lock:
-            load = self._book.load(expected.target)
-            since = now if place is None else place.since
-            ahead_ms = load.held_ahead_ms(since, now) + self._book.full_work_ms(request)
-        begins = ready_at + timedelta(milliseconds=ahead_ms)
-        if begins + BEGIN_SLACK >= request.begin_by:
-            return self._refuse(request, Reason.NO_REPLICA, begins - now)
-        until = min(ready_at + LOAD_SLACK, request.begin_by - BEGIN_SLACK)
-        return _Wait(until, Reason.NO_REPLICA, expected.target)
-
     def _choose(
         self,
         request: GatewayRequest,
@@ -315,7 +284,7 @@
         open_targets = [t for t in targets if self._is_open(t, now)] or targets
         tier = _tier(request)
         best = self._scorer.best(request, service, open_targets, tier, now, place)
-        if self._late_by(request, best.predicted_ms, now) > timedelta():
+        if _late_by(request, best.predicted_ms, now) > timedelta():
             # It gives way to requests in time, and is still worth something late.
             tier = LATE_TIER
             best = self._scorer.best(request, service, open_targets, tier, now, place)
@@ -342,15 +311,6 @@
             max(LEAST_CONNECTIONS, share),
         )
 
-    def _late_by(
-        self, request: GatewayRequest, predicted_ms: float, now: timedelta
-    ) -> timedelta:
-        """Return by how much the answer would begin too late, zero if in time."""
-        begins = now + timedelta(milliseconds=predicted_ms)
-        if request.route.kind is RequestKind.STREAM:
-            return max(timedelta(), begins - request.goal_at)
-        return max(timedelta(), begins - request.deadline)
-
     def _is_open(self, target: Target, now: timedelta) -> bool:
         return now >= self._book.load(target.incarnation).shut_until
 
@@ -368,43 +328,16 @@
         helps_after: timedelta = timedelta(),
     ) -> Refusal:
         wait = min(max(helps_after, SHORTEST_RETRY), LONGEST_RETRY)
-        wait *= self._random.uniform(1.0, 1.25)
+        wait *= self._random.uniform(1.0, 1.0 + RETRY_JITTER)
         return Refusal(reason, Executed.NO, retry_after=wait)
 
-    def _hold_at(self, request: GatewayRequest, target: str, place: HeldPlace) -> None:
-        """Count ``request`` among what waits for a load at ``target``."""
-        if place.target == target:
-            return
-        self._leave(place)
-        if not target:
-            return
-        place.target = target
-        with self._lock:
-            held = Outstanding(
-                self._book.full_work_ms(request),
-                0,
-                place.since,
-                0.0,
-                LATE_TIER,
-                held=True,
-            )
-            self._book.load(target).own[place.number] = held
-
-    def _leave(self, place: HeldPlace) -> None:
-        """Count a held request no longer."""
-        if place.target:
-            with self._lock:
-                self._book.load(place.target).own.pop(place.number, None)
-            place.target = ""
-
-    def _hold(self, longest: timedelta) -> None:
-        """Wait for news of the targets."""
-        self._held += 1
-        try:
-            with self._directory.news:
-                self._directory.news.wait(longest.total_seconds())
-        finally:
-            self._held -= 1
+
+def _late_by(request: GatewayRequest, predicted_ms: float, now: timedelta) -> timedelta:
+    """Return by how much the answer would begin too late, zero if in time."""
+    begins = now + timedelta(milliseconds=predicted_ms)
+    if request.route.kind is RequestKind.STREAM:
+        return max(timedelta(), begins - request.goal_at)
+    return max(timedelta(), begins - request.deadline)
 
 
 def _too_late(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_load.py
@@ -15,13 +15,17 @@
 """Ranks by which targets take requests: three of requests in time, one of late ones."""
 LATE_TIER = TIERS - 1
 RATE_GAIN = 0.2
+"""Weight of the newest measurement of a model's speed; some ten tell all."""
 LEAST_MS_PER_TOKEN, MOST_MS_PER_TOKEN = 0.005, 1.0
 """Bounds of what is believed of a model, against measurements gone wrong."""
+LEAST_SCALE, MOST_SCALE = 0.3, 3.0
+"""Bounds of what one measurement may say against what is believed."""
 BASE_MS = 25.0
 """Time to the first token that no prompt explains: the way and a step or two."""
 FIRST_SERVICE_MS = 30.0
 """Time of a plain request before any was measured."""
 SERVICE_GAIN = 0.1
+"""Weight of the newest plain request in its route's usual time."""
 LEAST_REMAINING = 0.15
 """Share of a request's reading that is counted until its first token is seen."""
 OLDER_SHARE = 0.5
@@ -207,7 +211,7 @@
             return
         scale = (_milliseconds(took) - BASE_MS) / (own + max(0.0, ahead))
         known = self._ms_per_token.get(model, FIRST_MS_PER_TOKEN)
-        seen = known * min(max(scale, 0.3), 3.0)
+        seen = known * min(max(scale, LEAST_SCALE), MOST_SCALE)
         learnt = known + (seen - known) * RATE_GAIN
         self._ms_per_token[model] = min(
             max(learnt, LEAST_MS_PER_TOKEN), MOST_MS_PER_TOKEN
