One type for demand; telling apart from ordering; one receive for members

Cause: demand for a model was counted, sent, received and booked in three shapes and a list of six parameters. DemandShare is the one type inside, DemandOfModel its form between nodes. Taking in an envelope, its sender and news of members was written in both kinds of nodes, and stands in MemberExchange.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_demand.py
@@ -2,32 +2,9 @@
 
 import threading
 from collections import Counter, defaultdict
-from dataclasses import dataclass
 
 from runhatch_server.gateway._messages import GatewayRequest
-
-
-@dataclass(frozen=True, slots=True, order=True)
-class Wanted:
-    """A model, perhaps with an adapter, that requests of a priority ask for."""
-
-    service: str
-    model: str
-    adapter: str
-    priority: int
-
-
-@dataclass(frozen=True, slots=True)
-class DemandShare:
-    """Requests for one thing since the last share: all, and those that found none.
-
-    ``work_ms`` is the time that reading their prompts takes.
-    """
-
-    wanted: Wanted
-    requests: int
-    missed: int
-    work_ms: float
+from runhatch_server.residency import DemandShare, Wanted
 
 
 class DemandCounter:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -36,8 +36,8 @@
 from runhatch_server.gateway._settings import Endpoint, GatewaySettings
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.peers import DemandOfModel, PeerLinks
-from runhatch_server.residency import Orderer
+from runhatch_server.peers import PeerLinks
+from runhatch_server.residency import DemandShare, Orderer
 from runhatch_server.routing import RequestLimits, RouteTable
 from runhatch_server.serving import Progress
 
@@ -304,15 +304,9 @@
     def _note_demand(self, request: GatewayRequest) -> None:
         self._demand.note(request, self._balancer.work_ms(request))
 
-    def _on_demand(self, node: str, demand: list[DemandOfModel]) -> None:
-        missed = False
-        for each in demand:
-            name = (each.service, each.model, each.adapter)
-            self._orderer.asked(
-                node, name, each.priority, each.requests, each.missed, each.work_ms
-            )
-            missed = missed or bool(each.missed)
-        if missed:
+    def _on_demand(self, node: str, shares: list[DemandShare]) -> None:
+        self._orderer.asked(node, shares)
+        if any(share.missed for share in shares):
             self._order_now.set()
 
     def _keep_members(self) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -7,15 +7,13 @@
 from runhatch_coordination import Clock, LeaseRecord, Membership
 from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels
 from runhatch_server.gateway._balancer import Balancer
-from runhatch_server.gateway._demand import DemandCounter, DemandShare
+from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._load import LoadShare
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
     DemandOfModel,
-    Envelope,
     Fact,
     HoldingOfTarget,
-    LinkClosed,
     LoadOfTarget,
     Member,
     MemberExchange,
@@ -25,7 +23,7 @@
     TargetHoldings,
     TargetLoads,
 )
-from runhatch_server.residency import Holding
+from runhatch_server.residency import DemandShare, Holding, Wanted
 
 ORDERER_SILENT = timedelta(seconds=2)
 """Time without a renewal after which the orderer's lease is looked at: it renews it,
@@ -36,7 +34,7 @@
 which each is heard; told later still, it would look like a sudden rise."""
 TELL_WHOLE_EVERY = timedelta(seconds=1)
 
-OnDemand = Callable[[str, list[DemandOfModel]], None]
+OnDemand = Callable[[str, list[DemandShare]], None]
 
 
 class GatewayPeers(MemberExchange):
@@ -116,15 +114,16 @@
         if not self._orderer_address and now - self._told_demand < DEMAND_KEPT:
             return
         self._told_demand = now
-        demand = [_demand_of(share) for share in counter.take()]
-        if not demand:
+        shares = counter.take()
+        if not shares:
             return
         own = self._membership.own
         if not self._orderer_address:
-            log_change("demand_dropped", shares=len(demand), reason="no orderer known")
+            log_change("demand_dropped", shares=len(shares), reason="no orderer known")
         elif self._orderer_address == own.address:
-            self._on_demand(own.name, demand)
+            self._on_demand(own.name, shares)
         else:
+            demand = [_demand_of(share) for share in shares]
             self.tell(self._orderer_address, ModelDemand(demand))
 
     def tell_holdings(self, epoch: int, holdings: list[Holding]) -> None:
@@ -163,30 +162,15 @@
         """Tell peers what this node has seen of a watched table."""
         self.tell_all(TableVersion(table, version))
 
-    def receive(self, envelope: Envelope) -> None:
-        """Take in one envelope."""
-        if not self.heard(envelope):
-            return
-        for fact in envelope.facts:
-            self._take_in(fact, envelope.sender)
-
     @singledispatchmethod
-    def _take_in(self, fact: Fact, sender: Member) -> None:
+    def take_in(self, fact: Fact, sender: Member) -> None:
         """Pass over what only nodes with declared targets tell each other."""
 
-    @_take_in.register
-    def _take_in_member(self, fact: Member, sender: Member) -> None:
-        self.learn_member(fact, sender)
-
-    @_take_in.register
-    def _take_in_closed(self, fact: LinkClosed, sender: Member) -> None:
-        self._membership.forget(sender.name)
-
-    @_take_in.register
+    @take_in.register
     def _take_in_version(self, fact: TableVersion, sender: Member) -> None:
         self._on_version(fact.table, fact.version)
 
-    @_take_in.register
+    @take_in.register
     def _take_in_loads(self, fact: TargetLoads, sender: Member) -> None:
         shares = {
             load.target: LoadShare(
@@ -200,11 +184,11 @@
         }
         self._balancer.peer_shares(sender.name, shares, fact.whole)
 
-    @_take_in.register
+    @take_in.register
     def _take_in_demand(self, fact: ModelDemand, sender: Member) -> None:
-        self._on_demand(sender.name, fact.demand)
+        self._on_demand(sender.name, [_share_of(each) for each in fact.demand])
 
-    @_take_in.register
+    @take_in.register
     def _take_in_holdings(self, fact: TargetHoldings, sender: Member) -> None:
         if fact.epoch < self._orderer_epoch:
             return
@@ -223,7 +207,7 @@
             ]
             self._directory.told(holding.target, held, loads)
 
-    @_take_in.register
+    @take_in.register
     def _take_in_orderer(self, fact: OrdererNotice, sender: Member) -> None:
         if fact.epoch < self._orderer_epoch:
             return
@@ -258,6 +242,15 @@
     )
 
 
+def _share_of(demand: DemandOfModel) -> DemandShare:
+    return DemandShare(
+        Wanted(demand.service, demand.model, demand.adapter, demand.priority),
+        demand.requests,
+        demand.missed,
+        float(demand.work_ms),
+    )
+
+
 def _load_of(target: str, share: LoadShare) -> LoadOfTarget:
     return LoadOfTarget(
         target,
--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -16,6 +16,7 @@
     VERSION,
     Envelope,
     Fact,
+    LinkClosed,
     Member,
     fact_of_member,
     member_of_fact,
@@ -89,10 +90,26 @@
         if self._links is not None:
             self._links.tell(address, [fact])
 
-    def heard(self, envelope: Envelope) -> bool:
-        """Take in that a peer lives; false if its message is of another version."""
+    def receive(self, envelope: Envelope) -> None:
+        """Take in one envelope, unless it is of another version."""
         if envelope.version != VERSION:
-            return False
+            return
+        self._hear(envelope)
+        for fact in envelope.facts:
+            match fact:
+                case Member():
+                    self._learn_member(fact, envelope.sender)
+                case LinkClosed():
+                    self._membership.forget(envelope.sender.name)
+                case _:
+                    self.take_in(fact, envelope.sender)
+
+    def take_in(self, fact: Fact, sender: Member) -> None:
+        """Take in a fact that is not about members; for the kinds of nodes."""
+        raise NotImplementedError
+
+    def _hear(self, envelope: Envelope) -> None:
+        """Take in that a peer lives."""
         sender = fact_of_member(envelope.sender)
         before = self._membership.standing(sender.vm.name)
         believed = self._membership.heartbeat(sender, envelope.linked)
@@ -100,9 +117,8 @@
             self.met_member.set()
         if believed is not None:
             self._tell_belief(believed)
-        return True
 
-    def learn_member(self, fact: Member, sender: Member) -> None:
+    def _learn_member(self, fact: Member, sender: Member) -> None:
         """Take in what a peer believes of a VM."""
         denied = self._membership.learn([fact_of_member(fact)])
         if denied:
--- a/packages/runhatch-server/src/runhatch_server/peers/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_service.py
@@ -15,10 +15,8 @@
 from runhatch_server.peers._messages import (
     DemandCounts,
     DrainingTargets,
-    Envelope,
     Fact,
     HostingFact,
-    LinkClosed,
     Member,
     PictureDigest,
     PlannerNotice,
@@ -90,58 +88,44 @@
             wanted = StateWanted(self._feed.number, self._membership.own.address)
             self._links.tell(self._random.choice(others).address, [wanted])
 
-    def receive(self, envelope: Envelope) -> None:
-        """Take in one envelope."""
-        if not self.heard(envelope):
-            return
-        for fact in envelope.facts:
-            self._take_in(fact, envelope.sender)
-
     @singledispatchmethod
-    def _take_in(self, fact: Fact, sender: Member) -> None:
+    def take_in(self, fact: Fact, sender: Member) -> None:
+        """Pass over nothing: every other fact is of these nodes."""
         raise NotImplementedError(type(fact))
 
-    @_take_in.register
-    def _take_in_member(self, fact: Member, sender: Member) -> None:
-        self.learn_member(fact, sender)
-
-    @_take_in.register
+    @take_in.register
     def _take_in_notice(self, fact: RevisionNotice, sender: Member) -> None:
         self._on_notice(fact.number)
 
-    @_take_in.register
+    @take_in.register
     def _take_in_body(self, fact: RevisionBody, sender: Member) -> None:
         self._feed.offer(_revision(fact))
 
-    @_take_in.register
+    @take_in.register
     def _take_in_hosting(self, fact: HostingFact, sender: Member) -> None:
         # Passed on only if it was news, so that it dies out.
         if self._on_hosting(Hosting(fact.target, fact.version, fact.units)):
             self.tell_all(fact)
 
-    @_take_in.register
+    @take_in.register
     def _take_in_draining(self, fact: DrainingTargets, sender: Member) -> None:
         if self._on_draining(frozenset(fact.targets)):
             self.tell_all(fact)
 
-    @_take_in.register
+    @take_in.register
     def _take_in_demand(self, fact: DemandCounts, sender: Member) -> None:
         self._on_demand(fact.counts)
 
-    @_take_in.register
+    @take_in.register
     def _take_in_planner(self, fact: PlannerNotice, sender: Member) -> None:
         if self._on_planner(fact):
             self.tell_all(fact)
 
-    @_take_in.register
+    @take_in.register
     def _take_in_digest(self, fact: PictureDigest, sender: Member) -> None:
         self._compare(sender, fact.digest)
 
-    @_take_in.register
-    def _take_in_closed(self, fact: LinkClosed, sender: Member) -> None:
-        self._membership.forget(sender.name)
-
-    @_take_in.register
+    @take_in.register
     def _take_in_wanted(self, fact: StateWanted, sender: Member) -> None:
         self._reply(fact.known, fact.reply_to)
 
--- a/packages/runhatch-server/src/runhatch_server/residency/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/__init__.py
@@ -1,8 +1,14 @@
 """Which models are resident where, when targets hold fewer than are declared."""
 
 from runhatch_server.residency._control import Intent, Step, TargetControl
-from runhatch_server.residency._demand import Demand, DemandBook, rank_weight
-from runhatch_server.residency._orderer import Holding, Orderer
+from runhatch_server.residency._demand import (
+    Demand,
+    DemandBook,
+    DemandShare,
+    Wanted,
+    rank_weight,
+)
+from runhatch_server.residency._orderer import Orderer
 from runhatch_server.residency._orders import (
     OrderClient,
     TargetOrder,
@@ -16,10 +22,12 @@
     plan_adapters,
     plan_models,
 )
+from runhatch_server.residency._telling import Holding
 
 __all__ = [
     "Demand",
     "DemandBook",
+    "DemandShare",
     "FleetView",
     "Holding",
     "Intent",
@@ -32,6 +40,7 @@
     "TargetControl",
     "TargetOrder",
     "TargetReport",
+    "Wanted",
     "plan_adapters",
     "plan_models",
     "rank_weight",
--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -32,6 +32,30 @@
 ranks; later ranks count as the last."""
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Wanted:
+    """A model, perhaps with an adapter, that requests of a priority ask for."""
+
+    service: str
+    model: str
+    adapter: str
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class DemandShare:
+    """Requests at one node for one thing, since it told last.
+
+    ``missed`` of them found no target that holds it; ``work_ms`` is the time that
+    reading their prompts takes.
+    """
+
+    wanted: Wanted
+    requests: int
+    missed: int
+    work_ms: float
+
+
 def rank_weight(priority: int) -> float:
     """Return what one request of ``priority`` counts."""
     return RANK_WEIGHTS[min(max(priority, 0), len(RANK_WEIGHTS) - 1)]
@@ -135,6 +159,13 @@
     )
 
 
+def _add(demand: Demand, node: str, share: DemandShare, now: timedelta) -> None:
+    priority = share.wanted.priority
+    demand.add(share.requests, rank_weight(priority), share.work_ms, now)
+    if share.missed:
+        demand.miss(node, priority, share.missed, now)
+
+
 class DemandBook:
     """Demand by service and model, and by service, model and adapter."""
 
@@ -142,29 +173,14 @@
         self._models: dict[tuple[str, str], Demand] = {}
         self._adapters: dict[tuple[str, str, str], Demand] = {}
 
-    def add(
-        self,
-        node: str,
-        name: tuple[str, str, str],
-        priority: int,
-        requests: int,
-        missed: int,
-        work_ms: float,
-        now: timedelta,
-    ) -> None:
-        """Take in what ``node`` was asked for; ``name`` is service, model, adapter."""
-        service, model, adapter = name
-        weight = rank_weight(priority)
-        of_model = self._models.setdefault((service, model), Demand(at=now))
-        of_model.add(requests, weight, work_ms, now)
-        if missed:
-            of_model.miss(node, priority, missed, now)
-        if not adapter:
-            return
-        of_adapter = self._adapters.setdefault(name, Demand(at=now))
-        of_adapter.add(requests, weight, work_ms, now)
-        if missed:
-            of_adapter.miss(node, priority, missed, now)
+    def add(self, node: str, share: DemandShare, now: timedelta) -> None:
+        """Take in what ``node`` was asked for."""
+        wanted = share.wanted
+        model = wanted.service, wanted.model
+        _add(self._models.setdefault(model, Demand(at=now)), node, share, now)
+        if wanted.adapter:
+            adapter = *model, wanted.adapter
+            _add(self._adapters.setdefault(adapter, Demand(at=now)), node, share, now)
 
     def model(self, service: str, model: str, now: timedelta) -> Demand:
         """Return the demand for a model."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -6,7 +6,6 @@
 
 import threading
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 
 from runhatch_coordination import (
@@ -17,16 +16,11 @@
     LeaseRecord,
     Unavailable,
 )
-from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels, Target
+from runhatch_server.fleet import Directory, Target
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.residency._calls import TargetCalls
-from runhatch_server.residency._control import (
-    UNLOAD_TIME,
-    Intent,
-    Step,
-    TargetControl,
-)
-from runhatch_server.residency._demand import DemandBook
+from runhatch_server.residency._control import Intent, Step, TargetControl
+from runhatch_server.residency._demand import DemandBook, DemandShare
 from runhatch_server.residency._orders import (
     OrderClient,
     TargetOrder,
@@ -41,29 +35,15 @@
     plan_adapters,
     plan_models,
 )
-from runhatch_server.routing import EngineSpec, ServiceSpec
+from runhatch_server.residency._telling import HoldingsTeller, OnHoldings
+from runhatch_server.routing import EngineModel, EngineSpec, ServiceSpec
 from runhatch_server.targets import OrderKind, OrderOutcome
 
-TELL_ALL_EVERY = timedelta(seconds=3)
-"""How often what all targets hold is told again, for nodes that missed some of it."""
 RECHECK_AFTER = timedelta(seconds=4)
 """How long a target's own entry may differ from what the orderer believes before a
 report is asked for."""
 HANDOVER_SLACK = timedelta(milliseconds=200)
-REPORT_TIME = timedelta(milliseconds=220)
-"""From the end of a load until it is known here: the report's lag and a round."""
-
-
-@dataclass(frozen=True, slots=True)
-class Holding:
-    """What one target holds, and the loads under way there."""
-
-    target: str
-    held: HeldModels
-    loads: tuple[ExpectedLoad, ...]
-
-
-OnHoldings = Callable[[int, list[Holding]], None]
+"""Put on the longest way of an order: clocks and calls are not exact."""
 
 
 class Orderer:
@@ -93,18 +73,17 @@
         self._client = client
         self._clock = clock
         self._metrics = metrics
-        self._on_holdings = on_holdings
         self._is_down = is_down
         self._handover = handover
         self._load_window = load_window
         self._calls = TargetCalls(on_answer)
+        self._teller = HoldingsTeller(on_holdings, self._load_time)
         self._lock = threading.Lock()
         self._demand = DemandBook()
         self._controls: dict[str, TargetControl] = {}
         self._permits = LoadPermits(load_window, clock.elapsed())
         self._epoch = 0
         self._order_from = timedelta()
-        self._told_all = timedelta(days=-1)
         self._stopped = False
         self.services: Mapping[str, ServiceSpec] = {}
         """What is declared; replaced whole."""
@@ -143,19 +122,12 @@
         self._calls.close()
         self._lease.release()
 
-    def asked(
-        self,
-        node: str,
-        name: tuple[str, str, str],
-        priority: int,
-        requests: int,
-        missed: int,
-        work_ms: float,
-    ) -> None:
-        """Take in what ``node`` was asked for; ``name`` is service, model, adapter."""
+    def asked(self, node: str, shares: Iterable[DemandShare]) -> None:
+        """Take in what ``node`` was asked for."""
         now = self._clock.elapsed()
         with self._lock:
-            self._demand.add(node, name, priority, requests, missed, work_ms, now)
+            for share in shares:
+                self._demand.add(node, share, now)
 
     def step(self) -> None:
         """Make one round: take in answers, ask for reports, plan, order, tell."""
@@ -174,7 +146,7 @@
                 self._ask_reports(now)
                 self._go_on_with_intents(epoch, now)
                 self._plan(epoch, now)
-            self._tell(now)
+            self._teller.tell(self._epoch, self._controls.values(), now)
 
     def _taken_over(self) -> None:
         """Begin anew, so late that no order of the last holder is close behind."""
@@ -188,7 +160,7 @@
             if self._lease.taken_from not in (None, self._node):
                 free_since = self._lease.free_since
                 self._order_from = free_since + self._handover + HANDOVER_SLACK
-            self._told_all = timedelta(days=-1)
+            self._teller.begin()
 
     def _forget(self) -> None:
         with self._lock:
@@ -299,7 +271,7 @@
         if not control.is_free:
             return
         engine = self._engine(control)
-        spec = None if engine is None else engine.by_name.get(load.model)
+        spec = self._spec(control, load.model)
         if engine is None or spec is None:
             return
         if control.loads_from_store(load.model) and not self._permits.take(
@@ -334,7 +306,7 @@
         if left:
             self._order(control, OrderKind.UNLOAD, left[0], "", epoch)
             return
-        spec = engine.by_name.get(intent.model)
+        spec = self._spec(control, intent.model)
         fits = spec is not None and (
             control.used_mb(engine) + spec.memory_mb <= engine.memory_mb
         )
@@ -384,9 +356,7 @@
         if not isinstance(outcome, OrderOutcome):
             control.calling = False
             return
-        engine = self._engine(control)
-        spec = None if engine is None else engine.by_name.get(order.model)
-        took = timedelta() if spec is None else control.load_time(spec)
+        took = self._load_time(control, order.model)
         control.ordered(order, outcome, took, self._clock.elapsed())
         self._metrics.orders.labels(order.kind.value, outcome.value).inc()
         log_change(
@@ -404,42 +374,10 @@
         service = self.services.get(control.target.service)
         return None if service is None else service.engine
 
-    # Telling.
-
-    def _tell(self, now: timedelta) -> None:
-        everything = now - self._told_all >= TELL_ALL_EVERY
-        if everything:
-            self._told_all = now
-        told: Iterable[TargetControl] = [
-            control
-            for control in self._controls.values()
-            if control.step is not Step.UNKNOWN and (everything or control.changed)
-        ]
-        holdings = [self._holding(control, now) for control in told]
-        for control in told:
-            control.changed = False
-        if holdings:
-            self._on_holdings(self._epoch, holdings)
-
-    def _holding(self, control: TargetControl, now: timedelta) -> Holding:
-        name = control.target.incarnation
-        loads: tuple[ExpectedLoad, ...] = ()
-        if control.loading:
-            ready_at = control.ready_at + REPORT_TIME
-            loads = (ExpectedLoad(name, control.loading, ready_at),)
-        elif control.intent is not None:
-            loads = (self._expected(control, now),)
-        return Holding(name, control.view(), loads)
-
-    def _expected(self, control: TargetControl, now: timedelta) -> ExpectedLoad:
-        """Return when a load that waits for room may be done."""
-        intent = control.intent
-        assert intent is not None
+    def _spec(self, control: TargetControl, model: str) -> EngineModel | None:
         engine = self._engine(control)
-        spec = None if engine is None else engine.by_name.get(intent.model)
-        took = timedelta() if spec is None else control.load_time(spec)
-        unloading = len([m for m in intent.evict if m in control.held])
-        pause = UNLOAD_TIME * unloading
-        return ExpectedLoad(
-            control.target.incarnation, intent.model, now + pause + took
-        )
+        return None if engine is None else engine.by_name.get(model)
+
+    def _load_time(self, control: TargetControl, model: str) -> timedelta:
+        spec = self._spec(control, model)
+        return timedelta() if spec is None else control.load_time(spec)
--- a/packages/runhatch-server/tests/test_residency_policy.py
+++ b/packages/runhatch-server/tests/test_residency_policy.py
@@ -6,9 +6,11 @@
 from runhatch_server.fleet import HeldModels, StoredCopies
 from runhatch_server.residency import (
     DemandBook,
+    DemandShare,
     FleetView,
     TargetControl,
     TargetReport,
+    Wanted,
     plan_adapters,
     plan_models,
 )
@@ -25,6 +27,12 @@
     return made
 
 
+def add(book, model, priority, requests, missed, adapter=""):
+    """Add requests of now, each with a prompt of 100 ms."""
+    wanted = Wanted("engine", model, adapter, priority)
+    book.add("n1", DemandShare(wanted, requests, missed, requests * 100.0), NOW)
+
+
 def asked(*demands):
     """Return demand of the last ten seconds, from tuples.
 
@@ -33,12 +41,12 @@
     book = DemandBook()
     for model, priority, rate, missed, *rest in demands:
         adapter = rest[0] if rest else ""
-        name = ("engine", model, adapter)
+        wanted = Wanted("engine", model, adapter, priority)
         for second in range(10):
             at = NOW - seconds(9 - second)
-            book.add("n1", name, priority, rate, 0, rate * 100.0, at)
+            book.add("n1", DemandShare(wanted, rate, 0, rate * 100.0), at)
         if missed:
-            book.add("n1", name, priority, missed, missed, missed * 100.0, NOW)
+            book.add("n1", DemandShare(wanted, missed, missed, missed * 100.0), NOW)
     return book
 
 
@@ -70,8 +78,8 @@
     def test_what_is_asked_for_least_gives_way(self):
         controls = [control("t1", ["m0", "m1", "m2"], on_disk=["m5"])]
         book = asked(("m0", 1, 2, 0), ("m2", 1, 2, 0))
-        book.add("n1", ("engine", "m1", ""), 2, 1, 0, 100.0, NOW)
-        book.add("n1", ("engine", "m5", ""), 1, 3, 3, 300.0, NOW)
+        add(book, "m1", 2, 1, 0)
+        add(book, "m5", 1, 3, 3)
 
         assert loads(controls, book) == [("m5", "t1", ("m1",))]
 
@@ -85,9 +93,9 @@
         controls = [control("t1", ["m0", "m1", "m2"])]
         book = asked()
         for i in range(3):
-            book.add("n1", ("engine", f"m{i}", ""), 2, 1, 0, 100.0, NOW)
+            add(book, f"m{i}", 2, 1, 0)
         for _ in range(4):
-            book.add("n1", ("engine", "m5", ""), 2, 1, 1, 100.0, NOW)
+            add(book, "m5", 2, 1, 1)
 
         assert [load[0] for load in loads(controls, book)] == ["m5"]
 
@@ -111,8 +119,8 @@
         controls = [control("t1", ["m0", "m1", "m2"], on_disk=["m5"])]
         book = asked()
         for model, priority in (("m0", 1), ("m1", 0), ("m2", 1)):
-            book.add("n1", ("engine", model, ""), priority, 1, 0, 100.0, NOW)
-        book.add("n1", ("engine", "m5", ""), 2, 1, 1, 100.0, NOW)
+            add(book, model, priority, 1, 0)
+        add(book, "m5", 2, 1, 1)
 
         assert loads(controls, book) == []
 
@@ -138,7 +146,7 @@
         ]
         book = self.book(8)
         for model in ("m1", "m2", "m3"):
-            book.add("n1", ("engine", model, ""), 2, 1, 0, 100.0, NOW)
+            add(book, model, 2, 1, 0)
 
         assert loads(controls, book) == []
 
@@ -160,7 +168,7 @@
     def test_the_one_asked_for_least_gives_way(self):
         full = control("t1", ["m0"], adapters=["a1", "a2", "a3", "a4"])
         book = asked(*(("m0", 0, 1, 0, f"a{i}") for i in (1, 2, 4)))
-        book.add("n1", ("engine", "m0", "a9"), 0, 1, 1, 100.0, NOW)
+        add(book, "m0", 0, 1, 1, adapter="a9")
 
         planned = plan_adapters(view([full], book))
 
