--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 	$(BIN)/python -m runhatch_standins.soak --seconds $(SECONDS) --seed $(SEED)
 
 BENCHES := bench-relay bench-overload bench-claims bench-control \
-	bench-pictures bench-placement bench-membership bench-routing
+	bench-pictures bench-placement bench-membership bench-routing bench-logs
 
 .PHONY: bench slopes $(BENCHES)
 bench: $(BENCHES)
