Reports outlive the lease; no adapters ordered while a model loads

And of 112 orders for adapters at targets that were loading a model 109 were refused with 409, after which the control stood in doubt. Ruled out: targets' own entries (they lag, and the store was away), a shorter lease (it would not shorten the time between two holders). Change: a new holder asks for reports at once, and orders when it may; one whose lease has lapsed goes on asking and telling until a newer epoch is heard of; adapters are ordered only at targets that are free. Tests failed first.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -68,6 +68,11 @@
         self._told_whole = timedelta(days=-1)
         self._told_demand = clock.elapsed()
 
+    @property
+    def orderer_epoch(self) -> int:
+        """The newest epoch of the orders' lease that was heard of."""
+        return self._orderer_epoch
+
     def orderer_is_heard(self) -> bool:
         """Tell whether the node that orders the targets has renewed its lease."""
         return self._clock.elapsed() - self._orderer_heard < ORDERER_SILENT
--- a/packages/runhatch-server/src/runhatch_server/residency/_control.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_control.py
@@ -81,13 +81,11 @@
 
     @property
     def is_free(self) -> bool:
-        """Whether an order may be sent now."""
-        return self.step is Step.IDLE and not self.calling
+        """Whether an order may be sent now.
 
-    @property
-    def takes_adapters(self) -> bool:
-        """Whether an order for an adapter may be sent now."""
-        return self.step in (Step.IDLE, Step.LOADING) and not self.calling
+        While a model is loaded or unloaded a target refuses orders for adapters too.
+        """
+        return self.step is Step.IDLE and not self.calling
 
     def holds(self, model: str, adapter: str = "") -> bool:
         """Tell whether it holds ``model`` with ``adapter``, and keeps it."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -64,6 +64,7 @@
         on_holdings: OnHoldings,
         on_answer: Callable[[], None],
         is_down: Callable[[str], bool],
+        newest_epoch: Callable[[], int],
         handover: timedelta,
         load_window: timedelta,
     ) -> None:
@@ -74,6 +75,7 @@
         self._clock = clock
         self._metrics = metrics
         self._is_down = is_down
+        self._newest_epoch = newest_epoch
         self._handover = handover
         self._load_window = load_window
         self._calls = TargetCalls(on_answer)
@@ -130,20 +132,27 @@
                 self._demand.add(node, share, now)
 
     def step(self) -> None:
-        """Make one round: take in answers, ask for reports, plan, order, tell."""
+        """Make one round: take in answers, ask for reports, plan, order, tell.
+
+        Reports are asked for before orders may be given, and after the lease has
+        lapsed until another node holds it: what loads have brought since is served
+        meanwhile, instead of being refused until the next orders.
+        """
         epoch = self.holds_lease()
         if epoch is None:
-            if self._epoch:
+            if not self._epoch:
+                return
+            if self._stopped or self._newest_epoch() > self._epoch:
                 self._forget()
-            return
-        if epoch.number != self._epoch:
+                return
+        elif epoch.number != self._epoch:
             return
         with self._lock:
             self._meet_targets()
             self._calls.take_answers(self._controls)
             now = self._clock.elapsed()
-            if now >= self._order_from:
-                self._ask_reports(now)
+            self._ask_reports(now)
+            if epoch is not None and now >= self._order_from:
                 self._go_on_with_intents(epoch, now)
                 self._plan(epoch, now)
             self._teller.tell(self._epoch, self._controls.values(), now)
@@ -318,7 +327,7 @@
 
     def _load_adapter(self, load: LoadAdapter, epoch: Epoch) -> None:
         control = self._controls[load.target]
-        if not control.takes_adapters:
+        if not control.is_free:
             return
         if load.evict is not None:
             self._order(control, OrderKind.UNLOAD, *load.evict, epoch)
--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -352,7 +352,7 @@
     worth = own.weighted + own.waiting(view.now) + own.unmet * UNMET_WEIGHT
     for control in view.holders(model):
         name = control.target.incarnation
-        if name in taken or not control.takes_adapters:
+        if name in taken or not control.is_free:
             continue
         if control.holds(model, adapter):
             continue
--- /dev/null
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -0,0 +1,168 @@
+"""The node that orders the targets: what it does before, with and after its lease."""
+
+import threading
+
+import pytest
+from gateway_cases import SERVICES, make_directory, make_target, seconds
+
+from runhatch_coordination import Lease
+from runhatch_coordination.testing import FaultyTable, MemoryTable, TableFault
+from runhatch_server.fleet import HeldModels, StoredCopies
+from runhatch_server.observability import Metrics
+from runhatch_server.residency import (
+    DemandShare,
+    Orderer,
+    TargetReport,
+    Wanted,
+)
+from runhatch_server.targets import OrderOutcome
+
+TTL = seconds(2)
+HANDOVER = seconds(3)
+ANSWER_WAIT = 0.5
+"""Seconds that a round waits for a worker's answer, due within some milliseconds;
+rounds that ask nothing wait so long in vain."""
+
+
+class RecordedTargets:
+    """Targets that hold ``models``, take every order and keep what was asked."""
+
+    def __init__(self, *models):
+        self.models = models
+        self.reports = 0
+        self.orders = []
+
+    def report(self, target):
+        self.reports += 1
+        held = HeldModels({model: frozenset() for model in self.models})
+        return TargetReport(0, held, False, frozenset(), StoredCopies(), 0, 0)
+
+    def give(self, target, order):
+        self.orders.append(order)
+        return OrderOutcome.ACCEPTED
+
+
+class Case:
+    """One node, its table, and what it told of its targets."""
+
+    def __init__(self, clock, table, name="n1", models=("m0",)):
+        self.clock = clock
+        self.targets = RecordedTargets(*models)
+        self.told = []
+        self.answered = threading.Event()
+        self.newest_epoch = 0
+        directory = make_directory(clock, make_target("t1", models=()))
+        self.orderer = Orderer(
+            Lease(table, clock, "orders", name, TTL),
+            name,
+            directory,
+            self.targets,
+            clock,
+            Metrics(),
+            self.tell,
+            self.answered.set,
+            lambda target: False,
+            lambda: self.newest_epoch,
+            HANDOVER,
+            seconds(5),
+        )
+        self.orderer.services = SERVICES
+
+    def tell(self, epoch, holdings):
+        self.newest_epoch = max(epoch, self.newest_epoch)
+        self.told += [(epoch, *sorted(h.held.adapters_by_model)) for h in holdings]
+
+    def ask_for(self, model):
+        wanted = Wanted("engine", model, "", 0)
+        self.orderer.asked("n1", [DemandShare(wanted, 3, 3, 300.0)])
+
+    def round(self):
+        """Make one round, wait for what it asked, take the answer in."""
+        self.answered.clear()
+        self.orderer.step()
+        self.answered.wait(ANSWER_WAIT)
+        self.orderer.step()
+
+
+@pytest.fixture
+def table():
+    """A table whose answers may fail."""
+    return FaultyTable(MemoryTable())
+
+
+class TestTakeover:
+    """A node that takes the lease from another."""
+
+    def taken_over(self, clock, table):
+        first = Case(clock, table, "n0")
+        first.orderer.keep_lease(eager=True)
+        second = Case(clock, table, "n1")
+        second.orderer.keep_lease(eager=True)
+        clock.advance(TTL * 1.6)
+        second.orderer.keep_lease(eager=True)
+        assert second.orderer.holds_lease() is not None
+        return second
+
+    def test_what_targets_hold_is_told_before_orders_may_be_given(self, clock, table):
+        case = self.taken_over(clock, table)
+
+        case.round()
+
+        assert [models for _, *models in case.told] == [["m0"]]
+
+    def test_no_order_is_given_close_to_the_last_holders(self, clock, table):
+        case = self.taken_over(clock, table)
+        case.ask_for("m1")
+        case.round()
+        case.round()
+        assert case.targets.orders == []
+
+        for _ in range(4):
+            clock.advance(HANDOVER / 3)
+            case.orderer.keep_lease(eager=True)
+        case.ask_for("m1")
+        case.round()
+        case.round()
+
+        assert [order.model for order in case.targets.orders] == ["m1"]
+
+
+class TestLapsedLease:
+    """A node whose lease has run out while the store was away."""
+
+    def lapsed(self, clock, table):
+        case = Case(clock, table)
+        case.orderer.keep_lease(eager=True)
+        case.round()
+        table.inject(TableFault.DOWN)
+        clock.advance(TTL)
+        case.orderer.keep_lease(eager=True)
+        assert case.orderer.holds_lease() is None
+        case.told.clear()
+        return case
+
+    def test_it_goes_on_telling_what_targets_hold(self, clock, table):
+        case = self.lapsed(clock, table)
+        case.targets.models = ("m0", "m1")
+        clock.advance(seconds(4))
+
+        case.round()
+
+        assert case.told[-1] == (1, "m0", "m1")
+
+    def test_it_orders_nothing(self, clock, table):
+        case = self.lapsed(clock, table)
+        case.ask_for("m1")
+
+        case.round()
+
+        assert case.targets.orders == []
+
+    def test_it_falls_silent_once_another_node_orders(self, clock, table):
+        case = self.lapsed(clock, table)
+        case.newest_epoch = 2
+        clock.advance(seconds(4))
+
+        case.round()
+
+        assert case.told == []
--- a/packages/runhatch-server/tests/test_residency_policy.py
+++ b/packages/runhatch-server/tests/test_residency_policy.py
@@ -8,6 +8,7 @@
     DemandBook,
     DemandShare,
     FleetView,
+    Step,
     TargetControl,
     TargetReport,
     Wanted,
@@ -174,6 +175,12 @@
 
         assert [load.evict for load in planned] == [("m0", "a3")]
 
+    def test_none_is_loaded_while_its_target_loads_a_model(self):
+        busy = control("t1", ["m0"])
+        busy.step = Step.LOADING
+
+        assert plan_adapters(view([busy], asked(("m0", 0, 0, 1, "a1")))) == []
+
     def test_none_is_loaded_without_its_model(self):
         controls = [control("t2", ["m1"])]
 
