A holder of the orders' lease says what it ordered last; cut off, it resigns

Cause: after any change of holder no target was ordered for 3.2 s, since the last holder might just have ordered it; a holder cut off from the store kept the lease until it lapsed, and its successor waited 1.5 lives of it. Ruled out: a shorter lease (the time between two holders is what binds); preferring the first by hash (a rolling restart moves the lease again and again). Change: a stopping or cut-off holder tells peers how long each target must not be ordered, before it releases the lease; a successor orders all others at once, also if the word comes late. Nodes that started last challenge the lease first.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -97,6 +97,7 @@
         self._seen_at: timedelta | None = None
         self._free_since = timedelta()
         self._taken_from: str | None = None
+        self._taken_epoch = 0
         self._resigned = 0
         self._observed: tuple[int, int, timedelta] | None = None
 
@@ -121,6 +122,18 @@
         """
         return self._taken_from
 
+    @property
+    def taken_epoch(self) -> int:
+        """The epoch of the holder before this node, 0 if there was none."""
+        return self._taken_epoch
+
+    def left(self) -> timedelta:
+        """Return for how long this node holds the lease if it renews no more."""
+        with self._lock:
+            if self._epoch == 0:
+                return timedelta()
+            return max(timedelta(), self._valid_until - self._clock.elapsed())
+
     def held(self) -> Epoch | None:
         """Return the epoch if the lease is held by this node right now."""
         with self._lock:
@@ -151,6 +164,10 @@
             return self._renew()
         return self._challenge(eager)
 
+    def abandon(self) -> None:
+        """Hold the lease no longer, without a word to the table."""
+        self._drop()
+
     def release(self) -> None:
         """Give the lease up at once, so that another node need not wait."""
         if self.held() is not None and self._record is not None:
@@ -204,6 +221,7 @@
             return LeaseChange.NONE
         self._free_since = self._free_from(now)
         self._taken_from = None if self._record is None else self._record.holder
+        self._taken_epoch = 0 if self._record is None else self._record.epoch
         return self._acquire(now)
 
     def _first_seen(self, record: LeaseRecord, seen_at: timedelta) -> timedelta:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -81,6 +81,9 @@
 two misses, and callers have connections open by then."""
 QUIET = timedelta(milliseconds=300)
 """Without a request for so long, a stopping node has served its last."""
+RESIGNED_AHEAD = timedelta(milliseconds=30)
+"""How long before the orders' lease is released peers are told: a message takes some
+milliseconds, and a successor that has heard orders most targets at once."""
 KILL_SLACK = timedelta(milliseconds=500)
 """A stopping node ends so long before it would be killed."""
 
@@ -118,7 +121,7 @@
             self._directory,
             self._on_demand,
             self._lease.observe,
-            self._lease.observe_resigned,
+            self._orderer.take_in_resignation,
             self._on_version,
         )
         self._order_now = threading.Event()
@@ -168,10 +171,11 @@
         self._balancer.close()
         self._membership.leave()
         self._peers.look_round()
-        epoch = self._orderer.resign()
-        self._orderer.stop()
-        if epoch:
-            self._peers.tell_resigned(epoch)
+        resignation = self._orderer.stop()
+        if resignation is not None:
+            self._peers.tell_resigned(resignation)
+            self._clock.sleep(RESIGNED_AHEAD)
+        self._orderer.release()
         latest = begun + self._settings.shutdown_grace - KILL_SLACK
         self._sleep_until(min(begun + LEAST_STOP, latest))
         callers = self._servers[0]
@@ -324,17 +328,29 @@
         """Renew the lease, or challenge it if its holder is not heard."""
         if self._orderer.holds_lease() is None and self._peers.orderer_is_heard():
             return
-        names = [vm.name for vm in self._membership.alive()]
-        ranked = rank(ORDERS_LEASE, names)[:LEASE_CANDIDATES]
+        ranked = self._lease_candidates()
         own = self._settings.name
         if own not in ranked and self._orderer.holds_lease() is None:
             return
         change = self._orderer.keep_lease(eager=ranked[0] == own)
+        resignation = self._orderer.resign_if_cut_off()
+        if resignation is not None:
+            self._peers.tell_resigned(resignation)
         self._peers.learn_orderer(self._orderer.record)
         epoch = self._orderer.holds_lease()
         if change is LeaseChange.ACQUIRED and epoch is not None:
             self._peers.tell_orderer(epoch.number, 0)
 
+    def _lease_candidates(self) -> list[str]:
+        """Return who challenges the lease: those that started last, then by hash.
+
+        Where all VMs are restarted in turn, theirs is over.
+        """
+        alive = {vm.name: vm for vm in self._membership.alive()}
+        ranked = rank(ORDERS_LEASE, alive)
+        ranked.sort(key=lambda name: alive[name].incarnation, reverse=True)
+        return ranked[:LEASE_CANDIDATES]
+
     def _share(self) -> None:
         """Tell loads and demand; what comes within a moment goes together."""
         self._clock.sleep(SHARE_TOGETHER)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -19,11 +19,12 @@
     MemberExchange,
     ModelDemand,
     OrdererNotice,
+    OrdererResigned,
     TableVersion,
     TargetHoldings,
     TargetLoads,
 )
-from runhatch_server.residency import DemandShare, Holding, Wanted
+from runhatch_server.residency import DemandShare, Holding, Resignation, Wanted
 
 ORDERER_SILENT = timedelta(seconds=2)
 """Time without a renewal after which the orderer's lease is looked at: it renews it,
@@ -49,7 +50,7 @@
         directory: Directory,
         on_demand: OnDemand,
         on_orderer: Callable[[int, int], None],
-        on_resigned: Callable[[int], None],
+        on_resigned: Callable[[Resignation], None],
         on_version: Callable[[str, int], None],
     ) -> None:
         super().__init__(membership, metrics)
@@ -158,10 +159,14 @@
         self._renewed(epoch, renewal)
         self.tell_all(OrdererNotice(epoch, renewal))
 
-    def tell_resigned(self, epoch: int) -> None:
+    def tell_resigned(self, resignation: Resignation) -> None:
         """Tell peers that this node orders the targets no longer."""
         self._orderer_heard = timedelta(days=-1)
-        self.tell_all(OrdererNotice(epoch, 0, resigned=True))
+        waits = {
+            target: wait.total_seconds() for target, wait in resignation.waits.items()
+        }
+        others_wait = resignation.others_wait.total_seconds()
+        self.tell_all(OrdererResigned(resignation.epoch, waits, others_wait))
 
     def tell_version(self, table: str, version: int) -> None:
         """Tell peers what this node has seen of a watched table."""
@@ -216,14 +221,19 @@
     def _take_in_orderer(self, fact: OrdererNotice, sender: Member) -> None:
         if fact.epoch < self._orderer_epoch:
             return
-        if fact.resigned:
-            self._orderer_heard = timedelta(days=-1)
-            self._on_resigned(fact.epoch)
-            return
         self._orderer_is(sender.address, fact.epoch)
         self._renewed(fact.epoch, fact.renewal)
         self._on_orderer(fact.epoch, fact.renewal)
 
+    @take_in.register
+    def _take_in_resigned(self, fact: OrdererResigned, sender: Member) -> None:
+        if fact.epoch < self._orderer_epoch:
+            return
+        self._orderer_heard = timedelta(days=-1)
+        waits = {target: timedelta(seconds=wait) for target, wait in fact.waits.items()}
+        others_wait = timedelta(seconds=fact.others_wait)
+        self._on_resigned(Resignation(fact.epoch, waits, others_wait))
+
     def _orderer_is(self, address: str, epoch: int) -> None:
         self._orderer_address = address
         self._orderer_epoch = epoch
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -133,14 +133,22 @@
 
 
 class OrdererNotice(msgspec.Struct, frozen=True, tag="orderer", array_like=True):
-    """The sender holds the lease for ordering targets, renewed so many times.
+    """The sender holds the lease for ordering targets, renewed so many times."""
 
-    ``resigned`` says that it gives no further order.
+    epoch: int
+    renewal: int
+
+
+class OrdererResigned(msgspec.Struct, frozen=True, tag="resigned", array_like=True):
+    """The sender held the lease for ordering targets, and gives no further order.
+
+    A successor waits ``waits`` seconds before it orders a target, ``others_wait``
+    before it orders one that is not named.
     """
 
     epoch: int
-    renewal: int
-    resigned: bool = False
+    waits: dict[str, float]
+    others_wait: float
 
 
 class TableVersion(msgspec.Struct, frozen=True, tag="version", array_like=True):
@@ -176,6 +184,7 @@
     | ModelDemand
     | TargetHoldings
     | OrdererNotice
+    | OrdererResigned
     | TableVersion
 )
 
--- a/packages/runhatch-server/src/runhatch_server/residency/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/__init__.py
@@ -8,6 +8,7 @@
     Wanted,
     rank_weight,
 )
+from runhatch_server.residency._handover import OrderTimes, Resignation
 from runhatch_server.residency._orderer import Orderer
 from runhatch_server.residency._orders import (
     OrderClient,
@@ -35,7 +36,9 @@
     "LoadModel",
     "LoadPermits",
     "OrderClient",
+    "OrderTimes",
     "Orderer",
+    "Resignation",
     "Step",
     "TargetControl",
     "TargetOrder",
--- a/packages/runhatch-server/src/runhatch_server/residency/_control.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_control.py
@@ -76,17 +76,23 @@
     since: dict[tuple[str, str], timedelta] = field(default_factory=dict)
     copies_in_memory: frozenset[str] = frozenset()
     copies_on_disk: frozenset[str] = frozenset()
+    order_from: timedelta = timedelta()
+    """When the last node's orders are long enough ago for new ones."""
     changed: bool = True
     """Whether others are to be told anew what it holds."""
 
     @property
     def is_free(self) -> bool:
-        """Whether an order may be sent now.
+        """Whether nothing is under way that an order would meet.
 
         While a model is loaded or unloaded a target refuses orders for adapters too.
         """
         return self.step is Step.IDLE and not self.calling
 
+    def is_free_at(self, now: timedelta) -> bool:
+        """Tell whether an order may be sent at ``now``."""
+        return self.is_free and now >= self.order_from
+
     def holds(self, model: str, adapter: str = "") -> bool:
         """Tell whether it holds ``model`` with ``adapter``, and keeps it."""
         adapters = self.held.get(model)
@@ -123,8 +129,8 @@
             took = timedelta() if model is None else self.load_time(model)
             return now + UNLOAD_TIME + took + REPORT_LAG
         if self.is_free:
-            return now
-        return max(now, self.ask_at) + REPORT_LAG
+            return max(now, self.order_from)
+        return max(now, self.ask_at, self.order_from) + REPORT_LAG
 
     def load_time(self, model: EngineModel) -> timedelta:
         """Return how long a load of ``model`` takes here."""
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/_handover.py
@@ -0,0 +1,86 @@
+"""When a node that takes the orders of targets over may order each of them.
+
+Two nodes must not order one target within a given time of each other.  A node that
+gives the orders up says which targets it has ordered lately, so that its successor
+may order all others at once; after one that ends without a word it must wait until
+the lease has surely lapsed, and that time on top.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+HANDOVER_SLACK = timedelta(milliseconds=200)
+"""Put on the time between the orders of two nodes: clocks and calls are not exact."""
+
+
+@dataclass(frozen=True, slots=True)
+class Resignation:
+    """The last word of the holder of ``epoch``: it gives no further order.
+
+    ``waits`` is how long a successor must wait before it orders a target,
+    ``others_wait`` the same for all targets that are not named.
+    """
+
+    epoch: int
+    waits: Mapping[str, timedelta] = field(default_factory=dict)
+    others_wait: timedelta = timedelta()
+
+
+class OrderTimes:
+    """From when on this node may order each target, and when it last did.
+
+    ``between`` is the time that must lie between the orders of two nodes.
+    :meth:`begin` and :meth:`sent` may be called from any thread.
+    """
+
+    def __init__(self, between: timedelta) -> None:
+        self._between = between + HANDOVER_SLACK
+        self._from: dict[str, timedelta] = {}
+        self._others_from = timedelta()
+        self._sent: dict[str, timedelta] = {}
+        self._on_way: set[str] = set()
+
+    def take_over(self, free_since: timedelta) -> None:
+        """Begin after a holder that may have ordered anything until then."""
+        self._from = {}
+        self._others_from = free_since + self._between
+
+    def take_over_from(self, resignation: Resignation, heard_at: timedelta) -> None:
+        """Begin after a holder that has said what it ordered."""
+        self._from = {
+            target: heard_at + wait for target, wait in resignation.waits.items()
+        }
+        self._others_from = heard_at + resignation.others_wait
+
+    def may_order_from(self, target: str) -> timedelta:
+        """Return the first moment at which ``target`` may be ordered."""
+        return self._from.get(target, self._others_from)
+
+    def begin(self, target: str) -> None:
+        """Note that an order to ``target`` is on its way until :meth:`sent`."""
+        self._on_way.add(target)
+
+    def sent(self, target: str, now: timedelta) -> None:
+        """Note that an order to ``target`` is on its way no longer."""
+        self._sent[target] = now
+        self._on_way.discard(target)
+
+    def forget(self, target: str) -> None:
+        """Drop what is kept of a target that is no more."""
+        self._from.pop(target, None)
+        self._sent.pop(target, None)
+
+    def resignation(self, epoch: int, now: timedelta) -> Resignation:
+        """Return what a successor must know if no order is sent from now on."""
+        ends = {**self._from}
+        sent = {**self._sent.copy(), **dict.fromkeys(self._on_way.copy(), now)}
+        for target, at in sent.items():
+            ends[target] = at + self._between
+        others_wait = max(timedelta(), self._others_from - now)
+        waits = {
+            target: max(timedelta(), end - now)
+            for target, end in ends.items()
+            if end > now or others_wait > timedelta()
+        }
+        return Resignation(epoch, waits, others_wait)
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -21,6 +21,7 @@
 from runhatch_server.residency._calls import TargetCalls
 from runhatch_server.residency._control import Intent, Step, TargetControl
 from runhatch_server.residency._demand import DemandBook, DemandShare
+from runhatch_server.residency._handover import OrderTimes, Resignation
 from runhatch_server.residency._orders import (
     OrderClient,
     TargetOrder,
@@ -42,8 +43,9 @@
 RECHECK_AFTER = timedelta(seconds=4)
 """How long a target's own entry may differ from what the orderer believes before a
 report is asked for."""
-HANDOVER_SLACK = timedelta(milliseconds=200)
-"""Put on the longest way of an order: clocks and calls are not exact."""
+RESIGN_BEFORE = timedelta(milliseconds=700)
+"""A holder that cannot renew gives the orders up so long before its lease lapses:
+peers that reach the store go on 2 s sooner, and at once with most targets."""
 
 
 class Orderer:
@@ -76,7 +78,8 @@
         self._metrics = metrics
         self._is_down = is_down
         self._newest_epoch = newest_epoch
-        self._handover = handover
+        self._times = OrderTimes(handover)
+        self._resigned: tuple[Resignation, timedelta] | None = None
         self._load_window = load_window
         self._calls = TargetCalls(on_answer)
         self._teller = HoldingsTeller(on_holdings, self._load_time)
@@ -85,7 +88,7 @@
         self._controls: dict[str, TargetControl] = {}
         self._permits = LoadPermits(load_window, clock.elapsed())
         self._epoch = 0
-        self._order_from = timedelta()
+        self._gave_up = False
         self._stopped = False
         self.services: Mapping[str, ServiceSpec] = {}
         """What is declared; replaced whole."""
@@ -111,17 +114,47 @@
             log_change("lease", change=change.value, epoch=self._epoch)
         return change
 
-    def resign(self) -> int:
-        """Give no further order under the lease; returns its epoch, 0 if not held."""
+    def resign_if_cut_off(self) -> Resignation | None:
+        """Give the orders up if the lease is about to lapse, or has just lapsed.
+
+        What targets hold is told all the same, until another node holds the lease.
+        """
+        with self._lock:
+            if not self._epoch or self._gave_up or self._lease.left() > RESIGN_BEFORE:
+                return None
+            self._gave_up = True
+            self._lease.abandon()
+            return self._resignation()
+
+    def take_in_resignation(self, resignation: Resignation) -> None:
+        """Take in the last word of the holder before, also if it comes late."""
         with self._lock:
-            epoch, self._epoch = self._epoch, 0
+            known = self._resigned
+            if known is None or known[0].epoch < resignation.epoch:
+                self._resigned = resignation, self._clock.elapsed()
+            if self._epoch and self._lease.taken_epoch == resignation.epoch:
+                self._wait_for_last_holder()
+                for name, control in self._controls.items():
+                    control.order_from = self._times.may_order_from(name)
+        self._lease.observe_resigned(resignation.epoch)
+
+    def stop(self) -> Resignation | None:
+        """Give no further order; returns the last word if the lease is held.
+
+        Peers should hear it before the lease is released.
+        """
+        with self._lock:
+            self._stopped = True
+            epoch = self._epoch
+        self._calls.close()
+        with self._lock:
+            resignation = self._resignation() if epoch and not self._gave_up else None
+            self._epoch = 0
             self._controls.clear()
-            return epoch
+        return resignation
 
-    def stop(self) -> None:
-        """Give no further order, and give the lease up."""
-        self._stopped = True
-        self._calls.close()
+    def release(self) -> None:
+        """Give the lease up after :meth:`stop`, so that another node need not wait."""
         self._lease.release()
 
     def asked(self, node: str, shares: Iterable[DemandShare]) -> None:
@@ -152,7 +185,7 @@
             self._calls.take_answers(self._controls)
             now = self._clock.elapsed()
             self._ask_reports(now)
-            if epoch is not None and now >= self._order_from:
+            if epoch is not None:
                 self._go_on_with_intents(epoch, now)
                 self._plan(epoch, now)
             self._teller.tell(self._epoch, self._controls.values(), now)
@@ -164,13 +197,22 @@
         with self._lock:
             self._controls.clear()
             self._epoch = 0 if epoch is None else epoch.number
+            self._gave_up = False
             self._permits = LoadPermits(self._load_window, now)
-            self._order_from = now
             if self._lease.taken_from not in (None, self._node):
-                free_since = self._lease.free_since
-                self._order_from = free_since + self._handover + HANDOVER_SLACK
+                self._wait_for_last_holder()
             self._teller.begin()
 
+    def _wait_for_last_holder(self) -> None:
+        resigned = self._resigned
+        if resigned is not None and resigned[0].epoch == self._lease.taken_epoch:
+            self._times.take_over_from(*resigned)
+        else:
+            self._times.take_over(self._lease.free_since)
+
+    def _resignation(self) -> Resignation:
+        return self._times.resignation(self._epoch, self._clock.elapsed())
+
     def _forget(self) -> None:
         with self._lock:
             self._controls.clear()
@@ -185,12 +227,14 @@
         }
         for name in set(self._controls) - set(known):
             del self._controls[name]
+            self._times.forget(name)
         for name, target in known.items():
             control = self._controls.get(name)
             if control is None:
                 control = TargetControl(target, ask_at=self._clock.elapsed())
                 held = target.held.adapters_by_model
                 control.held = {model: set(names) for model, names in held.items()}
+                control.order_from = self._times.may_order_from(name)
                 self._controls[name] = control
             control.met(target)
             control.arrive(self._clock.elapsed())
@@ -277,7 +321,7 @@
 
     def _begin(self, load: LoadModel, epoch: Epoch, now: timedelta) -> None:
         control = self._controls[load.target]
-        if not control.is_free:
+        if not control.is_free_at(now):
             return
         engine = self._engine(control)
         spec = self._spec(control, load.model)
@@ -302,7 +346,7 @@
 
     def _go_on_with_intents(self, epoch: Epoch, now: timedelta) -> None:
         for control in self._controls.values():
-            if control.intent is not None and control.is_free:
+            if control.intent is not None and control.is_free_at(now):
                 self._go_on(control, epoch)
 
     def _go_on(self, control: TargetControl, epoch: Epoch) -> None:
@@ -327,7 +371,7 @@
 
     def _load_adapter(self, load: LoadAdapter, epoch: Epoch) -> None:
         control = self._controls[load.target]
-        if not control.is_free:
+        if not control.is_free_at(self._clock.elapsed()):
             return
         if load.evict is not None:
             self._order(control, OrderKind.UNLOAD, *load.evict, epoch)
@@ -357,7 +401,10 @@
         epoch = self.holds_lease()
         if epoch is None or epoch.number != order.fence:
             return None
-        return self._client.give(target, order)
+        self._times.begin(target.incarnation)
+        outcome = self._client.give(target, order)
+        self._times.sent(target.incarnation, self._clock.elapsed())
+        return outcome
 
     def _ordered(
         self, control: TargetControl, order: TargetOrder, outcome: object
--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -279,7 +279,7 @@
         return None
     # Between places that win as much, the least busy one.
     won -= view.load_of(control) * BUSY_PRICE
-    startable = control.is_free and control.intent is None
+    startable = control.is_free_at(view.now) and control.intent is None
     name = control.target.incarnation
     return LoadModel(name, model.name, victims, need.reason, won, startable)
 
@@ -352,7 +352,7 @@
     worth = own.weighted + own.waiting(view.now) + own.unmet * UNMET_WEIGHT
     for control in view.holders(model):
         name = control.target.incarnation
-        if name in taken or not control.is_free:
+        if name in taken or not control.is_free_at(view.now):
             continue
         if control.holds(model, adapter):
             continue
--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -15,6 +15,7 @@
     TargetReport,
     Wanted,
 )
+from runhatch_server.residency._orderer import RESIGN_BEFORE
 from runhatch_server.targets import OrderOutcome
 
 TTL = seconds(2)
@@ -127,6 +128,85 @@
         assert [order.model for order in case.targets.orders] == ["m1"]
 
 
+class TestResignation:
+    """A node that gives the orders up says what it ordered last."""
+
+    def holder(self, clock, table):
+        case = Case(clock, table, "n0")
+        case.orderer.keep_lease(eager=True)
+        case.round()
+        return case
+
+    def successor(self, clock, table, resignation):
+        case = Case(clock, table, "n1")
+        case.orderer.take_in_resignation(resignation)
+        case.orderer.keep_lease(eager=True)
+        assert case.orderer.holds_lease() is not None
+        case.ask_for("m1")
+        for _ in range(3):
+            case.round()
+        return case
+
+    def test_a_word_that_comes_after_the_lease_was_taken_counts(self, clock, table):
+        first = self.holder(clock, table)
+        resignation = first.orderer.stop()
+        first.orderer.release()
+        case = Case(clock, table, "n1")
+        case.orderer.keep_lease(eager=True)
+        case.round()
+
+        case.orderer.take_in_resignation(resignation)
+
+        case.ask_for("m1")
+        for _ in range(3):
+            case.round()
+        assert [order.model for order in case.targets.orders] == ["m1"]
+
+    def test_targets_not_ordered_lately_are_ordered_at_once(self, clock, table):
+        first = self.holder(clock, table)
+        resignation = first.orderer.stop()
+        first.orderer.release()
+
+        case = self.successor(clock, table, resignation)
+
+        assert [order.model for order in case.targets.orders] == ["m1"]
+
+    def test_a_target_just_ordered_is_not(self, clock, table):
+        first = self.holder(clock, table)
+        first.ask_for("m2")
+        for _ in range(3):
+            first.round()
+        assert first.targets.orders
+
+        resignation = first.orderer.stop()
+        first.orderer.release()
+        case = self.successor(clock, table, resignation)
+
+        assert case.targets.orders == []
+
+    def test_one_that_is_cut_off_resigns_before_its_lease_lapses(self, clock, table):
+        first = self.holder(clock, table)
+        table.inject(TableFault.DOWN)
+        clock.advance(TTL - RESIGN_BEFORE)
+        first.orderer.keep_lease(eager=True)
+
+        resignation = first.orderer.resign_if_cut_off()
+
+        assert first.orderer.holds_lease() is None
+        assert resignation.epoch == 1
+        table.inject(TableFault.NONE)
+        case = self.successor(clock, table, resignation)
+        assert [order.model for order in case.targets.orders] == ["m1"]
+
+    def test_one_that_can_renew_does_not_resign(self, clock, table):
+        first = self.holder(clock, table)
+        clock.advance(TTL - RESIGN_BEFORE)
+        first.orderer.keep_lease(eager=True)
+
+        assert first.orderer.resign_if_cut_off() is None
+        assert first.orderer.holds_lease() is not None
+
+
 class TestLapsedLease:
     """A node whose lease has run out while the store was away."""
 
