--- a/packages/runhatch-cli/src/runhatch_cli/_explain.py
+++ b/packages/runhatch-cli/src/runhatch_cli/_explain.py
@@ -29,6 +29,8 @@
     "no_replica": "No target held its model, and none would in time.",
     "no_target": "No target of its service took work.",
     "goal_unmeetable": "All targets that held its model were too busy to begin.",
+    "too_busy": "All targets that held its model read prompts nearly all the time, "
+    "so that answers in progress would not have ended.",
     "targets_busy": "Targets refused it unrun, or could not be reached.",
     "targets_failed": "The target that may have run it failed, and it was not to be "
     "sent again.",
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -141,6 +141,7 @@
             deadline=received + time_left,
             work=caller.work,
             last_event=caller.last_event,
+            configuration=routes.version,
         )
 
     def _refused(self, refusal: Refusal, headers: Mapping[str, str]) -> WholeAnswer:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -20,7 +20,7 @@
 from runhatch_server.gateway._messages import GatewayRequest
 from runhatch_server.gateway._scoring import HeldPlace, Scored, Scorer
 from runhatch_server.routing import RequestKind, ServiceSpec
-from runhatch_server.serving import Executed, Reason, Refusal
+from runhatch_server.serving import Executed, Prediction, Reason, Refusal
 
 MOST_BUSY = (2.0, 1.3, 1.3, 1.0)
 """Shares of a target's time that prompts sent of late may take before further
@@ -76,6 +76,7 @@
     predicted_ms: float
     granted_at: timedelta
     tier: int
+    busy: float
     most_connections: int
 
 
@@ -294,15 +295,17 @@
         tier = _tier(request)
         best = self._scorer.best(request, service, open_targets, tier, now, place)
         if best.busy > MOST_BUSY[tier]:
-            return self._refuse(request, Reason.GOAL_UNMEETABLE, BUSY_RETRY)
+            return self._refuse(request, Reason.TOO_BUSY, BUSY_RETRY, best)
         if _late_by(request, best.predicted_ms, now) > timedelta():
             # It gives way to requests in time, and is still worth something late.
             tier = LATE_TIER
             best = self._scorer.best(request, service, open_targets, tier, now, place)
+            if best.busy > MOST_BUSY[tier]:
+                return self._refuse(request, Reason.TOO_BUSY, BUSY_RETRY, best)
             late_by = _too_late(request, best, now)
-            if late_by > timedelta() or best.busy > MOST_BUSY[tier]:
+            if late_by > timedelta():
                 helps_after = max(late_by, BUSY_RETRY)
-                return self._refuse(request, Reason.GOAL_UNMEETABLE, helps_after)
+                return self._refuse(request, Reason.GOAL_UNMEETABLE, helps_after, best)
         number = next(self._numbers)
         tokens = 0
         if request.work is not None:
@@ -321,6 +324,7 @@
             best.predicted_ms,
             now,
             tier,
+            best.busy,
             max(LEAST_CONNECTIONS, share),
         )
 
@@ -339,10 +343,16 @@
         request: GatewayRequest,
         reason: Reason,
         helps_after: timedelta = timedelta(),
+        best: Scored | None = None,
     ) -> Refusal:
         wait = min(max(helps_after, SHORTEST_RETRY), LONGEST_RETRY)
         wait *= self._random.uniform(1.0, 1.0 + RETRY_JITTER)
-        return Refusal(reason, Executed.NO, retry_after=wait)
+        judged_by = None
+        if best is not None:
+            judged_by = Prediction(
+                best.target.incarnation, best.predicted_ms, best.busy
+            )
+        return Refusal(reason, Executed.NO, retry_after=wait, judged_by=judged_by)
 
 
 def _late_by(request: GatewayRequest, predicted_ms: float, now: timedelta) -> timedelta:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
@@ -74,6 +74,8 @@
     deadline: timedelta
     work: ModelWork | None = None
     last_event: str = ""
+    configuration: int = 0
+    """Version of the configuration that its route was taken from."""
 
     @property
     def begin_by(self) -> timedelta:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -368,6 +368,9 @@
         self._balancer.forget_unknown()
         ready = [target for target in self._directory.all() if target.is_ready]
         self._metrics.targets.set(len(ready))
+        replicas = sum(len(target.held.adapters_by_model) for target in ready)
+        self._metrics.replicas.set(replicas)
+        self._metrics.holds_orders.set(self._orderer.holds_lease() is not None)
         self._metrics.held.set(self._balancer.held)
         self._metrics.in_progress.set(self._progress.count)
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -18,6 +18,9 @@
         self.attempts: list[str] = []
         self.retries: list[tuple[AttemptReason, bool]] = []
         self.predicted_ms: float | None = None
+        self.busy: float | None = None
+        self.waited = timedelta()
+        """Time that it waited on the node for a target."""
         self.tier = 0
         self.outcome = ""
         self.status = 0
@@ -29,6 +32,7 @@
         """Note how one attempt ended or went on."""
         if self.predicted_ms is None:
             self.predicted_ms = grant.predicted_ms
+            self.busy = grant.busy
             self.tier = grant.tier
         self.attempts.append(f"{grant.target.incarnation}:{outcome}")
 
@@ -56,6 +60,10 @@
         self.outcome = refusal.reason.code
         self.status = refusal.reason.status
         self.retry_after = refusal.retry_after
+        judged_by = refusal.judged_by
+        if judged_by is not None and not self.attempts:
+            self.predicted_ms = judged_by.predicted_ms
+            self.busy = judged_by.busy
 
 
 class RequestRecorder:
@@ -81,6 +89,7 @@
         if record.first_byte is not None:
             seconds = record.first_byte.total_seconds()
             self._metrics.first_token.labels(kind).observe(seconds)
+        self._metrics.wait_seconds.labels(kind).observe(record.waited.total_seconds())
         took = self._clock.elapsed() - request.received
         self._metrics.first_byte.labels(kind).observe(took.total_seconds())
         log_change(
@@ -93,11 +102,18 @@
             status=record.status,
             attempts=record.attempts,
             tier=record.tier,
+            retries=[
+                f"{reason.value}:{'paid' if paid else 'no_budget'}"
+                for reason, paid in record.retries
+            ],
             predicted_ms=_rounded(record.predicted_ms),
+            busy=None if record.busy is None else round(record.busy, 2),
+            waited_ms=_milliseconds(record.waited),
             first_byte_ms=_milliseconds(record.first_byte),
             took_ms=round(took / timedelta(milliseconds=1)),
             pieces=record.pieces,
             retry_after=_seconds(record.retry_after),
+            configuration=request.configuration,
         )
 
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -107,9 +107,11 @@
     def _attempt(self, resume_after: str) -> tuple[Grant, OpenedAnswer] | Refusal:
         """Send the request until a target has begun to answer."""
         while True:
+            asked = self._parts.clock.elapsed()
             grant = self._parts.balancer.acquire(
                 self._request, self._tried, self._caller_gone
             )
+            self.record.waited += self._parts.clock.elapsed() - asked
             if isinstance(grant, Refusal):
                 return grant.as_unknown() if self._maybe_ran else grant
             result = self._parts.forwarder.send(
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -1,5 +1,7 @@
 """The daemon's metrics, in a registry of its own."""
 
+from dataclasses import dataclass
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -11,11 +13,22 @@
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.55, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class MetricFamily:
+    """What a metric is called when it is read, and what it tells."""
+
+    name: str
+    kind: str
+    labels: tuple[str, ...]
+    meaning: str
+
+
 class Metrics:
     """Every counter, gauge and histogram the daemon keeps."""
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
+        self._families: list[MetricFamily] = []
         self.requests = self._counter("requests", "Requests received", "kind")
         self.answers = self._counter("answers", "Requests answered in full", "kind")
         self.refusals = self._counter("refusals", "Requests refused", "reason")
@@ -40,20 +53,33 @@
         self.shards = self._gauge("planning_leases", "Planning leases held")
         self.targets = self._gauge("targets", "Targets that take new work")
         self.held = self._gauge("requests_held", "Requests that wait for a model")
-        self.first_token = Histogram(
-            "runhatch_target_first_byte_seconds",
+        self.replicas = self._gauge("replicas", "Models held, over all targets")
+        self.holds_orders = self._gauge(
+            "orders_lease_held", "Whether this node orders the targets, 1 or 0"
+        )
+        self.first_token = self._histogram(
+            "target_first_byte_seconds",
             "Time from sending a request until its target began to answer",
-            ["kind"],
-            buckets=LATENCY_BUCKETS,
-            registry=self._registry,
+            "kind",
         )
-        self.first_byte = Histogram(
-            "runhatch_first_byte_seconds",
+        self.first_byte = self._histogram(
+            "first_byte_seconds",
             "Time from receipt to the first byte of the answer",
-            ["kind"],
-            buckets=LATENCY_BUCKETS,
-            registry=self._registry,
+            "kind",
+        )
+        self.wait_seconds = self._histogram(
+            "wait_seconds",
+            "Time that a request waited on its node for a target",
+            "kind",
         )
+        self.order_seconds = self._histogram(
+            "order_seconds", "Time until a target answered an order", "kind"
+        )
+
+    @property
+    def families(self) -> tuple[MetricFamily, ...]:
+        """Every metric, by name."""
+        return tuple(sorted(self._families))
 
     def exposition(self) -> bytes:
         """Return all metrics in the text format."""
@@ -68,7 +94,21 @@
         return 0.0
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        family = MetricFamily(f"runhatch_{name}_total", "counter", labels, text)
+        self._families.append(family)
         return Counter(f"runhatch_{name}", text, labels, registry=self._registry)
 
+    def _histogram(self, name: str, text: str, *labels: str) -> Histogram:
+        family = MetricFamily(f"runhatch_{name}", "histogram", labels, text)
+        self._families.append(family)
+        return Histogram(
+            f"runhatch_{name}",
+            text,
+            labels,
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+
     def _gauge(self, name: str, text: str) -> Gauge:
+        self._families.append(MetricFamily(f"runhatch_{name}", "gauge", (), text))
         return Gauge(f"runhatch_{name}", text, registry=self._registry)
--- a/packages/runhatch-server/src/runhatch_server/residency/_calls.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_calls.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Container
 from concurrent.futures import Future, ThreadPoolExecutor
 
+from runhatch_server.residency._control import TargetControl
+
 CALL_WORKERS = 8
 """Calls to targets at once; one that is dark holds a worker for its timeout."""
 
@@ -20,10 +22,13 @@
         self._executor = ThreadPoolExecutor(CALL_WORKERS, thread_name_prefix="orders")
         self._pending: dict[str, tuple[Future[object], Take]] = {}
 
-    def start(self, target: str, work: Callable[[], object], take: Take) -> None:
-        """Have a worker do ``work``; ``take`` gets what it returns."""
+    def start(
+        self, control: TargetControl, work: Callable[[], object], take: Take
+    ) -> None:
+        """Have a worker call the target; ``take`` gets what ``work`` returns."""
+        control.calling = True
         future = self._executor.submit(work)
-        self._pending[target] = (future, take)
+        self._pending[control.target.incarnation] = (future, take)
         future.add_done_callback(lambda done: self._on_answer())
 
     def take_answers(self, known: Container[str]) -> None:
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -24,7 +24,6 @@
 from runhatch_server.residency._handover import OrderTimes, Resignation
 from runhatch_server.residency._orders import (
     OrderClient,
-    TargetOrder,
     TargetReport,
 )
 from runhatch_server.residency._permits import LoadPermits
@@ -36,9 +35,10 @@
     plan_adapters,
     plan_models,
 )
+from runhatch_server.residency._sending import OrderSender
 from runhatch_server.residency._telling import HoldingsTeller, OnHoldings
 from runhatch_server.routing import EngineModel, EngineSpec, ServiceSpec
-from runhatch_server.targets import OrderKind, OrderOutcome
+from runhatch_server.targets import OrderKind
 
 RECHECK_AFTER = timedelta(seconds=4)
 """How long a target's own entry may differ from what the orderer believes before a
@@ -82,6 +82,16 @@
         self._resigned: tuple[Resignation, timedelta] | None = None
         self._load_window = load_window
         self._calls = TargetCalls(on_answer)
+        self._sender = OrderSender(
+            client,
+            self._calls,
+            self._times,
+            clock,
+            metrics,
+            node,
+            self.holds_lease,
+            self._load_time,
+        )
         self._teller = HoldingsTeller(on_holdings, self._load_time)
         self._lock = threading.Lock()
         self._demand = DemandBook()
@@ -243,15 +253,6 @@
         service = self.services.get(target.service)
         return service is not None and service.engine is not None
 
-    def _call(
-        self,
-        control: TargetControl,
-        work: Callable[[], object],
-        take: Callable[[object], None],
-    ) -> None:
-        control.calling = True
-        self._calls.start(control.target.incarnation, work, take)
-
     def _ask_reports(self, now: timedelta) -> None:
         for control in self._controls.values():
             if control.calling:
@@ -273,7 +274,7 @@
 
     def _ask(self, control: TargetControl) -> None:
         target = control.target
-        self._call(
+        self._calls.start(
             control,
             lambda: self._client.report(target),
             lambda report: self._reported(control, report),
@@ -357,7 +358,7 @@
             return
         left = [model for model in intent.evict if model in control.held]
         if left:
-            self._order(control, OrderKind.UNLOAD, left[0], "", epoch)
+            self._sender.send(control, OrderKind.UNLOAD, left[0], "", epoch)
             return
         spec = self._spec(control, intent.model)
         fits = spec is not None and (
@@ -367,64 +368,16 @@
             control.intent = None
             control.changed = True
             return
-        self._order(control, OrderKind.LOAD, intent.model, "", epoch)
+        self._sender.send(control, OrderKind.LOAD, intent.model, "", epoch)
 
     def _load_adapter(self, load: LoadAdapter, epoch: Epoch) -> None:
         control = self._controls[load.target]
         if not control.is_free_at(self._clock.elapsed()):
             return
         if load.evict is not None:
-            self._order(control, OrderKind.UNLOAD, *load.evict, epoch)
+            self._sender.send(control, OrderKind.UNLOAD, *load.evict, epoch)
             return
-        self._order(control, OrderKind.LOAD, load.model, load.adapter, epoch)
-
-    def _order(
-        self,
-        control: TargetControl,
-        kind: OrderKind,
-        model: str,
-        adapter: str,
-        epoch: Epoch,
-    ) -> None:
-        order = TargetOrder(
-            kind, model, adapter, control.orders, self._node, epoch.number
-        )
-        target = control.target
-        self._call(
-            control,
-            lambda: self._give(target, order),
-            lambda outcome: self._ordered(control, order, outcome),
-        )
-
-    def _give(self, target: Target, order: TargetOrder) -> OrderOutcome | None:
-        """Send ``order`` unless the lease has lapsed meanwhile."""
-        epoch = self.holds_lease()
-        if epoch is None or epoch.number != order.fence:
-            return None
-        self._times.begin(target.incarnation)
-        outcome = self._client.give(target, order)
-        self._times.sent(target.incarnation, self._clock.elapsed())
-        return outcome
-
-    def _ordered(
-        self, control: TargetControl, order: TargetOrder, outcome: object
-    ) -> None:
-        if not isinstance(outcome, OrderOutcome):
-            control.calling = False
-            return
-        took = self._load_time(control, order.model)
-        control.ordered(order, outcome, took, self._clock.elapsed())
-        self._metrics.orders.labels(order.kind.value, outcome.value).inc()
-        log_change(
-            "order",
-            target=control.target.incarnation,
-            kind=order.kind.value,
-            model=order.model,
-            adapter=order.adapter,
-            after_orders=order.after_orders,
-            fence=order.fence,
-            outcome=outcome.value,
-        )
+        self._sender.send(control, OrderKind.LOAD, load.model, load.adapter, epoch)
 
     def _engine(self, control: TargetControl) -> EngineSpec | None:
         service = self.services.get(control.target.service)
--- a/packages/runhatch-server/src/runhatch_server/serving/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/__init__.py
@@ -15,6 +15,7 @@
 from runhatch_server.serving._refusals import (
     PROBLEM_TYPE,
     Executed,
+    Prediction,
     Reason,
     Refusal,
     problem_document,
@@ -41,6 +42,7 @@
     "OnceGuard",
     "Picture",
     "PROBLEM_TYPE",
+    "Prediction",
     "PrefixIndex",
     "Progress",
     "Reason",
--- a/packages/runhatch-server/src/runhatch_server/serving/_refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_refusals.py
@@ -35,6 +35,7 @@
     SHED = ("shed", 503, "Requests of a higher priority took the place")
     DEADLINE_UNMEETABLE = ("deadline_unmeetable", 503, "The deadline cannot be met")
     GOAL_UNMEETABLE = ("goal_unmeetable", 503, "No target would begin in time")
+    TOO_BUSY = ("too_busy", 503, "Targets are too busy for answers to end in time")
     NO_TARGET = ("no_target", 503, "No target of the service takes work")
     NO_REPLICA = ("no_replica", 503, "No target serves this at the moment")
     TARGETS_BUSY = ("targets_busy", 503, "The targets refused the request unrun")
@@ -52,6 +53,19 @@
         self.title = title
 
 
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """What was known of the best target when a request was judged.
+
+    ``predicted_ms`` is the time to the first byte, ``busy`` the share of the
+    target's time that prompts sent of late take.  For logs, not for callers.
+    """
+
+    target: str
+    predicted_ms: float
+    busy: float
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """One refusal; ``retry_after`` is set wherever coming back helps."""
@@ -60,6 +74,7 @@
     executed: Executed
     detail: str = ""
     retry_after: timedelta | None = None
+    judged_by: Prediction | None = None
 
     def as_unknown(self) -> "Refusal":
         """Return the refusal for a request that may have run by now."""
