Orders are named before the lease is looked at; waits outlive a lapsed entry

Cause, found on reading: an order whose sender had just seen that the lease was held could leave after a resignation that did not name its target, and the successor would order that target at once; and a target whose entry lapsed for a moment lost the wait that the last holder had asked for. Change: an order counts as on its way before the lease is looked at; waits are dropped only when they are over. test_sending.py (both cases) and a case of test_handover.py failed first.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -36,7 +36,7 @@
 busy as they say."""
 BUSY_RETRY = timedelta(seconds=1)
 """When a caller may come back whose targets are all too busy: what keeps them so
-lasts some seconds, and sooner most would be refused again."""
+lasts some seconds."""
 MISSING_RETRY = (
     timedelta(seconds=1.5),
     timedelta(seconds=1.5),
--- a/packages/runhatch-server/src/runhatch_server/residency/_handover.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_handover.py
@@ -66,10 +66,19 @@
         self._sent[target] = now
         self._on_way.discard(target)
 
-    def forget(self, target: str) -> None:
-        """Drop what is kept of a target that is no more."""
-        self._from.pop(target, None)
-        self._sent.pop(target, None)
+    def unsent(self, target: str) -> None:
+        """Note that an order to ``target`` was not sent after all."""
+        self._on_way.discard(target)
+
+    def forget(self, target: str, now: timedelta) -> None:
+        """Drop what is kept of a target that is not listed, if it is over.
+
+        One that lives may be listed again within a moment.
+        """
+        if now >= self.may_order_from(target):
+            self._from.pop(target, None)
+        if now >= self._sent.get(target, now) + self._between:
+            self._sent.pop(target, None)
 
     def resignation(self, epoch: int, now: timedelta) -> Resignation:
         """Return what a successor must know if no order is sent from now on."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -232,7 +232,7 @@
         }
         for name in set(self._controls) - set(known):
             del self._controls[name]
-            self._times.forget(name)
+            self._times.forget(name, self._clock.elapsed())
         for name, target in known.items():
             control = self._controls.get(name)
             if control is None:
--- a/packages/runhatch-server/src/runhatch_server/residency/_sending.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_sending.py
@@ -59,12 +59,17 @@
         )
 
     def _give(self, target: Target, order: TargetOrder) -> OrderOutcome | None:
-        """Send ``order`` unless the lease has lapsed meanwhile."""
+        """Send ``order`` unless the lease has lapsed meanwhile.
+
+        It counts as on its way before the lease is looked at: a resignation between
+        the two would not name its target, and a successor would order it at once.
+        """
+        self._times.begin(target.incarnation)
         epoch = self._held_epoch()
         if epoch is None or epoch.number != order.fence:
+            self._times.unsent(target.incarnation)
             return None
         begun = self._clock.elapsed()
-        self._times.begin(target.incarnation)
         outcome = self._client.give(target, order)
         ended = self._clock.elapsed()
         self._times.sent(target.incarnation, ended)
--- a/packages/runhatch-server/tests/test_handover.py
+++ b/packages/runhatch-server/tests/test_handover.py
@@ -61,6 +61,17 @@
         assert told.waits["t1"] == WHOLE
         assert told.others_wait == WHOLE - seconds(2)
 
+    def test_a_target_that_is_not_listed_for_a_moment_is_not_forgotten(self):
+        first, second = OrderTimes(BETWEEN), OrderTimes(BETWEEN)
+        first.sent("t1", NOW)
+        second.take_over_from(first.resignation(4, NOW), NOW)
+
+        second.forget("t1", NOW + seconds(1))
+        assert second.may_order_from("t1") == NOW + WHOLE
+
+        second.forget("t1", NOW + WHOLE)
+        assert second.may_order_from("t1") <= NOW + WHOLE
+
     def test_nothing_is_said_of_targets_ordered_long_ago(self):
         times = OrderTimes(BETWEEN)
         times.sent("t1", NOW - seconds(9))
--- /dev/null
+++ b/packages/runhatch-server/tests/test_sending.py
@@ -0,0 +1,59 @@
+"""Orders on their way: what a resignation at any moment says of them."""
+
+import threading
+
+import pytest
+from gateway_cases import make_target, seconds
+
+from runhatch_coordination import Check, Epoch, Key
+from runhatch_server.observability import Metrics
+from runhatch_server.residency import OrderTimes, TargetControl
+from runhatch_server.residency._calls import TargetCalls
+from runhatch_server.residency._sending import OrderSender
+from runhatch_server.targets import OrderKind, OrderOutcome
+
+EPOCH = Epoch(3, Check(Key("epoch", "orders"), 3))
+ANSWER_WAIT = 5.0
+"""Seconds that a test waits for a worker, which is due within some milliseconds."""
+
+
+class RecordedClient:
+    """Takes every order."""
+
+    def __init__(self):
+        self.given = []
+
+    def give(self, target, order):
+        self.given.append(order)
+        return OrderOutcome.ACCEPTED
+
+
+@pytest.mark.parametrize(
+    ("held", "given"), [(EPOCH, 1), (None, 0)], ids=["held", "lapsed"]
+)
+def test_an_order_is_named_from_before_the_lease_is_looked_at(clock, held, given):
+    """Whoever gives the lease up just then names the target to its successor."""
+    times, client, ended = OrderTimes(seconds(3)), RecordedClient(), threading.Event()
+    told = []
+
+    def held_epoch():
+        told.append(times.resignation(3, clock.elapsed()))
+        return held
+
+    sender = OrderSender(
+        client,
+        TargetCalls(ended.set),
+        times,
+        clock,
+        Metrics(),
+        "n1",
+        held_epoch,
+        lambda control, model: seconds(2),
+    )
+
+    sender.send(TargetControl(make_target("t1")), OrderKind.LOAD, "m1", "", EPOCH)
+
+    assert ended.wait(ANSWER_WAIT)
+    assert [list(resignation.waits) for resignation in told] == [["t1"]]
+    assert len(client.given) == given
+    assert bool(times.resignation(3, clock.elapsed()).waits) is bool(given)
