Threads grow with the requests in progress

Ruled out: a smaller fixed number, by which clumps would wait for a thread. Change: waitress gets a dispatcher that holds one thread for each request in progress and two to spare, up to the old 200, and ends those that 200 requests in a row did not need.

--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -8,6 +8,8 @@
 
 from waitress import create_server
 
+from runhatch_server.http._dispatcher import GrowingDispatcher
+
 SPARE_CONNECTIONS = 100
 """Connections beyond the threads: idle ones and ones about to be refused."""
 RECEIVE_SLACK = 65_536
@@ -29,7 +31,10 @@
 
 
 class HttpServer:
-    """Serves one WSGI application on one address."""
+    """Serves one WSGI application on one address.
+
+    It answers ``threads`` requests at once at the most.
+    """
 
     def __init__(
         self,
@@ -40,11 +45,12 @@
         limits: ServerLimits,
         connections: int | None = None,
     ) -> None:
+        self._dispatcher = GrowingDispatcher(threads)
         self._server: Any = create_server(
             app,
+            _dispatcher=self._dispatcher,
             host=host,
             port=port,
-            threads=threads,
             connection_limit=connections or threads + SPARE_CONNECTIONS,
             backlog=BACKLOG,
             asyncore_use_poll=True,
@@ -58,6 +64,11 @@
         self.limit(limits)
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
+    @property
+    def thread_count(self) -> int:
+        """Threads that answer requests now, idle ones included."""
+        return self._dispatcher.thread_count
+
     @property
     def port(self) -> int:
         """The port it listens on."""
