Loads, scoring and requests move to a package of decisions

Cause: what a gateway decides stood among its threads and connections, so that a policy could not be read or replayed without them. Ruled out: leaving the request's type with the headers' codec, which would make the two packages import each other. Change: decisions/ holds the request, the loads, what is known of them and the scoring; gateway/ keeps names, threads and relays.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_load_book.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load_book.py
@@ -3,13 +3,13 @@
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
-from runhatch_server.gateway._load import (
+from runhatch_server.decisions._load import (
     LoadShare,
     Outstanding,
     TargetLoad,
     WorkRates,
 )
-from runhatch_server.gateway._messages import GatewayRequest, ModelWork
+from runhatch_server.decisions._request import GatewayRequest, ModelWork
 from runhatch_server.serving import PrefixIndex
 
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_scoring.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_scoring.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from runhatch_server.fleet import Target
-from runhatch_server.gateway._load import (
+from runhatch_server.decisions._load import (
     BASE_MS,
     LATE_TIER,
     STREAM_TOKENS_AT_ONCE,
     LoadShare,
 )
-from runhatch_server.gateway._load_book import LoadBook
-from runhatch_server.gateway._messages import GatewayRequest, ModelWork
+from runhatch_server.decisions._load_book import LoadBook
+from runhatch_server.decisions._request import GatewayRequest, ModelWork
+from runhatch_server.fleet import Target
 from runhatch_server.routing import EngineSpec, ServiceSpec
 
 ELSEWHERE_MS = 3.0
--- a/packages/runhatch-server/src/runhatch_server/gateway/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/__init__.py
@@ -1,14 +1,11 @@
 """Passing requests of declared routes through to targets learned while running."""
 
+from runhatch_server.decisions import GatewayRequest, Headers, ModelWork, PromptPart
 from runhatch_server.gateway._messages import (
     AnswerHead,
     CallerHeaders,
-    GatewayRequest,
     HeaderCodec,
     HeaderFault,
-    Headers,
-    ModelWork,
-    PromptPart,
 )
 from runhatch_server.gateway._node import GatewayNode
 from runhatch_server.gateway._outside import GatewayOutside
--- a/packages/runhatch-server/src/runhatch_server/gateway/_answers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_answers.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from runhatch_server.gateway._messages import Headers
+from runhatch_server.decisions import Headers
 from runhatch_server.gateway._relay import StreamRelay
 
 PROBLEM_HEADERS: Headers = (("Content-Type", "application/problem+json"),)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -6,12 +6,9 @@
 from typing import BinaryIO, cast
 
 from runhatch_coordination import Clock
+from runhatch_server.decisions import GatewayRequest
 from runhatch_server.gateway._answers import GatewayAnswer, StreamAnswer, WholeAnswer
-from runhatch_server.gateway._messages import (
-    GatewayRequest,
-    HeaderCodec,
-    HeaderFault,
-)
+from runhatch_server.gateway._messages import HeaderCodec, HeaderFault
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.http import (
     CountedEvents,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -13,12 +13,18 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
+from runhatch_server.decisions import (
+    LATE_TIER,
+    GatewayRequest,
+    HeldPlace,
+    LoadBook,
+    LoadShare,
+    Outstanding,
+    Scored,
+    Scorer,
+)
 from runhatch_server.fleet import Directory, Target
 from runhatch_server.gateway._held import BEGIN_SLACK, HeldRequests, Wait
-from runhatch_server.gateway._load import LATE_TIER, LoadShare, Outstanding
-from runhatch_server.gateway._load_book import LoadBook
-from runhatch_server.gateway._messages import GatewayRequest
-from runhatch_server.gateway._scoring import HeldPlace, Scored, Scorer
 from runhatch_server.routing import RequestKind, ServiceSpec
 from runhatch_server.serving import Executed, Prediction, Reason, Refusal
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -9,8 +9,8 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
+from runhatch_server.decisions import Headers
 from runhatch_server.fleet import Target
-from runhatch_server.gateway._messages import Headers
 from runhatch_server.targets import AttemptReason, NotSent
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_demand.py
@@ -3,7 +3,7 @@
 import threading
 from collections import Counter, defaultdict
 
-from runhatch_server.gateway._messages import GatewayRequest
+from runhatch_server.decisions import GatewayRequest
 from runhatch_server.residency import DemandShare, Wanted
 
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
@@ -6,14 +6,10 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
+from runhatch_server.decisions import GatewayRequest, Headers
 from runhatch_server.gateway._balancer import Grant
 from runhatch_server.gateway._connections import ConnectionPool, TargetConnection
-from runhatch_server.gateway._messages import (
-    AnswerHead,
-    GatewayRequest,
-    HeaderCodec,
-    Headers,
-)
+from runhatch_server.gateway._messages import AnswerHead, HeaderCodec
 from runhatch_server.targets import (
     AttemptReason,
     NotSent,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_held.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_held.py
@@ -9,11 +9,14 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
+from runhatch_server.decisions import (
+    LATE_TIER,
+    GatewayRequest,
+    HeldPlace,
+    LoadBook,
+    Outstanding,
+)
 from runhatch_server.fleet import Directory
-from runhatch_server.gateway._load import LATE_TIER, Outstanding
-from runhatch_server.gateway._load_book import LoadBook
-from runhatch_server.gateway._messages import GatewayRequest
-from runhatch_server.gateway._scoring import HeldPlace
 from runhatch_server.serving import Reason
 
 BEGIN_SLACK = timedelta(milliseconds=200)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
@@ -1,40 +1,14 @@
-"""A request on its way through a gateway, and what headers say, decoded."""
+"""What headers of requests and answers say, decoded."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
+from runhatch_server.decisions import GatewayRequest, Headers, ModelWork
 from runhatch_server.fleet import Target
-from runhatch_server.routing import RouteSpec
 from runhatch_server.targets import ReportedLoad
 
-Headers = tuple[tuple[str, str], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class PromptPart:
-    """One part of a prompt, shared by all requests that name the same id."""
-
-    name: str
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class ModelWork:
-    """What a request asks of a model.
-
-    ``expected_output`` is the caller's guess at the tokens of the answer,
-    ``most_output`` their bound.
-    """
-
-    model: str
-    adapter: str
-    prompt: tuple[PromptPart, ...]
-    prompt_tokens: int
-    most_output: int
-    expected_output: int
-
 
 @dataclass(frozen=True, slots=True)
 class CallerHeaders:
@@ -54,48 +28,6 @@
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayRequest:
-    """One attempt of a caller; times are on the clock's elapsed time.
-
-    ``uri`` is path and query as they came.  ``goal_at`` is when an answer that
-    begins is still worth its full price, ``deadline`` when no answer helps.
-    """
-
-    attempt_id: str
-    route: RouteSpec
-    service: str
-    method: str
-    uri: str
-    passed: Headers
-    body: bytes
-    received: timedelta
-    goal_at: timedelta
-    deadline: timedelta
-    work: ModelWork | None = None
-    last_event: str = ""
-    configuration: int = 0
-    """Version of the configuration that its route was taken from."""
-
-    @property
-    def begin_by(self) -> timedelta:
-        """When the first byte of an answer finds the caller still there."""
-        patience = self.route.patience
-        if patience is None:
-            return self.deadline
-        return min(self.deadline, self.received + patience)
-
-    @property
-    def model(self) -> str:
-        """The model asked for, empty for plain services."""
-        return "" if self.work is None else self.work.model
-
-    @property
-    def adapter(self) -> str:
-        """The adapter asked for, empty if none."""
-        return "" if self.work is None else self.work.adapter
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """What the head of a target's answer says.
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -19,6 +19,7 @@
     rank,
 )
 from runhatch_server._tasks import Tasks
+from runhatch_server.decisions import GatewayRequest
 from runhatch_server.fleet import Directory
 from runhatch_server.gateway._app import GatewayApp, MetricsApp, ReadinessApp
 from runhatch_server.gateway._balancer import Balancer
@@ -26,7 +27,6 @@
 from runhatch_server.gateway._connections import ConnectionPool
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._forward import Forwarder
-from runhatch_server.gateway._messages import GatewayRequest
 from runhatch_server.gateway._outside import GatewayOutside
 from runhatch_server.gateway._peers import GatewayPeers
 from runhatch_server.gateway._records import RequestRecorder
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -5,10 +5,10 @@
 from functools import singledispatchmethod
 
 from runhatch_coordination import Clock, LeaseRecord, Membership
+from runhatch_server.decisions import LoadShare
 from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._demand import DemandCounter
-from runhatch_server.gateway._load import LoadShare
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
     DemandOfModel,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -3,8 +3,8 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
+from runhatch_server.decisions import GatewayRequest
 from runhatch_server.gateway._balancer import Grant
-from runhatch_server.gateway._messages import GatewayRequest
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.serving import Refusal
 from runhatch_server.targets import AttemptReason
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from runhatch_coordination import Clock
+from runhatch_server.decisions import GatewayRequest
 from runhatch_server.gateway._balancer import Balancer, Grant
 from runhatch_server.gateway._forward import (
     READ_TIMEOUT,
@@ -12,7 +13,6 @@
     Forwarder,
     OpenedAnswer,
 )
-from runhatch_server.gateway._messages import GatewayRequest
 from runhatch_server.serving import AbortedStreamError
 from runhatch_server.targets import EventSplitter, event_id
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
+from runhatch_server.decisions import GatewayRequest
 from runhatch_server.gateway._answers import GatewayAnswer, StreamAnswer, WholeAnswer
 from runhatch_server.gateway._balancer import Balancer, Grant
 from runhatch_server.gateway._budget import WindowBudget
@@ -14,7 +15,6 @@
     Forwarder,
     OpenedAnswer,
 )
-from runhatch_server.gateway._messages import GatewayRequest
 from runhatch_server.gateway._records import RequestRecord, RequestRecorder
 from runhatch_server.gateway._relay import StreamRelay
 from runhatch_server.routing import RequestKind
--- a/packages/runhatch-server/src/runhatch_server/gateway/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_service.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
+from runhatch_server.decisions import GatewayRequest
 from runhatch_server.gateway._answers import GatewayAnswer
 from runhatch_server.gateway._budget import WindowBudget
-from runhatch_server.gateway._messages import GatewayRequest
 from runhatch_server.gateway._run import RequestRun, RunParts
 from runhatch_server.gateway._settings import RetryBounds
 from runhatch_server.serving import Refusal
--- a/packages/runhatch-server/tests/test_balancer.py
+++ b/packages/runhatch-server/tests/test_balancer.py
@@ -16,9 +16,9 @@
 )
 
 from runhatch_coordination import SystemClock
+from runhatch_server.decisions import LATE_TIER, LoadShare
 from runhatch_server.fleet import ExpectedLoad, HeldModels
 from runhatch_server.gateway._balancer import Balancer, Grant
-from runhatch_server.gateway._load import LATE_TIER, LoadShare
 from runhatch_server.routing import RequestKind
 from runhatch_server.serving import Reason, Refusal
 
