--- a/packages/runhatch-server/src/runhatch_server/decisions/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load.py
@@ -30,7 +30,7 @@
 SILENT_FACTOR = 4.0
 """A target is silent if its oldest request has waited so long and so many times
 longer than predicted, and nothing was heard from it meanwhile."""
-BUSY_TIME = timedelta(seconds=1)
+BUSY_TIME = timedelta(seconds=2)
 """Over which the share of a target's time that prompts take is averaged: long enough
 for clumps of some three requests to pass, short beside the answers in progress."""
 STEP_MS = 12.0
--- a/packages/runhatch-server/tests/test_residency_policy.py
+++ b/packages/runhatch-server/tests/test_residency_policy.py
@@ -148,6 +148,69 @@
         assert loads(controls, book) == []
 
 
+class TestPatience:
+    """What gives way goes by whether those who ask can wait, not by their rank."""
+
+    def book(self, *asked_for):
+        """Return demand of the last ten seconds: model, goal and rank of each."""
+        book = DemandBook()
+        for model, goal, priority in asked_for:
+            wanted = Wanted("engine", model, "", priority, seconds(goal))
+            for second in range(10):
+                share = DemandShare(wanted, 1, 0, 20.0)
+                book.add("n1", share, NOW - seconds(9 - second))
+        return book
+
+    @pytest.mark.parametrize("priority", [0, 1, 2])
+    def test_a_model_of_patient_requests_gives_way_first(self, priority):
+        """A load of two seconds is in time for them, and lost time for the others."""
+        controls = [control("t1", ["m0", "m1", "m2"], on_disk=["m5"])]
+        book = self.book(
+            ("m0", 0.4, priority), ("m1", 5, priority), ("m2", 0.4, priority)
+        )
+        for _ in range(4):
+            add(book, "m5", 0, 2, 2)
+
+        assert loads(controls, book) == [("m5", "t1", ("m1",))]
+
+    def test_a_model_not_asked_for_yet_stays_before_patient_ones(self):
+        """Demand moves on without warning, and hurried requests cannot wait."""
+        controls = [control("t1", ["m0", "m1", "m2"], on_disk=["m5"])]
+        book = self.book(("m2", 0.4, 0))
+        seldom = Wanted("engine", "m1", "", 1, seconds(5))
+        book.add("n1", DemandShare(seldom, 1, 0, 20.0), NOW - seconds(3))
+        for _ in range(4):
+            add(book, "m5", 0, 2, 2)
+
+        assert loads(controls, book) == [("m5", "t1", ("m1",))]
+
+    def test_a_patient_miss_counts_for_longer(self):
+        """Its caller still waits when a load from the store is done."""
+        wanted = Wanted("engine", "m5", "", 1, seconds(5))
+        hurried = Wanted("engine", "m4", "", 0, seconds(0.4))
+        book = DemandBook()
+        for each in (wanted, hurried):
+            book.add("n1", DemandShare(each, 1, 1, 20.0), NOW)
+        later = NOW + seconds(2)
+
+        assert book.model("engine", "m5", later).waiting(later) > 0
+        assert book.model("engine", "m4", later).waiting(later) == 0
+
+
+class TestDemandToldAgain:
+    """What a new orderer is told of the seconds before it took over."""
+
+    @pytest.mark.parametrize("rate", [2, 4, 16])
+    def test_tells_about_the_rate_there_was(self, rate):
+        """Neither nothing, by which models would give way, nor a burst."""
+        wanted = Wanted("engine", "m0", "", 0, seconds(0.4))
+        book = DemandBook()
+        share = DemandShare(wanted, rate * 3, 0, rate * 60.0)
+        book.add("n1", share, NOW - seconds(3))
+
+        assert 0.5 * rate < book.model("engine", "m0", NOW).rate < 1.5 * rate
+
+
 class TestReplicas:
     """Models whose targets are too busy."""
 
