--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -9,7 +9,6 @@
 import random
 import threading
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from datetime import timedelta
 
 from runhatch_coordination import Clock
@@ -28,6 +27,7 @@
     judge,
 )
 from runhatch_server.fleet import Directory, Target
+from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._held import HeldRequests, Wait
 from runhatch_server.refusals import Executed, Prediction, Reason, Refusal
 from runhatch_server.residency import HURRIED_GOAL
@@ -63,21 +63,6 @@
 """A node's share of a target's connections, however many nodes there are."""
 
 
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """A place for one request at one target; must be given back by ``released``."""
-
-    number: int
-    target: Target
-    request: GatewayRequest
-    predicted_ms: float
-    granted_at: timedelta
-    tier: int
-    busy: float
-    pause_ms: float
-    most_connections: int
-
-
 class Balancer:
     """All requests of one node that are at targets; safe for many threads."""
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
@@ -7,8 +7,8 @@
 
 from runhatch_coordination import Clock
 from runhatch_server.decisions import GatewayRequest, Headers
-from runhatch_server.gateway._balancer import Grant
 from runhatch_server.gateway._connections import ConnectionPool, TargetConnection
+from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._messages import AnswerHead, HeaderCodec
 from runhatch_server.targets import (
     AttemptReason,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -4,7 +4,7 @@
 
 from runhatch_coordination import Clock
 from runhatch_server.decisions import GatewayRequest
-from runhatch_server.gateway._balancer import Grant
+from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._pace import StreamPace
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.refusals import Refusal
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -6,13 +6,14 @@
 
 from runhatch_coordination import Clock
 from runhatch_server.decisions import GatewayRequest
-from runhatch_server.gateway._balancer import Balancer, Grant
+from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._forward import (
     READ_TIMEOUT,
     WATCH_SLICE,
     Forwarder,
     OpenedAnswer,
 )
+from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._pace import StreamPace
 from runhatch_server.http import AbortedStreamError
 from runhatch_server.targets import EventSplitter, event_id
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -8,13 +8,14 @@
 from runhatch_coordination import Clock
 from runhatch_server.decisions import GatewayRequest
 from runhatch_server.gateway._answers import GatewayAnswer, StreamAnswer, WholeAnswer
-from runhatch_server.gateway._balancer import Balancer, Grant
+from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._budget import WindowBudget
 from runhatch_server.gateway._forward import (
     AttemptResult,
     Forwarder,
     OpenedAnswer,
 )
+from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._records import RequestRecord, RequestRecorder
 from runhatch_server.gateway._relay import StreamRelay
 from runhatch_server.refusals import Executed, Reason, Refusal
--- a/packages/runhatch-server/tests/test_admission.py
+++ b/packages/runhatch-server/tests/test_admission.py
@@ -18,7 +18,8 @@
 
 from runhatch_coordination import SystemClock
 from runhatch_server.decisions import LoadShare, Outstanding, TargetLoad, WorkRates
-from runhatch_server.gateway._balancer import Balancer, Grant
+from runhatch_server.gateway._balancer import Balancer
+from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._pace import StreamPace
 from runhatch_server.refusals import Reason
 from runhatch_server.routing import RouteTable, RoutingConfiguration, ServiceShare
