Peer messages are of version 3

Cause: demand tells the goal of its routes in the middle of a message and how far back it goes; a node of the version before would take the goal for a number of requests during a replacement of all VMs. Ruled out: fields at the end with defaults, since the goal is part of what demand is counted by. Change: the number of the version, by which nodes pass over what they cannot read.

--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -7,7 +7,7 @@
 
 from runhatch_coordination import MemberFact, Standing, Vm
 
-VERSION = 2
+VERSION = 3
 
 
 class Member(msgspec.Struct, frozen=True, tag="member", array_like=True):
