A comment says host, not a word of the platform's pages

Cause: the comment on the dispatcher's threads used a word that means a VM on the users' pages. Ruled out: the two other places found are the published names on the wire in a stand-in and its test, which must stay.

--- a/packages/runhatch-server/src/runhatch_server/http/_dispatcher.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_dispatcher.py
@@ -19,7 +19,7 @@
     """A thread for each request in progress, up to ``most``; idle ones are ended.
 
     Sixty nodes with 200 threads each from the start had 12,600 for some 160 requests
-    a second, more than one machine let them start beside other work.
+    a second, more than one host let them start beside other work.
     """
 
     def __init__(self, most: int) -> None:
