A plan tells what it weighed and left

Cause: lines told the loads that were chosen; why a model that callers were refused for was not loaded stood nowhere, so the hypotheses on models never served could not be told apart. A plan now returns what it left and why (no place, not worth it, target busy), with what waits, what would be won and lost and how long the load would take; a load held back by the limit of the weight store is told too. One line a model each 2 s at the most.

No change of what is decided: places are compared as before.

--- a/packages/runhatch-server/src/runhatch_server/residency/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/__init__.py
@@ -18,7 +18,13 @@
     TargetReport,
 )
 from runhatch_server.residency._permits import LoadPermits
-from runhatch_server.residency._policy import LoadModel, plan_models
+from runhatch_server.residency._policy import (
+    LeftBecause,
+    LeftModel,
+    LoadModel,
+    ModelPlan,
+    plan_models,
+)
 from runhatch_server.residency._telling import Holding
 from runhatch_server.residency._view import FleetView
 
@@ -30,9 +36,12 @@
     "FleetView",
     "Holding",
     "Intent",
+    "LeftBecause",
+    "LeftModel",
     "LoadAdapter",
     "LoadModel",
     "LoadPermits",
+    "ModelPlan",
     "OrderClient",
     "OrderTimes",
     "Orderer",
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/_left_log.py
@@ -0,0 +1,53 @@
+"""Log lines on models that requests wait for and that nothing is loaded for."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+
+from runhatch_server.observability import log_change
+from runhatch_server.residency._policy import LeftModel, LoadModel
+
+LOG_EVERY = timedelta(seconds=2)
+"""Between two lines on one model.  Plans are made each 60 ms; with 26 models of which
+eight are held nowhere that is four lines a second at the most."""
+
+
+class LeftLog:
+    """Tells what plans weighed and left; used by the orderer's loop alone."""
+
+    def __init__(self) -> None:
+        self._told_at: dict[str, timedelta] = {}
+
+    def note(self, left: Iterable[LeftModel], now: timedelta) -> None:
+        """Log the models in ``left`` that were not logged lately."""
+        for model in left:
+            if not self._is_due(model.model, now):
+                continue
+            log_change(
+                "load_left",
+                model=model.model,
+                because=model.because.value,
+                target=model.target,
+                waiting=round(model.waiting, 2),
+                rate=round(model.rate, 3),
+                won=round(model.won, 2),
+                lost=round(model.lost, 2),
+                seconds=round(model.seconds, 2),
+            )
+
+    def no_permit(self, load: LoadModel, now: timedelta) -> None:
+        """Log that ``load`` must wait for the weight store."""
+        if self._is_due(load.model, now):
+            log_change(
+                "load_left",
+                model=load.model,
+                because="store limit",
+                target=load.target,
+                value=round(load.value, 2),
+            )
+
+    def _is_due(self, model: str, now: timedelta) -> bool:
+        told_at = self._told_at.get(model)
+        if told_at is not None and now - told_at < LOG_EVERY:
+            return False
+        self._told_at[model] = now
+        return True
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -23,6 +23,7 @@
 from runhatch_server.residency._control import Intent, Step, TargetControl
 from runhatch_server.residency._demand import DemandBook, DemandShare
 from runhatch_server.residency._handover import OrderTimes, Resignation
+from runhatch_server.residency._left_log import LeftLog
 from runhatch_server.residency._orders import (
     OrderClient,
     TargetReport,
@@ -89,6 +90,7 @@
         )
         self._teller = HoldingsTeller(on_holdings, self._load_time)
         self._lock = threading.Lock()
+        self._left_log = LeftLog()
         self._demand = DemandBook()
         self._controls: dict[str, TargetControl] = {}
         self._permits = LoadPermits(load_window, clock.elapsed())
@@ -317,8 +319,10 @@
             view = FleetView(service, engine, members, self._demand, now)
             for adapter in plan_adapters(view):
                 self._load_adapter(adapter, epoch)
-            for load in plan_models(view):
+            plan = plan_models(view)
+            for load in plan.loads:
                 self._begin(load, epoch, now)
+            self._left_log.note(plan.left, now)
 
     def _begin(self, load: LoadModel, epoch: Epoch, now: timedelta) -> None:
         control = self._controls[load.target]
@@ -331,6 +335,7 @@
         if control.loads_from_store(load.model) and not self._permits.take(
             engine.loads_per_second, now
         ):
+            self._left_log.no_permit(load, now)
             return
         log_change(
             "load_planned",
--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 
 from runhatch_server.residency._control import TargetControl
 from runhatch_server.residency._view import (
@@ -39,6 +40,9 @@
 """The same for a model that a few requests have asked for: they tell of no demand
 that stays."""
 
+NOT_HELD, TOO_BUSY = "not held", "too busy"
+"""Reasons for a load, as logs tell them."""
+
 
 @dataclass(frozen=True, slots=True)
 class LoadModel:
@@ -49,22 +53,104 @@
     evict: tuple[str, ...]
     reason: str
     value: float
-    startable: bool = True
 
 
-def plan_models(view: FleetView) -> list[LoadModel]:
-    """Return the loads to begin now, no two on one target."""
+class LeftBecause(Enum):
+    """Why a model that no target holds is not loaded now."""
+
+    NO_PLACE = "no place"
+    """No target may drop enough for it, or all that may are taken."""
+    NOT_WORTH_IT = "not worth it"
+    """What would give way, and the time that the load takes, outweigh it."""
+    TARGET_BUSY = "target busy"
+    """Its best place takes no order yet."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeftModel:
+    """A model that requests wait for and that no load was begun for.
+
+    ``target`` is the best place, empty if there is none.  ``waiting``, ``won`` and
+    ``lost`` are in weighted requests, ``rate`` in those a second; ``seconds`` is how
+    long the load would take.
+    """
+
+    model: str
+    because: LeftBecause
+    waiting: float
+    rate: float
+    target: str = ""
+    won: float = 0.0
+    lost: float = 0.0
+    seconds: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ModelPlan:
+    """The loads to begin now, no two on one target, and what is left waiting."""
+
+    loads: list[LoadModel]
+    left: list[LeftModel]
+
+
+def plan_models(view: FleetView) -> ModelPlan:
+    """Decide which models to load now."""
     taken: set[str] = set()
-    planned = []
+    plan = ModelPlan([], [])
     for need in _needs(view):
         best = _best_place(view, need, taken)
-        if best is None:
-            continue
-        # A target that is busy for a moment may still be the best place.
-        taken.add(best.target)
-        if best.startable:
-            planned.append(best)
-    return planned
+        if best is not None and best.won > best.lost:
+            # A target that is busy for a moment may still be the best place.
+            taken.add(best.target)
+            if best.startable:
+                plan.loads.append(best.load(need))
+                continue
+        if need.reason == NOT_HELD:
+            plan.left.append(_left(need, best))
+    return plan
+
+
+def _left(need: "_Need", best: "_Place | None") -> LeftModel:
+    if best is None:
+        because = LeftBecause.NO_PLACE
+        return LeftModel(need.model.name, because, need.waiting, need.rate)
+    because = LeftBecause.NOT_WORTH_IT
+    if best.won > best.lost:
+        because = LeftBecause.TARGET_BUSY
+    return LeftModel(
+        need.model.name,
+        because,
+        need.waiting,
+        need.rate,
+        best.target,
+        best.won,
+        best.lost,
+        best.seconds,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class _Place:
+    """What loading a model on one target wins and costs, in weighted requests."""
+
+    target: str
+    evict: tuple[str, ...]
+    won: float
+    lost: float
+    seconds: float
+    busy: float
+    """What the target's other work makes this place worth less than others."""
+    startable: bool
+
+    @property
+    def value(self) -> float:
+        """What is left of the gain; places are compared by it."""
+        return self.won - self.lost - self.busy
+
+    def load(self, need: "_Need") -> LoadModel:
+        """Return the load of what is needed here."""
+        model = need.model.name
+        return LoadModel(self.target, model, self.evict, need.reason, self.value)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,12 +184,12 @@
             waiting += max(0.0, demand.unmet - 1.0) * UNMET_WEIGHT
             if waiting > 0 or demand.rate >= WORTH_KEEPING_RATE:
                 lasts = PERSISTENCE_SECONDS if demand.is_steady else SELDOM_SECONDS
-                need = _Need(model, waiting, demand.weighted, "not held", lasts)
+                need = _Need(model, waiting, demand.weighted, NOT_HELD, lasts)
                 needs.append(need)
             continue
         relief = _relief(view, model.name)
         if relief > 0:
-            needs.append(_Need(model, 0.0, relief * demand.weighted, "too busy"))
+            needs.append(_Need(model, 0.0, relief * demand.weighted, TOO_BUSY))
     needs.sort(key=lambda need: need.won(0.0), reverse=True)
     return needs
 
@@ -123,18 +209,21 @@
     return min(1.0, beyond / total)
 
 
-def _best_place(view: FleetView, need: _Need, taken: set[str]) -> LoadModel | None:
+def _best_place(view: FleetView, need: _Need, taken: set[str]) -> _Place | None:
+    """Return the target that would win most, also if it would win nothing."""
     places = [
         place
         for control in view.controls
         if control.target.incarnation not in taken
         if (place := _place(view, control, need)) is not None
     ]
-    return max(places, key=lambda place: place.value, default=None)
+    return max(
+        places, key=lambda place: (place.won > place.lost, place.value), default=None
+    )
 
 
-def _place(view: FleetView, control: TargetControl, need: _Need) -> LoadModel | None:
-    """Return what loading a model on ``control`` would win, if it would."""
+def _place(view: FleetView, control: TargetControl, need: _Need) -> _Place | None:
+    """Return what loading a model on ``control`` would win, if it may be."""
     model = need.model
     if model.name in control.held:
         return None
@@ -157,18 +246,20 @@
         # What gives way would be missed all the time that the load takes.
         return None
     seconds = ready_in.total_seconds()
-    missed = lost * max(1.0, seconds / HORIZON_SECONDS)
-    price = LOAD_SECOND_PRICE + view.blocked_by(control)
-    won = need.won(seconds) - missed * HYSTERESIS - seconds * price
+    missed = lost * max(1.0, seconds / HORIZON_SECONDS) * HYSTERESIS
+    price = seconds * (LOAD_SECOND_PRICE + view.blocked_by(control))
     if from_store:
-        won -= STORE_LOAD_PRICE
-    if won <= 0:
-        return None
-    # Between places that win as much, the least busy one.
-    won -= view.load_of(control) * BUSY_PRICE
-    startable = control.is_free_at(view.now) and control.intent is None
-    name = control.target.incarnation
-    return LoadModel(name, model.name, victims, need.reason, won, startable)
+        price += STORE_LOAD_PRICE
+    return _Place(
+        control.target.incarnation,
+        victims,
+        need.won(seconds),
+        missed + price,
+        seconds,
+        # Between places that win as much, the least busy one.
+        view.load_of(control) * BUSY_PRICE,
+        control.is_free_at(view.now) and control.intent is None,
+    )
 
 
 def _victims(
--- a/packages/runhatch-server/tests/test_residency_policy.py
+++ b/packages/runhatch-server/tests/test_residency_policy.py
@@ -58,7 +58,7 @@
 
 
 def loads(controls, book):
-    planned = plan_models(view(controls, book))
+    planned = plan_models(view(controls, book)).loads
     return [(load.model, load.target, load.evict) for load in planned]
 
 
