A model that requests miss is owed more the longer they do

Cause: a load was made only if the requests that miss a model now win more than it costs. A load from the weight store costs 3.3 weighted requests and more, which requests that come one each ten seconds never win, however long they go on. Each second that a model is missed now adds 0.25, from 30 s on twice as much; one target in eight, one at the least, may load from the store for that alone. How long a model is missed outlasts its orderer: nodes keep it, and tell a new one.

--- a/benchmarks/platform_losses.py
+++ b/benchmarks/platform_losses.py
@@ -29,12 +29,13 @@
     window: int
 
 
-def lines(paths: Iterable[str]) -> Iterator[dict[str, Any]]:
-    """Yield the request lines; what a collector puts before them is passed over."""
+def lines(paths: Iterable[str], *types: str) -> Iterator[dict[str, Any]]:
+    """Yield the lines of these types; what a collector puts before is passed over."""
+    wanted = tuple(f'"message_type": "{each}"' for each in types)
     for path in paths:
         for raw in Path(path).read_text(errors="replace").splitlines():
             _, brace, rest = raw.partition("{")
-            if '"message_type": "request"' not in rest:
+            if not any(each in rest for each in wanted):
                 continue
             try:
                 yield json.loads(brace + rest)
@@ -77,7 +78,7 @@
 
 def main() -> None:
     """Print the tables."""
-    found = list(lines(sys.argv[1:]))
+    found = list(lines(sys.argv[1:], "request"))
     if not found:
         print(__doc__)
         return
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -10,6 +10,7 @@
 from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._demand import DemandCounter
+from runhatch_server.gateway._missed import MissedModels
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
     DemandOfModel,
@@ -81,6 +82,7 @@
         self._missers: dict[str, timedelta] = {}
         self._recent: deque[tuple[timedelta, list[DemandShare]]] = deque()
         self._owes_recent = False
+        self._missed = MissedModels()
 
     @property
     def orderer_epoch(self) -> int:
@@ -137,11 +139,18 @@
             self._recent.popleft()
         if self._owes_recent and self._orderer_address:
             self._owes_recent = False
-            self._send_demand(_summed(self._recent), DEMAND_AGAIN)
+            recent = _summed(self._recent) + self._missed.shares(now)
+            self._send_demand(recent, DEMAND_AGAIN)
         shares = counter.take()
         self._recent.append((now, shares))
+        self._missed.note(shares, self._is_held, now)
         self._send_demand(shares, timedelta())
 
+    def _is_held(self, wanted: Wanted) -> bool:
+        return bool(
+            self._directory.holders(wanted.service, wanted.model, wanted.adapter)
+        )
+
     def _send_demand(self, shares: list[DemandShare], age: timedelta) -> None:
         if not shares:
             return
@@ -331,6 +340,7 @@
         share.requests,
         share.missed,
         round(share.work_ms),
+        round(share.missed_for / timedelta(milliseconds=1)),
     )
 
 
@@ -346,6 +356,7 @@
         demand.requests,
         demand.missed,
         float(demand.work_ms),
+        timedelta(milliseconds=demand.missed_for_ms),
     )
 
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -101,7 +101,8 @@
     """Requests for a model, perhaps with an adapter, since the last count.
 
     Answers to them must begin within ``goal_ms``.  ``missed`` of them found no
-    target that holds it; ``work_ms`` is the prompt reading that they ask for.
+    target that holds it; ``work_ms`` is the prompt reading that they ask for.  A new
+    orderer is told for how long it has been missed.
     """
 
     service: str
@@ -112,6 +113,7 @@
     requests: int
     missed: int
     work_ms: int
+    missed_for_ms: int = 0
 
 
 class ModelDemand(msgspec.Struct, frozen=True, tag="asked", array_like=True):
--- a/packages/runhatch-server/src/runhatch_server/residency/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/__init__.py
@@ -4,6 +4,7 @@
 from runhatch_server.residency._control import Intent, Step, TargetControl
 from runhatch_server.residency._demand import (
     HURRIED_GOAL,
+    MISSES_REMEMBERED,
     Demand,
     DemandBook,
     DemandShare,
@@ -19,6 +20,7 @@
 )
 from runhatch_server.residency._permits import LoadPermits
 from runhatch_server.residency._policy import (
+    OVERDUE,
     LeftBecause,
     LeftModel,
     LoadModel,
@@ -41,7 +43,9 @@
     "LoadAdapter",
     "LoadModel",
     "LoadPermits",
+    "MISSES_REMEMBERED",
     "ModelPlan",
+    "OVERDUE",
     "OrderClient",
     "OrderTimes",
     "Orderer",
--- a/packages/runhatch-server/src/runhatch_server/residency/_control.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_control.py
@@ -69,6 +69,7 @@
     """When adapters that were ordered will be there."""
     removing: set[str] = field(default_factory=set)
     loading: str = ""
+    loading_reason: str = ""
     ready_at: timedelta = timedelta()
     ask_at: timedelta = timedelta()
     calling: bool = False
@@ -144,6 +145,17 @@
         """Tell whether a load of ``model`` draws on the weight store."""
         return model not in self.copies_in_memory and model not in self.copies_on_disk
 
+    @property
+    def loading_because(self) -> str:
+        """Why a model is being loaded, or about to be; empty if none is."""
+        return self.loading_reason if self.intent is None else self.intent.reason
+
+    @property
+    def is_loading_from_store(self) -> bool:
+        """Whether a load from the weight store is under way or about to begin."""
+        coming = self.loading if self.intent is None else self.intent.model
+        return bool(coming) and self.loads_from_store(coming)
+
     def protected(self, model: str, adapter: str, now: timedelta) -> bool:
         """Tell whether something was loaded too lately to be dropped."""
         at = self.since.get((model, adapter))
@@ -217,6 +229,7 @@
             self.loading = order.model
             self.ready_at = now + load_time
             self.ask_at = self.ready_at + REPORT_LAG
+            self.loading_reason = self.loading_because
             self.intent = None
             return
         self.step = Step.UNLOADING
@@ -263,6 +276,7 @@
         }
         self.removing.clear()
         self.loading = ""
+        self.loading_reason = ""
         self.step = Step.IDLE
         if self.view() != before:
             self.changed = True
--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -26,6 +26,9 @@
 UNMET_TIME_CONSTANT = timedelta(seconds=20)
 """Over which requests that were missed are remembered, so that a model asked for
 seldom gets its turn."""
+MISSES_REMEMBERED = timedelta(seconds=30)
+"""After so long without a miss it is forgotten since when a model is missed: seldom
+ones are asked for each ten seconds or so."""
 RANK_WEIGHTS = (2.0, 1.6, 1.0)
 """What a request counts by its route's priority: the urgent ones must not be served
 less often than those that can wait.  Ratios near those of their declared goals'
@@ -56,13 +59,15 @@
     """Requests at one node for one thing, since it told last.
 
     ``missed`` of them found no target that holds it; ``work_ms`` is the time that
-    reading their prompts takes.
+    reading their prompts takes.  ``missed_for`` is how long it has been missed there,
+    told to a new orderer.
     """
 
     wanted: Wanted
     requests: int
     missed: int
     work_ms: float
+    missed_for: timedelta = timedelta()
 
 
 def rank_weight(priority: int) -> float:
@@ -91,6 +96,10 @@
     """Weighted requests that were missed since it was held last; fades slowly."""
     hurried_at: timedelta | None = None
     """When a request that could not wait for a load asked for it last."""
+    missed_since: timedelta | None = None
+    """When the first request was missed after it was held last."""
+    missed_at: timedelta = timedelta()
+    """When the newest was."""
     misses: dict[tuple[str, Wanted], tuple[float, timedelta]] = field(
         default_factory=dict
     )
@@ -128,9 +137,24 @@
         """Take in that requests of ``node`` wait for a holder."""
         weighted = missed * rank_weight(wanted.priority)
         self.unmet += weighted
+        self.missed_before(now, now)
         valid = max(LEAST_MISS_VALID, wanted.goal * MISS_VALID_SHARE)
         self.misses[node, wanted] = (weighted, now + valid)
 
+    def missed_before(self, since: timedelta, now: timedelta) -> None:
+        """Take in that it is missed at ``now``, and first was at ``since``."""
+        known = self.missed_since
+        if known is None or now - self.missed_at > MISSES_REMEMBERED:
+            known = since
+        self.missed_since = min(known, since)
+        self.missed_at = max(self.missed_at, now)
+
+    def missed_for(self, now: timedelta) -> timedelta:
+        """Return how long requests have been missing it, zero if they do not."""
+        if self.missed_since is None or now - self.missed_at > MISSES_REMEMBERED:
+            return timedelta()
+        return now - self.missed_since
+
     @property
     def asked(self) -> bool:
         """Whether any request was ever seen for it."""
@@ -158,6 +182,7 @@
     def met(self) -> None:
         """Take in that it is held, so that nothing is owed any more."""
         self.unmet = 0.0
+        self.missed_since = None
 
     def waiting(self, now: timedelta) -> float:
         """Return the weighted requests that wait for a holder now."""
@@ -200,6 +225,15 @@
             adapter = *model, wanted.adapter
             _add(self._adapters.setdefault(adapter, Demand(at=now)), node, share, now)
 
+    def missed_before(self, share: DemandShare, now: timedelta) -> None:
+        """Take in how long a node has been missing something."""
+        wanted = share.wanted
+        if not share.missed_for or wanted.adapter:
+            return
+        model = wanted.service, wanted.model
+        demand = self._models.setdefault(model, Demand(at=now))
+        demand.missed_before(now - share.missed_for, now)
+
     def model(self, service: str, model: str, now: timedelta) -> Demand:
         """Return the demand for a model."""
         demand = self._models.get((service, model))
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -171,10 +171,11 @@
         age: timedelta = timedelta(),
     ) -> None:
         """Take in what ``node`` was asked for within ``age``."""
-        now = self._clock.elapsed() - age
+        now = self._clock.elapsed()
         with self._lock:
             for share in shares:
-                self._demand.add(node, share, now)
+                self._demand.add(node, share, now - age)
+                self._demand.missed_before(share, now)
 
     def step(self) -> None:
         """Make one round: take in answers, ask for reports, plan, order, tell.
@@ -293,6 +294,8 @@
                     target=control.target.incarnation,
                     after=before.value,
                     models=sorted(control.held),
+                    in_memory=sorted(control.copies_in_memory),
+                    on_disk=sorted(control.copies_on_disk),
                     orders=control.orders,
                 )
             return
--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -33,6 +33,17 @@
 """Times what is lost that must be won: against models that take turns."""
 LEAST_DIFFERENCE = 0.2
 """A replica goes only to targets with so much less to do."""
+MISSED_SECOND_VALUE = 0.25
+"""What each second adds, in weighted requests, that requests have been missing a
+model: a load from the weight store costs 3.3 and more, which requests that come one
+each ten seconds never win, so such models were refused all day.  Loads for which
+little gives way come within some ten seconds."""
+MISSED_FOR_LONG = timedelta(seconds=30)
+"""After which a second counts twice, and so on: the last way to be served must not
+wait for as long as busy models are worth."""
+OVERDUE_TARGETS = 1 / 8
+"""Share of the targets, one at the least, that load from the weight store only for
+such models: they take no orders for adapters meanwhile."""
 MUCH_SOONER = timedelta(seconds=2)
 """A load that is under way is passed by if another would be done so much sooner, as
 when a target with a copy on its disk has come back."""
@@ -40,7 +51,7 @@
 """The same for a model that a few requests have asked for: they tell of no demand
 that stays."""
 
-NOT_HELD, TOO_BUSY = "not held", "too busy"
+NOT_HELD, TOO_BUSY, OVERDUE = "not held", "too busy", "overdue"
 """Reasons for a load, as logs tell them."""
 
 
@@ -95,14 +106,15 @@
 
 def plan_models(view: FleetView) -> ModelPlan:
     """Decide which models to load now."""
-    taken: set[str] = set()
     plan = ModelPlan([], [])
+    draft = _Draft(view)
     for need in _needs(view):
-        best = _best_place(view, need, taken)
-        if best is not None and best.won > best.lost:
+        best = _best_place(draft, need)
+        if best is not None and best.is_worth_it:
             # A target that is busy for a moment may still be the best place.
-            taken.add(best.target)
+            draft.taken.add(best.target)
             if best.startable:
+                draft.overdue += best.from_store and best.is_overdue
                 plan.loads.append(best.load(need))
                 continue
         if need.reason == NOT_HELD:
@@ -115,7 +127,7 @@
         because = LeftBecause.NO_PLACE
         return LeftModel(need.model.name, because, need.waiting, need.rate)
     because = LeftBecause.NOT_WORTH_IT
-    if best.won > best.lost:
+    if best.is_worth_it:
         because = LeftBecause.TARGET_BUSY
     return LeftModel(
         need.model.name,
@@ -129,6 +141,27 @@
     )
 
 
+class _Draft:
+    """What a plan has taken so far."""
+
+    def __init__(self, view: FleetView) -> None:
+        self.view = view
+        self.taken: set[str] = set()
+        """Targets that are given a load, or will be."""
+        self.overdue = sum(_loads_overdue(control) for control in view.controls)
+        """Loads of overdue models from the weight store, under way or planned."""
+        self._most_overdue = max(1.0, len(view.controls) * OVERDUE_TARGETS)
+
+    @property
+    def overdue_must_wait(self) -> bool:
+        """Whether enough targets load overdue models from the weight store."""
+        return self.overdue + 1 > self._most_overdue
+
+
+def _loads_overdue(control: TargetControl) -> bool:
+    return control.loading_because == OVERDUE and control.is_loading_from_store
+
+
 @dataclass(frozen=True, slots=True)
 class _Place:
     """What loading a model on one target wins and costs, in weighted requests."""
@@ -141,6 +174,19 @@
     busy: float
     """What the target's other work makes this place worth less than others."""
     startable: bool
+    from_store: bool
+    owed: float
+    """What it wins besides, for the time that the model has been missed."""
+
+    @property
+    def is_worth_it(self) -> bool:
+        """Whether the load is to be made."""
+        return self.won > 0.0 and self.lost < self.won + self.owed
+
+    @property
+    def is_overdue(self) -> bool:
+        """Whether it is made only since the model has been missed for long."""
+        return self.won <= self.lost
 
     @property
     def value(self) -> float:
@@ -149,8 +195,8 @@
 
     def load(self, need: "_Need") -> LoadModel:
         """Return the load of what is needed here."""
-        model = need.model.name
-        return LoadModel(self.target, model, self.evict, need.reason, self.value)
+        reason = OVERDUE if self.is_overdue else need.reason
+        return LoadModel(self.target, need.model.name, self.evict, reason, self.value)
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,6 +209,14 @@
     reason: str
 
     persistence: float = PERSISTENCE_SECONDS
+    missed_for: timedelta = timedelta()
+    """How long requests have been missing it."""
+
+    @property
+    def owed(self) -> float:
+        """What the load wins for the time that the model has been missed."""
+        value = self.missed_for.total_seconds() * MISSED_SECOND_VALUE
+        return value * (1.0 + self.missed_for / MISSED_FOR_LONG)
 
     def won(self, seconds: float) -> float:
         """Return what a load that is done after ``seconds`` wins."""
@@ -184,7 +238,9 @@
             waiting += max(0.0, demand.unmet - 1.0) * UNMET_WEIGHT
             if waiting > 0 or demand.rate >= WORTH_KEEPING_RATE:
                 lasts = PERSISTENCE_SECONDS if demand.is_steady else SELDOM_SECONDS
-                need = _Need(model, waiting, demand.weighted, NOT_HELD, lasts)
+                missed_for = demand.missed_for(view.now)
+                rate = demand.weighted
+                need = _Need(model, waiting, rate, NOT_HELD, lasts, missed_for)
                 needs.append(need)
             continue
         relief = _relief(view, model.name)
@@ -209,21 +265,20 @@
     return min(1.0, beyond / total)
 
 
-def _best_place(view: FleetView, need: _Need, taken: set[str]) -> _Place | None:
+def _best_place(draft: _Draft, need: _Need) -> _Place | None:
     """Return the target that would win most, also if it would win nothing."""
     places = [
         place
-        for control in view.controls
-        if control.target.incarnation not in taken
-        if (place := _place(view, control, need)) is not None
+        for control in draft.view.controls
+        if control.target.incarnation not in draft.taken
+        if (place := _place(draft, control, need)) is not None
     ]
-    return max(
-        places, key=lambda place: (place.won > place.lost, place.value), default=None
-    )
+    return max(places, key=lambda place: (place.is_worth_it, place.value), default=None)
 
 
-def _place(view: FleetView, control: TargetControl, need: _Need) -> _Place | None:
+def _place(draft: _Draft, control: TargetControl, need: _Need) -> _Place | None:
     """Return what loading a model on ``control`` would win, if it may be."""
+    view = draft.view
     model = need.model
     if model.name in control.held:
         return None
@@ -259,6 +314,8 @@
         # Between places that win as much, the least busy one.
         view.load_of(control) * BUSY_PRICE,
         control.is_free_at(view.now) and control.intent is None,
+        from_store,
+        0.0 if from_store and draft.overdue_must_wait else need.owed,
     )
 
 
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -113,6 +113,28 @@
         assert [(each.requests, each.work_ms) for each in fact.demand] == [(3, 60)]
         assert fact.age_ms == 3_000
 
+    @pytest.mark.parametrize(
+        ("model", "missed_for"),
+        [pytest.param("m5", [10_000], id="missed"), pytest.param("m0", [], id="held")],
+    )
+    def test_a_new_one_is_told_for_how_long_models_are_missed(
+        self, clock, model, missed_for
+    ):
+        """Else each change of hands puts a model off that waits for its turn."""
+        peers, links = make_peers(clock, make_target("t1", models=["m0"]))
+        peers.learn_orderer(LeaseRecord("c", 2, 0, "10.0.0.9:1"))
+        demand = DemandCounter()
+        demand.miss(make_request(clock, model=model))
+        peers.tell_demand(demand)
+        clock.advance(seconds(10))
+        links.told.clear()
+
+        peers.learn_orderer(LeaseRecord("b", 3, 0, PEER.address))
+        peers.tell_demand(demand)
+
+        told = [each for _, fact in links.told for each in fact.demand]
+        assert [each.missed_for_ms for each in told] == missed_for
+
     @pytest.mark.parametrize(
         "record",
         [
