A target that starts again is another incarnation; foreign entries name none

Cause: a target's name was taken for its life. One that starts again under its name would have kept what it held, its orders' count, loads, failures and connections; an entry without a state was taken as ready, one of another state as draining, and one that somebody else wrote over a target's left the old one in use.

Change: entries and reports tell when their target started; name and start make the incarnation, which everything but the time between two nodes' orders goes by. What cannot be read is taken as gone, the others hold. A report of another life stops orders and requests until the entry tells of it.

--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -43,7 +43,7 @@
 
 
 class Directory:
-    """Targets by incarnation; readers get immutable values.
+    """Targets by name, one life of each; readers get immutable values.
 
     ``news`` is notified whenever a request that found no target might find
     one now.  A :class:`runhatch_coordination.FeedListener`.
@@ -53,6 +53,7 @@
         self._clock = clock
         self.news = threading.Condition()
         self._targets: dict[str, Target] = {}
+        self._by_incarnation: dict[str, Target] = {}
         self._told: dict[str, _Told] = {}
         self._expected: dict[str, tuple[ExpectedLoad, ...]] = {}
         self._lacking: dict[tuple[str, str, str], timedelta] = {}
@@ -105,6 +106,7 @@
                 self._remove(key, "not listed again")
             if gone:
                 self._rebuild()
+            self._forget_unknown(now)
 
     # What the orderer and answers tell.
 
@@ -126,9 +128,9 @@
 
     # What requests ask.
 
-    def get(self, target: str) -> Target | None:
-        """Return one target, if it is known."""
-        return self._targets.get(target)
+    def get(self, incarnation: str) -> Target | None:
+        """Return one target, if that life of it is known."""
+        return self._by_incarnation.get(incarnation)
 
     def all(self) -> tuple[Target, ...]:
         """Return all targets known."""
@@ -169,13 +171,20 @@
         if entry.value is None:
             self._lose(entry.key)
             return
-        self._missing.pop(entry.key, None)
         known = self._targets.get(entry.key)
+        if known is not None and entry.value.is_older_than(known):
+            # What an earlier life wrote may arrive after it has ended.
+            log_change("target_entry_old", target=known.incarnation)
+            return
+        self._missing.pop(entry.key, None)
+        if known is not None and known.incarnation != entry.value.incarnation:
+            self._remove(entry.key, "started again")
+            known = None
         self._targets[entry.key] = entry.value
         if known is None:
             log_change(
                 "target_learned",
-                target=entry.key,
+                target=entry.value.incarnation,
                 service=entry.value.service,
                 address=f"{entry.value.host}:{entry.value.port}",
                 state=entry.value.state.value,
@@ -185,7 +194,7 @@
         elif known.state is not entry.value.state:
             log_change(
                 "target_draining",
-                target=entry.key,
+                target=entry.value.incarnation,
                 source="store",
                 leaves_in=_seconds(entry.value.leaves_in),
             )
@@ -203,10 +212,23 @@
 
     def _remove(self, key: str, why: str) -> None:
         self._missing.pop(key, None)
-        self._told.pop(key, None)
-        self._expected.pop(key, None)
-        if self._targets.pop(key, None) is not None:
-            log_change("target_gone", target=key, why=why)
+        target = self._targets.pop(key, None)
+        if target is None:
+            return
+        self._told.pop(target.incarnation, None)
+        self._expected.pop(target.incarnation, None)
+        log_change("target_gone", target=target.incarnation, why=why)
+
+    def _forget_unknown(self, now: timedelta) -> None:
+        """Drop what was told of targets, or lives of them, that are not listed."""
+        unknown = [
+            name
+            for name, told in self._told.items()
+            if name not in self._by_incarnation and now - told.at >= TOLD_VALID
+        ]
+        for name in unknown:
+            del self._told[name]
+            self._expected.pop(name, None)
 
     def _forget_corrections(self, target: str) -> None:
         for key in [key for key in self._lacking if key[0] == target]:
@@ -218,19 +240,22 @@
 
     def _rebuild(self) -> None:
         by_service: defaultdict[str, list[Target]] = defaultdict(list)
-        for key, target in self._targets.items():
+        for target in self._targets.values():
             if target.is_ready:
                 by_service[target.service].append(
-                    replace(target, held=self._newest(key, target))
+                    replace(target, held=self._newest(target))
                 )
+        self._by_incarnation = {
+            target.incarnation: target for target in self._targets.values()
+        }
         self._by_service = {
             service: tuple(sorted(targets, key=lambda target: target.incarnation))
             for service, targets in by_service.items()
         }
         self.news.notify_all()
 
-    def _newest(self, key: str, target: Target) -> HeldModels:
-        told = self._told.get(key)
+    def _newest(self, target: Target) -> HeldModels:
+        told = self._told.get(target.incarnation)
         if told is None or self._clock.elapsed() - told.at >= TOLD_VALID:
             return target.held
         return told.held
--- a/packages/runhatch-server/src/runhatch_server/fleet/_targets.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_targets.py
@@ -1,7 +1,7 @@
 """Targets as they tell of themselves while the system runs."""
 
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import datetime, timedelta
 from enum import Enum
 
 
@@ -41,13 +41,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """One life of one target; ``incarnation`` is its name and never reused.
+    """One life of one target.
 
-    Its address may be given to another target later.  ``leaves_in`` is set when
-    it will be taken away at short notice.
+    A target may start again under its ``name``; it then holds nothing, and counts
+    its orders anew.  Its address may be given to another target later.
+    ``leaves_in`` is set when it will be taken away at short notice.
+
+    >>> from datetime import UTC
+    >>> born = datetime.fromtimestamp(1.5, UTC)
+    >>> made = Target("i", "s", "h", 1, "d", 8, TargetState.READY, started_at=born)
+    >>> made.incarnation
+    'i@1500'
     """
 
-    incarnation: str
+    name: str
     service: str
     host: str
     port: int
@@ -58,8 +65,25 @@
     copies: StoredCopies = StoredCopies()
     slow_start_left: timedelta = timedelta()
     leaves_in: timedelta | None = None
+    started_at: datetime | None = None
+    """``None`` if it does not tell; its name is then new after each start."""
+    incarnation: str = field(init=False)
+    """Names this life of it, and no other."""
+
+    def __post_init__(self) -> None:
+        """Name the incarnation; it is looked at for each request."""
+        named = self.name
+        if self.started_at is not None:
+            named += f"@{round(self.started_at.timestamp() * 1000)}"
+        object.__setattr__(self, "incarnation", named)
 
     @property
     def is_ready(self) -> bool:
         """Whether it takes new work."""
         return self.state is TargetState.READY
+
+    def is_older_than(self, other: "Target") -> bool:
+        """Tell whether this is an earlier life than ``other``."""
+        if self.started_at is None or other.started_at is None:
+            return False
+        return self.started_at < other.started_at
--- a/packages/runhatch-server/src/runhatch_server/residency/_control.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_control.py
@@ -203,6 +203,9 @@
     def reported(self, report: TargetReport, now: timedelta) -> None:
         """Take in a report; one older than what is known changes nothing."""
         self.calling = False
+        if self._is_of_other_life(report):
+            self._ended(now)
+            return
         if report.orders < self.orders and self.step is not Step.DOUBT:
             self.ask_at = now + REPORT_LAG
             return
@@ -214,6 +217,25 @@
         self.orders = report.orders
         self._settle(report, now)
 
+    def _is_of_other_life(self, report: TargetReport) -> bool:
+        known = self.target.started_at
+        return None not in (known, report.started_at) and known != report.started_at
+
+    def _ended(self, now: timedelta) -> None:
+        """Take in that the target has started again, and holds nothing of before.
+
+        Its new life is ordered once its entry tells of it.
+        """
+        self.held = {}
+        self.coming.clear()
+        self.removing.clear()
+        self.loading = ""
+        self.loading_reason = ""
+        self.intent = None
+        self.changed = True
+        self.step = Step.DOUBT
+        self.ask_at = now + DOUBT_POLL
+
     def unanswered(self, now: timedelta) -> None:
         """Take in that a report could not be had."""
         self.calling = False
--- a/packages/runhatch-server/src/runhatch_server/residency/_handover.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_handover.py
@@ -30,7 +30,8 @@
 class OrderTimes:
     """From when on this node may order each target, and when it last did.
 
-    ``between`` is the time that must lie between the orders of two nodes.
+    ``between`` is the time that must lie between the orders of two nodes.  Targets
+    go by name here: one that has started again is still the same to order.
     :meth:`begin` and :meth:`sent` may be called from any thread.
     """
 
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -141,7 +141,8 @@
                 self._resigned = resignation, self._clock.elapsed()
             if self._epoch and self._lease.taken_epoch == resignation.epoch:
                 self._wait_for_last_holder()
-                for name, control in self._controls.items():
+                for control in self._controls.values():
+                    name = control.target.name
                     control.order_from = self._times.may_order_from(name)
         self._lease.observe_resigned(resignation.epoch)
 
@@ -238,17 +239,19 @@
             for target in self._directory.all()
             if self._has_engine(target)
         }
-        for name in set(self._controls) - set(known):
-            del self._controls[name]
-            self._times.forget(name, self._clock.elapsed())
-        for name, target in known.items():
-            control = self._controls.get(name)
+        named = {target.name for target in known.values()}
+        for incarnation in set(self._controls) - set(known):
+            gone = self._controls.pop(incarnation).target.name
+            if gone not in named:
+                self._times.forget(gone, self._clock.elapsed())
+        for incarnation, target in known.items():
+            control = self._controls.get(incarnation)
             if control is None:
                 control = TargetControl(target, ask_at=self._clock.elapsed())
                 held = target.held.adapters_by_model
                 control.held = {model: set(names) for model, names in held.items()}
-                control.order_from = self._times.may_order_from(name)
-                self._controls[name] = control
+                control.order_from = self._times.may_order_from(target.name)
+                self._controls[incarnation] = control
             control.met(target)
             control.arrive(self._clock.elapsed())
 
--- a/packages/runhatch-server/src/runhatch_server/residency/_orders.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orders.py
@@ -1,6 +1,7 @@
 """Orders to targets, and what targets report, as the orderer sees them."""
 
 from dataclasses import dataclass
+from datetime import datetime
 from typing import Protocol
 
 from runhatch_coordination import Unavailable
@@ -30,7 +31,8 @@
 
     ``orders`` counts the orders it has taken; ``busy`` tells that one which
     concerns a model is being carried out.  ``coming`` are adapters on their way,
-    as pairs of model and adapter.
+    as pairs of model and adapter.  ``started_at`` is when this life of it began, if
+    it tells.
     """
 
     orders: int
@@ -40,6 +42,7 @@
     copies: StoredCopies
     running: int
     waiting: int
+    started_at: datetime | None = None
 
 
 class OrderClient(Protocol):
--- a/packages/runhatch-server/src/runhatch_server/residency/_sending.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_sending.py
@@ -64,15 +64,15 @@
         It counts as on its way before the lease is looked at: a resignation between
         the two would not name its target, and a successor would order it at once.
         """
-        self._times.begin(target.incarnation)
+        self._times.begin(target.name)
         epoch = self._held_epoch()
         if epoch is None or epoch.number != order.fence:
-            self._times.unsent(target.incarnation)
+            self._times.unsent(target.name)
             return None
         begun = self._clock.elapsed()
         outcome = self._client.give(target, order)
         ended = self._clock.elapsed()
-        self._times.sent(target.incarnation, ended)
+        self._times.sent(target.name, ended)
         seconds = (ended - begun).total_seconds()
         self._metrics.order_seconds.labels(order.kind.value).observe(seconds)
         return outcome
--- a/packages/runhatch-server/tests/test_target_control.py
+++ b/packages/runhatch-server/tests/test_target_control.py
@@ -190,3 +190,37 @@
 
 TestEngine = Engine.TestCase
 TestEngine.settings = settings(max_examples=150, stateful_step_count=30, deadline=None)
+
+
+class TestStartedAgain:
+    """A target that has started again under its name."""
+
+    def report(self, born):
+        started = make_target(born=born).started_at
+        held = HeldModels({"m1": frozenset()})
+        copies = StoredCopies()
+        return TargetReport(
+            0, held, False, frozenset(), copies, 0, 0, started_at=started
+        )
+
+    def test_holds_nothing_of_before_and_gets_no_order(self):
+        control = TargetControl(make_target(models=["m0"], born=100))
+        control.reported(self.report(100), seconds(0))
+        assert control.holds("m1")
+
+        control.reported(self.report(200), seconds(1))
+
+        assert control.held == {}
+        assert control.changed
+        assert not control.is_free
+
+    @pytest.mark.parametrize(
+        ("known", "told"), [(100, 100), (100, None), (None, 100), (None, None)]
+    )
+    def test_one_that_has_not_is_believed(self, known, told):
+        control = TargetControl(make_target(models=["m0"], born=known))
+
+        control.reported(self.report(told), seconds(0))
+
+        assert control.holds("m1")
+        assert control.is_free
--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -48,6 +48,8 @@
     runs: list[Run] = field(default_factory=list)
     faults: Document = field(default_factory=lambda: dict(NO_FAULTS))
     lock: threading.Lock = field(default_factory=threading.Lock)
+    born_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
+    """Unix time of its start."""
 
     def routes(self) -> Routes:
         """Return the application."""
@@ -68,8 +70,12 @@
             "address": f"127.0.0.1:{self.port}",
             # The published name of the failure domain.
             "zone": self.failure_domain,
+            "version": "v1",
             "slots": 8,
             "state": self.state,
+            "cold_left_ms": 0,
+            "sequence": self.orders,
+            "born": self.born_ms,
             "models": self._held(),
             "available": {"in_memory": [], "on_disk": sorted(self.models)},
         }
@@ -79,7 +85,12 @@
     def report(self, call: Call) -> Reply:
         """Tell what is held."""
         return reply_json(
-            {"models": self._held(), "busy": self.busy, "sequence": self.orders}
+            {
+                "models": self._held(),
+                "busy": self.busy,
+                "sequence": self.orders,
+                "born": self.born_ms,
+            }
         )
 
     def order(self, call: Call) -> Reply:
--- a/tests/adapter/test_platform_store.py
+++ b/tests/adapter/test_platform_store.py
@@ -163,6 +163,20 @@
 
         assert [entry.key for entry in changes.entries] == ["b"]
 
+    @pytest.mark.parametrize("listed", [True, False])
+    def test_where_rows_name_targets_such_a_row_is_gone(self, platform, store, listed):
+        """Somebody else may write over a target's entry; the others hold."""
+        feed = StoreFeed(store, "watched", decode, unreadable_is_gone=True)
+        self.write(platform, "a", 1)
+        self.write(platform, "b", 2)
+        version = feed.read().version
+        self.write(platform, "a", "bad")
+
+        found = feed.read() if listed else feed.changes(version, timedelta(seconds=1))
+
+        assert Entry("a", None) in found.entries
+        assert not listed or Entry("b", b"2") in found.entries
+
     def test_a_removed_row_has_no_value(self, platform, feed):
         self.write(platform, "a", 1)
         version = feed.read().version
