Models that no target has a copy of are copied while nobody asks

Once callers ask, a load from there takes nine seconds in which its target takes no other order; before they come it costs nobody anything.

Change: while nobody has asked for two seconds, and all targets are known for one, half of the targets at the most load such models, each in place of one that has a single holder and no adapters and can be loaded again from a copy on that target; no model again for ten minutes. The orderer's part that carries loads out is a module of its own.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -307,7 +307,7 @@
 
     def _on_routes(self, routes: RouteTable) -> None:
         self._balancer.configure(routes.services, routes.max_gaps)
-        self._orderer.services = routes.services
+        self._orderer.declare(routes.services)
         self._servers[0].limit(_server_limits(routes.configuration.limits))
         self._app.routes = routes
 
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/_copies.py
@@ -0,0 +1,145 @@
+"""Copies of weights that are made while nobody asks for anything.
+
+A model that no target keeps a copy of takes several times longer to load than one
+that lies on a target's disk, and keeps its target from other orders all that time:
+9 s against 2 s.  Before callers come, and when they have all gone, that time costs
+nobody anything.
+"""
+
+from collections import Counter
+from datetime import timedelta
+
+from runhatch_server.residency._control import Step, TargetControl
+from runhatch_server.residency._policy import LoadModel
+from runhatch_server.residency._view import FleetView
+from runhatch_server.routing import EngineModel
+
+QUIET = timedelta(seconds=2)
+"""How long nobody must have asked a service for anything: callers of a service in use
+are a fraction of a second apart."""
+SETTLED = timedelta(seconds=1)
+"""How long no target must have been new to the orderer: they are listed one after the
+other, some 0.7 s apart, and each has copies.  A new orderer, to which all are new, is
+told by then what was asked for."""
+MOST_TARGETS = 0.5
+"""Share of the targets that make copies at once: the others take orders for adapters
+when callers come meanwhile."""
+AGAIN_AFTER = timedelta(minutes=10)
+"""How long a model is not copied again.  Where targets keep fewer copies than there
+are models each new one drops another, and copying would never end."""
+NO_COPY = "no copy"
+"""Reason for such a load, as logs tell it."""
+
+
+class CopyPlanner:
+    """Decides about copies; used by the orderer's loop alone."""
+
+    def __init__(self, now: timedelta) -> None:
+        self._met_at = now
+        self._made_at: dict[tuple[str, str], timedelta] = {}
+
+    def met(self, now: timedelta) -> None:
+        """Take in that a target is new, or that this node is new to all of them."""
+        self._met_at = now
+
+    def plan(self, view: FleetView) -> list[LoadModel]:
+        """Return the loads to begin now of models that no target has a copy of.
+
+        Each takes the place of a model that its target can load again from a copy
+        of its own.
+        """
+        if not self._is_quiet(view):
+            return []
+        copies = _copies(view)
+        free = _free_targets(view, copies)
+        busy = len(view.controls) - len(free)
+        most = int(len(view.controls) * MOST_TARGETS) - busy
+        planned: list[LoadModel] = []
+        for model in view.engine.models:
+            if len(planned) >= most:
+                break
+            known = copies[model.name] or view.coming_at(model.name) is not None
+            if known or self._was_made(view, model.name):
+                continue
+            load = _place(view, free, model)
+            if load is not None:
+                planned.append(load)
+                self._made_at[view.service, model.name] = view.now
+        return planned
+
+    def _is_quiet(self, view: FleetView) -> bool:
+        asked_at = view.demand.asked_at(view.service)
+        if asked_at is not None and view.now - asked_at < QUIET:
+            return False
+        unknown = any(control.step is Step.UNKNOWN for control in view.controls)
+        return view.now - self._met_at >= SETTLED and not unknown
+
+    def _was_made(self, view: FleetView, model: str) -> bool:
+        made_at = self._made_at.get((view.service, model))
+        return made_at is not None and view.now - made_at < AGAIN_AFTER
+
+
+def _free_targets(view: FleetView, copies: Counter[str]) -> list[TargetControl]:
+    """Return the targets that may make a copy now, the most suitable first."""
+    free = [c for c in view.controls if c.is_free_at(view.now) and c.intent is None]
+    return sorted(free, key=lambda control: _copies_at_risk(control, copies))
+
+
+def _place(
+    view: FleetView, free: list[TargetControl], model: EngineModel
+) -> LoadModel | None:
+    """Return the load of ``model`` on one of ``free``, which is taken from them."""
+    for control in free:
+        evict = _gives_way(view, control, model.memory_mb)
+        if evict is not None:
+            free.remove(control)
+            name = control.target.incarnation
+            return LoadModel(name, model.name, evict, NO_COPY, 0.0)
+    return None
+
+
+def _copies(view: FleetView) -> Counter[str]:
+    """Return how many targets have each model, or a copy of it."""
+    return Counter(
+        model
+        for control in view.controls
+        for model in {*control.held, *control.copies_in_memory, *control.copies_on_disk}
+    )
+
+
+def _copies_at_risk(control: TargetControl, copies: Counter[str]) -> float:
+    """Return the share of a target's copies that no other target has.
+
+    A new copy drops the one there that was used least lately, which nobody tells.
+    """
+    spare = control.copies_on_disk - control.held.keys()
+    return sum(copies[model] == 1 for model in spare) / max(1, len(spare))
+
+
+def _gives_way(
+    view: FleetView, control: TargetControl, needed_mb: float
+) -> tuple[str, ...] | None:
+    """Return what is unloaded for a copy, ``None`` if nothing suitable is there."""
+    if view.free_mb(control) >= needed_mb:
+        return ()
+    known = view.engine.by_name
+    for model in sorted(control.held):
+        spec = known.get(model)
+        if spec is None or not _is_little_used(view, control, spec):
+            continue
+        again = not control.loads_from_store(model)
+        if again and view.free_mb(control) + spec.memory_mb >= needed_mb:
+            return (model,)
+    return None
+
+
+def _is_little_used(
+    view: FleetView, control: TargetControl, model: EngineModel
+) -> bool:
+    """Tell whether few callers are expected to ask for ``model`` soon.
+
+    Those that stand on several targets, or have adapters, are the ones that most
+    callers use; one that was asked for lately is used.
+    """
+    alone = len(view.holders(model.name)) == 1
+    return alone and not model.adapters and not view.is_last_asked(control, model.name)
--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -215,10 +215,12 @@
     def __init__(self) -> None:
         self._models: dict[tuple[str, str], Demand] = {}
         self._adapters: dict[tuple[str, str, str], Demand] = {}
+        self._asked_at: dict[str, timedelta] = {}
 
     def add(self, node: str, share: DemandShare, now: timedelta) -> None:
         """Take in what ``node`` was asked for."""
         wanted = share.wanted
+        self._asked_at[wanted.service] = now
         model = wanted.service, wanted.model
         _add(self._models.setdefault(model, Demand(at=now)), node, share, now)
         if wanted.adapter:
@@ -250,6 +252,10 @@
         demand.fade(now)
         return demand
 
+    def asked_at(self, service: str) -> timedelta | None:
+        """Return when anything was asked for last, ``None`` if nothing ever was."""
+        return self._asked_at.get(service)
+
     def met(self, service: str, model: str, adapters: Iterable[str]) -> None:
         """Take in that a target holds ``model`` with ``adapters``."""
         demand = self._models.get((service, model))
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/_load_runner.py
@@ -0,0 +1,129 @@
+"""Planned loads carried out: one order after the other, within the store's limit."""
+
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+from runhatch_coordination import Clock, Epoch
+from runhatch_server.observability import log_change
+from runhatch_server.residency._adapter_policy import LoadAdapter
+from runhatch_server.residency._control import Intent, TargetControl
+from runhatch_server.residency._left_log import LeftLog
+from runhatch_server.residency._permits import LoadPermits
+from runhatch_server.residency._policy import LoadModel
+from runhatch_server.residency._sending import OrderSender
+from runhatch_server.routing import EngineModel, EngineSpec, ServiceSpec
+from runhatch_server.targets import OrderKind
+
+
+class DeclaredModels:
+    """What is declared of the models that targets load.
+
+    ``services`` is replaced whole.
+    """
+
+    def __init__(self) -> None:
+        self.services: Mapping[str, ServiceSpec] = {}
+
+    def engine(self, service: str) -> EngineSpec | None:
+        """Return what the engines of ``service`` have in common, if it has any."""
+        declared = self.services.get(service)
+        return None if declared is None else declared.engine
+
+    def model(self, control: TargetControl, name: str) -> EngineModel | None:
+        """Return what is declared of a model for a target."""
+        engine = self.engine(control.target.service)
+        return None if engine is None else engine.by_name.get(name)
+
+    def load_time(self, control: TargetControl, name: str) -> timedelta:
+        """Return how long a model takes to be loaded on a target."""
+        spec = self.model(control, name)
+        return timedelta() if spec is None else control.load_time(spec)
+
+
+class LoadRunner:
+    """Carries planned loads out; used by the orderer's loop alone."""
+
+    def __init__(
+        self,
+        declared: DeclaredModels,
+        sender: OrderSender,
+        clock: Clock,
+        load_window: timedelta,
+    ) -> None:
+        self._declared = declared
+        self._sender = sender
+        self._clock = clock
+        self._load_window = load_window
+        self._permits = LoadPermits(load_window, clock.elapsed())
+        self.left_log = LeftLog()
+
+    def taken_over(self, now: timedelta) -> None:
+        """Count as if the last orderer had begun loads until ``now``."""
+        self._permits = LoadPermits(self._load_window, now)
+
+    def begin(
+        self, control: TargetControl, load: LoadModel, epoch: Epoch, now: timedelta
+    ) -> None:
+        """Begin ``load`` on its target, unless that or the store must wait."""
+        if not control.is_free_at(now):
+            return
+        engine = self._declared.engine(control.target.service)
+        spec = self._declared.model(control, load.model)
+        if engine is None or spec is None:
+            return
+        if control.loads_from_store(load.model) and not self._permits.take(
+            engine.loads_per_second, now
+        ):
+            self.left_log.no_permit(load, now)
+            return
+        log_change(
+            "load_planned",
+            target=load.target,
+            model=load.model,
+            evict=list(load.evict),
+            reason=load.reason,
+            value=round(load.value, 2),
+            seconds=control.load_time(spec).total_seconds(),
+        )
+        control.intent = Intent(load.model, load.evict, load.reason)
+        control.changed = True
+        self._go_on(control, epoch)
+
+    def go_on(
+        self, controls: Iterable[TargetControl], epoch: Epoch, now: timedelta
+    ) -> None:
+        """Send the next order of each load that was begun and can go on."""
+        for control in controls:
+            if control.intent is not None and control.is_free_at(now):
+                self._go_on(control, epoch)
+
+    def load_adapter(
+        self, control: TargetControl, load: LoadAdapter, epoch: Epoch
+    ) -> None:
+        """Order an adapter, or first that another makes room for it."""
+        if not control.is_free_at(self._clock.elapsed()):
+            return
+        if load.evict is not None:
+            self._sender.send(control, OrderKind.UNLOAD, *load.evict, epoch)
+            return
+        self._sender.send(control, OrderKind.LOAD, load.model, load.adapter, epoch)
+
+    def _go_on(self, control: TargetControl, epoch: Epoch) -> None:
+        """Send the next order of the control's intent."""
+        intent = control.intent
+        engine = self._declared.engine(control.target.service)
+        if intent is None or engine is None:
+            return
+        left = [model for model in intent.evict if model in control.held]
+        if left:
+            self._sender.send(control, OrderKind.UNLOAD, left[0], "", epoch)
+            return
+        spec = self._declared.model(control, intent.model)
+        fits = spec is not None and (
+            control.used_mb(engine) + spec.memory_mb <= engine.memory_mb
+        )
+        if intent.model in control.held or not fits:
+            control.intent = None
+            control.changed = True
+            return
+        self._sender.send(control, OrderKind.LOAD, intent.model, "", epoch)
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -18,23 +18,22 @@
 )
 from runhatch_server.fleet import Directory, Target
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.residency._adapter_policy import LoadAdapter, plan_adapters
+from runhatch_server.residency._adapter_policy import plan_adapters
 from runhatch_server.residency._calls import TargetCalls
-from runhatch_server.residency._control import Intent, Step, TargetControl
+from runhatch_server.residency._control import Step, TargetControl
+from runhatch_server.residency._copies import CopyPlanner
 from runhatch_server.residency._demand import DemandBook, DemandShare
 from runhatch_server.residency._handover import OrderTimes, Resignation
-from runhatch_server.residency._left_log import LeftLog
+from runhatch_server.residency._load_runner import DeclaredModels, LoadRunner
 from runhatch_server.residency._orders import (
     OrderClient,
     TargetReport,
 )
-from runhatch_server.residency._permits import LoadPermits
-from runhatch_server.residency._policy import LoadModel, plan_models
+from runhatch_server.residency._policy import plan_models
 from runhatch_server.residency._sending import OrderSender
 from runhatch_server.residency._telling import HoldingsTeller, OnHoldings
 from runhatch_server.residency._view import FleetView, by_service
-from runhatch_server.routing import EngineModel, EngineSpec, ServiceSpec
-from runhatch_server.targets import OrderKind
+from runhatch_server.routing import ServiceSpec
 
 RECHECK_AFTER = timedelta(seconds=4)
 """How long a target's own entry may differ from what the orderer believes before a
@@ -76,9 +75,9 @@
         self._newest_epoch = newest_epoch
         self._times = OrderTimes(handover)
         self._resigned: tuple[Resignation, timedelta] | None = None
-        self._load_window = load_window
+        self._declared = DeclaredModels()
         self._calls = TargetCalls(on_answer)
-        self._sender = OrderSender(
+        sender = OrderSender(
             client,
             self._calls,
             self._times,
@@ -86,19 +85,21 @@
             metrics,
             node,
             self.holds_lease,
-            self._load_time,
+            self._declared.load_time,
         )
-        self._teller = HoldingsTeller(on_holdings, self._load_time)
+        self._runner = LoadRunner(self._declared, sender, clock, load_window)
+        self._teller = HoldingsTeller(on_holdings, self._declared.load_time)
         self._lock = threading.Lock()
-        self._left_log = LeftLog()
         self._demand = DemandBook()
         self._controls: dict[str, TargetControl] = {}
-        self._permits = LoadPermits(load_window, clock.elapsed())
+        self._copies = CopyPlanner(clock.elapsed())
         self._epoch = 0
         self._gave_up = False
         self._stopped = False
-        self.services: Mapping[str, ServiceSpec] = {}
-        """What is declared; replaced whole."""
+
+    def declare(self, services: Mapping[str, ServiceSpec]) -> None:
+        """Go by other declarations from now on."""
+        self._declared.services = services
 
     @property
     def record(self) -> LeaseRecord | None:
@@ -200,7 +201,7 @@
             now = self._clock.elapsed()
             self._ask_reports(now)
             if epoch is not None:
-                self._go_on_with_intents(epoch, now)
+                self._runner.go_on(self._controls.values(), epoch, now)
                 self._plan(epoch, now)
             self._teller.tell(self._epoch, self._controls.values(), now)
 
@@ -212,7 +213,8 @@
             self._controls.clear()
             self._epoch = 0 if epoch is None else epoch.number
             self._gave_up = False
-            self._permits = LoadPermits(self._load_window, now)
+            self._runner.taken_over(now)
+            self._copies.met(now)
             if self._lease.taken_from not in (None, self._node):
                 self._wait_for_last_holder()
             self._teller.begin()
@@ -252,12 +254,12 @@
                 control.held = {model: set(names) for model, names in held.items()}
                 control.order_from = self._times.may_order_from(target.name)
                 self._controls[incarnation] = control
+                self._copies.met(self._clock.elapsed())
             control.met(target)
             control.arrive(self._clock.elapsed())
 
     def _has_engine(self, target: Target) -> bool:
-        service = self.services.get(target.service)
-        return service is not None and service.engine is not None
+        return self._declared.engine(target.service) is not None
 
     def _ask_reports(self, now: timedelta) -> None:
         for control in self._controls.values():
@@ -310,13 +312,13 @@
     def _plan(self, epoch: Epoch, now: timedelta) -> None:
         ready = {
             target.incarnation
-            for service in self.services
+            for service in self._declared.services
             for target in self._directory.ready(service)
             if not self._is_down(target.incarnation)
         }
         controls = [c for c in self._controls.values() if c.target.incarnation in ready]
         for service, members in by_service(controls).items():
-            engine = self.services[service].engine
+            engine = self._declared.engine(service)
             if engine is None:
                 continue
             for member in members:
@@ -324,80 +326,11 @@
                     self._demand.met(service, model, adapters)
             view = FleetView(service, engine, members, self._demand, now)
             for adapter in plan_adapters(view):
-                self._load_adapter(adapter, epoch)
+                control = self._controls[adapter.target]
+                self._runner.load_adapter(control, adapter, epoch)
             plan = plan_models(view)
             for load in plan.loads:
-                self._begin(load, epoch, now)
-            self._left_log.note(plan.left, now)
-
-    def _begin(self, load: LoadModel, epoch: Epoch, now: timedelta) -> None:
-        control = self._controls[load.target]
-        if not control.is_free_at(now):
-            return
-        engine = self._engine(control)
-        spec = self._spec(control, load.model)
-        if engine is None or spec is None:
-            return
-        if control.loads_from_store(load.model) and not self._permits.take(
-            engine.loads_per_second, now
-        ):
-            self._left_log.no_permit(load, now)
-            return
-        log_change(
-            "load_planned",
-            target=load.target,
-            model=load.model,
-            evict=list(load.evict),
-            reason=load.reason,
-            value=round(load.value, 2),
-            seconds=control.load_time(spec).total_seconds(),
-        )
-        control.intent = Intent(load.model, load.evict, load.reason)
-        control.changed = True
-        self._go_on(control, epoch)
-
-    def _go_on_with_intents(self, epoch: Epoch, now: timedelta) -> None:
-        for control in self._controls.values():
-            if control.intent is not None and control.is_free_at(now):
-                self._go_on(control, epoch)
-
-    def _go_on(self, control: TargetControl, epoch: Epoch) -> None:
-        """Send the next order of the control's intent."""
-        intent = control.intent
-        engine = self._engine(control)
-        if intent is None or engine is None:
-            return
-        left = [model for model in intent.evict if model in control.held]
-        if left:
-            self._sender.send(control, OrderKind.UNLOAD, left[0], "", epoch)
-            return
-        spec = self._spec(control, intent.model)
-        fits = spec is not None and (
-            control.used_mb(engine) + spec.memory_mb <= engine.memory_mb
-        )
-        if intent.model in control.held or not fits:
-            control.intent = None
-            control.changed = True
-            return
-        self._sender.send(control, OrderKind.LOAD, intent.model, "", epoch)
-
-    def _load_adapter(self, load: LoadAdapter, epoch: Epoch) -> None:
-        control = self._controls[load.target]
-        if not control.is_free_at(self._clock.elapsed()):
-            return
-        if load.evict is not None:
-            self._sender.send(control, OrderKind.UNLOAD, *load.evict, epoch)
-            return
-        self._sender.send(control, OrderKind.LOAD, load.model, load.adapter, epoch)
-
-    def _engine(self, control: TargetControl) -> EngineSpec | None:
-        service = self.services.get(control.target.service)
-        return None if service is None else service.engine
-
-    def _spec(self, control: TargetControl, model: str) -> EngineModel | None:
-        engine = self._engine(control)
-        return None if engine is None else engine.by_name.get(model)
-
-    def _load_time(self, control: TargetControl, model: str) -> timedelta:
-        spec = self._spec(control, model)
-        return timedelta() if spec is None else control.load_time(spec)
+                self._runner.begin(self._controls[load.target], load, epoch, now)
+            self._runner.left_log.note(plan.left, now)
+            for load in self._copies.plan(view):
+                self._runner.begin(self._controls[load.target], load, epoch, now)
--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -68,7 +68,7 @@
             HANDOVER,
             seconds(5),
         )
-        self.orderer.services = SERVICES
+        self.orderer.declare(SERVICES)
 
     def tell(self, epoch, holdings):
         self.newest_epoch = max(epoch, self.newest_epoch)
