An answer that the store did not take is recorded again at once

Cause: an answer goes to its caller although the store did not take it, and was recorded again only after a second.

Change: the first try comes after 50 ms, doubled to a second; giving up is logged. Ruled out: answering only once the record is kept, since ready answers are delivered.

--- a/packages/runhatch-server/src/runhatch_server/serving/_once.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_once.py
@@ -22,14 +22,17 @@
     Unavailable,
     require,
 )
-from runhatch_server.observability import Metrics
+from runhatch_server.observability import Metrics, log_change
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.serving._request import CallerRequest
 from runhatch_server.serving._stored import AnswerStore, StoredAnswer
 
 LOOK_EVERY = timedelta(milliseconds=100)
-RECORD_TRIES = 60
-RECORD_PAUSE = timedelta(seconds=1)
+RECORD_TRIES = 64
+FIRST_RECORD_PAUSE = timedelta(milliseconds=50)
+LONGEST_RECORD_PAUSE = timedelta(seconds=1)
+"""Between tries to record an answer that the store did not take, doubled each time
+from the first: a repeat that comes at once waits for it, by default a second or so."""
 STORE_RETRY_AFTER = timedelta(seconds=2)
 OPEN_RETRY_AFTER = timedelta(seconds=2)
 ANSWER_PREFIX = "answers"
@@ -140,12 +143,15 @@
         return isinstance(self._claims.finish(taken, kept), Committed)
 
     def _record_later(self, taken: Taken, answer: StoredAnswer) -> None:
+        pause = FIRST_RECORD_PAUSE
         for _ in range(RECORD_TRIES):
-            if self._closing.wait(RECORD_PAUSE.total_seconds()):
+            if self._closing.wait(pause.total_seconds()):
                 self._record(taken, answer)
                 return
             if self._record(taken, answer):
                 return
+            pause = min(LONGEST_RECORD_PAUSE, pause * 2)
+        log_change("answer_not_recorded", claim=taken.key)
 
     def _worth_waiting(self, node: str, give_up: timedelta) -> bool:
         return self._is_alive(node) and self._clock.elapsed() < give_up
