Copies are begun together, and the next a minute later

Cause: where loads take six seconds, a second batch was begun a second before callers came and kept its target for five more. Change: a minute lies between batches, and a load that the store's limit held back does not count as made.

--- a/packages/runhatch-server/src/runhatch_server/residency/_copies.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_copies.py
@@ -24,6 +24,9 @@
 MOST_TARGETS = 0.5
 """Share of the targets that make copies at once: the others take orders for adapters
 when callers come meanwhile."""
+PAUSE = timedelta(minutes=1)
+"""Between copies begun together and the next ones: callers may come any time, and should
+find targets busy for the rest of one load at the most."""
 AGAIN_AFTER = timedelta(minutes=10)
 """How long a model is not copied again.  Where targets keep fewer copies than there
 are models each new one drops another, and copying would never end."""
@@ -37,11 +40,17 @@
     def __init__(self, now: timedelta) -> None:
         self._met_at = now
         self._made_at: dict[tuple[str, str], timedelta] = {}
+        self._newest_at: dict[str, timedelta] = {}
 
     def met(self, now: timedelta) -> None:
         """Take in that a target is new, or that this node is new to all of them."""
         self._met_at = now
 
+    def made(self, service: str, load: LoadModel, now: timedelta) -> None:
+        """Take in that a load was begun."""
+        self._made_at[service, load.model] = now
+        self._newest_at[service] = now
+
     def plan(self, view: FleetView) -> list[LoadModel]:
         """Return the loads to begin now of models that no target has a copy of.
 
@@ -64,13 +73,15 @@
             load = _place(view, free, model)
             if load is not None:
                 planned.append(load)
-                self._made_at[view.service, model.name] = view.now
         return planned
 
     def _is_quiet(self, view: FleetView) -> bool:
         asked_at = view.demand.asked_at(view.service)
         if asked_at is not None and view.now - asked_at < QUIET:
             return False
+        newest_at = self._newest_at.get(view.service)
+        if newest_at is not None and view.now - newest_at < PAUSE:
+            return False
         unknown = any(control.step is Step.UNKNOWN for control in view.controls)
         return view.now - self._met_at >= SETTLED and not unknown
 
--- a/packages/runhatch-server/src/runhatch_server/residency/_load_runner.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_load_runner.py
@@ -63,19 +63,19 @@
 
     def begin(
         self, control: TargetControl, load: LoadModel, epoch: Epoch, now: timedelta
-    ) -> None:
-        """Begin ``load`` on its target, unless that or the store must wait."""
+    ) -> bool:
+        """Begin ``load`` on its target; false if that or the store must wait."""
         if not control.is_free_at(now):
-            return
+            return False
         engine = self._declared.engine(control.target.service)
         spec = self._declared.model(control, load.model)
         if engine is None or spec is None:
-            return
+            return False
         if control.loads_from_store(load.model) and not self._permits.take(
             engine.loads_per_second, now
         ):
             self.left_log.no_permit(load, now)
-            return
+            return False
         log_change(
             "load_planned",
             target=load.target,
@@ -88,6 +88,7 @@
         control.intent = Intent(load.model, load.evict, load.reason)
         control.changed = True
         self._go_on(control, epoch)
+        return True
 
     def go_on(
         self, controls: Iterable[TargetControl], epoch: Epoch, now: timedelta
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -333,4 +333,6 @@
                 self._runner.begin(self._controls[load.target], load, epoch, now)
             self._runner.left_log.note(plan.left, now)
             for load in self._copies.plan(view):
-                self._runner.begin(self._controls[load.target], load, epoch, now)
+                control = self._controls[load.target]
+                if self._runner.begin(control, load, epoch, now):
+                    self._copies.made(service, load, now)
--- a/packages/runhatch-server/tests/test_copies.py
+++ b/packages/runhatch-server/tests/test_copies.py
@@ -14,7 +14,13 @@
     TargetReport,
     Wanted,
 )
-from runhatch_server.residency._copies import AGAIN_AFTER, QUIET, SETTLED, CopyPlanner
+from runhatch_server.residency._copies import (
+    AGAIN_AFTER,
+    PAUSE,
+    QUIET,
+    SETTLED,
+    CopyPlanner,
+)
 
 NOW = seconds(100)
 ALL = [model.name for model in ENGINE.models]
@@ -111,10 +117,25 @@
         def view(later=seconds(0)):
             return FleetView("engine", PLAIN, controls, DemandBook(), NOW + later)
 
-        assert len(loads(planner, view())) == 1
+        (load,) = planner.plan(view())
+        planner.made("engine", load, NOW)
         assert loads(planner, view(AGAIN_AFTER / 2)) == []
         assert len(loads(planner, view(AGAIN_AFTER))) == 1
 
+    def test_the_next_ones_wait_for_a_while(self):
+        """Callers that come meanwhile find the targets of one load busy, not two."""
+        controls = [control("t1", ["m0", "m1", "m2"]), control("t2", ["m3", "m4"])]
+        planner = CopyPlanner(NOW - SETTLED)
+        view = FleetView("engine", PLAIN, controls, DemandBook(), NOW)
+        (load,) = planner.plan(view)
+        planner.made("engine", load, NOW)
+
+        soon = FleetView("engine", PLAIN, controls, DemandBook(), NOW + PAUSE / 2)
+        later = FleetView("engine", PLAIN, controls, DemandBook(), NOW + PAUSE)
+
+        assert planner.plan(soon) == []
+        assert [each.model for each in planner.plan(later)] == ["m6"]
+
     def test_it_goes_where_other_copies_are_not_the_last(self):
         """A target's disk is full: its oldest copy makes room."""
         controls = [
