Plans tell what a model that they leave is owed

Cause: a plan also counts how long a model has been missed; without that figure a line that says 'not worth it' could not be followed. Not measured: one more field a line, two seconds a model apart.

--- a/packages/runhatch-server/src/runhatch_server/residency/_copies.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_copies.py
@@ -25,8 +25,8 @@
 """Share of the targets that make copies at once: the others take orders for adapters
 when callers come meanwhile."""
 PAUSE = timedelta(minutes=1)
-"""Between copies begun together and the next ones: callers may come any time, and should
-find targets busy for the rest of one load at the most."""
+"""Between copies begun together and the next ones: callers may come any time, and
+should find targets busy for the rest of one load at the most."""
 AGAIN_AFTER = timedelta(minutes=10)
 """How long a model is not copied again.  Where targets keep fewer copies than there
 are models each new one drops another, and copying would never end."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_left_log.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_left_log.py
@@ -31,6 +31,7 @@
                 rate=round(model.rate, 3),
                 won=round(model.won, 2),
                 lost=round(model.lost, 2),
+                owed=round(model.owed, 2),
                 seconds=round(model.seconds, 2),
             )
 
--- a/packages/runhatch-server/src/runhatch_server/residency/_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_policy.py
@@ -81,9 +81,9 @@
 class LeftModel:
     """A model that requests wait for and that no load was begun for.
 
-    ``target`` is the best place, empty if there is none.  ``waiting``, ``won`` and
-    ``lost`` are in weighted requests, ``rate`` in those a second; ``seconds`` is how
-    long the load would take.
+    ``target`` is the best place, empty if there is none.  ``waiting``, ``won``,
+    ``lost`` and ``owed`` are in weighted requests, ``rate`` in those a second;
+    ``seconds`` is how long the load would take.
     """
 
     model: str
@@ -93,6 +93,7 @@
     target: str = ""
     won: float = 0.0
     lost: float = 0.0
+    owed: float = 0.0
     seconds: float = 0.0
 
 
@@ -137,6 +138,7 @@
         best.target,
         best.won,
         best.lost,
+        best.owed,
         best.seconds,
     )
 
