Gateways' tests start targets again and write foreign entries

The system of real gateways that tests start is a module of the stand-ins, so that a soak can start it too. Its targets can start again under their names, empty; entries of another writer are written beside them.

--- /dev/null
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -0,0 +1,224 @@
+"""Gateways as processes of their own, between callers, targets and the store."""
+
+import http.client
+import json
+import time
+from collections.abc import Callable, Iterable
+from contextlib import ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from runhatch_standins._cluster import call, free_ports
+from runhatch_standins._launch import Launched, launch
+from runhatch_standins._tcp_relay import TcpRelay
+
+Document = dict[str, Any]
+
+HOST = "a.example"
+READY_SECONDS = 10.0
+SETTINGS = """
+node_name: "{name}"
+ip: "127.0.0.1"
+zone: "d1"
+region: "r1"
+listen: {{front: "127.0.0.1:{front}", ready: "127.0.0.1:{ready}",
+          control: "127.0.0.1:{control}"}}
+seeds: [{seeds}]
+limits: {{memory_mb: 300}}
+bounds: {{grace_s: 8, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52}}
+platform: {{address: "{store}", row_bytes: 65536, blob_bytes: 8388608}}
+"""
+MODELS = [
+    {"name": f"m{i}", "weight_size": 70.0, "load_s": 0.3, "adapters": 2}
+    for i in range(5)
+]
+ENGINE = {
+    "slots": 8,
+    "models": MODELS,
+    "weight_size": 220.0,
+    "adapter_slots": 4,
+    "kv_capacity": 100_000,
+    "loads_per_s": 10,
+}
+
+
+def route(prefix: str, kind: str, service: str, **changes: object) -> Document:
+    """Return the declaration of one route."""
+    return {
+        "name": f"r{prefix}",
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 5000,
+        "goal_ms": 2000,
+        "service": service,
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+ROUTES = [
+    route("/plain/", "idempotent", "plain"),
+    route("/once/", "non_idempotent", "plain"),
+    route("/stream/", "stream", "engine"),
+]
+
+
+def wait_until(holds: Callable[[], object], longest: float = READY_SECONDS) -> bool:
+    """Wait until ``holds`` is true; tell whether it became so in time."""
+    end = time.monotonic() + longest
+    while time.monotonic() < end:
+        if holds():
+            return True
+        time.sleep(0.02)
+    return False
+
+
+@dataclass(slots=True)
+class Gateway:
+    """One gateway's process, its ports, and its way to the store."""
+
+    name: str
+    process: Launched
+    front: int
+    ready: int
+    control: int
+    metrics: int
+    to_store: TcpRelay
+
+
+class GatewaySystem:
+    """The store, two engines, two plain targets and two gateways.
+
+    ``stack`` ends the processes, ``folder`` takes their settings.
+    """
+
+    def __init__(self, stack: ExitStack, folder: Path) -> None:
+        self._stack = stack
+        self._folder = folder
+        self._version = 0
+        self.platform = self._start(launch("platform", "runhatch_standins.platform"))
+        self.engines = [
+            self.start_worker("engine", "m0,m1"),
+            self.start_worker("engine", "m1,m2"),
+        ]
+        self.plain = [self.start_worker("plain") for _ in range(2)]
+        self.gateways: list[Gateway] = []
+        self.configure(ROUTES)
+        self.start_gateway("n1")
+        self.start_gateway("n2")
+
+    def _start(self, launched: Launched) -> Launched:
+        self._stack.callback(launched.kill)
+        return launched
+
+    def start_worker(self, service: str, models: str = "") -> Launched:
+        """Start one more target."""
+        (port,) = free_ports(1)
+        arguments = ["--port", str(port), "--store", self.platform.url]
+        arguments += ["--service", service, "--models", models]
+        return self._start(launch("worker", "runhatch_standins.worker", *arguments))
+
+    def start_gateway(self, name: str) -> Gateway:
+        """Start one more gateway, and wait until it is ready."""
+        ports = free_ports(4)
+        relay = TcpRelay(self.platform.port)
+        self._stack.callback(relay.close)
+        process = self._launch(name, ports, relay)
+        front, ready, control, metrics = ports
+        gate = Gateway(name, process, front, ready, control, metrics, relay)
+        self.gateways.append(gate)
+        if not wait_until(lambda: self.is_ready(gate)):
+            raise RuntimeError(f"{name} does not become ready")
+        return gate
+
+    def restart(self, gate: Gateway) -> None:
+        """Start the process of a gateway that has ended again."""
+        ports = [gate.front, gate.ready, gate.control, gate.metrics]
+        gate.process = self._launch(gate.name, ports, gate.to_store)
+
+    def _launch(self, name: str, ports: list[int], relay: TcpRelay) -> Launched:
+        front, ready, control, metrics = ports
+        seeds = ", ".join(f'"127.0.0.1:{gate.control}"' for gate in self.gateways)
+        path = self._folder / f"{name}.yaml"
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                front=front,
+                ready=ready,
+                control=control,
+                seeds=seeds,
+                store=f"127.0.0.1:{relay.port}",
+            )
+        )
+        variables = {
+            "RUNHATCH_NODE_FILE": str(path),
+            "RUNHATCH_METRICS_PORT": str(metrics),
+        }
+        return self._start(launch(name, "runhatch_platform", variables=variables))
+
+    def is_ready(self, gate: Gateway) -> bool:
+        """Tell whether a gateway says that it takes requests."""
+        try:
+            call(f"http://127.0.0.1:{gate.ready}", "GET", "/api/readiness", timeout=2)
+        except json.JSONDecodeError:
+            return True
+        except (RuntimeError, OSError):
+            return False
+        return True
+
+    def configure(self, routes: list[Document]) -> None:
+        """Put ``routes`` in force, as a newer version."""
+        self._version += 3
+        services = [
+            {"name": "engine", "max_conns": 100, "engine": ENGINE},
+            {"name": "plain", "max_conns": 50},
+        ]
+        document = {"version": self._version, "routes": routes, "services": services}
+        self.write_row("op", "config", document)
+
+    def write_row(self, table: str, key: str, document: object) -> None:
+        """Write a row as operators and targets do, past all conditions."""
+        row = {"table": table, "key": key, "document": document}
+        call(self.platform.url, "PUT", "/rows", {"puts": [row]})
+
+    def ask(
+        self,
+        path: str,
+        method: str = "GET",
+        gate: int = 0,
+        name: str | None = None,
+        model: str = "",
+        tokens: int = 8,
+        **more: str,
+    ) -> tuple[http.client.HTTPConnection, http.client.HTTPResponse]:
+        """Send a request on a connection of its own; return both, unread."""
+        port = self.gateways[gate].front
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        name = name or f"id-{time.monotonic_ns()}"
+        headers = {**request_headers(name, model, tokens), **more}
+        connection.request(method, path, headers=headers)
+        return connection, connection.getresponse()
+
+    def answer(
+        self, *arguments: Any, **named: Any
+    ) -> tuple[http.client.HTTPResponse, bytes]:
+        """Send a request, see :meth:`ask`; return the whole answer."""
+        connection, response = self.ask(*arguments, **named)
+        body = response.read()
+        connection.close()
+        return response, body
+
+    def runs(self, workers: Iterable[Launched]) -> list[list[Any]]:
+        """Return what was run: attempt, model, and how it ended."""
+        return [run for w in workers for run in call(w.url, "GET", "/journal")["runs"]]
+
+
+def request_headers(name: str, model: str = "", tokens: int = 8) -> dict[str, str]:
+    """Return the headers of a caller's attempt called ``name``."""
+    headers = {"Host": HOST, "X-Runhatch-Attempt-Id": name}
+    if model:
+        headers["X-Runhatch-Model"] = model
+        headers["X-Runhatch-Token-Count"] = f"100,{tokens}"
+    return headers
--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -59,6 +59,7 @@
         routes.add("GET", "/journal", self.journal)
         routes.add("POST", "/faults", self.set_faults)
         routes.add("POST", "/drain", self.drain)
+        routes.add("POST", "/restart", self.restart)
         for method in ("GET", "POST"):
             routes.add(method, "/.*", self.serve)
         return routes
@@ -129,6 +130,15 @@
         self.register()
         return reply_json({})
 
+    def restart(self, call: Call) -> Reply:
+        """Start again under the same name, empty; the journal stays."""
+        with self.lock:
+            self.models = {}
+            self.orders = 0
+            self.born_ms = max(self.born_ms + 1, time.time_ns() // 1_000_000)
+        self.register()
+        return reply_json({})
+
     def serve(self, call: Call) -> Reply:
         """Run one request."""
         attempt_id = call.headers.get("x-runhatch-attempt-id", "")
--- a/standins/tests/test_gateway.py
+++ b/standins/tests/test_gateway.py
@@ -1,172 +1,19 @@
 """Gateways as processes of their own, between callers, targets and the store."""
 
-import http.client
-import json
 import signal
 import time
 from contextlib import ExitStack
 
 import pytest
 
-from runhatch_standins import launch
-from runhatch_standins._cluster import call, free_ports
-
-HOST = "a.example"
-SETTINGS = """
-node_name: "{name}"
-ip: "127.0.0.1"
-zone: "d1"
-region: "r1"
-listen: {{front: "127.0.0.1:{front}", ready: "127.0.0.1:{ready}",
-          control: "127.0.0.1:{control}"}}
-seeds: [{seeds}]
-limits: {{memory_mb: 300}}
-bounds: {{grace_s: 8, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52}}
-platform: {{address: "{store}", row_bytes: 65536, blob_bytes: 8388608}}
-"""
-MODELS = [
-    {"name": f"m{i}", "weight_size": 70.0, "load_s": 0.3, "adapters": 2}
-    for i in range(5)
-]
-ENGINE = {
-    "slots": 8,
-    "models": MODELS,
-    "weight_size": 220.0,
-    "adapter_slots": 4,
-    "kv_capacity": 100_000,
-    "loads_per_s": 10,
-}
-
-
-def route(prefix, kind, service, **changes):
-    return {
-        "name": f"r{prefix}",
-        "host": HOST,
-        "path_prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 5000,
-        "goal_ms": 2000,
-        "service": service,
-        "max_attempts": 2,
-        **changes,
-    }
-
-
-ROUTES = [
-    route("/plain/", "idempotent", "plain"),
-    route("/once/", "non_idempotent", "plain"),
-    route("/stream/", "stream", "engine"),
-]
-
-
-def wait_until(holds, longest=10.0):
-    end = time.monotonic() + longest
-    while time.monotonic() < end:
-        if holds():
-            return True
-        time.sleep(0.02)
-    return False
-
-
-class System:
-    """The store, two engines, two plain targets and two gateways."""
-
-    def __init__(self, stack, folder):
-        self._stack = stack
-        self._folder = folder
-        self._version = 0
-        self.platform = self._start(launch("platform", "runhatch_standins.platform"))
-        self.engines = [
-            self.start_worker("engine", "m0,m1"),
-            self.start_worker("engine", "m1,m2"),
-        ]
-        self.plain = [self.start_worker("plain") for _ in range(2)]
-        self.gateways = []
-        self.configure(ROUTES)
-        self.start_gateway("n1")
-        self.start_gateway("n2")
-
-    def _start(self, launched):
-        self._stack.callback(launched.kill)
-        return launched
-
-    def start_worker(self, service, models=""):
-        (port,) = free_ports(1)
-        arguments = ["--port", str(port), "--store", self.platform.url]
-        arguments += ["--service", service, "--models", models]
-        return self._start(launch("worker", "runhatch_standins.worker", *arguments))
-
-    def start_gateway(self, name):
-        front, ready, control, metrics = free_ports(4)
-        seeds = ", ".join(f'"127.0.0.1:{gate["control"]}"' for gate in self.gateways)
-        path = self._folder / f"{name}.yaml"
-        path.write_text(
-            SETTINGS.format(
-                name=name,
-                front=front,
-                ready=ready,
-                control=control,
-                seeds=seeds,
-                store=f"127.0.0.1:{self.platform.port}",
-            )
-        )
-        variables = {
-            "RUNHATCH_NODE_FILE": str(path),
-            "RUNHATCH_METRICS_PORT": str(metrics),
-        }
-        process = launch(name, "runhatch_platform", variables=variables)
-        self._start(process)
-        gate = {"process": process, "front": front, "ready": ready, "control": control}
-        self.gateways.append(gate)
-        assert wait_until(lambda: self.is_ready(gate))
-        return gate
-
-    def is_ready(self, gate):
-        try:
-            call(f"http://127.0.0.1:{gate['ready']}", "GET", "/api/readiness")
-        except RuntimeError:
-            return False
-        except json.JSONDecodeError:
-            return True
-        except OSError:
-            return False
-        return True
-
-    def configure(self, routes):
-        self._version += 3
-        services = [
-            {"name": "engine", "max_conns": 100, "engine": ENGINE},
-            {"name": "plain", "max_conns": 50},
-        ]
-        document = {"version": self._version, "routes": routes, "services": services}
-        row = {"table": "op", "key": "config", "document": document}
-        call(self.platform.url, "PUT", "/rows", {"puts": [row]})
-
-    def ask(self, path, method="GET", gate=0, name=None, model="", tokens=8, **more):
-        name = name or f"id-{time.monotonic_ns()}"
-        headers = {"Host": HOST, "X-Runhatch-Attempt-Id": name, **more}
-        if model:
-            headers["X-Runhatch-Model"] = model
-            headers["X-Runhatch-Token-Count"] = f"100,{tokens}"
-        port = self.gateways[gate]["front"]
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
-        connection.request(method, path, headers=headers)
-        return connection, connection.getresponse()
-
-    def answer(self, *arguments, **named):
-        connection, response = self.ask(*arguments, **named)
-        body = response.read()
-        connection.close()
-        return response, body
-
-    def runs(self, workers):
-        return [run for w in workers for run in call(w.url, "GET", "/journal")["runs"]]
+from runhatch_standins._cluster import call
+from runhatch_standins._gateways import ROUTES, GatewaySystem, route, wait_until
 
 
 @pytest.fixture(scope="module")
 def system(tmp_path_factory):
     with ExitStack() as stack:
-        yield System(stack, tmp_path_factory.mktemp("gateways"))
+        yield GatewaySystem(stack, tmp_path_factory.mktemp("gateways"))
 
 
 @pytest.fixture(autouse=True)
@@ -270,6 +117,50 @@
         assert len(system.runs([leaving])) == before
 
 
+class TestStartedAgain:
+    """A target that starts again under its name, and entries of others."""
+
+    def test_it_is_asked_and_ordered_anew(self, system):
+        """It holds nothing and has taken no orders, whatever it did before."""
+        assert system.answer("/stream/x", "POST", model="m3")[0].status == 200
+
+        for engine in system.engines:
+            call(engine.url, "POST", "/restart", {})
+
+        # All that other tests ask for is held again afterwards.
+        for model in ("m3", "m0", "m1"):
+            for gate in range(2):
+                assert wait_until(
+                    lambda gate=gate, model=model: (
+                        (
+                            system.answer("/stream/x", "POST", gate=gate, model=model)[
+                                0
+                            ]
+                        ).status
+                        == 200
+                    )
+                )
+
+    @pytest.mark.parametrize(
+        "document",
+        [
+            pytest.param({"service": "plain"}, id="fields-missing"),
+            pytest.param({"service": 3, "address": ["x"], "slots": {}}, id="types"),
+            pytest.param("not an entry", id="text"),
+        ],
+    )
+    def test_an_entry_of_another_writer_names_no_target(self, system, document):
+        system.write_row("servers", "foreign", document)
+        time.sleep(1)
+
+        statuses = [
+            system.answer("/plain/x", gate=gate)[0].status
+            for gate in (0, 1, 0, 1, 0, 1)
+        ]
+
+        assert statuses == [200] * 6
+
+
 class TestChanges:
     """Configurations while the system runs."""
 
@@ -282,8 +173,7 @@
             )
 
     def test_a_configuration_of_another_shape_changes_nothing(self, system):
-        row = {"table": "op", "key": "config", "document": {"version": 10_000}}
-        call(system.platform.url, "PUT", "/rows", {"puts": [row]})
+        system.write_row("op", "config", {"version": 10_000})
         time.sleep(0.5)
 
         assert system.answer("/plain/x")[0].status == 200
@@ -307,9 +197,9 @@
         connection, response = system.ask(
             "/stream/x", "POST", gate=2, model="m1", tokens=150
         )
-        gate["process"].signal(signal.SIGTERM)
+        gate.process.signal(signal.SIGTERM)
 
         assert wait_until(lambda: not system.is_ready(gate), 2)
         assert response.read().count(b"data:") == 150
         connection.close()
-        assert gate["process"].process.wait(9) == 0
+        assert gate.process.process.wait(9) == 0
