A soak of real gateways under seeded faults

Gateways, targets and the store as processes, with faults from outside: killed, paused, stopped and told to reload; their way to the store refused or silent; the store down, silent, slow, losing answers and history; targets that fail, hang, lose orders and start again under their names; foreign entries and new configurations. Callers keep their connections until they break. Checked: whole answers of the right request, at most once, refusals that were true, recovery within 15 s with the newest route, peak memory, exit statuses.

A short run goes with the tests.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,11 @@
 soak: .venv/ready
 	$(BIN)/python -m runhatch_standins.soak --seconds $(SECONDS) --seed $(SEED)
 
+.PHONY: gateway-soak
+gateway-soak: .venv/ready
+	$(BIN)/python -m runhatch_standins.gateway_soak \
+		--seconds $(SECONDS) --seed $(SEED)
+
 BENCHES := bench-relay bench-overload bench-claims bench-control \
 	bench-pictures bench-placement bench-membership bench-routing bench-logs
 
--- /dev/null
+++ b/standins/src/runhatch_standins/gateway_soak.py
@@ -0,0 +1,348 @@
+"""A randomised run of real gateways under faults, with their promises checked.
+
+The schedule of faults and requests is fixed by the seed; what the operating system
+makes of it is not, so a violation may take several runs of a seed to show again.
+"""
+
+import argparse
+import http.client
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import partial
+from pathlib import Path
+
+from runhatch_standins._cluster import call
+from runhatch_standins._gateways import (
+    MODELS,
+    ROUTES,
+    Gateway,
+    GatewaySystem,
+    request_headers,
+    route,
+    wait_until,
+)
+from runhatch_standins._history import Event, EventKind, check_history
+from runhatch_standins._tcp_relay import LinkFault
+from runhatch_standins.demo import say
+
+CALLERS = 8
+CALLER_TIMEOUT = 8.0
+RECOVERY_SECONDS = 15.0
+GRACE_SECONDS = 9.0
+MOST_MEMORY_KB = 300 * 1024
+REFUSED = (408, 421, 429, 503)
+"""Statuses by which a gateway promises that a request has not run."""
+FOREIGN: tuple[object, ...] = (
+    {"service": "plain"},
+    {"address": 7},
+    "text",
+    [],
+    {"state": "ready"},
+)
+
+
+class GatewayFault(Enum):
+    """What may happen to the system."""
+
+    KILL = "kill gateway"
+    PAUSE = "pause gateway"
+    STOP = "stop gateway gracefully"
+    RELOAD = "gateway told that settings changed"
+    CUT_FROM_STORE = "gateway refused by store"
+    SILENT_STORE_LINK = "gateway's store link silent"
+    STORE_DOWN = "store down"
+    STORE_SILENT = "store silent"
+    STORE_SLOW = "store slow"
+    STORE_LOSES = "store loses answers"
+    STORE_FORGETS = "store forgets its history"
+    TARGET_FAILS = "target fails after running"
+    TARGET_HANGS = "target hangs"
+    TARGET_RESTARTS = "target starts again under its name"
+    ORDERS_LOST = "target loses orders"
+    FOREIGN_ENTRY = "entry of another writer"
+    CONFIGURATION = "configuration changes"
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """One fault: when, what, to whom and for how long, in seconds."""
+
+    at: float
+    kind: GatewayFault
+    subject: int
+    lasts: float
+
+
+def plan_faults(seed: int, seconds: float) -> list[PlannedFault]:
+    """Return the faults of a run, always the same for a seed; many overlap."""
+    source = random.Random(seed)
+    kinds = [*GatewayFault]
+    planned = []
+    at = 1.0
+    while at < seconds - 2:
+        subject, lasts = source.randrange(1_000), source.uniform(0.3, 3.0)
+        planned.append(PlannedFault(at, source.choice(kinds), subject, lasts))
+        at += source.uniform(0.2, 1.5)
+    return planned
+
+
+@dataclass(slots=True)
+class GatewaySoak:
+    """One run: callers that keep connections open, and faults."""
+
+    system: GatewaySystem
+    seed: int
+    seconds: float
+    events: list[Event] = field(default_factory=list)
+    counts: Counter[GatewayFault] = field(default_factory=Counter)
+    violations: list[str] = field(default_factory=list)
+    versions: int = 0
+    _stop: threading.Event = field(default_factory=threading.Event)
+    _locks: dict[str, threading.Lock] = field(default_factory=dict)
+
+    def run(self) -> None:
+        """Run for the set time, and end all faults."""
+        self._locks = {gate.name: threading.Lock() for gate in self.system.gateways}
+        self._locks["store"] = threading.Lock()
+        started = time.monotonic()
+        with ThreadPoolExecutor(64) as pool:
+            running = [pool.submit(self._call, i) for i in range(CALLERS)]
+            for planned in plan_faults(self.seed, self.seconds):
+                self._stop.wait(max(0.0, started + planned.at - time.monotonic()))
+                running.append(pool.submit(self._make, planned))
+            time.sleep(max(0.0, started + self.seconds - time.monotonic()))
+            self._stop.set()
+            for future in running:
+                future.result()
+
+    def _call(self, caller: int) -> None:
+        """Ask one gateway on one connection until that breaks, then another."""
+        source = random.Random(self.seed * 1_000 + caller)
+        connection: http.client.HTTPConnection | None = None
+        for number in range(1_000_000):
+            if self._stop.is_set():
+                return
+            if connection is None:
+                port = source.choice(self.system.gateways).front
+                connection = http.client.HTTPConnection(
+                    "127.0.0.1", port, timeout=CALLER_TIMEOUT
+                )
+            event, reusable = _ask(connection, source, f"s{caller}-{number}")
+            self.events.append(event)
+            if not reusable:
+                connection.close()
+                connection = None
+            time.sleep(source.uniform(0, 0.05))
+
+    def _make(self, planned: PlannedFault) -> None:
+        self.counts[planned.kind] += 1
+        FAULTS[planned.kind](self, planned)
+
+    def gate(self, planned: PlannedFault) -> Gateway:
+        """Return the gateway concerned."""
+        gates = self.system.gateways
+        return gates[planned.subject % len(gates)]
+
+    def end(self, planned: PlannedFault, number: signal.Signals) -> None:
+        """End a gateway by a signal, and start it again later."""
+        gate = self.gate(planned)
+        with self._locks[gate.name]:
+            gate.process.signal(number)
+            status = gate.process.process.wait(GRACE_SECONDS)
+            if number is signal.SIGTERM and status != 0:
+                self.violations.append(f"{gate.name} stopped with status {status}")
+            time.sleep(planned.lasts)
+            self.system.restart(gate)
+
+    def pause(self, planned: PlannedFault) -> None:
+        """Stop a gateway for a while, often longer than its lease lasts."""
+        gate = self.gate(planned)
+        with self._locks[gate.name]:
+            gate.process.signal(signal.SIGSTOP)
+            time.sleep(planned.lasts)
+            gate.process.signal(signal.SIGCONT)
+
+    def reload(self, planned: PlannedFault) -> None:
+        """Tell a gateway that its settings have changed."""
+        gate = self.gate(planned)
+        with self._locks[gate.name]:
+            gate.process.signal(signal.SIGHUP)
+
+    def link(self, planned: PlannedFault, fault: LinkFault) -> None:
+        """Disturb one gateway's way to the store."""
+        relay = self.gate(planned).to_store
+        relay.inject(fault)
+        time.sleep(planned.lasts)
+        relay.inject(LinkFault.NONE)
+
+    def store(self, planned: PlannedFault, **faults: object) -> None:
+        """Disturb the store for all."""
+        with self._locks["store"]:
+            call(self.system.platform.url, "POST", "/faults", faults)
+            time.sleep(planned.lasts)
+            call(self.system.platform.url, "POST", "/faults", {})
+
+    def target(self, planned: PlannedFault, **faults: object) -> None:
+        """Disturb one target."""
+        targets = [*self.system.engines, *self.system.plain]
+        url = targets[planned.subject % len(targets)].url
+        call(url, "POST", "/faults", faults)
+        time.sleep(planned.lasts)
+        call(url, "POST", "/faults", {})
+
+    def restart_target(self, planned: PlannedFault) -> None:
+        """Have one engine start again under its name."""
+        engines = self.system.engines
+        call(engines[planned.subject % len(engines)].url, "POST", "/restart", {})
+
+    def write_foreign(self, planned: PlannedFault) -> None:
+        """Write an entry that is no target's."""
+        key = f"foreign-{planned.subject % 3}"
+        self.system.write_row("servers", key, FOREIGN[planned.subject % len(FOREIGN)])
+
+    def configure(self, planned: PlannedFault) -> None:
+        """Put a newer configuration in force, with a route of its own."""
+        with self._locks["store"]:
+            self.versions += 1
+            newest = route(f"/v{self.versions}/", "idempotent", "plain")
+            self.system.configure([*ROUTES, newest])
+
+
+FAULTS: dict[GatewayFault, Callable[[GatewaySoak, PlannedFault], None]] = {
+    GatewayFault.KILL: lambda soak, fault: soak.end(fault, signal.SIGKILL),
+    GatewayFault.PAUSE: GatewaySoak.pause,
+    GatewayFault.STOP: lambda soak, fault: soak.end(fault, signal.SIGTERM),
+    GatewayFault.RELOAD: GatewaySoak.reload,
+    GatewayFault.CUT_FROM_STORE: lambda s, f: s.link(f, LinkFault.REFUSE),
+    GatewayFault.SILENT_STORE_LINK: lambda s, f: s.link(f, LinkFault.FREEZE),
+    GatewayFault.STORE_DOWN: lambda soak, fault: soak.store(fault, down=True),
+    GatewayFault.STORE_SILENT: lambda soak, fault: soak.store(fault, silent=True),
+    GatewayFault.STORE_SLOW: lambda soak, fault: soak.store(fault, slow_seconds=0.3),
+    GatewayFault.STORE_LOSES: lambda soak, fault: soak.store(fault, lose_answer=0.3),
+    GatewayFault.STORE_FORGETS: lambda soak, fault: _forget(soak),
+    GatewayFault.TARGET_FAILS: lambda soak, fault: soak.target(fault, status=500),
+    GatewayFault.TARGET_HANGS: lambda soak, fault: soak.target(fault, hang_seconds=2),
+    GatewayFault.TARGET_RESTARTS: GatewaySoak.restart_target,
+    GatewayFault.ORDERS_LOST: lambda soak, fault: soak.target(fault, lose_orders=True),
+    GatewayFault.FOREIGN_ENTRY: GatewaySoak.write_foreign,
+    GatewayFault.CONFIGURATION: GatewaySoak.configure,
+}
+
+
+def _forget(soak: GatewaySoak) -> None:
+    call(soak.system.platform.url, "POST", "/forget", {})
+
+
+def _ask(
+    connection: http.client.HTTPConnection, source: random.Random, name: str
+) -> tuple[Event, bool]:
+    """Send one request; returns what came, and whether the connection stands."""
+    kind = source.choice(["plain", "once", "stream"])
+    once = kind != "plain"
+    model = str(source.choice(MODELS)["name"]) if kind == "stream" else ""
+    tokens = source.randint(3, 40)
+    expected = f"/{kind}/{name} {name}"
+    if model:
+        pieces = range(1, tokens + 1)
+        expected = "".join(f"id: {i}\ndata: {name}\n\n" for i in pieces)
+    method = "POST" if once else "GET"
+    headers = request_headers(name, model, tokens)
+    try:
+        connection.request(method, f"/{kind}/{name}", headers=headers)
+        response = connection.getresponse()
+        body = response.read()
+    except (OSError, http.client.HTTPException):
+        return Event(name, EventKind.BROKEN, once), False
+    reusable = not response.will_close
+    if response.status == 200:
+        answer = body.decode(errors="replace")
+        return Event(name, EventKind.ANSWERED, once, answer, expected), reusable
+    refused = response.status in REFUSED
+    told = EventKind.REFUSED_NO if refused else EventKind.REFUSED_UNKNOWN
+    return Event(name, told, once, f"status {response.status}"), reusable
+
+
+def check(soak: GatewaySoak) -> list[str]:
+    """Return every violation, once all faults are over."""
+    system = soak.system
+    targets = [*system.engines, *system.plain]
+    violations = [*soak.violations, *_check_recovery(soak)]
+    runs = Counter(str(run[0]) for run in system.runs(targets))
+    violations += check_history(soak.events, runs)
+    for gate in system.gateways:
+        memory = _peak_memory_kb(gate)
+        if memory > MOST_MEMORY_KB:
+            violations.append(f"{gate.name} took {memory} KB")
+    return violations
+
+
+def _check_recovery(soak: GatewaySoak) -> list[str]:
+    """Return what gateways do not serve again in time, newest routes included."""
+    paths = [("/plain/x", ""), (f"/v{soak.versions}/x", "")]
+    paths += [("/stream/x", str(model["name"])) for model in MODELS]
+    return [
+        f"{gate.name} does not serve {path} {model}"
+        for i, gate in enumerate(soak.system.gateways)
+        for path, model in paths
+        if path != "/v0/x"
+        and not wait_until(partial(_is_served, soak, i, path, model), RECOVERY_SECONDS)
+    ]
+
+
+def _is_served(soak: GatewaySoak, gate: int, path: str, model: str) -> bool:
+    method = "POST" if model else "GET"
+    try:
+        response, _ = soak.system.answer(path, method, gate=gate, model=model)
+    except (OSError, http.client.HTTPException):
+        return False
+    return response.status == 200
+
+
+def _peak_memory_kb(gate: Gateway) -> int:
+    status = Path(f"/proc/{gate.process.process.pid}/status").read_text()
+    peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(peak.split()[1])
+
+
+def soak_gateways(seed: int, seconds: float, gateways: int) -> GatewaySoak:
+    """Run a soak; its ``violations`` are all that was found."""
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        system = GatewaySystem(stack, folder)
+        for number in range(len(system.gateways), gateways):
+            system.start_gateway(f"n{number + 1}")
+        soak = GatewaySoak(system, seed, seconds)
+        soak.run()
+        soak.violations = check(soak)
+        return soak
+
+
+def main() -> int:
+    """Run a soak; exit status 1 on a violation."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--gateways", type=int, default=3)
+    arguments = parser.parse_args()
+    soak = soak_gateways(arguments.seed, arguments.seconds, arguments.gateways)
+    for fault, count in sorted(soak.counts.items(), key=lambda pair: pair[0].value):
+        say(f"  {fault.value:<40}{count:>5}")
+    kinds = Counter(event.kind.value for event in soak.events)
+    say(f"seed {arguments.seed}: {dict(kinds)}, {len(soak.violations)} violations")
+    for violation in soak.violations[:30]:
+        say(f"VIOLATION {violation}")
+    return 1 if soak.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/tests/test_gateway_soak.py
@@ -0,0 +1,30 @@
+"""A short run of the gateways' soak; longer ones are started by hand."""
+
+import pytest
+
+from runhatch_standins.gateway_soak import GatewayFault, plan_faults, soak_gateways
+
+SECONDS = 15.0
+
+
+class TestPlan:
+    """The faults of a run follow from its seed."""
+
+    def test_it_is_the_same_each_time(self):
+        assert plan_faults(7, 60.0) == plan_faults(7, 60.0)
+
+    def test_every_fault_comes(self):
+        seen = {fault.kind for seed in range(20) for fault in plan_faults(seed, 60.0)}
+
+        assert seen == {*GatewayFault}
+
+
+class TestSoak:
+    """Whole answers, at most once, true refusals, recovery, memory, exit statuses."""
+
+    @pytest.mark.parametrize("seed", [1])
+    def test_no_promise_is_broken(self, seed):
+        soak = soak_gateways(seed, SECONDS, gateways=2)
+
+        assert soak.violations == []
+        assert soak.events
