--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -18,7 +18,15 @@
 NOT_RUN = (("X-Runhatch-Not-Executed", "1"),)
 EVENT_SECONDS = 0.01
 LOAD_SECONDS = 0.3
-NO_FAULTS: dict[str, Any] = {"status": 0, "hang_seconds": 0.0, "lose_orders": False}
+NO_FAULTS: dict[str, Any] = {
+    "status": 0,
+    "hang_seconds": 0.0,
+    "lose_orders": False,
+    # Planted to see that checkers find them.
+    "run_twice": False,
+    "wrong_body": False,
+    "untrue_refusal": False,
+}
 Document = dict[str, Any]
 
 
@@ -155,6 +163,12 @@
             ("X-Runhatch-Attempt-Id", attempt_id),
             ("X-Runhatch-Response-Seal", f"seal-{self.identity}"),
         )
+        if self.faults["run_twice"]:
+            self.runs.append(Run(attempt_id, model))
+        if self.faults["untrue_refusal"]:
+            return Reply(503, headers=(*NOT_RUN, *headers[:1]))
+        if self.faults["wrong_body"]:
+            return Reply(200, b"another's", headers)
         if self.faults["status"]:
             run.ended = "failed"
             return Reply(int(self.faults["status"]), b"failed", headers)
