A target whose clock was set back is used again after three seconds

Cause, found on reading: an entry of an earlier life than the known one was passed over for good. That is right for what a life wrote before it ended and that arrives late; but a target that starts again after its clock was set back tells an earlier start, and would never have been used again. Such an entry is now passed over for three seconds, in which a successor that lives writes again.

--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -21,6 +21,10 @@
 """How long the orderer's word on a target counts for more than the target's own
 entry.  It repeats itself every few seconds; entries are written each 1.2 s and only
 if more than adapters changed."""
+OLDER_LIFE_DOUBTED = timedelta(seconds=3)
+"""How long an entry of an earlier life than the known one is passed over: what a life
+wrote before it ended arrives within seconds, and its successor writes again meanwhile.
+One that stands longer is that of a target whose clock was set back."""
 CORRECTION_HOLDS = timedelta(milliseconds=120)
 """How long a target that said it lacks a model is not asked for it, unless it or
 its orderer tells something newer: an adapter may be some ten milliseconds from
@@ -58,6 +62,7 @@
         self._expected: dict[str, tuple[ExpectedLoad, ...]] = {}
         self._lacking: dict[tuple[str, str, str], timedelta] = {}
         self._missing: dict[str, timedelta] = {}
+        self._doubted: dict[str, tuple[Target, timedelta]] = {}
         self._by_service: dict[str, tuple[Target, ...]] = {}
         self._reachable = True
         self._regained_at = clock.elapsed()
@@ -104,7 +109,12 @@
             gone = [key for key, since in self._missing.items() if now >= since]
             for key in gone:
                 self._remove(key, "not listed again")
-            if gone:
+            stands = [
+                target for target, until in self._doubted.values() if now >= until
+            ]
+            for target in stands:
+                self._replace(target)
+            if gone or stands:
                 self._rebuild()
             self._forget_unknown(now)
 
@@ -173,30 +183,37 @@
             return
         known = self._targets.get(entry.key)
         if known is not None and entry.value.is_older_than(known):
-            # What an earlier life wrote may arrive after it has ended.
             log_change("target_entry_old", target=known.incarnation)
+            until = self._clock.elapsed() + OLDER_LIFE_DOUBTED
+            self._doubted.setdefault(entry.key, (entry.value, until))
             return
-        self._missing.pop(entry.key, None)
-        if known is not None and known.incarnation != entry.value.incarnation:
-            self._remove(entry.key, "started again")
+        self._replace(entry.value)
+
+    def _replace(self, target: Target) -> None:
+        """Take ``target`` for what stands under its name."""
+        self._missing.pop(target.name, None)
+        self._doubted.pop(target.name, None)
+        known = self._targets.get(target.name)
+        if known is not None and known.incarnation != target.incarnation:
+            self._remove(target.name, "started again")
             known = None
-        self._targets[entry.key] = entry.value
+        self._targets[target.name] = target
         if known is None:
             log_change(
                 "target_learned",
-                target=entry.value.incarnation,
-                service=entry.value.service,
-                address=f"{entry.value.host}:{entry.value.port}",
-                state=entry.value.state.value,
-                models=sorted(entry.value.held.adapters_by_model),
-                on_disk=len(entry.value.copies.on_disk),
+                target=target.incarnation,
+                service=target.service,
+                address=f"{target.host}:{target.port}",
+                state=target.state.value,
+                models=sorted(target.held.adapters_by_model),
+                on_disk=len(target.copies.on_disk),
             )
-        elif known.state is not entry.value.state:
+        elif known.state is not target.state:
             log_change(
                 "target_draining",
-                target=entry.value.incarnation,
+                target=target.incarnation,
                 source="store",
-                leaves_in=_seconds(entry.value.leaves_in),
+                leaves_in=_seconds(target.leaves_in),
             )
 
     def _lose(self, key: str) -> None:
@@ -212,6 +229,7 @@
 
     def _remove(self, key: str, why: str) -> None:
         self._missing.pop(key, None)
+        self._doubted.pop(key, None)
         target = self._targets.pop(key, None)
         if target is None:
             return
--- a/packages/runhatch-server/tests/test_directory.py
+++ b/packages/runhatch-server/tests/test_directory.py
@@ -90,6 +90,29 @@
 
         assert names(directory.ready("engine")) == ["t1@100000"]
 
+    @pytest.mark.parametrize(
+        ("later", "known"),
+        [(1.0, "t1@100000"), (3.0, "t1@50000")],
+    )
+    def test_one_that_stands_is_of_a_target_whose_clock_was_set_back(
+        self, clock, later, known
+    ):
+        directory = self.started_again(clock, born=50)
+        clock.advance(seconds(later))
+
+        directory.settle()
+
+        assert names(directory.ready("engine")) == [known]
+
+    def test_one_that_its_successor_writes_over_is_forgotten(self, clock):
+        directory = self.started_again(clock, born=50)
+        directory.changed((entry(make_target(models=["m0"], born=100)),))
+        clock.advance(seconds(5))
+
+        directory.settle()
+
+        assert names(directory.ready("engine")) == ["t1@100000"]
+
 
 class TestOutages:
     """Entries that lapsed while the store was away."""
