A new orderer makes no copies for half a minute

Cause, found on reading: quiet was told by what the orderer hears. One that holds the lease while peers do not reach it hears of no callers, and would have taken a busy system for a quiet one after a second. After another node has ordered the targets half a minute must pass; the first orderer of a system waits as before.

--- a/packages/runhatch-server/src/runhatch_server/residency/_copies.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_copies.py
@@ -19,8 +19,10 @@
 are a fraction of a second apart."""
 SETTLED = timedelta(seconds=1)
 """How long no target must have been new to the orderer: they are listed one after the
-other, some 0.7 s apart, and each has copies.  A new orderer, to which all are new, is
-told by then what was asked for."""
+other, some 0.7 s apart, and each has copies."""
+TAKEN_OVER = timedelta(seconds=30)
+"""The same after another node has ordered the targets: one that peers do not reach
+hears of no callers, and must not take a busy system for a quiet one."""
 MOST_TARGETS = 0.5
 """Share of the targets that make copies at once: the others take orders for adapters
 when callers come meanwhile."""
@@ -38,13 +40,17 @@
     """Decides about copies; used by the orderer's loop alone."""
 
     def __init__(self, now: timedelta) -> None:
-        self._met_at = now
+        self._settled_at = now + SETTLED
         self._made_at: dict[tuple[str, str], timedelta] = {}
         self._newest_at: dict[str, timedelta] = {}
 
     def met(self, now: timedelta) -> None:
-        """Take in that a target is new, or that this node is new to all of them."""
-        self._met_at = now
+        """Take in that a target is new."""
+        self._settled_at = max(self._settled_at, now + SETTLED)
+
+    def taken_over(self, now: timedelta) -> None:
+        """Take in that another node ordered the targets until now."""
+        self._settled_at = now + TAKEN_OVER
 
     def made(self, service: str, load: LoadModel, now: timedelta) -> None:
         """Take in that a load was begun."""
@@ -83,7 +89,7 @@
         if newest_at is not None and view.now - newest_at < PAUSE:
             return False
         unknown = any(control.step is Step.UNKNOWN for control in view.controls)
-        return view.now - self._met_at >= SETTLED and not unknown
+        return view.now >= self._settled_at and not unknown
 
     def _was_made(self, view: FleetView, model: str) -> bool:
         made_at = self._made_at.get((view.service, model))
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -214,7 +214,8 @@
             self._epoch = 0 if epoch is None else epoch.number
             self._gave_up = False
             self._runner.taken_over(now)
-            self._copies.met(now)
+            if self._lease.taken_from is not None:
+                self._copies.taken_over(now)
             if self._lease.taken_from not in (None, self._node):
                 self._wait_for_last_holder()
             self._teller.begin()
--- a/packages/runhatch-server/tests/test_copies.py
+++ b/packages/runhatch-server/tests/test_copies.py
@@ -19,6 +19,7 @@
     PAUSE,
     QUIET,
     SETTLED,
+    TAKEN_OVER,
     CopyPlanner,
 )
 
@@ -88,6 +89,17 @@
         assert plan(*two_targets(), settled=SETTLED / 2) == []
         assert plan(*two_targets(), unknown) == []
 
+    def test_none_is_made_soon_after_another_node_ordered(self):
+        """One that peers do not reach hears of no callers."""
+        planner = CopyPlanner(NOW)
+        planner.taken_over(NOW)
+
+        def view(later):
+            return FleetView("engine", PLAIN, two_targets(), DemandBook(), NOW + later)
+
+        assert loads(planner, view(SETTLED)) == []
+        assert len(loads(planner, view(TAKEN_OVER))) == 1
+
     def test_models_with_more_than_one_holder_stay(self):
         controls = [
             control("t1", ["m0", "m1", "m2"]),
