The test of a draining target makes sure that it was used

Cause: the test waits until a new target has been chosen, and an idle system chooses the ones to which connections are open; it was chosen only as long as failures of earlier tests were remembered, some seconds. Others now fail while it waits, and are healthy again before the drain; what is asserted is the same. The program is not changed.

--- a/standins/tests/test_gateway.py
+++ b/standins/tests/test_gateway.py
@@ -106,7 +106,12 @@
 
     def test_a_draining_target_gets_nothing_new(self, system):
         leaving = system.start_worker("plain")
+        # Others are chosen as long as they answer: their connections are open.
+        for worker in system.plain:
+            call(worker.url, "POST", "/faults", {"status": 500})
         assert wait_until(lambda: system.answer("/plain/x") and system.runs([leaving]))
+        for worker in system.plain:
+            call(worker.url, "POST", "/faults", {})
         call(leaving.url, "POST", "/drain", {})
         time.sleep(1.5)
         before = len(system.runs([leaving]))
