--- a/standins/tests/test_gateway_soak.py
+++ b/standins/tests/test_gateway_soak.py
@@ -25,9 +25,16 @@
 class TestSoak:
     """Whole answers, at most once, true refusals, recovery, memory, exit statuses."""
 
-    @pytest.mark.parametrize("seed", [1])
-    def test_no_promise_is_broken(self, seed):
-        soak = soak_gateways(seed, SECONDS, gateways=2)
+    @pytest.mark.parametrize(
+        ("seed", "seconds", "gateways"),
+        [
+            (1, SECONDS, 2),
+            # A gateway that was told to stop ended by SIGABRT, once.
+            (32, 15.0, 3),
+        ],
+    )
+    def test_no_promise_is_broken(self, seed, seconds, gateways):
+        soak = soak_gateways(seed, seconds, gateways)
 
         assert soak.violations == []
         assert soak.events
