Two nodes of a failure domain read the store, and tell the others

Three more things grew with them: nodes not linked to the orderer never heard that its lease was renewed, so that candidates among them read the lease 3.3 times a second, and nobody told them a new orderer or what targets hold; versions were told, and calls hurried, though nothing had changed.

Change: two readers a failure domain, chosen by rendezvous, watch the store and broadcast what they read, with the version it follows on (TableReplica, SharedTable, GatewayTables, Broadcaster); their signs of life carry who orders the targets. Followers that hear nobody, miss something, are told that their readers are cut off, or hear of a newer version elsewhere ask or read by themselves. Nodes that start ask those named in the settings. What the orderer tells of targets goes by the same way to all nodes, and is taken in together (64 targets, 59 told: 46 ms before, 0.5 ms). A node that orders nothing does not look for orders 16 times a second (2.3 ms/s of processor time).

Ruled out: a task and a link for each follower (39 a reader); flooding whole rows over the peers' links (each would come six times). Several calls for one change by readers that differ in phase stay.

--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -40,8 +40,17 @@
     LeaseRecord,
 )
 from runhatch_coordination._members import MemberFact, Membership, Standing
-from runhatch_coordination._peers import Vm, choose_peers, rank, weight
+from runhatch_coordination._peers import (
+    Role,
+    Vm,
+    choose_peers,
+    choose_readers,
+    rank,
+    role_of,
+    weight,
+)
 from runhatch_coordination._permits import PermitRecord, SharedPermits
+from runhatch_coordination._replica import Offer, TableChanges, TableReplica
 from runhatch_coordination._revisions import (
     ObjectStore,
     Overtaken,
@@ -52,6 +61,7 @@
     RevisionLog,
     digest_of,
 )
+from runhatch_coordination._shared import SharedTable, SharedTableBounds, TablePeers
 from runhatch_coordination._table import (
     ABSENT,
     Check,
@@ -117,13 +127,20 @@
     "RetryBudget",
     "Revision",
     "RevisionEntry",
+    "Offer",
     "RevisionFeed",
     "RevisionLog",
     "Row",
+    "Role",
     "SharedPermits",
+    "SharedTable",
+    "SharedTableBounds",
     "Standing",
     "SystemClock",
     "Table",
+    "TableChanges",
+    "TablePeers",
+    "TableReplica",
     "Taken",
     "TransactOutcome",
     "Unavailable",
@@ -131,9 +148,11 @@
     "Vm",
     "Write",
     "choose_peers",
+    "choose_readers",
     "commit",
     "digest_of",
     "rank",
+    "role_of",
     "require",
     "stored_claim",
     "weight",
--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -131,22 +131,35 @@
         """The newest version passed on."""
         return self._passed
 
+    @property
+    def failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._failures > 0
+
+    def seek(self, version: int) -> None:
+        """Go on after ``version``, which the listener was told by somebody else."""
+        if version > self._passed:
+            self._version = version
+            self._passed = version
+
     def noticed(self, version: int) -> None:
         """Take in from elsewhere that the table has had ``version``."""
         if version > self._passed and self._noticed is None:
             self._noticed = (version, self._clock.elapsed())
 
-    def check(self) -> None:
-        """Hurry if a change that was noticed elsewhere is overdue here."""
+    def check(self) -> bool:
+        """Hurry, and say so, if a change that was noticed elsewhere is overdue here."""
         noticed = self._noticed
         if noticed is None:
-            return
+            return False
         version, at = noticed
         if version <= self._passed:
             self._noticed = None
         elif self._clock.elapsed() - at >= self._overdue:
             self._noticed = None
             self._feed.hurry()
+            return True
+        return False
 
     def run(self) -> None:
         """Watch until told to stop, whatever a round raises."""
@@ -158,11 +171,14 @@
                 pause = LONGEST_RETRY
             self._stopping.wait(pause.total_seconds())
 
-    def step(self) -> timedelta:
-        """Make one call; returns how long to pause before the next."""
+    def step(self, wait: timedelta = LONGEST_WAIT) -> timedelta:
+        """Make one call; returns how long to pause before the next.
+
+        The store is asked to keep it for ``wait`` if nothing has changed.
+        """
         if self._version is None:
             return self._list()
-        outcome = self._feed.changes(self._version, LONGEST_WAIT)
+        outcome = self._feed.changes(self._version, wait)
         if isinstance(outcome, WaitEnded):
             return timedelta()
         if isinstance(outcome, Unavailable):
--- a/packages/runhatch-coordination/src/runhatch_coordination/_peers.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_peers.py
@@ -1,26 +1,53 @@
-"""Choosing a bounded number of peers, and preferring nodes, by rendezvous hash."""
+"""Choosing peers, readers of the store and preferred nodes, by rendezvous hash."""
 
 import hashlib
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
+from functools import lru_cache
 
 FULL_MESH = 9
 """Up to this many nodes everybody links to everybody."""
 MIN_DEGREE = 6
 """Links each node opens above that; about as many come in."""
+WEIGHTS_KEPT = 8_192
+"""Weights computed once: a node ranks all others several times a second, and each takes
+1.5 microseconds."""
+READERS = "readers"
+READERS_PER_DOMAIN = 2
+"""Nodes of a failure domain that read the store for the others.  Each node listens to
+both, so that one may end, freeze or be cut off without anybody being told later."""
+RESERVES_PER_DOMAIN = 2
+"""Nodes that read the store as well while no reader of their domain reaches it."""
+
+
+class Role(Enum):
+    """What a node does about watched tables."""
+
+    READER = "reader"
+    """It reads the store and tells the others of its failure domain."""
+    RESERVE = "reserve"
+    """It is told, and reads the store when its readers say they cannot."""
+    FOLLOWER = "follower"
+    """It is told."""
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Vm:
-    """One VM of the system: its name, failure domain and peer address."""
+    """One VM of the system: its name, failure domain and peer address.
+
+    On ``broadcast_port`` of the same host it tells whoever listens; 0 if it does not.
+    """
 
     name: str
     failure_domain: str
     address: str
     incarnation: int = 0
+    broadcast_port: int = 0
 
 
+@lru_cache(WEIGHTS_KEPT)
 def weight(subject: str, name: str) -> int:
     """Return the rendezvous weight of ``name`` for ``subject``.
 
@@ -73,3 +100,28 @@
         queues[by_name[name].failure_domain].append(by_name[name])
     order = rank(own.name, queues)
     return {domain: queues[domain] for domain in order}
+
+
+def choose_readers(domain: str, vms: Iterable[Vm]) -> list[Vm]:
+    """Return the VMs of ``domain`` that read the store for the others.
+
+    >>> vms = [Vm(f"n{i}", f"d{i % 2}", "") for i in range(10)]
+    >>> [vm.failure_domain for vm in choose_readers("d1", vms)]
+    ['d1', 'd1']
+    """
+    return _ranked_readers(domain, vms)[:READERS_PER_DOMAIN]
+
+
+def role_of(own: Vm, vms: Iterable[Vm]) -> Role:
+    """Return what ``own`` does about watched tables among ``vms``."""
+    ranked = [vm.name for vm in _ranked_readers(own.failure_domain, vms)]
+    if own.name in ranked[:READERS_PER_DOMAIN]:
+        return Role.READER
+    if own.name in ranked[: READERS_PER_DOMAIN + RESERVES_PER_DOMAIN]:
+        return Role.RESERVE
+    return Role.FOLLOWER
+
+
+def _ranked_readers(domain: str, vms: Iterable[Vm]) -> list[Vm]:
+    names = {vm.name: vm for vm in vms if vm.failure_domain == domain}
+    return [names[name] for name in rank(READERS, names)]
--- a/packages/runhatch-server/src/runhatch_server/_tasks.py
+++ b/packages/runhatch-server/src/runhatch_server/_tasks.py
@@ -31,11 +31,14 @@
     def every(
         self,
         name: str,
-        interval: timedelta,
+        interval: timedelta | Callable[[], timedelta],
         work: Callable[[], None],
         wake: threading.Event | None = None,
     ) -> None:
-        """Call ``work`` every ``interval``, jittered, and whenever ``wake`` is set."""
+        """Call ``work`` every ``interval``, jittered, and whenever ``wake`` is set.
+
+        An interval that changes is asked for before each pause.
+        """
         thread = threading.Thread(
             target=self._run,
             args=(interval, work, wake or threading.Event()),
@@ -46,7 +49,7 @@
 
     def _run(
         self,
-        interval: timedelta,
+        interval: timedelta | Callable[[], timedelta],
         work: Callable[[], None],
         wake: threading.Event,
     ) -> None:
@@ -58,6 +61,7 @@
                 return
             except Exception:
                 eliot.write_traceback()
-            pause = interval * random.uniform(1 - JITTER, 1 + JITTER)
+            due = interval if isinstance(interval, timedelta) else interval()
+            pause = due * random.uniform(1 - JITTER, 1 + JITTER)
             wake.wait(pause.total_seconds())
             wake.clear()
--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -124,10 +124,22 @@
         self, target: str, held: HeldModels, expected: Iterable[ExpectedLoad]
     ) -> None:
         """Take in what the orderer of ``target`` says it holds, and will hold."""
+        self.told_all([(target, held, expected)])
+
+    def told_all(
+        self, holdings: Iterable[tuple[str, HeldModels, Iterable[ExpectedLoad]]]
+    ) -> None:
+        """Take in what the orderer says of several targets.
+
+        Together, as all targets are looked through once: of 64 targets, what the
+        orderer repeats of 59 took 46 ms one by one, and takes 0.5 ms.
+        """
         with self.news:
-            self._expected[target] = tuple(expected)
-            self._told[target] = _Told(held, self._clock.elapsed())
-            self._forget_corrections(target)
+            now = self._clock.elapsed()
+            for target, held, expected in holdings:
+                self._expected[target] = tuple(expected)
+                self._told[target] = _Told(held, now)
+                self._forget_corrections(target)
             self._rebuild()
 
     def correct(self, target: str, model: str, adapter: str) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/__init__.py
@@ -15,6 +15,7 @@
     OrderBounds,
     RetryBounds,
 )
+from runhatch_server.gateway._watched import WatchedTable, decode_rows
 
 __all__ = [
     "AnswerHead",
@@ -31,4 +32,6 @@
     "OrderBounds",
     "PromptPart",
     "RetryBounds",
+    "WatchedTable",
+    "decode_rows",
 ]
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -4,17 +4,12 @@
 import time
 from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import Any, TypeVar
-
-import eliot
 
 from runhatch_coordination import (
-    Feed,
-    FeedListener,
     InvariantError,
     Lease,
+    LeaseChange,
     Membership,
-    TableWatcher,
     Vm,
     rank,
 )
@@ -34,14 +29,17 @@
 from runhatch_server.gateway._run import RunParts
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.gateway._settings import Endpoint, GatewaySettings
+from runhatch_server.gateway._tables import (
+    CHANGES_TOGETHER,
+    GatewayTables,
+    coalescing_of_targets,
+)
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.peers import PeerLinks
+from runhatch_server.peers import Broadcaster, Listener, PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
 from runhatch_server.routing import RequestLimits, RouteTable
 
-ValueT = TypeVar("ValueT")
-
 CALLER_THREADS = 200
 """Requests answered at once: at 30 a second and 5 s at the most, some 150."""
 CALLER_CONNECTIONS = 1_500
@@ -70,14 +68,12 @@
 """Requests that are sent within so long are told of together."""
 ORDER_EVERY = timedelta(milliseconds=60)
 """Between two rounds of the orderer; an adapter takes some 10 ms to load."""
-CHANGES_TOGETHER = timedelta(milliseconds=150)
-DRAIN_SLACK = timedelta(milliseconds=1_300)
-LEAST_TARGET_CHANGES_TOGETHER = timedelta(milliseconds=300)
-"""Changes within so long are read in one call, each of which is paid.  Of targets only
-leaving is urgent: it must be known so long before requests to them must end, in which
-a call is made and what is on its way arrives.  With 63 nodes that read each 0.7 s a
-quiet day cost 5,700 calls."""
-SETTLE_EVERY = timedelta(milliseconds=250)
+ORDER_IDLE = timedelta(seconds=1)
+"""The same on a node that orders nothing: it is woken when it takes the lease.  Rounds
+of 60 ms cost each such node 2.3 ms of processor time a second, measured on six idle
+gateways."""
+SETTLE_EVERY = timedelta(milliseconds=500)
+"""Between two looks at what is gone: targets are kept 1.8 s when they are missing."""
 LEAST_STOP = timedelta(seconds=4.2)
 """How long a stopping node serves on at least: the balancer asks once a second, needs
 two misses, and callers have connections open by then."""
@@ -114,6 +110,7 @@
             self._demand.wake.set,
         )
         self._membership = self._build_membership()
+        self._tables = self._build_tables()
         self._orderer = self._build_orderer()
         self._peers = GatewayPeers(
             self._membership,
@@ -124,12 +121,10 @@
             self._on_demand,
             self._lease.observe,
             self._orderer.take_in_resignation,
-            self._on_version,
+            self._tables,
         )
         self._order_now = threading.Event()
         self._links: PeerLinks | None = None
-        self._watchers: dict[str, TableWatcher[Any]] = {}
-        self._told_versions: dict[str, int] = {}
         self._app = self._build_app()
         self._servers = self._build_servers()
 
@@ -140,24 +135,16 @@
 
     def start(self) -> None:
         """Open the listeners and start every task."""
-        outside = self._outside
-        self._watch(
-            "configuration", outside.configurations, self._keeper, CHANGES_TOGETHER
-        )
-        self._watch(
-            "targets",
-            outside.targets,
-            self._directory,
-            max(LEAST_TARGET_CHANGES_TOGETHER, self._settings.drain - DRAIN_SLACK),
-        )
         self._open_links()
+        self._tables.start()
         self._tasks.every("settle", SETTLE_EVERY, self._settle)
         self._tasks.every(
             "members", HEARTBEAT, self._keep_members, self._peers.met_member
         )
+        self._tasks.every("readers", self._tables.told_every, self._keep_tables)
         self._tasks.every("lease", LEASE_EVERY, self._keep_lease)
         self._tasks.every("share", SHARE_EVERY, self._share, self._demand.wake)
-        self._tasks.every("orders", ORDER_EVERY, self._order, self._order_now)
+        self._tasks.every("orders", self._order_pause, self._order, self._order_now)
         for server in self._servers:
             server.start()
         log_change("started", node=self._settings.name)
@@ -194,6 +181,7 @@
                     break
         if self._links is not None:
             self._links.close()
+        self._tables.close()
         log_change("stopped", in_progress=self._progress.count)
 
     def on_broken_invariant(self, stop: Callable[[InvariantError], None]) -> None:
@@ -217,9 +205,32 @@
         settings = self._settings
         # A node that comes back must outrank what is still said of its last life.
         born = int(time.time())
-        own = Vm(settings.name, settings.failure_domain, str(settings.peers), born)
+        own = Vm(
+            settings.name,
+            settings.failure_domain,
+            str(settings.peers),
+            born,
+            settings.broadcast_port,
+        )
         return Membership(own, self._clock, SUSPECT_AFTER)
 
+    def _build_tables(self) -> GatewayTables:
+        drain = self._settings.drain
+        tables = GatewayTables(
+            self._membership,
+            self._clock,
+            self._metrics,
+            self._stopping,
+            drain,
+            lambda address, fact: self._peers.tell(address, fact),
+            lambda fact: self._peers.tell_all(fact),
+            lambda: map(str, self._settings.seeds),
+        )
+        outside = self._outside
+        tables.add(outside.configurations, self._keeper, CHANGES_TOGETHER)
+        tables.add(outside.targets, self._directory, coalescing_of_targets(drain))
+        return tables
+
     def _build_orderer(self) -> Orderer:
         bounds = self._settings.orders
         self._lease = Lease(
@@ -257,6 +268,21 @@
             lambda error: self._tasks.on_broken(error),
         )
         self._peers.attach(self._links)
+        broadcaster = None
+        if self._settings.broadcast_port:
+            host = self._settings.peers.host
+            broadcaster = Broadcaster(
+                f"tcp://{host}:{self._settings.broadcast_port}",
+                self._peers.own,
+                self._metrics,
+            )
+        listener = Listener(
+            self._peers.receive,
+            self._metrics,
+            MOST_MESSAGE,
+            lambda error: self._tasks.on_broken(error),
+        )
+        self._tables.attach(broadcaster, listener)
 
     def _build_servers(self) -> list[HttpServer]:
         settings = self._settings
@@ -274,37 +300,6 @@
             servers.append(_side(MetricsApp(self._metrics), settings.metrics))
         return servers
 
-    def _watch(
-        self,
-        name: str,
-        feed: Feed[ValueT],
-        listener: FeedListener[ValueT],
-        coalesce: timedelta,
-    ) -> None:
-        watcher = TableWatcher(
-            feed,
-            listener,
-            self._clock,
-            self._stopping,
-            lambda error: eliot.write_traceback(),
-            coalesce,
-        )
-        self._watchers[name] = watcher
-        threading.Thread(target=watcher.run, name=name, daemon=True).start()
-
-    def _on_version(self, table: str, version: int) -> None:
-        watcher = self._watchers.get(table)
-        if watcher is not None:
-            watcher.noticed(version)
-
-    def _check_watchers(self) -> None:
-        """Tell peers what was seen of the watched tables, and catch up with them."""
-        for name, watcher in self._watchers.items():
-            watcher.check()
-            if watcher.version > self._told_versions.get(name, 0):
-                self._told_versions[name] = watcher.version
-                self._peers.tell_version(name, watcher.version)
-
     def _on_routes(self, routes: RouteTable) -> None:
         self._balancer.configure(routes.services, routes.max_gaps)
         self._orderer.declare(routes.services)
@@ -325,6 +320,10 @@
         self._peers.look_round()
         self._balancer.nodes = len(self._membership.alive())
 
+    def _keep_tables(self) -> None:
+        self._peers.tell_state()
+        self._tables.check()
+
     def _keep_lease(self) -> None:
         """Renew the lease and tell so, or challenge it if its holder is not heard.
 
@@ -337,7 +336,9 @@
         own = self._settings.name
         if own not in ranked and self._orderer.holds_lease() is None:
             return
-        self._orderer.keep_lease(eager=ranked[0] == own)
+        change = self._orderer.keep_lease(eager=ranked[0] == own)
+        if change is LeaseChange.ACQUIRED:
+            self._order_now.set()
         resignation = self._orderer.resign_if_cut_off()
         if resignation is not None:
             self._peers.tell_resigned(resignation)
@@ -363,11 +364,13 @@
         self._peers.tell_loads()
         self._peers.tell_demand(self._demand)
 
+    def _order_pause(self) -> timedelta:
+        return ORDER_EVERY if self._orderer.has_work else ORDER_IDLE
+
     def _order(self) -> None:
         self._orderer.step()
 
     def _settle(self) -> None:
-        self._check_watchers()
         self._directory.settle()
         known = frozenset(target.incarnation for target in self._directory.all())
         self._pool.close_expired(known)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_outside.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_outside.py
@@ -2,9 +2,10 @@
 
 from dataclasses import dataclass
 
-from runhatch_coordination import Clock, Feed, Table
+from runhatch_coordination import Clock, Table
 from runhatch_server.fleet import Target
 from runhatch_server.gateway._messages import HeaderCodec
+from runhatch_server.gateway._watched import WatchedTable
 from runhatch_server.residency import OrderClient
 from runhatch_server.routing import RoutingConfiguration
 
@@ -15,7 +16,7 @@
 
     clock: Clock
     table: Table
-    configurations: Feed[RoutingConfiguration]
-    targets: Feed[Target]
+    configurations: WatchedTable[RoutingConfiguration]
+    targets: WatchedTable[Target]
     headers: HeaderCodec
     orders: OrderClient
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -1,16 +1,24 @@
 """What gateways tell each other: loads, demand, and what targets hold."""
 
+import itertools
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from runhatch_coordination import Clock, LeaseRecord, Membership
+from runhatch_coordination import (
+    Clock,
+    LeaseRecord,
+    Membership,
+    Vm,
+    choose_readers,
+)
 from runhatch_server.decisions import LoadShare
 from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._missed import MissedModels
+from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
     DemandOfModel,
@@ -22,9 +30,12 @@
     ModelDemand,
     OrdererNotice,
     OrdererResigned,
+    StateAsked,
+    TableNews,
     TableVersion,
     TargetHoldings,
     TargetLoads,
+    member_of_fact,
 )
 from runhatch_server.residency import DemandShare, Holding, Resignation, Wanted
 
@@ -62,7 +73,7 @@
         on_demand: OnDemand,
         on_orderer: Callable[[int, int], None],
         on_resigned: Callable[[Resignation], None],
-        on_version: Callable[[str, int], None],
+        tables: GatewayTables,
     ) -> None:
         super().__init__(membership, metrics)
         self._clock = clock
@@ -71,11 +82,15 @@
         self._on_demand = on_demand
         self._on_orderer = on_orderer
         self._on_resigned = on_resigned
-        self._on_version = on_version
+        self._tables = tables
         self._orderer_address = ""
         self._orderer_epoch = 0
         self._orderer_renewal = (0, -1)
         self._orderer_heard = timedelta(days=-1)
+        self._orderer_told = OrdererNotice(0, -1)
+        self._asks_left = 2
+        self._numbers = itertools.count(1)
+        self._newest_told: dict[str, tuple[int, int]] = {}
         self._told_shares: dict[str, LoadShare] = {}
         self._told_whole = timedelta(days=-1)
         self._told_demand = clock.elapsed()
@@ -167,21 +182,28 @@
     def tell_holdings(self, epoch: int, holdings: list[Holding]) -> None:
         """Tell peers, and this node itself, what targets hold."""
         now = self._clock.elapsed()
-        fact = TargetHoldings(epoch, [_told_of(holding, now) for holding in holdings])
+        told = [_told_of(holding, now) for holding in holdings]
+        own = self._membership.own.address
+        fact = TargetHoldings(epoch, told, next(self._numbers), own)
         self.tell_all(fact)
+        self._tables.broadcast([fact])
         for address, until in list(self._missers.items()):
             if now >= until:
                 del self._missers[address]
             else:
                 self.tell(address, fact)
-        for holding in holdings:
-            self._directory.told(holding.target, holding.held, holding.loads)
+        self._directory.told_all(
+            (holding.target, holding.held, holding.loads) for holding in holdings
+        )
 
     def tell_renewal(self, epoch: int, renewal: int) -> None:
         """Tell peers that this node orders the targets, once a renewal."""
         self._orderer_is(self._membership.own.address, epoch)
         if self._renewed(epoch, renewal):
-            self.tell_all(OrdererNotice(epoch, renewal))
+            self._orderer_told = OrdererNotice(
+                epoch, renewal, self._membership.own.address
+            )
+            self.tell_all(self._orderer_told)
 
     def tell_resigned(self, resignation: Resignation) -> None:
         """Tell peers that this node orders the targets no longer."""
@@ -190,11 +212,44 @@
             target: wait.total_seconds() for target, wait in resignation.waits.items()
         }
         others_wait = resignation.others_wait.total_seconds()
-        self.tell_all(OrdererResigned(resignation.epoch, waits, others_wait))
+        fact = OrdererResigned(resignation.epoch, waits, others_wait)
+        self.tell_all(fact)
+        self._tables.broadcast([fact])
+
+    def keep_links(self) -> None:
+        """Link to the peers that the membership asks for.
 
-    def tell_version(self, table: str, version: int) -> None:
-        """Tell peers what this node has seen of a watched table."""
-        self.tell_all(TableVersion(table, version))
+        The node that orders the targets links to the readers of every failure domain
+        as well, which tell the nodes of theirs what it tells.
+        """
+        super().keep_links()
+        self._tables.keep_readers()
+
+    def look_for_members(self, seeds: Iterable[str]) -> None:
+        """Make this node known, and have one of ``seeds`` tell who is there.
+
+        It is asked twice: when all nodes start together the first answer lacks most.
+        """
+        others = [seed for seed in seeds if seed != self._membership.own.address]
+        super().look_for_members(others)
+        if others and self._asks_left:
+            self._asks_left -= 1
+            self.tell(self._random.choice(others), StateAsked({}, members=True))
+
+    def also_linked(self) -> list[Vm]:
+        """Return the nodes to link to beside those that keep all connected."""
+        own = self._membership.own
+        if self._orderer_address != own.address:
+            return []
+        alive = self._membership.alive()
+        domains = sorted({vm.failure_domain for vm in alive})
+        readers = [vm for domain in domains for vm in choose_readers(domain, alive)]
+        return [vm for vm in readers if vm.name != own.name]
+
+    def tell_state(self) -> None:
+        """Tell, as a reader, what is known of tables and of who orders the targets."""
+        known = self._orderer_told.epoch > 0 and self.orderer_is_heard()
+        self._tables.tell_state([self._orderer_told] if known else [])
 
     @singledispatchmethod
     def take_in(self, fact: Fact, sender: Member) -> None:
@@ -202,7 +257,23 @@
 
     @take_in.register
     def _take_in_version(self, fact: TableVersion, sender: Member) -> None:
-        self._on_version(fact.table, fact.version)
+        # Passed on only if it is news, so that it dies out.
+        if self._tables.take_in_version(fact):
+            self.tell_all(fact)
+
+    @take_in.register
+    def _take_in_news(self, fact: TableNews, sender: Member) -> None:
+        self._tables.take_in_news(fact, sender)
+
+    @take_in.register
+    def _take_in_question(self, fact: StateAsked, sender: Member) -> None:
+        answer = self._tables.state_since(fact.versions)
+        if fact.members:
+            answer += map(member_of_fact, self._membership.facts())
+            if self._orderer_told.epoch:
+                answer.append(self._orderer_told)
+        if answer and self._links is not None:
+            self._links.tell(sender.address, answer)
 
     @take_in.register
     def _take_in_loads(self, fact: TargetLoads, sender: Member) -> None:
@@ -232,27 +303,24 @@
     def _take_in_holdings(self, fact: TargetHoldings, sender: Member) -> None:
         if fact.epoch < self._orderer_epoch:
             return
-        self._orderer_is(sender.address, fact.epoch)
+        orderer = fact.orderer or sender.address
+        self._orderer_is(orderer, fact.epoch)
+        if sender.address == orderer and self._tables.reads:
+            self._tables.broadcast([fact])
         now = self._clock.elapsed()
-        for holding in fact.holdings:
-            held = HeldModels(
-                {
-                    model: frozenset(adapters)
-                    for model, adapters in holding.models.items()
-                }
-            )
-            loads = [
-                ExpectedLoad(holding.target, model, now + timedelta(seconds=left))
-                for model, left in holding.loading
-            ]
-            self._directory.told(holding.target, held, loads)
+        self._directory.told_all(
+            _holding_of(holding, now) for holding in self._news_of(fact)
+        )
 
     @take_in.register
     def _take_in_orderer(self, fact: OrdererNotice, sender: Member) -> None:
         if fact.epoch < self._orderer_epoch:
             return
-        self._orderer_is(sender.address, fact.epoch)
-        self._renewed(fact.epoch, fact.renewal)
+        orderer = fact.orderer or sender.address
+        self._orderer_is(orderer, fact.epoch)
+        if not self._renewed(fact.epoch, fact.renewal):
+            return
+        self._orderer_told = OrdererNotice(fact.epoch, fact.renewal, orderer)
         self._on_orderer(fact.epoch, fact.renewal)
 
     @take_in.register
@@ -263,6 +331,21 @@
         waits = {target: timedelta(seconds=wait) for target, wait in fact.waits.items()}
         others_wait = timedelta(seconds=fact.others_wait)
         self._on_resigned(Resignation(fact.epoch, waits, others_wait))
+        if sender.address == self._orderer_address and self._tables.reads:
+            self._tables.broadcast([fact])
+
+    def _news_of(self, fact: TargetHoldings) -> list[HoldingOfTarget]:
+        """Return what ``fact`` tells of targets of which nothing newer was told."""
+        if not fact.number:
+            return fact.holdings
+        told = (fact.epoch, fact.number)
+        news = [
+            holding
+            for holding in fact.holdings
+            if told > self._newest_told.get(holding.target, (0, 0))
+        ]
+        self._newest_told.update((holding.target, told) for holding in news)
+        return news
 
     def _answer_misser(self, address: str, missed: list[Wanted]) -> None:
         """Tell a node that is not linked who holds what it did not find."""
@@ -287,6 +370,7 @@
     def _orderer_is(self, address: str, epoch: int) -> None:
         if epoch > self._orderer_epoch:
             self._owes_recent = True
+            self._newest_told.clear()
         self._orderer_address = address
         self._orderer_epoch = epoch
 
@@ -330,6 +414,20 @@
     )
 
 
+def _holding_of(
+    told: HoldingOfTarget, now: timedelta
+) -> tuple[str, HeldModels, list[ExpectedLoad]]:
+    """Return a target, what it holds, and what it is loading."""
+    held = HeldModels(
+        {model: frozenset(adapters) for model, adapters in told.models.items()}
+    )
+    loads = [
+        ExpectedLoad(told.target, model, now + timedelta(seconds=left))
+        for model, left in told.loading
+    ]
+    return told.target, held, loads
+
+
 def _demand_of(share: DemandShare) -> DemandOfModel:
     return DemandOfModel(
         share.wanted.service,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
@@ -48,7 +48,8 @@
     any, ``peers`` is for other nodes.  ``seeds`` are addresses of some other nodes,
     old ones perhaps.  ``shutdown_grace`` is the time between the request to stop
     and the kill, ``drain`` the time after which a target that says it leaves must get
-    no more requests.
+    no more requests.  On ``broadcast_port`` of the peers' host a node that reads the
+    store tells others; 0 if it cannot.
     """
 
     name: str
@@ -64,3 +65,4 @@
     retries: RetryBounds
     orders: OrderBounds
     drain: timedelta = timedelta(seconds=2)
+    broadcast_port: int = 0
--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -1,5 +1,6 @@
 """Links between nodes: hints that speed things up, never the truth."""
 
+from runhatch_server.peers._broadcast import Broadcaster, Listener
 from runhatch_server.peers._exchange import MemberExchange
 from runhatch_server.peers._links import Links, PeerLinks
 from runhatch_server.peers._messages import (
@@ -20,15 +21,25 @@
     PlannerNotice,
     RevisionBody,
     RevisionNotice,
+    StateAsked,
     StateWanted,
+    TableNews,
     TableVersion,
     TargetHoldings,
     TargetLoads,
     fact_of_member,
     member_of_fact,
+    pack_rows,
+    unpack_rows,
 )
 
 __all__ = [
+    "Broadcaster",
+    "Listener",
+    "StateAsked",
+    "TableNews",
+    "pack_rows",
+    "unpack_rows",
     "MemberExchange",
     "DemandOfModel",
     "HoldingOfTarget",
--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -8,6 +8,7 @@
     MemberFact,
     Membership,
     Standing,
+    Vm,
     choose_peers,
 )
 from runhatch_server.observability import Metrics, log_change
@@ -56,9 +57,14 @@
         if self._links is None:
             return
         peers = choose_peers(self._membership.own, self._membership.alive())
+        peers += self.also_linked()
         self._linked = frozenset(vm.address for vm in peers)
         self._links.keep(self._linked)
 
+    def also_linked(self) -> list[Vm]:
+        """Return the nodes to link to beside those that keep all connected."""
+        return []
+
     def look_for_members(self, seeds: Iterable[str]) -> None:
         """Make this node known at ``seeds`` while it knows nobody else."""
         if len(self._membership.alive()) > 1:
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -22,12 +22,29 @@
 RECONNECT = timedelta(milliseconds=200)
 LONGEST_RECONNECT = timedelta(seconds=5)
 QUEUE_LIMIT = 4_096
+MOST_UNREADABLE_LOGGED = 10
+"""Messages that cannot be read are counted; so many are logged, to tell the kind."""
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Envelope)
 
 OnEnvelope = Callable[[Envelope], None]
 
 
+def decode_envelope(message: bytes, metrics: Metrics) -> Envelope | None:
+    """Return a peer's message, ``None`` if it is not one; such a one is counted.
+
+    Of another version than this node's, its kinds of facts may not be known.
+    """
+    try:
+        return DECODER.decode(message)
+    except msgspec.MsgspecError as error:
+        metrics.peer_messages.labels("unreadable").inc()
+        count = metrics.count(metrics.peer_messages, "unreadable")
+        if count <= MOST_UNREADABLE_LOGGED:
+            log_change("message_unreadable", why=str(error), count=round(count))
+        return None
+
+
 class Links(Protocol):
     """What carries facts to other nodes."""
 
@@ -161,10 +178,8 @@
                 continue
             self._metrics.peer_messages.labels("in").inc()
             self._metrics.peer_bytes.labels("in").inc(len(message))
-            try:
-                envelope = DECODER.decode(message)
-            except msgspec.MsgspecError:
-                self._metrics.peer_messages.labels("unreadable").inc()
+            envelope = decode_envelope(message, self._metrics)
+            if envelope is None:
                 continue
             try:
                 self._on_envelope(envelope)
@@ -215,9 +230,9 @@
 
     def _run(self) -> None:
         with pynng.Push0() as socket:
-            socket.send_timeout = _milliseconds(SEND_TIMEOUT)
-            socket.reconnect_time_min = _milliseconds(RECONNECT)
-            socket.reconnect_time_max = _milliseconds(LONGEST_RECONNECT)
+            socket.send_timeout = milliseconds(SEND_TIMEOUT)
+            socket.reconnect_time_min = milliseconds(RECONNECT)
+            socket.reconnect_time_max = milliseconds(LONGEST_RECONNECT)
             if self._keys is not None:
                 socket.tls_config = self._keys.config(server=False)
             socket.dial(self._url, block=False)
@@ -252,5 +267,6 @@
         self._metrics.peer_bytes.labels("out").inc(len(message))
 
 
-def _milliseconds(duration: timedelta) -> int:
+def milliseconds(duration: timedelta) -> int:
+    """Return ``duration`` as the library takes it."""
     return int(duration.total_seconds() * 1000)
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -3,11 +3,19 @@
 One envelope carries many facts, since a message costs far more than its bytes.
 """
 
+import zlib
+from collections.abc import Iterable
+
 import msgspec
 
 from runhatch_coordination import MemberFact, Standing, Vm
 
-VERSION = 3
+ROWS_LEVEL = 1
+"""Fastest compression: 60 rows of 400 bytes in 0.2 ms, to an eighth."""
+MOST_ROWS_BYTES = 16_777_216
+"""Unpacked rows of one message at the most; the store's tables hold far less, and a
+peer must not make a node use its memory."""
+VERSION = 4
 
 
 class Member(msgspec.Struct, frozen=True, tag="member", array_like=True):
@@ -18,6 +26,7 @@
     address: str
     incarnation: int
     standing: Standing
+    broadcast_port: int = 0
 
 
 class RevisionNotice(msgspec.Struct, frozen=True, tag="notice", array_like=True):
@@ -135,17 +144,26 @@
 
 
 class TargetHoldings(msgspec.Struct, frozen=True, tag="holdings", array_like=True):
-    """What the node that orders the targets knows of some of them."""
+    """What the node that orders the targets knows of some of them.
+
+    The node at ``orderer`` numbers what it tells; it reaches others by several ways.
+    """
 
     epoch: int
     holdings: list[HoldingOfTarget]
+    number: int = 0
+    orderer: str = ""
 
 
 class OrdererNotice(msgspec.Struct, frozen=True, tag="orderer", array_like=True):
-    """The sender holds the lease for ordering targets, renewed so many times."""
+    """The node at ``orderer`` holds the lease for ordering targets.
+
+    It has renewed it so many times; without an address it is the sender.
+    """
 
     epoch: int
     renewal: int
+    orderer: str = ""
 
 
 class OrdererResigned(msgspec.Struct, frozen=True, tag="resigned", array_like=True):
@@ -167,6 +185,33 @@
     version: int
 
 
+class TableNews(msgspec.Struct, frozen=True, tag="news", array_like=True):
+    """What the sender has read of a watched table, and whether it can go on reading.
+
+    ``rows`` changed after version ``after`` up to ``version``, see
+    :func:`pack_rows`; empty if none did.  They are the ``whole`` table, or what
+    follows on ``after``.  Without a ``version`` the sender knows nothing yet.
+    """
+
+    table: str
+    after: int
+    version: int
+    reachable: bool
+    whole: bool = False
+    rows: bytes = b""
+
+
+class StateAsked(msgspec.Struct, frozen=True, tag="state", array_like=True):
+    """Asks the receiver to tell the sender what it knows.
+
+    It wants what has changed of tables since these versions, all of one since -1;
+    with ``members`` also who is there and who orders the targets.
+    """
+
+    versions: dict[str, int]
+    members: bool = False
+
+
 class LinkClosed(msgspec.Struct, frozen=True, tag="closed", array_like=True):
     """The sender links to the receiver no more, and its silence means nothing."""
 
@@ -195,6 +240,8 @@
     | OrdererNotice
     | OrdererResigned
     | TableVersion
+    | TableNews
+    | StateAsked
 )
 
 
@@ -213,10 +260,47 @@
 def member_of_fact(fact: MemberFact) -> Member:
     """Return the message for a membership fact."""
     vm = fact.vm
-    return Member(vm.name, vm.failure_domain, vm.address, vm.incarnation, fact.standing)
+    return Member(
+        vm.name,
+        vm.failure_domain,
+        vm.address,
+        vm.incarnation,
+        fact.standing,
+        vm.broadcast_port,
+    )
 
 
 def fact_of_member(member: Member) -> MemberFact:
     """Return the membership fact in a message."""
-    vm = Vm(member.name, member.failure_domain, member.address, member.incarnation)
+    vm = Vm(
+        member.name,
+        member.failure_domain,
+        member.address,
+        member.incarnation,
+        member.broadcast_port,
+    )
     return MemberFact(vm, member.standing)
+
+
+def pack_rows(rows: Iterable[tuple[str, bytes | None]]) -> bytes:
+    """Return rows as they travel: alike as they are, a tenth of their size.
+
+    >>> unpack_rows(pack_rows([("a", b"1"), ("b", None)]))
+    [('a', b'1'), ('b', None)]
+    """
+    return zlib.compress(msgspec.msgpack.encode(list(rows)), ROWS_LEVEL)
+
+
+def unpack_rows(packed: bytes) -> list[tuple[str, bytes | None]]:
+    """Return the rows in ``packed``; raises ``ValueError`` if it holds none."""
+    unpacker = zlib.decompressobj()
+    try:
+        plain = unpacker.decompress(packed, MOST_ROWS_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"rows cannot be unpacked: {error}") from None
+    if not unpacker.eof:
+        raise ValueError("rows are cut short, or too long")
+    try:
+        return msgspec.msgpack.decode(plain, type=list[tuple[str, bytes | None]])
+    except msgspec.MsgspecError as error:
+        raise ValueError(f"rows cannot be read: {error}") from None
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -110,6 +110,11 @@
         """Return the epoch if this node orders the targets right now."""
         return None if self._stopped else self._lease.held()
 
+    @property
+    def has_work(self) -> bool:
+        """Whether :meth:`step` has anything to do: only after the lease was taken."""
+        return self._epoch != 0
+
     def keep_lease(self, eager: bool) -> LeaseChange:
         """Renew, acquire or watch the lease, whichever is due."""
         if self._stopped:
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -1,5 +1,7 @@
 """What a gateway tells its peers, and whom it takes for the orderer."""
 
+import threading
+
 import pytest
 from gateway_cases import make_directory, make_request, make_target, never_gone, seconds
 
@@ -8,6 +10,7 @@
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._peers import DEMAND_KEPT, ORDERER_SILENT, GatewayPeers
+from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
     DemandOfModel,
@@ -46,15 +49,27 @@
 def make_peers(clock, *targets):
     directory = make_directory(clock, *targets)
     balancer = Balancer(directory, clock, "d1", ignore, never_gone, ignore)
+    links = RecordedLinks()
+    membership = Membership(OWN, clock)
+    tables = GatewayTables(
+        membership,
+        clock,
+        Metrics(),
+        threading.Event(),
+        seconds(2),
+        lambda address, fact: links.tell(address, [fact]),
+        links.tell_all,
+        tuple,
+    )
     peers = GatewayPeers(
-        Membership(OWN, clock),
+        membership,
         clock,
         Metrics(),
         balancer,
         directory,
-        *[ignore] * 4,
+        *[ignore] * 3,
+        tables,
     )
-    links = RecordedLinks()
     peers.attach(links)
     return peers, links
 
@@ -212,8 +227,8 @@
             peers.tell_renewal(3, renewal)
 
         assert links.told == [
-            ("all", OrdererNotice(3, 4)),
-            ("all", OrdererNotice(3, 5)),
+            ("all", OrdererNotice(3, 4, OWN.address)),
+            ("all", OrdererNotice(3, 5, OWN.address)),
         ]
 
     def test_a_holder_that_cannot_renew_is_not_heard(self, clock):
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -24,6 +24,7 @@
 region: "r1"
 listen: {{front: "127.0.0.1:{front}", ready: "127.0.0.1:{ready}",
           control: "127.0.0.1:{control}"}}
+port_range: [{broadcast}, {broadcast}]
 seeds: [{seeds}]
 limits: {{memory_mb: 300}}
 bounds: {{grace_s: 8, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52}}
@@ -85,6 +86,7 @@
     ready: int
     control: int
     metrics: int
+    broadcast: int
     to_store: TcpRelay
 
 
@@ -122,12 +124,12 @@
 
     def start_gateway(self, name: str) -> Gateway:
         """Start one more gateway, and wait until it is ready."""
-        ports = free_ports(4)
+        ports = free_ports(5)
         relay = TcpRelay(self.platform.port)
         self._stack.callback(relay.close)
         process = self._launch(name, ports, relay)
-        front, ready, control, metrics = ports
-        gate = Gateway(name, process, front, ready, control, metrics, relay)
+        front, ready, control, metrics, broadcast = ports
+        gate = Gateway(name, process, front, ready, control, metrics, broadcast, relay)
         self.gateways.append(gate)
         if not wait_until(lambda: self.is_ready(gate)):
             raise RuntimeError(f"{name} does not become ready")
@@ -135,11 +137,11 @@
 
     def restart(self, gate: Gateway) -> None:
         """Start the process of a gateway that has ended again."""
-        ports = [gate.front, gate.ready, gate.control, gate.metrics]
+        ports = [gate.front, gate.ready, gate.control, gate.metrics, gate.broadcast]
         gate.process = self._launch(gate.name, ports, gate.to_store)
 
     def _launch(self, name: str, ports: list[int], relay: TcpRelay) -> Launched:
-        front, ready, control, metrics = ports
+        front, ready, control, metrics, broadcast = ports
         seeds = ", ".join(f'"127.0.0.1:{gate.control}"' for gate in self.gateways)
         path = self._folder / f"{name}.yaml"
         path.write_text(
@@ -148,6 +150,7 @@
                 front=front,
                 ready=ready,
                 control=control,
+                broadcast=broadcast,
                 seeds=seeds,
                 store=f"127.0.0.1:{relay.port}",
             )
