--- a/packages/runhatch-server/src/runhatch_server/daemon.py
+++ b/packages/runhatch-server/src/runhatch_server/daemon.py
@@ -13,7 +13,7 @@
     report_faults,
     stop_broken,
 )
-from runhatch_server.observability import configure_logs, flush_logs
+from runhatch_server.observability import configure_logs
 from runhatch_server.outside import Outside
 from runhatch_server.settings import Settings, load_settings
 
@@ -50,8 +50,7 @@
         f"{node.caller_port}, operators on port {node.operator_port}",
         flush=True,
     )
-    while not signals.stop.wait(LOOK_EVERY.total_seconds()):
+    while not signals.wait_for_stop(LOOK_EVERY):
         pass
     node.drain()
-    flush_logs()
     return 0
--- a/packages/runhatch-server/src/runhatch_server/gateway_daemon.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway_daemon.py
@@ -14,7 +14,7 @@
     stop_broken,
 )
 from runhatch_server.gateway import GatewayNode, GatewayOutside, GatewaySettings
-from runhatch_server.observability import LogLevel, configure_logs, flush_logs
+from runhatch_server.observability import LogLevel, configure_logs
 
 
 def run_gateway(
@@ -35,11 +35,10 @@
     except OSError as error:
         print(f"runhatchd: cannot start: {error}", file=sys.stderr)
         return EXIT_CANNOT_START
-    while not signals.stop.wait(LOOK_EVERY.total_seconds()):
+    while not signals.wait_for_stop(LOOK_EVERY):
         # The settings may also change without a signal.
         changed = reread()
         if changed is not None:
             node.reload(changed)
     node.drain()
-    flush_logs()
     return 0
--- a/standins/tests/test_gateway.py
+++ b/standins/tests/test_gateway.py
@@ -9,6 +9,8 @@
 from runhatch_standins._cluster import call
 from runhatch_standins._gateways import ROUTES, GatewaySystem, route, wait_until
 
+STOP_SECONDS = 20.0
+
 
 @pytest.fixture(scope="module")
 def system(tmp_path_factory):
@@ -23,6 +25,22 @@
         call(worker.url, "POST", "/faults", {})
 
 
+class TestStopping:
+    """A gateway that is told to stop ends by itself, with status 0."""
+
+    def test_told_again_until_it_has_ended(self, system):
+        """Each signal interrupts what the last one began, and all that follows."""
+        gate = system.start_gateway("n-stops")
+        system.gateways.remove(gate)
+        gate.process.signal(signal.SIGTERM)
+        end = time.monotonic() + STOP_SECONDS
+        while gate.process.process.poll() is None and time.monotonic() < end:
+            gate.process.signal(signal.SIGTERM)
+            time.sleep(0.001)
+
+        assert gate.process.process.poll() == 0
+
+
 class TestServing:
     """Answers pass through as targets gave them."""
 
