What gave way to a copy before callers came is loaded back

Hypothesis: copies that are made while nobody asks unload a model that a target held at first, for one that hardly anybody asks for; when callers come the one they ask for must be loaded. So once the copy is there, and still nobody asks, the first model is loaded back from the target's own copy (0.8 to 2 s).

Ruled out: nothing is put back once callers ask, or from the weight store.

--- a/packages/runhatch-server/src/runhatch_server/residency/_copies.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_copies.py
@@ -32,8 +32,8 @@
 AGAIN_AFTER = timedelta(minutes=10)
 """How long a model is not copied again.  Where targets keep fewer copies than there
 are models each new one drops another, and copying would never end."""
-NO_COPY = "no copy"
-"""Reason for such a load, as logs tell it."""
+NO_COPY, PUT_BACK = "no copy", "put back"
+"""Reasons for such loads, as logs tell them."""
 
 
 class CopyPlanner:
@@ -43,6 +43,8 @@
         self._settled_at = now + SETTLED
         self._made_at: dict[tuple[str, str], timedelta] = {}
         self._newest_at: dict[str, timedelta] = {}
+        self._gave_way: dict[str, tuple[str, str]] = {}
+        """By target: the model copied there, and the one that gave way to it."""
 
     def met(self, now: timedelta) -> None:
         """Take in that a target is new."""
@@ -54,17 +56,27 @@
 
     def made(self, service: str, load: LoadModel, now: timedelta) -> None:
         """Take in that a load was begun."""
+        if load.reason == PUT_BACK:
+            self._gave_way.pop(load.target, None)
+            return
         self._made_at[service, load.model] = now
         self._newest_at[service] = now
+        if load.evict:
+            self._gave_way[load.target] = (load.model, load.evict[0])
 
     def plan(self, view: FleetView) -> list[LoadModel]:
         """Return the loads to begin now of models that no target has a copy of.
 
         Each takes the place of a model that its target can load again from a copy
-        of its own.
+        of its own, and which is put back once the copy is there: what targets held
+        at first is what most callers ask for.
         """
         if not self._is_quiet(view):
             return []
+        put_back = self._put_back(view)
+        newest_at = self._newest_at.get(view.service)
+        if newest_at is not None and view.now - newest_at < PAUSE:
+            return put_back
         copies = _copies(view)
         free = _free_targets(view, copies)
         busy = len(view.controls) - len(free)
@@ -79,18 +91,27 @@
             load = _place(view, free, model)
             if load is not None:
                 planned.append(load)
-        return planned
+        return put_back + planned
 
     def _is_quiet(self, view: FleetView) -> bool:
         asked_at = view.demand.asked_at(view.service)
         if asked_at is not None and view.now - asked_at < QUIET:
             return False
-        newest_at = self._newest_at.get(view.service)
-        if newest_at is not None and view.now - newest_at < PAUSE:
-            return False
         unknown = any(control.step is Step.UNKNOWN for control in view.controls)
         return view.now >= self._settled_at and not unknown
 
+    def _put_back(self, view: FleetView) -> list[LoadModel]:
+        """Return the loads of models that gave way to a copy that is made by now."""
+        loads = []
+        for control in view.controls:
+            copied, model = self._gave_way.get(control.target.incarnation, ("", ""))
+            if copied not in control.held or not _may_begin(view, control):
+                continue
+            if not view.holders(model) and not control.loads_from_store(model):
+                target = control.target.incarnation
+                loads.append(LoadModel(target, model, (copied,), PUT_BACK, 0.0))
+        return loads
+
     def _was_made(self, view: FleetView, model: str) -> bool:
         made_at = self._made_at.get((view.service, model))
         return made_at is not None and view.now - made_at < AGAIN_AFTER
@@ -98,10 +119,14 @@
 
 def _free_targets(view: FleetView, copies: Counter[str]) -> list[TargetControl]:
     """Return the targets that may make a copy now, the most suitable first."""
-    free = [c for c in view.controls if c.is_free_at(view.now) and c.intent is None]
+    free = [control for control in view.controls if _may_begin(view, control)]
     return sorted(free, key=lambda control: _copies_at_risk(control, copies))
 
 
+def _may_begin(view: FleetView, control: TargetControl) -> bool:
+    return control.is_free_at(view.now) and control.intent is None
+
+
 def _place(
     view: FleetView, free: list[TargetControl], model: EngineModel
 ) -> LoadModel | None:
--- a/packages/runhatch-server/tests/test_copies.py
+++ b/packages/runhatch-server/tests/test_copies.py
@@ -167,3 +167,48 @@
 
         assert len({target for _, target, _ in planned}) == len(planned)
         assert len(planned) == min(left, most)
+
+
+class TestPuttingBack:
+    """What gave way to a copy is what most callers ask for: it comes back."""
+
+    def after_a_copy(self, held, on_disk=("m0",)):
+        """Return the planner, and the targets, once the copy of m7 is made on t1."""
+        planner = CopyPlanner(NOW - SETTLED)
+        view = FleetView("engine", PLAIN, two_targets(), DemandBook(), NOW)
+        (load,) = planner.plan(view)
+        planner.made("engine", load, NOW)
+        t2 = control("t2", ["m3", "m4", "m5"], on_disk=["m6"])
+        return planner, [control("t1", held, on_disk=on_disk), t2]
+
+    def view(self, controls, book=None):
+        demand = DemandBook() if book is None else book
+        return FleetView("engine", PLAIN, controls, demand, NOW + seconds(9))
+
+    def test_it_comes_back_once_the_copy_is_there(self):
+        planner, controls = self.after_a_copy(["m7", "m1", "m2"])
+
+        (load,) = planner.plan(self.view(controls))
+
+        assert (load.model, load.target, load.evict) == ("m0", "t1", ("m7",))
+        planner.made("engine", load, NOW + seconds(9))
+        assert loads(planner, self.view(controls)) == []
+
+    def test_not_before(self):
+        planner, controls = self.after_a_copy(["m1", "m2"])
+
+        assert loads(planner, self.view(controls)) == []
+
+    def test_not_from_the_store(self):
+        planner, controls = self.after_a_copy(["m7", "m1", "m2"], on_disk=())
+
+        assert loads(planner, self.view(controls)) == []
+
+    def test_not_once_callers_ask(self):
+        """From then on what is loaded follows what they ask for."""
+        planner, controls = self.after_a_copy(["m7", "m1", "m2"])
+        book = DemandBook()
+        share = DemandShare(Wanted("engine", "m7", "", 1), 5, 0, 100.0)
+        book.add("n1", share, NOW + seconds(8))
+
+        assert loads(planner, self.view(controls, book)) == []
