Demand goes to the orderer by one held link; tables tell their source

Cause: a node that is not linked to the orderer opened a socket, a task and a connection for each time it told demand, after every request; and the orderer told each node that had missed something by such links again, though broadcasts reach it now. Nodes hold one link to the orderer instead, by which nothing else goes.

Ruled out for now: a log line for each change that is told (195 nodes, some each second).

--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -61,7 +61,12 @@
     RevisionLog,
     digest_of,
 )
-from runhatch_coordination._shared import SharedTable, SharedTableBounds, TablePeers
+from runhatch_coordination._shared import (
+    SharedTable,
+    SharedTableBounds,
+    Source,
+    TablePeers,
+)
 from runhatch_coordination._table import (
     ABSENT,
     Check,
@@ -135,6 +140,7 @@
     "SharedPermits",
     "SharedTable",
     "SharedTableBounds",
+    "Source",
     "Standing",
     "SystemClock",
     "Table",
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -85,6 +85,20 @@
     def notice(self, table: str, version: int) -> None:
         """Tell nodes everywhere that the table has had ``version``."""
 
+    def note_source(self, table: str, source: "Source") -> None:
+        """Note that this node gets the table from elsewhere now."""
+
+
+class Source(Enum):
+    """Where a node gets a table from, and why."""
+
+    TOLD = "told"
+    READER = "reads as reader"
+    SILENT = "reads, no reader is heard"
+    CUT_OFF = "reads, no reader reaches the store"
+    GAP = "reads once, missed something"
+    OVERDUE = "reads once, heard of a change elsewhere"
+
 
 class Tellers(Enum):
     """What is heard of the readers of this node's failure domain."""
@@ -138,7 +152,7 @@
         self._gap_since: timedelta | None = None
         self._overdue = False
         self._asks = False
-        self._resting = False
+        self._source = Source.TOLD
         self._wake = threading.Event()
         self._reach_lock = threading.Lock()
         self._own_reach: bool | None = None
@@ -225,19 +239,22 @@
                 self._on_failure(error)
                 pause = LONGEST_RETRY
             # Only who rests is woken by news; who reads pauses between two calls.
-            ends = self._wake if self._resting else self._stopping
+            rests = self._source is Source.TOLD
+            ends = self._wake if rests else self._stopping
             ends.wait(pause.total_seconds())
             self._wake.clear()
 
     def step(self) -> timedelta:
         """Read, or ask if need be; returns how long to pause afterwards."""
         self._seek()
-        wait = self._wait_of_next_call()
-        self._resting = wait is None
-        if wait is None:
+        source = self._choose_source()
+        if source is not self._source:
+            self._source = source
+            self._peers.note_source(self.name, source)
+        if source is Source.TOLD:
             return self._rest()
         self._position = self._watcher.version
-        pause = self._watcher.step(wait)
+        pause = self._watcher.step(self._wait_of_call(source))
         # A wait that ended without a change moves the version as well.
         self._replica.offer(TableChanges(self._position, self._watcher.version, ()))
         if not self._watcher.failing:
@@ -260,24 +277,32 @@
         self._own_reach = reachable
         self._pass_on_reach(reason)
 
-    def _wait_of_next_call(self) -> timedelta | None:
-        """Return how long the next call to the store waits, ``None`` without one."""
+    def _choose_source(self) -> Source:
+        """Return whether to read now, and why, or to be told."""
         if self._replica.version is None and self._is_told_first():
-            return None
+            return Source.TOLD
         role = self._peers.role()
         if role is Role.READER:
-            return LONG_WAIT if self._tellers() is Tellers.FRESH else LONGEST_WAIT
+            return Source.READER
         if self._overdue:
             self._overdue = False
-            return SHORT_WAIT
+            return Source.OVERDUE
         if self._is_gap_left():
-            return SHORT_WAIT
+            return Source.GAP
         tellers = self._tellers()
         if tellers is Tellers.SILENT and not self._may_be_told_yet():
-            return LONGEST_WAIT
+            return Source.SILENT
         if tellers is Tellers.CUT_OFF and role is Role.RESERVE:
-            return LONGEST_WAIT
-        return None
+            return Source.CUT_OFF
+        return Source.TOLD
+
+    def _wait_of_call(self, source: Source) -> timedelta:
+        """Return how long the store is asked to wait for a change."""
+        if source in (Source.GAP, Source.OVERDUE):
+            return SHORT_WAIT
+        if source is Source.READER and self._tellers() is Tellers.FRESH:
+            return LONG_WAIT
+        return LONGEST_WAIT
 
     def _may_be_told_yet(self) -> bool:
         """Tell whether this node has just started, and knows the table."""
--- a/packages/runhatch-coordination/tests/test_shared.py
+++ b/packages/runhatch-coordination/tests/test_shared.py
@@ -15,6 +15,7 @@
     Role,
     SharedTable,
     SharedTableBounds,
+    Source,
     TableChanges,
     Unavailable,
     Vm,
@@ -113,6 +114,7 @@
         self.asked = []
         self.published = []
         self.noticed = []
+        self.sources = []
 
     def role(self):
         return self.now
@@ -127,6 +129,9 @@
     def notice(self, table, version):
         self.noticed.append(version)
 
+    def note_source(self, table, source):
+        self.sources.append(source)
+
 
 def make_table(role=Role.FOLLOWER, answers=True, jitter=0.0):
     store, kept, clock = Store(), Kept(), ManualClock()
@@ -238,12 +243,15 @@
         assert kept.rows == {"a": b"1"}
 
     def test_it_reads_when_its_readers_are_silent(self):
-        table, store, _, kept, _, clock = make_follower()
+        table, store, _, kept, peers, clock = make_follower()
         store.write("a", b"1")
         clock.advance(SILENT)
         table.step()
+        table.told("r1", TableChanges(2, 2, ()), True)
+        table.step()
 
         assert kept.rows == {"a": b"1"}
+        assert peers.sources == [Source.SILENT, Source.TOLD]
 
     def test_it_asks_for_what_it_missed(self):
         table, store, _, kept, peers, _ = make_follower()
@@ -368,6 +376,9 @@
             if other is not self and not other.frozen:
                 other.table.noticed(version)
 
+    def note_source(self, table, source):
+        pass
+
     def turn(self):
         """Run what is due."""
         if self.frozen:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -381,6 +381,7 @@
         self._metrics.replicas.set(replicas)
         self._metrics.holds_orders.set(self._orderer.holds_lease() is not None)
         self._metrics.held.set(self._balancer.held)
+        self._tables.measure()
         self._metrics.in_progress.set(self._progress.count)
 
     def _sleep_until(self, moment: timedelta) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -190,7 +190,7 @@
         for address, until in list(self._missers.items()):
             if now >= until:
                 del self._missers[address]
-            else:
+            elif not self._tables.broadcasts:
                 self.tell(address, fact)
         self._directory.told_all(
             (holding.target, holding.held, holding.loads) for holding in holdings
@@ -217,12 +217,16 @@
         self._tables.broadcast([fact])
 
     def keep_links(self) -> None:
-        """Link to the peers that the membership asks for.
+        """Link to the peers that the membership asks for, and to the orderer.
 
         The node that orders the targets links to the readers of every failure domain
         as well, which tell the nodes of theirs what it tells.
         """
         super().keep_links()
+        if self._links is not None:
+            own = self._membership.own.address
+            orderer = self._orderer_address
+            self._links.hold("" if orderer == own else orderer)
         self._tables.keep_readers()
 
     def look_for_members(self, seeds: Iterable[str]) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -21,6 +21,7 @@
     Role,
     SharedTable,
     SharedTableBounds,
+    Source,
     TableChanges,
     Vm,
     choose_readers,
@@ -91,6 +92,7 @@
         self._role = self._role_at_start()
         self._readers: dict[str, Vm] = {}
         self._heard: dict[str, timedelta] = {}
+        self._news_at: dict[str, timedelta] = {}
         self._renewed: dict[str, timedelta] = {}
 
     @property
@@ -98,6 +100,11 @@
         """How often a reader tells that it is there."""
         return self._silent / TOLD_PER_SILENCE
 
+    @property
+    def broadcasts(self) -> bool:
+        """Whether this node can tell all others at once."""
+        return self._broadcaster is not None
+
     @property
     def reads(self) -> bool:
         """Whether this node reads the store for its failure domain."""
@@ -168,6 +175,8 @@
         for name, table in self._tables.items():
             unchanged = table.unchanged
             if unchanged is not None:
+                if table.reachable:
+                    self._news_at[name] = self._clock.elapsed()
                 facts.append(_news_of(name, unchanged, table.reachable))
         self.broadcast(facts + more)
 
@@ -187,6 +196,7 @@
         if table is None:
             return
         self._heard[sender.name] = self._clock.elapsed()
+        self._news_at[news.table] = self._clock.elapsed()
         try:
             changes = _changes_of(news)
         except ValueError as error:
@@ -234,12 +244,29 @@
 
     def publish(self, table: str, changes: TableChanges, reachable: bool) -> None:
         """Tell the nodes of this failure domain what was read."""
+        self._news_at[table] = self._clock.elapsed()
         self.broadcast([_news_of(table, changes, reachable)])
 
     def notice(self, table: str, version: int) -> None:
         """Tell nodes everywhere that the table has had ``version``."""
         self._tell_all(TableVersion(table, version))
 
+    def note_source(self, table: str, source: Source) -> None:
+        """Log that this node gets a table from elsewhere now."""
+        age = self._news_age(table)
+        log_change("table_source", table=table, source=source.value, age_s=age)
+        self._metrics.table_sources.labels(table, source.value).inc()
+
+    def measure(self) -> None:
+        """Put the age of each table among the metrics."""
+        for name in self._tables:
+            self._metrics.table_age.labels(name).set(self._news_age(name))
+
+    def _news_age(self, table: str) -> float:
+        """Return the seconds since a table was read, or a reader told of it."""
+        newest = self._news_at.get(table, self._started)
+        return round((self._clock.elapsed() - newest).total_seconds(), 3)
+
     def _role_at_start(self) -> Role:
         """Return what this node does until it knows who else is there.
 
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -48,6 +48,17 @@
         self.leases = self._counter("leases", "Lease changes", "change")
         self.peer_messages = self._counter("peer_messages", "Messages", "direction")
         self.peer_bytes = self._counter("peer_bytes", "Bytes of messages", "direction")
+        self.table_sources = self._counter(
+            "table_sources",
+            "Times a watched table began to be had from another source",
+            "table",
+            "source",
+        )
+        self.table_age = self._gauge(
+            "table_age_seconds",
+            "Time since a watched table was read, or a reader told of it",
+            "table",
+        )
         self.key_reloads = self._counter(
             "key_reloads", "Changed key files of peer links", "outcome"
         )
@@ -119,6 +130,6 @@
             registry=self._registry,
         )
 
-    def _gauge(self, name: str, text: str) -> Gauge:
-        self._families.append(MetricFamily(f"runhatch_{name}", "gauge", (), text))
-        return Gauge(f"runhatch_{name}", text, registry=self._registry)
+    def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
+        self._families.append(MetricFamily(f"runhatch_{name}", "gauge", labels, text))
+        return Gauge(f"runhatch_{name}", text, labels, registry=self._registry)
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -57,6 +57,9 @@
     def tell(self, address: str, facts: list[Fact]) -> None:
         """Send ``facts`` to one address, kept or not."""
 
+    def hold(self, address: str) -> None:
+        """Keep a link to ``address`` by which only :meth:`tell` sends."""
+
 
 class PeerLinks:
     """All links of one node.
@@ -85,6 +88,8 @@
         self._keys = None if tls is None else PeerKeys(tls)
         self._scheme = "tcp" if tls is None else "tls+tcp"
         self._links: dict[str, _Link] = {}
+        self._held_address = ""
+        self._held: _Link | None = None
         self._lock = threading.Lock()
         self._socket = pynng.Pull0()
         self._socket.recv_max_size = max_message
@@ -119,7 +124,8 @@
     def tell(self, address: str, facts: list[Fact]) -> None:
         """Send ``facts`` to one address, by its kept link or a passing one."""
         with self._lock:
-            link = self._links.get(address)
+            held = self._held if address == self._held_address else None
+            link = self._links.get(address) or held
         if link is not None:
             for fact in facts:
                 link.put(fact)
@@ -129,6 +135,22 @@
             passing.put(fact)
         passing.close()
 
+    def hold(self, address: str) -> None:
+        """Keep one link by which only :meth:`tell` sends, to no other address.
+
+        Whoever tells one node something several times a second would open and close
+        a connection and a task for it each time.
+        """
+        with self._lock:
+            if address == self._held_address:
+                return
+            before, self._held = self._held, None
+            self._held_address = address
+            if address:
+                self._held = self._open(address, None)
+        if before is not None:
+            before.close()
+
     def renew_keys(self) -> None:
         """Put changed key files in force for both directions of every link.
 
@@ -149,10 +171,14 @@
             for address, link in self._links.items():
                 link.close()
                 self._links[address] = self._open(address, self._interval)
+        held = self._held_address
+        self.hold("")
+        self.hold(held)
 
     def close(self) -> None:
         """Send what is queued, then close every socket."""
         self.keep(frozenset())
+        self.hold("")
         self._socket.close()
 
     def _open(self, address: str, interval: timedelta | None) -> "_Link":
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -41,6 +41,9 @@
     def tell(self, address, facts):
         self.told += [(address, fact) for fact in facts]
 
+    def hold(self, address):
+        self.held = address
+
 
 def ignore(*arguments):
     pass
--- a/packages/runhatch-server/tests/test_peers.py
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -119,6 +119,24 @@
                 taken, None, received, Metrics(), timedelta(1), 1000, None, pytest.fail
             )
 
+    def test_a_held_link_carries_only_what_is_told_to_it(self, pair):
+        """No heartbeat, nothing that goes to all, and one connection for many facts."""
+        a, received = pair()
+        target = next(iter(a._links))
+        a.keep(frozenset())
+        assert received.wait(1)
+        a.hold(target)
+        held = a._held
+        a.tell_all(RevisionNotice(1))
+        for number in (7, 8):
+            a.tell(target, [RevisionNotice(number)])
+
+        assert received.wait(3)
+        assert received.facts == [LinkClosed(), RevisionNotice(7), RevisionNotice(8)]
+        assert a._held is held
+        a.hold("")
+        assert a._held is None
+
     def test_passing_link(self, pair):
         """A fact for one address needs no kept link."""
         a, received = pair()
--- a/standins/src/runhatch_standins/_peer_group.py
+++ b/standins/src/runhatch_standins/_peer_group.py
@@ -69,6 +69,9 @@
         else:
             self._post(address, facts, linked=False)
 
+    def hold(self, address: str) -> None:
+        """Do nothing: what is told to one address is sent at once here."""
+
     def flush(self, heartbeat: bool) -> None:
         """Send what is queued; with ``heartbeat`` also where nothing is."""
         for address, facts in self._kept.items():
