--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -62,6 +62,7 @@
     digest_of,
 )
 from runhatch_coordination._shared import (
+    START_GRACE,
     SharedTable,
     SharedTableBounds,
     Source,
@@ -98,6 +99,7 @@
     "ABSENT",
     "CLAIM_PARTITION",
     "LEASE_PARTITION",
+    "START_GRACE",
     "Check",
     "ClaimOutcome",
     "ClaimRecord",
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -42,8 +42,8 @@
 """How long an answer is waited for before another node is asked, or the store: one
 takes some 5 ms, and a whole table of 20 KB 20 ms at 10 Mbit/s."""
 START_GRACE = timedelta(seconds=2.5)
-"""How long after its start a node that was told the table waits to hear its readers: it
-first learns who else is there.  It is not relied on for three seconds."""
+"""How long after its start a node that was told the table waits for its readers, and
+before it takes its part in reading: it first learns who else is there."""
 LONG_WAIT = timedelta(seconds=24)
 """How long the store is asked to keep a reader's call while another reader is heard,
 which tells it of a change if the answer is lost; the store allows 30 s.  Each wait that
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -1,7 +1,7 @@
 """What gateways tell each other: loads, demand, and what targets hold."""
 
 import itertools
-from collections import Counter, defaultdict, deque
+from collections import deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from functools import singledispatchmethod
@@ -14,17 +14,23 @@
     choose_readers,
 )
 from runhatch_server.decisions import LoadShare
-from runhatch_server.fleet import Directory, ExpectedLoad, HeldModels
+from runhatch_server.fleet import Directory
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._missed import MissedModels
+from runhatch_server.gateway._peer_facts import (
+    demand_of_share,
+    holding_of_told,
+    load_of_share,
+    share_of_demand,
+    summed_demand,
+    told_of_holding,
+)
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
-    DemandOfModel,
     Fact,
     HoldingOfTarget,
-    LoadOfTarget,
     Member,
     MemberExchange,
     ModelDemand,
@@ -129,7 +135,7 @@
         if not told and not (whole and self._told_shares):
             return
         self._told_shares = shares
-        loads = [_load_of(target, share) for target, share in told.items()]
+        loads = [load_of_share(target, share) for target, share in told.items()]
         self.tell_all(TargetLoads(loads, whole))
 
     def learn_orderer(self, record: LeaseRecord | None) -> None:
@@ -154,7 +160,7 @@
             self._recent.popleft()
         if self._owes_recent and self._orderer_address:
             self._owes_recent = False
-            recent = _summed(self._recent) + self._missed.shares(now)
+            recent = summed_demand(self._recent) + self._missed.shares(now)
             self._send_demand(recent, DEMAND_AGAIN)
         shares = counter.take()
         self._recent.append((now, shares))
@@ -175,14 +181,14 @@
         elif self._orderer_address == own.address:
             self._on_demand(own.name, shares, age)
         else:
-            demand = [_demand_of(share) for share in shares]
+            demand = [demand_of_share(share) for share in shares]
             age_ms = round(age / timedelta(milliseconds=1))
             self.tell(self._orderer_address, ModelDemand(demand, age_ms))
 
     def tell_holdings(self, epoch: int, holdings: list[Holding]) -> None:
         """Tell peers, and this node itself, what targets hold."""
         now = self._clock.elapsed()
-        told = [_told_of(holding, now) for holding in holdings]
+        told = [told_of_holding(holding, now) for holding in holdings]
         own = self._membership.own.address
         fact = TargetHoldings(epoch, told, next(self._numbers), own)
         self.tell_all(fact)
@@ -296,7 +302,7 @@
 
     @take_in.register
     def _take_in_demand(self, fact: ModelDemand, sender: Member) -> None:
-        shares = [_share_of(each) for each in fact.demand]
+        shares = [share_of_demand(each) for each in fact.demand]
         missed = [share.wanted for share in shares if share.missed]
         orders = self._orderer_address == self._membership.own.address
         if missed and orders and sender.address not in self._linked:
@@ -313,7 +319,7 @@
             self._tables.broadcast([fact])
         now = self._clock.elapsed()
         self._directory.told_all(
-            _holding_of(holding, now) for holding in self._news_of(fact)
+            holding_of_told(holding, now) for holding in self._news_of(fact)
         )
 
     @take_in.register
@@ -368,7 +374,7 @@
             Holding(target, held, self._directory.loads_at(target))
             for target, held in holders.items()
         ]
-        told = [_told_of(holding, now) for holding in holdings]
+        told = [told_of_holding(holding, now) for holding in holdings]
         self.tell(address, TargetHoldings(self._orderer_epoch, told))
 
     def _orderer_is(self, address: str, epoch: int) -> None:
@@ -388,87 +394,3 @@
         self._orderer_renewal = (epoch, renewal)
         self._orderer_heard = self._clock.elapsed()
         return True
-
-
-def _summed(
-    recent: Iterable[tuple[timedelta, list[DemandShare]]],
-) -> list[DemandShare]:
-    """Return what was asked for in all, without what was missed then."""
-    requests: Counter[Wanted] = Counter()
-    work_ms: defaultdict[Wanted, float] = defaultdict(float)
-    for _, shares in recent:
-        for share in shares:
-            requests[share.wanted] += share.requests
-            work_ms[share.wanted] += share.work_ms
-    return [
-        DemandShare(wanted, count, 0, work_ms[wanted])
-        for wanted, count in requests.items()
-        if count
-    ]
-
-
-def _told_of(holding: Holding, now: timedelta) -> HoldingOfTarget:
-    return HoldingOfTarget(
-        holding.target,
-        {
-            model: sorted(adapters)
-            for model, adapters in holding.held.adapters_by_model.items()
-        },
-        [(load.model, (load.ready_at - now).total_seconds()) for load in holding.loads],
-    )
-
-
-def _holding_of(
-    told: HoldingOfTarget, now: timedelta
-) -> tuple[str, HeldModels, list[ExpectedLoad]]:
-    """Return a target, what it holds, and what it is loading."""
-    held = HeldModels(
-        {model: frozenset(adapters) for model, adapters in told.models.items()}
-    )
-    loads = [
-        ExpectedLoad(told.target, model, now + timedelta(seconds=left))
-        for model, left in told.loading
-    ]
-    return told.target, held, loads
-
-
-def _demand_of(share: DemandShare) -> DemandOfModel:
-    return DemandOfModel(
-        share.wanted.service,
-        share.wanted.model,
-        share.wanted.adapter,
-        share.wanted.priority,
-        round(share.wanted.goal / timedelta(milliseconds=1)),
-        share.requests,
-        share.missed,
-        round(share.work_ms),
-        round(share.missed_for / timedelta(milliseconds=1)),
-    )
-
-
-def _share_of(demand: DemandOfModel) -> DemandShare:
-    return DemandShare(
-        Wanted(
-            demand.service,
-            demand.model,
-            demand.adapter,
-            demand.priority,
-            timedelta(milliseconds=demand.goal_ms),
-        ),
-        demand.requests,
-        demand.missed,
-        float(demand.work_ms),
-        timedelta(milliseconds=demand.missed_for_ms),
-    )
-
-
-def _load_of(target: str, share: LoadShare) -> LoadOfTarget:
-    return LoadOfTarget(
-        target,
-        tuple(round(waiting) for waiting in share.waiting_ms),
-        share.waiting,
-        share.running,
-        share.tokens,
-        round(share.held_ms),
-        round(share.busy, 3),
-    )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -9,11 +9,12 @@
 import threading
 from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import Any, TypeVar
+from typing import TypeVar
 
 import eliot
 
 from runhatch_coordination import (
+    START_GRACE,
     Clock,
     Entry,
     FeedListener,
@@ -56,9 +57,8 @@
 tells nothing is not relied on: what it missed is then read in time."""
 TOLD_PER_SILENCE = 2
 """Signs of life of a reader within that time.  If one is late, those that it tells look
-at the store themselves once; each sign costs each of them some 0.1 ms."""
-START_GRACE = timedelta(seconds=2.5)
-"""Age from which on a node takes its part in reading: by then it knows the others."""
+at the store themselves once; nine a second, with renewals apart, took an idle node
+2.5 ms of processor time a second."""
 RENEW_EVERY = timedelta(seconds=2)
 """Between two tries to listen anew to a reader that is not heard."""
 
@@ -321,5 +321,5 @@
     return TableChanges(news.after, news.version, entries, news.whole)
 
 
-def _log_failure(error: Exception) -> Any:
+def _log_failure(error: Exception) -> None:
     eliot.write_traceback()
