--- a/packages/runhatch-coordination/tests/test_shared.py
+++ b/packages/runhatch-coordination/tests/test_shared.py
@@ -495,8 +495,8 @@
     DOMAINS = "aaaaaaaaaa"
 
 
-for machine in (World, OneDomain):
-    machine.TestCase.settings = settings(
+for each in (World, OneDomain):
+    each.TestCase.settings = settings(
         max_examples=40, stateful_step_count=25, deadline=None
     )
 TestWorld = World.TestCase
--- a/packages/runhatch-server/src/runhatch_server/decisions/_admission.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_admission.py
@@ -37,7 +37,7 @@
 read, some 110 ms apart, and long ones do not end in time.  Clumps and the most urgent
 may go beyond for a moment, late requests take what the others leave.  Streams that
 failed went from 5.2 to 4.3 and 5.1 to 3.8 in 100 requests, those of the most urgent
-routes that were served from 0.823 to 0.830 and 0.801 to 0.820 (means of 28 played days
+routes that were served from 0.823 to 0.830 and 0.801 to 0.820 (means of 28 paired runs
 for each of two deployments)."""
 QUEUE_MS = 200.0
 """Prompt reading ahead, by which a target shows that it does not keep up: shares are
--- a/packages/runhatch-server/src/runhatch_server/decisions/_scoring.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_scoring.py
@@ -38,7 +38,7 @@
 COMING_SHARE = 0.5
 """Share of the prompts sent of late that is taken to go on coming while a queue is
 read: with all, 8.6 in 100 requests were refused, with none 7.2, at the same worth
-served (0.754 of what was owed; means of 14 played days)."""
+served (0.754 of what was owed; means of 14 paired runs)."""
 SCORE_JITTER = 0.03
 """Keeps nodes that know the same from choosing the same target at once."""
 
