Lines on leases, long rounds and adapters that are left

Models never served at size: nothing told why a lease was lost, how long a round took, whether demand waited to be taken in, or why an adapter was not loaded. A store that is away is told once, not three times a second.

--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -96,6 +96,9 @@
         self.order_seconds = self._histogram(
             "order_seconds", "Time until a target answered an order", "kind"
         )
+        self.round_seconds = self._histogram(
+            "order_round_seconds", "Time of one round of the node that orders targets"
+        )
 
     @property
     def families(self) -> tuple[MetricFamily, ...]:
--- a/packages/runhatch-server/src/runhatch_server/residency/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/__init__.py
@@ -1,6 +1,12 @@
 """Which models are resident where, when targets hold fewer than are declared."""
 
-from runhatch_server.residency._adapter_policy import LoadAdapter, plan_adapters
+from runhatch_server.residency._adapter_policy import (
+    AdapterLeft,
+    AdapterPlan,
+    LeftAdapter,
+    LoadAdapter,
+    plan_adapters,
+)
 from runhatch_server.residency._control import Intent, Step, TargetControl
 from runhatch_server.residency._demand import (
     HURRIED_GOAL,
@@ -31,6 +37,8 @@
 from runhatch_server.residency._view import FleetView
 
 __all__ = [
+    "AdapterLeft",
+    "AdapterPlan",
     "Demand",
     "DemandBook",
     "DemandShare",
@@ -38,6 +46,7 @@
     "FleetView",
     "Holding",
     "Intent",
+    "LeftAdapter",
     "LeftBecause",
     "LeftModel",
     "LoadAdapter",
--- a/packages/runhatch-server/src/runhatch_server/residency/_adapter_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_adapter_policy.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
 
 from runhatch_server.residency._control import TargetControl
 from runhatch_server.residency._view import (
@@ -24,16 +25,69 @@
     evict: tuple[str, str] | None
 
 
-def plan_adapters(view: FleetView) -> list[LoadAdapter]:
-    """Return the adapters to load now, no two on one target."""
+class AdapterLeft(Enum):
+    """Why an adapter that no target holds is not loaded now."""
+
+    NO_HOLDER_FREE = "no holder free"
+    """Each target that holds its model has another order under way."""
+    NOT_WORTH_IT = "not worth it"
+    """Each adapter that might give way is asked for more."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeftAdapter:
+    """An adapter that requests wait for and that is not loaded now.
+
+    ``waiting`` and ``lost``, what would give way, are in weighted requests.
+    """
+
+    model: str
+    adapter: str
+    because: AdapterLeft
+    waiting: float
+    lost: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterPlan:
+    """The adapters to load now, no two on one target, and what is left waiting."""
+
+    loads: list[LoadAdapter]
+    left: list[LeftAdapter]
+
+
+def plan_adapters(view: FleetView) -> AdapterPlan:
+    """Decide which adapters to load now."""
+    plan = AdapterPlan([], [])
     taken: set[str] = set()
-    planned = []
     for model, adapter in _adapters_wanted(view):
         best = _adapter_place(view, model, adapter, taken)
         if best is not None:
             taken.add(best.target)
-            planned.append(best)
-    return planned
+            plan.loads.append(best)
+        elif not any(held.holds(model, adapter) for held in view.holders(model)):
+            plan.left.append(_left(view, model, adapter, taken))
+    return plan
+
+
+def _left(view: FleetView, model: str, adapter: str, taken: set[str]) -> LeftAdapter:
+    waiting = _worth(view, model, adapter)
+    free = [
+        control
+        for control in view.holders(model)
+        if control.is_free_at(view.now) and control.target.incarnation not in taken
+    ]
+    if not free:
+        return LeftAdapter(model, adapter, AdapterLeft.NO_HOLDER_FREE, waiting)
+    victims = [_adapter_victim(view, control) for control in free]
+    lost = min((victim[0] for victim in victims if victim is not None), default=0.0)
+    return LeftAdapter(model, adapter, AdapterLeft.NOT_WORTH_IT, waiting, lost)
+
+
+def _worth(view: FleetView, model: str, adapter: str) -> float:
+    """Return what loading an adapter wins, in weighted requests."""
+    own = view.demand.adapter(view.service, model, adapter, view.now)
+    return own.weighted + own.waiting(view.now) + own.unmet * UNMET_WEIGHT
 
 
 def _adapters_wanted(view: FleetView) -> Iterable[tuple[str, str]]:
@@ -60,8 +114,7 @@
 ) -> LoadAdapter | None:
     """Return the best holder of ``model`` for ``adapter``: one with room first."""
     places: list[tuple[float, LoadAdapter]] = []
-    own = view.demand.adapter(view.service, model, adapter, view.now)
-    worth = own.weighted + own.waiting(view.now) + own.unmet * UNMET_WEIGHT
+    worth = _worth(view, model, adapter)
     for control in view.holders(model):
         name = control.target.incarnation
         if name in taken or not control.is_free_at(view.now):
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
@@ -0,0 +1,64 @@
+"""Log lines on the lease of the orders: how it was gained, and why it was lost."""
+
+from datetime import timedelta
+
+from runhatch_coordination import LeaseChange
+from runhatch_server.observability import Metrics, log_change
+
+RESIGNED = "resigned"
+"""What a holder is said to have done that gave the orders up by itself."""
+
+
+class LeaseLog:
+    """Tells each change of the lease once; used by the task that keeps it.
+
+    ``left_ms`` is for how long the lease was still held when the step began: none
+    where it lapsed, some where another node took it.  ``late_ms`` is the time since
+    the step before, ``took_ms`` that of the call to the store.  Together they tell a
+    store that does not answer from a node that does not come to renew.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._told = LeaseChange.NONE
+        self._stepped_at = timedelta()
+
+    def note(
+        self,
+        change: LeaseChange,
+        epoch: int,
+        left: timedelta,
+        begun: timedelta,
+        ended: timedelta,
+    ) -> None:
+        """Log one step that changed something; a store that is away is told once."""
+        before, self._told = self._told, change
+        stepped_at, self._stepped_at = self._stepped_at, ended
+        if change is LeaseChange.NONE:
+            return
+        self._metrics.leases.labels(change.value).inc()
+        if change is before is LeaseChange.STORE_DOWN:
+            return
+        log_change(
+            "lease",
+            change=change.value,
+            epoch=epoch,
+            left_ms=_milliseconds(left),
+            late_ms=_milliseconds(begun - stepped_at),
+            took_ms=_milliseconds(ended - begun),
+        )
+
+    def resigned(self, epoch: int, left: timedelta, now: timedelta) -> None:
+        """Log that the holder of ``epoch`` gave the orders up, as it cannot renew."""
+        self._metrics.leases.labels(RESIGNED).inc()
+        log_change(
+            "lease",
+            change=RESIGNED,
+            epoch=epoch,
+            left_ms=_milliseconds(left),
+            late_ms=_milliseconds(now - self._stepped_at),
+        )
+
+
+def _milliseconds(duration: timedelta) -> int:
+    return round(duration / timedelta(milliseconds=1))
--- a/packages/runhatch-server/src/runhatch_server/residency/_left_log.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_left_log.py
@@ -1,9 +1,10 @@
-"""Log lines on models that requests wait for and that nothing is loaded for."""
+"""Log lines on models and adapters that requests wait for and that are not loaded."""
 
 from collections.abc import Iterable
 from datetime import timedelta
 
 from runhatch_server.observability import log_change
+from runhatch_server.residency._adapter_policy import LeftAdapter
 from runhatch_server.residency._policy import LeftModel, LoadModel
 
 LOG_EVERY = timedelta(seconds=2)
@@ -35,6 +36,20 @@
                 seconds=round(model.seconds, 2),
             )
 
+    def note_adapters(self, left: Iterable[LeftAdapter], now: timedelta) -> None:
+        """Log the adapters in ``left`` that were not logged lately."""
+        for each in left:
+            if not self._is_due(f"{each.model}/{each.adapter}", now):
+                continue
+            log_change(
+                "adapter_left",
+                model=each.model,
+                adapter=each.adapter,
+                because=each.because.value,
+                waiting=round(each.waiting, 2),
+                lost=round(each.lost, 2),
+            )
+
     def no_permit(self, load: LoadModel, now: timedelta) -> None:
         """Log that ``load`` must wait for the weight store."""
         if self._is_due(load.model, now):
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -24,12 +24,14 @@
 from runhatch_server.residency._copies import CopyPlanner
 from runhatch_server.residency._demand import DemandBook, DemandShare
 from runhatch_server.residency._handover import OrderTimes, Resignation
+from runhatch_server.residency._lease_log import LeaseLog
 from runhatch_server.residency._load_runner import DeclaredModels, LoadRunner
 from runhatch_server.residency._orders import (
     OrderClient,
     TargetReport,
 )
 from runhatch_server.residency._policy import plan_models
+from runhatch_server.residency._round_log import RoundLog
 from runhatch_server.residency._sending import OrderSender
 from runhatch_server.residency._telling import HoldingsTeller, OnHoldings
 from runhatch_server.residency._view import FleetView, by_service
@@ -89,6 +91,8 @@
         )
         self._runner = LoadRunner(self._declared, sender, clock, load_window)
         self._teller = HoldingsTeller(on_holdings, self._declared.load_time)
+        self._lease_log = LeaseLog(metrics)
+        self._round_log = RoundLog(metrics)
         self._lock = threading.Lock()
         self._demand = DemandBook()
         self._controls: dict[str, TargetControl] = {}
@@ -119,12 +123,11 @@
         """Renew, acquire or watch the lease, whichever is due."""
         if self._stopped:
             return LeaseChange.NONE
+        begun, left = self._clock.elapsed(), self._lease.left()
         change = self._lease.step(eager)
         if change is LeaseChange.ACQUIRED:
             self._taken_over()
-        if change is not LeaseChange.NONE:
-            self._metrics.leases.labels(change.value).inc()
-            log_change("lease", change=change.value, epoch=self._epoch)
+        self._lease_log.note(change, self._epoch, left, begun, self._clock.elapsed())
         return change
 
     def resign_if_cut_off(self) -> Resignation | None:
@@ -136,7 +139,9 @@
             if not self._epoch or self._gave_up or self._lease.left() > RESIGN_BEFORE:
                 return None
             self._gave_up = True
+            left, now = self._lease.left(), self._clock.elapsed()
             self._lease.abandon()
+            self._lease_log.resigned(self._epoch, left, now)
             return self._resignation()
 
     def take_in_resignation(self, resignation: Resignation) -> None:
@@ -179,7 +184,9 @@
     ) -> None:
         """Take in what ``node`` was asked for within ``age``."""
         now = self._clock.elapsed()
+        self._round_log.demand_waits()
         with self._lock:
+            self._round_log.demand_taken()
             for share in shares:
                 self._demand.add(node, share, now - age)
                 self._demand.missed_before(share, now)
@@ -201,6 +208,7 @@
         elif epoch.number != self._epoch:
             return
         with self._lock:
+            begun = self._clock.elapsed()
             self._meet_targets()
             self._calls.take_answers(self._controls)
             now = self._clock.elapsed()
@@ -209,6 +217,7 @@
                 self._runner.go_on(self._controls.values(), epoch, now)
                 self._plan(epoch, now)
             self._teller.tell(self._epoch, self._controls.values(), now)
+            self._round_log.round(begun, self._clock.elapsed(), len(self._controls))
 
     def _taken_over(self) -> None:
         """Begin anew, so late that no order of the last holder is close behind."""
@@ -331,9 +340,11 @@
                 for model, adapters in member.view().adapters_by_model.items():
                     self._demand.met(service, model, adapters)
             view = FleetView(service, engine, members, self._demand, now)
-            for adapter in plan_adapters(view):
+            adapter_plan = plan_adapters(view)
+            for adapter in adapter_plan.loads:
                 control = self._controls[adapter.target]
                 self._runner.load_adapter(control, adapter, epoch)
+            self._runner.left_log.note_adapters(adapter_plan.left, now)
             plan = plan_models(view)
             for load in plan.loads:
                 self._runner.begin(self._controls[load.target], load, epoch, now)
--- a/packages/runhatch-server/tests/test_residency_policy.py
+++ b/packages/runhatch-server/tests/test_residency_policy.py
@@ -247,7 +247,7 @@
 
     def test_one_that_is_waited_for_goes_to_a_holder(self):
         controls = [control("t1", ["m0"]), control("t2", ["m1"])]
-        planned = plan_adapters(view(controls, asked(("m0", 0, 0, 1, "a1"))))
+        planned = plan_adapters(view(controls, asked(("m0", 0, 0, 1, "a1")))).loads
 
         assert [(load.target, load.adapter) for load in planned] == [("t1", "a1")]
 
@@ -256,7 +256,7 @@
         book = asked(*(("m0", 0, 1, 0, f"a{i}") for i in (1, 2, 4)))
         add(book, "m0", 0, 1, 1, adapter="a9")
 
-        planned = plan_adapters(view([full], book))
+        planned = plan_adapters(view([full], book)).loads
 
         assert [load.evict for load in planned] == [("m0", "a3")]
 
@@ -264,9 +264,9 @@
         busy = control("t1", ["m0"])
         busy.step = Step.LOADING
 
-        assert plan_adapters(view([busy], asked(("m0", 0, 0, 1, "a1")))) == []
+        assert plan_adapters(view([busy], asked(("m0", 0, 0, 1, "a1")))).loads == []
 
     def test_none_is_loaded_without_its_model(self):
         controls = [control("t2", ["m1"])]
 
-        assert plan_adapters(view(controls, asked(("m0", 0, 0, 1, "a1")))) == []
+        assert plan_adapters(view(controls, asked(("m0", 0, 0, 1, "a1")))).loads == []
