--- a/benchmarks/bench_orders.py
+++ b/benchmarks/bench_orders.py
@@ -91,9 +91,7 @@
 
 def main() -> None:
     """Write one row a size."""
-    report = Report(
-        "orders", "One round of planning", "make bench-orders"
-    )
+    report = Report("orders", "One round of planning", "make bench-orders")
     for targets, models in SIZES:
         missed, milliseconds = round_ms(targets, models)
         report.add(targets=targets, models=models, missed=missed, round_ms=milliseconds)
--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -1,89 +1,12 @@
 """The node that orders the targets: what it does before, with and after its lease."""
 
-import threading
-
 import pytest
-from gateway_cases import SERVICES, make_directory, make_target, seconds
+from gateway_cases import make_target, seconds
+from orderer_cases import HANDOVER, TTL, Case
 
-from runhatch_coordination import Entry, Lease
+from runhatch_coordination import Entry
 from runhatch_coordination.testing import FaultyTable, MemoryTable, TableFault
-from runhatch_server.fleet import HeldModels, StoredCopies
-from runhatch_server.observability import Metrics
-from runhatch_server.residency import (
-    DemandShare,
-    Orderer,
-    TargetReport,
-    Wanted,
-)
 from runhatch_server.residency._orderer import RESIGN_BEFORE
-from runhatch_server.targets import OrderOutcome
-
-TTL = seconds(2)
-HANDOVER = seconds(3)
-ANSWER_WAIT = 0.5
-"""Seconds that a round waits for a worker's answer, due within some milliseconds;
-rounds that ask nothing wait so long in vain."""
-
-
-class RecordedTargets:
-    """Targets that hold ``models``, take every order and keep what was asked."""
-
-    def __init__(self, *models):
-        self.models = models
-        self.reports = 0
-        self.orders = []
-
-    def report(self, target):
-        self.reports += 1
-        held = HeldModels({model: frozenset() for model in self.models})
-        return TargetReport(0, held, False, frozenset(), StoredCopies(), 0, 0)
-
-    def give(self, target, order):
-        self.orders.append(order)
-        return OrderOutcome.ACCEPTED
-
-
-class Case:
-    """One node, its table, and what it told of its targets."""
-
-    def __init__(self, clock, table, name="n1", models=("m0",), born=None):
-        self.clock = clock
-        self.targets = RecordedTargets(*models)
-        self.told = []
-        self.answered = threading.Event()
-        self.newest_epoch = 0
-        directory = make_directory(clock, make_target("t1", models=(), born=born))
-        self.directory = directory
-        self.orderer = Orderer(
-            Lease(table, clock, "orders", name, TTL),
-            name,
-            directory,
-            self.targets,
-            clock,
-            Metrics(),
-            self.tell,
-            self.answered.set,
-            lambda target: False,
-            lambda: self.newest_epoch,
-            HANDOVER,
-            seconds(5),
-        )
-        self.orderer.declare(SERVICES)
-
-    def tell(self, epoch, holdings):
-        self.newest_epoch = max(epoch, self.newest_epoch)
-        self.told += [(epoch, *sorted(h.held.adapters_by_model)) for h in holdings]
-
-    def ask_for(self, model):
-        wanted = Wanted("engine", model, "", 0)
-        self.orderer.asked("n1", [DemandShare(wanted, 3, 3, 300.0)])
-
-    def round(self):
-        """Make one round, wait for what it asked, take the answer in."""
-        self.answered.clear()
-        self.orderer.step()
-        self.answered.wait(ANSWER_WAIT)
-        self.orderer.step()
 
 
 @pytest.fixture
