A plan looks at few targets for each model, and looks demand up once

What a target costs whichever model comes is now worked out once, and targets are looked at the cheapest first, until the next one can be no better. The choice is the same: a test weighs all targets of 60 random fleets and compares. The file on policy is parted into what is needed, where it goes, and the plan.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 		--seconds $(SECONDS) --seed $(SEED)
 
 BENCHES := bench-relay bench-overload bench-claims bench-control \
-	bench-pictures bench-placement bench-membership bench-routing bench-logs
+	bench-pictures bench-placement bench-membership bench-routing bench-logs \
+	bench-orders
 
 .PHONY: bench slopes $(BENCHES)
 bench: $(BENCHES)
--- a/packages/runhatch-server/src/runhatch_server/residency/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/__init__.py
@@ -18,6 +18,7 @@
     rank_weight,
 )
 from runhatch_server.residency._handover import OrderTimes, Resignation
+from runhatch_server.residency._needs import OVERDUE
 from runhatch_server.residency._orderer import Orderer
 from runhatch_server.residency._orders import (
     OrderClient,
@@ -26,7 +27,6 @@
 )
 from runhatch_server.residency._permits import LoadPermits
 from runhatch_server.residency._policy import (
-    OVERDUE,
     LeftBecause,
     LeftModel,
     LoadModel,
--- a/packages/runhatch-server/src/runhatch_server/residency/_adapter_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_adapter_policy.py
@@ -86,7 +86,7 @@
 
 def _worth(view: FleetView, model: str, adapter: str) -> float:
     """Return what loading an adapter wins, in weighted requests."""
-    own = view.demand.adapter(view.service, model, adapter, view.now)
+    own = view.adapter_demand(model, adapter)
     return own.weighted + own.waiting(view.now) + own.unmet * UNMET_WEIGHT
 
 
@@ -95,7 +95,7 @@
     wanted: list[tuple[float, str, str]] = []
     for model, adapter in view.demand.adapters(view.service):
         holders = view.holders(model)
-        demand = view.demand.adapter(view.service, model, adapter, view.now)
+        demand = view.adapter_demand(model, adapter)
         have = sum(control.holds(model, adapter) for control in holders)
         if not holders or have == len(holders):
             continue
@@ -141,7 +141,7 @@
     """Return the adapter that is asked for least, and how much that is."""
     found = [
         (
-            view.demand.adapter(view.service, model, adapter, view.now).weighted,
+            view.adapter_demand(model, adapter).weighted,
             (model, adapter),
         )
         for model, adapters in control.held.items()
--- a/packages/runhatch-server/src/runhatch_server/residency/_view.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_view.py
@@ -8,7 +8,7 @@
 
 from runhatch_server.decisions import Spread, spread
 from runhatch_server.residency._control import TargetControl
-from runhatch_server.residency._demand import DemandBook
+from runhatch_server.residency._demand import Demand, DemandBook
 from runhatch_server.routing import EngineSpec
 
 HORIZON_SECONDS = 3.0
@@ -67,15 +67,16 @@
         self._reserve_mb = engine.adapter_slots * max(
             (model.adapter_mb for model in engine.models), default=0.0
         )
+        self._demands: dict[str, Demand] = {}
+        self._adapter_demands: dict[tuple[str, str], Demand] = {}
+        self._coming_at: dict[str, timedelta] = {}
         self._holders: dict[str, list[TargetControl]] = {}
         for control in controls:
+            self._note_coming(control)
             for model in control.held:
                 if control.holds(model):
                     self._holders.setdefault(model, []).append(control)
-        work = {
-            model.name: demand.model(service, model.name, now).work
-            for model in engine.models
-        }
+        work = {model.name: self.demand_for(model.name).work for model in engine.models}
         hosts = {
             model: [control.target.incarnation for control in holders]
             for model, holders in self._holders.items()
@@ -84,22 +85,32 @@
         self.spread: Spread = spread(work, hosts, capacities)
         self._adapter_rates: dict[str, float] = {}
         for model, adapter in demand.adapters(service):
-            rate = demand.adapter(service, model, adapter, now).weighted
+            rate = self.adapter_demand(model, adapter).weighted
             self._adapter_rates[model] = self._adapter_rates.get(model, 0.0) + rate
 
+    def demand_for(self, model: str) -> Demand:
+        """Return the demand for ``model``, looked up once for each view."""
+        known = self._demands.get(model)
+        if known is None:
+            known = self.demand.model(self.service, model, self.now)
+            self._demands[model] = known
+        return known
+
+    def adapter_demand(self, model: str, adapter: str) -> Demand:
+        """Return the demand for an adapter, looked up once for each view."""
+        known = self._adapter_demands.get((model, adapter))
+        if known is None:
+            known = self.demand.adapter(self.service, model, adapter, self.now)
+            self._adapter_demands[model, adapter] = known
+        return known
+
     def holders(self, model: str) -> list[TargetControl]:
         """Return the targets that hold ``model``."""
         return self._holders.get(model, [])
 
     def coming_at(self, model: str) -> timedelta | None:
         """Return when a load of ``model`` that is under way or planned is done."""
-        ready = [
-            control.free_at(self.engine, self.now)
-            for control in self.controls
-            if control.loading == model
-            or (control.intent is not None and control.intent.model == model)
-        ]
-        return min(ready, default=None)
+        return self._coming_at.get(model)
 
     def free_mb(self, control: TargetControl) -> float:
         """Return the memory for models that is free, room for adapters apart."""
@@ -130,12 +141,11 @@
         """Tell whether ``control`` alone holds a model that is asked for."""
         if any(holder is not control for holder in self.holders(model)):
             return False
-        demand = self.demand.model(self.service, model, self.now)
-        return demand.rate >= WORTH_KEEPING_RATE
+        return self.demand_for(model).rate >= WORTH_KEEPING_RATE
 
     def keep_value(self, control: TargetControl, model: str) -> float:
         """Return what would be lost if ``control`` dropped ``model``."""
-        demand = self.demand.model(self.service, model, self.now)
+        demand = self.demand_for(model)
         hurried = demand.weighted - demand.patient
         missed = hurried + demand.patient * PATIENT_MISSES
         value = missed * HORIZON_SECONDS
@@ -152,6 +162,15 @@
         crowded = (after - EASY_LOAD) / (REPLICA_LOAD - EASY_LOAD)
         return value / (len(others) + 1) * min(max(crowded, 0.0), 1.0)
 
+    def _note_coming(self, control: TargetControl) -> None:
+        coming = {control.loading}
+        if control.intent is not None:
+            coming.add(control.intent.model)
+        for model in coming - {""}:
+            ready_at = control.free_at(self.engine, self.now)
+            known = self._coming_at.get(model, ready_at)
+            self._coming_at[model] = min(known, ready_at)
+
 
 def by_service(
     controls: Iterable[TargetControl],
--- /dev/null
+++ b/packages/runhatch-server/tests/test_places.py
@@ -0,0 +1,126 @@
+"""The best place for a model is that of weighing all targets, though few are."""
+
+import random
+
+import pytest
+from gateway_cases import make_target, seconds
+
+from runhatch_server.fleet import HeldModels, StoredCopies
+from runhatch_server.residency import (
+    DemandBook,
+    DemandShare,
+    FleetView,
+    Step,
+    TargetControl,
+    TargetReport,
+    Wanted,
+)
+from runhatch_server.residency._needs import find_needs
+from runhatch_server.residency._places import Draft, Place
+from runhatch_server.routing import EngineModel, EngineSpec, LoadTimes
+
+NOW = seconds(100)
+GOALS = (seconds(0.8), seconds(0.8), seconds(8))
+FLEETS = 60
+
+
+class Fleet:
+    """A random fleet: some targets busy, some with copies, demand that has moved."""
+
+    def __init__(self, seed):
+        self.chance = random.Random(seed)
+        self.engine = EngineSpec(
+            models=tuple(self._model(index) for index in range(24)),
+            slots=8,
+            memory_mb=220.0,
+            adapter_slots=4,
+            kv_tokens=100_000,
+            loads_per_second=1.0,
+        )
+        self.controls = [self._control(index) for index in range(10)]
+        self.view = FleetView("engine", self.engine, self.controls, self._demand(), NOW)
+
+    def _model(self, index):
+        loads = LoadTimes(*(seconds(self.chance.uniform(*s)) for s in LOAD_SECONDS))
+        memory_mb = self.chance.uniform(40.0, 90.0)
+        return EngineModel(f"m{index}", memory_mb, loads, 2, 1.0)
+
+    def _control(self, index):
+        names = [model.name for model in self.engine.models]
+        copies = self.chance.sample(names, 5)
+        held = HeldModels({name: frozenset() for name in copies[:2]})
+        control = TargetControl(make_target(f"t{index}", models=copies[:2]))
+        stored = StoredCopies(on_disk=frozenset(copies))
+        report = TargetReport(0, held, False, frozenset(), stored, 0, 0)
+        control.reported(report, seconds(0))
+        if self.chance.random() < 0.3:
+            control.step = Step.LOADING
+            control.loading = self.chance.choice(names)
+            control.ready_at = NOW + seconds(self.chance.uniform(0, 9))
+        return control
+
+    def _demand(self):
+        book = DemandBook()
+        for model in self.engine.models:
+            priority = self.chance.randrange(3)
+            adapter = self.chance.choice(("", "", "a1"))
+            wanted = Wanted("engine", model.name, adapter, priority, GOALS[priority])
+            missed = self.chance.choice((0, 0, 1, 4))
+            since = seconds(self.chance.choice((0, 0, 40)))
+            for age in range(self.chance.randrange(6)):
+                share = DemandShare(wanted, 2, 0, 200.0, since)
+                book.add("n1", share, NOW - seconds(5 - age))
+            share = DemandShare(wanted, missed, missed, missed * 100.0, since)
+            book.add("n1", share, NOW)
+            book.missed_before(share, NOW)
+        return book
+
+
+LOAD_SECONDS = ((6, 9), (1, 3), (0.5, 1))
+"""Bounds of the time for a load: from the weight store, a disk, memory."""
+
+
+def weighed_all(draft, need):
+    """Return the best place as found by looking at each target."""
+    places = [
+        place
+        for site in draft.open_sites
+        if (place := draft.place(site, need)) is not None
+    ]
+    return min(
+        places,
+        key=lambda place: (not place.is_worth_it, -place.value, place.target),
+        default=None,
+    )
+
+
+@pytest.mark.parametrize("seed", range(FLEETS))
+def test_the_best_place_is_that_of_weighing_all(seed):
+    fleet = Fleet(seed)
+    draft = Draft(fleet.view)
+    found = 0
+    for need in find_needs(fleet.view):
+        best = draft.best_place(need)
+        assert best == weighed_all(draft, need)
+        if best is not None:
+            found += 1
+            draft.take(best)
+    assert found
+
+
+def test_most_targets_are_not_looked_at():
+    fleet = Fleet(1)
+    weighed = []
+    draft = Draft(fleet.view)
+    place = draft.place
+
+    def counted(site, need) -> Place | None:
+        weighed.append(site)
+        return place(site, need)
+
+    draft.place = counted
+    needs = find_needs(fleet.view)
+    for need in needs:
+        draft.best_place(need)
+
+    assert len(weighed) < len(needs) * len(fleet.controls) / 2
