--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -63,6 +63,8 @@
         self._lacking: dict[tuple[str, str, str], timedelta] = {}
         self._missing: dict[str, timedelta] = {}
         self._doubted: dict[str, tuple[Target, timedelta]] = {}
+        self._ready: defaultdict[str, dict[str, Target]] = defaultdict(dict)
+        """By service and incarnation, in order: those that take new work."""
         self._by_service: dict[str, tuple[Target, ...]] = {}
         self._reachable = True
         self._regained_at = clock.elapsed()
@@ -131,16 +133,20 @@
     ) -> None:
         """Take in what the orderer says of several targets.
 
-        Together, as all targets are looked through once: of 64 targets, what the
-        orderer repeats of 59 took 46 ms one by one, and takes 0.5 ms.
+        Only these are looked at: the orderer of 70 targets tells some of them ten
+        times a second, each node hears it by several ways, and looking through all
+        targets each time took 0.8 ms of processor time.
         """
+        told = set()
         with self.news:
             now = self._clock.elapsed()
             for target, held, expected in holdings:
                 self._expected[target] = tuple(expected)
                 self._told[target] = _Told(held, now)
                 self._forget_corrections(target)
-            self._rebuild()
+                told.add(target)
+            if told:
+                self._show(told)
 
     def correct(self, target: str, model: str, adapter: str) -> None:
         """Note that ``target`` said that it does not hold ``model``."""
@@ -269,21 +275,33 @@
         return until is not None and self._clock.elapsed() < until
 
     def _rebuild(self) -> None:
-        by_service: defaultdict[str, list[Target]] = defaultdict(list)
-        for target in self._targets.values():
-            if target.is_ready:
-                by_service[target.service].append(
-                    replace(target, held=self._newest(target))
-                )
+        """Show all targets as they are known now."""
         self._by_incarnation = {
             target.incarnation: target for target in self._targets.values()
         }
+        self._ready = defaultdict(dict)
+        for target in sorted(self._targets.values(), key=lambda each: each.incarnation):
+            if target.is_ready:
+                shown = replace(target, held=self._newest(target))
+                self._ready[target.service][target.incarnation] = shown
         self._by_service = {
-            service: tuple(sorted(targets, key=lambda target: target.incarnation))
-            for service, targets in by_service.items()
+            service: tuple(targets.values()) for service, targets in self._ready.items()
         }
         self.news.notify_all()
 
+    def _show(self, told: set[str]) -> None:
+        """Show anew the targets of which something was told."""
+        services = set()
+        for incarnation in told:
+            target = self._by_incarnation.get(incarnation)
+            if target is not None and target.is_ready:
+                shown = replace(target, held=self._newest(target))
+                self._ready[target.service][incarnation] = shown
+                services.add(target.service)
+        for service in services:
+            self._by_service[service] = tuple(self._ready[service].values())
+        self.news.notify_all()
+
     def _newest(self, target: Target) -> HeldModels:
         told = self._told.get(target.incarnation)
         if told is None or self._clock.elapsed() - told.at >= TOLD_VALID:
--- a/packages/runhatch-server/tests/test_directory.py
+++ b/packages/runhatch-server/tests/test_directory.py
@@ -199,3 +199,55 @@
 
         assert directory.expected("engine", "m7").target == "t2"
         assert directory.expected("engine", "m6") is None
+
+
+class TestCostOfWhatIsTold:
+    """The orderer of 70 targets tells of some of them ten times a second.
+
+    Each of 90 nodes hears it by two ways and more, and looked through all targets each
+    time, also for news that it knew: "cores, mean" of the nodes rose from 0.055 to
+    0.089 when rounds came three times as often.
+    """
+
+    def directory(self, clock):
+        targets = [make_target(f"t{index}") for index in range(5)]
+        return make_directory(clock, *targets)
+
+    def test_the_other_targets_are_not_looked_at(self, clock):
+        directory = self.directory(clock)
+        before = directory.ready("engine")
+
+        directory.told("t2", HeldModels({"m7": frozenset()}), ())
+
+        after = directory.ready("engine")
+        assert names(after) == names(before)
+        changed = [new for new, old in zip(after, before, strict=True) if new != old]
+        assert names(changed) == ["t2"]
+        kept = [new for new, old in zip(after, before, strict=True) if new is old]
+        assert len(kept) == len(before) - 1
+
+    def test_what_is_known_wakes_nobody(self, clock):
+        directory = self.directory(clock)
+        woken = []
+        directory.news.notify_all = lambda: woken.append(True)
+
+        directory.told_all([])
+
+        assert woken == []
+
+    def test_what_was_told_stays_when_entries_change(self, clock):
+        directory = self.directory(clock)
+        directory.told("t2", HeldModels({"m7": frozenset()}), ())
+
+        directory.changed((entry(make_target("t9")),))
+
+        assert names(directory.holders("engine", "m7", "")) == ["t2"]
+        assert names(directory.ready("engine")) == ["t0", "t1", "t2", "t3", "t4", "t9"]
+
+    def test_a_target_that_drains_is_not_shown_again(self, clock):
+        directory = self.directory(clock)
+        directory.changed((entry(make_target("t2", state=TargetState.DRAINING)),))
+
+        directory.told("t2", HeldModels({"m7": frozenset()}), ())
+
+        assert "t2" not in names(directory.ready("engine"))
