A node that leaves is no witness of a domain that has only two others

Found on reading: the third of a single failure domain's nodes was looked up by its place, and a node that leaves no longer counts itself, so where two others are left the look-up failed with an IndexError in the task that keeps readers. Its test failed with it. Ruled out for systems of several domains: there is no witness. A name for the sums over all other nodes, in place of an empty string, besides.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_peers.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_peers.py
@@ -124,7 +124,7 @@
         return Role.READER
     # Elsewhere the readers of other domains are witnesses.
     alone = all(vm.failure_domain == own.failure_domain for vm in known)
-    if alone and own.name == ranked[READERS_PER_DOMAIN]:
+    if alone and own.name in ranked[READERS_PER_DOMAIN : READERS_PER_DOMAIN + 1]:
         return Role.WITNESS
     if own.name in ranked[: READERS_PER_DOMAIN + RESERVES_PER_DOMAIN]:
         return Role.RESERVE
--- a/packages/runhatch-coordination/tests/test_shared.py
+++ b/packages/runhatch-coordination/tests/test_shared.py
@@ -201,6 +201,12 @@
         assert (Role.WITNESS in roles) == (role is Role.WITNESS)
         assert roles.count(Role.RESERVE) == (1 if domains == 1 else 2 * domains)
 
+    def test_a_node_that_leaves_is_none(self):
+        """It no longer counts itself, and two others may be left."""
+        left = [Vm(f"n{index}", "d1", "") for index in range(2)]
+
+        assert role_of(Vm("n9", "d1", ""), left) is Role.FOLLOWER
+
     def test_it_tells_of_changes_that_its_readers_miss(self):
         table, store, _, kept, peers, _ = make_table(Role.WITNESS)
         table.told("r1", told_whole(), True)
--- a/packages/runhatch-server/src/runhatch_server/decisions/_load_book.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load_book.py
@@ -12,7 +12,7 @@
 from runhatch_server.decisions._rates import WorkRates
 from runhatch_server.decisions._request import GatewayRequest, ModelWork
 
-ALL = ""
+ALL_OTHERS = ""
 """Stands for a failure domain where all other nodes are meant."""
 
 
@@ -75,7 +75,7 @@
         """Take in what the nodes of a failure domain have outstanding together."""
         for load in self._loads.values() if whole else ():
             load.domains.pop(domain, None)
-            load.domains.pop(ALL, None)
+            load.domains.pop(ALL_OTHERS, None)
         for target, share in shares.items():
             self.load(target).domains[domain] = (share, now)
 
@@ -88,7 +88,7 @@
             load.peers.clear()
             load.domains.clear()
         for target, share in shares.items():
-            self.load(target).domains[""] = (share, now)
+            self.load(target).domains[ALL_OTHERS] = (share, now)
 
     def gathered(self, now: timedelta) -> dict[str, LoadShare]:
         """Return what this node has at engines, with those that told it themselves."""
