Request lines tell which lines are repeats of one request

From the logs nobody could see that eight targets had ended under one request: a line had neither path nor caller, and each repeat is a new attempt by name.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -14,6 +14,7 @@
     judge,
     request_tier,
 )
+from runhatch_server.decisions._fingerprint import fingerprint_of
 from runhatch_server.decisions._load import (
     LATE_TIER,
     LoadShare,
@@ -36,6 +37,7 @@
     "Admitted",
     "BEGIN_SLACK",
     "BUSY_RETRY",
+    "fingerprint_of",
     "GatewayRequest",
     "Headers",
     "HeldPlace",
--- a/packages/runhatch-server/src/runhatch_server/decisions/_request.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_request.py
@@ -54,6 +54,8 @@
     last_event: str = ""
     configuration: int = 0
     """Version of the configuration that its route was taken from."""
+    fingerprint: str = ""
+    """The same for all repeats of it, see :func:`fingerprint_of`."""
 
     @property
     def begin_by(self) -> timedelta:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -7,7 +7,7 @@
 
 from runhatch_coordination import Clock
 from runhatch_server._progress import Progress
-from runhatch_server.decisions import GatewayRequest
+from runhatch_server.decisions import GatewayRequest, fingerprint_of
 from runhatch_server.gateway._answers import GatewayAnswer, StreamAnswer, WholeAnswer
 from runhatch_server.gateway._messages import HeaderCodec, HeaderFault
 from runhatch_server.gateway._service import GatewayService
@@ -113,7 +113,8 @@
         if not uri.startswith("/"):
             detail = f"found target {uri[:MOST_LOGGED]!r}, allowed: a path"
             return Refusal(Reason.BAD_HEADER, Executed.NO, detail)
-        route = routes.find(headers.get("host", ""), uri.partition("?")[0])
+        host = headers.get("host", "")
+        route = routes.find(host, uri.partition("?")[0])
         if route is None:
             return Refusal(Reason.NO_ROUTE, Executed.NO)
         caller = self._codec.read_caller(headers)
@@ -124,12 +125,13 @@
         time_left = route.timeout
         if caller.time_left is not None:
             time_left = min(time_left, caller.time_left)
+        method = str(environ.get("REQUEST_METHOD"))
         body = cast(BinaryIO, environ["wsgi.input"]).read()
         return GatewayRequest(
             attempt_id=caller.attempt_id,
             route=route,
             service=choose_service(route, self._random),
-            method=str(environ.get("REQUEST_METHOD")),
+            method=method,
             uri=uri,
             passed=caller.passed,
             body=body,
@@ -139,6 +141,7 @@
             work=caller.work,
             last_event=caller.last_event,
             configuration=routes.version,
+            fingerprint=fingerprint_of(method, host.lower(), uri, body),
         )
 
     def _refused(self, refusal: Refusal, headers: Mapping[str, str]) -> WholeAnswer:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -115,6 +115,7 @@
         log_change(
             "request",
             request_id=request.attempt_id,
+            fingerprint=request.fingerprint,
             route=request.route.name,
             model=request.model,
             adapter=request.adapter,
