One request ends all targets: reproduced

Where it may be repeated a gateway sends it on to a second target by itself, else its caller's repeats do it.

--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import os
 import threading
 import time
 import uuid
@@ -18,10 +19,14 @@
 NOT_RUN = (("X-Runhatch-Not-Executed", "1"),)
 EVENT_SECONDS = 0.01
 LOAD_SECONDS = 0.3
+CRASHED = 70
+"""Exit status of a target that a request has crashed."""
 NO_FAULTS: dict[str, Any] = {
     "status": 0,
     "hang_seconds": 0.0,
     "lose_orders": False,
+    # Text in a path at which the process ends, as if the request had crashed it.
+    "ends_on": "",
     # Planted to see that checkers find them.
     "run_twice": False,
     "wrong_body": False,
@@ -158,6 +163,8 @@
             return Reply(400, headers=NOT_RUN)
         run = Run(attempt_id, model)
         self.runs.append(run)
+        if self.faults["ends_on"] and self.faults["ends_on"] in call.path:
+            os._exit(CRASHED)
         time.sleep(float(self.faults["hang_seconds"]))
         headers = (
             ("X-Runhatch-Attempt-Id", attempt_id),
