Requests under which targets end are held back

Callers saw models go with the targets that held them: one request, repeated at whichever node its caller reached, ended eight engines of eighteen in 16 s, each with 2 to 18 answers in progress. Cause: what an attempt did to a target was forgotten with the attempt, so each repeat was new to the node that got it (class: a limit kept per attempt and node where the harm is per request and system).

Now a node that is cut off from a target looks whether anything listens there any more, else watches for its entry to go; then all requests that were in progress there fall under suspicion, on all nodes: told at once, told on while it is news, asked for each second by nodes that missed it. An answer clears it. Ruled out: counting broken connections (one sound target broke 23 in 50 s and gave 220 answers), holding back after one end (ten sound requests to one), merging by caller (targets are not told who asks).

Why it holds: whatever node a repeat reaches knows within a round of messages, and forgets only after the hold; a node that starts asks at once.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -32,11 +32,13 @@
 )
 from runhatch_server.decisions._scoring import HeldPlace, Scored, Scorer
 from runhatch_server.decisions._spread import Spread, spread
+from runhatch_server.decisions._suspects import EndedUnder, Suspects
 
 __all__ = [
     "Admitted",
     "BEGIN_SLACK",
     "BUSY_RETRY",
+    "EndedUnder",
     "fingerprint_of",
     "GatewayRequest",
     "Headers",
@@ -58,6 +60,7 @@
     "Scorer",
     "Spread",
     "spread",
+    "Suspects",
     "TargetLoad",
     "WorkRates",
 ]
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_crashes.py
@@ -0,0 +1,219 @@
+"""Finding out that targets end under a request, and holding that request back."""
+
+import socket
+import threading
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from runhatch_coordination import Clock
+from runhatch_server.decisions import EndedUnder, GatewayRequest, Suspects
+from runhatch_server.fleet import Directory, Target
+from runhatch_server.gateway._grant import Grant
+from runhatch_server.observability import Metrics, log_change
+from runhatch_server.refusals import Executed, Reason, Refusal
+
+PROBE_TIMEOUT = timedelta(milliseconds=200)
+"""Longest wait for a target to accept or refuse a connection: one whose process has
+ended refuses within the way there and back."""
+PROBE_VALID = timedelta(milliseconds=500)
+"""How long one look at a target counts for all requests that were cut off there."""
+
+IsRefused = Callable[[Target], bool]
+
+
+def refuses_connections(target: Target) -> bool:
+    """Tell whether nothing listens at the address of ``target`` any more.
+
+    Silence is no answer: the way there may be cut.
+    """
+    address = (target.host, target.port)
+    try:
+        with socket.create_connection(address, PROBE_TIMEOUT.total_seconds()):
+            return False
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+
+
+class CrashWatch:
+    """What ended targets say of the requests that they had; safe for many threads.
+
+    A connection that breaks is no end: a target may break off one answer and give a
+    hundred others.  It has ended if nothing listens there any more, or if its entry
+    leaves the store soon after.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        directory: Directory,
+        metrics: Metrics,
+        on_news: Callable[[], None],
+        is_refused: IsRefused = refuses_connections,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._metrics = metrics
+        self._on_news = on_news
+        self._is_refused = is_refused
+        self._lock = threading.Lock()
+        self._suspects = Suspects()
+        self._news: list[EndedUnder] = []
+        self._cleared: list[str] = []
+        self._probes: dict[str, _Probe] = {}
+
+    def judge(self, request: GatewayRequest) -> Refusal | None:
+        """Return a refusal if ``request`` is not to be sent to any target."""
+        now = self._clock.elapsed()
+        with self._lock:
+            left = self._suspects.held_for(request.fingerprint, now)
+        if left is None:
+            return None
+        detail = "targets that ran this request have ended, so it is not sent again"
+        # It has run, if not in this attempt; and no repeat is wanted soon.
+        return Refusal(Reason.ENDS_TARGETS, Executed.UNKNOWN, detail)
+
+    def cut_off(self, grant: Grant) -> None:
+        """Take in that a target broke off ``grant`` or gave no answer in time."""
+        target = grant.target
+        known = self._directory.get(target.incarnation)
+        if known is None or not known.is_ready:
+            # It leaves as planned, with whatever it still has.
+            return
+        now = self._clock.elapsed()
+        with self._lock:
+            fingerprint = grant.request.fingerprint
+            self._suspects.cut_off(fingerprint, target.incarnation, now)
+        if self._listens_no_more(target):
+            self._ended(target.incarnation, "connections are refused")
+
+    def answered(self, grant: Grant, sound: bool = True) -> None:
+        """Take in a whole answer; ``sound`` if the target did not fail the request."""
+        with self._lock:
+            self._suspects.lives(grant.target.incarnation, grant.granted_at)
+            if not sound:
+                return
+            fingerprint = grant.request.fingerprint
+            if not self._suspects.answered(fingerprint, self._clock.elapsed()):
+                return
+            self._cleared.append(fingerprint)
+        log_change("request_cleared", fingerprint=fingerprint, source="own")
+        self._on_news()
+
+    def settle(self) -> None:
+        """Look again at targets that may have ended, and forget what is old."""
+        with self._lock:
+            doubtful = self._suspects.doubtful_targets
+        for incarnation in doubtful:
+            target = self._directory.get(incarnation)
+            if target is None:
+                self._ended(incarnation, "its entry is gone")
+            elif self._listens_no_more(target):
+                self._ended(incarnation, "connections are refused")
+        now = self._clock.elapsed()
+        with self._lock:
+            self._suspects.expire(now)
+            self._metrics.suspects.set(len(self._suspects.held(now)))
+            for name in [n for n, p in self._probes.items() if p.is_old(now)]:
+                del self._probes[name]
+
+    # Between nodes.
+
+    @property
+    def digest(self) -> int:
+        """Alike on nodes that know of the same ends."""
+        with self._lock:
+            return self._suspects.digest
+
+    def take_news(self) -> tuple[list[EndedUnder], list[str]]:
+        """Return the ends, and the requests cleared, that others are not told yet."""
+        with self._lock:
+            news, self._news = self._news, []
+            cleared, self._cleared = self._cleared, []
+        return news, cleared
+
+    def known(self) -> list[EndedUnder]:
+        """Return all ends that are remembered, the gravest first."""
+        with self._lock:
+            return self._suspects.known()
+
+    def told(self, ends: Iterable[EndedUnder]) -> None:
+        """Take in what another node knows; what is news here is told on."""
+        self._take(ends, "peer")
+
+    def told_cleared(self, fingerprints: Iterable[str]) -> None:
+        """Take in that requests were answered elsewhere."""
+        now = self._clock.elapsed()
+        with self._lock:
+            news = [name for name in fingerprints if self._suspects.answered(name, now)]
+            self._cleared += news
+        for name in news:
+            log_change("request_cleared", fingerprint=name, source="peer")
+        if news:
+            self._on_news()
+
+    # Inside.
+
+    def _ended(self, incarnation: str, why: str) -> None:
+        now = self._clock.elapsed()
+        with self._lock:
+            ends = self._suspects.ended(incarnation, now)
+            self._news += ends
+        if not ends:
+            return
+        self._metrics.ended_targets.inc()
+        log_change(
+            "target_ended",
+            target=incarnation,
+            why=why,
+            requests=sorted(end.fingerprint for end in ends),
+        )
+        self._log_held(ends, "own")
+        self._on_news()
+
+    def _take(self, ends: Iterable[EndedUnder], source: str) -> None:
+        with self._lock:
+            news = self._suspects.told(ends, self._clock.elapsed())
+            self._news += news
+        if news:
+            self._log_held(news, source)
+            self._on_news()
+
+    def _log_held(self, ends: Iterable[EndedUnder], source: str) -> None:
+        """Tell which requests are held back from now on, or for longer."""
+        for fingerprint in sorted({end.fingerprint for end in ends}):
+            with self._lock:
+                left = self._suspects.held_for(fingerprint, self._clock.elapsed())
+                targets = self._suspects.ended_under(fingerprint)
+            if left is not None:
+                log_change(
+                    "request_held",
+                    fingerprint=fingerprint,
+                    targets=list(targets),
+                    for_s=round(left.total_seconds(), 1),
+                    source=source,
+                )
+
+    def _listens_no_more(self, target: Target) -> bool:
+        """Look at ``target``, once for all requests that were just cut off there."""
+        with self._lock:
+            probe = self._probes.setdefault(target.incarnation, _Probe())
+        with probe.lock:
+            now = self._clock.elapsed()
+            if probe.is_old(now):
+                probe.refused = self._is_refused(target)
+                probe.at = self._clock.elapsed()
+            return probe.refused
+
+
+class _Probe:
+    """The newest look at one target; its lock is held while looking."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.at = timedelta(days=-1)
+        self.refused = False
+
+    def is_old(self, now: timedelta) -> bool:
+        return now - self.at >= PROBE_VALID
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -21,6 +21,7 @@
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._configuration import ConfigurationKeeper
 from runhatch_server.gateway._connections import ConnectionPool
+from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._forward import Forwarder
 from runhatch_server.gateway._outside import GatewayOutside
@@ -29,6 +30,7 @@
 from runhatch_server.gateway._run import RunParts
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.gateway._settings import Endpoint, GatewaySettings
+from runhatch_server.gateway._suspect_exchange import ASK_EVERY
 from runhatch_server.gateway._tables import (
     CHANGES_TOGETHER,
     GatewayTables,
@@ -72,6 +74,9 @@
 """The same on a node that orders nothing: it is woken when it takes the lease.  Rounds
 of 60 ms cost each such node 2.3 ms of processor time a second, measured on six idle
 gateways."""
+CRASHES_EVERY = timedelta(milliseconds=500)
+"""Between two looks at targets that broke off and may have ended: those that refuse
+connections are known at once, the others by their entries in the store."""
 SETTLE_EVERY = timedelta(milliseconds=500)
 """Between two looks at what is gone: targets are kept 1.8 s when they are missing."""
 LEAST_STOP = timedelta(seconds=4.2)
@@ -109,6 +114,10 @@
             self._pool.has_idle,
             self._demand.wake.set,
         )
+        self._ends_known = threading.Event()
+        self._crashes = CrashWatch(
+            self._clock, self._directory, self._metrics, self._ends_known.set
+        )
         self._membership = self._build_membership()
         self._tables = self._build_tables()
         self._orderer = self._build_orderer()
@@ -122,6 +131,7 @@
             self._lease.observe,
             self._orderer.take_in_resignation,
             self._tables,
+            self._crashes,
         )
         self._order_now = threading.Event()
         self._links: PeerLinks | None = None
@@ -144,6 +154,10 @@
         self._tasks.every("readers", self._tables.told_every, self._keep_tables)
         self._tasks.every("lease", LEASE_EVERY, self._keep_lease)
         self._tasks.every("share", SHARE_EVERY, self._share, self._demand.wake)
+        self._tasks.every("crashes", CRASHES_EVERY, self._crashes.settle)
+        self._tasks.every(
+            "suspects", ASK_EVERY, self._peers.suspects.tell_news, self._ends_known
+        )
         self._tasks.every("sums", self._sum_pause, self._peers.loads.tell_sums)
         self._tasks.every("orders", self._order_pause, self._order, self._order_now)
         for server in self._servers:
@@ -192,7 +206,9 @@
     def _build_app(self) -> GatewayApp:
         forwarder = Forwarder(self._pool, self._outside.headers, self._clock)
         recorder = RequestRecorder(self._metrics, self._clock)
-        parts = RunParts(self._balancer, forwarder, recorder, self._clock)
+        parts = RunParts(
+            self._balancer, forwarder, recorder, self._crashes, self._clock
+        )
         return GatewayApp(
             GatewayService(parts, self._settings.retries),
             self._outside.headers,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -15,6 +15,7 @@
 )
 from runhatch_server.fleet import Directory
 from runhatch_server.gateway._balancer import Balancer
+from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._load_exchange import LoadExchange
 from runhatch_server.gateway._missed import MissedModels
@@ -25,6 +26,7 @@
     summed_demand,
     told_of_holding,
 )
+from runhatch_server.gateway._suspect_exchange import SuspectExchange
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
@@ -35,11 +37,14 @@
     ModelDemand,
     OrdererNotice,
     OrdererResigned,
+    RequestsCleared,
     StateAsked,
+    SuspectsDigest,
     TableNews,
     TableVersion,
     TargetHoldings,
     TargetLoads,
+    TargetsEnded,
     member_of_fact,
 )
 from runhatch_server.residency import DemandShare, Holding, Resignation, Wanted
@@ -77,6 +82,7 @@
         on_orderer: Callable[[int, int], None],
         on_resigned: Callable[[Resignation], None],
         tables: GatewayTables,
+        crashes: CrashWatch,
     ) -> None:
         super().__init__(membership, metrics)
         self._clock = clock
@@ -97,6 +103,10 @@
             membership, clock, balancer, tables, self.tell, self.tell_all
         )
         """What nodes have outstanding at targets, told and heard."""
+        self.suspects = SuspectExchange(
+            crashes, clock, lambda: [*self._linked], self.tell, self.tell_all
+        )
+        """Under which requests targets have ended, told and heard."""
         self._told_demand = clock.elapsed()
         self._missers: dict[str, timedelta] = {}
         self._recent: deque[tuple[timedelta, list[DemandShare]]] = deque()
@@ -263,6 +273,18 @@
         if answer and self._links is not None:
             self._links.tell(sender.address, answer)
 
+    @take_in.register
+    def _take_in_ends(self, fact: TargetsEnded, sender: Member) -> None:
+        self.suspects.take_in_ends(fact)
+
+    @take_in.register
+    def _take_in_cleared(self, fact: RequestsCleared, sender: Member) -> None:
+        self.suspects.take_in_cleared(fact)
+
+    @take_in.register
+    def _take_in_suspects(self, fact: SuspectsDigest, sender: Member) -> None:
+        self.suspects.take_in_digest(fact, sender)
+
     @take_in.register
     def _take_in_loads(self, fact: TargetLoads, sender: Member) -> None:
         self.loads.take_in(fact, sender)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -25,6 +25,9 @@
     def resume(self, after: str) -> tuple[Grant, OpenedAnswer] | None:
         """Return the answer that goes on, ``None`` if there is none."""
 
+    def broke_off(self, grant: Grant) -> None:
+        """Take in that the target of ``grant`` broke off."""
+
 
 class StreamRelay:
     """One stream from its head to its end, for one caller.
@@ -64,6 +67,11 @@
         self.outcome = "cut"
         """How it ended, for the log."""
 
+    @property
+    def grant(self) -> Grant:
+        """The place at the target that sent the newest part of it."""
+        return self._grant
+
     def __iter__(self) -> Iterator[bytes]:
         return self
 
@@ -129,6 +137,7 @@
 
     def _resume(self) -> bool:
         self._give_up_target(faulty=True)
+        self._resumer.broke_off(self._grant)
         if self._splitter is None:
             self.outcome = "target_broke_off"
             return False
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -10,6 +10,7 @@
 from runhatch_server.gateway._answers import GatewayAnswer, StreamAnswer, WholeAnswer
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._budget import WindowBudget
+from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._forward import (
     AttemptResult,
     Forwarder,
@@ -50,6 +51,7 @@
     balancer: Balancer
     forwarder: Forwarder
     recorder: RequestRecorder
+    crashes: CrashWatch
     clock: Clock
 
 
@@ -105,9 +107,17 @@
             return None
         return sent
 
+    def broke_off(self, grant: Grant) -> None:
+        """Take in that the target of ``grant`` gave no whole answer."""
+        self._parts.crashes.cut_off(grant)
+
     def _attempt(self, resume_after: str) -> tuple[Grant, OpenedAnswer] | Refusal:
         """Send the request until a target has begun to answer."""
         while True:
+            # Also before it is sent once more: it may just have ended a target.
+            held_back = self._parts.crashes.judge(self._request)
+            if held_back is not None:
+                return held_back
             asked = self._parts.clock.elapsed()
             grant = self._parts.balancer.acquire(
                 self._request, self._tried, self._caller_gone
@@ -173,6 +183,8 @@
                 self._attempts += 1
                 self._maybe_ran = True
                 balancer.released(grant, reason is not AttemptReason.CALLER_GONE)
+                if reason is not AttemptReason.CALLER_GONE:
+                    self.broke_off(grant)
                 return self._after_unknown(reason)
             case _:
                 raise AssertionError(result)
@@ -244,6 +256,8 @@
         return StreamAnswer(head.status, head.reason, head.passed, relay)
 
     def _stream_ended(self, relay: StreamRelay) -> None:
+        if relay.outcome == "answered":
+            self._parts.crashes.answered(relay.grant)
         self.record.streamed(relay.outcome, relay.pace)
         self._parts.recorder.ended(self.record)
 
@@ -263,6 +277,7 @@
         self._parts.forwarder.finished(opened)
         failed = head.status >= SERVER_FAULT
         self._parts.balancer.released(grant, faulty=failed)
+        self._parts.crashes.answered(grant, sound=not failed)
         self._tried |= {grant.target.incarnation}
         if failed:
             self._maybe_ran = True
@@ -278,4 +293,5 @@
         self._tried |= {grant.target.incarnation}
         self._maybe_ran = True
         self.record.attempt(grant, f"unknown_{reason.value}")
+        self.broke_off(grant)
         return self._after_unknown(reason)
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -62,6 +62,12 @@
         self.key_reloads = self._counter(
             "key_reloads", "Changed key files of peer links", "outcome"
         )
+        self.ended_targets = self._counter(
+            "ended_targets", "Targets that ended with requests in progress"
+        )
+        self.suspects = self._gauge(
+            "requests_held_back", "Requests not sent since targets ended under them"
+        )
         self.suspicions = self._counter("suspicions", "Peers suspected")
         self.in_progress = self._gauge("requests_in_progress", "Requests under way")
         self.queued = self._gauge("requests_queued", "Requests waiting for a slot")
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -15,7 +15,7 @@
 MOST_ROWS_BYTES = 16_777_216
 """Unpacked rows of one message at the most; the store's tables hold far less, and a
 peer must not make a node use its memory."""
-VERSION = 5
+VERSION = 6
 ALL_DOMAINS = "*"
 """Stands for a failure domain in sums over all nodes."""
 
@@ -219,6 +219,38 @@
     members: bool = False
 
 
+class TargetEnded(msgspec.Struct, frozen=True, array_like=True):
+    """An incarnation of a target ended ``age_ms`` ago with a request in progress.
+
+    Requests are named by their fingerprints.
+    """
+
+    fingerprint: str
+    target: str
+    age_ms: int
+
+
+class TargetsEnded(msgspec.Struct, frozen=True, tag="ended", array_like=True):
+    """Under which requests targets have ended, as far as it is news to the sender."""
+
+    ends: list[TargetEnded]
+
+
+class RequestsCleared(msgspec.Struct, frozen=True, tag="cleared", array_like=True):
+    """Requests under suspicion that were answered, by their fingerprints."""
+
+    fingerprints: list[str]
+
+
+class SuspectsDigest(msgspec.Struct, frozen=True, tag="suspects", array_like=True):
+    """What the sender knows of ended targets adds up to ``digest``.
+
+    A receiver that knows something else tells it.
+    """
+
+    digest: int
+
+
 class LinkClosed(msgspec.Struct, frozen=True, tag="closed", array_like=True):
     """The sender links to the receiver no more, and its silence means nothing."""
 
@@ -249,6 +281,9 @@
     | TableVersion
     | TableNews
     | StateAsked
+    | TargetsEnded
+    | RequestsCleared
+    | SuspectsDigest
 )
 
 
--- a/packages/runhatch-server/src/runhatch_server/refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/refusals.py
@@ -50,6 +50,7 @@
     NO_REPLICA = ("no_replica", 503, "No target serves this at the moment")
     TARGETS_BUSY = ("targets_busy", 503, "The targets refused the request unrun")
     TARGETS_FAILED = ("targets_failed", 502, "The targets failed")
+    ENDS_TARGETS = ("ends_targets", 500, "Targets that ran the request have ended")
     DEADLINE_PASSED = ("deadline_passed", 504, "The deadline passed during the run")
     STORE_UNAVAILABLE = ("store_unavailable", 503, "The store does not answer")
     FIRST_RUN_OPEN = ("first_run_open", 409, "An earlier run of this key is open")
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -8,6 +8,7 @@
 from runhatch_coordination import LeaseRecord, Membership, Standing, Vm
 from runhatch_server.fleet import HeldModels
 from runhatch_server.gateway._balancer import Balancer
+from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._peers import DEMAND_KEPT, ORDERER_SILENT, GatewayPeers
 from runhatch_server.gateway._tables import GatewayTables
@@ -72,6 +73,7 @@
         directory,
         *[ignore] * 3,
         tables,
+        CrashWatch(clock, directory, Metrics(), ignore),
     )
     peers.attach(links)
     return peers, links
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -15,6 +15,7 @@
 from runhatch_server.gateway._answers import WholeAnswer
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._budget import WindowBudget
+from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._forward import OpenedAnswer
 from runhatch_server.gateway._messages import AnswerHead
 from runhatch_server.gateway._records import RequestRecorder
@@ -74,10 +75,15 @@
         pass
 
 
+def never_refused(target):
+    return False
+
+
 def run(clock, kind, results, reserve=50, **route):
     targets = [make_target(f"t{i}", "plain", models=()) for i in range(4)]
+    directory = make_directory(clock, *targets)
     balancer = Balancer(
-        make_directory(clock, *targets),
+        directory,
         clock,
         "d1",
         lambda request: None,
@@ -87,7 +93,10 @@
     )
     balancer.configure(SERVICES)
     forwarder = ScriptedForwarder(results)
-    parts = RunParts(balancer, forwarder, RequestRecorder(Metrics(), clock), clock)
+    metrics = Metrics()
+    crashes = CrashWatch(clock, directory, metrics, lambda: None, never_refused)
+    recorder = RequestRecorder(metrics, clock)
+    parts = RunParts(balancer, forwarder, recorder, crashes, clock)
     request = make_request(
         clock, make_route(kind, max_attempts=2, **route), "plain", ""
     )
--- a/standins/tests/test_gateway_crashes.py
+++ b/standins/tests/test_gateway_crashes.py
@@ -3,7 +3,11 @@
 On a recorded day one request ended eight engines within 16 seconds.  Its caller
 repeated it at whichever node it reached, and each node sent it on as if it were new:
 the models of those engines were gone with them, and for 14 seconds over a tenth of
-the commonest requests were not served.
+the commonest requests were not served.  Nothing was kept of an attempt beyond the
+attempt: of nine targets here nine ended, and no line of a node named two of them.
+Now the nodes tell each other which targets
+ended under which request, `"requests": [...]` of `target_ended`, and what stands in
+two of these lines is held back, `request_held`.
 """
 
 import http.client
