--- a/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
@@ -88,10 +88,9 @@
         """Alike on two nodes that know the same."""
         return self._digest
 
-    @property
-    def doubtful_targets(self) -> tuple[str, ...]:
-        """Incarnations at which requests were cut off that may have ended."""
-        return tuple(self._cut)
+    def doubtful_targets(self) -> dict[str, timedelta]:
+        """Return the incarnations that may have ended, and when they cut off last."""
+        return {target: max(cut.values()) for target, cut in self._cut.items()}
 
     def cut_off(self, fingerprint: str, target: str, now: timedelta) -> None:
         """Take in that a request was cut off at ``target``, which may have ended."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -16,6 +16,11 @@
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
 """A target in the region accepts within some 10 ms; a dropped opening packet is
 sent again after a second, which is too late to wait for."""
+REFUSED_WITHIN = timedelta(milliseconds=200)
+"""Longest wait for a target to accept or refuse a connection: one whose process has
+ended refuses within the way there and back."""
+CLOSED_TOGETHER = timedelta(milliseconds=2)
+"""Within which the connections of a process that ends are closed, one by one."""
 LONGEST_IDLE = timedelta(seconds=8)
 """An idle connection is not kept longer, whatever its target allows."""
 READ_SIZE = 65_536
@@ -229,6 +234,26 @@
         with self._lock:
             return bool(self._idle.get(target))
 
+    def refuses(self, target: Target) -> bool:
+        """Tell whether nothing listens at the address of ``target`` any more.
+
+        A process that ends closes its kept connections too, so one that is open
+        tells that it lives, and saves a new one.  Silence is no answer: the way
+        there may be cut.
+        """
+        if self.has_idle(target.incarnation):
+            self._clock.sleep(CLOSED_TOGETHER)
+            if self._has_open(target.incarnation):
+                return False
+        address = (target.host, target.port)
+        try:
+            with socket.create_connection(address, REFUSED_WITHIN.total_seconds()):
+                return False
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+
     def give_back(self, connection: TargetConnection, idle: timedelta) -> None:
         """Keep ``connection``, whose answer was read to its end, for ``idle``."""
         now = self._clock.elapsed()
@@ -264,6 +289,10 @@
         for connection in expired:
             self.discard(connection)
 
+    def _has_open(self, target: str) -> bool:
+        with self._lock:
+            return any(kept.is_clean() for kept in self._idle.get(target, ()))
+
     def _take_idle(self, target: str) -> TargetConnection | None:
         with self._lock:
             idle = self._idle.get(target)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_crashes.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_crashes.py
@@ -1,6 +1,5 @@
 """Finding out that targets end under a request, and holding that request back."""
 
-import socket
 import threading
 from collections.abc import Callable, Iterable
 from datetime import timedelta
@@ -12,30 +11,15 @@
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.refusals import Executed, Reason, Refusal
 
-PROBE_TIMEOUT = timedelta(milliseconds=200)
-"""Longest wait for a target to accept or refuse a connection: one whose process has
-ended refuses within the way there and back."""
 PROBE_VALID = timedelta(milliseconds=500)
 """How long one look at a target counts for all requests that were cut off there."""
+LOOKED_AT_FOR = timedelta(seconds=1)
+"""How long after that it is looked at again; later its entry in the store decides.
+Targets that break off many answers and live on are not to get a connection for each."""
 
 IsRefused = Callable[[Target], bool]
 
 
-def refuses_connections(target: Target) -> bool:
-    """Tell whether nothing listens at the address of ``target`` any more.
-
-    Silence is no answer: the way there may be cut.
-    """
-    address = (target.host, target.port)
-    try:
-        with socket.create_connection(address, PROBE_TIMEOUT.total_seconds()):
-            return False
-    except ConnectionRefusedError:
-        return True
-    except OSError:
-        return False
-
-
 class CrashWatch:
     """What ended targets say of the requests that they had; safe for many threads.
 
@@ -50,7 +34,7 @@
         directory: Directory,
         metrics: Metrics,
         on_news: Callable[[], None],
-        is_refused: IsRefused = refuses_connections,
+        is_refused: IsRefused,
     ) -> None:
         self._clock = clock
         self._directory = directory
@@ -103,15 +87,15 @@
 
     def settle(self) -> None:
         """Look again at targets that may have ended, and forget what is old."""
+        now = self._clock.elapsed()
         with self._lock:
-            doubtful = self._suspects.doubtful_targets
-        for incarnation in doubtful:
+            doubtful = self._suspects.doubtful_targets()
+        for incarnation, cut_at in doubtful.items():
             target = self._directory.get(incarnation)
             if target is None:
                 self._ended(incarnation, "its entry is gone")
-            elif self._listens_no_more(target):
+            elif now - cut_at < LOOKED_AT_FOR and self._listens_no_more(target):
                 self._ended(incarnation, "connections are refused")
-        now = self._clock.elapsed()
         with self._lock:
             self._suspects.expire(now)
             self._metrics.suspects.set(len(self._suspects.held(now)))
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -116,7 +116,11 @@
         )
         self._ends_known = threading.Event()
         self._crashes = CrashWatch(
-            self._clock, self._directory, self._metrics, self._ends_known.set
+            self._clock,
+            self._directory,
+            self._metrics,
+            self._ends_known.set,
+            self._pool.refuses,
         )
         self._membership = self._build_membership()
         self._tables = self._build_tables()
--- a/packages/runhatch-server/tests/test_crashes.py
+++ b/packages/runhatch-server/tests/test_crashes.py
@@ -1,6 +1,5 @@
 """Finding out that targets end under requests."""
 
-import socket
 from dataclasses import replace
 
 import pytest
@@ -10,9 +9,9 @@
 from runhatch_server.decisions import EndedUnder
 from runhatch_server.fleet import TargetState
 from runhatch_server.gateway._crashes import (
+    LOOKED_AT_FOR,
     PROBE_VALID,
     CrashWatch,
-    refuses_connections,
 )
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.observability import Metrics
@@ -135,6 +134,15 @@
 
         assert world.refusal() is not None
 
+    def test_a_target_in_doubt_is_looked_at_few_times(self, clock):
+        world = World(clock)
+        world.watch.cut_off(world.grant(world.targets[0]))
+        for _ in range(20):
+            clock.advance(PROBE_VALID)
+            world.watch.settle()
+
+        assert world.looks <= 1 + LOOKED_AT_FOR / PROBE_VALID
+
 
 class TestTelling:
     """What other nodes are told."""
@@ -166,15 +174,3 @@
         other.watch.told_cleared(cleared)
 
         assert world.refusal() is other.refusal() is None
-
-
-class TestLooking:
-    """Whether anything listens at an address."""
-
-    def test_it_is_refused_only_if_nothing_listens(self):
-        with socket.create_server(("127.0.0.1", 0)) as listener:
-            port = listener.getsockname()[1]
-            target = replace(make_target(), port=port)
-            assert not refuses_connections(target)
-
-        assert refuses_connections(target)
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -73,7 +73,7 @@
         directory,
         *[ignore] * 3,
         tables,
-        CrashWatch(clock, directory, Metrics(), ignore),
+        CrashWatch(clock, directory, Metrics(), ignore, never_gone),
     )
     peers.attach(links)
     return peers, links
--- a/packages/runhatch-server/tests/test_target_connections.py
+++ b/packages/runhatch-server/tests/test_target_connections.py
@@ -191,3 +191,29 @@
         pool.close_expired(frozenset())
 
         assert not pool.has_idle("t1")
+
+
+class TestRefusing:
+    """Whether anything listens at the address of a target."""
+
+    def test_one_that_listens_does_not(self, raw, pool):
+        assert not pool.refuses(raw.target())
+
+    def test_one_whose_process_has_ended_does(self, pool):
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            target = replace(make_target(), port=listener.getsockname()[1])
+            assert not pool.refuses(target)
+
+        assert pool.refuses(target)
+
+    def test_a_kept_connection_that_is_open_saves_a_new_one(self, raw, pool):
+        raw.answers = [[SHORT]]
+        target = raw.target()
+        connection = pool.take(target, 1, seconds(1))
+        ask(connection)
+        connection.read_whole()
+        pool.give_back(connection, seconds(5))
+        accepted = raw.accepted
+
+        assert not pool.refuses(target)
+        assert raw.accepted == accepted
