Targets that leave, or ask for rest, are sent to on: reproduced

Three tests with gateways and targets fail on the code as it is: a target whose answers say that it leaves, its entry in the store not yet; two targets that turn requests away and ask for 3 s of rest; and one that alone holds a model and does so.

--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -25,6 +25,10 @@
     "status": 0,
     "hang_seconds": 0.0,
     "lose_orders": False,
+    # Requests are turned away, and none wanted for so long.
+    "rest_seconds": 0.0,
+    # Its answers say that it leaves, its entry does not yet.
+    "leaving": False,
     # Text in a path at which the process ends, as if the request had crashed it.
     "ends_on": "",
     # Planted to see that checkers find them.
@@ -59,6 +63,8 @@
     orders: int = 0
     busy: bool = False
     runs: list[Run] = field(default_factory=list)
+    arrivals: list[str] = field(default_factory=list)
+    """Attempts that came, also those that were turned away."""
     faults: Document = field(default_factory=lambda: dict(NO_FAULTS))
     lock: threading.Lock = field(default_factory=threading.Lock)
     born_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
@@ -130,7 +136,9 @@
     def journal(self, call: Call) -> Reply:
         """Tell what was run."""
         runs = [[run.attempt_id, run.model, run.ended] for run in self.runs]
-        return reply_json({"runs": runs, "identity": self.identity})
+        return reply_json(
+            {"runs": runs, "arrivals": self.arrivals, "identity": self.identity}
+        )
 
     def set_faults(self, call: Call) -> Reply:
         """Replace all faults; what is not named is healthy."""
@@ -161,6 +169,11 @@
             return Reply(421, headers=(("X-Runhatch-Attempt-Id", attempt_id),))
         if not attempt_id:
             return Reply(400, headers=NOT_RUN)
+        self.arrivals.append(attempt_id)
+        if self.faults["rest_seconds"]:
+            rest = ("Retry-After", str(self.faults["rest_seconds"]))
+            named = ("X-Runhatch-Attempt-Id", attempt_id)
+            return Reply(503, headers=(*NOT_RUN, rest, named))
         run = Run(attempt_id, model)
         self.runs.append(run)
         if self.faults["ends_on"] and self.faults["ends_on"] in call.path:
@@ -170,6 +183,8 @@
             ("X-Runhatch-Attempt-Id", attempt_id),
             ("X-Runhatch-Response-Seal", f"seal-{self.identity}"),
         )
+        if self.faults["leaving"]:
+            headers += (("Server-Leaving", "1"),)
         if self.faults["run_twice"]:
             self.runs.append(Run(attempt_id, model))
         if self.faults["untrue_refusal"]:
