--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -18,7 +18,6 @@
     GatewayRequest,
     HeldPlace,
     LoadBook,
-    LoadShare,
     Outstanding,
     Postponed,
     Rejected,
@@ -29,6 +28,7 @@
 from runhatch_server.fleet import Directory, Target
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._held import HeldRequests, Wait
+from runhatch_server.gateway._shared_loads import SharedLoads
 from runhatch_server.refusals import Executed, Prediction, Reason, Refusal
 from runhatch_server.residency import HURRIED_GOAL
 from runhatch_server.routing import RequestKind, ServiceSpec
@@ -87,6 +87,8 @@
         self._services: Mapping[str, ServiceSpec] = {}
         self._max_gaps: Mapping[str, timedelta] = {}
         self._numbers = itertools.count(1)
+        self.loads = SharedLoads(self._book, self._lock, clock)
+        """What nodes have outstanding at targets."""
         self._held = HeldRequests(directory, clock, self._book, self._lock)
         self._closing_at: timedelta | None = None
         self.nodes = 1
@@ -240,49 +242,6 @@
         with self._lock:
             return self._book.full_work_ms(request)
 
-    def shares(self) -> dict[str, LoadShare]:
-        """Return what this node has outstanding at each target."""
-        now = self._clock.elapsed()
-        with self._lock:
-            return self._book.shares(now)
-
-    def peer_shares(
-        self, node: str, shares: Mapping[str, LoadShare], whole: bool
-    ) -> None:
-        """Take in what ``node`` has outstanding at some targets.
-
-        If ``whole``, it has nothing at others.
-        """
-        now = self._clock.elapsed()
-        with self._lock:
-            self._book.peer_shares(node, shares, whole, now)
-
-    def domain_shares(
-        self, domain: str, shares: Mapping[str, LoadShare], whole: bool
-    ) -> None:
-        """Take in what the nodes of a failure domain have outstanding together."""
-        now = self._clock.elapsed()
-        with self._lock:
-            self._book.domain_shares(domain, shares, whole, now)
-
-    def all_shares(self, shares: Mapping[str, LoadShare], whole: bool) -> None:
-        """Take in what all other nodes have outstanding together."""
-        now = self._clock.elapsed()
-        with self._lock:
-            self._book.all_shares(shares, whole, now)
-
-    def gathered(self) -> dict[str, LoadShare]:
-        """Return what this node has outstanding, with those that told it themselves."""
-        now = self._clock.elapsed()
-        with self._lock:
-            return self._book.gathered(now)
-
-    def totals(self) -> dict[str, LoadShare]:
-        """Return what all nodes have outstanding, as far as it is known."""
-        now = self._clock.elapsed()
-        with self._lock:
-            return self._book.totals(now)
-
     def forget_unknown(self) -> None:
         """Drop what is kept of targets that are no more."""
         with self._lock:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_load_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_load_exchange.py
@@ -8,13 +8,13 @@
 knows all, and what it sends and hears does not grow with their number.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from runhatch_coordination import FULL_MESH, Clock, Membership, Vm, choose_readers
 from runhatch_server.decisions import LoadShare
-from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._peer_facts import load_of_share, share_of_load
+from runhatch_server.gateway._shared_loads import SharedLoads, Shares
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.peers import ALL_DOMAINS, Fact, Member, TargetLoads
 
@@ -31,8 +31,6 @@
 IDLE_PAUSE = timedelta(seconds=1)
 """Between two looks of a node that sums nothing at whether it is to."""
 
-Shares = Mapping[str, LoadShare]
-
 
 def _as_is(share: LoadShare) -> object:
     return share
@@ -87,14 +85,14 @@
         self,
         membership: Membership,
         clock: Clock,
-        balancer: Balancer,
+        loads: SharedLoads,
         tables: GatewayTables,
         tell: Callable[[str, Fact], None],
         tell_all: Callable[[Fact], None],
     ) -> None:
         self._membership = membership
         self._clock = clock
-        self._balancer = balancer
+        self._loads = loads
         self._tables = tables
         self._tell = tell
         self._tell_all = tell_all
@@ -134,7 +132,7 @@
 
     def tell_own(self) -> None:
         """Tell what has changed of what this node has outstanding."""
-        news = self._own_news.take(self._balancer.shares(), self._clock.elapsed())
+        news = self._own_news.take(self._loads.own(), self._clock.elapsed())
         if news is None:
             return
         fact = _loads_of(*news)
@@ -152,12 +150,12 @@
         heard = now - self._sums_heard < SUMS_SILENT
         if not self._sums or (self._tables.is_second and heard):
             return
-        of_domain = self._domain_news.take(self._balancer.gathered(), now)
+        of_domain = self._domain_news.take(self._loads.gathered(), now)
         if of_domain is not None:
             fact = _loads_of(*of_domain, self._membership.own.failure_domain)
             for vm in self._readers_elsewhere:
                 self._tell(vm.address, fact)
-        of_all = self._all_news.take(self._balancer.totals(), now)
+        of_all = self._all_news.take(self._loads.totals(), now)
         if of_all is not None:
             self._tables.broadcast([_loads_of(*of_all, ALL_DOMAINS)])
 
@@ -165,15 +163,15 @@
         """Take in what one node, a domain, or all nodes have outstanding."""
         shares = {load.target: share_of_load(load) for load in fact.loads}
         if not fact.domain:
-            self._balancer.peer_shares(sender.name, shares, fact.whole)
+            self._loads.of_peer(sender.name, shares, fact.whole)
         elif fact.domain != ALL_DOMAINS:
-            self._balancer.domain_shares(fact.domain, shares, fact.whole)
+            self._loads.of_domain(fact.domain, shares, fact.whole)
         else:
             self._sums_heard = self._clock.elapsed()
             if not self._sums:
                 # One that sums hears the nodes and the other domains themselves.
                 others = self._without_own(shares)
-                self._balancer.all_shares(others, fact.whole)
+                self._loads.of_all(others, fact.whole)
 
     def _without_own(self, shares: Shares) -> Shares:
         """Return the sums of all nodes without what this one has told."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -129,7 +129,7 @@
             self._membership,
             self._clock,
             self._metrics,
-            self._balancer,
+            self._balancer.loads,
             self._directory,
             self._on_demand,
             self._lease.observe,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -14,7 +14,6 @@
     choose_readers,
 )
 from runhatch_server.fleet import Directory
-from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._load_exchange import LoadExchange
@@ -26,6 +25,7 @@
     summed_demand,
     told_of_holding,
 )
+from runhatch_server.gateway._shared_loads import SharedLoads
 from runhatch_server.gateway._suspect_exchange import SuspectExchange
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics, log_change
@@ -76,7 +76,7 @@
         membership: Membership,
         clock: Clock,
         metrics: Metrics,
-        balancer: Balancer,
+        loads: SharedLoads,
         directory: Directory,
         on_demand: OnDemand,
         on_orderer: Callable[[int, int], None],
@@ -100,7 +100,7 @@
         self._numbers = itertools.count(1)
         self._newest_told: dict[str, tuple[int, int]] = {}
         self.loads = LoadExchange(
-            membership, clock, balancer, tables, self.tell, self.tell_all
+            membership, clock, loads, tables, self.tell, self.tell_all
         )
         """What nodes have outstanding at targets, told and heard."""
         self.suspects = SuspectExchange(
--- a/packages/runhatch-server/tests/test_admission.py
+++ b/packages/runhatch-server/tests/test_admission.py
@@ -49,7 +49,7 @@
 
     def peer(self, target, waiting_ms, running=4, busy=0.0):
         share = LoadShare((waiting_ms, 0.0, 0.0, 0.0), 1, running, busy=busy)
-        self.balancer.peer_shares("other", {target: share}, whole=False)
+        self.balancer.loads.of_peer("other", {target: share}, whole=False)
 
     def ask(self, route=CHAT, tokens=300):
         request = make_request(self.clock, route, tokens=tokens)
--- a/packages/runhatch-server/tests/test_balancer.py
+++ b/packages/runhatch-server/tests/test_balancer.py
@@ -61,7 +61,7 @@
     def peer(self, target, waiting_ms=0.0, **share):
         waiting = (waiting_ms, 0.0, 0.0, 0.0)
         shares = {target: LoadShare(waiting, **share)}
-        self.balancer.peer_shares("other", shares, whole=True)
+        self.balancer.loads.of_peer("other", shares, whole=True)
 
 
 @pytest.fixture
@@ -255,14 +255,14 @@
             target=bench.acquire, args=(first,), kwargs={"gone": leave.is_set}
         )
         waiting.start()
-        assert wait_until(bench.balancer.shares)
+        assert wait_until(bench.balancer.loads.own)
 
         refusal = bench.acquire(make_request(clock, model="m1", tokens=12_000))
 
         leave.set()
         waiting.join()
         assert isinstance(refusal, Refusal)
-        assert bench.balancer.shares() == {}
+        assert bench.balancer.loads.own() == {}
 
     def test_it_is_sent_once_the_model_is_there(self):
         clock = SystemClock()
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -69,7 +69,7 @@
         membership,
         clock,
         Metrics(),
-        balancer,
+        balancer.loads,
         directory,
         *[ignore] * 3,
         tables,
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -171,7 +171,7 @@
     def test_places_are_given_back_whatever_happens(self, clock):
         _, _, balancer = run(clock, IDEMPOTENT, [BROKEN, answer(500)])
 
-        assert balancer.shares() == {}
+        assert balancer.loads.own() == {}
 
     def test_a_refusal_tells_when_to_come_back_if_nothing_ran(self, clock):
         outcome, _, _ = run(clock, ONCE, [BUSY] * 3)
--- a/packages/runhatch-server/tests/test_load_exchange.py
+++ b/packages/runhatch-server/tests/test_load_exchange.py
@@ -78,7 +78,7 @@
         self.loads = LoadExchange(
             membership,
             world.clock,
-            self.balancer,
+            self.balancer.loads,
             Tables(world, vm),
             self.tell,
             self.tell_all,
@@ -108,7 +108,7 @@
 
     def running(self):
         """Return how many streams it believes to run there, of all nodes."""
-        return self.balancer.totals().get("t0", LoadShare()).running
+        return self.balancer.loads.totals().get("t0", LoadShare()).running
 
 
 class World:
--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -179,7 +179,7 @@
         if self.faults["ends_on"] and self.faults["ends_on"] in call.path:
             os._exit(CRASHED)
         time.sleep(float(self.faults["hang_seconds"]))
-        headers = (
+        headers: tuple[tuple[str, str], ...] = (
             ("X-Runhatch-Attempt-Id", attempt_id),
             ("X-Runhatch-Response-Seal", f"seal-{self.identity}"),
         )
