--- a/packages/runhatch-cli/src/runhatch_cli/_explain.py
+++ b/packages/runhatch-cli/src/runhatch_cli/_explain.py
@@ -16,6 +16,7 @@
 """Events of a request's model, targets and lease are shown so long before it."""
 ABOUT_MODELS = ("load_planned", "order", "target_settled")
 ABOUT_TARGETS = ("target_learned", "target_draining", "target_gone")
+ABOUT_REQUESTS = ("request", "target_ended", "request_held", "request_cleared")
 ABOUT_NODES = (
     "lease",
     "configuration",
@@ -32,6 +33,8 @@
     "too_busy": "All targets that held its model read prompts nearly all the time, "
     "so that answers in progress would not have ended.",
     "targets_busy": "Targets refused it unrun, or could not be reached.",
+    "targets_rest": "All targets that held its model had asked for rest.",
+    "ends_targets": "Targets ended that ran it or a repeat of it, so it was held back.",
     "targets_failed": "The target that may have run it failed, and it was not to be "
     "sent again.",
     "deadline_passed": "Its time was over before the target answered.",
@@ -126,7 +129,7 @@
 
 def _matters(line: LogLine, own: list[LogLine], end: float) -> bool:
     """Tell whether ``line`` is of the request, or says something of its way."""
-    if line in own:
+    if line in own or _is_of_repeat(line, own):
         return True
     if not end - AROUND_SECONDS <= line.at <= end + 1:
         return False
@@ -138,6 +141,15 @@
     return line.kind in ABOUT_TARGETS and line.fields.get("target") in _targets(own)
 
 
+def _is_of_repeat(line: LogLine, own: list[LogLine]) -> bool:
+    """Tell whether ``line`` is of another attempt of the same caller's request."""
+    fingerprint = own[-1].fields.get("fingerprint")
+    if not fingerprint or line.kind not in ABOUT_REQUESTS:
+        return False
+    named = line.fields.get("requests", [line.fields.get("fingerprint")])
+    return fingerprint in named
+
+
 def _models(line: LogLine) -> Iterator[Any]:
     yield line.fields.get("model")
     yield from line.fields.get("evict", ())
@@ -152,6 +164,9 @@
 def _cause(last: LogLine, shown: list[LogLine]) -> str:
     outcome = str(last.fields.get("outcome", ""))
     cause = CAUSES.get(outcome, f"It ended as {outcome or 'unknown'}.")
+    if outcome == "ends_targets":
+        ended = {t for line in shown for t in line.fields.get("targets", ())}
+        return f"{cause} Ended: {', '.join(sorted(ended)) or 'not in these logs'}."
     if outcome != "no_replica":
         return cause
     model = last.fields.get("model")
--- a/packages/runhatch-cli/tests/test_explain.py
+++ b/packages/runhatch-cli/tests/test_explain.py
@@ -100,3 +100,41 @@
     def test_an_unknown_id_gets_a_clear_word(self, write):
         with pytest.raises(UnknownRequestError, match="no line of request r2"):
             explain_request("r2", [write(request("answered"))])
+
+
+class TestHeldBack:
+    """From a caller's complaint to the targets that ended under its request."""
+
+    @pytest.fixture
+    def logs(self, write):
+        first = write(
+            request(
+                "target_broke_off", 20.0, fingerprint="f1", attempts=["i-1:broken"]
+            ),
+            line("target_ended", 20.1, target="i-1", requests=["f1", "f2"]),
+            line("target_ended", 30.1, target="i-9", requests=["f2"]),
+        )
+        second = write(
+            line("request", 60.0, request_id="r0", fingerprint="f1", outcome="x"),
+            line("target_ended", 60.1, target="i-2", requests=["f1"]),
+            line("request_held", 60.2, fingerprint="f1", targets=["i-2", "i-1"]),
+            line("request_held", 60.2, fingerprint="f2", targets=["i-9"]),
+            request("ends_targets", 90.0, fingerprint="f1"),
+            name="n2.log",
+        )
+        return [first, second]
+
+    def test_the_cause_names_the_targets(self, logs):
+        assert explain_request("r1", logs).cause.endswith("Ended: i-1, i-2.")
+
+    def test_its_repeats_are_shown_however_long_ago(self, logs):
+        kinds = [shown.split()[3] for shown in explain_request("r1", logs).lines]
+
+        assert kinds == [
+            "request",
+            "target_ended",
+            "request",
+            "target_ended",
+            "request_held",
+            "request",
+        ]
