The own interface heeds a target's wish for rest

A resting target gets no place, a request whose targets all rest is refused at once with the time that is left, and one that waits looks for a place by itself each 250 ms: a rest that ends gives none back. Leaving was heeded there already.

--- a/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
@@ -31,6 +31,9 @@
 RETRY_AFTER_JITTER = 0.25
 NO_REPLICA_WAIT = timedelta(seconds=5)
 """How long a request waits for a model of which no replica is known."""
+LOOK_AGAIN = timedelta(milliseconds=250)
+"""How often one that waits looks for a place by itself: a rest that ends gives back no
+place, which is what wakes it otherwise."""
 TARGET_FAULTS = frozenset(
     {
         AttemptReason.CONNECT_FAILED,
@@ -117,7 +120,13 @@
         entered = self.enter(request, avoided_targets, avoided_domains)
         if not isinstance(entered, Waiter):
             return entered
-        entered.settled.wait(max(0.0, entered.patience.total_seconds()))
+        until = self._clock.elapsed() + entered.patience
+        while not entered.settled.is_set():
+            left = until - self._clock.elapsed()
+            if left <= timedelta():
+                break
+            entered.settled.wait(min(left, LOOK_AGAIN).total_seconds())
+            self.picture_changed()
         return self.leave(entered)
 
     def enter(
@@ -141,6 +150,9 @@
             avoided_domains,
         )
         with self._lock:
+            rest = self._rest_of_all(waiter)
+            if rest is not None:
+                return Refusal(Reason.TARGETS_REST, Executed.NO, retry_after=rest)
             if not self._waiting.ahead(waiter):
                 grant = self._try_grant(waiter)
                 if grant is not None:
@@ -193,6 +205,10 @@
                 state.limit.refused(now)
             if outcome.reason in TARGET_FAULTS:
                 state.failed(now)
+            if isinstance(outcome, RefusedUnrun) and outcome.retry_after is not None:
+                # It knows best when it can take work; others wait their turn.
+                asked = now + outcome.retry_after
+                state.rests_until = max(state.rests_until, asked)
             self._give_back(state, grant)
 
     def prefix_targets(self) -> list[str]:
@@ -242,17 +258,30 @@
             self._states[host.target] = state
         return state
 
+    def _working_hosts(self, route: Route) -> list[Host]:
+        """Return those that serve ``route`` and are not about to leave."""
+        hosts = self._picture.hosts(route)
+        return [host for host in hosts if host.target not in self._draining]
+
     def _hosts(self, waiter: Waiter[Grant]) -> Sequence[Host]:
+        now = self._clock.elapsed()
         hosts = [
             host
-            for host in self._picture.hosts(waiter.route)
-            if host.target not in self._draining
+            for host in self._working_hosts(waiter.route)
+            if now >= self._state(host).rests_until
         ]
         fresh = [host for host in hosts if host.target not in waiter.avoided_targets]
-        for host in hosts:
-            self._state(host)
         return fresh or hosts
 
+    def _rest_of_all(self, waiter: Waiter[Grant]) -> timedelta | None:
+        """Return what is left of the shortest rest, if all who could serve rest."""
+        now = self._clock.elapsed()
+        hosts = self._working_hosts(waiter.route)
+        rests = [self._state(host).rests_until - now for host in hosts]
+        if not rests or min(rests) <= timedelta():
+            return None
+        return min(rests) * self._random.uniform(1, 1 + RETRY_AFTER_JITTER)
+
     def _try_grant(self, waiter: Waiter[Grant]) -> Grant | None:
         now = self._clock.elapsed()
         choice = self._router.choose(
--- a/packages/runhatch-server/src/runhatch_server/serving/_target_state.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_target_state.py
@@ -39,6 +39,8 @@
         """Usual times of what is outstanding, added up; so are ``_granted_at``."""
         self._excess = timedelta()
         self._excess_at = timedelta()
+        self.rests_until = timedelta()
+        """Until when the target wants nothing from this node, by its own word."""
         self.limit = AdaptiveLimit(ceiling)
         self.outstanding = 0
         self.service_time: timedelta | None = None
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -22,6 +22,7 @@
     NotSent,
     RefusedUnrun,
     UnknownResult,
+    rest_asked,
 )
 from runhatch_server.targets._stream import (
     EventSplitter,
@@ -50,6 +51,7 @@
     "TargetClient",
     "TargetRequest",
     "UnknownResult",
+    "rest_asked",
     "block_names",
     "event_data",
     "event_id",
--- a/packages/runhatch-server/src/runhatch_server/targets/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_client.py
@@ -15,6 +15,7 @@
     NotSent,
     RefusedUnrun,
     UnknownResult,
+    rest_asked,
 )
 
 REQUEST_ID = "X-Request-Id"
@@ -135,7 +136,7 @@
         if answer.status in request.unrun_statuses:
             answer.close()
             reason = UNRUN_REASONS.get(answer.status, AttemptReason.TARGET_BUSY)
-            return RefusedUnrun(reason, _retry_after(answer))
+            return RefusedUnrun(reason, rest_asked(answer.headers.get("retry-after")))
         echoed = answer.headers.get(REQUEST_ID.lower())
         expected = request.request_id
         if echoed != expected and (echoed is not None or request.must_echo_id):
@@ -148,8 +149,3 @@
             answer.close()
             return UnknownResult(AttemptReason.SERVER_ERROR)
         return answer
-
-
-def _retry_after(answer: OpenAnswer) -> timedelta | None:
-    value = answer.headers.get("retry-after", "")
-    return timedelta(seconds=int(value)) if value.isdecimal() else None
--- a/packages/runhatch-server/tests/test_dispatch.py
+++ b/packages/runhatch-server/tests/test_dispatch.py
@@ -162,3 +162,41 @@
             grant = dispatcher.acquire(make_request())
             assert isinstance(grant, Grant)
             dispatcher.failed(grant, NotSent(AttemptReason.CONNECT_FAILED))
+
+
+class TestRest:
+    """Targets that turn a request away and want nothing for a while."""
+
+    def rest(self, dispatcher, grant, length):
+        busy = RefusedUnrun(AttemptReason.TARGET_BUSY, timedelta(seconds=length))
+        dispatcher.failed(grant, busy)
+
+    def test_it_gets_nothing_and_callers_hear_how_long(self, dispatcher):
+        (grant,) = fill(dispatcher, 1)
+        self.rest(dispatcher, grant, 30)
+
+        refusal = dispatcher.acquire(make_request("r"))
+
+        assert refusal.reason is Reason.TARGETS_REST
+        assert timedelta(seconds=29) < refusal.retry_after < timedelta(seconds=38)
+
+    def test_another_that_holds_the_model_serves(self, dispatcher, picture):
+        picture.learn(Hosting("w1", 1, ("m0@1",)))
+        (grant,) = fill(dispatcher, 1)
+        self.rest(dispatcher, grant, 30)
+
+        others = fill(dispatcher, 3)
+
+        assert grant.host.target not in {other.host.target for other in others}
+
+    def test_what_waits_is_served_when_the_rest_is_over(self, dispatcher):
+        """Nobody gives a place back at that moment."""
+        grants = fill(dispatcher)
+        results = []
+        thread = acquire_later(dispatcher, make_request("w", seconds=20), results)
+        wait_queued(dispatcher, 1)
+        for grant in grants:
+            self.rest(dispatcher, grant, 0.5)
+        thread.join(QUEUED_WITHIN)
+
+        assert isinstance(results[0][1], Grant)
