A target that ends is seen to end on a busy machine, and under callers that left

A request whose caller left, or whose time was over, may go on at its target and end it: it is remembered too, without a look.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
@@ -78,7 +78,10 @@
 
     def __init__(self) -> None:
         self._cut: defaultdict[str, dict[str, timedelta]] = defaultdict(dict)
-        """By incarnation: requests cut off there, and when; it may live on."""
+        """By incarnation: requests that got no whole answer there, and when; it may
+        live on."""
+        self._doubted: dict[str, timedelta] = {}
+        """When an incarnation broke a connection last, of those in ``_cut``."""
         self._suspicions: dict[str, _Suspicion] = {}
         self._sound: OrderedDict[str, timedelta] = OrderedDict()
         self._digest = 0
@@ -88,14 +91,25 @@
         """Alike on two nodes that know the same."""
         return self._digest
 
-    def doubtful_targets(self) -> dict[str, timedelta]:
-        """Return the incarnations that may have ended, and when they cut off last."""
-        return {target: max(cut.values()) for target, cut in self._cut.items()}
+    def unfinished_at(self) -> dict[str, timedelta | None]:
+        """Return the incarnations that may have ended under requests.
 
-    def cut_off(self, fingerprint: str, target: str, now: timedelta) -> None:
-        """Take in that a request was cut off at ``target``, which may have ended."""
+        Each with when it broke a connection last, ``None`` if it broke none.
+        """
+        return {target: self._doubted.get(target) for target in self._cut}
+
+    def unfinished(self, fingerprint: str, target: str, now: timedelta) -> None:
+        """Take in that a request got no whole answer at ``target`` until now.
+
+        Its caller left or its time was over; it may have gone on there.
+        """
         self._cut[target][fingerprint] = now
 
+    def cut_off(self, fingerprint: str, target: str, now: timedelta) -> None:
+        """Take in that ``target`` broke off a request, and may have ended."""
+        self.unfinished(fingerprint, target, now)
+        self._doubted[target] = now
+
     def lives(self, target: str, sent_at: timedelta) -> None:
         """Take in that ``target`` answered a request that was sent to it then."""
         requests = self._cut.get(target)
@@ -104,11 +118,11 @@
         for fingerprint in [name for name, at in requests.items() if at <= sent_at]:
             del requests[fingerprint]
         if not requests:
-            del self._cut[target]
+            self._drop(target)
 
     def ended(self, target: str, now: timedelta) -> list[EndedUnder]:
         """Take in that ``target`` has ended; returns what other nodes are to know."""
-        requests = self._cut.pop(target, {})
+        requests = self._drop(target)
         return self.told(
             [
                 EndedUnder(fingerprint, target, at)
@@ -165,11 +179,15 @@
             for name in [n for n, at in requests.items() if now - at > CUT_TO_LISTED]:
                 del requests[name]
             if not requests:
-                del self._cut[target]
+                self._drop(target)
         over = [n for n, s in self._suspicions.items() if now >= s.forgotten_at]
         for fingerprint in over:
             self._forget(fingerprint)
 
+    def _drop(self, target: str) -> dict[str, timedelta]:
+        self._doubted.pop(target, None)
+        return self._cut.pop(target, {})
+
     def _take(self, end: EndedUnder, now: timedelta) -> bool:
         sound_at = self._sound.get(end.fingerprint)
         if sound_at is not None and now - sound_at < SOUND_FOR:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -237,13 +237,13 @@
     def refuses(self, target: Target) -> bool:
         """Tell whether nothing listens at the address of ``target`` any more.
 
-        A process that ends closes its kept connections too, so one that is open
-        tells that it lives, and saves a new one.  Silence is no answer: the way
+        A process that ends closes its kept connections too, so if all are open it
+        lives most likely, and needs no new one.  Silence is no answer: the way
         there may be cut.
         """
         if self.has_idle(target.incarnation):
             self._clock.sleep(CLOSED_TOGETHER)
-            if self._has_open(target.incarnation):
+            if self._all_open(target.incarnation):
                 return False
         address = (target.host, target.port)
         try:
@@ -289,9 +289,10 @@
         for connection in expired:
             self.discard(connection)
 
-    def _has_open(self, target: str) -> bool:
+    def _all_open(self, target: str) -> bool:
         with self._lock:
-            return any(kept.is_clean() for kept in self._idle.get(target, ()))
+            idle = self._idle.get(target, [])
+            return bool(idle) and all(kept.is_clean() for kept in idle)
 
     def _take_idle(self, target: str) -> TargetConnection | None:
         with self._lock:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_crashes.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_crashes.py
@@ -13,7 +13,10 @@
 
 PROBE_VALID = timedelta(milliseconds=500)
 """How long one look at a target counts for all requests that were cut off there."""
-LOOKED_AT_FOR = timedelta(seconds=1)
+SECOND_LOOK = timedelta(milliseconds=50)
+"""When a target that seemed to live is looked at once more: a process that ends closes
+its connections one by one, which takes some 10 ms on a busy machine."""
+LOOKED_AT_FOR = timedelta(seconds=1.5)
 """How long after that it is looked at again; later its entry in the store decides.
 Targets that break off many answers and live on are not to get a connection for each."""
 
@@ -46,6 +49,8 @@
         self._news: list[EndedUnder] = []
         self._cleared: list[str] = []
         self._probes: dict[str, _Probe] = {}
+        self.doubts = threading.Event()
+        """Set when a target that broke off is to be looked at once more."""
 
     def judge(self, request: GatewayRequest) -> Refusal | None:
         """Return a refusal if ``request`` is not to be sent to any target."""
@@ -59,11 +64,9 @@
         return Refusal(Reason.ENDS_TARGETS, Executed.UNKNOWN, detail)
 
     def cut_off(self, grant: Grant) -> None:
-        """Take in that a target broke off ``grant`` or gave no answer in time."""
+        """Take in that a target broke off ``grant``."""
         target = grant.target
-        known = self._directory.get(target.incarnation)
-        if known is None or not known.is_ready:
-            # It leaves as planned, with whatever it still has.
+        if self._leaves(target):
             return
         now = self._clock.elapsed()
         with self._lock:
@@ -71,6 +74,21 @@
             self._suspects.cut_off(fingerprint, target.incarnation, now)
         if self._listens_no_more(target):
             self._ended(target.incarnation, "connections are refused")
+        else:
+            self.doubts.set()
+
+    def unfinished(self, grant: Grant) -> None:
+        """Take in that a caller left, or its time was over, before the answer.
+
+        The target may go on with ``grant`` and end of it.
+        """
+        target = grant.target
+        if self._leaves(target):
+            return
+        now = self._clock.elapsed()
+        with self._lock:
+            fingerprint = grant.request.fingerprint
+            self._suspects.unfinished(fingerprint, target.incarnation, now)
 
     def answered(self, grant: Grant, sound: bool = True) -> None:
         """Take in a whole answer; ``sound`` if the target did not fail the request."""
@@ -89,12 +107,14 @@
         """Look again at targets that may have ended, and forget what is old."""
         now = self._clock.elapsed()
         with self._lock:
-            doubtful = self._suspects.doubtful_targets()
-        for incarnation, cut_at in doubtful.items():
+            unfinished = self._suspects.unfinished_at()
+        for incarnation, broke_at in unfinished.items():
             target = self._directory.get(incarnation)
             if target is None:
                 self._ended(incarnation, "its entry is gone")
-            elif now - cut_at < LOOKED_AT_FOR and self._listens_no_more(target):
+            elif broke_at is None or now - broke_at >= LOOKED_AT_FOR:
+                continue
+            elif self._listens_no_more(target):
                 self._ended(incarnation, "connections are refused")
         with self._lock:
             self._suspects.expire(now)
@@ -139,6 +159,11 @@
 
     # Inside.
 
+    def _leaves(self, target: Target) -> bool:
+        """Tell whether it goes as planned, with whatever it still has."""
+        known = self._directory.get(target.incarnation)
+        return known is None or not known.is_ready
+
     def _ended(self, incarnation: str, why: str) -> None:
         now = self._clock.elapsed()
         with self._lock:
@@ -185,7 +210,8 @@
             probe = self._probes.setdefault(target.incarnation, _Probe())
         with probe.lock:
             now = self._clock.elapsed()
-            if probe.is_old(now):
+            if probe.is_due(now):
+                probe.is_second = not probe.is_old(now)
                 probe.refused = self._is_refused(target)
                 probe.at = self._clock.elapsed()
             return probe.refused
@@ -198,6 +224,12 @@
         self.lock = threading.Lock()
         self.at = timedelta(days=-1)
         self.refused = False
+        self.is_second = False
 
     def is_old(self, now: timedelta) -> bool:
         return now - self.at >= PROBE_VALID
+
+    def is_due(self, now: timedelta) -> bool:
+        """Tell whether to look anew: twice within the time that a look is valid."""
+        again = not self.is_second and now - self.at >= SECOND_LOOK
+        return self.is_old(now) or again
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -21,7 +21,7 @@
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._configuration import ConfigurationKeeper
 from runhatch_server.gateway._connections import ConnectionPool
-from runhatch_server.gateway._crashes import CrashWatch
+from runhatch_server.gateway._crashes import SECOND_LOOK, CrashWatch
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._forward import Forwarder
 from runhatch_server.gateway._outside import GatewayOutside
@@ -74,7 +74,7 @@
 """The same on a node that orders nothing: it is woken when it takes the lease.  Rounds
 of 60 ms cost each such node 2.3 ms of processor time a second, measured on six idle
 gateways."""
-CRASHES_EVERY = timedelta(milliseconds=500)
+CRASHES_EVERY = timedelta(seconds=1)
 """Between two looks at targets that broke off and may have ended: those that refuse
 connections are known at once, the others by their entries in the store."""
 SETTLE_EVERY = timedelta(milliseconds=500)
@@ -159,7 +159,9 @@
         self._tasks.every("readers", self._tables.told_every, self._keep_tables)
         self._tasks.every("lease", LEASE_EVERY, self._keep_lease)
         self._tasks.every("share", SHARE_EVERY, self._share, self._demand.wake)
-        self._tasks.every("crashes", CRASHES_EVERY, self._crashes.settle)
+        self._tasks.every(
+            "crashes", CRASHES_EVERY, self._look_at_targets, self._crashes.doubts
+        )
         self._tasks.every(
             "suspects", ASK_EVERY, self._peers.suspects.tell_news, self._ends_known
         )
@@ -386,6 +388,11 @@
         self._peers.loads.tell_own()
         self._peers.tell_demand(self._demand)
 
+    def _look_at_targets(self) -> None:
+        """Look once more at targets that broke off, a moment after they did."""
+        self._clock.sleep(SECOND_LOOK)
+        self._crashes.settle()
+
     def _sum_pause(self) -> timedelta:
         return self._peers.loads.pause
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -16,7 +16,7 @@
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._pace import StreamPace
 from runhatch_server.http import AbortedStreamError
-from runhatch_server.targets import EventSplitter, event_id
+from runhatch_server.targets import AttemptReason, EventSplitter, event_id
 
 
 class Resumer(Protocol):
@@ -25,8 +25,8 @@
     def resume(self, after: str) -> tuple[Grant, OpenedAnswer] | None:
         """Return the answer that goes on, ``None`` if there is none."""
 
-    def broke_off(self, grant: Grant) -> None:
-        """Take in that the target of ``grant`` broke off."""
+    def no_answer(self, grant: Grant, reason: AttemptReason) -> None:
+        """Take in that ``grant`` brought no whole answer, and why."""
 
 
 class StreamRelay:
@@ -137,7 +137,7 @@
 
     def _resume(self) -> bool:
         self._give_up_target(faulty=True)
-        self._resumer.broke_off(self._grant)
+        self._resumer.no_answer(self._grant, AttemptReason.BROKEN)
         if self._splitter is None:
             self.outcome = "target_broke_off"
             return False
@@ -164,6 +164,7 @@
             if self.outcome == "cut":
                 self.outcome = "caller_gone"
             self._give_up_target(faulty=False)
+            self._resumer.no_answer(self._grant, AttemptReason.CALLER_GONE)
 
     def _give_up_target(self, faulty: bool) -> None:
         self._holds_target = False
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -107,9 +107,12 @@
             return None
         return sent
 
-    def broke_off(self, grant: Grant) -> None:
-        """Take in that the target of ``grant`` gave no whole answer."""
-        self._parts.crashes.cut_off(grant)
+    def no_answer(self, grant: Grant, reason: AttemptReason) -> None:
+        """Take in that ``grant`` brought no whole answer, and why."""
+        if reason is AttemptReason.BROKEN:
+            self._parts.crashes.cut_off(grant)
+        else:
+            self._parts.crashes.unfinished(grant)
 
     def _attempt(self, resume_after: str) -> tuple[Grant, OpenedAnswer] | Refusal:
         """Send the request until a target has begun to answer."""
@@ -187,8 +190,7 @@
                 self._attempts += 1
                 self._maybe_ran = True
                 balancer.released(grant, reason is not AttemptReason.CALLER_GONE)
-                if reason is not AttemptReason.CALLER_GONE:
-                    self.broke_off(grant)
+                self.no_answer(grant, reason)
                 return self._after_unknown(reason)
             case _:
                 raise AssertionError(result)
@@ -307,5 +309,5 @@
         self._tried = self._tried.failed_at(grant.target.incarnation)
         self._maybe_ran = True
         self.record.attempt(grant, f"unknown_{reason.value}")
-        self.broke_off(grant)
+        self.no_answer(grant, reason)
         return self._after_unknown(reason)
