--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -115,12 +115,11 @@
             self._demand.wake.set,
             lambda target: self._peers.tell_leaving(target),
         )
-        self._ends_known = threading.Event()
         self._crashes = CrashWatch(
             self._clock,
             self._directory,
             self._metrics,
-            self._ends_known.set,
+            lambda: self._peers.suspects.tell_news(),
             self._pool.refuses,
         )
         self._membership = self._build_membership()
@@ -162,9 +161,7 @@
         self._tasks.every(
             "crashes", CRASHES_EVERY, self._look_at_targets, self._crashes.doubts
         )
-        self._tasks.every(
-            "suspects", ASK_EVERY, self._peers.suspects.tell_news, self._ends_known
-        )
+        self._tasks.every("suspects", ASK_EVERY, self._peers.suspects.ask)
         self._tasks.every("sums", self._sum_pause, self._peers.loads.tell_sums)
         self._tasks.every("orders", self._order_pause, self._order, self._order_now)
         for server in self._servers:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_suspect_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_suspect_exchange.py
@@ -45,20 +45,20 @@
         self._peers = peers
         self._tell = tell
         self._tell_all = tell_all
-        self._asked = timedelta(days=-1)
         self._random = random.Random()
 
     def tell_news(self) -> None:
-        """Tell what is news to all linked peers; now and then, ask one of them."""
+        """Tell all linked peers what is news."""
         ends, cleared = self._crashes.take_news()
         if ends:
             self._tell_all(self._fact_of(ends))
         if cleared:
             self._tell_all(RequestsCleared(cleared))
-        now = self._clock.elapsed()
+
+    def ask(self) -> None:
+        """Have one linked peer tell what it knows, if that is something else."""
         peers = self._peers()
-        if peers and now - self._asked >= ASK_EVERY:
-            self._asked = now
+        if peers:
             digest = SuspectsDigest(self._crashes.digest)
             self._tell(self._random.choice(peers), digest)
 
--- a/packages/runhatch-server/tests/test_suspect_exchange.py
+++ b/packages/runhatch-server/tests/test_suspect_exchange.py
@@ -6,7 +6,7 @@
 from runhatch_coordination import Standing
 from runhatch_server.decisions import EndedUnder
 from runhatch_server.gateway._crashes import CrashWatch
-from runhatch_server.gateway._suspect_exchange import ASK_EVERY, SuspectExchange
+from runhatch_server.gateway._suspect_exchange import SuspectExchange
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
     Member,
@@ -93,14 +93,14 @@
 
         assert not any(node.known for node in ring)
 
-    def test_a_node_that_was_cut_off_asks_for_what_it_missed(self, ring, clock):
+    def test_a_node_that_was_cut_off_asks_for_what_it_missed(self, ring):
         ring[2].cut_off = True
         ring[0].sees_end("t")
         rounds(ring, 4)
         assert not ring[2].known
         ring[2].cut_off = False
-        clock.advance(ASK_EVERY)
-        rounds(ring, 1)
+        for node in ring:
+            node.exchange.ask()
 
         assert ring[2].known == {"t"}
 
