--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from datetime import timedelta
 
 from runhatch_coordination import (
@@ -24,37 +24,32 @@
 from runhatch_server.gateway._crashes import SECOND_LOOK, CrashWatch
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._forward import Forwarder
+from runhatch_server.gateway._listeners import (
+    HEARTBEAT,
+    build_servers,
+    open_broadcast,
+    open_links,
+    server_limits,
+)
 from runhatch_server.gateway._outside import GatewayOutside
 from runhatch_server.gateway._peers import GatewayPeers
 from runhatch_server.gateway._records import RequestRecorder
 from runhatch_server.gateway._run import RunParts
 from runhatch_server.gateway._service import GatewayService
-from runhatch_server.gateway._settings import Endpoint, GatewaySettings
+from runhatch_server.gateway._settings import GatewaySettings
 from runhatch_server.gateway._suspect_exchange import ASK_EVERY
 from runhatch_server.gateway._tables import (
     CHANGES_TOGETHER,
     GatewayTables,
     coalescing_of_targets,
 )
-from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.peers import Broadcaster, Listener, PeerLinks
+from runhatch_server.peers import PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
-from runhatch_server.routing import RequestLimits, RouteTable
-
-CALLER_THREADS = 200
-"""Requests answered at once: at 30 a second and 5 s at the most, some 150."""
-CALLER_CONNECTIONS = 1_500
-"""Open connections of callers; a node may use some 3,900 descriptors."""
-SIDE_THREADS = 2
-SIDE_LIMITS = ServerLimits(body=1_024, header=16_384)
-IDLE_SLACK = timedelta(seconds=10)
-"""Idle connections are kept longer than callers are told: the time of day, by which
-the HTTP server judges, may jump by seconds."""
-HEARTBEAT = timedelta(seconds=1)
+from runhatch_server.routing import RouteTable
+
 SUSPECT_AFTER = timedelta(seconds=3.5)
 """Three heartbeats lost."""
-MOST_MESSAGE = 1_048_576
 ORDERS_LEASE = "orders"
 LEASE_TTL = timedelta(seconds=2)
 """Long enough for two renewals to fail, short enough for models to be loaded again
@@ -140,7 +135,9 @@
         self._order_now = threading.Event()
         self._links: PeerLinks | None = None
         self._app = self._build_app()
-        self._servers = self._build_servers()
+        self._servers = build_servers(
+            settings, self._app, ReadinessApp(self.is_ready), MetricsApp(self._metrics)
+        )
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send requests here."""
@@ -278,53 +275,22 @@
         )
 
     def _open_links(self) -> None:
-        self._links = PeerLinks(
-            str(self._settings.peers),
-            self._peers.own,
-            self._peers.receive,
-            self._metrics,
-            HEARTBEAT,
-            MOST_MESSAGE,
-            None,
-            lambda error: self._tasks.on_broken(error),
-        )
+        """Begin to hear other nodes, and to tell them."""
+
+        def on_broken(error: InvariantError) -> None:
+            self._tasks.on_broken(error)
+
+        self._links = open_links(self._settings, self._peers, self._metrics, on_broken)
         self._peers.attach(self._links)
-        broadcaster = None
-        if self._settings.broadcast_port:
-            host = self._settings.peers.host
-            broadcaster = Broadcaster(
-                f"tcp://{host}:{self._settings.broadcast_port}",
-                self._peers.own,
-                self._metrics,
-            )
-        listener = Listener(
-            self._peers.receive,
-            self._metrics,
-            MOST_MESSAGE,
-            lambda error: self._tasks.on_broken(error),
+        broadcaster, listener = open_broadcast(
+            self._settings, self._peers, self._metrics, on_broken
         )
         self._tables.attach(broadcaster, listener)
 
-    def _build_servers(self) -> list[HttpServer]:
-        settings = self._settings
-        limits = RequestLimits()
-        callers = HttpServer(
-            self._app,
-            settings.callers.host,
-            settings.callers.port,
-            CALLER_THREADS,
-            _server_limits(limits),
-            CALLER_CONNECTIONS,
-        )
-        servers = [callers, _side(ReadinessApp(self.is_ready), settings.readiness)]
-        if settings.metrics is not None:
-            servers.append(_side(MetricsApp(self._metrics), settings.metrics))
-        return servers
-
     def _on_routes(self, routes: RouteTable) -> None:
         self._balancer.configure(routes.services, routes.max_gaps)
         self._orderer.declare(routes.services)
-        self._servers[0].limit(_server_limits(routes.configuration.limits))
+        self._servers[0].limit(server_limits(routes.configuration.limits))
         self._app.routes = routes
 
     def _note_demand(self, request: GatewayRequest) -> None:
@@ -420,13 +386,3 @@
         left = moment - self._clock.elapsed()
         if left > timedelta():
             self._clock.sleep(left)
-
-
-def _side(app: Callable[..., Iterable[bytes]], endpoint: Endpoint) -> HttpServer:
-    return HttpServer(app, endpoint.host, endpoint.port, SIDE_THREADS, SIDE_LIMITS)
-
-
-def _server_limits(limits: RequestLimits) -> ServerLimits:
-    return ServerLimits(
-        limits.body_bytes, limits.header_bytes, limits.idle_timeout + IDLE_SLACK
-    )
