What a target asked outlasts an entry that is away for a moment

Entries expire while the store is down and come back within seconds, ready as they were written last: a target that had said that it leaves, or that had asked for rest, would have been sent to again. Found on reading, not seen. The word that a target leaves is kept for ten minutes, also of targets that are not listed yet; a rest until it is over.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_load_book.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load_book.py
@@ -102,10 +102,13 @@
             (target, load.total(now)) for target, load in self._loads.items()
         )
 
-    def forget(self, is_known: Callable[[str], bool]) -> None:
-        """Drop what is kept of targets that are no more."""
-        for target in list(self._loads):
-            if not is_known(target) and not self._loads[target].own:
+    def forget(self, is_known: Callable[[str], bool], now: timedelta) -> None:
+        """Drop what is kept of targets that are no more.
+
+        One that rests is kept: its entry may be away with the store for a moment.
+        """
+        for target, load in list(self._loads.items()):
+            if not is_known(target) and not load.own and now >= load.rests_until:
                 del self._loads[target]
                 self._prefixes.forget(target)
 
--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -25,6 +25,9 @@
 """How long an entry of an earlier life than the known one is passed over: what a life
 wrote before it ended arrives within seconds, and its successor writes again meanwhile.
 One that stands longer is that of a target whose clock was set back."""
+LEAVING_REMEMBERED = timedelta(minutes=10)
+"""How long a target's word that it leaves is kept: its entry may expire with an outage
+of the store and come back, ready as it was written last."""
 CORRECTION_HOLDS = timedelta(milliseconds=120)
 """How long a target that said it lacks a model is not asked for it, unless it or
 its orderer tells something newer: an adapter may be some ten milliseconds from
@@ -62,8 +65,8 @@
         self._expected: dict[str, tuple[ExpectedLoad, ...]] = {}
         self._lacking: dict[tuple[str, str, str], timedelta] = {}
         self._missing: dict[str, timedelta] = {}
-        self._leaving: set[str] = set()
-        """Incarnations that said in answers that they leave."""
+        self._leaving: dict[str, timedelta] = {}
+        """When an incarnation said in an answer that it leaves."""
         self._doubted: dict[str, tuple[Target, timedelta]] = {}
         self._ready: defaultdict[str, dict[str, Target]] = defaultdict(dict)
         """By service and incarnation, in order: those that take new work."""
@@ -121,6 +124,13 @@
             if gone or stands:
                 self._rebuild()
             self._forget_unknown(now)
+            over = [
+                name
+                for name, since in self._leaving.items()
+                if now - since >= LEAVING_REMEMBERED
+            ]
+            for name in over:
+                del self._leaving[name]
 
     # What the orderer and answers tell.
 
@@ -156,12 +166,13 @@
         Its entry may say so many seconds later, or never.  Tells whether it is news.
         """
         with self.news:
-            target = self._by_incarnation.get(incarnation)
-            if target is None or not target.is_ready:
+            if incarnation in self._leaving:
                 return False
-            self._leaving.add(incarnation)
-            self._replace(target, source)
-            self._rebuild()
+            self._leaving[incarnation] = self._clock.elapsed()
+            target = self._by_incarnation.get(incarnation)
+            if target is not None:
+                self._replace(target, source)
+                self._rebuild()
         return True
 
     def correct(self, target: str, model: str, adapter: str) -> None:
@@ -271,7 +282,6 @@
             return
         self._told.pop(target.incarnation, None)
         self._expected.pop(target.incarnation, None)
-        self._leaving.discard(target.incarnation)
         log_change("target_gone", target=target.incarnation, why=why)
 
     def _forget_unknown(self, now: timedelta) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -273,8 +273,9 @@
 
     def forget_unknown(self) -> None:
         """Drop what is kept of targets that are no more."""
+        now = self._clock.elapsed()
         with self._lock:
-            self._book.forget(lambda name: self._directory.get(name) is not None)
+            self._book.forget(lambda name: self._directory.get(name) is not None, now)
 
     def _ends_too_soon_for(self, request: GatewayRequest) -> bool:
         """Tell whether this node is about to end, with ``request`` in progress."""
--- a/packages/runhatch-server/tests/test_balancer.py
+++ b/packages/runhatch-server/tests/test_balancer.py
@@ -15,7 +15,7 @@
     seconds,
 )
 
-from runhatch_coordination import SystemClock
+from runhatch_coordination import Entry, SystemClock
 from runhatch_server.decisions import LATE_TIER, LoadShare, Tried
 from runhatch_server.fleet import ExpectedLoad, HeldModels
 from runhatch_server.gateway._grant import Grant
@@ -292,3 +292,25 @@
         clock.advance(seconds(3))
 
         assert bench.acquire().reason is Reason.STOPPING
+
+
+class TestRest:
+    """A target that rests, and an entry that goes and comes back meanwhile."""
+
+    def test_it_rests_on_though_its_entry_was_away(self, clock):
+        """Entries expire while the store is down, and are back within seconds."""
+        target = make_target("t1")
+        bench = Bench(clock, target)
+        grant = bench.acquire()
+        bench.balancer.rests(grant, seconds(10))
+        bench.balancer.released(grant, faulty=False)
+        bench.directory.listed(())
+        bench.directory.settle()
+        clock.advance(seconds(3))
+        bench.directory.settle()
+        bench.balancer.forget_unknown()
+        bench.directory.listed((Entry("t1", target),))
+
+        assert bench.acquire().reason is Reason.TARGETS_REST
+        clock.advance(seconds(8))
+        assert isinstance(bench.acquire(), Grant)
--- a/packages/runhatch-server/tests/test_directory.py
+++ b/packages/runhatch-server/tests/test_directory.py
@@ -5,6 +5,7 @@
 
 from runhatch_coordination import Entry
 from runhatch_server.fleet import ExpectedLoad, HeldModels, TargetState
+from runhatch_server.fleet._directory import LEAVING_REMEMBERED
 
 
 def entry(target):
@@ -70,10 +71,36 @@
     @pytest.mark.parametrize("target", ["t1", "unknown"])
     def test_it_is_news_once(self, clock, target):
         directory = make_directory(clock, make_target())
-        directory.leaves("t1")
 
+        assert directory.leaves(target)
         assert not directory.leaves(target)
 
+    def test_it_leaves_on_though_its_entry_was_away(self, clock):
+        """Entries expire while the store is down, and are back within seconds."""
+        directory = make_directory(clock, make_target())
+        directory.leaves("t1")
+        directory.listed(())
+        clock.advance(seconds(3))
+        directory.settle()
+        directory.listed((entry(make_target()),))
+
+        assert directory.ready("engine") == ()
+
+    def test_one_that_is_not_listed_yet_takes_no_work_later(self, clock):
+        directory = make_directory(clock)
+        directory.leaves("t1")
+        directory.changed((entry(make_target()),))
+
+        assert directory.ready("engine") == ()
+
+    def test_it_is_forgotten_long_after(self, clock):
+        directory = make_directory(clock)
+        directory.leaves("t1")
+        clock.advance(LEAVING_REMEMBERED)
+        directory.settle()
+
+        assert directory.leaves("t1")
+
     def test_its_next_life_takes_work(self, clock):
         directory = make_directory(clock, make_target(born=1))
         directory.leaves("t1@1000")
