The watch over crashes stands apart from gateways, and blames no planned end

What it needs of targets is three questions, so that the own interface can ask them of declared ones.

--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/crashes/__init__.py
@@ -0,0 +1,18 @@
+"""Requests that end targets: found out, told to all nodes, held back."""
+
+from runhatch_server.crashes._exchange import ASK_EVERY, SuspectExchange
+from runhatch_server.crashes._watch import (
+    SECOND_LOOK,
+    CrashWatch,
+    Standing,
+    Targets,
+)
+
+__all__ = [
+    "ASK_EVERY",
+    "CrashWatch",
+    "SECOND_LOOK",
+    "Standing",
+    "SuspectExchange",
+    "Targets",
+]
--- a/packages/runhatch-server/src/runhatch_server/gateway/_suspect_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_exchange.py
@@ -11,8 +11,8 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
+from runhatch_server.crashes._watch import CrashWatch
 from runhatch_server.decisions import EndedUnder
-from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.peers import (
     Fact,
     Member,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_crashes.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
@@ -3,11 +3,11 @@
 import threading
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from enum import Enum
+from typing import Protocol
 
 from runhatch_coordination import Clock
-from runhatch_server.decisions import EndedUnder, GatewayRequest, Suspects
-from runhatch_server.fleet import Directory, Target
-from runhatch_server.gateway._grant import Grant
+from runhatch_server.decisions import EndedUnder, Suspects
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.refusals import Executed, Reason, Refusal
 
@@ -20,7 +20,26 @@
 """How long after that it is looked at again; later its entry in the store decides.
 Targets that break off many answers and live on are not to get a connection for each."""
 
-IsRefused = Callable[[Target], bool]
+
+class Standing(Enum):
+    """What is known of an incarnation of a target."""
+
+    WORKS = "works"
+    LEAVES = "leaves"
+    GONE = "gone"
+
+
+class Targets(Protocol):
+    """Where the watch learns of targets, each named by its incarnation."""
+
+    def standing(self, target: str) -> Standing:
+        """Return what is known of ``target`` from elsewhere."""
+
+    def refuses(self, target: str) -> bool:
+        """Tell whether nothing listens at its address any more."""
+
+    def ended(self, target: str) -> None:
+        """Take in that ``target`` has ended; what starts there is another."""
 
 
 class CrashWatch:
@@ -34,16 +53,14 @@
     def __init__(
         self,
         clock: Clock,
-        directory: Directory,
+        targets: Targets,
         metrics: Metrics,
         on_news: Callable[[], None],
-        is_refused: IsRefused,
     ) -> None:
         self._clock = clock
-        self._directory = directory
+        self._targets = targets
         self._metrics = metrics
         self._on_news = on_news
-        self._is_refused = is_refused
         self._lock = threading.Lock()
         self._suspects = Suspects()
         self._news: list[EndedUnder] = []
@@ -52,51 +69,52 @@
         self.doubts = threading.Event()
         """Set when a target that broke off is to be looked at once more."""
 
-    def judge(self, request: GatewayRequest) -> Refusal | None:
-        """Return a refusal if ``request`` is not to be sent to any target."""
+    def judge(self, fingerprint: str) -> Refusal | None:
+        """Return a refusal if a request is not to be sent to any target."""
         now = self._clock.elapsed()
         with self._lock:
-            left = self._suspects.held_for(request.fingerprint, now)
+            left = self._suspects.held_for(fingerprint, now)
         if left is None:
             return None
         detail = "targets that ran this request have ended, so it is not sent again"
         # It has run, if not in this attempt; and no repeat is wanted soon.
         return Refusal(Reason.ENDS_TARGETS, Executed.UNKNOWN, detail)
 
-    def cut_off(self, grant: Grant) -> None:
-        """Take in that a target broke off ``grant``."""
-        target = grant.target
-        if self._leaves(target):
+    def cut_off(self, fingerprint: str, target: str) -> None:
+        """Take in that ``target`` broke off a request."""
+        # One that leaves goes as planned, with whatever it still has.
+        if self._targets.standing(target) is not Standing.WORKS:
             return
         now = self._clock.elapsed()
         with self._lock:
-            fingerprint = grant.request.fingerprint
-            self._suspects.cut_off(fingerprint, target.incarnation, now)
+            self._suspects.cut_off(fingerprint, target, now)
         if self._listens_no_more(target):
-            self._ended(target.incarnation, "connections are refused")
+            self._ended(target, "connections are refused")
         else:
             self.doubts.set()
 
-    def unfinished(self, grant: Grant) -> None:
+    def unfinished(self, fingerprint: str, target: str) -> None:
         """Take in that a caller left, or its time was over, before the answer.
 
-        The target may go on with ``grant`` and end of it.
+        ``target`` may go on with the request and end of it.
         """
-        target = grant.target
-        if self._leaves(target):
+        if self._targets.standing(target) is not Standing.WORKS:
             return
         now = self._clock.elapsed()
         with self._lock:
-            fingerprint = grant.request.fingerprint
-            self._suspects.unfinished(fingerprint, target.incarnation, now)
+            self._suspects.unfinished(fingerprint, target, now)
+
+    def answered(
+        self, fingerprint: str, target: str, sent_at: timedelta, sound: bool = True
+    ) -> None:
+        """Take in a whole answer to a request that was sent to ``target`` then.
 
-    def answered(self, grant: Grant, sound: bool = True) -> None:
-        """Take in a whole answer; ``sound`` if the target did not fail the request."""
+        ``sound`` if the target did not fail the request.
+        """
         with self._lock:
-            self._suspects.lives(grant.target.incarnation, grant.granted_at)
+            self._suspects.lives(target, sent_at)
             if not sound:
                 return
-            fingerprint = grant.request.fingerprint
             if not self._suspects.answered(fingerprint, self._clock.elapsed()):
                 return
             self._cleared.append(fingerprint)
@@ -108,14 +126,17 @@
         now = self._clock.elapsed()
         with self._lock:
             unfinished = self._suspects.unfinished_at()
-        for incarnation, broke_at in unfinished.items():
-            target = self._directory.get(incarnation)
-            if target is None:
-                self._ended(incarnation, "its entry is gone")
+        for target, broke_at in unfinished.items():
+            standing = self._targets.standing(target)
+            if standing is Standing.GONE:
+                self._ended(target, "its entry is gone")
+            elif standing is Standing.LEAVES:
+                with self._lock:
+                    self._suspects.leaves(target)
             elif broke_at is None or now - broke_at >= LOOKED_AT_FOR:
                 continue
             elif self._listens_no_more(target):
-                self._ended(incarnation, "connections are refused")
+                self._ended(target, "connections are refused")
         with self._lock:
             self._suspects.expire(now)
             self._metrics.suspects.set(len(self._suspects.held(now)))
@@ -159,22 +180,18 @@
 
     # Inside.
 
-    def _leaves(self, target: Target) -> bool:
-        """Tell whether it goes as planned, with whatever it still has."""
-        known = self._directory.get(target.incarnation)
-        return known is None or not known.is_ready
-
-    def _ended(self, incarnation: str, why: str) -> None:
+    def _ended(self, target: str, why: str) -> None:
         now = self._clock.elapsed()
         with self._lock:
-            ends = self._suspects.ended(incarnation, now)
+            ends = self._suspects.ended(target, now)
             self._news += ends
+        self._targets.ended(target)
         if not ends:
             return
         self._metrics.ended_targets.inc()
         log_change(
             "target_ended",
-            target=incarnation,
+            target=target,
             why=why,
             requests=sorted(end.fingerprint for end in ends),
         )
@@ -204,15 +221,15 @@
                     source=source,
                 )
 
-    def _listens_no_more(self, target: Target) -> bool:
+    def _listens_no_more(self, target: str) -> bool:
         """Look at ``target``, once for all requests that were just cut off there."""
         with self._lock:
-            probe = self._probes.setdefault(target.incarnation, _Probe())
+            probe = self._probes.setdefault(target, _Probe())
         with probe.lock:
             now = self._clock.elapsed()
             if probe.is_due(now):
                 probe.is_second = not probe.is_old(now)
-                probe.refused = self._is_refused(target)
+                probe.refused = self._targets.refuses(target)
                 probe.at = self._clock.elapsed()
             return probe.refused
 
--- a/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
@@ -120,6 +120,10 @@
         if not requests:
             self._drop(target)
 
+    def leaves(self, target: str) -> None:
+        """Take in that ``target`` ends as planned; no request is to blame for it."""
+        self._drop(target)
+
     def ended(self, target: str, now: timedelta) -> list[EndedUnder]:
         """Take in that ``target`` has ended; returns what other nodes are to know."""
         requests = self._drop(target)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -15,15 +15,16 @@
 )
 from runhatch_server._progress import Progress
 from runhatch_server._tasks import Tasks
+from runhatch_server.crashes import ASK_EVERY, SECOND_LOOK, CrashWatch
 from runhatch_server.decisions import GatewayRequest
 from runhatch_server.fleet import Directory
 from runhatch_server.gateway._app import GatewayApp, MetricsApp, ReadinessApp
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._configuration import ConfigurationKeeper
 from runhatch_server.gateway._connections import ConnectionPool
-from runhatch_server.gateway._crashes import SECOND_LOOK, CrashWatch
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._forward import Forwarder
+from runhatch_server.gateway._known_targets import KnownTargets
 from runhatch_server.gateway._listeners import (
     HEARTBEAT,
     build_servers,
@@ -37,7 +38,6 @@
 from runhatch_server.gateway._run import RunParts
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.gateway._settings import GatewaySettings
-from runhatch_server.gateway._suspect_exchange import ASK_EVERY
 from runhatch_server.gateway._tables import (
     CHANGES_TOGETHER,
     GatewayTables,
@@ -112,10 +112,9 @@
         )
         self._crashes = CrashWatch(
             self._clock,
-            self._directory,
+            KnownTargets(self._directory, self._pool),
             self._metrics,
             lambda: self._peers.suspects.tell_news(),
-            self._pool.refuses,
         )
         self._membership = self._build_membership()
         self._tables = self._build_tables()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -13,8 +13,8 @@
     Vm,
     choose_readers,
 )
+from runhatch_server.crashes import CrashWatch, SuspectExchange
 from runhatch_server.fleet import Directory
-from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._load_exchange import LoadExchange
 from runhatch_server.gateway._missed import MissedModels
@@ -26,7 +26,6 @@
     told_of_holding,
 )
 from runhatch_server.gateway._shared_loads import SharedLoads
-from runhatch_server.gateway._suspect_exchange import SuspectExchange
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -6,11 +6,11 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
+from runhatch_server.crashes import CrashWatch
 from runhatch_server.decisions import GatewayRequest, Tried
 from runhatch_server.gateway._answers import GatewayAnswer, StreamAnswer, WholeAnswer
 from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._budget import WindowBudget
-from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._forward import (
     AttemptResult,
     Forwarder,
@@ -109,16 +109,26 @@
 
     def no_answer(self, grant: Grant, reason: AttemptReason) -> None:
         """Take in that ``grant`` brought no whole answer, and why."""
+        crashes, fingerprint = self._parts.crashes, self._request.fingerprint
         if reason is AttemptReason.BROKEN:
-            self._parts.crashes.cut_off(grant)
+            crashes.cut_off(fingerprint, grant.target.incarnation)
         else:
-            self._parts.crashes.unfinished(grant)
+            crashes.unfinished(fingerprint, grant.target.incarnation)
+
+    def _whole_answer(self, grant: Grant, sound: bool = True) -> None:
+        """Take in that ``grant`` brought one, a failure if it is not ``sound``."""
+        self._parts.crashes.answered(
+            self._request.fingerprint,
+            grant.target.incarnation,
+            grant.granted_at,
+            sound,
+        )
 
     def _attempt(self, resume_after: str) -> tuple[Grant, OpenedAnswer] | Refusal:
         """Send the request until a target has begun to answer."""
         while True:
             # Also before it is sent once more: it may just have ended a target.
-            held_back = self._parts.crashes.judge(self._request)
+            held_back = self._parts.crashes.judge(self._request.fingerprint)
             if held_back is not None:
                 return held_back
             asked = self._parts.clock.elapsed()
@@ -273,7 +283,7 @@
 
     def _stream_ended(self, relay: StreamRelay) -> None:
         if relay.outcome == "answered":
-            self._parts.crashes.answered(relay.grant)
+            self._whole_answer(relay.grant)
         self.record.streamed(relay.outcome, relay.pace)
         self._parts.recorder.ended(self.record)
 
@@ -293,7 +303,7 @@
         self._parts.forwarder.finished(opened)
         failed = head.status >= SERVER_FAULT
         self._parts.balancer.released(grant, faulty=failed)
-        self._parts.crashes.answered(grant, sound=not failed)
+        self._whole_answer(grant, sound=not failed)
         self._tried = self._tried.failed_at(grant.target.incarnation)
         if failed:
             self._maybe_ran = True
--- a/packages/runhatch-server/tests/gateway_cases.py
+++ b/packages/runhatch-server/tests/gateway_cases.py
@@ -3,6 +3,7 @@
 from datetime import UTC, datetime, timedelta
 
 from runhatch_coordination import Entry
+from runhatch_server.crashes import Standing
 from runhatch_server.fleet import Directory, HeldModels, Target, TargetState
 from runhatch_server.gateway import GatewayRequest, ModelWork, PromptPart
 from runhatch_server.gateway._balancer import Balancer
@@ -85,6 +86,26 @@
     return balancer
 
 
+class FakeTargets:
+    """Targets for a watch over crashes: all work, but for what a test says."""
+
+    def __init__(self):
+        self.standings = {}
+        self.refusing = set()
+        self.looks = 0
+        self.ends = []
+
+    def standing(self, target):
+        return self.standings.get(target, Standing.WORKS)
+
+    def refuses(self, target):
+        self.looks += 1
+        return target in self.refusing
+
+    def ended(self, target):
+        self.ends.append(target)
+
+
 def make_route(kind=RequestKind.STREAM, **changes):
     defaults = {
         "name": "r",
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -4,18 +4,18 @@
 
 import pytest
 from gateway_cases import (
+    FakeTargets,
     ignore,
     make_balancer,
     make_directory,
     make_request,
     make_target,
-    never_gone,
     seconds,
 )
 
 from runhatch_coordination import LeaseRecord, Membership, Standing, Vm
+from runhatch_server.crashes import CrashWatch
 from runhatch_server.fleet import HeldModels
-from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._peers import DEMAND_KEPT, ORDERER_SILENT, GatewayPeers
 from runhatch_server.gateway._tables import GatewayTables
@@ -77,7 +77,7 @@
         directory,
         *[ignore] * 3,
         tables,
-        CrashWatch(clock, directory, Metrics(), ignore, never_gone),
+        CrashWatch(clock, FakeTargets(), Metrics(), ignore),
     )
     peers.attach(links)
     return peers, links
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -4,6 +4,7 @@
 
 import pytest
 from gateway_cases import (
+    FakeTargets,
     make_balancer,
     make_directory,
     make_request,
@@ -13,11 +14,11 @@
     seconds,
 )
 
+from runhatch_server.crashes import CrashWatch
 from runhatch_server.decisions import Tried
 from runhatch_server.gateway import RetryBounds
 from runhatch_server.gateway._answers import WholeAnswer
 from runhatch_server.gateway._budget import WindowBudget
-from runhatch_server.gateway._crashes import CrashWatch
 from runhatch_server.gateway._forward import OpenedAnswer
 from runhatch_server.gateway._messages import AnswerHead
 from runhatch_server.gateway._records import RequestRecorder
@@ -79,17 +80,13 @@
         pass
 
 
-def never_refused(target):
-    return False
-
-
 def run(clock, kind, results, reserve=50, count=4, **route):
     targets = [make_target(f"t{i}", "plain", models=()) for i in range(count)]
     directory = make_directory(clock, *targets)
     balancer = make_balancer(directory, clock)
     forwarder = ScriptedForwarder(results)
     metrics = Metrics()
-    crashes = CrashWatch(clock, directory, metrics, lambda: None, never_refused)
+    crashes = CrashWatch(clock, FakeTargets(), metrics, lambda: None)
     recorder = RequestRecorder(metrics, clock)
     parts = RunParts(balancer, forwarder, recorder, crashes, clock)
     request = make_request(
--- a/packages/runhatch-server/tests/test_suspect_exchange.py
+++ b/packages/runhatch-server/tests/test_suspect_exchange.py
@@ -1,12 +1,11 @@
 """Ends of targets, told from node to node."""
 
 import pytest
-from gateway_cases import make_directory, seconds
+from gateway_cases import FakeTargets, seconds
 
 from runhatch_coordination import Standing
+from runhatch_server.crashes import CrashWatch, SuspectExchange
 from runhatch_server.decisions import EndedUnder
-from runhatch_server.gateway._crashes import CrashWatch
-from runhatch_server.gateway._suspect_exchange import SuspectExchange
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
     Member,
@@ -24,9 +23,7 @@
         self.member = Member(name, "d1", name, 1, Standing.ALIVE)
         self.neighbours = []
         self.cut_off = False
-        self.watch = CrashWatch(
-            clock, make_directory(clock), Metrics(), lambda: None, lambda target: False
-        )
+        self.watch = CrashWatch(clock, FakeTargets(), Metrics(), lambda: None)
         self.exchange = SuspectExchange(
             self.watch,
             clock,
