The own interface holds back requests that end its engines

The same cause as with gateways: an attempt's end was forgotten with the attempt. All ways of an attempt go through one class, which asks the watch before each and tells it how each ended. Declared engines start again under their names and addresses, so a node numbers the lives that it saw end; its peers hear of them by the messages that gateways use.

--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -11,6 +11,7 @@
     RetryBudget,
 )
 from runhatch_server._progress import Progress
+from runhatch_server.crashes import CrashWatch
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import LogLevel, Metrics, TraceLog
 from runhatch_server.outside import Outside
@@ -26,6 +27,7 @@
     Picture,
     RequestReader,
     ServingService,
+    TargetLives,
 )
 from runhatch_server.settings import Settings
 from runhatch_server.targets import TargetClient
@@ -53,6 +55,8 @@
         has_configuration: Callable[[], bool],
         on_draining: Callable[[str], None],
         on_broken: Callable[[InvariantError], None],
+        crashes: CrashWatch,
+        lives: TargetLives,
     ) -> None:
         serving = settings.serving
         self._settings = settings
@@ -61,6 +65,8 @@
         self._picture = picture
         self._membership = membership
         self._metrics = metrics
+        self._crashes = crashes
+        self._lives = lives
         self._progress = Progress()
         self._committer = GroupCommitter(outside.table)
         self.demand = DemandCounter()
@@ -140,6 +146,8 @@
             self._metrics,
             self._clock,
             on_draining,
+            self._crashes,
+            self._lives,
         )
         return ServingService(
             attempter,
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -26,13 +26,14 @@
     RevisionFollower,
     parse_deployment,
 )
+from runhatch_server.crashes import ASK_EVERY, LOOK_EVERY, CrashWatch
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, TraceLog, log_change
 from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
 from runhatch_server.outside import Outside
 from runhatch_server.peers import PeerLinks, PlannerNotice
 from runhatch_server.placement import PlacementService
-from runhatch_server.serving import Hosting, Picture
+from runhatch_server.serving import Hosting, Picture, TargetLives
 from runhatch_server.settings import Settings
 
 CONFIGURATION = "configuration"
@@ -73,6 +74,13 @@
         self._feed = RevisionFeed(self._on_revision)
         log = RevisionLog(outside.table, outside.objects, CONFIGURATION)
         self._configuration = ConfigurationService(log, self._feed, self._clock)
+        lives = TargetLives(settings.node.name)
+        self._crashes = CrashWatch(
+            self._clock,
+            lives,
+            self._metrics,
+            lambda: self._peers.suspects.tell_news(),
+        )
         self._callers = CallerSide(
             settings,
             outside,
@@ -84,6 +92,8 @@
             self._ready.is_set,
             self._on_draining_answer,
             self._broken,
+            self._crashes,
+            lives,
         )
         self._dispatcher = self._callers.dispatcher
         self._drains = DrainTracker(self._clock, self._dispatcher.drain)
@@ -108,6 +118,8 @@
             self._on_demand,
             self._on_planner,
             self._planner_notices,
+            self._crashes,
+            self._clock,
         )
         self._follower = RevisionFollower(
             self._configuration, self._feed, self._peers.ask_for_state
@@ -165,6 +177,10 @@
         self._tasks.every("picture", refresh, self._refresh_picture)
         self._tasks.every("caches", CACHES_EVERY, self._callers.caches.read_round)
         self._tasks.every("keys", KEYS_EVERY, self._links.renew_keys)
+        self._tasks.every(
+            "crashes", LOOK_EVERY, self._crashes.look_again, self._crashes.doubts
+        )
+        self._tasks.every("suspects", ASK_EVERY, self._peers.suspects.ask)
         self._tasks.every("state", STATE_RETRY, follower.catch_up)
         self._tasks.every("sweep", SWEEP_EVERY, self._sweep)
         self._operators.start()
--- a/packages/runhatch-server/src/runhatch_server/_peer_service.py
+++ b/packages/runhatch-server/src/runhatch_server/_peer_service.py
@@ -4,12 +4,14 @@
 from functools import singledispatchmethod
 
 from runhatch_coordination import (
+    Clock,
     Membership,
     Revision,
     RevisionEntry,
     RevisionFeed,
     Standing,
 )
+from runhatch_server.crashes import CrashWatch, SuspectExchange
 from runhatch_server.observability import Metrics
 from runhatch_server.peers._exchange import MemberExchange
 from runhatch_server.peers._messages import (
@@ -20,9 +22,12 @@
     Member,
     PictureDigest,
     PlannerNotice,
+    RequestsCleared,
     RevisionBody,
     RevisionNotice,
     StateWanted,
+    SuspectsDigest,
+    TargetsEnded,
     member_of_fact,
 )
 from runhatch_server.serving import Hosting, Picture
@@ -43,6 +48,8 @@
         on_demand: Callable[[dict[str, int]], None],
         on_planner: Callable[[PlannerNotice], bool],
         planners: Callable[[], list[PlannerNotice]],
+        crashes: CrashWatch,
+        clock: Clock,
         seed: int | None = None,
     ) -> None:
         super().__init__(membership, metrics, seed)
@@ -55,6 +62,10 @@
         self._on_planner = on_planner
         self._planners = planners
         self._differing: set[str] = set()
+        self.suspects = SuspectExchange(
+            crashes, clock, lambda: [*self._linked], self.tell, self.tell_all
+        )
+        """Under which requests targets have ended, told and heard."""
 
     def tell_revision(self, number: int) -> None:
         """Tell peers that revision ``number`` is in force here."""
@@ -125,6 +136,18 @@
     def _take_in_digest(self, fact: PictureDigest, sender: Member) -> None:
         self._compare(sender, fact.digest)
 
+    @take_in.register
+    def _take_in_ends(self, fact: TargetsEnded, sender: Member) -> None:
+        self.suspects.take_in_ends(fact)
+
+    @take_in.register
+    def _take_in_cleared(self, fact: RequestsCleared, sender: Member) -> None:
+        self.suspects.take_in_cleared(fact)
+
+    @take_in.register
+    def _take_in_suspects(self, fact: SuspectsDigest, sender: Member) -> None:
+        self.suspects.take_in_digest(fact, sender)
+
     @take_in.register
     def _take_in_wanted(self, fact: StateWanted, sender: Member) -> None:
         self._reply(fact.known, fact.reply_to)
--- a/packages/runhatch-server/src/runhatch_server/crashes/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/__init__.py
@@ -2,7 +2,7 @@
 
 from runhatch_server.crashes._exchange import ASK_EVERY, SuspectExchange
 from runhatch_server.crashes._watch import (
-    SECOND_LOOK,
+    LOOK_EVERY,
     CrashWatch,
     Standing,
     Targets,
@@ -11,7 +11,7 @@
 __all__ = [
     "ASK_EVERY",
     "CrashWatch",
-    "SECOND_LOOK",
+    "LOOK_EVERY",
     "Standing",
     "SuspectExchange",
     "Targets",
--- a/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
@@ -16,6 +16,9 @@
 SECOND_LOOK = timedelta(milliseconds=50)
 """When a target that seemed to live is looked at once more: a process that ends closes
 its connections one by one, which takes some 10 ms on a busy machine."""
+LOOK_EVERY = timedelta(seconds=1)
+"""Between two looks at targets that may have ended: those that refuse connections are
+known at once, the others by their entries in the store."""
 LOOKED_AT_FOR = timedelta(seconds=1.5)
 """How long after that it is looked at again; later its entry in the store decides.
 Targets that break off many answers and live on are not to get a connection for each."""
@@ -70,15 +73,18 @@
         """Set when a target that broke off is to be looked at once more."""
 
     def judge(self, fingerprint: str) -> Refusal | None:
-        """Return a refusal if a request is not to be sent to any target."""
+        """Return a refusal if a request is not to be sent to any target.
+
+        It says ``executed: no``, which holds for this attempt only.
+        """
         now = self._clock.elapsed()
         with self._lock:
             left = self._suspects.held_for(fingerprint, now)
         if left is None:
             return None
         detail = "targets that ran this request have ended, so it is not sent again"
-        # It has run, if not in this attempt; and no repeat is wanted soon.
-        return Refusal(Reason.ENDS_TARGETS, Executed.UNKNOWN, detail)
+        # No time to come back: a repeat is not wanted soon.
+        return Refusal(Reason.ENDS_TARGETS, Executed.NO, detail)
 
     def cut_off(self, fingerprint: str, target: str) -> None:
         """Take in that ``target`` broke off a request."""
@@ -121,6 +127,11 @@
         log_change("request_cleared", fingerprint=fingerprint, source="own")
         self._on_news()
 
+    def look_again(self) -> None:
+        """Do as :meth:`settle`, a moment after a target broke off."""
+        self._clock.sleep(SECOND_LOOK)
+        self.settle()
+
     def settle(self) -> None:
         """Look again at targets that may have ended, and forget what is old."""
         now = self._clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -15,7 +15,7 @@
 )
 from runhatch_server._progress import Progress
 from runhatch_server._tasks import Tasks
-from runhatch_server.crashes import ASK_EVERY, SECOND_LOOK, CrashWatch
+from runhatch_server.crashes import ASK_EVERY, LOOK_EVERY, CrashWatch
 from runhatch_server.decisions import GatewayRequest
 from runhatch_server.fleet import Directory
 from runhatch_server.gateway._app import GatewayApp, MetricsApp, ReadinessApp
@@ -69,9 +69,6 @@
 """The same on a node that orders nothing: it is woken when it takes the lease.  Rounds
 of 60 ms cost each such node 2.3 ms of processor time a second, measured on six idle
 gateways."""
-CRASHES_EVERY = timedelta(seconds=1)
-"""Between two looks at targets that broke off and may have ended: those that refuse
-connections are known at once, the others by their entries in the store."""
 SETTLE_EVERY = timedelta(milliseconds=500)
 """Between two looks at what is gone: targets are kept 1.8 s when they are missing."""
 LEAST_STOP = timedelta(seconds=4.2)
@@ -155,7 +152,7 @@
         self._tasks.every("lease", LEASE_EVERY, self._keep_lease)
         self._tasks.every("share", SHARE_EVERY, self._share, self._demand.wake)
         self._tasks.every(
-            "crashes", CRASHES_EVERY, self._look_at_targets, self._crashes.doubts
+            "crashes", LOOK_EVERY, self._crashes.look_again, self._crashes.doubts
         )
         self._tasks.every("suspects", ASK_EVERY, self._peers.suspects.ask)
         self._tasks.every("sums", self._sum_pause, self._peers.loads.tell_sums)
@@ -350,11 +347,6 @@
         self._peers.loads.tell_own()
         self._peers.tell_demand(self._demand)
 
-    def _look_at_targets(self) -> None:
-        """Look once more at targets that broke off, a moment after they did."""
-        self._clock.sleep(SECOND_LOOK)
-        self._crashes.settle()
-
     def _sum_pause(self) -> timedelta:
         return self._peers.loads.pause
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -130,7 +130,7 @@
             # Also before it is sent once more: it may just have ended a target.
             held_back = self._parts.crashes.judge(self._request.fingerprint)
             if held_back is not None:
-                return held_back
+                return held_back.as_unknown() if self._maybe_ran else held_back
             asked = self._parts.clock.elapsed()
             grant = self._parts.balancer.acquire(
                 self._request, self._tried, self._caller_gone
--- a/packages/runhatch-server/src/runhatch_server/serving/_attempts.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_attempts.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock, RetryBudget
+from runhatch_server.crashes import CrashWatch
 from runhatch_server.observability import (
     AttemptTrace,
     Metrics,
@@ -14,6 +15,7 @@
 )
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.serving._dispatch import Dispatcher, Grant
+from runhatch_server.serving._lives import TargetLives
 from runhatch_server.serving._picture import Picture
 from runhatch_server.serving._request import CallerRequest
 from runhatch_server.serving._target_requests import build_target_request
@@ -37,6 +39,7 @@
     """What goes along with one request: its trace, log and caller's connection."""
 
     request: CallerRequest
+    fingerprint: str
     trace: RequestTrace
     log: RequestLog
     caller_gone: Callable[[], bool]
@@ -46,6 +49,8 @@
     failed_domains: frozenset[str] = frozenset()
     continuation: dict[str, object] | None = None
     last_url: str = ""
+    life: str = ""
+    """The life of the target that the newest attempt went to."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,9 +74,13 @@
         metrics: Metrics,
         clock: Clock,
         on_draining: Callable[[str], None],
+        crashes: CrashWatch,
+        lives: TargetLives,
         seed: int | None = None,
     ) -> None:
         self._on_draining = on_draining
+        self._crashes = crashes
+        self._lives = lives
         self._dispatcher = dispatcher
         self._client = client
         self._picture = picture
@@ -83,6 +92,9 @@
     def open(self, context: RequestContext) -> Opened | Refusal:
         """Return an answer that has begun, or the refusal that is left."""
         while True:
+            held_back = self._crashes.judge(context.fingerprint)
+            if held_back is not None:
+                return held_back.as_unknown() if context.maybe_ran else held_back
             grant = self._dispatcher.acquire(
                 context.request, context.failed_targets, context.failed_domains
             )
@@ -100,6 +112,9 @@
         self._budget.deposit()
         self._note(context, opened.grant, "answered")
         self._dispatcher.completed(opened.grant, opened.first_byte, opened.answer.load)
+        self._crashes.answered(
+            context.fingerprint, context.life, opened.grant.granted_at
+        )
         opened.answer.close()
 
     def judge(
@@ -117,6 +132,7 @@
             self._on_draining(grant.host.target)
         if isinstance(outcome, UnknownResult):
             context.maybe_ran = True
+            self._note_end(context, outcome.reason)
         context.failed_targets |= {grant.host.target}
         context.failed_domains |= {grant.host.failure_domain}
         return self._refuse_or_back_off(context, outcome)
@@ -126,6 +142,7 @@
     ) -> None:
         """Give the slot back without another attempt."""
         context.maybe_ran = True
+        self._note_end(context, outcome.reason)
         self._dispatcher.failed(grant, outcome)
         self._note(context, grant, outcome.reason.value)
 
@@ -134,6 +151,7 @@
     ) -> Opened | NotSent | RefusedUnrun | UnknownResult:
         context.attempts += 1
         context.last_url = grant.host.url
+        context.life = self._lives.current(grant.host.target, grant.host.url)
         target_request = build_target_request(
             context.request, grant.host, context.attempts, context.continuation
         )
@@ -143,6 +161,11 @@
             return Opened(grant, outcome, first_byte)
         return outcome
 
+    def _note_end(self, context: RequestContext, reason: AttemptReason) -> None:
+        """Have it found out whether the target ended under the request."""
+        if reason is AttemptReason.BROKEN:
+            self._crashes.cut_off(context.fingerprint, context.life)
+
     def _refuse_or_back_off(
         self,
         context: RequestContext,
--- a/packages/runhatch-server/src/runhatch_server/serving/_request.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_request.py
@@ -4,6 +4,10 @@
 from datetime import timedelta
 from enum import Enum
 
+import msgspec
+
+from runhatch_server.decisions import fingerprint_of
+
 
 class RouteKind(Enum):
     """Whether a model engine or a plain service answers."""
@@ -48,6 +52,12 @@
     unrun_statuses: frozenset[int] = frozenset({429})
     prefix: tuple[str, ...] = ()
 
+    @property
+    def fingerprint(self) -> str:
+        """The same for all repeats of it, see :func:`fingerprint_of`."""
+        asked = msgspec.json.encode(self.document) if self.is_model else self.body
+        return fingerprint_of(self.method, str(self.route), self.path, asked)
+
     @property
     def is_model(self) -> bool:
         """Whether a model engine answers."""
--- a/packages/runhatch-server/src/runhatch_server/serving/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_service.py
@@ -245,7 +245,7 @@
         )
         # What may run only once runs on and is recorded, whoever waits for it.
         gone = caller_gone if request.idempotent else _never
-        return RequestContext(request, trace, log, gone)
+        return RequestContext(request, request.fingerprint, trace, log, gone)
 
 
 def _never() -> bool:
--- a/standins/src/runhatch_standins/_peer_group.py
+++ b/standins/src/runhatch_standins/_peer_group.py
@@ -11,11 +11,12 @@
 from runhatch_coordination import Membership, RevisionFeed, Standing, Vm
 from runhatch_coordination.testing import ManualClock
 from runhatch_server._peer_service import PeerService
+from runhatch_server.crashes import CrashWatch
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import Envelope, Fact, LinkClosed
 from runhatch_server.peers._links import ENCODER
 from runhatch_server.peers._messages import VERSION
-from runhatch_server.serving import Picture
+from runhatch_server.serving import Picture, TargetLives
 
 ROUND = timedelta(seconds=1)
 HOP = timedelta(milliseconds=20)
@@ -26,6 +27,10 @@
 Cut = Callable[[Vm, Vm], bool]
 
 
+def _ignore() -> None:
+    """Tell nobody: no target ends here."""
+
+
 class WiredNode:
     """One node: its membership, its peer service and its links."""
 
@@ -43,6 +48,8 @@
             lambda _: None,
             lambda _: False,
             list,
+            CrashWatch(group.clock, TargetLives(vm.name), group.metrics, _ignore),
+            group.clock,
             seed=group.seed,
         )
         self.service.attach(self)
