--- a/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
@@ -20,8 +20,8 @@
 """Between two looks at targets that may have ended: those that refuse connections are
 known at once, the others by their entries in the store."""
 LOOKED_AT_FOR = timedelta(seconds=1.5)
-"""How long after that it is looked at again; later its entry in the store decides.
-Targets that break off many answers and live on are not to get a connection for each."""
+"""How long a target is looked at after it broke off; later its entry decides.  Targets
+that break off many answers and live on are not to get a connection for each."""
 
 
 class Standing(Enum):
@@ -196,10 +196,13 @@
         with self._lock:
             ends = self._suspects.ended(target, now)
             self._news += ends
+            probe = self._probes.setdefault(target, _Probe())
+            is_known, probe.ended = probe.ended, True
         self._targets.ended(target)
         if not ends:
             return
-        self._metrics.ended_targets.inc()
+        if not is_known:
+            self._metrics.ended_targets.inc()
         log_change(
             "target_ended",
             target=target,
@@ -253,6 +256,7 @@
         self.at = timedelta(days=-1)
         self.refused = False
         self.is_second = False
+        self.ended = False
 
     def is_old(self, now: timedelta) -> bool:
         return now - self.at >= PROBE_VALID
--- a/packages/runhatch-server/src/runhatch_server/decisions/_admission.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_admission.py
@@ -35,10 +35,7 @@
 """Shares of a target's time that prompts sent of late may take before further
 requests are refused, by tier: beyond 1.0 streams in progress get one token a chunk
 read, some 110 ms apart, and long ones do not end in time.  Clumps and the most urgent
-may go beyond for a moment, late requests take what the others leave.  Streams that
-failed went from 5.2 to 4.3 and 5.1 to 3.8 in 100 requests, those of the most urgent
-routes that were served from 0.823 to 0.830 and 0.801 to 0.820 (means of 28 paired runs
-for each of two deployments)."""
+may go beyond for a moment, late requests take what the others leave."""
 QUEUE_MS = 200.0
 """Prompt reading ahead, by which a target shows that it does not keep up: shares are
 worked out from speeds that are learned, and a target whose queue is short is not as
--- a/packages/runhatch-server/src/runhatch_server/decisions/_load_book.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load_book.py
@@ -117,8 +117,7 @@
     """Leave out what sums are no good for.
 
     A plain service answers in 20 to 70 ms, so that sums which are older than that say
-    nothing of it, and all nodes would turn to the same target: of 2,762 requests to
-    one, 191 came late in place of 58.
+    nothing of it, and all nodes would turn to the same target.
     """
     return {target: share for target, share in shares if share.is_of_engine}
 
--- a/packages/runhatch-server/src/runhatch_server/decisions/_scoring.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_scoring.py
@@ -37,8 +37,8 @@
 """Share of an engine's time for prompts that is counted at the most."""
 COMING_SHARE = 0.5
 """Share of the prompts sent of late that is taken to go on coming while a queue is
-read: with all, 8.6 in 100 requests were refused, with none 7.2, at the same worth
-served (0.754 of what was owed; means of 14 paired runs)."""
+read: counting all refuses requests that would have been served in time, counting none
+lets in some that are not."""
 SCORE_JITTER = 0.03
 """Keeps nodes that know the same from choosing the same target at once."""
 SUMS_JITTER = 0.2
--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -145,9 +145,8 @@
     ) -> None:
         """Take in what the orderer says of several targets.
 
-        Only these are looked at: the orderer of 70 targets tells some of them ten
-        times a second, each node hears it by several ways, and looking through all
-        targets each time took 0.8 ms of processor time.
+        Only these are looked at: an orderer tells some of its targets ten times a
+        second, each node hears it by several ways, and looks at none of the others.
         """
         told = set()
         with self.news:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_load_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_load_exchange.py
@@ -2,10 +2,10 @@
 
 The load that this answers is that of many nodes before one target.  A dozen nodes
 tell each other directly.  Among more, each would hear of a few others only, and take
-a target for idle that the rest keep busy: of 63 nodes one heard six.  There each tells
-the readers of its failure domain.  These tell the readers of other domains what the
-nodes of theirs have together, and their own domain what all nodes have.  So each node
-knows all, and what it sends and hears does not grow with their number.
+a target for idle that the rest keep busy.  There each tells the readers of its
+failure domain.  These tell the readers of other domains what the nodes of theirs have
+together, and their own domain what all nodes have.  So each node knows all, and what
+it sends and hears does not grow with their number.
 """
 
 from collections.abc import Callable, Iterable
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -66,9 +66,8 @@
 ORDER_EVERY = timedelta(milliseconds=60)
 """Between two rounds of the orderer; an adapter takes some 10 ms to load."""
 ORDER_IDLE = timedelta(seconds=1)
-"""The same on a node that orders nothing: it is woken when it takes the lease.  Rounds
-of 60 ms cost each such node 2.3 ms of processor time a second, measured on six idle
-gateways."""
+"""The same on a node that orders nothing, which rounds would cost processor time for
+nothing: it is woken when it takes the lease."""
 SETTLE_EVERY = timedelta(milliseconds=500)
 """Between two looks at what is gone: targets are kept 1.8 s when they are missing."""
 LEAST_STOP = timedelta(seconds=4.2)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -59,8 +59,7 @@
 MISSERS_TOLD = timedelta(seconds=2)
 """How long a node that missed a model or adapter is told what targets hold, though it
 is not linked.  Adapters are loaded within some 10 ms, and targets' own entries do not
-tell of them: of 132 requests for adapters at three of 63 nodes 46 were refused since
-nobody had told that theirs was there."""
+tell of them: requests would be refused for an adapter that is there."""
 DEMAND_AGAIN = timedelta(seconds=3)
 """How far back a new orderer is told what was asked for: it knows no demand yet, and
 would let models give way that are asked for all the time."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -56,9 +56,8 @@
 """Share of the time in which a leaving target must be known after which a reader that
 tells nothing is not relied on: what it missed is then read in time."""
 TOLD_PER_SILENCE = 2
-"""Signs of life of a reader within that time.  If one is late, those that it tells look
-at the store themselves once; nine a second, with renewals apart, took an idle node
-2.5 ms of processor time a second."""
+"""Signs of life of a reader within that time: if one is late, those that it tells look
+at the store themselves once, and each wakes an idle node."""
 RENEW_EVERY = timedelta(seconds=2)
 """Between two tries to listen anew to a reader that is not heard."""
 
--- a/packages/runhatch-server/src/runhatch_server/residency/_view.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_view.py
@@ -16,9 +16,7 @@
 for, where a target kept a copy on disk."""
 ADAPTER_MISSES = 0.3
 """Share of requests for adapters whose adapter must first be loaded: a target that
-loads a model takes no order for an adapter meanwhile.  Counting that raised what the
-most urgent routes are served of their worth from 0.830 to 0.839 and from 0.820 to
-0.829 (means of 28 paired runs for each of two deployments)."""
+loads a model takes no order for an adapter meanwhile."""
 REPLICA_LOAD = 0.5
 """Share of a target's time for prompts beyond which requests wait long enough for
 another replica to be worth its load: at 0.5 a prompt of 100 ms waits half as long
--- a/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
@@ -125,8 +125,8 @@
             left = until - self._clock.elapsed()
             if left <= timedelta():
                 break
-            entered.settled.wait(min(left, LOOK_AGAIN).total_seconds())
-            self.picture_changed()
+            if not entered.settled.wait(min(left, LOOK_AGAIN).total_seconds()):
+                self.picture_changed()
         return self.leave(entered)
 
     def enter(
--- a/packages/runhatch-server/tests/test_crashes.py
+++ b/packages/runhatch-server/tests/test_crashes.py
@@ -29,7 +29,8 @@
         self.clock = clock
         self.targets = FakeTargets()
         self.woken = 0
-        self.watch = CrashWatch(clock, self.targets, Metrics(), self.wake)
+        self.metrics = Metrics()
+        self.watch = CrashWatch(clock, self.targets, self.metrics, self.wake)
 
     def wake(self):
         self.woken += 1
@@ -80,6 +81,7 @@
             world.end("t0", f"x{number}")
 
         assert world.targets.looks == 1
+        assert b"ended_targets_total 1.0" in world.metrics.exposition()
         clock.advance(PROBE_VALID)
         world.end("t1")
         assert world.targets.looks == 2
