--- a/packages/runhatch-server/src/runhatch_server/_peer_service.py
+++ b/packages/runhatch-server/src/runhatch_server/_peer_service.py
@@ -11,7 +11,7 @@
     RevisionFeed,
     Standing,
 )
-from runhatch_server.crashes import CrashWatch, SuspectExchange
+from runhatch_server.crashes import CrashWatch, SuspectExchange, SuspectFact
 from runhatch_server.observability import Metrics
 from runhatch_server.peers._exchange import MemberExchange
 from runhatch_server.peers._messages import (
@@ -22,12 +22,9 @@
     Member,
     PictureDigest,
     PlannerNotice,
-    RequestsCleared,
     RevisionBody,
     RevisionNotice,
     StateWanted,
-    SuspectsDigest,
-    TargetsEnded,
     member_of_fact,
 )
 from runhatch_server.serving import Hosting, Picture
@@ -137,16 +134,8 @@
         self._compare(sender, fact.digest)
 
     @take_in.register
-    def _take_in_ends(self, fact: TargetsEnded, sender: Member) -> None:
-        self.suspects.take_in_ends(fact)
-
-    @take_in.register
-    def _take_in_cleared(self, fact: RequestsCleared, sender: Member) -> None:
-        self.suspects.take_in_cleared(fact)
-
-    @take_in.register
-    def _take_in_suspects(self, fact: SuspectsDigest, sender: Member) -> None:
-        self.suspects.take_in_digest(fact, sender)
+    def _take_in_suspects(self, fact: SuspectFact, sender: Member) -> None:
+        self.suspects.take_in(fact, sender)
 
     @take_in.register
     def _take_in_wanted(self, fact: StateWanted, sender: Member) -> None:
--- a/packages/runhatch-server/src/runhatch_server/crashes/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/__init__.py
@@ -1,6 +1,6 @@
 """Requests that end targets: found out, told to all nodes, held back."""
 
-from runhatch_server.crashes._exchange import ASK_EVERY, SuspectExchange
+from runhatch_server.crashes._exchange import ASK_EVERY, SuspectExchange, SuspectFact
 from runhatch_server.crashes._watch import (
     LOOK_EVERY,
     CrashWatch,
@@ -14,5 +14,6 @@
     "LOOK_EVERY",
     "Standing",
     "SuspectExchange",
+    "SuspectFact",
     "Targets",
 ]
--- a/packages/runhatch-server/src/runhatch_server/crashes/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_exchange.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from functools import singledispatchmethod
 
 from runhatch_coordination import Clock
 from runhatch_server.crashes._watch import CrashWatch
@@ -27,6 +28,8 @@
 MOST_TOLD = 500
 """Ends in one message, of some 50 bytes each, the gravest first."""
 MILLISECOND = timedelta(milliseconds=1)
+SuspectFact = TargetsEnded | RequestsCleared | SuspectsDigest
+"""What nodes tell each other of requests that end targets."""
 
 
 class SuspectExchange:
@@ -62,20 +65,26 @@
             digest = SuspectsDigest(self._crashes.digest)
             self._tell(self._random.choice(peers), digest)
 
-    def take_in_ends(self, fact: TargetsEnded) -> None:
-        """Take in ends that are news to a peer."""
+    @singledispatchmethod
+    def take_in(self, fact: SuspectFact, sender: Member) -> None:
+        """Take in what a peer tells of ended targets, or asks."""
+        raise NotImplementedError(type(fact))
+
+    @take_in.register
+    def _take_in_ends(self, fact: TargetsEnded, sender: Member) -> None:
         now = self._clock.elapsed()
         self._crashes.told(
             EndedUnder(end.fingerprint, end.target, now - end.age_ms * MILLISECOND)
             for end in fact.ends
         )
 
-    def take_in_cleared(self, fact: RequestsCleared) -> None:
-        """Take in that requests were answered elsewhere."""
+    @take_in.register
+    def _take_in_cleared(self, fact: RequestsCleared, sender: Member) -> None:
         self._crashes.told_cleared(fact.fingerprints)
 
-    def take_in_digest(self, fact: SuspectsDigest, sender: Member) -> None:
-        """Tell a peer that knows something else what is known here."""
+    @take_in.register
+    def _take_in_digest(self, fact: SuspectsDigest, sender: Member) -> None:
+        # One that knows the same asks for nothing.
         if fact.digest == self._crashes.digest:
             return
         known = self._crashes.known()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -11,14 +11,11 @@
 from runhatch_coordination import Clock
 from runhatch_server.decisions import Headers
 from runhatch_server.fleet import Target
-from runhatch_server.targets import AttemptReason, NotSent
+from runhatch_server.targets import AttemptReason, NotSent, refuses_connections
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
 """A target in the region accepts within some 10 ms; a dropped opening packet is
 sent again after a second, which is too late to wait for."""
-REFUSED_WITHIN = timedelta(milliseconds=200)
-"""Longest wait for a target to accept or refuse a connection: one whose process has
-ended refuses within the way there and back."""
 CLOSED_TOGETHER = timedelta(milliseconds=2)
 """Within which the connections of a process that ends are closed, one by one."""
 LONGEST_IDLE = timedelta(seconds=8)
@@ -238,21 +235,13 @@
         """Tell whether nothing listens at the address of ``target`` any more.
 
         A process that ends closes its kept connections too, so if all are open it
-        lives most likely, and needs no new one.  Silence is no answer: the way
-        there may be cut.
+        lives most likely, and needs no new one.
         """
         if self.has_idle(target.incarnation):
             self._clock.sleep(CLOSED_TOGETHER)
             if self._all_open(target.incarnation):
                 return False
-        address = (target.host, target.port)
-        try:
-            with socket.create_connection(address, REFUSED_WITHIN.total_seconds()):
-                return False
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
+        return refuses_connections(target.host, target.port)
 
     def give_back(self, connection: TargetConnection, idle: timedelta) -> None:
         """Keep ``connection``, whose answer was read to its end, for ``idle``."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -13,7 +13,7 @@
     Vm,
     choose_readers,
 )
-from runhatch_server.crashes import CrashWatch, SuspectExchange
+from runhatch_server.crashes import CrashWatch, SuspectExchange, SuspectFact
 from runhatch_server.fleet import Directory
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._load_exchange import LoadExchange
@@ -37,14 +37,11 @@
     ModelDemand,
     OrdererNotice,
     OrdererResigned,
-    RequestsCleared,
     StateAsked,
-    SuspectsDigest,
     TableNews,
     TableVersion,
     TargetHoldings,
     TargetLoads,
-    TargetsEnded,
     member_of_fact,
 )
 from runhatch_server.residency import DemandShare, Holding, Resignation, Wanted
@@ -284,16 +281,8 @@
                 self.tell_leaving(target)
 
     @take_in.register
-    def _take_in_ends(self, fact: TargetsEnded, sender: Member) -> None:
-        self.suspects.take_in_ends(fact)
-
-    @take_in.register
-    def _take_in_cleared(self, fact: RequestsCleared, sender: Member) -> None:
-        self.suspects.take_in_cleared(fact)
-
-    @take_in.register
-    def _take_in_suspects(self, fact: SuspectsDigest, sender: Member) -> None:
-        self.suspects.take_in_digest(fact, sender)
+    def _take_in_suspects(self, fact: SuspectFact, sender: Member) -> None:
+        self.suspects.take_in(fact, sender)
 
     @take_in.register
     def _take_in_loads(self, fact: TargetLoads, sender: Member) -> None:
--- a/packages/runhatch-server/src/runhatch_server/serving/_lives.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_lives.py
@@ -1,14 +1,10 @@
 """Declared targets, as the watch over crashes asks for them."""
 
-import socket
 import threading
-from datetime import timedelta
 from urllib.parse import urlsplit
 
 from runhatch_server.crashes import Standing
-
-REFUSED_WITHIN = timedelta(milliseconds=200)
-"""Longest wait for a target to accept or refuse a connection."""
+from runhatch_server.targets import refuses_connections
 
 
 class TargetLives:
@@ -41,14 +37,7 @@
             parts = urlsplit(self._urls.get(_declared(target), ""))
         if not parts.hostname or not parts.port:
             return False
-        try:
-            address = (parts.hostname, parts.port)
-            with socket.create_connection(address, REFUSED_WITHIN.total_seconds()):
-                return False
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            return False
+        return refuses_connections(parts.hostname, parts.port)
 
     def ended(self, target: str) -> None:
         """Take in that a life has ended; the next one has another name."""
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -24,6 +24,7 @@
     UnknownResult,
     rest_asked,
 )
+from runhatch_server.targets._probe import refuses_connections
 from runhatch_server.targets._stream import (
     EventSplitter,
     event_data,
@@ -51,6 +52,7 @@
     "TargetClient",
     "TargetRequest",
     "UnknownResult",
+    "refuses_connections",
     "rest_asked",
     "block_names",
     "event_data",
--- a/packages/runhatch-server/tests/test_suspect_exchange.py
+++ b/packages/runhatch-server/tests/test_suspect_exchange.py
@@ -7,12 +7,7 @@
 from runhatch_server.crashes import CrashWatch, SuspectExchange
 from runhatch_server.decisions import EndedUnder
 from runhatch_server.observability import Metrics
-from runhatch_server.peers import (
-    Member,
-    RequestsCleared,
-    SuspectsDigest,
-    TargetsEnded,
-)
+from runhatch_server.peers import Member
 
 
 class Node:
@@ -42,13 +37,7 @@
             self.tell(node.member.name, fact)
 
     def hear(self, fact, sender):
-        match fact:
-            case TargetsEnded():
-                self.exchange.take_in_ends(fact)
-            case RequestsCleared():
-                self.exchange.take_in_cleared(fact)
-            case SuspectsDigest():
-                self.exchange.take_in_digest(fact, sender.member)
+        self.exchange.take_in(fact, sender.member)
 
     def sees_end(self, target):
         self.watch.told([EndedUnder("x", target, self.clock.elapsed())])
