--- a/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
@@ -256,7 +256,9 @@
         self.at = timedelta(days=-1)
         self.refused = False
         self.is_second = False
+        """Whether it was the second look within the time that one is valid."""
         self.ended = False
+        """Whether the target was counted as ended."""
 
     def is_old(self, now: timedelta) -> bool:
         return now - self.at >= PROBE_VALID
--- a/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
@@ -12,7 +12,7 @@
 from datetime import timedelta
 from hashlib import blake2b
 
-ENDED_UNDER_SUSPECT = 2
+ENDS_THAT_HOLD = 2
 """Targets that must have ended under a request before it is held back.  One ends under
 each of the ten or so requests in progress there, nearly all of them sound."""
 FIRST_HOLD = timedelta(seconds=20)
@@ -27,7 +27,7 @@
 REMEMBERED = timedelta(minutes=10)
 """How long an ended target is held against a request beyond the time it is held back:
 callers that come back at all do so within minutes."""
-CUT_TO_LISTED = timedelta(seconds=8)
+END_FOUND_WITHIN = timedelta(seconds=8)
 """How long after a request was cut off its target's end may be found out: entries of
 silent targets leave the store after some four seconds, later if that is slow."""
 SOUND_FOR = timedelta(minutes=1)
@@ -50,6 +50,8 @@
 
 @dataclass(slots=True)
 class _Suspicion:
+    """The ends that are held against one request."""
+
     ended: dict[str, timedelta] = field(default_factory=dict)
     """By incarnation of a target: when it ended."""
 
@@ -61,11 +63,11 @@
     def held_until(self) -> timedelta:
         """When it may be tried again; in the past if it is not held back."""
         count = len(self.ended)
-        if count < ENDED_UNDER_SUSPECT:
+        if count < ENDS_THAT_HOLD:
             return self.last
-        if count == ENDED_UNDER_SUSPECT:
+        if count == ENDS_THAT_HOLD:
             return self.last + FIRST_HOLD
-        doublings = min(count - ENDED_UNDER_SUSPECT - 1, MOST_DOUBLINGS)
+        doublings = min(count - ENDS_THAT_HOLD - 1, MOST_DOUBLINGS)
         return self.last + min(LONG_HOLD * (1 << doublings), LONGEST_HOLD)
 
     @property
@@ -77,11 +79,11 @@
     """What one node knows of requests and the targets that ended under them."""
 
     def __init__(self) -> None:
-        self._cut: defaultdict[str, dict[str, timedelta]] = defaultdict(dict)
+        self._unfinished: defaultdict[str, dict[str, timedelta]] = defaultdict(dict)
         """By incarnation: requests that got no whole answer there, and when; it may
         live on."""
         self._doubted: dict[str, timedelta] = {}
-        """When an incarnation broke a connection last, of those in ``_cut``."""
+        """When an incarnation broke a connection last, of those in ``_unfinished``."""
         self._suspicions: dict[str, _Suspicion] = {}
         self._sound: OrderedDict[str, timedelta] = OrderedDict()
         self._digest = 0
@@ -96,14 +98,14 @@
 
         Each with when it broke a connection last, ``None`` if it broke none.
         """
-        return {target: self._doubted.get(target) for target in self._cut}
+        return {target: self._doubted.get(target) for target in self._unfinished}
 
     def unfinished(self, fingerprint: str, target: str, now: timedelta) -> None:
         """Take in that a request got no whole answer at ``target`` until now.
 
         Its caller left or its time was over; it may have gone on there.
         """
-        self._cut[target][fingerprint] = now
+        self._unfinished[target][fingerprint] = now
 
     def cut_off(self, fingerprint: str, target: str, now: timedelta) -> None:
         """Take in that ``target`` broke off a request, and may have ended."""
@@ -112,7 +114,7 @@
 
     def lives(self, target: str, sent_at: timedelta) -> None:
         """Take in that ``target`` answered a request that was sent to it then."""
-        requests = self._cut.get(target)
+        requests = self._unfinished.get(target)
         if requests is None:
             return
         for fingerprint in [name for name, at in requests.items() if at <= sent_at]:
@@ -131,7 +133,7 @@
             [
                 EndedUnder(fingerprint, target, at)
                 for fingerprint, at in requests.items()
-                if now - at <= CUT_TO_LISTED
+                if now - at <= END_FOUND_WITHIN
             ],
             now,
         )
@@ -178,9 +180,10 @@
 
     def expire(self, now: timedelta) -> None:
         """Drop what is too old to tell anything."""
-        for target in [*self._cut]:
-            requests = self._cut[target]
-            for name in [n for n, at in requests.items() if now - at > CUT_TO_LISTED]:
+        for target in [*self._unfinished]:
+            requests = self._unfinished[target]
+            old = [n for n, at in requests.items() if now - at > END_FOUND_WITHIN]
+            for name in old:
                 del requests[name]
             if not requests:
                 self._drop(target)
@@ -190,7 +193,7 @@
 
     def _drop(self, target: str) -> dict[str, timedelta]:
         self._doubted.pop(target, None)
-        return self._cut.pop(target, {})
+        return self._unfinished.pop(target, {})
 
     def _take(self, end: EndedUnder, now: timedelta) -> bool:
         sound_at = self._sound.get(end.fingerprint)
@@ -222,6 +225,6 @@
 
 
 def _code(fingerprint: str, target: str) -> int:
-    """Return a number for one ended target; those of a set are combined by XOR."""
+    """Return a number for one end; the digest combines those of all by XOR."""
     name = f"{fingerprint} {target}".encode()
     return int.from_bytes(blake2b(name, digest_size=8).digest(), "big")
--- a/packages/runhatch-server/tests/test_suspects.py
+++ b/packages/runhatch-server/tests/test_suspects.py
@@ -12,8 +12,8 @@
 
 from runhatch_server.decisions import EndedUnder, Suspects
 from runhatch_server.decisions._suspects import (
-    CUT_TO_LISTED,
-    ENDED_UNDER_SUSPECT,
+    END_FOUND_WITHIN,
+    ENDS_THAT_HOLD,
     FIRST_HOLD,
     LONG_HOLD,
     LONGEST_HOLD,
@@ -109,12 +109,12 @@
         suspects = Suspects()
         suspects.cut_off("x", "t", START)
 
-        assert suspects.ended("t", START + CUT_TO_LISTED + seconds(1)) == []
+        assert suspects.ended("t", START + END_FOUND_WITHIN + seconds(1)) == []
 
     def test_what_was_cut_off_long_ago_is_dropped(self):
         suspects = Suspects()
         suspects.cut_off("x", "t", START)
-        suspects.expire(START + CUT_TO_LISTED + seconds(1))
+        suspects.expire(START + END_FOUND_WITHIN + seconds(1))
 
         assert suspects.unfinished_at() == {}
 
@@ -133,7 +133,7 @@
         """Many callers ask the same, so it is in progress wherever targets end."""
         suspects = Suspects()
         suspects.answered("x", START - age)
-        end_targets(suspects, "x", ENDED_UNDER_SUSPECT)
+        end_targets(suspects, "x", ENDS_THAT_HOLD)
 
         assert (suspects.held_for("x", START) is not None) == held
 
