The test of leaving brings requests to the target that leaves

Now the other fails until the leaving one has been asked; what is asserted after is the same, at both nodes, from 2 s on. Without the mend it fails.

--- a/standins/tests/test_gateway_wishes.py
+++ b/standins/tests/test_gateway_wishes.py
@@ -14,7 +14,7 @@
 import pytest
 
 from runhatch_standins._cluster import call
-from runhatch_standins._gateways import GatewaySystem
+from runhatch_standins._gateways import GatewaySystem, wait_until
 
 MOST_IN_REST = 2
 """Requests that a resting target may get from one node."""
@@ -50,14 +50,17 @@
     """A target that says so in its answers."""
 
     def test_it_is_sent_nothing_more_by_any_node(self, system):
-        leaving = system.plain[0]
+        leaving, stays = system.plain
         call(leaving.url, "POST", "/faults", {"leaving": True})
-        ask_for(system, LEAVE_SECONDS)
+        # The other would be chosen as long as it answers: connections to it are open.
+        call(stays.url, "POST", "/faults", {"status": 500})
+        assert wait_until(lambda: system.answer("/plain/x") and arrivals(leaving))
+        call(stays.url, "POST", "/faults", {})
+        time.sleep(LEAVE_SECONDS)
         before = arrivals(leaving)
 
         statuses = {status for status, _ in ask_for(system, 2.0)}
 
-        assert before > 0
         assert arrivals(leaving) == before
         assert statuses == {200}
 
