--- a/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
@@ -15,7 +15,7 @@
 """How long one look at a target counts for all requests that were cut off there."""
 SECOND_LOOK = timedelta(milliseconds=50)
 """When a target that seemed to live is looked at once more: a process that ends closes
-its connections one by one, which takes some 10 ms on a busy machine."""
+its connections one by one, which takes longer where processors are busy."""
 LOOK_EVERY = timedelta(seconds=1)
 """Between two looks at targets that may have ended: those that refuse connections are
 known at once, the others by their entries in the store."""
--- a/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
@@ -35,8 +35,7 @@
 progress at each of several targets that end together."""
 MOST_SUSPECTS = 2_000
 MOST_SOUND = 4_000
-"""Requests remembered, of some 300 and 150 bytes; targets that end all the time must
-not take a node's memory."""
+"""Requests remembered: targets that end all the time must not take a node's memory."""
 
 
 @dataclass(frozen=True, slots=True)
