A node that orders by a lower fence than one heard of is logged

Two nodes were seen to order at once, and nothing told so: what came from a holder with a lower epoch was dropped in silence. orderer_behind names the node, its epoch and the newest one, once an epoch; the metric counts them.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -16,6 +16,7 @@
 from runhatch_server.crashes import CrashWatch, SuspectExchange, SuspectFact
 from runhatch_server.fleet import Directory
 from runhatch_server.gateway._demand import DemandCounter
+from runhatch_server.gateway._known_orderer import KnownOrderer
 from runhatch_server.gateway._load_exchange import LoadExchange
 from runhatch_server.gateway._missed import MissedModels
 from runhatch_server.gateway._peer_facts import (
@@ -48,10 +49,6 @@
 )
 from runhatch_server.residency import DemandShare, Holding, Resignation, Wanted
 
-ORDERER_SILENT = timedelta(seconds=1.5)
-"""Time without a renewal after which the orderer's lease is looked at: two renewals,
-each told at once."""
-
 DEMAND_KEPT = timedelta(seconds=2)
 """How long demand is kept for an orderer that is not known yet, twice the time in
 which each is heard; told later still, it would look like a sudden rise."""
@@ -90,11 +87,7 @@
         self._on_orderer = on_orderer
         self._on_resigned = on_resigned
         self._tables = tables
-        self._orderer_address = ""
-        self._orderer_epoch = 0
-        self._orderer_renewal = (0, -1)
-        self._orderer_heard = timedelta(days=-1)
-        self._orderer_told = OrdererNotice(0, -1)
+        self._orderer = KnownOrderer(clock, metrics)
         self._asks_left = 2
         self._numbers = itertools.count(1)
         self._newest_told: dict[str, tuple[int, int]] = {}
@@ -119,18 +112,18 @@
     @property
     def orderer_epoch(self) -> int:
         """The newest epoch of the orders' lease that was heard of."""
-        return self._orderer_epoch
+        return self._orderer.epoch
 
     def orderer_is_heard(self) -> bool:
         """Tell whether the node that orders the targets has renewed its lease."""
-        return self._clock.elapsed() - self._orderer_heard < ORDERER_SILENT
+        return self._orderer.is_heard
 
     def learn_orderer(self, record: LeaseRecord | None) -> None:
         """Take in who holds the orders' lease by the store.
 
         A node that has just started has heard no peer yet.
         """
-        if record is not None and record.holder and record.epoch > self._orderer_epoch:
+        if record is not None and record.holder and record.epoch > self._orderer.epoch:
             self._orderer_is(record.address, record.epoch)
 
     def tell_demand(self, counter: DemandCounter) -> None:
@@ -140,12 +133,12 @@
         would be loaded only once it is missed again.
         """
         now = self._clock.elapsed()
-        if not self._orderer_address and now - self._told_demand < DEMAND_KEPT:
+        if not self._orderer.address and now - self._told_demand < DEMAND_KEPT:
             return
         self._told_demand = now
         while self._recent and now - self._recent[0][0] > DEMAND_AGAIN:
             self._recent.popleft()
-        if self._owes_recent and self._orderer_address:
+        if self._owes_recent and self._orderer.address:
             self._owes_recent = False
             recent = summed_demand(self._recent) + self._missed.shares(now)
             self._send_demand(recent, DEMAND_AGAIN)
@@ -163,14 +156,14 @@
         if not shares:
             return
         own = self._membership.own
-        if not self._orderer_address:
+        if not self._orderer.address:
             log_change("demand_dropped", shares=len(shares), reason="no orderer known")
-        elif self._orderer_address == own.address:
+        elif self._orderer.address == own.address:
             self._on_demand(own.name, shares, age)
         else:
             demand = [demand_of_share(share) for share in shares]
             age_ms = round(age / timedelta(milliseconds=1))
-            self.tell(self._orderer_address, ModelDemand(demand, age_ms))
+            self.tell(self._orderer.address, ModelDemand(demand, age_ms))
 
     def tell_holdings(self, epoch: int, holdings: list[Holding]) -> None:
         """Tell peers, and this node itself, what targets hold."""
@@ -192,15 +185,14 @@
     def tell_renewal(self, epoch: int, renewal: int) -> None:
         """Tell peers that this node orders the targets, once a renewal."""
         self._orderer_is(self._membership.own.address, epoch)
-        if self._renewed(epoch, renewal):
-            self._orderer_told = OrdererNotice(
-                epoch, renewal, self._membership.own.address
-            )
-            self.tell_all(self._orderer_told)
+        if self._orderer.renewed(epoch, renewal):
+            notice = OrdererNotice(epoch, renewal, self._membership.own.address)
+            self._orderer.newest_notice = notice
+            self.tell_all(notice)
 
     def tell_resigned(self, resignation: Resignation) -> None:
         """Tell peers that this node orders the targets no longer."""
-        self._orderer_heard = timedelta(days=-1)
+        self._orderer.resigned()
         waits = {
             target: wait.total_seconds() for target, wait in resignation.waits.items()
         }
@@ -222,7 +214,7 @@
         super().keep_links()
         if self._links is not None:
             own = self._membership.own.address
-            orderer = self._orderer_address
+            orderer = self._orderer.address
             self._links.hold("" if orderer == own else orderer)
         self._tables.keep_readers()
 
@@ -245,7 +237,7 @@
         own = self._membership.own
         alive = self._membership.alive()
         others = self.loads.choose_links(alive) + self.permits.choose_links(alive)
-        if self._orderer_address != own.address:
+        if self._orderer.address != own.address:
             return others
         domains = sorted({vm.failure_domain for vm in alive})
         readers = [vm for domain in domains for vm in choose_readers(domain, alive)]
@@ -253,8 +245,9 @@
 
     def tell_state(self) -> None:
         """Tell, as a reader, what is known of tables and of who orders the targets."""
-        known = self._orderer_told.epoch > 0 and self.orderer_is_heard()
-        self._tables.tell_state([self._orderer_told] if known else [])
+        notice = self._orderer.newest_notice
+        known = notice.epoch > 0 and self.orderer_is_heard()
+        self._tables.tell_state([notice] if known else [])
 
     @singledispatchmethod
     def take_in(self, fact: Fact, sender: Member) -> None:
@@ -275,8 +268,8 @@
         answer = self._tables.state_since(fact.versions)
         if fact.members:
             answer += map(member_of_fact, self._membership.facts())
-            if self._orderer_told.epoch:
-                answer.append(self._orderer_told)
+            if self._orderer.newest_notice.epoch:
+                answer.append(self._orderer.newest_notice)
             answer += self.permits.state()
         if answer and self._links is not None:
             self._links.tell(sender.address, answer)
@@ -304,16 +297,16 @@
     def _take_in_demand(self, fact: ModelDemand, sender: Member) -> None:
         shares = [share_of_demand(each) for each in fact.demand]
         missed = [share.wanted for share in shares if share.missed]
-        orders = self._orderer_address == self._membership.own.address
+        orders = self._orderer.address == self._membership.own.address
         if missed and orders and sender.address not in self._linked:
             self._answer_misser(sender.address, missed)
         self._on_demand(sender.name, shares, timedelta(milliseconds=fact.age_ms))
 
     @take_in.register
     def _take_in_holdings(self, fact: TargetHoldings, sender: Member) -> None:
-        if fact.epoch < self._orderer_epoch:
-            return
         orderer = fact.orderer or sender.address
+        if self._orderer.is_behind(fact.epoch, orderer):
+            return
         self._orderer_is(orderer, fact.epoch)
         if sender.address == orderer and self._tables.reads:
             self._tables.broadcast([fact])
@@ -324,24 +317,25 @@
 
     @take_in.register
     def _take_in_orderer(self, fact: OrdererNotice, sender: Member) -> None:
-        if fact.epoch < self._orderer_epoch:
-            return
         orderer = fact.orderer or sender.address
+        if self._orderer.is_behind(fact.epoch, orderer):
+            return
         self._orderer_is(orderer, fact.epoch)
-        if not self._renewed(fact.epoch, fact.renewal):
+        if not self._orderer.renewed(fact.epoch, fact.renewal):
             return
-        self._orderer_told = OrdererNotice(fact.epoch, fact.renewal, orderer)
+        notice = OrdererNotice(fact.epoch, fact.renewal, orderer)
+        self._orderer.newest_notice = notice
         self._on_orderer(fact.epoch, fact.renewal)
 
     @take_in.register
     def _take_in_resigned(self, fact: OrdererResigned, sender: Member) -> None:
-        if fact.epoch < self._orderer_epoch:
+        if fact.epoch < self._orderer.epoch:
             return
-        self._orderer_heard = timedelta(days=-1)
+        self._orderer.resigned()
         waits = {target: timedelta(seconds=wait) for target, wait in fact.waits.items()}
         others_wait = timedelta(seconds=fact.others_wait)
         self._on_resigned(Resignation(fact.epoch, waits, others_wait))
-        if sender.address == self._orderer_address and self._tables.reads:
+        if sender.address == self._orderer.address and self._tables.reads:
             self._tables.broadcast([fact])
 
     def _news_of(self, fact: TargetHoldings) -> list[HoldingOfTarget]:
@@ -375,22 +369,9 @@
             for target, held in holders.items()
         ]
         told = [told_of_holding(holding, now) for holding in holdings]
-        self.tell(address, TargetHoldings(self._orderer_epoch, told))
+        self.tell(address, TargetHoldings(self._orderer.epoch, told))
 
     def _orderer_is(self, address: str, epoch: int) -> None:
-        if epoch > self._orderer_epoch:
+        if self._orderer.learn(address, epoch):
             self._owes_recent = True
             self._newest_told.clear()
-        self._orderer_address = address
-        self._orderer_epoch = epoch
-
-    def _renewed(self, epoch: int, renewal: int) -> bool:
-        """Note a renewal, and tell whether it is a new one.
-
-        A holder that cannot renew may be heard all the same.
-        """
-        if (epoch, renewal) <= self._orderer_renewal:
-            return False
-        self._orderer_renewal = (epoch, renewal)
-        self._orderer_heard = self._clock.elapsed()
-        return True
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -46,6 +46,10 @@
             "cache_events", "Cache events of engines", "outcome"
         )
         self.leases = self._counter("leases", "Lease changes", "change")
+        self.orderers_behind = self._counter(
+            "orderers_behind",
+            "Times a node told of orders under a lower fence than one heard of",
+        )
         self.peer_messages = self._counter("peer_messages", "Messages", "direction")
         self.peer_bytes = self._counter("peer_bytes", "Bytes of messages", "direction")
         self.table_sources = self._counter(
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -17,7 +17,8 @@
 from runhatch_server.crashes import CrashWatch
 from runhatch_server.fleet import HeldModels
 from runhatch_server.gateway._demand import DemandCounter
-from runhatch_server.gateway._peers import DEMAND_KEPT, ORDERER_SILENT, GatewayPeers
+from runhatch_server.gateway._known_orderer import ORDERER_SILENT
+from runhatch_server.gateway._peers import DEMAND_KEPT, GatewayPeers
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
