A lease tells why it was free when it was acquired

The lines could not tell the hypotheses on two holders apart: neither the era by which a fence was counted, nor the row that was read, nor why it was taken for free. lease lines bear vacancy, row_holder, row_epoch and era now; the three properties on the holder before are one Takeover. The logic is as it was. The tests that read the properties assert the vacancy instead, which says more.

--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -46,6 +46,8 @@
     Lease,
     LeaseChange,
     LeaseRecord,
+    Takeover,
+    Vacancy,
 )
 from runhatch_coordination._members import MemberFact, Membership, Standing
 from runhatch_coordination._peers import (
@@ -155,6 +157,7 @@
     "Standing",
     "SystemClock",
     "Table",
+    "Takeover",
     "TableChanges",
     "TablePeers",
     "TableReplica",
@@ -162,6 +165,7 @@
     "TransactOutcome",
     "Unavailable",
     "Unknown",
+    "Vacancy",
     "Vm",
     "Write",
     "FULL_MESH",
--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -59,6 +59,40 @@
     guard: Check
 
 
+class Vacancy(Enum):
+    """Why a lease was free to be acquired."""
+
+    NEVER_HELD = "never held"
+    GIVEN_UP = "given up"
+    OWN = "held by this node"
+    RESIGNED = "resigned"
+    LAPSED = "lapsed"
+    RESTORED = "lapsed since the table came back"
+    """Nobody knows who held it: the row may be the one of an older copy."""
+    KEPT = "held by this node when the table came back"
+
+
+@dataclass(frozen=True, slots=True)
+class Takeover:
+    """How a lease was acquired.
+
+    ``holder`` and ``epoch`` stand in the row that was read for it: no holder if it
+    was given up, ``None`` if there was no row.  ``free_since`` is when the last
+    holder's right had surely ended, on the clock's elapsed time.
+    """
+
+    vacancy: Vacancy
+    holder: str | None
+    epoch: int
+    free_since: timedelta
+    era: int | None
+
+    @property
+    def is_from_another(self) -> bool:
+        """Whether another node may have acted under the lease before."""
+        return self.vacancy not in (Vacancy.NEVER_HELD, Vacancy.OWN, Vacancy.KEPT)
+
+
 class LeaseChange(Enum):
     """What one step did to the caller's own standing."""
 
@@ -107,9 +141,7 @@
         self._record: LeaseRecord | None = None
         self._version = ABSENT
         self._seen_at: timedelta | None = None
-        self._free_since = timedelta()
-        self._taken_from: str | None = None
-        self._taken_epoch = 0
+        self._takeover: Takeover | None = None
         self._resigned = 0
         self._observed: tuple[int, int, timedelta] | None = None
 
@@ -119,25 +151,9 @@
         return self._record
 
     @property
-    def free_since(self) -> timedelta:
-        """When the last holder's right had surely ended, on the clock's elapsed time.
-
-        Only of meaning just after this node has acquired the lease.
-        """
-        return self._free_since
-
-    @property
-    def taken_from(self) -> str | None:
-        """Who held the lease before this node: empty if it was given up.
-
-        ``None`` if nobody ever held it.
-        """
-        return self._taken_from
-
-    @property
-    def taken_epoch(self) -> int:
-        """The epoch of the holder before this node, 0 if there was none."""
-        return self._taken_epoch
+    def takeover(self) -> Takeover | None:
+        """How this node acquired the lease the last time, ``None`` if it never did."""
+        return self._takeover
 
     def left(self) -> timedelta:
         """Return for how long this node holds the lease if it renews no more."""
@@ -261,12 +277,10 @@
             self._record = msgspec.json.decode(found.body, type=LeaseRecord)
             if not self._doubts_row:
                 self._seen_at = self._first_seen(self._record, self._seen_at)
-        if now - self._seen_at < self._patience(eager):
+        vacancy = self._vacancy()
+        if now - self._seen_at < self._patience(vacancy, eager):
             return LeaseChange.NONE
-        self._free_since = self._free_from(now)
-        self._taken_from = self._last_holder()
-        self._taken_epoch = 0 if self._record is None else self._record.epoch
-        return self._acquire(now)
+        return self._acquire(vacancy, now)
 
     def _first_seen(self, record: LeaseRecord, seen_at: timedelta) -> timedelta:
         """Return when this renewal was first heard of, from whichever source."""
@@ -275,47 +289,47 @@
             return seen_at
         return min(seen_at, observed[2])
 
-    def _last_holder(self) -> str | None:
+    def _vacancy(self) -> Vacancy:
+        """Return why the lease is free, or will be if nobody renews it."""
+        record = self._record
         if self._held_before:
-            return self._holder
+            return Vacancy.KEPT
         if self._doubts_row:
-            # Somebody may have held it whom the copy does not name.
-            return ""
-        return None if self._record is None else self._record.holder
+            return Vacancy.RESTORED
+        if record is None:
+            return Vacancy.NEVER_HELD
+        if record.holder == self._holder:
+            return Vacancy.OWN
+        if record.epoch <= self._resigned:
+            return Vacancy.RESIGNED
+        return Vacancy.LAPSED if record.holder else Vacancy.GIVEN_UP
+
+    def _patience(self, vacancy: Vacancy, eager: bool) -> timedelta:
+        """Return how long the row must have stood unchanged."""
+        match vacancy:
+            case Vacancy.KEPT | Vacancy.OWN | Vacancy.RESIGNED:
+                return timedelta()
+            case Vacancy.NEVER_HELD | Vacancy.GIVEN_UP:
+                return timedelta() if eager else self._ttl
+        return self._ttl * CHALLENGE_FACTOR
 
-    def _free_from(self, now: timedelta) -> timedelta:
+    def _free_from(self, vacancy: Vacancy, now: timedelta) -> timedelta:
         """Return when the holder of the row as last read had surely stopped."""
-        record = self._record
         seen_at = now if self._seen_at is None else self._seen_at
-        if self._doubts_row and not self._held_before:
-            return min(now, seen_at + self._ttl)
-        if record is None or not record.holder:
-            return seen_at
-        if record.epoch <= self._resigned:
-            return now
+        match vacancy:
+            case Vacancy.NEVER_HELD | Vacancy.GIVEN_UP:
+                return seen_at
+            case Vacancy.RESIGNED:
+                return now
         return min(now, seen_at + self._ttl)
 
-    def _patience(self, eager: bool) -> timedelta:
-        if self._held_before:
-            return timedelta()
-        if self._doubts_row:
-            return self._ttl * CHALLENGE_FACTOR
-        if self._record is not None and self._record.holder == self._holder:
-            # An earlier life of this node held it, and is surely over.
-            return timedelta()
-        if self._record is not None and self._record.epoch <= self._resigned:
-            return timedelta()
-        free = self._record is None or not self._record.holder
-        if free:
-            return timedelta() if eager else self._ttl
-        return self._ttl * CHALLENGE_FACTOR
-
-    def _acquire(self, started: timedelta) -> LeaseChange:
+    def _acquire(self, vacancy: Vacancy, started: timedelta) -> LeaseChange:
         epoch_row = self._table.get(self._epoch_key)
         if isinstance(epoch_row, Unavailable):
             return LeaseChange.STORE_DOWN
         last = ABSENT if isinstance(epoch_row, Missing) else epoch_row.version
-        renewal = 0 if self._record is None else self._record.renewal + 1
+        found = self._record
+        renewal = 0 if found is None else found.renewal + 1
         epoch = fence_of(self._era or 0, last + 1)
         taken = LeaseRecord(self._holder, epoch, renewal, self._address)
         mark = Put(self._epoch_key, self._holder.encode(), last)
@@ -327,6 +341,13 @@
             self._epoch = epoch
             self._epoch_version = last + 1
         self._held_before = self._doubts_row = False
+        self._takeover = Takeover(
+            vacancy,
+            None if found is None else found.holder,
+            0 if found is None else found.epoch,
+            self._free_from(vacancy, started),
+            self._era,
+        )
         self._extend(started)
         return LeaseChange.ACQUIRED
 
--- a/packages/runhatch-coordination/tests/test_leases.py
+++ b/packages/runhatch-coordination/tests/test_leases.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from runhatch_coordination import Committed, Key, Lease, LeaseChange, Put
+from runhatch_coordination import Committed, Key, Lease, LeaseChange, Put, Vacancy
 from runhatch_coordination.testing import (
     FaultyTable,
     ManualClock,
@@ -171,7 +171,7 @@
         clock.advance(TTL * 1.5)
 
         assert challenger.step() is LeaseChange.ACQUIRED
-        assert challenger.free_since == TTL
+        assert challenger.takeover.free_since == TTL
 
     def test_waits_for_a_renewal_it_did_not_hear_of(self):
         table, clock = MemoryTable(), ManualClock()
@@ -192,7 +192,8 @@
         challenger.observe_resigned(holder.record.epoch)
 
         assert challenger.step() is LeaseChange.ACQUIRED
-        assert challenger.taken_from == "a"
+        assert challenger.takeover.holder == "a"
+        assert challenger.takeover.vacancy is Vacancy.RESIGNED
 
     def test_an_old_resignation_says_nothing_of_a_later_epoch(self):
         table, clock = MemoryTable(), ManualClock()
@@ -223,7 +224,7 @@
 
         assert contest.step("a") is LeaseChange.ACQUIRED
         assert contest.leases["a"].held().number > before.number
-        assert contest.leases["a"].taken_from == "a"
+        assert contest.leases["a"].takeover.vacancy is Vacancy.KEPT
         assert guarded_write(contest, "a", contest.leases["a"].held()) == Committed()
 
     def test_another_waits_until_the_holder_has_surely_stopped(self, contest):
@@ -244,7 +245,8 @@
         assert contest.step("b") is LeaseChange.ACQUIRED
         assert contest.holders() == ["b"]
         assert contest.leases["b"].held().number > before.number
-        assert contest.leases["b"].taken_from == ""
+        assert contest.leases["b"].takeover.vacancy is Vacancy.RESTORED
+        assert contest.leases["b"].takeover.is_from_another
 
     def test_who_held_it_waits_for_another_that_was_quicker(self, contest):
         contest.memory.copy()
--- a/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from runhatch_coordination import LeaseChange
+from runhatch_coordination import LeaseChange, Takeover
 from runhatch_server.observability import Metrics, log_change
 
 RESIGNED = "resigned"
@@ -15,7 +15,9 @@
     ``left_ms`` is for how long the lease was still held when the step began: none
     where it lapsed, some where another node took it.  ``late_ms`` is the time since
     the step before, ``took_ms`` that of the call to the store.  Together they tell a
-    store that does not answer from a node that does not come to renew.
+    store that does not answer from a node that does not come to renew.  A lease that
+    was acquired has ``vacancy``, why it was free, the row that told so, and the era of
+    the store in which its epoch was counted.
     """
 
     def __init__(self, metrics: Metrics) -> None:
@@ -30,6 +32,7 @@
         left: timedelta,
         begun: timedelta,
         ended: timedelta,
+        takeover: Takeover | None = None,
     ) -> None:
         """Log one step that changed something; a store that is away is told once."""
         before, self._told = self._told, change
@@ -46,6 +49,7 @@
             left_ms=_milliseconds(left),
             late_ms=_milliseconds(begun - stepped_at),
             took_ms=_milliseconds(ended - begun),
+            **_told_of(takeover),
         )
 
     def resigned(self, epoch: int, left: timedelta, now: timedelta) -> None:
@@ -60,5 +64,16 @@
         )
 
 
+def _told_of(takeover: Takeover | None) -> dict[str, object]:
+    if takeover is None:
+        return {}
+    return {
+        "vacancy": takeover.vacancy.value,
+        "row_holder": takeover.holder,
+        "row_epoch": takeover.epoch,
+        "era": takeover.era,
+    }
+
+
 def _milliseconds(duration: timedelta) -> int:
     return round(duration / timedelta(milliseconds=1))
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -21,6 +21,8 @@
     Lease,
     LeaseChange,
     LeaseRecord,
+    Takeover,
+    Vacancy,
 )
 from runhatch_server.fleet import Directory
 from runhatch_server.observability import Metrics
@@ -56,14 +58,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Term:
-    """One holding of the lease by this node: ``epoch`` is 0 while there is none.
-
-    ``after`` is who held the lease before: empty if it was given up, ``None`` if
-    nobody ever held it.
-    """
+    """One holding of the lease by this node: ``epoch`` is 0 while there is none."""
 
     epoch: int = 0
-    after: str | None = None
+    takeover: Takeover | None = None
     gave_up: bool = False
 
 
@@ -163,10 +161,12 @@
             return LeaseChange.NONE
         begun, left = self._clock.elapsed(), self._lease.left()
         change = self._lease.step(eager)
+        takeover = None
         if change is LeaseChange.ACQUIRED:
+            takeover = self._lease.takeover
             self._taken_over()
         ended = self._clock.elapsed()
-        self._lease_log.note(change, self._term.epoch, left, begun, ended)
+        self._lease_log.note(change, self._term.epoch, left, begun, ended, takeover)
         return change
 
     def resign_if_cut_off(self) -> Resignation | None:
@@ -190,8 +190,13 @@
             known = self._resigned
             if known is None or known[0].epoch < resignation.epoch:
                 self._resigned = resignation, self._clock.elapsed()
-            if self._term.epoch and self._lease.taken_epoch == resignation.epoch:
-                self._wait_for_last_holder()
+            takeover = self._lease.takeover
+            if (
+                self._term.epoch
+                and takeover is not None
+                and takeover.epoch == resignation.epoch
+            ):
+                self._wait_for_last_holder(takeover)
         self._lease.observe_resigned(resignation.epoch)
 
     def stop(self) -> Resignation | None:
@@ -253,7 +258,8 @@
         now = self._clock.elapsed()
         self._controls.clear()
         self._runner.taken_over(now)
-        if term.after is not None:
+        takeover = term.takeover
+        if takeover is not None and takeover.vacancy is not Vacancy.NEVER_HELD:
             self._copies.taken_over(now)
         self._teller.begin()
 
@@ -279,19 +285,19 @@
 
     def _taken_over(self) -> None:
         """Have rounds begin anew, late enough after the last holder's orders."""
-        epoch = self._lease.held()
+        epoch, takeover = self._lease.held(), self._lease.takeover
         with self._lock:
-            if self._lease.taken_from not in (None, self._node):
-                self._wait_for_last_holder()
+            if takeover is not None and takeover.is_from_another:
+                self._wait_for_last_holder(takeover)
             number = 0 if epoch is None else epoch.number
-            self._term = _Term(number, self._lease.taken_from)
+            self._term = _Term(number, takeover)
 
-    def _wait_for_last_holder(self) -> None:
+    def _wait_for_last_holder(self, takeover: Takeover) -> None:
         resigned = self._resigned
-        if resigned is not None and resigned[0].epoch == self._lease.taken_epoch:
+        if resigned is not None and resigned[0].epoch == takeover.epoch:
             self._times.take_over_from(*resigned)
         else:
-            self._times.take_over(self._lease.free_since)
+            self._times.take_over(takeover.free_since)
 
     def _forget(self) -> None:
         self._controls.clear()
