Two nodes order at once, and fences go back: reproduced

A node whose first look at the lease is the one that acquires it counts its fence in the first era (2 after; 1 by the published calls, in era 1). A node that never looked before believes a copy's row: that nobody held the lease, that it was given up, its own name, a holder that had resigned. A holder of before acquires at once after its right has lapsed. A holder that hears of a newer epoch goes on. With one node only, a call of its earlier term arrives after one of the next. A process that starts again does not wait for the holder before its earlier process.

The table of the tests told its era before any answer, which hid the first of these; it does not now.

--- a/packages/runhatch-coordination/tests/test_leases.py
+++ b/packages/runhatch-coordination/tests/test_leases.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from runhatch_coordination import Committed, Key, Lease, LeaseChange, Put, Vacancy
+from runhatch_coordination import (
+    Committed,
+    Key,
+    Lease,
+    LeaseChange,
+    Put,
+    Vacancy,
+    fence_of,
+)
 from runhatch_coordination.testing import (
     FaultyTable,
     ManualClock,
@@ -34,6 +42,23 @@
     def step(self, name):
         return self.leases[name].step()
 
+    def start(self, name):
+        """Start the node's process anew: it has asked nothing of the table yet."""
+        self.tables[name] = FaultyTable(self.memory)
+        self.leases[name] = Lease(
+            self.tables[name], self.clocks[name], "shard", name, TTL
+        )
+
+    def restore(self, *told):
+        """The table comes back from its copy, and ``told`` nodes know that at once."""
+        self.memory.restore()
+        for name in told:
+            self.tables[name].learn_era()
+
+    def acquire(self, name):
+        assert self.step(name) is LeaseChange.ACQUIRED
+        return self.leases[name].held().number
+
     def holders(self):
         return [name for name in "ab" if self.leases[name].held() is not None]
 
@@ -218,12 +243,10 @@
 
     def test_the_holder_goes_on_with_a_higher_fence(self, contest):
         contest.memory.copy()
-        contest.step("a")
-        before = contest.leases["a"].held()
-        contest.memory.restore()
+        before = contest.acquire("a")
+        contest.restore("a")
 
-        assert contest.step("a") is LeaseChange.ACQUIRED
-        assert contest.leases["a"].held().number > before.number
+        assert contest.acquire("a") > before
         assert contest.leases["a"].takeover.vacancy is Vacancy.KEPT
         assert guarded_write(contest, "a", contest.leases["a"].held()) == Committed()
 
@@ -231,9 +254,8 @@
         contest.step("b")
         contest.memory.copy()
         contest.leases["b"].release()
-        contest.step("a")
-        before = contest.leases["a"].held()
-        contest.memory.restore()
+        before = contest.acquire("a")
+        contest.restore()
 
         # The copy names b as the holder, and a has not heard of the step back.
         contest.step("b")
@@ -242,30 +264,30 @@
         assert contest.holders() == ["a"]
 
         contest.advance(5)
-        assert contest.step("b") is LeaseChange.ACQUIRED
+        assert contest.acquire("b") > before
         assert contest.holders() == ["b"]
-        assert contest.leases["b"].held().number > before.number
         assert contest.leases["b"].takeover.vacancy is Vacancy.RESTORED
         assert contest.leases["b"].takeover.is_from_another
 
     def test_who_held_it_waits_for_another_that_was_quicker(self, contest):
+        contest.tables["b"].learn_era()
         contest.memory.copy()
         contest.step("a")
-        contest.memory.restore()
+        contest.restore()
         contest.step("b")
         contest.advance(8)
         assert contest.step("b") is LeaseChange.ACQUIRED
 
         assert contest.step("a") is LeaseChange.LOST
+        assert contest.step("a") is LeaseChange.NONE
         assert contest.holders() == ["b"]
 
     def test_fences_rise_over_many_copies(self, contest):
         contest.memory.copy()
         numbers = []
         for _ in range(5):
-            contest.step("a")
-            numbers.append(contest.leases["a"].held().number)
-            contest.memory.restore()
+            numbers.append(contest.acquire("a"))
+            contest.restore("a")
         assert numbers == sorted(set(numbers))
 
     def test_the_first_era_seen_is_no_step_back(self, contest):
@@ -273,3 +295,80 @@
         lease = Lease(contest.memory, contest.clocks["a"], "shard", "a", TTL)
         contest.memory.era = 3
         assert lease.step() is LeaseChange.ACQUIRED
+
+
+class TestRestoredUnseen:
+    """Nodes that ask the table for the first time after it came back."""
+
+    def test_a_first_look_counts_no_fence_of_an_earlier_era(self, contest):
+        contest.memory.copy()
+        contest.acquire("a")
+        contest.restore("a")
+        before = contest.acquire("a")
+        contest.leases["a"].release()
+
+        assert contest.acquire("b") > before
+
+    @pytest.mark.parametrize("copied", ["nobody", "given up", "own", "resigned"])
+    def test_a_copy_names_no_last_holder(self, contest, copied):
+        if copied != "nobody":
+            former = "b" if copied == "own" else "a"
+            epoch = contest.acquire(former)
+            if copied == "resigned":
+                contest.leases["b"].observe_resigned(epoch)
+            if copied == "given up":
+                contest.leases[former].release()
+            contest.memory.copy()
+            contest.leases[former].release()
+        contest.start("a")
+        before = contest.acquire("a")
+        contest.restore()
+        if copied != "resigned":
+            contest.start("b")
+
+        assert contest.step("b") is LeaseChange.NONE
+        assert contest.holders() == ["a"]
+
+        contest.advance(TTL.total_seconds() * 1.3)
+        assert contest.acquire("b") > before
+        assert contest.holders() == ["b"]
+
+    def test_who_held_it_has_no_claim_once_its_right_has_lapsed(self, contest):
+        contest.memory.copy()
+        contest.acquire("a")
+        contest.tables["a"].inject(TableFault.DOWN)
+        contest.restore("a")
+        assert contest.step("a") is LeaseChange.LOST
+        contest.step("b")
+        contest.advance(TTL.total_seconds() * 1.3)
+        contest.acquire("b")
+
+        contest.tables["a"].inject(TableFault.NONE, 0)
+        assert contest.step("a") is LeaseChange.NONE
+        assert contest.holders() == ["b"]
+
+
+class TestNewerEpoch:
+    """A node hears of a newer epoch than the table has told it of."""
+
+    def test_a_holder_acts_no_longer(self, contest):
+        epoch = contest.acquire("a")
+
+        contest.leases["a"].observe(epoch + 1, 0)
+
+        assert contest.holders() == []
+        assert contest.leases["a"].left() == timedelta()
+        assert contest.step("a") is LeaseChange.LOST
+
+    def test_its_own_epoch_is_no_newer_one(self, contest):
+        epoch = contest.acquire("a")
+
+        contest.leases["a"].observe(epoch, 3)
+
+        assert contest.holders() == ["a"]
+
+    def test_no_fence_is_taken_that_is_not_above_it(self, contest):
+        contest.leases["a"].observe(fence_of(1, 3), 0)
+
+        assert contest.step("a") is LeaseChange.NONE
+        assert contest.holders() == []
--- a/packages/runhatch-server/tests/orderer_cases.py
+++ b/packages/runhatch-server/tests/orderer_cases.py
@@ -35,12 +35,31 @@
         return OrderOutcome.ACCEPTED
 
 
+class SlowTargets(RecordedTargets):
+    """The first order takes its time on the way; all are kept as they arrive."""
+
+    def __init__(self, *models):
+        super().__init__(*models)
+        self.sent = threading.Semaphore(0)
+        self.arrives = threading.Event()
+        self._first = True
+
+    def give(self, target, order):
+        first, self._first = self._first, False
+        self.sent.release()
+        if first:
+            self.arrives.wait()
+        return super().give(target, order)
+
+
 class Case:
     """One node, its table, and what it told of its targets."""
 
-    def __init__(self, clock, table, name="n1", models=("m0",), born=None):
+    def __init__(
+        self, clock, table, name="n1", models=("m0",), born=None, targets=None
+    ):
         self.clock = clock
-        self.targets = RecordedTargets(*models)
+        self.targets = targets or RecordedTargets(*models)
         self.told = []
         self.answered = threading.Event()
         self.newest_epoch = 0
--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -2,7 +2,7 @@
 
 import pytest
 from gateway_cases import make_target, seconds
-from orderer_cases import HANDOVER, TTL, Case
+from orderer_cases import ANSWER_WAIT, HANDOVER, TTL, Case, SlowTargets
 
 from runhatch_coordination import Entry
 from runhatch_coordination.testing import FaultyTable, MemoryTable, TableFault
@@ -213,3 +213,81 @@
         assert case.targets.reports > reports
         assert [order.model for order in case.targets.orders][1:] == ["m1"]
         assert case.targets.orders[-1].after_orders == 0
+
+
+class TestRestored:
+    """The store comes back from an older copy."""
+
+    def test_the_word_of_one_that_resigned_before_is_not_the_last_holders(self, clock):
+        """Another has ordered since: targets are not ordered close to its orders."""
+        memory = MemoryTable()
+        first = Case(clock, FaultyTable(memory), "n0")
+        first.orderer.keep_lease(eager=True)
+        memory.copy()
+        last = Case(clock, FaultyTable(memory), "n2")
+        successor = Case(clock, FaultyTable(memory), "n1")
+        successor.orderer.take_in_resignation(first.orderer.stop())
+        first.orderer.release()
+        last.orderer.keep_lease(eager=True)
+        assert last.orderer.holds_lease() is not None
+        memory.restore()
+
+        successor.orderer.keep_lease(eager=True)
+        clock.advance(TTL * 1.3)
+        successor.orderer.keep_lease(eager=True)
+        assert successor.orderer.holds_lease() is not None
+        successor.ask_for("m1")
+        for _ in range(3):
+            successor.round()
+
+        assert successor.targets.orders == []
+
+
+class TestOwnTerms:
+    """A node that takes the lease again after itself."""
+
+    def test_an_order_of_its_earlier_term_arrives_before_those_of_the_next(self, clock):
+        memory = MemoryTable()
+        memory.copy()
+        table = FaultyTable(memory)
+        targets = SlowTargets("m0")
+        case = Case(clock, table, targets=targets)
+        case.orderer.keep_lease(eager=True)
+        case.ask_for("m1")
+        for _ in range(3):
+            case.round()
+        assert targets.sent.acquire(timeout=ANSWER_WAIT)
+        memory.restore()
+        table.learn_era()
+
+        case.orderer.keep_lease(eager=True)
+        for _ in range(3):
+            case.ask_for("m1")
+            case.round()
+        targets.arrives.set()
+        for _ in range(3):
+            case.ask_for("m1")
+            case.round()
+
+        fences = [order.fence for order in targets.orders]
+        assert len(set(fences)) == 2
+        assert fences == sorted(fences)
+
+    def test_one_that_starts_again_waits_for_the_holder_before_it(self, clock, table):
+        """Its earlier process did, and is not there to tell."""
+        first = Case(clock, table, "n0")
+        first.orderer.keep_lease(eager=True)
+        second = Case(clock, table, "n1")
+        second.orderer.keep_lease(eager=True)
+        clock.advance(TTL * 1.3)
+        second.orderer.keep_lease(eager=True)
+        assert second.orderer.holds_lease() is not None
+
+        again = Case(clock, table, "n1")
+        again.orderer.keep_lease(eager=True)
+        assert again.orderer.holds_lease() is not None
+        again.ask_for("m1")
+        for _ in range(3):
+            again.round()
+
+        assert again.targets.orders == []
--- a/tests/adapter/test_platform_restored.py
+++ b/tests/adapter/test_platform_restored.py
@@ -11,22 +11,28 @@
     Conflict,
     HistoryLost,
     Key,
+    Lease,
+    LeaseChange,
     Missing,
     Put,
     StoreVersion,
+    SystemClock,
     Unknown,
     WaitEnded,
     era_of,
+    fence_of,
     store_version,
 )
 from runhatch_platform import Store, StoreFeed, StoreTable
 from runhatch_platform._store import Reply
 from runhatch_standins import launch
 from runhatch_standins._cluster import call
+from runhatch_standins._gateways import wait_until
 
 KEY = Key("things/x", "k")
 OTHER = Key("things/x", "l")
 WAIT = timedelta(seconds=5)
+TTL = timedelta(seconds=1)
 
 
 @pytest.fixture
@@ -156,3 +162,39 @@
 
     def test_versions_are_of_their_type(self):
         assert store_version(0, 7) == StoreVersion(7)
+
+
+class TestLease:
+    """A lease whose nodes have asked the store nothing before."""
+
+    def lease(self, platform, name):
+        table = StoreTable(Store(platform.url, timedelta(seconds=2)))
+        return Lease(table, SystemClock(), "orders", name, TTL)
+
+    def test_a_first_look_counts_no_fence_of_an_earlier_era(self, platform):
+        copy(platform)
+        restore(platform)
+        first = self.lease(platform, "a")
+        assert wait_until(lambda: first.step() is LeaseChange.ACQUIRED)
+        before = first.held().number
+        first.release()
+        second = self.lease(platform, "b")
+
+        assert second.step() is LeaseChange.ACQUIRED
+        assert second.held().number > before
+        assert before >= fence_of(1, 1)
+
+    def test_its_own_name_in_a_copy_is_no_reason_to_acquire(self, platform):
+        """Another process holds the lease by a row that the copy lacks."""
+        former = self.lease(platform, "a")
+        assert former.step() is LeaseChange.ACQUIRED
+        copy(platform)
+        former.release()
+        holder = self.lease(platform, "b")
+        assert holder.step() is LeaseChange.ACQUIRED
+        restore(platform)
+
+        again = self.lease(platform, "a")
+
+        assert again.step() is LeaseChange.NONE
+        assert holder.held() is not None
