A node's first look at a lease counts its fence in the present era

What callers saw: after the store had come back from an older copy, targets were ordered by a lower fence than one seen before; where targets check fences, such orders are refused, and models are not loaded.

Cause: Lease took the era that was known before its first call or after its last, and counted an unknown one as the first. A node that is told what it needs by readers, or has just started, has asked the store nothing when it looks at the lease, and the answer that tells the era is the very one by which it acquires.

Ruled out: nodes that had asked before, whose first answer of a new era starts the step anew.

Now a step whose answer tells another era than was known, the first included, starts anew, and no fence is counted before the era is known. A first look costs one more read, once a process.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -39,6 +39,8 @@
 CHALLENGE_FACTOR = 1.2
 """A challenger waits this many times to live; clocks of VMs drift apart by far less
 than a tenth."""
+ERAS_A_STEP = 3
+"""Times that one step starts anew because an answer tells another era."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +132,7 @@
         self._epoch_key = Key(EPOCH_PARTITION, name)
         self._lock = threading.Lock()
         self._era = table.era
+        """Era of the table that the row was read in, ``None`` if it was not known."""
         self._held_before = False
         """Whether this node held the lease when the table came back."""
         self._doubts_row = False
@@ -188,25 +191,23 @@
         """Renew, acquire or watch, whichever is due."""
         held = self._epoch != 0
         change = LeaseChange.NONE
-        if not self._is_restored():
+        for _ in range(ERAS_A_STEP):
+            if self._is_restored():
+                self._start_anew()
             change = self._step(eager)
-        if not self._is_restored():
-            return change
-        self._start_anew()
-        change = self._step(eager)
-        lost = held and change is not LeaseChange.ACQUIRED
+            if not self._is_restored():
+                break
+        lost = held and self._epoch == 0
         return LeaseChange.LOST if lost else change
 
     def _is_restored(self) -> bool:
-        """Tell whether the table came back from an older copy since it was read."""
-        if self._era is None:
-            self._era = self._table.era
+        """Tell whether the table is in another era than what was read of it."""
         return self._table.era != self._era
 
     def _start_anew(self) -> None:
         """Forget what was read of the table's earlier era."""
         self._held_before = self.held() is not None
-        self._doubts_row = True
+        self._doubts_row = self._era is not None
         self._era = self._table.era
         self._version = ABSENT
         self._drop()
@@ -264,6 +265,9 @@
         now = self._clock.elapsed()
         if isinstance(found, Unavailable):
             return LeaseChange.STORE_DOWN
+        if self._era is None or self._is_restored():
+            # The answer has told the era only now.
+            return LeaseChange.NONE
         version = found.version if isinstance(found, Row) else ABSENT
         if self._seen_at is None:
             self._seen_at = now
@@ -330,7 +334,9 @@
         last = ABSENT if isinstance(epoch_row, Missing) else epoch_row.version
         found = self._record
         renewal = 0 if found is None else found.renewal + 1
-        epoch = fence_of(self._era or 0, last + 1)
+        if self._era is None or self._is_restored():
+            return LeaseChange.NONE
+        epoch = fence_of(self._era, last + 1)
         taken = LeaseRecord(self._holder, epoch, renewal, self._address)
         mark = Put(self._epoch_key, self._holder.encode(), last)
         committed = isinstance(self._write(taken, mark), Committed)
