A lease's row of an earlier era names no last holder

What callers saw: two nodes ordered the targets at the same time, after the store had come back from an older copy; models were loaded and unloaded against each other.

Cause: only a node that had read the row before the step back doubted it. One that looked for the first time believed the copy: that nobody held the lease, that it had been given up, its own name, a holder that had resigned. And a holder of before kept its claim to acquire at once for as long as the row stayed, also after its own right had lapsed and another had acquired.

The fence in the row tells in which era it was written, whoever reads it. One rule in place of three flags: a row of an earlier era, or none where the table has come back, is free once the time to live of any holder is over; only a node whose own right of before still lasts, by its own clock, may acquire at once. Nobody else can by then, as all others wait longer than that right.

test_the_first_era_seen_is_no_step_back held the assumption that failed, that a first look at a table without the row acquires at once. Its replacement is as strict: not within the time to live, then by the first fence of that era.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_history.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_history.py
@@ -56,3 +56,12 @@
     (7, True)
     """
     return era << FENCE_BITS | epoch
+
+
+def era_of_fence(fence: int) -> int:
+    """Return the era in which ``fence`` was counted.
+
+    >>> era_of_fence(fence_of(2, 7))
+    2
+    """
+    return fence >> FENCE_BITS
--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -5,8 +5,10 @@
 so a holder's writes carry a cheap condition on it (:meth:`Lease.guard`).
 
 When the table comes back from an older copy, its rows name an earlier holder, and
-epochs are counted again.  Then every holder loses the lease, fences go on in a new
-era, and only the holder of before may acquire the lease at once.
+epochs are counted again.  Then every holder loses the lease, and fences go on in a new
+era.  A row whose fence is of an earlier era than the table says nothing of who held
+the lease last: nobody acquires it before the time to live of any holder is over, but
+for one whose own right still lasts.
 """
 
 import threading
@@ -18,7 +20,7 @@
 
 from runhatch_coordination._clock import Clock
 from runhatch_coordination._commit import commit
-from runhatch_coordination._history import fence_of
+from runhatch_coordination._history import era_of_fence, fence_of
 from runhatch_coordination._table import (
     ABSENT,
     Check,
@@ -133,10 +135,8 @@
         self._lock = threading.Lock()
         self._era = table.era
         """Era of the table that the row was read in, ``None`` if it was not known."""
-        self._held_before = False
-        """Whether this node held the lease when the table came back."""
-        self._doubts_row = False
-        """Whether the row may still be the one of an older copy."""
+        self._kept_until = timedelta()
+        """Until when this node's right of an earlier era lasts; others wait for it."""
         self._epoch = 0
         self._epoch_version = ABSENT
         self._valid_until = timedelta()
@@ -206,11 +206,13 @@
 
     def _start_anew(self) -> None:
         """Forget what was read of the table's earlier era."""
-        self._held_before = self.held() is not None
-        self._doubts_row = self._era is not None
+        kept_until = self._kept_until
+        if self.held() is not None:
+            kept_until = self._valid_until
+        self._drop()
+        self._kept_until = kept_until
         self._era = self._table.era
         self._version = ABSENT
-        self._drop()
 
     def _step(self, eager: bool) -> LeaseChange:
         if self._epoch and self.held() is None:
@@ -269,19 +271,15 @@
             # The answer has told the era only now.
             return LeaseChange.NONE
         version = found.version if isinstance(found, Row) else ABSENT
-        if self._seen_at is None:
+        if self._seen_at is None or version != self._version:
             self._seen_at = now
             self._version = version
-        elif version != self._version:
-            self._seen_at = now
-            self._version = version
-            self._held_before = self._doubts_row = False
         self._record = None
         if isinstance(found, Row):
             self._record = msgspec.json.decode(found.body, type=LeaseRecord)
-            if not self._doubts_row:
+            if not self._may_be_of_copy(self._record):
                 self._seen_at = self._first_seen(self._record, self._seen_at)
-        vacancy = self._vacancy()
+        vacancy = self._vacancy(now)
         if now - self._seen_at < self._patience(vacancy, eager):
             return LeaseChange.NONE
         return self._acquire(vacancy, now)
@@ -293,13 +291,17 @@
             return seen_at
         return min(seen_at, observed[2])
 
-    def _vacancy(self) -> Vacancy:
+    def _may_be_of_copy(self, record: LeaseRecord | None) -> bool:
+        """Tell whether what another wrote after ``record`` may have been lost."""
+        written_in = 0 if record is None else era_of_fence(record.epoch)
+        return self._era is not None and written_in < self._era
+
+    def _vacancy(self, now: timedelta) -> Vacancy:
         """Return why the lease is free, or will be if nobody renews it."""
         record = self._record
-        if self._held_before:
-            return Vacancy.KEPT
-        if self._doubts_row:
-            return Vacancy.RESTORED
+        if self._may_be_of_copy(record):
+            is_kept = now < self._kept_until
+            return Vacancy.KEPT if is_kept else Vacancy.RESTORED
         if record is None:
             return Vacancy.NEVER_HELD
         if record.holder == self._holder:
@@ -346,7 +348,6 @@
         with self._lock:
             self._epoch = epoch
             self._epoch_version = last + 1
-        self._held_before = self._doubts_row = False
         self._takeover = Takeover(
             vacancy,
             None if found is None else found.holder,
@@ -372,6 +373,7 @@
             self._renew_at = started + self._ttl / RENEW_SHARE
 
     def _drop(self) -> None:
+        self._kept_until = timedelta()
         with self._lock:
             self._epoch = 0
         self._seen_at = None
--- a/packages/runhatch-coordination/tests/test_leases.py
+++ b/packages/runhatch-coordination/tests/test_leases.py
@@ -290,11 +290,14 @@
             contest.restore("a")
         assert numbers == sorted(set(numbers))
 
-    def test_the_first_era_seen_is_no_step_back(self, contest):
-        contest.memory.era = None
-        lease = Lease(contest.memory, contest.clocks["a"], "shard", "a", TTL)
+    def test_a_table_that_came_back_before_the_first_look_is_waited_for(self, contest):
         contest.memory.era = 3
-        assert lease.step() is LeaseChange.ACQUIRED
+
+        assert contest.step("a") is LeaseChange.NONE
+        contest.advance(TTL.total_seconds())
+        assert contest.step("a") is LeaseChange.NONE
+        contest.advance(TTL.total_seconds() * 0.3)
+        assert contest.acquire("a") == fence_of(3, 1)
 
 
 class TestRestoredUnseen:
