A copy's last word is not taken for the last holder's

What callers saw: two nodes ordered the same target within the time that must lie between them, after the store had come back from an older copy.

Cause: a successor orders at once the targets that the last holder's resignation does not name, and finds the resignation by the epoch in the row. A copy may name an epoch that resigned long ago, while somebody else has held the lease, and ordered targets, since.

Evidence: the test by the library failed before: an order is given as soon as the lease is acquired. Now the epoch before is unknown where the row may be a copy's, so the successor waits as after a holder that ended without a word.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -96,6 +96,12 @@
         """Whether another node may have acted under the lease before."""
         return self.vacancy not in (Vacancy.NEVER_HELD, Vacancy.OWN, Vacancy.KEPT)
 
+    @property
+    def predecessor(self) -> int:
+        """Epoch of the last holder, 0 if there was none or it is not known."""
+        is_unknown = self.vacancy in (Vacancy.RESTORED, Vacancy.KEPT)
+        return 0 if is_unknown else self.epoch
+
 
 class LeaseChange(Enum):
     """What one step did to the caller's own standing."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -194,7 +194,7 @@
             if (
                 self._term.epoch
                 and takeover is not None
-                and takeover.epoch == resignation.epoch
+                and takeover.predecessor == resignation.epoch
             ):
                 self._wait_for_last_holder(takeover)
         self._lease.observe_resigned(resignation.epoch)
@@ -294,7 +294,7 @@
 
     def _wait_for_last_holder(self, takeover: Takeover) -> None:
         resigned = self._resigned
-        if resigned is not None and resigned[0].epoch == takeover.epoch:
+        if resigned is not None and resigned[0].epoch == takeover.predecessor:
             self._times.take_over_from(*resigned)
         else:
             self._times.take_over(takeover.free_since)
