A holder that hears of a newer epoch orders no longer

What callers saw: orders of two nodes at the same target, the one by a lower fence than the other's.

Cause: a holder learned only by its own renewal, up to a third of the lease's time to live later, that another had acquired the lease since; what peers told it of a newer epoch changed nothing. And a node that had heard of a newer epoch could still acquire by a lower one, if the answers it got were older.

Ruled out as a cause of its own: while rows tell the truth no two nodes hold at once, so this is a second line of defence, and it works where the first is wrong for a reason not known.

Any message of a newer epoch, of a renewal or of what targets hold, and the row itself, now ends the holding at once, and no fence is taken that is not above all that were heard of. The resignation of an earlier holder does not silence the present one. lease lines have newest, the newest epoch heard of.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -145,6 +145,8 @@
         """Until when this node's right of an earlier era lasts; others wait for it."""
         self._epoch = 0
         self._epoch_version = ABSENT
+        self._newest = 0
+        """The newest epoch that was heard of."""
         self._valid_until = timedelta()
         self._renew_at = timedelta()
         self._record: LeaseRecord | None = None
@@ -167,24 +169,30 @@
     def left(self) -> timedelta:
         """Return for how long this node holds the lease if it renews no more."""
         with self._lock:
-            if self._epoch == 0:
-                return timedelta()
-            return max(timedelta(), self._valid_until - self._clock.elapsed())
+            return self._left()
 
     def held(self) -> Epoch | None:
         """Return the epoch if the lease is held by this node right now."""
         with self._lock:
-            if self._epoch == 0 or self._clock.elapsed() >= self._valid_until:
+            if self._left() == timedelta():
                 return None
             guard = Check(self._epoch_key, self._epoch_version)
             return Epoch(self._epoch, guard)
 
+    def _left(self) -> timedelta:
+        if self._epoch < max(1, self._newest):
+            return timedelta()
+        return max(timedelta(), self._valid_until - self._clock.elapsed())
+
     def observe(self, epoch: int, renewal: int) -> None:
         """Take in from the holder itself that it has renewed the lease.
 
         A challenger that heard so need not watch the table: it times the holder
-        from the newest renewal that it heard of.
+        from the newest renewal that it heard of.  A holder of an earlier epoch
+        holds the lease no longer.
         """
+        with self._lock:
+            self._newest = max(self._newest, epoch)
         known = self._observed
         if known is None or known[:2] < (epoch, renewal):
             self._observed = (epoch, renewal, self._clock.elapsed())
@@ -345,6 +353,10 @@
         if self._era is None or self._is_restored():
             return LeaseChange.NONE
         epoch = fence_of(self._era, last + 1)
+        if epoch <= self._newest:
+            # The answers are older than what was heard of.
+            self._seen_at = None
+            return LeaseChange.NONE
         taken = LeaseRecord(self._holder, epoch, renewal, self._address)
         mark = Put(self._epoch_key, self._holder.encode(), last)
         committed = isinstance(self._write(taken, mark), Committed)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_known_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_known_orderer.py
@@ -10,6 +10,8 @@
 """Time without a renewal after which the orderer's lease is looked at: two renewals,
 each told at once."""
 NEVER = timedelta(days=-1)
+NO_RENEWAL = -1
+"""Stands for a holder of which only its epoch has been heard."""
 
 
 class KnownOrderer:
@@ -21,12 +23,12 @@
     def __init__(self, clock: Clock, metrics: Metrics) -> None:
         self._clock = clock
         self._metrics = metrics
-        self._renewal = (0, -1)
+        self._renewal = (0, NO_RENEWAL)
         self._heard_at = NEVER
         self._behind: dict[str, int] = {}
         self.address = ""
         self.epoch = 0
-        self.newest_notice = OrdererNotice(0, -1)
+        self.newest_notice = OrdererNotice(0, NO_RENEWAL)
         """What the holder told of its last renewal."""
 
     @property
@@ -72,6 +74,7 @@
         self._heard_at = self._clock.elapsed()
         return True
 
-    def resigned(self) -> None:
-        """Note that the holder orders no longer."""
-        self._heard_at = NEVER
+    def resigned(self, epoch: int) -> None:
+        """Note that the holder of ``epoch`` orders no longer."""
+        if epoch >= self.epoch:
+            self._heard_at = NEVER
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -16,7 +16,7 @@
 from runhatch_server.crashes import CrashWatch, SuspectExchange, SuspectFact
 from runhatch_server.fleet import Directory
 from runhatch_server.gateway._demand import DemandCounter
-from runhatch_server.gateway._known_orderer import KnownOrderer
+from runhatch_server.gateway._known_orderer import NO_RENEWAL, KnownOrderer
 from runhatch_server.gateway._load_exchange import LoadExchange
 from runhatch_server.gateway._missed import MissedModels
 from runhatch_server.gateway._peer_facts import (
@@ -192,7 +192,7 @@
 
     def tell_resigned(self, resignation: Resignation) -> None:
         """Tell peers that this node orders the targets no longer."""
-        self._orderer.resigned()
+        self._orderer.resigned(resignation.epoch)
         waits = {
             target: wait.total_seconds() for target, wait in resignation.waits.items()
         }
@@ -331,7 +331,7 @@
     def _take_in_resigned(self, fact: OrdererResigned, sender: Member) -> None:
         if fact.epoch < self._orderer.epoch:
             return
-        self._orderer.resigned()
+        self._orderer.resigned(fact.epoch)
         waits = {target: timedelta(seconds=wait) for target, wait in fact.waits.items()}
         others_wait = timedelta(seconds=fact.others_wait)
         self._on_resigned(Resignation(fact.epoch, waits, others_wait))
@@ -373,5 +373,6 @@
 
     def _orderer_is(self, address: str, epoch: int) -> None:
         if self._orderer.learn(address, epoch):
+            self._on_orderer(epoch, NO_RENEWAL)
             self._owes_recent = True
             self._newest_told.clear()
--- a/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
@@ -15,9 +15,10 @@
     ``left_ms`` is for how long the lease was still held when the step began: none
     where it lapsed, some where another node took it.  ``late_ms`` is the time since
     the step before, ``took_ms`` that of the call to the store.  Together they tell a
-    store that does not answer from a node that does not come to renew.  A lease that
-    was acquired has ``vacancy``, why it was free, the row that told so, and the era of
-    the store in which its epoch was counted.
+    store that does not answer from a node that does not come to renew.  ``newest`` is
+    the newest epoch that was heard of: a holder of an earlier one loses the lease.  One
+    that was acquired has ``vacancy``, why it was free, the row that told so, and the
+    era of the store in which its epoch was counted.
     """
 
     def __init__(self, metrics: Metrics) -> None:
@@ -32,6 +33,7 @@
         left: timedelta,
         begun: timedelta,
         ended: timedelta,
+        newest: int,
         takeover: Takeover | None = None,
     ) -> None:
         """Log one step that changed something; a store that is away is told once."""
@@ -46,6 +48,7 @@
             "lease",
             change=change.value,
             epoch=epoch,
+            newest=newest,
             left_ms=_milliseconds(left),
             late_ms=_milliseconds(begun - stepped_at),
             took_ms=_milliseconds(ended - begun),
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -165,8 +165,15 @@
         if change is LeaseChange.ACQUIRED:
             takeover = self._lease.takeover
             self._taken_over()
-        ended = self._clock.elapsed()
-        self._lease_log.note(change, self._term.epoch, left, begun, ended, takeover)
+        self._lease_log.note(
+            change,
+            self._term.epoch,
+            left,
+            begun,
+            self._clock.elapsed(),
+            self._newest_epoch(),
+            takeover,
+        )
         return change
 
     def resign_if_cut_off(self) -> Resignation | None:
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -17,7 +17,7 @@
 from runhatch_server.crashes import CrashWatch
 from runhatch_server.fleet import HeldModels
 from runhatch_server.gateway._demand import DemandCounter
-from runhatch_server.gateway._known_orderer import ORDERER_SILENT
+from runhatch_server.gateway._known_orderer import NO_RENEWAL, ORDERER_SILENT
 from runhatch_server.gateway._peers import DEMAND_KEPT, GatewayPeers
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics
@@ -28,9 +28,10 @@
     Member,
     ModelDemand,
     OrdererNotice,
+    TargetHoldings,
 )
 from runhatch_server.peers._messages import VERSION
-from runhatch_server.residency import Holding
+from runhatch_server.residency import Holding, Resignation
 
 OWN = Vm("a", "d1", "10.0.0.1:1", 5)
 PEER = Member("b", "d1", "10.0.0.2:1", 7, Standing.ALIVE)
@@ -55,7 +56,7 @@
         self.held = address
 
 
-def make_peers(clock, *targets):
+def make_peers(clock, *targets, on_orderer=ignore):
     directory = make_directory(clock, *targets)
     balancer = make_balancer(directory, clock)
     links = RecordedLinks()
@@ -77,7 +78,9 @@
         balancer.loads,
         balancer.limits,
         directory,
-        *[ignore] * 3,
+        ignore,
+        on_orderer,
+        ignore,
         tables,
         CrashWatch(clock, FakeTargets(), Metrics(), ignore),
     )
@@ -180,6 +183,35 @@
         peers.tell_demand(make_demand(clock))
         assert [address for address, _ in links.told] == [PEER.address]
 
+    @pytest.mark.parametrize(
+        "tell",
+        [
+            lambda peers, fact: peers.receive(Envelope(VERSION, PEER, True, [fact])),
+            lambda peers, fact: peers.learn_orderer(
+                LeaseRecord("c", fact.epoch, 9, "10.0.0.9:1")
+            ),
+        ],
+        ids=["peer", "store"],
+    )
+    @pytest.mark.parametrize("fact", [OrdererNotice(3, 1), TargetHoldings(3, [])])
+    def test_a_newer_epoch_reaches_the_own_lease(self, clock, tell, fact):
+        """Who holds it by an earlier one orders no longer."""
+        heard = []
+        peers, _ = make_peers(clock, on_orderer=lambda *told: heard.append(told))
+        peers.tell_renewal(2, 7)
+
+        tell(peers, fact)
+
+        assert (3, NO_RENEWAL) in heard
+
+    def test_the_resignation_of_an_earlier_one_does_not_silence_it(self, clock):
+        peers, _ = make_peers(clock)
+        peers.receive(Envelope(VERSION, PEER, True, [OrdererNotice(3, 1)]))
+
+        peers.tell_resigned(Resignation(2))
+
+        assert peers.orderer_is_heard()
+
 
 class TestMissers:
     """Nodes that are not linked to the orderer, and miss what a target holds."""
