A node that takes the lease again waits for its earlier term's orders

What callers saw: a target got a lower fence after a higher one. No step back of the store is needed for it, and no second node.

Cause: an order looks at the lease before it connects, and may be on its way for 0.8 s. A node that loses the lease and takes it again began anew at once, on another connection, so the order of its new term overtook the one of the earlier term.

Ruled out: orders that have not looked at the lease yet; they find another epoch and are not sent.

A target to which an order of an earlier term is on its way is not ordered until that has ended. Orders on their way are counted by target and fence; as a set of targets, one that was not sent could hide another that was.

--- a/packages/runhatch-server/src/runhatch_server/residency/_controls.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_controls.py
@@ -12,6 +12,8 @@
 from runhatch_server.residency._load_runner import DeclaredModels
 from runhatch_server.residency._orders import OrderClient, TargetReport
 
+ORDER_ARRIVES = timedelta(milliseconds=800)
+"""Longest time that an order is on its way."""
 RECHECK_AFTER = timedelta(seconds=4)
 """How long a target's own entry may differ from what the orderer believes before a
 report is asked for."""
@@ -56,8 +58,11 @@
         """Forget all targets, as another node has ordered them since."""
         self._controls.clear()
 
-    def meet(self) -> bool:
-        """Take in which targets there are, and tell whether one of them is new."""
+    def meet(self, epoch: int) -> bool:
+        """Take in which targets there are, and tell whether one of them is new.
+
+        ``epoch`` is that of the lease which orders are given under.
+        """
         known = {
             target.incarnation: target
             for target in self._directory.all()
@@ -66,6 +71,7 @@
         self._lose_all_but(known)
         now = self._clock.elapsed()
         before = len(self._controls)
+        ordered_before = self._times.ordered_before(epoch)
         for incarnation, target in known.items():
             control = self._controls.get(incarnation)
             if control is None:
@@ -73,6 +79,8 @@
                 self._controls[incarnation] = control
             # Also of targets met before: the last holder's word may have come late.
             control.order_from = self._times.may_order_from(target.name)
+            if target.name in ordered_before:
+                control.order_from = max(control.order_from, now + ORDER_ARRIVES)
             control.met(target)
             control.arrive(now)
         return len(self._controls) > before
--- a/packages/runhatch-server/src/runhatch_server/residency/_handover.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_handover.py
@@ -7,6 +7,7 @@
 """
 
 import threading
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -42,7 +43,8 @@
         self._from: dict[str, timedelta] = {}
         self._others_from = timedelta()
         self._sent: dict[str, timedelta] = {}
-        self._on_way: set[str] = set()
+        self._on_way: Counter[tuple[str, int]] = Counter()
+        """Orders on their way, by target and fence."""
 
     def take_over(self, free_since: timedelta) -> None:
         """Begin after a holder that may have ordered anything until then."""
@@ -63,21 +65,34 @@
         with self._lock:
             return self._from.get(target, self._others_from)
 
-    def begin(self, target: str) -> None:
+    def ordered_before(self, fence: int) -> frozenset[str]:
+        """Return the targets to which an order of a lower fence is on its way.
+
+        Orders of this node's earlier terms: one of ``fence`` could overtake them.
+        """
+        with self._lock:
+            return frozenset(target for target, of in self._on_way if of < fence)
+
+    def begin(self, target: str, fence: int) -> None:
         """Note that an order to ``target`` is on its way until :meth:`sent`."""
         with self._lock:
-            self._on_way.add(target)
+            self._on_way[target, fence] += 1
 
-    def sent(self, target: str, now: timedelta) -> None:
+    def sent(self, target: str, fence: int, now: timedelta) -> None:
         """Note that an order to ``target`` is on its way no longer."""
         with self._lock:
             self._sent[target] = now
-            self._on_way.discard(target)
+            self._end(target, fence)
 
-    def unsent(self, target: str) -> None:
+    def unsent(self, target: str, fence: int) -> None:
         """Note that an order to ``target`` was not sent after all."""
         with self._lock:
-            self._on_way.discard(target)
+            self._end(target, fence)
+
+    def _end(self, target: str, fence: int) -> None:
+        self._on_way[target, fence] -= 1
+        if self._on_way[target, fence] <= 0:
+            del self._on_way[target, fence]
 
     def forget(self, target: str, now: timedelta) -> None:
         """Drop what is kept of a target that is not listed, if it is over.
@@ -94,7 +109,8 @@
         """Return what a successor must know if no order is sent from now on."""
         with self._lock:
             ends = {**self._from}
-            sent = {**self._sent, **dict.fromkeys(self._on_way, now)}
+            on_way = dict.fromkeys((target for target, _ in self._on_way), now)
+            sent = {**self._sent, **on_way}
             others_wait = max(timedelta(), self._others_from - now)
         for target, at in sent.items():
             ends[target] = at + self._between
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -280,7 +280,7 @@
         epoch = self.holds_lease()
         if epoch is not None and epoch.number != self._round_term.epoch:
             return
-        if self._controls.meet():
+        if self._controls.meet(self._round_term.epoch):
             self._copies.met(self._clock.elapsed())
         self._calls.take_answers(self._controls)
         now = self._clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/residency/_sending.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_sending.py
@@ -64,15 +64,15 @@
         It counts as on its way before the lease is looked at: a resignation between
         the two would not name its target, and a successor would order it at once.
         """
-        self._times.begin(target.name)
+        self._times.begin(target.name, order.fence)
         epoch = self._held_epoch()
         if epoch is None or epoch.number != order.fence:
-            self._times.unsent(target.name)
+            self._times.unsent(target.name, order.fence)
             return None
         begun = self._clock.elapsed()
         outcome = self._client.give(target, order)
         ended = self._clock.elapsed()
-        self._times.sent(target.name, ended)
+        self._times.sent(target.name, order.fence, ended)
         seconds = (ended - begun).total_seconds()
         self._metrics.order_seconds.labels(order.kind.value).observe(seconds)
         return outcome
