A process that starts again waits for the holder before its earlier process

What callers saw: two nodes ordered the same target within the time that must lie between them. No step back of the store is needed for it.

Cause: a process finds its own name in the lease's row, acquires at once and orders at once. Its earlier process may have acquired the lease from another node only just before, and have been waiting until that node's last orders were long enough ago; what it knew of that has ended with it.

The row says for how long no node but the holder has had any right, so the next process waits for what is left. A lease that this very process held last is told from one of an earlier process; it knows its own orders.

--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -40,15 +40,14 @@
     number_of,
     store_version,
 )
-from runhatch_coordination._leases import (
-    LEASE_PARTITION,
+from runhatch_coordination._lease_records import (
     Epoch,
-    Lease,
     LeaseChange,
     LeaseRecord,
     Takeover,
     Vacancy,
 )
+from runhatch_coordination._leases import LEASE_PARTITION, Lease
 from runhatch_coordination._members import MemberFact, Membership, Standing
 from runhatch_coordination._peers import (
     FULL_MESH,
--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -12,15 +12,20 @@
 """
 
 import threading
-from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
 
 import msgspec
 
 from runhatch_coordination._clock import Clock
 from runhatch_coordination._commit import commit
 from runhatch_coordination._history import era_of_fence, fence_of
+from runhatch_coordination._lease_records import (
+    Epoch,
+    LeaseChange,
+    LeaseRecord,
+    Takeover,
+    Vacancy,
+)
 from runhatch_coordination._table import (
     ABSENT,
     Check,
@@ -41,77 +46,11 @@
 CHALLENGE_FACTOR = 1.2
 """A challenger waits this many times to live; clocks of VMs drift apart by far less
 than a tenth."""
+MILLISECOND = timedelta(milliseconds=1)
 ERAS_A_STEP = 3
 """Times that one step starts anew because an answer tells another era."""
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseRecord:
-    """Body of a lease row; an empty ``holder`` means that it was given up."""
-
-    holder: str
-    epoch: int
-    renewal: int
-    address: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Epoch:
-    """Proof of holding: the fence, which only rises, and a condition for writes."""
-
-    number: int
-    guard: Check
-
-
-class Vacancy(Enum):
-    """Why a lease was free to be acquired."""
-
-    NEVER_HELD = "never held"
-    GIVEN_UP = "given up"
-    OWN = "held by this node"
-    RESIGNED = "resigned"
-    LAPSED = "lapsed"
-    RESTORED = "lapsed since the table came back"
-    """Nobody knows who held it: the row may be the one of an older copy."""
-    KEPT = "held by this node when the table came back"
-
-
-@dataclass(frozen=True, slots=True)
-class Takeover:
-    """How a lease was acquired.
-
-    ``holder`` and ``epoch`` stand in the row that was read for it: no holder if it
-    was given up, ``None`` if there was no row.  ``free_since`` is when the last
-    holder's right had surely ended, on the clock's elapsed time.
-    """
-
-    vacancy: Vacancy
-    holder: str | None
-    epoch: int
-    free_since: timedelta
-    era: int | None
-
-    @property
-    def is_from_another(self) -> bool:
-        """Whether another node may have acted under the lease before."""
-        return self.vacancy not in (Vacancy.NEVER_HELD, Vacancy.OWN, Vacancy.KEPT)
-
-    @property
-    def predecessor(self) -> int:
-        """Epoch of the last holder, 0 if there was none or it is not known."""
-        is_unknown = self.vacancy in (Vacancy.RESTORED, Vacancy.KEPT)
-        return 0 if is_unknown else self.epoch
-
-
-class LeaseChange(Enum):
-    """What one step did to the caller's own standing."""
-
-    NONE = "none"
-    ACQUIRED = "acquired"
-    LOST = "lost"
-    STORE_DOWN = "store_down"
-
-
 class Lease:
     """One lease as seen by one node; a single task calls :meth:`step`.
 
@@ -153,6 +92,8 @@
         self._version = ABSENT
         self._seen_at: timedelta | None = None
         self._takeover: Takeover | None = None
+        self._last_epoch = 0
+        """The last epoch by which this process held the lease."""
         self._resigned = 0
         self._observed: tuple[int, int, timedelta] | None = None
 
@@ -161,6 +102,10 @@
         """The lease row as last read, for showing who holds it."""
         return self._record
 
+    @property
+    def _free_since(self) -> timedelta | None:
+        return None if self._takeover is None else self._takeover.free_since
+
     @property
     def takeover(self) -> Takeover | None:
         """How this node acquired the lease the last time, ``None`` if it never did."""
@@ -251,9 +196,8 @@
         started = self._clock.elapsed()
         if started < self._renew_at or self._record is None:
             return LeaseChange.NONE
-        renewed = LeaseRecord(
-            self._holder, self._epoch, self._record.renewal + 1, self._address
-        )
+        renewal = self._record.renewal + 1
+        renewed = self._own_record(self._epoch, renewal, self._free_since)
         outcome = self._write(renewed)
         if isinstance(outcome, Committed):
             self._extend(started)
@@ -262,6 +206,14 @@
             return LeaseChange.STORE_DOWN
         return self._recognise()
 
+    def _own_record(
+        self, epoch: int, renewal: int, free_since: timedelta | None
+    ) -> LeaseRecord:
+        free_ms = None
+        if free_since is not None:
+            free_ms = (self._clock.elapsed() - free_since) // MILLISECOND
+        return LeaseRecord(self._holder, epoch, renewal, self._address, free_ms)
+
     def _recognise(self) -> LeaseChange:
         """Keep the lease if the newer row is an own renewal whose answer was lost."""
         found = self._table.get(self._lease_key)
@@ -319,7 +271,8 @@
         if record is None:
             return Vacancy.NEVER_HELD
         if record.holder == self._holder:
-            return Vacancy.OWN
+            is_kept = record.epoch == self._last_epoch
+            return Vacancy.KEPT if is_kept else Vacancy.OWN
         if record.epoch <= self._resigned:
             return Vacancy.RESIGNED
         return Vacancy.LAPSED if record.holder else Vacancy.GIVEN_UP
@@ -333,11 +286,18 @@
                 return timedelta() if eager else self._ttl
         return self._ttl * CHALLENGE_FACTOR
 
-    def _free_from(self, vacancy: Vacancy, now: timedelta) -> timedelta:
-        """Return when the holder of the row as last read had surely stopped."""
+    def _free_from(self, vacancy: Vacancy, now: timedelta) -> timedelta | None:
+        """Return when the right of any other node had surely ended."""
         seen_at = now if self._seen_at is None else self._seen_at
         match vacancy:
-            case Vacancy.NEVER_HELD | Vacancy.GIVEN_UP:
+            case Vacancy.NEVER_HELD:
+                return None
+            case Vacancy.KEPT:
+                return self._free_since
+            case Vacancy.OWN:
+                free_ms = None if self._record is None else self._record.free_ms
+                return None if free_ms is None else now - MILLISECOND * free_ms
+            case Vacancy.GIVEN_UP:
                 return seen_at
             case Vacancy.RESIGNED:
                 return now
@@ -357,7 +317,8 @@
             # The answers are older than what was heard of.
             self._seen_at = None
             return LeaseChange.NONE
-        taken = LeaseRecord(self._holder, epoch, renewal, self._address)
+        free_since = self._free_from(vacancy, started)
+        taken = self._own_record(epoch, renewal, free_since)
         mark = Put(self._epoch_key, self._holder.encode(), last)
         committed = isinstance(self._write(taken, mark), Committed)
         if not committed or self._is_restored():
@@ -370,9 +331,10 @@
             vacancy,
             None if found is None else found.holder,
             0 if found is None else found.epoch,
-            self._free_from(vacancy, started),
+            free_since,
             self._era,
         )
+        self._last_epoch = epoch
         self._extend(started)
         return LeaseChange.ACQUIRED
 
--- a/packages/runhatch-coordination/tests/test_leases.py
+++ b/packages/runhatch-coordination/tests/test_leases.py
@@ -237,6 +237,36 @@
         assert restarted.step() is LeaseChange.ACQUIRED
         assert restarted.held().number == first.record.epoch + 1
 
+    @pytest.mark.parametrize("from_another", [True, False])
+    def test_a_restarted_holder_knows_when_others_had_stopped(self, from_another):
+        """Its earlier process may have acquired the lease only just before."""
+        table, clock = MemoryTable(), ManualClock()
+        if from_another:
+            self.holder(table, clock)
+        first = self.challenger(table, clock)
+        first.step()
+        clock.advance(TTL * 1.3)
+        first.step()
+        clock.advance(TTL / 2)
+        first.step()
+
+        restarted = self.challenger(table, clock)
+
+        assert restarted.step() is LeaseChange.ACQUIRED
+        assert restarted.takeover.vacancy is Vacancy.OWN
+        free_since = restarted.takeover.free_since
+        assert free_since == (TTL if from_another else None)
+        assert restarted.takeover.is_from_another is from_another
+
+    def test_a_holder_that_gave_up_for_a_moment_is_no_other(self):
+        table, clock = MemoryTable(), ManualClock()
+        lease = self.holder(table, clock)
+        lease.abandon()
+
+        assert lease.step() is LeaseChange.ACQUIRED
+        assert lease.takeover.vacancy is Vacancy.KEPT
+        assert not lease.takeover.is_from_another
+
 
 class TestRestored:
     """The table comes back from an older copy."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -303,7 +303,7 @@
         resigned = self._resigned
         if resigned is not None and resigned[0].epoch == takeover.predecessor:
             self._times.take_over_from(*resigned)
-        else:
+        elif takeover.free_since is not None:
             self._times.take_over(takeover.free_since)
 
     def _forget(self) -> None:
