--- a/packages/runhatch-server/src/runhatch_server/gateway/_known_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_known_orderer.py
@@ -59,6 +59,8 @@
     def learn(self, address: str, epoch: int) -> bool:
         """Take in who holds the lease, and tell whether that is another epoch."""
         is_newer = epoch > self.epoch
+        if is_newer:
+            log_change("orderer", address=address, epoch=epoch, before=self.epoch)
         self.address = address
         self.epoch = epoch
         return is_newer
