--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -2,7 +2,7 @@
 
 The lease row changes with each renewal; a challenger times it by its own clock
 from when it saw the row change.  The epoch row changes only when the holder does,
-so a holder's writes carry a cheap condition on it (:meth:`Lease.guard`).
+so a holder's writes carry a cheap condition on it (:attr:`Epoch.guard`).
 
 When the table comes back from an older copy, its rows name an earlier holder, and
 epochs are counted again.  Then every holder loses the lease, and fences go on in a new
