An order that outlasts its term is logged all the same

Whoever traced orders of two terms at one target found one of them in no line: its answer was dropped when the next term called the same target. Calls are kept one by one, so each is taken in as it ends. The test of the earlier term's order asserts the lines as well, and failed before on them.

--- a/packages/runhatch-server/src/runhatch_server/residency/_calls.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_calls.py
@@ -12,15 +12,16 @@
 
 
 class TargetCalls:
-    """At most one call to each target; used by one thread.
+    """Calls to targets; used by one thread.
 
-    ``on_answer`` is called by a worker once an answer waits to be taken in.
+    ``on_answer`` is called by a worker once an answer waits to be taken in.  A call
+    may end after the next to its target has begun, if the controls began anew.
     """
 
     def __init__(self, on_answer: Callable[[], None]) -> None:
         self._on_answer = on_answer
         self._executor = ThreadPoolExecutor(CALL_WORKERS, thread_name_prefix="orders")
-        self._pending: dict[str, tuple[Future[object], Take]] = {}
+        self._pending: list[tuple[str, Future[object], Take]] = []
 
     def start(
         self, control: TargetControl, work: Callable[[], object], take: Take
@@ -28,16 +29,15 @@
         """Have a worker call the target; ``take`` gets what ``work`` returns."""
         control.calling = True
         future = self._executor.submit(work)
-        self._pending[control.target.incarnation] = (future, take)
+        self._pending.append((control.target.incarnation, future, take))
         future.add_done_callback(lambda done: self._on_answer())
 
     def take_answers(self, known: Container[str]) -> None:
         """Take in what has come, but for targets that are not ``known`` any more."""
-        for target in list(self._pending):
-            future, take = self._pending[target]
-            if not future.done():
-                continue
-            del self._pending[target]
+        ended = [call for call in self._pending if call[1].done()]
+        for call in ended:
+            self._pending.remove(call)
+        for target, future, take in ended:
             if target in known:
                 take(future.result())
 
--- a/packages/runhatch-server/tests/conftest.py
+++ b/packages/runhatch-server/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures that the tests share."""
 
+import eliot
 import pytest
 from server_cases import deployment_document
 
@@ -17,3 +18,14 @@
 def clock():
     """A clock that stands still until told."""
     return ManualClock()
+
+
+@pytest.fixture
+def lines():
+    """What is logged meanwhile."""
+    logged = []
+    eliot.add_destinations(logged.append)
+    # A first destination gets what was logged before.
+    logged.clear()
+    yield logged
+    eliot.remove_destination(logged.append)
--- a/packages/runhatch-server/tests/test_known_orderer.py
+++ b/packages/runhatch-server/tests/test_known_orderer.py
@@ -1,6 +1,5 @@
 """Which node orders the targets, and what earlier holders still tell."""
 
-import eliot
 import pytest
 from gateway_cases import seconds
 
@@ -8,17 +7,6 @@
 from runhatch_server.observability import Metrics
 
 
-@pytest.fixture
-def lines():
-    """What is logged meanwhile."""
-    logged = []
-    eliot.add_destinations(logged.append)
-    # A first destination gets what was logged before.
-    logged.clear()
-    yield logged
-    eliot.remove_destination(logged.append)
-
-
 @pytest.fixture
 def known(clock):
     """A node has heard of a holder of epoch 5."""
--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -246,7 +246,9 @@
 class TestOwnTerms:
     """A node that takes the lease again after itself."""
 
-    def test_an_order_of_its_earlier_term_arrives_before_those_of_the_next(self, clock):
+    def test_an_order_of_its_earlier_term_arrives_before_those_of_the_next(
+        self, clock, lines
+    ):
         memory = MemoryTable()
         memory.copy()
         table = FaultyTable(memory)
@@ -272,6 +274,8 @@
         fences = [order.fence for order in targets.orders]
         assert len(set(fences)) == 2
         assert fences == sorted(fences)
+        told = [line["fence"] for line in lines if line.get("message_type") == "order"]
+        assert told == fences
 
     def test_one_that_starts_again_waits_for_the_holder_before_it(self, clock, table):
         """Its earlier process did, and is not there to tell."""
