A node that cannot take the lease for a newer epoch says so

A node whose answers from the store allow no fence above the newest that it has heard of takes no lease, and no line told why.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_lease_records.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_lease_records.py
@@ -78,3 +78,5 @@
     ACQUIRED = "acquired"
     LOST = "lost"
     STORE_DOWN = "store_down"
+    BEHIND = "behind"
+    """Not acquired: a newer epoch was heard of than the table's answers allow for."""
--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -314,9 +314,8 @@
             return LeaseChange.NONE
         epoch = fence_of(self._era, last + 1)
         if epoch <= self._newest:
-            # The answers are older than what was heard of.
             self._seen_at = None
-            return LeaseChange.NONE
+            return LeaseChange.BEHIND
         free_since = self._free_from(vacancy, started)
         taken = self._own_record(epoch, renewal, free_since)
         mark = Put(self._epoch_key, self._holder.encode(), last)
--- a/packages/runhatch-coordination/tests/test_leases_restored.py
+++ b/packages/runhatch-coordination/tests/test_leases_restored.py
@@ -149,5 +149,5 @@
     def test_no_fence_is_taken_that_is_not_above_it(self, contest):
         contest.leases["a"].observe(fence_of(1, 3), 0)
 
-        assert contest.step("a") is LeaseChange.NONE
+        assert contest.step("a") is LeaseChange.BEHIND
         assert contest.holders() == []
--- a/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
@@ -9,6 +9,10 @@
 """What a holder is said to have done that gave the orders up by itself."""
 
 
+TOLD_ONCE = (LeaseChange.STORE_DOWN, LeaseChange.BEHIND)
+"""Changes that go on from step to step."""
+
+
 class LeaseLog:
     """Tells each change of the lease once; used by the task that keeps it.
 
@@ -36,13 +40,13 @@
         newest: int,
         takeover: Takeover | None = None,
     ) -> None:
-        """Log one step that changed something; a store that is away is told once."""
+        """Log one step that changed something; one that lasts is told once."""
         before, self._told = self._told, change
         stepped_at, self._stepped_at = self._stepped_at, ended
         if change is LeaseChange.NONE:
             return
         self._metrics.leases.labels(change.value).inc()
-        if change is before is LeaseChange.STORE_DOWN:
+        if change is before and change in TOLD_ONCE:
             return
         log_change(
             "lease",
