Two nodes hold a lease after a renewal's answers were lost: reproduced

No step back of the store is needed.

A renewal is carried out and all of its answers are lost. The next attempt has the same number and, while nobody else ever held the lease, the same body. If its first answer is lost as well, reading back takes the earlier write for this one, and the holder counts its time to live from the later attempt. Others time it from the earlier one, and acquire while it still holds.

--- a/packages/runhatch-coordination/tests/test_leases.py
+++ b/packages/runhatch-coordination/tests/test_leases.py
@@ -90,6 +90,22 @@
         contest.advance(4)
         assert contest.holders() == ["a"]
 
+    def test_a_renewal_carried_out_before_is_not_taken_for_a_later_one(self, contest):
+        """Its answer was lost; others time the holder from it."""
+        contest.step("a")
+        contest.advance(2.5)
+        contest.tables["a"].inject(TableFault.LOSE_ANSWER, 3)
+        contest.step("a")
+        contest.step("b")
+        contest.advance(3)
+        contest.tables["a"].inject(TableFault.LOSE_ANSWER, 1)
+        contest.step("a")
+
+        contest.advance(TTL.total_seconds() * 1.2 - 3)
+
+        assert contest.step("b") is LeaseChange.ACQUIRED
+        assert contest.holders() == ["b"]
+
     def test_outage_ends_holding(self, contest):
         """With the store down the holder stops when its time is over."""
         contest.step("a")
