A successor orders a target soon after an order of the holder before: reproduced

An order on its way counts as sent at the moment of the resignation, but may arrive 0.8 s later. The successor waits for 3.2 s from the resignation, so the two orders lie 2.4 s apart where 3 s are asked for.

--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -6,6 +6,7 @@
 
 from runhatch_coordination import Entry
 from runhatch_coordination.testing import FaultyTable, MemoryTable, TableFault
+from runhatch_server.residency._controls import ORDER_ARRIVES
 from runhatch_server.residency._orderer import RESIGN_BEFORE
 
 
@@ -144,6 +145,31 @@
         case = self.successor(clock, table, resignation)
         assert [order.model for order in case.targets.orders] == ["m1"]
 
+    def test_an_order_that_arrives_after_the_word_is_waited_for(self, clock, table):
+        """It was on its way when its sender was cut off from the store."""
+        targets = SlowTargets("m0")
+        first = Case(clock, table, "n0", targets=targets)
+        first.orderer.keep_lease(eager=True)
+        first.ask_for("m1")
+        for _ in range(3):
+            first.round()
+        assert targets.sent.acquire(timeout=ANSWER_WAIT)
+        table.inject(TableFault.DOWN)
+        clock.advance(TTL - RESIGN_BEFORE)
+        resignation = first.orderer.resign_if_cut_off()
+        table.inject(TableFault.NONE)
+        case = self.successor(clock, table, resignation)
+        clock.advance(ORDER_ARRIVES)
+        targets.arrives.set()
+
+        for _ in range(5):
+            clock.advance(HANDOVER * 0.19)
+            case.orderer.keep_lease(eager=True)
+            case.ask_for("m1")
+            case.round()
+
+        assert case.targets.orders == []
+
     def test_one_that_can_renew_does_not_resign(self, clock, table):
         first = self.holder(clock, table)
         clock.advance(TTL - RESIGN_BEFORE)
