A holder that started again does not tell of its earlier process's orders: reproduced

No step back of the store is needed.

A process that takes its own lease back orders at once, and knows nothing of what its earlier process ordered. When it resigns within the time that must lie between the orders of two nodes, its word names none of these targets, and the successor orders them at once.

--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -317,3 +317,29 @@
             again.round()
 
         assert again.targets.orders == []
+
+    def test_the_word_of_one_that_started_again_covers_its_earlier_orders(
+        self, clock, table
+    ):
+        """Its earlier process ordered targets that it knows nothing of."""
+        first = Case(clock, table, "n0")
+        first.orderer.keep_lease(eager=True)
+        first.ask_for("m2")
+        for _ in range(3):
+            first.round()
+        assert first.targets.orders
+        again = Case(clock, table, "n0")
+        again.orderer.keep_lease(eager=True)
+        assert again.orderer.holds_lease() is not None
+        resignation = again.orderer.stop()
+        again.orderer.release()
+
+        successor = Case(clock, table, "n1")
+        successor.orderer.take_in_resignation(resignation)
+        successor.orderer.keep_lease(eager=True)
+        assert successor.orderer.holds_lease() is not None
+        successor.ask_for("m1")
+        for _ in range(3):
+            successor.round()
+
+        assert successor.targets.orders == []
