Orders that are on their way when a lease ends are waited for

What callers saw: orders of two nodes reached a target 2.4 s apart, where 3 s are asked for.

Cause: an order may be on its way for 0.8 s, and the time between two holders was counted from the moment at which the first resigned, or at which its lease lapsed.

Ruled out: orders of a holder that renews, whose lease outlasts them.

A resignation counts an order on its way as sent when it arrives at the latest, and no order is sent that may arrive after the end of the lease, from which a successor counts that hears nothing. A holder that renews has 1.3 s or more left, and one with 0.7 s left resigns, so next to nothing is held up. The test of an order on its way asserts the longer wait.

--- a/packages/runhatch-server/src/runhatch_server/residency/_controls.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_controls.py
@@ -8,12 +8,10 @@
 from runhatch_server.observability import log_change
 from runhatch_server.residency._calls import TargetCalls
 from runhatch_server.residency._control import Step, TargetControl
-from runhatch_server.residency._handover import OrderTimes
+from runhatch_server.residency._handover import ORDER_ARRIVES, OrderTimes
 from runhatch_server.residency._load_runner import DeclaredModels
 from runhatch_server.residency._orders import OrderClient, TargetReport
 
-ORDER_ARRIVES = timedelta(milliseconds=800)
-"""Longest time that an order is on its way."""
 RECHECK_AFTER = timedelta(seconds=4)
 """How long a target's own entry may differ from what the orderer believes before a
 report is asked for."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_handover.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_handover.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+ORDER_ARRIVES = timedelta(milliseconds=800)
+"""Longest time that an order is on its way."""
 HANDOVER_SLACK = timedelta(milliseconds=200)
 """Put on the time between the orders of two nodes: clocks and calls are not exact."""
 
@@ -109,7 +111,8 @@
         """Return what a successor must know if no order is sent from now on."""
         with self._lock:
             ends = {**self._from}
-            on_way = dict.fromkeys((target for target, _ in self._on_way), now)
+            arrived = now + ORDER_ARRIVES
+            on_way = dict.fromkeys((target for target, _ in self._on_way), arrived)
             sent = {**self._sent, **on_way}
             others_wait = max(timedelta(), self._others_from - now)
         for target, at in sent.items():
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -32,7 +32,7 @@
 from runhatch_server.residency._copies import CopyPlanner
 from runhatch_server.residency._demand import DemandBook, DemandShare
 from runhatch_server.residency._demand_inbox import DemandInbox, DemandNews
-from runhatch_server.residency._handover import OrderTimes, Resignation
+from runhatch_server.residency._handover import ORDER_ARRIVES, OrderTimes, Resignation
 from runhatch_server.residency._lease_log import LeaseLog
 from runhatch_server.residency._load_runner import DeclaredModels, LoadRunner
 from runhatch_server.residency._orders import OrderClient
@@ -112,7 +112,7 @@
             clock,
             metrics,
             node,
-            self.holds_lease,
+            self._may_send,
             self._declared.load_time,
         )
         self._runner = LoadRunner(self._declared, sender, clock, load_window)
@@ -150,6 +150,10 @@
         """Return the epoch if this node orders the targets right now."""
         return None if self._stopped else self._lease.held()
 
+    def _may_send(self) -> Epoch | None:
+        """Return the epoch if an order sent now arrives while it is held."""
+        return self.holds_lease() if self._lease.left() > ORDER_ARRIVES else None
+
     @property
     def has_work(self) -> bool:
         """Whether :meth:`step` has anything to do: only after the lease was taken."""
--- a/packages/runhatch-server/tests/test_handover.py
+++ b/packages/runhatch-server/tests/test_handover.py
@@ -4,7 +4,7 @@
 from gateway_cases import seconds
 
 from runhatch_server.residency import OrderTimes, Resignation
-from runhatch_server.residency._handover import HANDOVER_SLACK
+from runhatch_server.residency._handover import HANDOVER_SLACK, ORDER_ARRIVES
 
 BETWEEN = seconds(3)
 WHOLE = BETWEEN + HANDOVER_SLACK
@@ -46,11 +46,11 @@
 
         assert third.may_order_from(target) == NOW + WHOLE
 
-    def test_an_order_on_its_way_counts_as_sent_now(self):
+    def test_an_order_on_its_way_counts_as_sent_when_it_arrives_at_the_latest(self):
         times = OrderTimes(BETWEEN)
         times.begin("t1", FENCE)
 
-        assert times.resignation(4, NOW).waits == {"t1": WHOLE}
+        assert times.resignation(4, NOW).waits == {"t1": ORDER_ARRIVES + WHOLE}
 
     def test_an_order_of_its_own_ends_the_wait_for_others(self):
         times = OrderTimes(BETWEEN)
--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -6,7 +6,7 @@
 
 from runhatch_coordination import Entry
 from runhatch_coordination.testing import FaultyTable, MemoryTable, TableFault
-from runhatch_server.residency._controls import ORDER_ARRIVES
+from runhatch_server.residency._handover import ORDER_ARRIVES
 from runhatch_server.residency._orderer import RESIGN_BEFORE
 
 
@@ -170,6 +170,21 @@
 
         assert case.targets.orders == []
 
+    @pytest.mark.parametrize(
+        ("left", "sent"), [(ORDER_ARRIVES, 0), (ORDER_ARRIVES * 1.1, 1)]
+    )
+    def test_no_order_is_sent_that_may_arrive_after_the_lease(
+        self, clock, table, left, sent
+    ):
+        """A successor counts from the end of the lease."""
+        case = self.holder(clock, table)
+        clock.advance(TTL - left)
+        case.ask_for("m1")
+        for _ in range(3):
+            case.round()
+
+        assert len(case.targets.orders) == sent
+
     def test_one_that_can_renew_does_not_resign(self, clock, table):
         first = self.holder(clock, table)
         clock.advance(TTL - RESIGN_BEFORE)
