The word of a holder that started again covers its earlier process's orders

What callers saw: orders of two nodes reached a target within the time that must lie between them.

Cause: a process that takes its own lease back orders at once and knows nothing of what its earlier process ordered. When it resigned soon after, its word named none of those targets, and the successor ordered them at once.

A process that goes on after a restart tells its successor to wait with all targets for as long as if it had ordered them when it started.

--- a/packages/runhatch-server/src/runhatch_server/residency/_handover.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_handover.py
@@ -45,6 +45,8 @@
         self._from: dict[str, timedelta] = {}
         self._others_from = timedelta()
         self._sent: dict[str, timedelta] = {}
+        self._unknown_until: timedelta | None = None
+        """Until when an earlier process of this node may have ordered anything."""
         self._on_way: Counter[tuple[str, int]] = Counter()
         """Orders on their way, by target and fence."""
 
@@ -54,6 +56,18 @@
             self._from = {}
             self._others_from = free_since + self._between
 
+    def go_on_after_restart(self, free_since: timedelta | None, now: timedelta) -> None:
+        """Begin after an earlier process of this node, which ended before ``now``.
+
+        What it ordered is not known here, and no other node orders close to it.
+        """
+        with self._lock:
+            self._from = {}
+            self._others_from = timedelta()
+            if free_since is not None:
+                self._others_from = free_since + self._between
+            self._unknown_until = now
+
     def take_over_from(self, resignation: Resignation, heard_at: timedelta) -> None:
         """Begin after a holder that has said what it ordered."""
         with self._lock:
@@ -114,7 +128,10 @@
             arrived = now + ORDER_ARRIVES
             on_way = dict.fromkeys((target for target, _ in self._on_way), arrived)
             sent = {**self._sent, **on_way}
-            others_wait = max(timedelta(), self._others_from - now)
+            others_from = self._others_from
+            if self._unknown_until is not None:
+                others_from = max(others_from, self._unknown_until + self._between)
+        others_wait = max(timedelta(), others_from - now)
         for target, at in sent.items():
             ends[target] = at + self._between
         waits = {
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -298,7 +298,10 @@
         """Have rounds begin anew, late enough after the last holder's orders."""
         epoch, takeover = self._lease.held(), self._lease.takeover
         with self._lock:
-            if takeover is not None and takeover.is_from_another:
+            if takeover is not None and takeover.vacancy is Vacancy.OWN:
+                now = self._clock.elapsed()
+                self._times.go_on_after_restart(takeover.free_since, now)
+            elif takeover is not None and takeover.is_from_another:
                 self._wait_for_last_holder(takeover)
             number = 0 if epoch is None else epoch.number
             self._term = _Term(number, takeover)
