An own order of long ago hides the wait for the holder before: reproduced

A node that has ordered a target in an earlier term takes the lease after another that ordered it since, and resigns while it still has to wait for that. Its word counts from its own old order, so the wait is lost, and the next holder orders the target within the time that must lie between the orders of two nodes.

--- a/packages/runhatch-server/tests/test_handover.py
+++ b/packages/runhatch-server/tests/test_handover.py
@@ -62,6 +62,22 @@
         assert told.waits["t1"] == WHOLE
         assert told.others_wait == WHOLE - seconds(2)
 
+    @pytest.mark.parametrize("resigned", [True, False])
+    def test_an_own_order_of_long_ago_does_not_end_the_wait_for_others(self, resigned):
+        """The last holder ordered the target since."""
+        times = OrderTimes(BETWEEN)
+        times.sent("t1", FENCE, NOW - seconds(9))
+        if resigned:
+            times.take_over_from(Resignation(4, {"t1": seconds(2)}), NOW)
+        else:
+            times.take_over(NOW)
+
+        told = times.resignation(5, NOW + seconds(1))
+
+        left = times.may_order_from("t1") - (NOW + seconds(1))
+        assert left > seconds(0)
+        assert told.waits["t1"] == left
+
     def test_a_target_that_is_not_listed_for_a_moment_is_not_forgotten(self):
         first, second = OrderTimes(BETWEEN), OrderTimes(BETWEEN)
         first.sent("t1", FENCE, NOW)
