A wait for the holder before is not hidden by an own order of long ago

What callers saw: orders of two nodes reached a target within the time that must lie between them. No step back of the store is needed for it.

Cause: a holder that resigns while it still has to wait with a target names when it last ordered that target itself. If that was in an earlier term, the wait for the node that ordered it since was lost, and the next holder ordered it too early.

The resignation names the later of the two.

--- a/packages/runhatch-server/src/runhatch_server/residency/_handover.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_handover.py
@@ -131,9 +131,10 @@
             others_from = self._others_from
             if self._unknown_until is not None:
                 others_from = max(others_from, self._unknown_until + self._between)
+            for target, at in sent.items():
+                waited_for = self._from.get(target, others_from)
+                ends[target] = max(waited_for, at + self._between)
         others_wait = max(timedelta(), others_from - now)
-        for target, at in sent.items():
-            ends[target] = at + self._between
         waits = {
             target: max(timedelta(), end - now)
             for target, end in ends.items()
