Tests of a lease catch four faults that nothing caught

A review planted faults in a scratch copy. Nothing caught a time to live that counts from the answer, a renewal found in the row that lengthens it, or a lease that is held though the table came back after it was written; each has a test now, which fails with that fault planted. Late writes of a node's former processes arrive in the model as well. And a row of an earlier version, which does not tell for how long no other node had a right, was taken for one that no other ever held; it counts as just taken from another, so a process that starts again during an update waits.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_lease_records.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_lease_records.py
@@ -12,14 +12,14 @@
     """Body of a lease row; an empty ``holder`` means that it was given up.
 
     ``free_ms`` is for how many milliseconds no node but the holder had any right when
-    this was written, ``None`` if none ever had.
+    this was written, ``None`` if none ever had.  Rows of earlier versions lack it.
     """
 
     holder: str
     epoch: int
     renewal: int
     address: str = ""
-    free_ms: int | None = None
+    free_ms: int | None = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -104,15 +104,15 @@
         """The lease row as last read, for showing who holds it."""
         return self._record
 
-    @property
-    def _free_since(self) -> timedelta | None:
-        return None if self._takeover is None else self._takeover.free_since
-
     @property
     def takeover(self) -> Takeover | None:
         """How this node acquired the lease the last time, ``None`` if it never did."""
         return self._takeover
 
+    @property
+    def _free_since(self) -> timedelta | None:
+        return None if self._takeover is None else self._takeover.free_since
+
     def left(self) -> timedelta:
         """Return for how long this node holds the lease if it renews no more."""
         with self._lock:
@@ -172,6 +172,7 @@
             kept_until = self._valid_until
         self._drop()
         self._kept_until = kept_until
+        self._record = None
         self._era = self._table.era
         self._version = ABSENT
 
--- a/packages/runhatch-coordination/tests/lease_cases.py
+++ b/packages/runhatch-coordination/tests/lease_cases.py
@@ -8,6 +8,26 @@
 TTL = timedelta(seconds=6)
 
 
+class SlowTable(FaultyTable):
+    """Each call takes its time, after which the table may have come back."""
+
+    def __init__(self, table, clock):
+        super().__init__(table)
+        self._clock = clock
+        self.takes = timedelta()
+        self.after_write = lambda: None
+
+    def get(self, key):
+        self._clock.advance(self.takes)
+        return super().get(key)
+
+    def transact(self, writes):
+        self._clock.advance(self.takes)
+        outcome = super().transact(writes)
+        self.after_write()
+        return outcome
+
+
 class Contest:
     """Two nodes, each with its own clock and its own way to one table."""
 
--- a/packages/runhatch-coordination/tests/test_leases.py
+++ b/packages/runhatch-coordination/tests/test_leases.py
@@ -3,9 +3,16 @@
 from datetime import timedelta
 
 import pytest
-from lease_cases import TTL, Contest, guarded_write
-
-from runhatch_coordination import Committed, Lease, LeaseChange, Vacancy
+from lease_cases import TTL, Contest, SlowTable, guarded_write
+
+from runhatch_coordination import (
+    Committed,
+    Key,
+    Lease,
+    LeaseChange,
+    Put,
+    Vacancy,
+)
 from runhatch_coordination.testing import ManualClock, MemoryTable, TableFault
 
 
@@ -106,6 +113,30 @@
         assert contest.step("b") is LeaseChange.ACQUIRED
         assert contest.holders() == ["b"]
 
+    def test_a_renewal_found_in_the_row_does_not_lengthen_the_right(self, contest):
+        """It was carried out some time ago; others time the holder from then."""
+        contest.step("a")
+        contest.advance(2.5)
+        contest.tables["a"].inject(TableFault.LOSE_ANSWER, 3)
+        assert contest.step("a") is LeaseChange.STORE_DOWN
+        contest.advance(0.5)
+        contest.step("a")
+
+        contest.advance(TTL.total_seconds() - 3)
+        assert contest.holders() == []
+
+    def test_the_right_counts_from_before_the_call(self, contest):
+        """Others may see the row change as soon as it is sent."""
+        table = SlowTable(contest.memory, contest.clocks["a"])
+        lease = Lease(table, contest.clocks["a"], "shard", "a", TTL)
+        table.takes = timedelta(seconds=1)
+        lease.step()
+        assert lease.left() == TTL - 2 * table.takes
+
+        contest.clocks["a"].advance(TTL / 2)
+        lease.step()
+        assert lease.left() == TTL - table.takes
+
     def test_outage_ends_holding(self, contest):
         """With the store down the holder stops when its time is over."""
         contest.step("a")
@@ -215,6 +246,15 @@
         assert free_since == (TTL if from_another else None)
         assert restarted.takeover.is_from_another is from_another
 
+    def test_a_row_of_an_earlier_version_does_not_tell_when_others_stopped(self):
+        table, clock = MemoryTable(), ManualClock()
+        body = b'{"holder":"a","epoch":1,"renewal":4}'
+        table.transact([Put(Key("lease", "plan"), body, 0)])
+        lease = Lease(table, clock, "plan", "a", TTL)
+
+        assert lease.step() is LeaseChange.ACQUIRED
+        assert lease.takeover.free_since == clock.elapsed()
+
     def test_a_holder_that_gave_up_for_a_moment_is_no_other(self):
         table, clock = MemoryTable(), ManualClock()
         lease = self.holder(table, clock)
--- a/packages/runhatch-coordination/tests/test_leases_restored.py
+++ b/packages/runhatch-coordination/tests/test_leases_restored.py
@@ -3,9 +3,9 @@
 from datetime import timedelta
 
 import pytest
-from lease_cases import TTL, Contest, guarded_write
+from lease_cases import TTL, Contest, SlowTable, guarded_write
 
-from runhatch_coordination import Committed, LeaseChange, Vacancy, fence_of
+from runhatch_coordination import Committed, Lease, LeaseChange, Vacancy, fence_of
 from runhatch_coordination.testing import TableFault
 
 
@@ -126,6 +126,21 @@
         assert contest.step("a") is LeaseChange.NONE
         assert contest.holders() == ["b"]
 
+    def test_what_was_acquired_before_the_table_came_back_is_not_held(self, contest):
+        """The row is gone, and another may acquire as after any step back."""
+        table = SlowTable(contest.memory, contest.clocks["a"])
+        lease = Lease(table, contest.clocks["a"], "shard", "a", TTL)
+
+        def come_back():
+            contest.restore()
+            table.learn_era()
+            table.after_write = lambda: None
+
+        table.after_write = come_back
+
+        assert lease.step() is LeaseChange.NONE
+        assert lease.held() is None
+
 
 class TestNewerEpoch:
     """A node hears of a newer epoch than the table has told it of."""
--- a/packages/runhatch-coordination/tests/test_leases_world.py
+++ b/packages/runhatch-coordination/tests/test_leases_world.py
@@ -34,11 +34,14 @@
         self.memory = memory
         self.rate = rate
         self.clock = ManualClock()
+        self.tables = []
         self.start()
 
     def start(self):
+        """Start its process anew; what the former one sent may still arrive."""
         self.frozen = False
         self.table = FaultyTable(self.memory)
+        self.tables.append(self.table)
         self.lease = Lease(self.table, self.clock, "orders", self.name, TTL)
         self.heard = (0, -1)
         self.heard_at = timedelta(days=-1)
@@ -123,7 +126,8 @@
     @rule(place=st.integers(0, 4))
     def deliver(self, place):
         """Writes that were delayed reach the table."""
-        self.nodes[place].table.deliver()
+        for table in self.nodes[place].tables:
+            table.deliver()
 
     @rule(place=st.integers(0, 4), deaf=st.booleans())
     def deafen(self, place, deaf):
