An order without an answer counts as on its way for longer

What callers saw: orders of two nodes may reach a target within the time that must lie between them.

Not ruled out: an order that waits for the connection behind a report of the same target arrives later after its look at the lease than is counted on.

--- a/packages/runhatch-server/src/runhatch_server/residency/_sending.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_sending.py
@@ -8,7 +8,7 @@
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.residency._calls import TargetCalls
 from runhatch_server.residency._control import TargetControl
-from runhatch_server.residency._handover import OrderTimes
+from runhatch_server.residency._handover import ORDER_ARRIVES, OrderTimes
 from runhatch_server.residency._orders import OrderClient, TargetOrder
 from runhatch_server.targets import OrderKind, OrderOutcome
 
@@ -72,7 +72,8 @@
         begun = self._clock.elapsed()
         outcome = self._client.give(target, order)
         ended = self._clock.elapsed()
-        self._times.sent(target.name, order.fence, ended)
+        on_way = ORDER_ARRIVES if outcome is OrderOutcome.UNKNOWN else timedelta()
+        self._times.sent(target.name, order.fence, ended + on_way)
         seconds = (ended - begun).total_seconds()
         self._metrics.order_seconds.labels(order.kind.value).observe(seconds)
         return outcome
--- a/packages/runhatch-server/tests/test_sending.py
+++ b/packages/runhatch-server/tests/test_sending.py
@@ -9,6 +9,7 @@
 from runhatch_server.observability import Metrics
 from runhatch_server.residency import OrderTimes, TargetControl
 from runhatch_server.residency._calls import TargetCalls
+from runhatch_server.residency._handover import HANDOVER_SLACK, ORDER_ARRIVES
 from runhatch_server.residency._sending import OrderSender
 from runhatch_server.targets import OrderKind, OrderOutcome
 
@@ -22,10 +23,24 @@
 
     def __init__(self):
         self.given = []
+        self.outcome = OrderOutcome.ACCEPTED
 
     def give(self, target, order):
         self.given.append(order)
-        return OrderOutcome.ACCEPTED
+        return self.outcome
+
+
+def make_sender(clock, client, times, ended, held_epoch):
+    return OrderSender(
+        client,
+        TargetCalls(ended.set),
+        times,
+        clock,
+        Metrics(),
+        "n1",
+        held_epoch,
+        lambda control, model: seconds(2),
+    )
 
 
 @pytest.mark.parametrize(
@@ -40,16 +55,7 @@
         told.append(times.resignation(3, clock.elapsed()))
         return held
 
-    sender = OrderSender(
-        client,
-        TargetCalls(ended.set),
-        times,
-        clock,
-        Metrics(),
-        "n1",
-        held_epoch,
-        lambda control, model: seconds(2),
-    )
+    sender = make_sender(clock, client, times, ended, held_epoch)
 
     sender.send(TargetControl(make_target("t1")), OrderKind.LOAD, "m1", "", EPOCH)
 
@@ -57,3 +63,20 @@
     assert [list(resignation.waits) for resignation in told] == [["t1"]]
     assert len(client.given) == given
     assert bool(times.resignation(3, clock.elapsed()).waits) is bool(given)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "on_way"),
+    [(OrderOutcome.ACCEPTED, seconds(0)), (OrderOutcome.UNKNOWN, ORDER_ARRIVES)],
+)
+def test_an_order_without_an_answer_may_still_arrive(clock, outcome, on_way):
+    """A target that accepts connections late reads it after its sender has given up."""
+    times, client, ended = OrderTimes(seconds(3)), RecordedClient(), threading.Event()
+    client.outcome = outcome
+    sender = make_sender(clock, client, times, ended, lambda: EPOCH)
+
+    sender.send(TargetControl(make_target("t1")), OrderKind.LOAD, "m1", "", EPOCH)
+
+    assert ended.wait(ANSWER_WAIT)
+    wait = times.resignation(3, clock.elapsed()).waits["t1"]
+    assert wait == seconds(3) + HANDOVER_SLACK + on_way
