Nothing is minted or compared before the store's era is known

An era that no answer had told yet was taken for the first one wherever a version was minted or compared, so a node that starts after a step back began with numbers of an era that is gone.

And the table asked for the era before it looked rows up: a first write, whose own look-up told the era, was checked against none, and was taken as done on the row of another when the store came back between the two.

--- a/tests/adapter/test_platform_restored.py
+++ b/tests/adapter/test_platform_restored.py
@@ -125,6 +125,25 @@
         store._note(Reply(200, b"", {} if header is None else {"store-era": header}))
         assert store.era == 2
 
+    @pytest.mark.parametrize(
+        ("status", "headers", "era"),
+        [
+            (200, {}, 0),
+            (412, {}, 0),
+            (200, {"store-era": "3"}, 3),
+            (503, {"store-era": "3"}, 3),
+            (429, {}, None),
+            (500, {}, None),
+            (503, {}, None),
+        ],
+    )
+    def test_only_a_good_answer_that_names_no_era_is_of_the_first(
+        self, store, status, headers, era
+    ):
+        """A node minted versions of the first era before any answer."""
+        store._note(Reply(status, b"", headers))
+        assert store.era == era
+
     def test_an_answer_of_an_earlier_era_is_passed_over(self, feed, store):
         feed.changes(store_version(2, 1), timedelta())
         # The stand-in is in its first era.
@@ -160,6 +179,27 @@
         assert table.era == 1
         assert table.transact([Put(KEY, b"b", 1)]) == Conflict((0,))
 
+    def test_a_first_write_that_looked_in_an_earlier_era_is_not_known_to_hold(
+        self, platform, store, monkeypatch
+    ):
+        """The table had learned no era when the write began, and took any."""
+        other = StoreTable(Store(platform.url))
+        assert other.transact([Put(OTHER, b"o", ABSENT)]) == Committed()
+        copy(platform)
+        assert other.transact([Put(KEY, b"a", ABSENT)]) == Committed()
+        write_to_store = store.write
+
+        def write_later(transaction):
+            restore(platform)
+            # It gets the number that the lost row had.
+            theirs = StoreTable(Store(platform.url))
+            assert theirs.transact([Put(KEY, b"theirs", ABSENT)]) == Committed()
+            return write_to_store(transaction)
+
+        monkeypatch.setattr(store, "write", write_later)
+
+        assert isinstance(StoreTable(store).transact([Put(KEY, b"b", 1)]), Unknown)
+
     def test_versions_are_of_their_type(self):
         assert store_version(0, 7) == StoreVersion(7)
 
