A condition of an earlier era holds on no row of another

Callers whose key was claimed on one node could be given another attempt's answer: after the store came back from an older copy, the end of a claim that was lost was written onto the claim that another node had made since. Any conditional write could do so.

Cause: a condition names a count that is kept in the row's value, and counts go back with the store. The table looked a row up again whose number was of an earlier era, and took the first one that had the same count.

Weighed: (a) the table answers a conflict if what it knows of that count is of an earlier era. Any later read of the row refreshes what it knows, so the condition holds again. (b) a version that was read bears the era of the answer; the count in the value stays plain. That closes the hole of (a), versions rise over eras, and what counts on by one works as before. Taken: (b), with (a) for the plain counts of those who go on from the version that they created a row at.

Replaced: test_none_succeeds_on_the_row_of_another asserted that a condition of before the step back was committed on another's row of the same count, which is the fault itself. It asserts a conflict now, before and after a read, and that the version read then holds; its last assertion is unchanged.

Left: in one process that claims a key again after the step back, the earlier attempt's plain count still leads to the later attempt's row.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_claims.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_claims.py
@@ -6,7 +6,7 @@
 
 import threading
 import uuid
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -159,7 +159,7 @@
             ClaimState.DONE,
             result,
         )
-        return self._committer.commit([self._put(taken.key, done, ABSENT + 1)])
+        return self._settle(taken, lambda expect: self._put(taken.key, done, expect))
 
     def release(self, taken: Taken) -> None:
         """Give back a claim that was certainly not acted on.
@@ -167,12 +167,24 @@
         If the table cannot be reached the attempt is remembered instead, and a
         repeat that comes to this node takes it over.
         """
-        delete = Delete(Key(CLAIM_PARTITION, taken.key), ABSENT + 1)
-        outcome = self._committer.commit([delete])
+        key = Key(CLAIM_PARTITION, taken.key)
+        outcome = self._settle(taken, lambda expect: Delete(key, expect))
         if isinstance(outcome, Unavailable | Unknown):
             with self._lock:
                 self._unsettled.add(taken.record.attempt)
 
+    def _settle(
+        self, taken: Taken, write: Callable[[int], Put | Delete]
+    ) -> TransactOutcome:
+        """Write to the claim; in a copy that the table came back from as well."""
+        outcome = self._committer.commit([write(ABSENT + 1)])
+        if not isinstance(outcome, Conflict):
+            return outcome
+        found = self._table.get(Key(CLAIM_PARTITION, taken.key))
+        if not isinstance(found, Row) or stored_claim(found) != taken.record:
+            return outcome
+        return self._committer.commit([write(found.version)])
+
     def _put(self, key: str, record: ClaimRecord, expect: int) -> Put:
         body = msgspec.json.encode(record)
         expires = self._clock.now() + self._retention
--- a/packages/runhatch-coordination/src/runhatch_coordination/_commit.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_commit.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from runhatch_coordination._history import StoreVersion, era_of, number_of
 from runhatch_coordination._table import (
     Committed,
     Conflict,
@@ -52,8 +53,15 @@
     found = table.get(evidence.key)
     if not isinstance(found, Row):
         return Unknown("evidence is gone")
-    if found.version == evidence.expect + 1:
+    writes_since = _writes_between(evidence.expect, found.version)
+    if writes_since == 1:
         return Committed() if found.body == evidence.body else conflict
-    if found.version <= evidence.expect:
+    if writes_since <= 0:
         return conflict
     return Unknown("evidence was overwritten")
+
+
+def _writes_between(before: int, after: int) -> int:
+    """Return by how many writes ``after`` follows ``before``, a plain count maybe."""
+    is_plain = era_of(StoreVersion(before)) == 0
+    return (number_of(StoreVersion(after)) if is_plain else after) - before
--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -18,7 +18,7 @@
 
 from runhatch_coordination._clock import Clock
 from runhatch_coordination._commit import commit
-from runhatch_coordination._history import fence_of
+from runhatch_coordination._history import StoreVersion, fence_of, number_of
 from runhatch_coordination._table import (
     ABSENT,
     Check,
@@ -330,7 +330,7 @@
         last = ABSENT if isinstance(epoch_row, Missing) else epoch_row.version
         found = self._record
         renewal = 0 if found is None else found.renewal + 1
-        epoch = fence_of(self._era or 0, last + 1)
+        epoch = fence_of(self._era or 0, number_of(StoreVersion(last)) + 1)
         taken = LeaseRecord(self._holder, epoch, renewal, self._address)
         mark = Put(self._epoch_key, self._holder.encode(), last)
         committed = isinstance(self._write(taken, mark), Committed)
--- a/packages/runhatch-coordination/src/runhatch_coordination/_revisions.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_revisions.py
@@ -1,6 +1,6 @@
 """Numbered revisions of a document: one head, moved by conditional writes.
 
-The head row's version is the revision number.  A history row written in the same
+The head row's entry bears the revision number.  A history row written in the same
 transaction names who made the change, and settles a lost answer.
 """
 
@@ -104,6 +104,13 @@
         The body is stored before the head moves, under a name of its own, so a
         reader who sees the head always finds the body.
         """
+        head = self._table.get(self._head)
+        if isinstance(head, Unavailable):
+            return head
+        present = ABSENT if isinstance(head, Missing) else _entry_of(head).number
+        if present != base:
+            return Overtaken(present)
+        version = ABSENT if isinstance(head, Missing) else head.version
         operation = uuid.uuid4().hex
         number = base + 1
         body_name = f"{self._name}/{number:08d}-{operation}"
@@ -115,14 +122,14 @@
         encoded = msgspec.json.encode(entry)
         writes = [
             Put(self._history_key(number), encoded, ABSENT),
-            Put(self._head, encoded, base),
+            Put(self._head, encoded, version),
         ]
         outcome = commit(self._table, writes)
         if isinstance(outcome, Committed):
             return Revision(entry, body)
         if isinstance(outcome, Conflict):
-            head = self.head()
-            return head if isinstance(head, Unavailable) else Overtaken(head)
+            newest = self.head()
+            return newest if isinstance(newest, Unavailable) else Overtaken(newest)
         return outcome
 
     def entry(self, number: int) -> RevisionEntry | Missing | Unavailable:
@@ -149,18 +156,22 @@
         rows = self._table.query(self._name + HISTORY_SUFFIX)
         if isinstance(rows, Unavailable):
             return rows
-        return tuple(msgspec.json.decode(row.body, type=RevisionEntry) for row in rows)
+        return tuple(_entry_of(row) for row in rows)
 
     def _entry_at(self, key: Key) -> RevisionEntry | Missing | Unavailable:
         found = self._table.get(key)
         if isinstance(found, Row):
-            return msgspec.json.decode(found.body, type=RevisionEntry)
+            return _entry_of(found)
         return found
 
     def _history_key(self, number: int) -> Key:
         return Key(self._name + HISTORY_SUFFIX, f"{number:08d}")
 
 
+def _entry_of(row: Row) -> RevisionEntry:
+    return msgspec.json.decode(row.body, type=RevisionEntry)
+
+
 class RevisionFeed:
     """The revision in force on one node; it only ever rises.
 
--- a/packages/runhatch-coordination/src/runhatch_coordination/_table.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_table.py
@@ -2,6 +2,11 @@
 
 A row's version starts at 1 and grows by one with each write; 0 means that the
 row does not exist.  All writes of a transaction are conditional on versions.
+
+A version that was read bears the era of the table (:func:`store_version`), so that a
+condition of before a step back does not hold on a row that was written since, and
+versions read later are higher.  Who counts on from the version that it created a row
+at has a plain count, in whatever era.
 """
 
 from collections.abc import Sequence
--- a/tests/adapter/test_platform_restored.py
+++ b/tests/adapter/test_platform_restored.py
@@ -7,22 +7,31 @@
 
 from runhatch_coordination import (
     ABSENT,
+    Claims,
     Committed,
     Conflict,
+    Done,
+    GroupCommitter,
     HistoryLost,
     Key,
     Lease,
     LeaseChange,
+    Mismatch,
     Missing,
+    Pending,
     Put,
+    Revision,
+    RevisionLog,
     StoreVersion,
     SystemClock,
+    Taken,
     Unknown,
     WaitEnded,
     era_of,
     fence_of,
     store_version,
 )
+from runhatch_coordination.testing import MemoryObjects
 from runhatch_platform import Store, StoreFeed, StoreTable
 from runhatch_platform._store import Reply
 from runhatch_standins import launch
@@ -162,11 +171,45 @@
         assert theirs.transact([Put(KEY, b"theirs", ABSENT)]) == Committed()
         assert mine.get(OTHER) == Missing()
 
-        assert mine.transact([Put(KEY, b"again", 1)]) == Committed()
+        assert mine.transact([Put(KEY, b"again", 1)]) == Conflict((0,))
+        found = mine.get(KEY)
+        assert found.body == b"theirs"
+        assert mine.transact([Put(KEY, b"again", 1)]) == Conflict((0,))
+        assert mine.transact([Put(KEY, b"again", found.version)]) == Committed()
 
         again = Put(KEY, b"theirs again", 1)
         assert theirs.transact([again]) == Conflict((0,))
 
+    def test_none_succeeds_at_the_same_count_of_another_era(self, platform, store):
+        """The count led to the row of another, whatever was read meanwhile."""
+        mine, theirs = StoreTable(store), StoreTable(Store(platform.url))
+        assert mine.transact([Put(KEY, b"first", ABSENT)]) == Committed()
+        copy(platform)
+        read = mine.get(KEY).version
+        assert mine.transact([Put(KEY, b"mine", read)]) == Committed()
+        restore(platform)
+        formed = Put(KEY, b"mine again", read + 1)
+        theirs_read = theirs.get(KEY).version
+        assert theirs.transact([Put(KEY, b"theirs", theirs_read)]) == Committed()
+
+        found = mine.get(KEY)
+
+        assert mine.transact([formed]) == Conflict((0,))
+        assert found.version > read + 1
+
+    def test_versions_count_on_from_any_era(self, platform, store):
+        restore(platform)
+        table = StoreTable(store)
+        assert table.transact([Put(KEY, b"a", ABSENT)]) == Committed()
+        # As one counts on that has not read its row.
+        assert table.transact([Put(KEY, b"b", 1)]) == Committed()
+        assert table.transact([Put(KEY, b"c", 2)]) == Committed()
+        found = table.get(KEY).version
+        assert found == store_version(1, 3)
+        assert table.transact([Put(KEY, b"d", found)]) == Committed()
+        assert table.transact([Put(KEY, b"e", found + 1)]) == Committed()
+        assert table.get(KEY).version == found + 2
+
     def test_one_that_first_sees_the_new_era_is_not_known_to_hold(
         self, platform, store
     ):
@@ -200,6 +243,45 @@
 
         assert isinstance(StoreTable(store).transact([Put(KEY, b"b", 1)]), Unknown)
 
+    def test_a_claim_that_the_copy_has_is_finished(self, platform, store):
+        claims, taken = self.claim(store)
+        copy(platform)
+        restore(platform)
+        assert claims.read("k", "other") == Mismatch()
+
+        assert claims.finish(taken, "answer") == Committed()
+        assert claims.read("k", "digest") == Done("answer")
+
+    def test_the_claim_of_another_is_not_finished(self, platform, store):
+        """Its row has the count that the lost claim's had."""
+        copy(platform)
+        claims, taken = self.claim(store)
+        restore(platform)
+        others, _ = self.claim(Store(platform.url))
+        assert isinstance(claims.read("k", "digest"), Pending)
+
+        assert claims.finish(taken, "answer") == Conflict((0,))
+        claims.release(taken)
+        assert isinstance(others.read("k", "digest"), Pending)
+
+    def claim(self, store):
+        table = StoreTable(store)
+        claims = Claims(table, GroupCommitter(table), "n", SystemClock())
+        taken = claims.take("k", "digest")
+        assert isinstance(taken, Taken)
+        return claims, taken
+
+    def test_a_head_that_the_copy_has_is_published_on(self, platform, store):
+        log = RevisionLog(StoreTable(store), MemoryObjects(), "configuration")
+        assert isinstance(log.publish(0, b"one", "x", "", ""), Revision)
+        copy(platform)
+        assert isinstance(log.publish(1, b"lost", "x", "", ""), Revision)
+        restore(platform)
+        assert log.head() == 1
+
+        assert isinstance(log.publish(1, b"two", "x", "", ""), Revision)
+        assert log.read(2).body == b"two"
+
     def test_versions_are_of_their_type(self):
         assert store_version(0, 7) == StoreVersion(7)
 
