Orders of the own interface are fenced by the table's era too

A target of the own interface could be ordered by a lower number than before: after the store came back from an older copy that lacked the target's ledger row, the row was begun at 1 again. Targets that refuse old numbers then took no order until the count had passed the earlier one; those that do not check took late orders of before. For the same reason nodes passed over what the planner told them of such a target: its hosting had a lower version than the one that they knew.

Cause: the number was the row's version and nothing else. That versions which are read bear the era mends rows that the copy has, not those that it lacks.

Now a number is a fence of the era that the row was read or begun in, as a lease's is, and a row's version bears that era from its first write on. A row that was written in one era and numbered in the one before counts as not known to be written: its condition may hold on the copy as well, and its orders would be fenced too low.

Ruled out: minting from the lease's fence instead; a holder writes a row many times, and its orders need an order among themselves.

--- a/packages/runhatch-server/src/runhatch_server/placement/_ledger.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_ledger.py
@@ -1,8 +1,8 @@
 """The memory ledger: one row a target, changed only by the planner's lease holder.
 
 A charge is written before its order is sent and dropped only when the load can no
-longer happen.  A row's version is the fencing number of the orders it records, so
-numbers rise for each target whoever plans.
+longer happen.  A row's version, in the table's era, is the fencing number of the orders
+it records, so numbers rise for each target whoever plans.
 """
 
 from collections.abc import Iterable
--- a/packages/runhatch-server/src/runhatch_server/placement/_shard.py
+++ b/packages/runhatch-server/src/runhatch_server/placement/_shard.py
@@ -26,7 +26,7 @@
     reconcile,
 )
 from runhatch_server.placement._state import PoolState, pool_models
-from runhatch_server.placement._store import LedgerStore, VersionedRow, empty_row
+from runhatch_server.placement._store import LedgerStore, VersionedRow
 from runhatch_server.serving import Hosting
 from runhatch_server.targets import EngineClient, EngineReport, Order, OrderKind
 
@@ -150,11 +150,12 @@
         for target in pool.targets:
             held = rows.get(target.name)
             if held is None:
-                rows[target.name] = empty_row(target.name, target.memory_mb)
+                empty = self._store.empty_row(target.name, target.memory_mb)
+                rows[target.name] = empty
             elif held.row.used_mb <= target.memory_mb:
                 # Written with the row's next change.
                 resized = replace(held.row, capacity_mb=target.memory_mb)
-                rows[target.name] = VersionedRow(resized, held.version)
+                rows[target.name] = replace(held, row=resized)
 
     def _read_reports(self, pool: PoolSpec) -> dict[str, Reading]:
         names = [target.name for target in pool.targets]
@@ -278,7 +279,7 @@
         """Write ``row``; raises :class:`LedgerLostError` unless it is certain."""
         rows = self._held_rows()
         before = rows[row.target]
-        written = self._store.write(row, before.version, epoch)
+        written = self._store.write(row, before, epoch)
         if not isinstance(written, VersionedRow):
             # Whatever happened, the table knows better: read it all again.
             log_change("ledger_write_failed", target=row.target, why=str(written))
