A revision number that is given out again names the later revision

An operator of the own interface could change nothing on a node that knew a revision which the store had lost with a step back: the next revision of that number was passed over there, and if the node met it while the lost one of the same number was in force, "one revision number names one body" failed, which ends the process.

Cause: the feed orders revisions by number, and numbers are counted again.

Now an entry names the era that it was published in, and the feed, the follower and what nodes tell each other order revisions by era and number. Operators see the plain number as before. Entries without an era, and messages of nodes before this change, are of the first one; such nodes take a later era's notice for a revision to come, and go on reading the store each second.

Evidence: without the change both cases of the new test fail: with one revision lost by InvariantError, with two by an offer that is refused.

Left: a change that is based on a lost number is taken where another revision has that number by then, as an operator names no era.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_revisions.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_revisions.py
@@ -15,6 +15,7 @@
 
 from runhatch_coordination._commit import commit
 from runhatch_coordination._errors import require
+from runhatch_coordination._history import ORIGIN, StoreVersion, store_version
 from runhatch_coordination._table import (
     ABSENT,
     Committed,
@@ -44,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RevisionEntry:
-    """What the history keeps of one revision."""
+    """What the history keeps of one revision, published in ``era`` of the table."""
 
     number: int
     operation: str
@@ -53,6 +54,12 @@
     note: str
     body_name: str
     digest: str
+    era: int = 0
+
+    @property
+    def position(self) -> StoreVersion:
+        """Where it stands among all, those included that an older copy lacks."""
+        return store_version(self.era, self.number)
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +114,9 @@
         head = self._table.get(self._head)
         if isinstance(head, Unavailable):
             return head
+        era = self._table.era
+        if era is None:
+            return Unavailable("the table's era is not known yet")
         present = ABSENT if isinstance(head, Missing) else _entry_of(head).number
         if present != base:
             return Overtaken(present)
@@ -117,7 +127,7 @@
         if not self._objects.put(body_name, body):
             return Unavailable("the object store did not take the body")
         entry = RevisionEntry(
-            number, operation, author, at, note, body_name, digest_of(body)
+            number, operation, author, at, note, body_name, digest_of(body), era
         )
         encoded = msgspec.json.encode(entry)
         writes = [
@@ -173,7 +183,7 @@
 
 
 class RevisionFeed:
-    """The revision in force on one node; it only ever rises.
+    """The revision in force on one node; its position only ever rises.
 
     .. versionadded:: 0.1
     """
@@ -193,17 +203,22 @@
         """The number of the revision in force, 0 before the first."""
         return 0 if self._current is None else self._current.entry.number
 
+    @property
+    def position(self) -> StoreVersion:
+        """The position of the revision in force, ``ORIGIN`` before the first."""
+        return ORIGIN if self._current is None else self._current.entry.position
+
     def offer(self, revision: Revision) -> bool:
         """Put ``revision`` in force if it is newer; returns whether it was.
 
-        Raises :class:`InvariantError` if two bodies claim the same number.
+        Raises :class:`InvariantError` if two bodies claim the same position.
         """
         if digest_of(revision.body) != revision.entry.digest:
             return False
         with self._lock:
-            if revision.entry.number <= self.number:
+            if revision.entry.position <= self.position:
                 same = self._current
-                if same is not None and same.entry.number == revision.entry.number:
+                if same is not None and same.entry.position == revision.entry.position:
                     require(
                         same.entry.operation == revision.entry.operation,
                         "one revision number names one body",
--- a/packages/runhatch-coordination/tests/test_revisions.py
+++ b/packages/runhatch-coordination/tests/test_revisions.py
@@ -72,6 +72,30 @@
         ]
 
 
+class TestRestored:
+    """Numbers are given out again when the table comes back from an older copy."""
+
+    @pytest.mark.parametrize("lost", [1, 2])
+    def test_another_revision_of_a_lost_number_comes_into_force(self, objects, lost):
+        """It was passed over, or ended the process of a node that knew the lost one."""
+        memory = MemoryTable()
+        log = RevisionLog(memory, objects, "configuration")
+        seen = []
+        feed = RevisionFeed(lambda revision: seen.append(revision.body))
+        feed.offer(log.publish(0, b"one", "x", "", ""))
+        memory.copy()
+        for base in range(1, lost + 1):
+            feed.offer(log.publish(base, b"lost", "x", "", ""))
+        memory.restore()
+
+        assert not feed.offer(log.read(1))
+        assert feed.offer(log.publish(1, b"two", "y", "", ""))
+
+        assert seen == [b"one", *[b"lost"] * lost, b"two"]
+        assert feed.number == 2
+        assert feed.offer(log.publish(2, b"three", "y", "", ""))
+
+
 class TestRevisionFeed:
     """A node's revision only rises."""
 
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -252,11 +252,11 @@
         self._drains.configure(deployment)
         self._metrics.revision.set(revision.entry.number)
         log_change("configuration", revision=revision.entry.number)
-        self._peers.tell_revision(revision.entry.number)
+        self._peers.tell_revision(revision.entry.position)
         self._ready.set()
 
-    def _on_notice(self, number: int) -> None:
-        self._follower.notice(number)
+    def _on_notice(self, position: int) -> None:
+        self._follower.notice(position)
 
     def _on_own_hosting(self, hosting: Hosting) -> None:
         if self._on_hosting(hosting):
--- a/packages/runhatch-server/src/runhatch_server/_peer_service.py
+++ b/packages/runhatch-server/src/runhatch_server/_peer_service.py
@@ -64,9 +64,9 @@
         )
         """Under which requests targets have ended, told and heard."""
 
-    def tell_revision(self, number: int) -> None:
-        """Tell peers that revision ``number`` is in force here."""
-        self.tell_all(RevisionNotice(number))
+    def tell_revision(self, position: int) -> None:
+        """Tell peers that the revision at ``position`` is in force here."""
+        self.tell_all(RevisionNotice(position))
 
     def tell_hosting(self, hosting: Hosting) -> None:
         """Tell peers what a target serves."""
@@ -93,7 +93,7 @@
             if vm.name != self._membership.own.name
         ]
         if self._links is not None and others:
-            wanted = StateWanted(self._feed.number, self._membership.own.address)
+            wanted = StateWanted(self._feed.position, self._membership.own.address)
             self._links.tell(self._random.choice(others).address, [wanted])
 
     @singledispatchmethod
@@ -152,7 +152,7 @@
             self._differing.add(sender.name)
         elif self._links is not None:
             self._differing.discard(sender.name)
-            wanted = StateWanted(self._feed.number, self._membership.own.address)
+            wanted = StateWanted(self._feed.position, self._membership.own.address)
             self._links.tell(sender.address, [wanted])
 
     def _reply(self, known: int, reply_to: str) -> None:
@@ -168,7 +168,7 @@
             if fact.standing is not Standing.ALIVE
         ]
         current = self._feed.current
-        if current is not None and current.entry.number > known:
+        if current is not None and current.entry.position > known:
             facts.insert(0, _body(current))
         if self._links is not None and facts:
             self._links.tell(reply_to, facts)
@@ -185,6 +185,7 @@
         entry.body_name,
         entry.digest,
         revision.body,
+        entry.era,
     )
 
 
@@ -197,5 +198,6 @@
         message.note,
         message.body_name,
         message.digest,
+        message.era,
     )
     return Revision(entry, message.body)
--- a/packages/runhatch-server/src/runhatch_server/configuration/_follower.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_follower.py
@@ -30,11 +30,11 @@
         self._noticed = FIRST_REVISION
         self.wake = threading.Event()
 
-    def notice(self, number: int) -> None:
-        """Take in that somebody has revision ``number`` in force."""
-        if number > self._noticed:
-            self._noticed = number
-        if number > self._feed.number:
+    def notice(self, position: int) -> None:
+        """Take in that somebody has the revision at ``position`` in force."""
+        if position > self._noticed:
+            self._noticed = position
+        if position > self._feed.position:
             self.wake.set()
 
     def poll(self) -> None:
@@ -42,15 +42,15 @@
 
         Notices that came meanwhile set off another read only if they tell of more.
         """
-        known = self._feed.number
+        known = self._feed.position
         self._service.refresh()
         self.wake.clear()
-        if known < self._feed.number < self._noticed:
+        if known < self._feed.position < self._noticed:
             self.wake.set()
 
     def catch_up(self) -> None:
         """Try the store and then a peer, as long as something newer is known of."""
-        if self._feed.number >= self._noticed:
+        if self._feed.position >= self._noticed:
             return
         if not self._service.refresh():
             self._ask_peer()
--- a/packages/runhatch-server/src/runhatch_server/configuration/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_service.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from runhatch_coordination import (
+    ORIGIN,
     Clock,
     Missing,
     Overtaken,
@@ -11,6 +12,7 @@
     RevisionEntry,
     RevisionFeed,
     RevisionLog,
+    StoreVersion,
     Unavailable,
     Unknown,
 )
@@ -53,7 +55,7 @@
         self._feed = feed
         self._clock = clock
         self._lock = threading.Lock()
-        self._parsed: tuple[int, Deployment] = (0, Deployment())
+        self._parsed: tuple[StoreVersion, Deployment] = (ORIGIN, Deployment())
 
     @property
     def feed(self) -> RevisionFeed:
@@ -71,9 +73,9 @@
         if current is None:
             return Deployment()
         with self._lock:
-            if self._parsed[0] != current.entry.number:
+            if self._parsed[0] != current.entry.position:
                 parsed = parse_deployment(current.body)
-                self._parsed = (current.entry.number, parsed)
+                self._parsed = (current.entry.position, parsed)
             return self._parsed[1]
 
     def apply(self, body: bytes, base: int, author: str, note: str) -> ApplyOutcome:
@@ -96,7 +98,7 @@
         newest = self._log.newest()
         if not isinstance(newest, RevisionEntry):
             return False
-        if newest.number <= self._feed.number:
+        if newest.position <= self._feed.position:
             return False
         revision = self._log.read_body(newest)
         return isinstance(revision, Revision) and self._feed.offer(revision)
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -34,7 +34,7 @@
 
 
 class RevisionNotice(msgspec.Struct, frozen=True, tag="notice", array_like=True):
-    """The sender has revision ``number`` in force."""
+    """The sender has the revision at the position ``number`` in force."""
 
     number: int
 
@@ -50,6 +50,7 @@
     body_name: str
     digest: str
     body: bytes
+    era: int = 0
 
 
 class HostingFact(msgspec.Struct, frozen=True, tag="hosting", array_like=True):
@@ -297,7 +298,7 @@
 
 
 class StateWanted(msgspec.Struct, frozen=True, tag="wanted", array_like=True):
-    """The sender knows less than revision ``known`` + 1 and asks for all."""
+    """The sender knows no revision beyond the position ``known``, and asks for all."""
 
     known: int
     reply_to: str
