Permits counted in another era are news to those who share them

Loads from the weight store could begin faster than its rate allows after the store came back from an older copy: by up to the permits of one second more, for each node that had seen the count before.

Cause: a node spaces permits from when it saw the row's count change, and a count that went back and rose again looked like no change.

Now the count is compared with the era in which the row was read.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_permits.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_permits.py
@@ -13,6 +13,7 @@
 
 from runhatch_coordination._clock import Clock
 from runhatch_coordination._commit import commit
+from runhatch_coordination._history import StoreVersion, era_of, store_version
 from runhatch_coordination._table import (
     ABSENT,
     Committed,
@@ -55,7 +56,8 @@
         self._key = Key(PERMIT_PARTITION, name)
         self._interval = timedelta(seconds=1 / per_second)
         self._at_once = at_once
-        self._given: int | None = None
+        self._given: StoreVersion | None = None
+        """Permits given out, in the era in which the row was read."""
         self._seen_at = timedelta()
 
     def acquire(self, users: Sequence[str]) -> frozenset[str]:
@@ -104,17 +106,18 @@
         if isinstance(found, Unavailable):
             return None
         if isinstance(found, Missing):
-            self._observe(0)
+            self._observe(0, ABSENT)
             return ABSENT, PermitRecord(0, ())
         record = msgspec.json.decode(found.body, type=PermitRecord)
-        self._observe(record.given)
+        self._observe(record.given, found.version)
         return found.version, record
 
-    def _observe(self, given: int) -> None:
-        if given != self._given:
+    def _observe(self, given: int, version: int) -> None:
+        position = store_version(era_of(StoreVersion(version)), given)
+        if position != self._given:
             # The first sight of the row counts as a change just made.
             self._seen_at = self._clock.elapsed() if given else -self._interval
-            self._given = given
+            self._given = position
 
     def _store(self, version: int, record: PermitRecord) -> bool:
         body = msgspec.json.encode(record)
@@ -122,5 +125,5 @@
             commit(self._table, [Put(self._key, body, version)]), Committed
         )
         if done:
-            self._observe(record.given)
+            self._observe(record.given, version)
         return done
--- a/packages/runhatch-coordination/tests/test_permits.py
+++ b/packages/runhatch-coordination/tests/test_permits.py
@@ -52,3 +52,22 @@
         assert nodes[0].acquire(["u"]) == {"u"}
         assert nodes[0].acquire(["u"]) == {"u"}
         assert nodes[0].in_use() == ("u",)
+
+
+class TestRestored:
+    """Permits are counted again when the table comes back from an older copy."""
+
+    def test_the_same_count_of_another_era_is_a_change(self):
+        """It was taken for no change, and permits of a whole second were given out."""
+        memory, clock = MemoryTable(), ManualClock()
+        first, second = (SharedPermits(memory, clock, "w", 4.0, 9) for _ in "ab")
+        memory.copy()
+        assert first.acquire(["x"]) == {"x"}
+        memory.restore()
+        clock.advance(timedelta(seconds=5))
+        assert second.acquire(["y"]) == {"y"}
+
+        assert first.acquire(["z1", "z2", "z3"]) == frozenset()
+
+        clock.advance(timedelta(seconds=0.3))
+        assert first.acquire(["z1", "z2", "z3"]) == {"z1"}
