--- a/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_leases.py
@@ -18,7 +18,12 @@
 
 from runhatch_coordination._clock import Clock
 from runhatch_coordination._commit import commit
-from runhatch_coordination._history import era_of_fence, fence_of
+from runhatch_coordination._history import (
+    StoreVersion,
+    era_of_fence,
+    fence_of,
+    number_of,
+)
 from runhatch_coordination._lease_records import (
     Epoch,
     LeaseChange,
@@ -319,7 +324,7 @@
         found = self._record
         if self._era is None or self._is_restored():
             return LeaseChange.NONE
-        epoch = fence_of(self._era, last + 1)
+        epoch = fence_of(self._era, number_of(StoreVersion(last)) + 1)
         if epoch <= self._newest:
             self._seen_at = None
             return LeaseChange.BEHIND
--- a/packages/runhatch-coordination/src/runhatch_coordination/_revisions.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_revisions.py
@@ -1,6 +1,6 @@
 """Numbered revisions of a document: one head, moved by conditional writes.
 
-The head row's version is the revision number.  A history row written in the same
+The head row's entry bears the revision number.  A history row written in the same
 transaction names who made the change, and settles a lost answer.
 """
 
@@ -15,6 +15,7 @@
 
 from runhatch_coordination._commit import commit
 from runhatch_coordination._errors import require
+from runhatch_coordination._history import ORIGIN, StoreVersion, store_version
 from runhatch_coordination._table import (
     ABSENT,
     Committed,
@@ -44,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RevisionEntry:
-    """What the history keeps of one revision."""
+    """What the history keeps of one revision, published in ``era`` of the table."""
 
     number: int
     operation: str
@@ -53,6 +54,12 @@
     note: str
     body_name: str
     digest: str
+    era: int = 0
+
+    @property
+    def position(self) -> StoreVersion:
+        """Where it stands among all, those included that an older copy lacks."""
+        return store_version(self.era, self.number)
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,25 +111,35 @@
         The body is stored before the head moves, under a name of its own, so a
         reader who sees the head always finds the body.
         """
+        head = self._table.get(self._head)
+        if isinstance(head, Unavailable):
+            return head
+        era = self._table.era
+        if era is None:
+            return Unavailable("the table's era is not known yet")
+        present = ABSENT if isinstance(head, Missing) else _entry_of(head).number
+        if present != base:
+            return Overtaken(present)
+        version = ABSENT if isinstance(head, Missing) else head.version
         operation = uuid.uuid4().hex
         number = base + 1
         body_name = f"{self._name}/{number:08d}-{operation}"
         if not self._objects.put(body_name, body):
             return Unavailable("the object store did not take the body")
         entry = RevisionEntry(
-            number, operation, author, at, note, body_name, digest_of(body)
+            number, operation, author, at, note, body_name, digest_of(body), era
         )
         encoded = msgspec.json.encode(entry)
         writes = [
             Put(self._history_key(number), encoded, ABSENT),
-            Put(self._head, encoded, base),
+            Put(self._head, encoded, version),
         ]
         outcome = commit(self._table, writes)
         if isinstance(outcome, Committed):
             return Revision(entry, body)
         if isinstance(outcome, Conflict):
-            head = self.head()
-            return head if isinstance(head, Unavailable) else Overtaken(head)
+            newest = self.head()
+            return newest if isinstance(newest, Unavailable) else Overtaken(newest)
         return outcome
 
     def entry(self, number: int) -> RevisionEntry | Missing | Unavailable:
@@ -149,20 +166,24 @@
         rows = self._table.query(self._name + HISTORY_SUFFIX)
         if isinstance(rows, Unavailable):
             return rows
-        return tuple(msgspec.json.decode(row.body, type=RevisionEntry) for row in rows)
+        return tuple(_entry_of(row) for row in rows)
 
     def _entry_at(self, key: Key) -> RevisionEntry | Missing | Unavailable:
         found = self._table.get(key)
         if isinstance(found, Row):
-            return msgspec.json.decode(found.body, type=RevisionEntry)
+            return _entry_of(found)
         return found
 
     def _history_key(self, number: int) -> Key:
         return Key(self._name + HISTORY_SUFFIX, f"{number:08d}")
 
 
+def _entry_of(row: Row) -> RevisionEntry:
+    return msgspec.json.decode(row.body, type=RevisionEntry)
+
+
 class RevisionFeed:
-    """The revision in force on one node; it only ever rises.
+    """The revision in force on one node; its position only ever rises.
 
     .. versionadded:: 0.1
     """
@@ -182,17 +203,22 @@
         """The number of the revision in force, 0 before the first."""
         return 0 if self._current is None else self._current.entry.number
 
+    @property
+    def position(self) -> StoreVersion:
+        """The position of the revision in force, ``ORIGIN`` before the first."""
+        return ORIGIN if self._current is None else self._current.entry.position
+
     def offer(self, revision: Revision) -> bool:
         """Put ``revision`` in force if it is newer; returns whether it was.
 
-        Raises :class:`InvariantError` if two bodies claim the same number.
+        Raises :class:`InvariantError` if two bodies claim the same position.
         """
         if digest_of(revision.body) != revision.entry.digest:
             return False
         with self._lock:
-            if revision.entry.number <= self.number:
+            if revision.entry.position <= self.position:
                 same = self._current
-                if same is not None and same.entry.number == revision.entry.number:
+                if same is not None and same.entry.position == revision.entry.position:
                     require(
                         same.entry.operation == revision.entry.operation,
                         "one revision number names one body",
