An answer that is arriving is not broken off by news from elsewhere

Callers saw: 404 from one of 91 nodes for a route that was added 3.2 s before. That this fault made it so late is likely, not traced.

Cause: a node that hears of a version elsewhere and has not got it after 0.9 s breaks off its calls that wait for changes. A call counted as waiting until its whole answer had been read. 1,890 routes are 0.60 MB as the store tells them, 0.97 s at 5 Mbit/s: the answer was broken off just before its end and sent again from the first byte, by overdue news of any table, by any call that failed, and by the first that succeeded after.

Evidence: two tests over a relay of 5 Mbit/s. Before, a call whose answer was arriving ended as a wait that was broken off, and one whose answer had stopped arriving was kept for the whole wait of 8 s; both fail on the code before and pass now.

Now a call stops to count as waiting with the first byte of its answer's body, and from then on is given up when nothing arrives for the time of a call that does not wait. The first byte, not the head, as a service may send its head at once. A call of which nothing has arrived is broken off as before, so that a lost answer makes nobody later.

The relay of the tests passes answers on at a pace that can be set.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -81,7 +81,10 @@
         """Return what changed after version ``after``, waiting for a first change."""
 
     def hurry(self) -> None:
-        """Have a call that waits for changes end at once; it will be made again."""
+        """Have a call that waits for changes end at once; it will be made again.
+
+        One whose answer is arriving goes on.
+        """
 
 
 class FeedListener(Protocol[ValueT_contra]):
--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -98,9 +98,11 @@
         return outcome
 
     def abort_waits(self) -> None:
-        """Break off all calls that the service was asked to keep waiting.
+        """Break off all calls that still wait where the service was asked to.
 
-        One whose answer was lost, or that never arrived, would wait to its end.
+        One whose answer was lost, or that never arrived, would wait to its end.  An
+        answer that has begun to arrive goes on: on a slow link it takes long, and
+        would have to be sent again from its first byte.
         """
         with self._waits_lock:
             waits = list(self._waits.values())
@@ -136,14 +138,18 @@
                 notice_dead_peers(opened, DEAD_AFTER)
         except OSError as error:
             return Unavailable(f"not reachable: {error}")
+        link = connection.sock
         number = self._note_wait(connection) if waits else None
         try:
-            connection.sock.settimeout(timeout)
+            link.settimeout(timeout)
             connection.request(
                 method, self._prefix + path, body=body, headers=dict(headers)
             )
             response = connection.getresponse()
-            answer = response.read()
+            first = response.read(1)
+            if not response.isclosed():
+                self._note_answer(number, link)
+            answer = first + response.read()
             if self._on_date is not None:
                 self._on_date(response.getheader("Date"))
         except (OSError, http.client.HTTPException) as error:
@@ -166,6 +172,14 @@
             self._waits.pop(number, None)
             self._broken_off.discard(number)
 
+    def _note_answer(self, number: int | None, link: socket.socket) -> None:
+        """Let a call no longer count as waiting, nor be as patient."""
+        if number is None:
+            return
+        with self._waits_lock:
+            self._waits.pop(number, None)
+        link.settimeout(self._timeout)
+
     def _note_wait(self, connection: http.client.HTTPConnection) -> int:
         number = next(self._numbers)
         with self._waits_lock:
--- a/standins/src/runhatch_standins/_tcp_relay.py
+++ b/standins/src/runhatch_standins/_tcp_relay.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 from contextlib import suppress
 from enum import Enum
 
@@ -32,6 +33,8 @@
         self._healthy.set()
         self._fault = LinkFault.NONE
         self._after = 0
+        self._pace: float | None = None
+        self._pacing = threading.Lock()
         self.port: int = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -46,6 +49,10 @@
         if fault is LinkFault.REFUSE:
             self._cut_all()
 
+    def slow_down(self, bytes_per_second: float | None) -> None:
+        """Pass answers on at this pace, all connections together; ``None``: freely."""
+        self._pace = bytes_per_second
+
     def close(self) -> None:
         """Close everything."""
         self._healthy.set()
@@ -91,12 +98,20 @@
                     if passed >= self._after:
                         break
                     continue
+                if counted:
+                    self._wait_for_turn(len(chunk))
                 sink.sendall(chunk)
         with self._lock:
             self._open -= {source, sink}
         _close(source)
         _close(sink)
 
+    def _wait_for_turn(self, size: int) -> None:
+        """Take as long as ``size`` bytes take on the link."""
+        if self._pace is not None:
+            with self._pacing:
+                time.sleep(size / self._pace)
+
 
 def _close(each: socket.socket) -> None:
     with suppress(OSError):
--- a/tests/adapter/test_platform_store.py
+++ b/tests/adapter/test_platform_store.py
@@ -1,6 +1,7 @@
 """The store's client against the stand-in: conditions, feeds, and faults."""
 
 import threading
+import time
 from datetime import UTC, datetime, timedelta
 
 import pytest
@@ -23,6 +24,7 @@
 from runhatch_platform import Store, StoreFeed, StoreObjects, StoreTable
 from runhatch_standins import launch
 from runhatch_standins._cluster import call
+from runhatch_standins._tcp_relay import LinkFault, TcpRelay
 
 KEY = Key("things/x", "k")
 OTHER = Key("others", "k")
@@ -216,6 +218,55 @@
         assert outcomes == [WaitEnded()]
 
 
+MEGABIT = 125_000
+LARGE = "x" * 400_000
+
+
+class TestSlowLink:
+    """A large row takes a second over a link of some Mbit/s.
+
+    While it arrived, news of its version from elsewhere or another call that failed
+    had it sent again from the first byte.
+    """
+
+    @pytest.fixture
+    def relay(self, platform):
+        call(platform.url, "POST", "/faults", {})
+        relay = TcpRelay(platform.port)
+        relay.slow_down(5 * MEGABIT)
+        yield relay
+        relay.close()
+
+    @pytest.fixture
+    def far(self, relay):
+        return Store(f"http://127.0.0.1:{relay.port}", timedelta(seconds=0.5))
+
+    def change(self, platform, far):
+        feed = StoreFeed(far, "grown", decode)
+        version = feed.read().version
+        row = {"table": "grown", "key": "a", "document": LARGE}
+        call(platform.url, "PUT", "/rows", {"puts": [row]})
+        return feed, version
+
+    def test_an_answer_that_arrives_is_not_broken_off(self, platform, far):
+        feed, version = self.change(platform, far)
+        threading.Timer(0.4, feed.hurry).start()
+
+        outcome = feed.changes(version, timedelta(seconds=8))
+
+        assert [len(entry.value) for entry in outcome.entries] == [len(LARGE) + 2]
+
+    def test_one_that_stops_arriving_is_given_up_soon(self, platform, far, relay):
+        feed, version = self.change(platform, far)
+        threading.Timer(0.3, relay.inject, (LinkFault.FREEZE,)).start()
+        began = time.monotonic()
+
+        outcome = feed.changes(version, timedelta(seconds=8))
+
+        assert isinstance(outcome, Unavailable)
+        assert time.monotonic() - began < 2
+
+
 class TestObjects:
     """Raw objects."""
 
