--- a/standins/src/runhatch_standins/_tcp_relay.py
+++ b/standins/src/runhatch_standins/_tcp_relay.py
@@ -35,6 +35,8 @@
         self._after = 0
         self._pace: float | None = None
         self._pacing = threading.Lock()
+        self.answered = 0
+        """Bytes of answers that were passed on."""
         self.port: int = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -101,6 +103,8 @@
                 if counted:
                     self._wait_for_turn(len(chunk))
                 sink.sendall(chunk)
+                if counted:
+                    self.answered += len(chunk)
         with self._lock:
             self._open -= {source, sink}
         _close(source)
--- a/tests/adapter/test_platform_store.py
+++ b/tests/adapter/test_platform_store.py
@@ -24,6 +24,7 @@
 from runhatch_platform import Store, StoreFeed, StoreObjects, StoreTable
 from runhatch_standins import launch
 from runhatch_standins._cluster import call
+from runhatch_standins._gateways import wait_until
 from runhatch_standins._tcp_relay import LinkFault, TcpRelay
 
 KEY = Key("things/x", "k")
@@ -248,9 +249,19 @@
         call(platform.url, "PUT", "/rows", {"puts": [row]})
         return feed, version
 
-    def test_an_answer_that_arrives_is_not_broken_off(self, platform, far):
+    def in_midst(self, relay, act):
+        """Do something once half of the next answer has arrived."""
+        half = relay.answered + len(LARGE) // 2
+
+        def run():
+            if wait_until(lambda: relay.answered >= half):
+                act()
+
+        threading.Thread(target=run, daemon=True).start()
+
+    def test_an_answer_that_arrives_is_not_broken_off(self, platform, far, relay):
         feed, version = self.change(platform, far)
-        threading.Timer(0.4, feed.hurry).start()
+        self.in_midst(relay, feed.hurry)
 
         outcome = feed.changes(version, timedelta(seconds=8))
 
@@ -258,7 +269,7 @@
 
     def test_one_that_stops_arriving_is_given_up_soon(self, platform, far, relay):
         feed, version = self.change(platform, far)
-        threading.Timer(0.3, relay.inject, (LinkFault.FREEZE,)).start()
+        self.in_midst(relay, lambda: relay.inject(LinkFault.FREEZE))
         began = time.monotonic()
 
         outcome = feed.changes(version, timedelta(seconds=8))
