A request waits 400 ms for its permit, not 100

Cause: an answer that came after 100 ms met no request; its permit was kept for the node's next one and mostly lapsed, and for 0.5 s the node asked no more.

Evidence: the replay with questions and answers of 75 to 200 ms each.

Why it works: the request that asked is still there when the answer comes. It waits for half its goal at the most, as others do for an adapter. The price is that where the node that gives out permits is away a request goes elsewhere 0.3 s later, once in 0.5 s.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
@@ -9,9 +9,9 @@
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.targets import UnreadableLimit
 
-ASK_PATIENCE = timedelta(milliseconds=100)
-"""How long a request waits for a permit: the node that gives them out is some
-milliseconds away."""
+ASK_PATIENCE = timedelta(milliseconds=400)
+"""How long a request waits for a permit, at the most half of its goal: the node that
+gives them out is some milliseconds away, but either may be busy."""
 UNANSWERED_PAUSE = timedelta(milliseconds=500)
 """How long no permits are asked for after a question that was not answered."""
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_search.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_search.py
@@ -56,7 +56,8 @@
         return Closed(target, opens_at)
     if asked_at is None:
         return PermitWanted(target, tier)
-    left = asked_at + ASK_PATIENCE - now
+    patience = min(ASK_PATIENCE, search.request.route.goal / 2)
+    left = asked_at + patience - now
     if left > timedelta():
         return Wait(now + 2 * ASK_PATIENCE, Reason.TARGETS_LIMITED, look_after=left)
     limits.unanswered(target, tier)
--- a/packages/runhatch-server/tests/test_late_permits.py
+++ b/packages/runhatch-server/tests/test_late_permits.py
@@ -15,6 +15,8 @@
 """Share of the limits that is used where callers want more."""
 DEMAND = 3.0
 """Requests that callers send, as a multiple of what the targets take."""
+LATE_ANSWERS = (0.075, 0.2)
+"""Seconds that each of a question and its answer takes."""
 
 
 class TestCounts:
@@ -65,6 +67,8 @@
         [
             pytest.param(PROMPT, PROMPT, id="prompt"),
             pytest.param(PROMPT, LATE, id="threads"),
+            pytest.param(LATE_ANSWERS, PROMPT, id="answers"),
+            pytest.param(LATE_ANSWERS, LATE, id="both"),
         ],
     )
     def test_the_limit_is_kept_and_used(
