--- a/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
@@ -22,7 +22,9 @@
 RESERVES = (0.0, 0.5, 0.5, 1.0)
 """Permits that each tier leaves for more urgent ones, most urgent first."""
 PERMIT_VALID = timedelta(milliseconds=250)
-"""How long a node may use a permit; those used late would add to the next ones."""
+VALID_PERMITS = 1.0
+"""How long a node may use a permit: so long, and while the rate gives so many more.
+Those used late add to the next ones."""
 LONGEST_TURN = timedelta(seconds=2)
 """How far ahead a node that gets no permit is told to ask again."""
 SECOND = timedelta(seconds=1)
@@ -101,6 +103,8 @@
     """By tier, when to ask for permits again."""
     waiting: int = 0
     """Requests that have asked for a permit and wait for the answer."""
+    lapsed: int = 0
+    """Permits that were not used in time and are not counted yet."""
 
     def opens_at(self, tier: int, now: timedelta) -> timedelta:
         """Return when a request of ``tier`` may be sent, or a permit asked for."""
@@ -120,15 +124,24 @@
 
     def add(self, now: timedelta) -> None:
         """Take in a permit."""
-        self.permits.append(now + PERMIT_VALID)
+        rate = max(self.seen.rate or 0.0, TRIAL_RATE)
+        self.permits.append(now + PERMIT_VALID + SECOND * (VALID_PERMITS / rate))
 
     def close(self, tier: int, until: timedelta) -> None:
         """Take in that there is no permit for ``tier`` and less urgent ones."""
         for each in range(tier, TIERS):
             self.closed_until[each] = max(self.closed_until[each], until)
 
+    def count_lapsed(self, now: timedelta) -> int:
+        """Return how many permits have lapsed since it was called last."""
+        self._has_permit(now)
+        lapsed, self.lapsed = self.lapsed, 0
+        return lapsed
+
     def _has_permit(self, now: timedelta) -> bool:
+        held = len(self.permits)
         self.permits = [until for until in self.permits if until > now]
+        self.lapsed += held - len(self.permits)
         return bool(self.permits)
 
 
