A read whose history is gone is followed by a listing

What callers saw, by a model: after the store had come back from an older copy a node went by what it had known before for as long as the one reader that it heard hung, and said that nothing was new; requests went by an old configuration, or to targets that had left.

Cause: a node that is told reads once by itself when a change that it heard of elsewhere is overdue. In another era that read finds its history gone, which only has the next call list the table; but the node had read once, and rested.

Both sequences stand as tests; they failed before in one and in two failure domains.

A read that finds its history gone is gone on with until the table is listed, or somebody has told it.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -146,6 +146,11 @@
         """Whether the last call failed."""
         return self._failures > 0
 
+    @property
+    def lists_next(self) -> bool:
+        """Whether the next call reads the whole table."""
+        return self._version is None
+
     def seek(self, version: StoreVersion) -> None:
         """Go on after ``version``, which the listener was told by somebody else."""
         if version > self._passed:
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -104,6 +104,8 @@
 
 READING = {Role.READER: Source.READER, Role.WITNESS: Source.WITNESS}
 """What nodes do that read for as long as they have their role."""
+READ_ONCE = (Source.GAP, Source.OVERDUE)
+"""What nodes that are told do when they miss something."""
 
 
 class Tellers(Enum):
@@ -261,6 +263,8 @@
             return self._rest()
         self._position = self._watcher.version
         pause = self._watcher.step(self._wait_of_call(source))
+        if source in READ_ONCE and self._watcher.lists_next:
+            self._overdue = True
         # A wait that ended without a change moves the version as well.
         self._replica.offer(TableChanges(self._position, self._watcher.version, ()))
         if not self._watcher.failing:
@@ -304,7 +308,7 @@
 
     def _wait_of_call(self, source: Source) -> timedelta:
         """Return how long the store is asked to wait for a change."""
-        if source in (Source.GAP, Source.OVERDUE):
+        if source in READ_ONCE:
             return SHORT_WAIT
         is_backed = source in READING.values()
         if is_backed and self._tellers() is Tellers.FRESH:
--- a/packages/runhatch-coordination/tests/test_shared_world.py
+++ b/packages/runhatch-coordination/tests/test_shared_world.py
@@ -205,3 +205,52 @@
     )
 TestWorld = World.TestCase
 TestOneDomain = OneDomain.TestCase
+
+
+def reader_cut_off_before(world):
+    hear = world.all_that_reach_the_store_hear_in_time
+    for _ in range(2):
+        hear(key="x", value=None)
+        world.restore()
+    hear(key="x", value=None)
+    world.cut_off(place=8, cut=True)
+    world.restore()
+    hear(key="z", value=b"3")
+    hear(key="y", value=b"3")
+    hear(key="z", value=None)
+    world.cut_off(place=3, cut=True)
+    hear(key="z", value=None)
+    world.hang(place=6, hung=True)
+    world.hang(place=1, hung=True)
+    world.hang(place=1, hung=False)
+    world.restore()
+    hear(key="y", value=None)
+
+
+def reader_that_started_again(world):
+    hear = world.all_that_reach_the_store_hear_in_time
+    hear(key="x", value=None)
+    for _ in range(3):
+        world.restore()
+    world.restart(place=0)
+    hear(key="x", value=b"3")
+    world.wait(seconds=0.1)
+    hear(key="z", value=None)
+    world.hang(place=0, hung=True)
+    hear(key="z", value=None)
+    world.hang(place=0, hung=False)
+    world.restore()
+    world.restore()
+    world.hang(place=8, hung=True)
+    world.cut_off(place=6, cut=True)
+    world.restore()
+    world.restore()
+    world.wait(seconds=0.1)
+    hear(key="x", value=None)
+
+
+@pytest.mark.parametrize("kind", [World, OneDomain])
+@pytest.mark.parametrize("play", [reader_cut_off_before, reader_that_started_again])
+def test_a_read_whose_history_is_gone_is_followed_by_a_listing(kind, play):
+    """The store came back; the only reader that is heard hangs and says nothing new."""
+    play(kind())
