A limit used by too little stays on the list of known failures

Its cause is not known, so the line stays and tells what is.

The counts are printed as a string: pytest cut them as a mapping.

--- a/packages/runhatch-server/tests/test_late_permits.py
+++ b/packages/runhatch-server/tests/test_late_permits.py
@@ -87,4 +87,4 @@
             times = [at for at in arrivals if at >= since]
             assert most_in_window(times) <= allowed(rate)
             used = len(times) / (rate * duration.total_seconds())
-            assert used >= LEAST_USED, world.outcomes()
+            assert used >= LEAST_USED, str(world.outcomes())
--- a/standins/tests/test_gateway_rate_limits.py
+++ b/standins/tests/test_gateway_rate_limits.py
@@ -77,14 +77,14 @@
 
 def permit_counts(system):
     """Return what became of permits at each gateway, for the report of a failure."""
-    counts = {}
+    counts = []
     for gate in system.gateways:
         url = f"http://127.0.0.1:{gate.metrics}/metrics"
         with urllib.request.urlopen(url, timeout=5) as answer:
             lines = answer.read().decode().splitlines()
         found = [line for line in lines if line.startswith("runhatch_permits_total")]
-        counts[gate.name] = [line.partition("_total")[2] for line in found]
-    return counts
+        counts += [f"{gate.name} {line.partition('_total')[2]}" for line in found]
+    return "\n".join(counts)
 
 
 class TestRateLimit:
