--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -75,9 +75,9 @@
     START_GRACE,
     SharedTable,
     SharedTableBounds,
-    Source,
     TablePeers,
 )
+from runhatch_coordination._sources import Source
 from runhatch_coordination._table import (
     ABSENT,
     Check,
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -35,6 +35,7 @@
 from runhatch_coordination._history import ORIGIN, StoreVersion
 from runhatch_coordination._peers import Role
 from runhatch_coordination._replica import Offer, TableChanges, TableReplica
+from runhatch_coordination._sources import READ_ONCE, READING, Source
 
 START_PATIENCE = timedelta(seconds=1.2)
 """How long a node that has just started asks others before it reads the store: nodes
@@ -86,28 +87,10 @@
     def notice(self, table: str, version: StoreVersion) -> None:
         """Tell nodes everywhere that the table has had ``version``."""
 
-    def note_source(self, table: str, source: "Source") -> None:
+    def note_source(self, table: str, source: Source) -> None:
         """Note that this node gets the table from elsewhere now."""
 
 
-class Source(Enum):
-    """Where a node gets a table from, and why."""
-
-    TOLD = "told"
-    READER = "reads as reader"
-    WITNESS = "reads as witness"
-    SILENT = "reads, no reader is heard"
-    CUT_OFF = "reads, no reader reaches the store"
-    GAP = "reads once, missed something"
-    OVERDUE = "reads once, heard of a change elsewhere"
-
-
-READING = {Role.READER: Source.READER, Role.WITNESS: Source.WITNESS}
-"""What nodes do that read for as long as they have their role."""
-READ_ONCE = (Source.GAP, Source.OVERDUE)
-"""What nodes that are told do when they miss something."""
-
-
 class Tellers(Enum):
     """What is heard of the readers of this node's failure domain."""
 
