The soak of gateways checks who orders the targets

It checked answers, runs, refusals, limits, recovery and memory, and nothing of the orders: a fence that goes back, or two nodes that order at once, passed it.

Stand-in targets now keep when each order came and when they started again. At each target, within one life of it, fences must not go down, one fence must have one holder, and the orders of two holders must lie 3 s apart; orders that arrive within 0.3 s after their sender ran again are left out. The check is a pure function with tables of its own.

Two further kinds of faults end the one that orders: killed and started again at once, or stopped gracefully.

Three faults are planted in the stand-in, one for each check. The test that every kind comes is asked of the new tuple, which holds all kinds, instead of the former one, which no longer does.

--- a/standins/src/runhatch_standins/_gateway_faults.py
+++ b/standins/src/runhatch_standins/_gateway_faults.py
@@ -28,11 +28,20 @@
     CONFIGURATION = "configuration changes"
     STORE_RESTORED = "store comes back from an older copy"
     RATE_LIMIT = "target names a rate limit"
+    HOLDER_KILLED = "holder killed, starts again at once"
+    HOLDER_STOPPED = "holder stopped gracefully"
 
 
 FIRST_KINDS = tuple(GatewayFault)[:17]
 """The kinds that runs of earlier seeds were planned with."""
-ALL_KINDS = tuple(GatewayFault)
+ALL_KINDS = tuple(GatewayFault)[:19]
+HOLDER_KINDS = (
+    *GatewayFault,
+    *[GatewayFault.HOLDER_KILLED] * 12,
+    *[GatewayFault.HOLDER_STOPPED] * 4,
+    *[GatewayFault.STORE_RESTORED] * 4,
+)
+"""All there are; those that change who orders come often."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from urllib.request import urlopen
 
 from runhatch_standins._cluster import call, free_ports
 from runhatch_standins._launch import Launched, launch
@@ -17,6 +18,8 @@
 
 HOST = "a.example"
 READY_SECONDS = 10.0
+METRICS_SECONDS = 0.5
+ORDERS_METRIC = "runhatch_orders_lease_held 1.0"
 SETTINGS = """
 node_name: "{name}"
 ip: "127.0.0.1"
@@ -93,12 +96,16 @@
 class GatewaySystem:
     """The store, two engines, two plain targets and two gateways.
 
-    ``stack`` ends the processes, ``folder`` takes their settings.
+    ``stack`` ends the processes, ``folder`` takes their settings, ``logs`` what the
+    gateways log, if it is given.
     """
 
-    def __init__(self, stack: ExitStack, folder: Path) -> None:
+    def __init__(
+        self, stack: ExitStack, folder: Path, logs: Path | None = None
+    ) -> None:
         self._stack = stack
         self._folder = folder
+        self._logs = logs
         self._version = 0
         self._document: Document | None = None
         self.platform = self._start(launch("platform", "runhatch_standins.platform"))
@@ -159,7 +166,19 @@
             "RUNHATCH_NODE_FILE": str(path),
             "RUNHATCH_METRICS_PORT": str(metrics),
         }
-        return self._start(launch(name, "runhatch_platform", variables=variables))
+        log = f"{name}-{time.monotonic():.3f}.log"
+        return self._start(
+            launch(
+                name,
+                "runhatch_platform",
+                errors=None if self._logs is None else self._logs / log,
+                variables=variables,
+            )
+        )
+
+    def holder(self) -> Gateway | None:
+        """Return the gateway that says that it orders the targets, if one does."""
+        return next((gate for gate in self.gateways if _says_it_orders(gate)), None)
 
     def is_ready(self, gate: Gateway) -> bool:
         """Tell whether a gateway says that it takes requests."""
@@ -237,6 +256,15 @@
         return [run for w in workers for run in call(w.url, "GET", "/journal")["runs"]]
 
 
+def _says_it_orders(gate: Gateway) -> bool:
+    url = f"http://127.0.0.1:{gate.metrics}/metrics"
+    try:
+        with urlopen(url, timeout=METRICS_SECONDS) as response:
+            return ORDERS_METRIC in response.read().decode().splitlines()
+    except (OSError, http.client.HTTPException):
+        return False
+
+
 @contextmanager
 def run_gateways(
     folder: Path, count: int, settle_seconds: float
--- a/standins/src/runhatch_standins/gateway_soak.py
+++ b/standins/src/runhatch_standins/gateway_soak.py
@@ -21,9 +21,11 @@
 from pathlib import Path
 
 from runhatch_standins._cluster import call
+from runhatch_standins._gateway_callers import ask
 from runhatch_standins._gateway_faults import (
     ALL_KINDS,
     FIRST_KINDS,
+    HOLDER_KINDS,
     GatewayFault,
     PlannedFault,
     plan_faults,
@@ -33,17 +35,18 @@
     ROUTES,
     Gateway,
     GatewaySystem,
-    request_headers,
     route,
     wait_until,
 )
-from runhatch_standins._history import Event, EventKind, check_history
+from runhatch_standins._history import Event, check_history
+from runhatch_standins._order_checks import GivenOrder, check_orders, given_orders
 from runhatch_standins._tcp_relay import LinkFault
 from runhatch_standins.demo import say
 
 __all__ = [
     "ALL_KINDS",
     "FIRST_KINDS",
+    "HOLDER_KINDS",
     "GatewayFault",
     "GatewaySoak",
     "plan_faults",
@@ -59,8 +62,9 @@
 LIMIT_KNOWN_SECONDS = 3.0
 """By when all gateways keep to a limit."""
 MOST_MEMORY_KB = 300 * 1024
-REFUSED = (408, 421, 429, 503)
-"""Statuses by which a gateway promises that a request has not run."""
+HANDOVER_SECONDS = 3.0
+"""Least time between the orders of two holders, the platform's ``lease_ms``."""
+KINDS = {"first": FIRST_KINDS, "all": ALL_KINDS, "holder": HOLDER_KINDS}
 FOREIGN: tuple[object, ...] = (
     {"service": "plain"},
     {"address": 7},
@@ -84,6 +88,8 @@
     versions: int = 0
     limited: list[tuple[str, float, float]] = field(default_factory=list)
     """Targets that named a rate limit, since when all knew it, and until when."""
+    resumed: dict[str, list[float]] = field(default_factory=dict)
+    """When each paused gateway ran again, by the monotonic clock."""
     _stop: threading.Event = field(default_factory=threading.Event)
     _locks: dict[str, threading.Lock] = field(default_factory=dict)
 
@@ -115,7 +121,7 @@
                 connection = http.client.HTTPConnection(
                     "127.0.0.1", port, timeout=CALLER_TIMEOUT
                 )
-            event, reusable = _ask(connection, source, f"s{caller}-{number}")
+            event, reusable = ask(connection, source, f"s{caller}-{number}")
             self.events.append(event)
             if not reusable:
                 connection.close()
@@ -133,13 +139,36 @@
 
     def end(self, planned: PlannedFault, number: signal.Signals) -> None:
         """End a gateway by a signal, and start it again later."""
-        gate = self.gate(planned)
+        self._end(self.gate(planned), number, planned.lasts)
+
+    def end_holder(self, planned: PlannedFault, number: signal.Signals) -> None:
+        """End the one that orders; one that is killed starts again at once."""
+        gate = self.system.holder() or self._last_holder() or self.gate(planned)
+        # One that is ending orders no longer.
+        if not self._locks[gate.name].locked():
+            self._end(gate, number, 0 if number is signal.SIGKILL else planned.lasts)
+
+    def _last_holder(self) -> Gateway | None:
+        """Return who gave the last order that came, if any did."""
+        orders = sorted(self.orders(), key=lambda order: order.at)
+        last = orders[-1].holder if orders else ""
+        return next((g for g in self.system.gateways if g.name == last), None)
+
+    def orders(self) -> list[GivenOrder]:
+        """Return the orders that engines were given."""
+        return [
+            order
+            for engine in self.system.engines
+            for order in given_orders(engine.url, call(engine.url, "GET", "/journal"))
+        ]
+
+    def _end(self, gate: Gateway, number: signal.Signals, away: float) -> None:
         with self._locks[gate.name]:
             gate.process.signal(number)
             status = gate.process.process.wait(GRACE_SECONDS)
             if number is signal.SIGTERM and status != 0:
                 self.violations.append(f"{gate.name} stopped with status {status}")
-            time.sleep(planned.lasts)
+            time.sleep(away)
             self.system.restart(gate)
 
     def pause(self, planned: PlannedFault) -> None:
@@ -148,6 +177,7 @@
         with self._locks[gate.name]:
             gate.process.signal(signal.SIGSTOP)
             time.sleep(planned.lasts)
+            self.resumed.setdefault(gate.name, []).append(time.monotonic())
             gate.process.signal(signal.SIGCONT)
 
     def reload(self, planned: PlannedFault) -> None:
@@ -236,6 +266,8 @@
     GatewayFault.CONFIGURATION: GatewaySoak.configure,
     GatewayFault.STORE_RESTORED: GatewaySoak.restore_store,
     GatewayFault.RATE_LIMIT: GatewaySoak.limit,
+    GatewayFault.HOLDER_KILLED: lambda s, f: s.end_holder(f, signal.SIGKILL),
+    GatewayFault.HOLDER_STOPPED: lambda s, f: s.end_holder(f, signal.SIGTERM),
 }
 
 
@@ -243,35 +275,6 @@
     call(soak.system.platform.url, "POST", "/forget", {})
 
 
-def _ask(
-    connection: http.client.HTTPConnection, source: random.Random, name: str
-) -> tuple[Event, bool]:
-    """Send one request; returns what came, and whether the connection stands."""
-    kind = source.choice(["plain", "once", "stream"])
-    once = kind != "plain"
-    model = str(source.choice(MODELS)["name"]) if kind == "stream" else ""
-    tokens = source.randint(3, 40)
-    expected = f"/{kind}/{name} {name}"
-    if model:
-        pieces = range(1, tokens + 1)
-        expected = "".join(f"id: {i}\ndata: {name}\n\n" for i in pieces)
-    method = "POST" if once else "GET"
-    headers = request_headers(name, model, tokens)
-    try:
-        connection.request(method, f"/{kind}/{name}", headers=headers)
-        response = connection.getresponse()
-        body = response.read()
-    except (OSError, http.client.HTTPException):
-        return Event(name, EventKind.BROKEN, once), False
-    reusable = not response.will_close
-    if response.status == 200:
-        answer = body.decode(errors="replace")
-        return Event(name, EventKind.ANSWERED, once, answer, expected), reusable
-    refused = response.status in REFUSED
-    told = EventKind.REFUSED_NO if refused else EventKind.REFUSED_UNKNOWN
-    return Event(name, told, once, f"status {response.status}"), reusable
-
-
 def check(soak: GatewaySoak) -> list[str]:
     """Return every violation, once all faults are over."""
     system = soak.system
@@ -280,6 +283,7 @@
     runs = Counter(str(run[0]) for run in system.runs(targets))
     violations += check_history(soak.events, runs)
     violations += _check_limits(soak)
+    violations += check_orders(soak.orders(), soak.resumed, HANDOVER_SECONDS)
     for gate in system.gateways:
         memory = _peak_memory_kb(gate)
         if memory > MOST_MEMORY_KB:
@@ -335,19 +339,21 @@
     gateways: int,
     planted: str = "",
     kinds: Sequence[GatewayFault] = ALL_KINDS,
+    logs: Path | None = None,
 ) -> GatewaySoak:
     """Run a soak; its ``violations`` are all that was found.
 
-    ``planted`` names a fault of the targets that must be found.
+    ``planted`` names faults of the targets that must be found, ``logs`` a folder
+    for what the gateways log.
     """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        system = GatewaySystem(stack, folder)
+        system = GatewaySystem(stack, folder, logs)
         for number in range(len(system.gateways), gateways):
             system.start_gateway(f"n{number + 1}")
         soak = GatewaySoak(system, seed, seconds, kinds=kinds)
         for target in (*system.engines, *system.plain):
-            call(target.url, "POST", "/faults", {planted: True} if planted else {})
+            call(target.url, "POST", "/faults", dict.fromkeys(planted.split(), True))
         soak.run()
         soak.violations = check(soak)
         return soak
@@ -359,8 +365,16 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--kinds", choices=KINDS, default="all")
+    parser.add_argument("--logs", type=Path, help="folder for the gateways' logs")
     arguments = parser.parse_args()
-    soak = soak_gateways(arguments.seed, arguments.seconds, arguments.gateways)
+    soak = soak_gateways(
+        arguments.seed,
+        arguments.seconds,
+        arguments.gateways,
+        kinds=KINDS[arguments.kinds],
+        logs=arguments.logs,
+    )
     for fault, count in sorted(soak.counts.items(), key=lambda pair: pair[0].value):
         say(f"  {fault.value:<40}{count:>5}")
     kinds = Counter(event.kind.value for event in soak.events)
--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -35,7 +35,16 @@
     "run_twice": False,
     "wrong_body": False,
     "untrue_refusal": False,
+    "lower_fence": False,
+    "shared_fence": False,
+    "two_holders": False,
 }
+PLANTED_ORDERS: dict[str, tuple[int, str]] = {
+    "lower_fence": (-1, ""),
+    "shared_fence": (0, "-other"),
+    "two_holders": (1, "-other"),
+}
+"""By planted fault, how another order that came with each differs from it."""
 Document = dict[str, Any]
 
 
@@ -67,8 +76,12 @@
     """Attempts that came, also those that were turned away."""
     orders_given: list[Document] = field(default_factory=list)
     """Orders that came, also those that were not carried out."""
+    order_times: list[float] = field(default_factory=list)
+    """When each of them came, by the monotonic clock of its VM."""
+    restart_times: list[float] = field(default_factory=list)
+    """When it started again and knew nothing of what was before, by the same clock."""
     arrival_times: list[float] = field(default_factory=list)
-    """When each came, by the monotonic clock of its VM."""
+    """When each attempt came, by the same clock."""
     rate_limit: str = ""
     """Requests a second that it takes from all gateways together, by its answers."""
     faults: Document = field(default_factory=lambda: dict(NO_FAULTS))
@@ -131,7 +144,7 @@
         document = call.json()
         if call.headers.get("x-runhatch-expect-instance") != self.identity:
             return Reply(421)
-        self.orders_given.append(document)
+        self._keep_order(document)
         if self.faults["lose_orders"]:
             return Reply(500)
         with self.lock:
@@ -150,13 +163,17 @@
     def journal(self, call: Call) -> Reply:
         """Tell what was run."""
         runs = [[run.attempt_id, run.model, run.ended] for run in self.runs]
+        with self.lock:
+            orders, order_times = [*self.orders_given], [*self.order_times]
         return reply_json(
             {
                 "runs": runs,
                 "arrivals": self.arrivals,
                 "arrival_times": self.arrival_times,
                 "identity": self.identity,
-                "orders": self.orders_given,
+                "orders": orders,
+                "order_times": order_times,
+                "restart_times": self.restart_times,
             }
         )
 
@@ -184,6 +201,7 @@
     def restart(self, call: Call) -> Reply:
         """Start again under the same name, empty; the journal stays."""
         with self.lock:
+            self.restart_times.append(time.monotonic())
             self.models = {}
             self.orders = 0
             self.born_ms = max(self.born_ms + 1, time.time_ns() // 1_000_000)
@@ -235,6 +253,16 @@
         stream = (*headers, ("Content-Type", "text/event-stream"))
         return Reply(200, headers=stream, chunks=events)
 
+    def _keep_order(self, document: Document) -> None:
+        kept = [document]
+        for planted, (more, suffix) in PLANTED_ORDERS.items():
+            if self.faults[planted]:
+                fence, holder = document["fence"] + more, document["holder"] + suffix
+                kept.append({**document, "fence": fence, "holder": holder})
+        with self.lock:
+            self.orders_given += kept
+            self.order_times += [time.monotonic()] * len(kept)
+
     def _limit(self) -> tuple[tuple[str, str], ...]:
         return (("Server-Limit", self.rate_limit),) if self.rate_limit else ()
 
--- a/standins/tests/test_gateway_soak.py
+++ b/standins/tests/test_gateway_soak.py
@@ -6,6 +6,7 @@
 from runhatch_standins.gateway_soak import (
     ALL_KINDS,
     FIRST_KINDS,
+    HOLDER_KINDS,
     GatewayFault,
     plan_faults,
     soak_gateways,
@@ -23,13 +24,46 @@
         assert plan_faults(7, 60.0) == plan_faults(7, 60.0)
 
     def test_every_fault_comes(self):
-        seen = {fault.kind for seed in range(20) for fault in plan_faults(seed, 60.0)}
+        seen = {
+            fault.kind
+            for seed in range(20)
+            for fault in plan_faults(seed, 60.0, HOLDER_KINDS)
+        }
 
         assert seen == {*GatewayFault}
 
+    @pytest.mark.parametrize(
+        ("kinds", "count", "last"),
+        [
+            (
+                FIRST_KINDS,
+                70,
+                [
+                    GatewayFault.FOREIGN_ENTRY,
+                    GatewayFault.STORE_LOSES,
+                    GatewayFault.TARGET_FAILS,
+                ],
+            ),
+            (
+                ALL_KINDS,
+                67,
+                [
+                    GatewayFault.RATE_LIMIT,
+                    GatewayFault.TARGET_FAILS,
+                    GatewayFault.RELOAD,
+                ],
+            ),
+        ],
+    )
+    def test_later_kinds_leave_earlier_plans_as_they_were(self, kinds, count, last):
+        planned = plan_faults(2, 60.0, kinds)
+
+        assert len(planned) == count
+        assert [fault.kind for fault in planned[-3:]] == last
+
 
 class TestSoak:
-    """Whole answers, at most once, true refusals, recovery, memory, exit statuses."""
+    """Answers, runs, refusals, orders, recovery, memory, exit statuses."""
 
     @pytest.mark.parametrize(
         ("seed", "seconds", "gateways", "kinds"),
@@ -52,6 +86,9 @@
             ("run_twice", ["may run once"]),
             ("wrong_body", ["its own is"]),
             ("untrue_refusal", ["refused as not run, ran", "does not serve"]),
+            ("lower_fence", [": fence 0 of n1 at"]),
+            ("shared_fence", ["fence 1 has holders n1, n1-other"]),
+            ("two_holders", ["n1-other orders by 2 at"]),
         ],
     )
     def test_a_planted_fault_is_found(self, planted, found, monkeypatch):
