--- a/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
@@ -9,15 +9,20 @@
 """What a holder is said to have done that gave the orders up by itself."""
 
 
+TOLD_ONCE = (LeaseChange.STORE_DOWN, LeaseChange.BEHIND)
+"""Changes that go on from step to step."""
+
+
 class LeaseLog:
     """Tells each change of the lease once; used by the task that keeps it.
 
     ``left_ms`` is for how long the lease was still held when the step began: none
     where it lapsed, some where another node took it.  ``late_ms`` is the time since
     the step before, ``took_ms`` that of the call to the store.  Together they tell a
-    store that does not answer from a node that does not come to renew.  A lease that
-    was acquired has ``vacancy``, why it was free, the row that told so, and the era of
-    the store in which its epoch was counted.
+    store that does not answer from a node that does not come to renew.  ``newest`` is
+    the newest epoch that was heard of: a holder of an earlier one loses the lease.  One
+    that was acquired has ``vacancy``, why it was free, the row that told so, and the
+    era of the store in which its epoch was counted.
     """
 
     def __init__(self, metrics: Metrics) -> None:
@@ -32,20 +37,22 @@
         left: timedelta,
         begun: timedelta,
         ended: timedelta,
+        newest: int,
         takeover: Takeover | None = None,
     ) -> None:
-        """Log one step that changed something; a store that is away is told once."""
+        """Log one step that changed something; one that lasts is told once."""
         before, self._told = self._told, change
         stepped_at, self._stepped_at = self._stepped_at, ended
         if change is LeaseChange.NONE:
             return
         self._metrics.leases.labels(change.value).inc()
-        if change is before is LeaseChange.STORE_DOWN:
+        if change is before and change in TOLD_ONCE:
             return
         log_change(
             "lease",
             change=change.value,
             epoch=epoch,
+            newest=newest,
             left_ms=_milliseconds(left),
             late_ms=_milliseconds(begun - stepped_at),
             took_ms=_milliseconds(ended - begun),
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -165,8 +165,15 @@
         if change is LeaseChange.ACQUIRED:
             takeover = self._lease.takeover
             self._taken_over()
-        ended = self._clock.elapsed()
-        self._lease_log.note(change, self._term.epoch, left, begun, ended, takeover)
+        self._lease_log.note(
+            change,
+            self._term.epoch,
+            left,
+            begun,
+            self._clock.elapsed(),
+            self._newest_epoch(),
+            takeover,
+        )
         return change
 
     def resign_if_cut_off(self) -> Resignation | None:
@@ -194,7 +201,7 @@
             if (
                 self._term.epoch
                 and takeover is not None
-                and takeover.epoch == resignation.epoch
+                and takeover.predecessor == resignation.epoch
             ):
                 self._wait_for_last_holder(takeover)
         self._lease.observe_resigned(resignation.epoch)
@@ -273,7 +280,7 @@
         epoch = self.holds_lease()
         if epoch is not None and epoch.number != self._round_term.epoch:
             return
-        if self._controls.meet():
+        if self._controls.meet(self._round_term.epoch):
             self._copies.met(self._clock.elapsed())
         self._calls.take_answers(self._controls)
         now = self._clock.elapsed()
@@ -294,9 +301,9 @@
 
     def _wait_for_last_holder(self, takeover: Takeover) -> None:
         resigned = self._resigned
-        if resigned is not None and resigned[0].epoch == takeover.epoch:
+        if resigned is not None and resigned[0].epoch == takeover.predecessor:
             self._times.take_over_from(*resigned)
-        else:
+        elif takeover.free_since is not None:
             self._times.take_over(takeover.free_since)
 
     def _forget(self) -> None:
