--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -96,16 +96,12 @@
 class GatewaySystem:
     """The store, two engines, two plain targets and two gateways.
 
-    ``stack`` ends the processes, ``folder`` takes their settings, ``logs`` what the
-    gateways log, if it is given.
+    ``stack`` ends the processes, ``folder`` takes their settings.
     """
 
-    def __init__(
-        self, stack: ExitStack, folder: Path, logs: Path | None = None
-    ) -> None:
+    def __init__(self, stack: ExitStack, folder: Path) -> None:
         self._stack = stack
         self._folder = folder
-        self._logs = logs
         self._version = 0
         self._document: Document | None = None
         self.platform = self._start(launch("platform", "runhatch_standins.platform"))
@@ -115,6 +111,7 @@
         ]
         self.plain = [self.start_worker("plain") for _ in range(2)]
         self.gateways: list[Gateway] = []
+        self._launched: list[Launched] = []
         self.configure(ROUTES)
         self.start_gateway("n1")
         self.start_gateway("n2")
@@ -166,15 +163,16 @@
             "RUNHATCH_NODE_FILE": str(path),
             "RUNHATCH_METRICS_PORT": str(metrics),
         }
-        log = f"{name}-{time.monotonic():.3f}.log"
-        return self._start(
-            launch(
-                name,
-                "runhatch_platform",
-                errors=None if self._logs is None else self._logs / log,
-                variables=variables,
-            )
-        )
+        launched = self._start(launch(name, "runhatch_platform", variables=variables))
+        self._launched.append(launched)
+        return launched
+
+    def write_logs(self, folder: Path) -> None:
+        """Write what each gateway's process logged, also those that have ended."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for number, launched in enumerate(self._launched):
+            path = folder / f"{number:02}-{launched.name}.log"
+            path.write_text("\n".join(launched.lines))
 
     def holder(self) -> Gateway | None:
         """Return the gateway that says that it orders the targets, if one does."""
--- a/standins/src/runhatch_standins/gateway_soak.py
+++ b/standins/src/runhatch_standins/gateway_soak.py
@@ -348,7 +348,7 @@
     """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        system = GatewaySystem(stack, folder, logs)
+        system = GatewaySystem(stack, folder)
         for number in range(len(system.gateways), gateways):
             system.start_gateway(f"n{number + 1}")
         soak = GatewaySoak(system, seed, seconds, kinds=kinds)
@@ -356,6 +356,8 @@
             call(target.url, "POST", "/faults", dict.fromkeys(planted.split(), True))
         soak.run()
         soak.violations = check(soak)
+        if logs is not None:
+            system.write_logs(logs)
         return soak
 
 
