--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from urllib.request import urlopen
 
 from runhatch_standins._cluster import call, free_ports
 from runhatch_standins._launch import Launched, launch
@@ -17,6 +18,8 @@
 
 HOST = "a.example"
 READY_SECONDS = 10.0
+METRICS_SECONDS = 0.5
+ORDERS_METRIC = "runhatch_orders_lease_held 1.0"
 SETTINGS = """
 node_name: "{name}"
 ip: "127.0.0.1"
@@ -108,6 +111,7 @@
         ]
         self.plain = [self.start_worker("plain") for _ in range(2)]
         self.gateways: list[Gateway] = []
+        self._launched: list[Launched] = []
         self.configure(ROUTES)
         self.start_gateway("n1")
         self.start_gateway("n2")
@@ -159,7 +163,20 @@
             "RUNHATCH_NODE_FILE": str(path),
             "RUNHATCH_METRICS_PORT": str(metrics),
         }
-        return self._start(launch(name, "runhatch_platform", variables=variables))
+        launched = self._start(launch(name, "runhatch_platform", variables=variables))
+        self._launched.append(launched)
+        return launched
+
+    def write_logs(self, folder: Path) -> None:
+        """Write what each gateway's process logged, also those that have ended."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for number, launched in enumerate(self._launched):
+            path = folder / f"{number:02}-{launched.name}.log"
+            path.write_text("\n".join(launched.lines))
+
+    def holder(self) -> Gateway | None:
+        """Return the gateway that says that it orders the targets, if one does."""
+        return next((gate for gate in self.gateways if _says_it_orders(gate)), None)
 
     def is_ready(self, gate: Gateway) -> bool:
         """Tell whether a gateway says that it takes requests."""
@@ -237,6 +254,15 @@
         return [run for w in workers for run in call(w.url, "GET", "/journal")["runs"]]
 
 
+def _says_it_orders(gate: Gateway) -> bool:
+    url = f"http://127.0.0.1:{gate.metrics}/metrics"
+    try:
+        with urlopen(url, timeout=METRICS_SECONDS) as response:
+            return ORDERS_METRIC in response.read().decode().splitlines()
+    except (OSError, http.client.HTTPException):
+        return False
+
+
 @contextmanager
 def run_gateways(
     folder: Path, count: int, settle_seconds: float
