--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 
 SECONDS ?= 60
 SEED ?= 1
+KINDS ?= all
 
 .PHONY: soak
 soak: .venv/ready
@@ -37,7 +38,8 @@
 .PHONY: gateway-soak
 gateway-soak: .venv/ready
 	$(BIN)/python -m runhatch_standins.gateway_soak \
-		--seconds $(SECONDS) --seed $(SEED)
+		--seconds $(SECONDS) --seed $(SEED) --kinds $(KINDS) \
+		$(if $(LOGS),--logs $(LOGS))
 
 BENCHES := bench-relay bench-overload bench-claims bench-control \
 	bench-pictures bench-placement bench-membership bench-routing bench-logs \
