--- a/standins/src/runhatch_standins/engine.py
+++ b/standins/src/runhatch_standins/engine.py
@@ -64,9 +64,14 @@
         routes.add("GET", "/v1/state", self.state)
         routes.add("GET", "/v1/cache_events", self.cache_events)
         routes.add("POST", "/faults", self.set_faults)
+        routes.add("GET", "/faults", self.tell_faults)
         routes.add("GET", "/record", self.record)
         return routes
 
+    def tell_faults(self, call: Call) -> Reply:
+        """Tell which faults are still to come."""
+        return reply_json(self._faults)
+
     def set_faults(self, call: Call) -> Reply:
         """Replace all faults; what is not named is healthy."""
         self._faults = {**NO_FAULTS, **call.json()}
