--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -28,6 +28,18 @@
     return second
 
 
+def succeed(clock, table, resignation):
+    """Return a node that has acquired the lease by ``resignation``, and has rounds."""
+    case = Case(clock, table, "n1")
+    case.orderer.take_in_resignation(resignation)
+    case.orderer.keep_lease(eager=True)
+    assert case.orderer.holds_lease() is not None
+    case.ask_for("m1")
+    for _ in range(3):
+        case.round()
+    return case
+
+
 class TestTakeover:
     """A node that takes the lease from another."""
 
@@ -64,16 +76,6 @@
         case.round()
         return case
 
-    def successor(self, clock, table, resignation):
-        case = Case(clock, table, "n1")
-        case.orderer.take_in_resignation(resignation)
-        case.orderer.keep_lease(eager=True)
-        assert case.orderer.holds_lease() is not None
-        case.ask_for("m1")
-        for _ in range(3):
-            case.round()
-        return case
-
     def test_a_word_that_comes_after_the_lease_was_taken_counts(self, clock, table):
         first = self.holder(clock, table)
         resignation = first.orderer.stop()
@@ -94,7 +96,7 @@
         resignation = first.orderer.stop()
         first.orderer.release()
 
-        case = self.successor(clock, table, resignation)
+        case = succeed(clock, table, resignation)
 
         assert [order.model for order in case.targets.orders] == ["m1"]
 
@@ -107,7 +109,7 @@
 
         resignation = first.orderer.stop()
         first.orderer.release()
-        case = self.successor(clock, table, resignation)
+        case = succeed(clock, table, resignation)
 
         assert case.targets.orders == []
 
@@ -142,7 +144,7 @@
         assert first.orderer.holds_lease() is None
         assert resignation.epoch == 1
         table.inject(TableFault.NONE)
-        case = self.successor(clock, table, resignation)
+        case = succeed(clock, table, resignation)
         assert [order.model for order in case.targets.orders] == ["m1"]
 
     def test_an_order_that_arrives_after_the_word_is_waited_for(self, clock, table):
@@ -158,7 +160,7 @@
         clock.advance(TTL - RESIGN_BEFORE)
         resignation = first.orderer.resign_if_cut_off()
         table.inject(TableFault.NONE)
-        case = self.successor(clock, table, resignation)
+        case = succeed(clock, table, resignation)
         clock.advance(ORDER_ARRIVES)
         targets.arrives.set()
 
@@ -349,12 +351,6 @@
         resignation = again.orderer.stop()
         again.orderer.release()
 
-        successor = Case(clock, table, "n1")
-        successor.orderer.take_in_resignation(resignation)
-        successor.orderer.keep_lease(eager=True)
-        assert successor.orderer.holds_lease() is not None
-        successor.ask_for("m1")
-        for _ in range(3):
-            successor.round()
+        successor = succeed(clock, table, resignation)
 
         assert successor.targets.orders == []
