--- a/packages/runhatch-coordination/tests/test_leases_restored.py
+++ b/packages/runhatch-coordination/tests/test_leases_restored.py
@@ -126,6 +126,31 @@
         assert contest.step("a") is LeaseChange.NONE
         assert contest.holders() == ["b"]
 
+    def test_a_right_that_has_lapsed_since_is_no_claim(self, contest):
+        contest.memory.copy()
+        contest.acquire("a")
+        contest.tables["a"].inject(TableFault.DOWN)
+        contest.restore("a")
+        assert contest.step("a") is LeaseChange.LOST
+        contest.advance(TTL.total_seconds())
+        contest.tables["a"].inject(TableFault.NONE, 0)
+
+        assert contest.step("a") is LeaseChange.NONE
+
+    def test_a_holder_is_not_timed_from_before_the_table_came_back(self, contest):
+        """The copy lacks its last renewal, and shows the row as it was seen before."""
+        contest.step("a")
+        contest.memory.copy()
+        contest.step("b")
+        contest.advance(4)
+        contest.step("a")
+        contest.restore("b")
+        contest.step("b")
+
+        contest.advance(4)
+        assert contest.step("b") is LeaseChange.NONE
+        assert contest.holders() == ["a"]
+
     def test_what_was_acquired_before_the_table_came_back_is_not_held(self, contest):
         """The row is gone, and another may acquire as after any step back."""
         table = SlowTable(contest.memory, contest.clocks["a"])
