Obtain announced versions from the nodes that announced them

Callers saw 404 for a route that had been added up to 7 s before, on one node of 90, whose readers had fallen silent.

Cause: a node learned the number of a new version from any node, but its content only from the two readers of its failure domain, or from the store, which it read for an announced version once. Readers that cannot reach the store, and one read that fails, left it at the old version for good. A version announced while an earlier one was missing was forgotten. Answers of any node on request counted as reports of a reader, so they could keep a node whose readers were silent from reading.

Change: MissingVersions schedules attempts until the version has arrived: requests to one announcer after another, each 0.4 s from 0.2 s after the coalescing pause on, and reads of the store each second. A task of its own sends the requests, since that of the table may wait for the store. Answers on request do not count as reports; a reader publishes them to its domain. The state machine checks now that nodes without the store have a change within 3 s too.

Tests: TestNotices of test_feed.py becomes test_reads_if_an_announced_change_is_overdue, which checks the same four moments at the shared table, as the times are kept there now; with a coalescing pause of 1.7 s the read comes at 2.3 s, not 1.9 s, the request to a peer at 1.9 s.

--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -4,6 +4,7 @@
 at-most-once claims, revisions, membership, shared permits and retry budgets.
 """
 
+from runhatch_coordination._announcements import Attempt, MissingVersions
 from runhatch_coordination._budget import RetryBudget
 from runhatch_coordination._claims import (
     CLAIM_PARTITION,
@@ -110,6 +111,7 @@
     "CLAIM_PARTITION",
     "LEASE_PARTITION",
     "START_GRACE",
+    "Attempt",
     "Check",
     "ClaimOutcome",
     "ClaimRecord",
@@ -134,6 +136,7 @@
     "Membership",
     "Mismatch",
     "Missing",
+    "MissingVersions",
     "ObjectStore",
     "StaleBaseRevision",
     "Pending",
--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -23,11 +23,6 @@
 """How long the store may hold a call that waits for a change. A wait that ends without
 a change costs a call; one whose answer is lost delays the reader by this duration,
 unless a notice arrives earlier."""
-OVERDUE_TIMEOUT = timedelta(milliseconds=900)
-"""Minimum time that a reader waits for a change after a notice of it from another node.
-The timeout also exceeds the coalescing pause, so that the pause does not trigger it."""
-OVERDUE_MARGIN = timedelta(milliseconds=200)
-"""Time added to the coalescing pause before a change counts as overdue."""
 COALESCING_PAUSE = timedelta(milliseconds=150)
 """Pause between a change and the next call. Changes come in bursts and each call is
 billed; readers receive a change at most this much later."""
@@ -131,7 +126,6 @@
         coalescing_pause: timedelta = COALESCING_PAUSE,
     ) -> None:
         self._coalesce_pause = coalescing_pause
-        self._overdue_after = max(OVERDUE_TIMEOUT, coalescing_pause + OVERDUE_MARGIN)
         self._feed = feed
         self._listener = listener
         self._clock = clock
@@ -140,7 +134,6 @@
         self._version: StoreVersion | None = None
         self._delivered_version = ORIGIN
         self._consecutive_failures = 0
-        self._pending_notice: tuple[StoreVersion, timedelta] | None = None
 
     @property
     def version(self) -> StoreVersion:
@@ -163,27 +156,9 @@
             self._version = version
             self._delivered_version = version
 
-    def record_version(self, version: StoreVersion) -> None:
-        """Record a notice from another node that the table has reached ``version``."""
-        if version > self._delivered_version and self._pending_notice is None:
-            self._pending_notice = (version, self._clock.elapsed())
-
-    def interrupt_if_overdue(self) -> bool:
-        """Interrupt the wait if a change that another node announced is overdue.
-
-        Returns whether the change was overdue.
-        """
-        notice = self._pending_notice
-        if notice is None:
-            return False
-        version, noticed_at = notice
-        if version <= self._delivered_version:
-            self._pending_notice = None
-        elif self._clock.elapsed() - noticed_at >= self._overdue_after:
-            self._pending_notice = None
-            self._feed.interrupt_wait()
-            return True
-        return False
+    def interrupt_wait(self) -> None:
+        """Interrupt a call that waits for changes, whose answer may have been lost."""
+        self._feed.interrupt_wait()
 
     def run(self) -> None:
         """Watch the table until stopped; exceptions go to ``on_failure``."""
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -11,8 +11,9 @@
   store;
 - a node that misses changes requests them from another node, and reads the store if
   none answers;
-- a node that learns of a newer version than its readers publish reads once, so that a
-  reader that is cut off without noticing it delays no other node.
+- a node that learns of a newer version than it has requests it from the nodes that
+  announced it, and reads the store, until it has the version; so a reader that is cut
+  off without noticing it delays no other node.
 
 The version of a node never decreases, whatever the source of its updates.
 """
@@ -25,6 +26,7 @@
 from enum import Enum
 from typing import Protocol
 
+from runhatch_coordination._announcements import Attempt, MissingVersions
 from runhatch_coordination._clock import Clock
 from runhatch_coordination._feed import (
     MAX_CALL_WAIT,
@@ -86,9 +88,14 @@
         """Request the changes since ``version`` from another node.
 
         Returns whether there is such a node. Its answer, if any, is passed to
-        :meth:`SharedTable.apply_changes`.
+        :meth:`SharedTable.apply_answer`.
         """
 
+    def request_from(
+        self, address: str, table: str, version: StoreVersion | None
+    ) -> None:
+        """Request the changes since ``version`` from the node at ``address``."""
+
     def publish(self, table: str, changes: TableChanges, reachable: bool) -> None:
         """Send ``changes`` read from the store to the nodes of this failure domain."""
 
@@ -154,7 +161,7 @@
         self._started_at = clock.elapsed()
         self._last_request_version = ORIGIN
         self._reader_reports: dict[str, _ReaderReport] = {}
-        self._newest_noticed_version = ORIGIN
+        self._missing = MissingVersions(clock, bounds.coalescing_pause)
         self._gap_since: timedelta | None = None
         self._must_read_once = False
         self._must_request_gap = False
@@ -188,6 +195,11 @@
         """
         return self._own_reachability is not False
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether another node announced a newer version than the local copy's."""
+        return self._missing.is_behind(self._known_version)
+
     @property
     def empty_changes(self) -> TableChanges | None:
         """Changes without rows, by which other nodes learn that they miss nothing.
@@ -207,37 +219,54 @@
         self._reader_reports[reader] = _ReaderReport(self._clock.elapsed(), reachable)
         if reachable:
             self._notify_reachability("")
-        outcome = (
-            OfferOutcome.KNOWN if changes is None else self._replica.offer(changes)
-        )
-        if outcome is OfferOutcome.GAP and self._gap_since is None:
-            self._gap_since = self._clock.elapsed()
-            self._must_request_gap = True
-            self._wake_event.set()
-        if outcome is OfferOutcome.APPLIED:
-            self._gap_since = None
-            self._advance_watcher()
-            self._wake_event.set()
+        if changes is not None:
+            self._offer(changes)
         if not reachable:
             self._notify_reachability("no reader reaches the store")
 
-    def record_version(self, version: StoreVersion) -> bool:
-        """Record that the table reached ``version``; return whether it was unknown."""
-        known = self._replica.version
-        if version <= max(self._newest_noticed_version, known or ORIGIN):
+    def apply_answer(self, changes: TableChanges) -> None:
+        """Apply the changes that another node sent on request.
+
+        The answer implies nothing about the readers of this node's domain. A reader
+        publishes it to its domain.
+        """
+        previous = self._replica.version
+        is_applied = self._offer(changes) is OfferOutcome.APPLIED
+        if is_applied and self._peers.role() is Role.READER:
+            self._publish_since(previous, changes)
+
+    def record_version(self, version: StoreVersion, announcer: str) -> bool:
+        """Record that the node at address ``announcer`` announced ``version``.
+
+        Return whether it was unknown.
+        """
+        if not self._missing.record(version, announcer, self._known_version):
             return False
-        self._newest_noticed_version = version
-        self._watcher.record_version(version)
         if self._reader_state() is ReaderState.CUT_OFF:
             self._must_read_once = True
             self._wake_event.set()
         return True
 
-    def read_overdue(self) -> None:
-        """Schedule a read if a change that another node announced is overdue."""
-        if self._watcher.interrupt_if_overdue():
+    def time_until_attempt(self) -> timedelta | None:
+        """Return when :meth:`obtain_missing` is due, ``None`` if nothing is missing."""
+        return self._missing.time_until_attempt(self._known_version)
+
+    def obtain_missing(self) -> Attempt | None:
+        """Request an announced version that is overdue, or schedule a read for it.
+
+        Return the attempt that was made, if any. Requests are sent by the caller of
+        this method, because the task of the table may wait for the store.
+        """
+        attempt = self._missing.begin_attempt(self._known_version)
+        if attempt is None:
+            return None
+        if attempt.peer:
+            self._peers.request_from(attempt.peer, self.name, self._replica.version)
+        if attempt.reads_store:
+            self._watcher.interrupt_wait()
             self._must_read_once = True
             self._wake_event.set()
+        return attempt
 
     def wake(self) -> None:
         """Wake the task if it waits for updates."""
@@ -284,17 +313,45 @@
         previous = self._replica.version
         if self._replica.offer(changes) is not OfferOutcome.APPLIED:
             return
-        update = changes if previous is None else self._replica.changes_since(previous)
-        if update is None or not update.entries:
-            return
-        self._peers.publish(self.name, update, True)
-        self._peers.publish_version(self.name, update.version)
+        update = self._publish_since(previous, changes)
+        if update is not None:
+            self._peers.publish_version(self.name, update.version)
 
     def record_reachability(self, reachable: bool, reason: str) -> None:
         """Record whether this node itself reaches the store."""
         self._own_reachability = reachable
         self._notify_reachability(reason)
 
+    @property
+    def _known_version(self) -> StoreVersion:
+        return self._replica.version or ORIGIN
+
+    def _offer(self, changes: TableChanges) -> OfferOutcome:
+        """Offer changes from another node to the local copy; note a gap before them."""
+        outcome = self._replica.offer(changes)
+        if outcome is OfferOutcome.GAP and self._gap_since is None:
+            self._gap_since = self._clock.elapsed()
+            self._must_request_gap = True
+            self._wake_event.set()
+        if outcome is OfferOutcome.APPLIED:
+            self._gap_since = None
+            self._advance_watcher()
+            self._wake_event.set()
+        return outcome
+
+    def _publish_since(
+        self, previous: StoreVersion | None, changes: TableChanges
+    ) -> TableChanges | None:
+        """Publish what is new since ``previous`` after ``changes`` were applied.
+
+        Return what was published, ``None`` if no rows changed.
+        """
+        update = changes if previous is None else self._replica.changes_since(previous)
+        if update is None or not update.entries:
+            return None
+        self._peers.publish(self.name, update, self.reaches_store)
+        return update
+
     def _choose_source(self) -> Source:
         """Return whether to read the store now, and why, or to wait for updates."""
         if self._replica.version is None and self._request_initial_table():
--- a/packages/runhatch-coordination/tests/shared_cases.py
+++ b/packages/runhatch-coordination/tests/shared_cases.py
@@ -69,6 +69,7 @@
 
     def __init__(self, store):
         self._store = store
+        self.interruptions = 0
         self.is_cut_off = False
         self.is_hung = False
         """Whether calls end without a change, as on a link that is cut one way."""
@@ -92,7 +93,7 @@
         return Changes(self._store.entries(number), self._store.version)
 
     def interrupt_wait(self):
-        pass
+        self.interruptions += 1
 
 
 class TableListener:
@@ -129,6 +130,7 @@
         self.current_role = role
         self.answers = answers
         self.requested_versions = []
+        self.requests = []
         self.published = []
         self.announced_versions = []
         self.sources = []
@@ -140,6 +142,9 @@
         self.requested_versions.append(version)
         return self.answers
 
+    def request_from(self, address, table, version):
+        self.requests.append((address, version))
+
     def publish(self, table, changes, reachable):
         self.published.append(changes)
 
@@ -150,7 +155,9 @@
         self.sources.append(source)
 
 
-def make_table(role=Role.FOLLOWER, answers=True, jitter=0.0):
+def make_table(
+    role=Role.FOLLOWER, answers=True, jitter=0.0, coalesce=BOUNDS.coalescing_pause
+):
     store, listener, clock = Store(), TableListener(), ManualClock()
     peers, feed = FakePeers(role, answers), StoreFeed(store)
     table = SharedTable(
@@ -161,7 +168,7 @@
         clock,
         threading.Event(),
         pytest.fail,
-        BOUNDS,
+        SharedTableBounds(coalesce, SILENT),
         jitter,
     )
     return table, store, feed, listener, peers, clock
--- a/packages/runhatch-coordination/tests/slow_links.py
+++ b/packages/runhatch-coordination/tests/slow_links.py
@@ -207,22 +207,36 @@
     def request_changes(self, table, version):
         return False
 
+    def request_from(self, address, table, version):
+        peer = next(node for node in self.world.nodes if node.vm.address == address)
+        self.world.simulation.schedule(
+            HOP_SECONDS, partial(peer.answer_request, self, version)
+        )
+
+    def answer_request(self, requester, version):
+        changes = self.table.changes_since(version)
+        if changes is not None and not self.is_frozen:
+            self._send_changes(requester, changes, requester.receive_answer)
+
     def publish(self, table, changes, reachable):
         if self.is_frozen:
             return
         for other in self.world.followers_of(self):
-            size = UPDATE_BYTES * len(changes.entries)
-            arrives_at = (
-                max(self.uplink.send(size), other.downlink.send(size)) + HOP_SECONDS
-            )
-            simulation = self.world.simulation
-            deliver = partial(other.receive, self.vm.name, changes, reachable)
-            simulation.schedule(arrives_at - simulation.now, deliver)
+            receive = partial(other.receive, self.vm.name, reachable=reachable)
+            self._send_changes(other, changes, receive)
+
+    def _send_changes(self, other, changes, receive):
+        size = UPDATE_BYTES * len(changes.entries)
+        arrives_at = (
+            max(self.uplink.send(size), other.downlink.send(size)) + HOP_SECONDS
+        )
+        simulation = self.world.simulation
+        simulation.schedule(arrives_at - simulation.now, partial(receive, changes))
 
     def publish_version(self, table, version):
         for other in self.world.nodes:
             if other is not self and not self.is_frozen:
-                deliver = partial(other.table.record_version, version)
+                deliver = partial(other.table.record_version, version, self.vm.address)
                 self.world.simulation.schedule(HOP_SECONDS, deliver)
 
     def record_source(self, table, source):
@@ -232,6 +246,10 @@
         self.table.apply_changes(reader, changes, reachable)
         self._record_versions()
 
+    def receive_answer(self, changes):
+        self.table.apply_answer(changes)
+        self._record_versions()
+
     def _record_versions(self):
         for version in range(2, number_of(self.table.version or 0) + 1):
             self.received_at.setdefault(version, self.world.simulation.now)
@@ -247,7 +265,7 @@
     def _check_and_publish(self):
         if self.is_frozen:
             return
-        self.table.read_overdue()
+        self.table.obtain_missing()
         if self.role() is Role.READER and self.table.empty_changes is not None:
             self.publish(NAME, self.table.empty_changes, self.table.reaches_store)
         self.world.simulation.schedule(
--- a/packages/runhatch-coordination/tests/test_feed.py
+++ b/packages/runhatch-coordination/tests/test_feed.py
@@ -1,7 +1,6 @@
 """Watching a table through outages, lost history and late answers."""
 
 import threading
-from datetime import timedelta
 
 import pytest
 
@@ -163,36 +162,12 @@
         assert feed.requested_after == [5, 7]
 
 
-class TestNotices:
-    """Changes that peers announced and this reader has not received."""
+class TestInterruption:
+    """Waits whose answer may have been lost."""
 
-    @pytest.mark.parametrize(
-        ("noticed", "elapsed_s", "interruptions"),
-        [(9, 1.0, 1), (9, 0.1, 0), (5, 1.0, 0)],
-        ids=["overdue", "not overdue yet", "known"],
-    )
-    def test_interrupts_the_wait_only_if_a_change_is_overdue(
-        self, noticed, elapsed_s, interruptions
-    ):
-        watcher, feed, _, clock = watch([listing(5, a=1)])
-
-        watcher.record_version(noticed)
-        clock.advance(timedelta(seconds=elapsed_s))
-        watcher.interrupt_if_overdue()
-
-        assert feed.interruptions == interruptions
-
-    @pytest.mark.parametrize(("elapsed_s", "interruptions"), [(1.5, 0), (2.0, 1)])
-    def test_a_change_is_not_overdue_within_the_coalescing_pause(
-        self, elapsed_s, interruptions
-    ):
-        """An interrupted wait would cost the calls that coalescing saves."""
-        watcher, feed, _, clock = watch(
-            [listing(5, a=1)], coalesce=timedelta(seconds=1.7)
-        )
+    def test_interrupts_the_wait_of_the_feed(self):
+        watcher, feed, _, _ = watch([listing(5, a=1)])
 
-        watcher.record_version(9)
-        clock.advance(timedelta(seconds=elapsed_s))
-        watcher.interrupt_if_overdue()
+        watcher.interrupt_wait()
 
-        assert feed.interruptions == interruptions
+        assert feed.interruptions == 1
--- a/packages/runhatch-coordination/tests/test_shared.py
+++ b/packages/runhatch-coordination/tests/test_shared.py
@@ -42,6 +42,19 @@
         assert table.reaches_store
         assert listener.reachability == [False, True]
 
+    def test_publishes_an_answer_to_its_domain(self):
+        """Otherwise each node of the domain would have to request it for itself."""
+        table, _, feed, _, peers, _ = make_table(Role.READER, answers=False)
+        table.step()
+        feed.is_cut_off = True
+        table.step()
+
+        changes = TableChanges(1, 2, (row("a", b"1"),))
+        table.apply_answer(changes)
+
+        assert peers.published == [changes]
+        assert peers.announced_versions == []
+
 
 class TestStart:
     """Nodes that start together do not all read the store."""
@@ -141,23 +154,90 @@
 
         assert listener.rows == {"a": b"1"}
 
-    def test_reads_once_if_an_announced_change_is_overdue(self):
+    @pytest.mark.parametrize(
+        ("elapsed_s", "coalesce_s", "interruptions"),
+        [(1.0, 0.3, 1), (0.8, 0.3, 0), (1.5, 1.7, 0), (2.4, 1.7, 1)],
+    )
+    def test_reads_if_an_announced_change_is_overdue(
+        self, elapsed_s, coalesce_s, interruptions
+    ):
         """A reader may be cut off from the store without noticing it.
 
-        It then keeps publishing its old version as the current one.
+        It then keeps publishing its old version as the current one. A wait interrupted
+        too early would cost the calls that coalescing saves.
         """
-        table, store, _, listener, _, clock = make_follower()
+        table, store, feed, listener, _, clock = make_follower(
+            coalesce=timedelta(seconds=coalesce_s)
+        )
         store.write("a", b"1")
-        assert table.record_version(2)
-        assert not table.record_version(2)
-        for _ in range(6):
-            clock.advance(timedelta(seconds=0.25))
+        assert table.record_version(2, "p1")
+        assert not table.record_version(2, "p1")
+        clock.advance(timedelta(seconds=elapsed_s))
+        table.apply_changes("r1", TableChanges(1, 1, ()), True)
+        table.obtain_missing()
+        table.step()
+
+        assert feed.interruptions == store.calls == interruptions
+        assert listener.rows == ({"a": b"1"} if interruptions else {})
+
+    def test_requests_an_announced_change_from_its_announcers(self):
+        table, store, _, listener, peers, clock = make_follower()
+        for peer in ("p1", "p2"):
+            table.record_version(2, peer)
+        for _ in range(8):
+            clock.advance(timedelta(seconds=0.1))
             table.apply_changes("r1", TableChanges(1, 1, ()), True)
-            table.read_overdue()
+            table.obtain_missing()
             table.step()
+        assert [version for _, version in peers.requests] == [1]
+
+        table.apply_answer(TableChanges(1, 2, (row("a", b"1"),)))
+        clock.advance(timedelta(seconds=2))
+        table.obtain_missing()
+
+        assert listener.rows == {"a": b"1"}
+        assert len(peers.requests) == 1
+        assert store.calls == 0
+
+    def test_reads_again_if_a_read_of_an_announced_change_fails(self):
+        """A node that tried once kept an old configuration for the rest of a day."""
+        table, store, feed, listener, _, clock = make_follower()
+        store.write("a", b"1")
+        table.record_version(2, "p1")
+        feed.is_cut_off = True
+        for tenth in range(50):
+            feed.is_cut_off = tenth < 30
+            clock.advance(timedelta(seconds=0.1))
+            table.apply_changes("r1", TableChanges(1, 1, ()), True)
+            table.obtain_missing()
+            table.step()
+
+        assert listener.rows == {"a": b"1"}
+
+    def test_reads_a_change_announced_while_another_was_missing(self):
+        table, store, _, listener, _, clock = make_follower()
+        store.write("a", b"1")
+        store.write("b", b"2")
+        for version in (2, 3):
+            table.record_version(version, "p1")
+        table.apply_changes("r1", TableChanges(1, 2, (row("a", b"1"),)), True)
+        for _ in range(12):
+            clock.advance(timedelta(seconds=0.1))
+            table.apply_changes("r1", TableChanges(2, 2, ()), True)
+            table.obtain_missing()
+            table.step()
+
+        assert listener.rows == {"a": b"1", "b": b"2"}
+
+    def test_answer_on_request_does_not_show_that_a_reader_is_active(self):
+        """Otherwise a node whose readers are silent would not read the store."""
+        table, store, _, listener, _, clock = make_follower()
+        store.write("a", b"1")
+        clock.advance(SILENT)
+        table.apply_answer(TableChanges(1, 1, ()))
+        table.step()
 
         assert listener.rows == {"a": b"1"}
-        assert store.calls == 1
 
     @pytest.mark.parametrize(
         ("role", "calls"),
@@ -177,7 +257,7 @@
         table, store, _, listener, _, _ = make_follower()
         store.write("a", b"1")
         table.apply_changes("r1", TableChanges(1, 1, ()), False)
-        table.record_version(2)
+        table.record_version(2, "p1")
         table.step()
 
         assert listener.rows == {"a": b"1"}
--- a/packages/runhatch-coordination/tests/test_shared_world.py
+++ b/packages/runhatch-coordination/tests/test_shared_world.py
@@ -57,12 +57,16 @@
         for reader in self.world.readers_of(self):
             changes = reader.table.changes_since(version)
             if not reader.is_frozen and changes is not None:
-                self.table.apply_changes(
-                    reader.vm.name, changes, reader.table.reaches_store
-                )
+                self.table.apply_answer(changes)
                 break
         return True
 
+    def request_from(self, address, table, version):
+        peer = next(node for node in self.world.nodes if node.vm.address == address)
+        changes = peer.table.changes_since(version)
+        if not peer.is_frozen and changes is not None:
+            self.table.apply_answer(changes)
+
     def publish(self, table, changes, reachable):
         for other in self.world.followers_of(self):
             other.table.apply_changes(self.vm.name, changes, reachable)
@@ -70,7 +74,7 @@
     def publish_version(self, table, version):
         for other in self.world.nodes:
             if other is not self and not other.is_frozen:
-                other.table.record_version(version)
+                other.table.record_version(version, self.vm.address)
 
     def record_source(self, table, source):
         pass
@@ -80,7 +84,7 @@
         if self.is_frozen:
             return
         now = self.world.clock.elapsed()
-        self.table.read_overdue()
+        self.table.obtain_missing()
         if self.role() is Role.READER and self.table.empty_changes is not None:
             self.publish(NAME, self.table.empty_changes, self.table.reaches_store)
         if now >= self.due_at:
@@ -165,8 +169,11 @@
         self.nodes[index].feed.is_hung = previous.is_hung
 
     @rule(key=st.sampled_from("xyz"), value=st.sampled_from([None, b"3"]))
-    def connected_nodes_receive_a_change_in_time(self, key, value):
-        """Check that each running node on a working link has it within two seconds."""
+    def nodes_receive_a_change_in_time(self, key, value):
+        """Check that each running node has it within three seconds.
+
+        Those whose links to the store work have it within two seconds.
+        """
         self.advance(1.0)
         if not self.has_working_reader():
             return
@@ -180,6 +187,10 @@
             if node.is_frozen or feed.is_cut_off or feed.is_hung or node in starting:
                 continue
             assert node.listener.rows == self.store.rows, node.vm.name
+        self.advance(1.0)
+        for node in self.nodes:
+            if not node.is_frozen and node not in starting:
+                assert node.listener.rows == self.store.rows, node.vm.name
 
     def has_working_reader(self):
         """Return whether a reader works, or the failure of all can be detected.
@@ -220,7 +231,7 @@
 
 
 def run_with_a_reader_cut_off(world):
-    check = world.connected_nodes_receive_a_change_in_time
+    check = world.nodes_receive_a_change_in_time
     for _ in range(2):
         check(key="x", value=None)
         world.restore()
@@ -240,7 +251,7 @@
 
 
 def run_with_a_restarted_reader(world):
-    check = world.connected_nodes_receive_a_change_in_time
+    check = world.nodes_receive_a_change_in_time
     check(key="x", value=None)
     for _ in range(3):
         world.restore()
@@ -272,3 +283,50 @@
     update would follow.
     """
     scenario(machine())
+
+
+class TestCutOffDomain:
+    """A failure domain whose nodes cannot read the store receives changes from others.
+
+    The content of a change once reached a node only from two readers of its domain or
+    from the store, though nodes of other domains had it.
+    """
+
+    def make_world(self):
+        world = World()
+        return world, [node for node in world.nodes if node.vm.failure_domain == "a"]
+
+    def assert_up_to_date(self, world, nodes):
+        behind = [n.vm.name for n in nodes if n.listener.rows != world.store.rows]
+        assert behind == []
+
+    @pytest.mark.parametrize("fault", ["is_cut_off", "is_hung"])
+    def test_nodes_receive_a_change_from_other_domains(self, fault):
+        world, domain = self.make_world()
+        for node in domain:
+            setattr(node.feed, fault, True)
+
+        world.store.write("x", b"1")
+        world.advance(3.0)
+
+        self.assert_up_to_date(world, domain)
+
+    def test_followers_read_again_once_the_store_can_be_reached(self):
+        """Their calls fail for two seconds, those of their readers for good.
+
+        Answers of other nodes are lost.
+        """
+        world, domain = self.make_world()
+        readers = [vm.name for vm in choose_readers("a", world.vms())]
+        followers = [node for node in domain if node.vm.name not in readers]
+        for node in domain:
+            node.feed.is_cut_off = True
+            node.request_from = lambda address, table, version: None
+
+        world.store.write("x", b"1")
+        world.advance(2.0)
+        for node in followers:
+            node.feed.is_cut_off = False
+        world.advance(2.0)
+
+        self.assert_up_to_date(world, followers)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -160,7 +160,13 @@
             self._peers.new_member_seen,
         )
         self._tasks.start_task(
-            "readers", self._tables.heartbeat_interval, self._update_tables
+            "readers", self._tables.heartbeat_interval, self._peers.broadcast_state
+        )
+        self._tasks.start_task(
+            "behind",
+            lambda: self._tables.attempt_interval,
+            self._tables.obtain_missing,
+            self._tables.version_announced,
         )
         self._tasks.start_task("lease", LEASE_INTERVAL, self._update_lease)
         self._tasks.start_task(
@@ -331,10 +337,6 @@
         self._peers.check_members()
         self._balancer.node_count = len(self._membership.alive())
 
-    def _update_tables(self) -> None:
-        self._peers.broadcast_state()
-        self._tables.read_overdue()
-
     def _update_lease(self) -> None:
         """Renew the lease and publish the renewal, or try to acquire an expired one.
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -265,7 +265,7 @@
     @handle_message.register
     def _apply_version(self, fact: TableVersion, sender: Member) -> None:
         # Forwarded only if new to this node, so that forwarding ends.
-        if self._tables.record_version(fact):
+        if self._tables.record_version(fact, sender):
             self.publish(fact)
 
     @handle_message.register
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -61,6 +61,10 @@
 """Heartbeats that a reader sends within the silence timeout.  With fewer, a late one
 makes the nodes of its domain read the store themselves once; more wake idle nodes more
 often."""
+MIN_ATTEMPT_INTERVAL = timedelta(milliseconds=20)
+IDLE_ATTEMPT_INTERVAL = timedelta(seconds=2)
+"""Shortest interval between two checks for missing versions, and the interval while
+none is missing; an announcement starts one at once."""
 RECONNECT_INTERVAL = timedelta(seconds=2)
 """Interval between reconnections to a silent reader."""
 
@@ -97,6 +101,15 @@
         self._received_at: dict[str, timedelta] = {}
         self._updated_at: dict[str, timedelta] = {}
         self._renewed_at: dict[str, timedelta] = {}
+        self.version_announced = threading.Event()
+        """Set when another node announces a version that this node lacks."""
+
+    @property
+    def attempt_interval(self) -> timedelta:
+        """The time until the next call of :meth:`obtain_missing` is due."""
+        due = [table.time_until_attempt() for table in self._tables.values()]
+        pauses = [pause for pause in due if pause is not None]
+        return max(MIN_ATTEMPT_INTERVAL, min(pauses, default=IDLE_ATTEMPT_INTERVAL))
 
     @property
     def heartbeat_interval(self) -> timedelta:
@@ -202,17 +215,26 @@
         if self._broadcaster is not None and facts:
             self._broadcaster.publish(facts)
 
-    def read_overdue(self) -> None:
-        """Read changes that other nodes reported and that are overdue here."""
-        for table in self._tables.values():
-            table.read_overdue()
+    def obtain_missing(self) -> None:
+        """Request or read the announced versions that are overdue on this node."""
+        for name, table in self._tables.items():
+            attempt = table.obtain_missing()
+            if attempt is not None:
+                log_change(
+                    "table_behind",
+                    table=name,
+                    version=table.version,
+                    newest=attempt.newest,
+                    waited_s=round(attempt.waited.total_seconds(), 3),
+                    peer=attempt.peer,
+                    reads_store=attempt.reads_store,
+                )
 
     def apply_changes(self, update: TableUpdate, sender: Member) -> None:
-        """Apply the changes of a table that a reader sent."""
+        """Apply the changes of a table that a reader, or a node on request, sent."""
         table = self._tables.get(update.table)
         if table is None:
             return
-        self._received_at[sender.name] = self._clock.elapsed()
         self._updated_at[update.table] = self._clock.elapsed()
         try:
             changes = _decode_changes(update)
@@ -220,12 +242,19 @@
             self._metrics.peer_messages.labels("unreadable").inc()
             log_change("news_unreadable", sender=sender.name, why=str(error))
             return
-        table.apply_changes(sender.name, changes, update.reachable)
+        if sender.name in self._readers:
+            self._received_at[sender.name] = self._clock.elapsed()
+            table.apply_changes(sender.name, changes, update.reachable)
+        else:
+            table.apply_answer(changes)
 
-    def record_version(self, fact: TableVersion) -> bool:
+    def record_version(self, fact: TableVersion, sender: Member) -> bool:
         """Record a version of a table; return whether it is new to this node."""
         table = self._tables.get(fact.table)
-        return table is not None and table.record_version(fact.version)
+        if table is None or not table.record_version(fact.version, sender.address):
+            return False
+        self.version_announced.set()
+        return True
 
     def changes_since(self, versions: dict[str, StoreVersion]) -> list[Fact]:
         """Return the changes of tables since ``versions``."""
@@ -257,12 +286,19 @@
         addresses = self.reader_addresses or list(self._seeds())
         if not addresses or self._membership.own.address in addresses:
             return False
-        versions = {table: UNKNOWN_VERSION if version is None else version}
-        self._send(
-            random.choice(addresses), TableStateRequest(versions, version is None)
-        )
+        self.request_from(random.choice(addresses), table, version)
         return True
 
+    def request_from(
+        self, address: str, table: str, version: StoreVersion | None
+    ) -> None:
+        """Request the changes of a table since ``version`` from one node.
+
+        Without a known version, the members are requested too.
+        """
+        versions = {table: UNKNOWN_VERSION if version is None else version}
+        self._send(address, TableStateRequest(versions, version is None))
+
     def publish(self, table: str, changes: TableChanges, reachable: bool) -> None:
         """Broadcast changes that were read to the nodes of this failure domain."""
         self._updated_at[table] = self._clock.elapsed()
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -28,6 +28,8 @@
     Envelope,
     Member,
     OrdererNotice,
+    TableUpdate,
+    TableVersion,
     TargetHoldings,
 )
 from runhatch_server.peers._messages import PROTOCOL_VERSION
@@ -321,3 +323,59 @@
         ]
         assert forwarded == [DrainingTargets(("t1",))]
         assert not peers._directory.ready_targets("engine")
+
+
+class FakeTable:
+    """Records what is passed to a watched table."""
+
+    def __init__(self):
+        self.updates = []
+        self.answers = []
+        self.announcers = []
+
+    def apply_changes(self, reader, changes, reachable):
+        self.updates.append(reader)
+
+    def apply_answer(self, changes):
+        self.answers.append(changes.version)
+
+    def record_version(self, version, announcer):
+        self.announcers.append(announcer)
+        return len(self.announcers) == 1
+
+
+class TestTables:
+    """Updates of readers, answers on request and announcements of versions."""
+
+    def make(self, clock):
+        peers, links = make_peers(clock)
+        table = peers._tables._tables["op"] = FakeTable()
+        return peers, links, table
+
+    def receive(self, peers, fact):
+        peers.receive(Envelope(PROTOCOL_VERSION, PEER, True, [fact]))
+
+    @pytest.mark.parametrize(
+        ("is_reader", "updates", "answers"), [(True, ["b"], []), (False, [], [6])]
+    )
+    def test_only_updates_of_readers_are_reports_of_readers(
+        self, clock, is_reader, updates, answers
+    ):
+        """A node would take an answer on request for a sign of an active reader."""
+        peers, _, table = self.make(clock)
+        if is_reader:
+            peers._tables._readers = {PEER.name: Vm("b", "d1", PEER.address)}
+
+        self.receive(peers, TableUpdate("op", 5, 6, True))
+
+        assert (table.updates, table.answers) == (updates, answers)
+
+    def test_announcement_is_forwarded_once_and_its_sender_recorded(self, clock):
+        peers, links, table = self.make(clock)
+        fact = TableVersion("op", 6)
+        for _ in range(2):
+            self.receive(peers, fact)
+
+        assert links.sent == [("all", fact)]
+        assert table.announcers == [PEER.address] * 2
+        assert peers._tables.version_announced.is_set()
--- a/standins/tests/test_gateway_tables.py
+++ b/standins/tests/test_gateway_tables.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from runhatch_coordination import Vm, choose_readers
+from runhatch_coordination import Role, Vm, choose_readers, choose_role
 from runhatch_standins._cluster import call
 from runhatch_standins._gateways import (
     ROUTES,
@@ -55,6 +55,15 @@
     return [gate for gate in system.gateways if gate.name in names]
 
 
+def select_witness(system):
+    vms = [Vm(gate.name, "d1", "") for gate in system.gateways]
+    return next(
+        gate
+        for gate, vm in zip(system.gateways, vms, strict=True)
+        if choose_role(vm, vms) is Role.WITNESS
+    )
+
+
 def count_reads(system):
     return call(system.platform.url, "GET", "/stats")["reads"]
 
@@ -126,6 +135,24 @@
             KNOWN_SECONDS,
         )
 
+    @pytest.mark.parametrize("fault", [LinkFault.REFUSE, LinkFault.FREEZE])
+    def test_one_node_with_store_serves_all_others(self, system, fault):
+        """Only the witness, to which no node listens, can read the change.
+
+        The others learn its number, and request its content from each other.
+        """
+        witness = select_witness(system)
+        names = {gate.name for gate in system.gateways}
+        for gate in system.gateways:
+            if gate is not witness:
+                gate.to_store.inject(fault)
+        system.configure([*ROUTES, route("/new/", "idempotent", "plain")])
+
+        assert wait_until(
+            lambda: serving_gateways(system, "/new/", system.gateways) == names,
+            KNOWN_SECONDS,
+        )
+
     def test_restarted_node_becomes_ready(self, system):
         gate = next(g for g in system.gateways if g not in select_readers(system))
         gate.process.kill()
