Limit the bandwidth of readers' broadcasts

Cause: the uplinks of the readers were full. A reader broadcast the sum of all loads ten times a second, and each report of the orderer in a message of its own, to 29 nodes; both readers relayed the reports. Its calls to the store then timed out while connecting, so it read no change, and its heartbeats came late. Once the first reader's messages were lost, the second sent sums too.

Ruled out: calls that never end, as each ends within its time-out.

Change: reports that arrive within 50 ms are relayed in one message, by one reader; sums and reports pause for as long as all broadcasts of the node take at half of 5 Mbit/s, 0.3 s at the most.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_load_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_load_exchange.py
@@ -21,17 +21,19 @@
 from runhatch_server.gateway._peer_conversions import load_of_message, message_of_load
 from runhatch_server.gateway._shared_loads import SharedLoads, Shares
 from runhatch_server.gateway._tables import GatewayTables
+from runhatch_server.gateway._uplink import BroadcastPacer
 from runhatch_server.peers import ALL_DOMAINS, Fact, Member, TargetLoads
 
 FULL_UPDATE_INTERVAL = timedelta(seconds=1)
 """Interval between full updates, for nodes that missed a partial one."""
 SUM_INTERVAL = timedelta(milliseconds=100)
-"""Interval between sums sent by a reader.  The sums of 45 targets take up to 1.8 KB,
-which is 2.9 Mbit/s to 20 nodes, and a VM has 5 Mbit/s.  Processing a prompt
-takes 20 to 100 ms."""
-FIRST_READER_TIMEOUT = timedelta(milliseconds=500)
+MAX_SUM_INTERVAL = timedelta(milliseconds=300)
+"""Intervals between sums sent by a reader, by the bandwidth that its broadcasts take.
+The sums of 70 targets take up to 1.5 KB, 3.5 Mbit/s to 29 nodes at the shortest
+interval.  Processing a prompt takes 20 to 100 ms."""
+FIRST_READER_TIMEOUT = timedelta(milliseconds=800)
 """How long the first reader of a domain may be silent before the second sends sums:
-four intervals, plus the delay of a busy node."""
+two of the longest intervals, plus the delay of a busy node."""
 WAITING_STEP_MS, RUNNING_STEP = 20.0, 2
 """Rounding steps for comparing sums: smaller changes of a busy target aren't sent."""
 IDLE_INTERVAL = timedelta(seconds=1)
@@ -116,12 +118,12 @@
         """Readers that get this node's loads; empty if all nodes send to each other."""
         self._other_domain_readers: list[Vm] = []
         self._sends_sums = False
+        self._pacer = BroadcastPacer(tables.uplink, SUM_INTERVAL, MAX_SUM_INTERVAL)
         self._sums_received_at = timedelta(days=-1)
 
-    @property
-    def sums_interval(self) -> timedelta:
-        """How long to pause between two calls of :meth:`send_sums`."""
-        return SUM_INTERVAL if self._sends_sums else IDLE_INTERVAL
+    def next_sums_pause(self) -> timedelta:
+        """Return how long to pause after a call of :meth:`send_sums`."""
+        return self._pacer.next_pause() if self._sends_sums else IDLE_INTERVAL
 
     def choose_links(self, alive: Iterable[Vm]) -> list[Vm]:
         """Choose the readers among ``alive``; return the nodes to link to for loads."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -70,6 +70,8 @@
 IDLE_ORDER_INTERVAL = timedelta(seconds=1)
 """Interval on a node without work for the orderer, to save processor time; taking the
 lease starts a round at once."""
+IDLE_RELAY_INTERVAL = timedelta(seconds=5)
+"""Interval between checks for reports to relay; each report starts one at once."""
 CLEANUP_INTERVAL = timedelta(milliseconds=500)
 """Interval between removals of expired state; missing targets are kept for 1.8 s."""
 MIN_DRAIN_DURATION = timedelta(seconds=4.2)
@@ -184,7 +186,15 @@
         self._tasks.start_task(
             "suspects", DIGEST_INTERVAL, self._peers.suspects.send_digest
         )
-        self._tasks.start_task("sums", self._sums_interval, self._peers.loads.send_sums)
+        self._tasks.start_task(
+            "sums", self._peers.loads.next_sums_pause, self._peers.loads.send_sums
+        )
+        self._tasks.start_task(
+            "holdings",
+            IDLE_RELAY_INTERVAL,
+            self._peers.relay.relay,
+            self._peers.relay.added,
+        )
         self._tasks.start_task(
             "orders", self._order_interval, self._run_orderer, self._order_wanted
         )
@@ -378,9 +388,6 @@
         self._peers.loads.send_own()
         self._peers.send_demand(self._demand)
 
-    def _sums_interval(self) -> timedelta:
-        return self._peers.loads.sums_interval
-
     def _order_interval(self) -> timedelta:
         return ORDER_INTERVAL if self._orderer.has_work else IDLE_ORDER_INTERVAL
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -16,6 +16,7 @@
 from runhatch_server.crashes import CrashDetector, SuspectExchange, SuspectMessage
 from runhatch_server.fleet import TargetDirectory
 from runhatch_server.gateway._demand import DemandCounter
+from runhatch_server.gateway._holdings_relay import HoldingsRelay
 from runhatch_server.gateway._known_orderer import UNKNOWN_RENEWAL, KnownOrderer
 from runhatch_server.gateway._load_exchange import LoadExchange
 from runhatch_server.gateway._missed_models import MissedModels
@@ -95,6 +96,8 @@
             membership, clock, loads, tables, self.send, self.publish
         )
         """Exchange of the outstanding loads at targets."""
+        self.relay = HoldingsRelay(tables, clock)
+        """Relay of the holdings of targets to the nodes of this failure domain."""
         self.suspects = SuspectExchange(
             crashes, clock, lambda: [*self._linked], self.send, self.publish
         )
@@ -179,7 +182,7 @@
         own = self._membership.own.address
         fact = TargetHoldings(epoch, messages, next(self._holdings_numbers), own)
         self.publish(fact)
-        self._tables.broadcast([fact])
+        self.relay.add(fact)
         for address, until in list(self._send_holdings_until.items()):
             if now >= until:
                 del self._send_holdings_until[address]
@@ -317,8 +320,8 @@
         if self._orderer.is_outdated(fact.epoch, orderer):
             return
         self._record_orderer(orderer, fact.epoch)
-        if sender.address == orderer and self._tables.is_reader:
-            self._tables.broadcast([fact])
+        if sender.address == orderer:
+            self.relay.add(fact)
         now = self._clock.elapsed()
         self._directory.record_reports(
             holding_of_message(holding, now) for holding in self._select_newer(fact)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -29,6 +29,7 @@
     choose_readers,
     choose_role,
 )
+from runhatch_server.gateway._uplink import UplinkUsage
 from runhatch_server.gateway._watched_tables import DecodingListener, WatchedTable
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
@@ -98,6 +99,9 @@
         self._role = self._initial_role()
         self._readers: dict[str, Vm] = {}
         self._is_second = False
+        self._receiver_count = 0
+        self.uplink = UplinkUsage()
+        """Bytes that the broadcasts of this node have put on its uplink."""
         self._received_at: dict[str, timedelta] = {}
         self._updated_at: dict[str, timedelta] = {}
         self._renewed_at: dict[str, timedelta] = {}
@@ -136,6 +140,24 @@
         """Whether another node of this failure domain is its first reader."""
         return self._is_second
 
+    @property
+    def relays_holdings(self) -> bool:
+        """Whether this node relays the holdings of targets to its failure domain.
+
+        The second reader does, as the first one sends the sums of loads; the first
+        one does while the second is silent.
+        """
+        if not self.is_reader:
+            return False
+        now = self._clock.elapsed()
+        active = [
+            name
+            for name in self._readers
+            if now - self._received_at.get(name, self._started_at)
+            < self._silence_timeout
+        ]
+        return self._is_second or not active
+
     def add(
         self,
         table: WatchedTable[ValueT],
@@ -178,6 +200,10 @@
         own = self._membership.own
         alive = self._membership.alive()
         readers = choose_readers(own.failure_domain, alive)
+        self._receiver_count = sum(
+            vm.failure_domain == own.failure_domain and vm.name != own.name
+            for vm in alive
+        )
         self._is_second = bool(readers) and readers[0].name != own.name
         self._readers = {
             vm.name: vm for vm in readers if vm.name != own.name and vm.broadcast_port
@@ -213,7 +239,8 @@
     def broadcast(self, facts: list[Fact]) -> None:
         """Broadcast ``facts`` to all listeners."""
         if self._broadcaster is not None and facts:
-            self._broadcaster.publish(facts)
+            size = self._broadcaster.publish(facts)
+            self.uplink.record(size, self._receiver_count)
 
     def obtain_missing(self) -> None:
         """Request or read the announced versions that are overdue on this node."""
@@ -232,6 +259,9 @@
 
     def apply_changes(self, update: TableUpdate, sender: Member) -> None:
         """Apply the changes of a table that a reader, or a node on request, sent."""
+        is_reader = sender.name in self._readers
+        if is_reader:
+            self._received_at[sender.name] = self._clock.elapsed()
         table = self._tables.get(update.table)
         if table is None:
             return
@@ -242,8 +272,7 @@
             self._metrics.peer_messages.labels("unreadable").inc()
             log_change("news_unreadable", sender=sender.name, why=str(error))
             return
-        if sender.name in self._readers:
-            self._received_at[sender.name] = self._clock.elapsed()
+        if is_reader:
             table.apply_changes(sender.name, changes, update.reachable)
         else:
             table.apply_answer(changes)
--- a/packages/runhatch-server/src/runhatch_server/peers/_broadcast.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_broadcast.py
@@ -37,16 +37,20 @@
         self._socket.send_buffer_size = MAX_QUEUED_MESSAGES
         _listen(self._socket, url)
 
-    def publish(self, facts: list[Fact]) -> None:
-        """Publish ``facts`` in one message, without waiting for subscribers."""
+    def publish(self, facts: list[Fact]) -> int:
+        """Publish ``facts`` in one message, without waiting for subscribers.
+
+        Return the size of the message in bytes.
+        """
         message = ENCODER.encode(Envelope(PROTOCOL_VERSION, self._own(), False, facts))
         try:
             self._socket.send(message)
         except pynng.NNGException as error:
             log_change("broadcast_failed", why=str(error))
-            return
+            return 0
         self._metrics.peer_messages.labels("broadcast").inc()
         self._metrics.peer_bytes.labels("broadcast").inc(len(message))
+        return len(message)
 
     def close(self) -> None:
         """Close the socket."""
--- a/packages/runhatch-server/tests/test_load_exchange.py
+++ b/packages/runhatch-server/tests/test_load_exchange.py
@@ -24,6 +24,7 @@
     LoadChanges,
     LoadExchange,
 )
+from runhatch_server.gateway._uplink import UplinkUsage
 from runhatch_server.peers import Member
 
 TICK = seconds(0.05)
@@ -43,6 +44,7 @@
     def __init__(self, cluster, vm):
         self._cluster = cluster
         self._vm = vm
+        self.uplink = UplinkUsage()
 
     @property
     def is_reader(self):
