Announce versions further from nodes that have the rows

Callers saw 404 by a replaced configuration on one node of a failure domain whose readers had fallen silent; the other followers of the domain read the change.

Cause: a node passed an announcement on only if it lacked the rows. Where readers work, nodes have the rows before the announcement arrives, so it ended there. A node whose incoming links are all from such nodes was told by nobody.

Change: a node announces each version once. Readers announce the version of the newest changed row, the same for all, and only if nobody has announced it, so that one flood follows a change.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_announcements.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_announcements.py
@@ -78,18 +78,21 @@
     ) -> bool:
         """Record that the node at ``announcer`` announced ``version``.
 
-        Return whether it is the first announcement of a version newer than ``known``.
+        Return whether no version as new was announced before. The node then announces
+        it further, even if it already has the rows: other nodes may learn of the
+        version from this one only.
         """
         with self._lock:
-            if version <= known or version < self._newest:
+            if version < self._newest:
                 return False
             is_new = version > self._newest
             if is_new:
                 self._newest = version
                 self._announcers.clear()
                 self._candidates.clear()
-                self._add_pending(version)
-            if announcer not in self._announcers:
+                if version > known:
+                    self._add_pending(version)
+            if announcer and announcer not in self._announcers:
                 self._announcers.append(announcer)
                 self._candidates.append(announcer)
             return is_new
@@ -141,6 +144,7 @@
         return max(since + self._read_delay, self._read_at + READ_INTERVAL)
 
     def _choose_announcer(self) -> str:
+        """Return an announcer of the newest version, each once before any again."""
         if not self._candidates:
             self._candidates = list(self._announcers)
         index = self._random.randrange(len(self._candidates))
--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -42,18 +42,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing(Generic[ValueT_co]):
-    """The whole table as of ``version``."""
+    """The whole table as of ``version``; its newest row has ``changed_version``.
+
+    ``changed_version`` is ``ORIGIN`` if it is unknown.
+    """
 
     entries: tuple[Entry[ValueT_co], ...]
     version: StoreVersion
+    changed_version: StoreVersion = ORIGIN
 
 
 @dataclass(frozen=True, slots=True)
 class Changes(Generic[ValueT_co]):
-    """The rows changed up to ``version``, oldest change first; may be empty."""
+    """The rows changed up to ``version``, oldest change first; may be empty.
+
+    The last of them changed in ``changed_version``, ``ORIGIN`` if it is unknown.
+    """
 
     entries: tuple[Entry[ValueT_co], ...]
     version: StoreVersion
+    changed_version: StoreVersion = ORIGIN
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,8 +141,17 @@
         self._on_failure = on_failure
         self._version: StoreVersion | None = None
         self._delivered_version = ORIGIN
+        self._changed_version = ORIGIN
         self._consecutive_failures = 0
 
+    @property
+    def changed_version(self) -> StoreVersion:
+        """The version of the newest change delivered to the listener.
+
+        All readers of a change state the same one, whenever they read it.
+        """
+        return self._changed_version
+
     @property
     def version(self) -> StoreVersion:
         """The newest version delivered to the listener."""
@@ -194,6 +211,7 @@
         self._delivered_version = self._version
         if not outcome.entries:
             return timedelta()
+        self._changed_version = outcome.changed_version or outcome.version
         self._listener.apply_entries(outcome.entries)
         return self._coalesce_pause
 
@@ -207,6 +225,7 @@
             return MIN_RETRY_PAUSE
         self._version = outcome.version
         self._delivered_version = outcome.version
+        self._changed_version = outcome.changed_version or outcome.version
         self._listener.replace_entries(outcome.entries)
         return timedelta()
 
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -238,14 +238,15 @@
     def record_version(self, version: StoreVersion, announcer: str) -> bool:
         """Record that the node at address ``announcer`` announced ``version``.
 
-        Return whether it was unknown.
+        Return whether to announce it further.
         """
-        if not self._missing.record(version, announcer, self._known_version):
-            return False
-        if self._reader_state() is ReaderState.CUT_OFF:
+        known = self._known_version
+        is_new = self._missing.record(version, announcer, known)
+        is_cut_off = self._reader_state() is ReaderState.CUT_OFF
+        if is_new and version > known and is_cut_off:
             self._must_read_once = True
             self._wake_event.set()
-        return True
+        return is_new
 
     def time_until_attempt(self) -> timedelta | None:
         """Return when :meth:`obtain_missing` is due, ``None`` if nothing is missing."""
@@ -313,9 +314,10 @@
         previous = self._replica.version
         if self._replica.offer(changes) is not OfferOutcome.APPLIED:
             return
-        update = self._publish_since(previous, changes)
-        if update is not None:
-            self._peers.publish_version(self.name, update.version)
+        if self._publish_since(previous, changes):
+            version = self._watcher.changed_version
+            if self._missing.record(version, "", self._known_version):
+                self._peers.publish_version(self.name, version)
 
     def record_reachability(self, reachable: bool, reason: str) -> None:
         """Record whether this node itself reaches the store."""
@@ -341,16 +343,16 @@
 
     def _publish_since(
         self, previous: StoreVersion | None, changes: TableChanges
-    ) -> TableChanges | None:
+    ) -> bool:
         """Publish what is new since ``previous`` after ``changes`` were applied.
 
-        Return what was published, ``None`` if no rows changed.
+        Return whether any rows changed.
         """
         update = changes if previous is None else self._replica.changes_since(previous)
         if update is None or not update.entries:
-            return None
+            return False
         self._peers.publish(self.name, update, self.reaches_store)
-        return update
+        return True
 
     def _choose_source(self) -> Source:
         """Return whether to read the store now, and why, or to wait for updates."""
--- a/packages/runhatch-coordination/tests/test_shared.py
+++ b/packages/runhatch-coordination/tests/test_shared.py
@@ -30,6 +30,30 @@
         assert peers.announced_versions == [2, 3]
         assert table.empty_changes == TableChanges(3, 3, ())
 
+    def test_announces_the_version_of_the_last_change(self):
+        """Not that of its read, which differs between the readers of a change.
+
+        A node with the rows would take a later version for one that it lacks.
+        """
+        table, store, _, _, peers, _ = make_table(Role.READER, answers=False)
+        table.step()
+        store.write("a", b"1")
+        store.number += 5
+        table.step()
+
+        assert table.version == 7
+        assert peers.announced_versions == [2]
+
+    def test_does_not_announce_what_was_announced_to_it(self):
+        table, store, _, _, peers, _ = make_table(Role.READER, answers=False)
+        table.step()
+        store.write("a", b"1")
+        table.record_version(2, "p1")
+        table.step()
+
+        assert table.version == 2
+        assert peers.announced_versions == []
+
     def test_reports_whether_it_reaches_the_store(self):
         table, _, feed, listener, _, _ = make_table(Role.READER, answers=False)
         table.step()
--- a/tests/adapter/test_platform_store.py
+++ b/tests/adapter/test_platform_store.py
@@ -17,6 +17,7 @@
     Key,
     Missing,
     Put,
+    StoreVersion,
     Unavailable,
     Unknown,
     WaitInterrupted,
@@ -157,6 +158,29 @@
         assert changes.entries == (Entry("a", b"1"),)
         assert changes.version > version
 
+    def test_changed_version_is_that_of_the_newest_row(self, platform, feed):
+        """All readers of a change state the same version, whenever they read it."""
+        self.write(platform, "a", 1)
+        changed = feed.read().version
+        other_row = {"table": "other", "key": "a", "document": 1}
+        call(platform.url, "PUT", "/rows", {"puts": [other_row]})
+
+        listing = feed.read()
+        changes = feed.read_changes(StoreVersion(changed - 1), timedelta(seconds=1))
+
+        assert listing.version > changed
+        assert listing.changed_version == changes.changed_version == changed
+
+    def test_changed_version_of_a_removal_is_that_of_the_answer(self, platform, feed):
+        self.write(platform, "a", 1)
+        version = feed.read().version
+        row = {"table": "watched", "key": "a"}
+        call(platform.url, "PUT", "/rows", {"remove": [row]})
+
+        changes = feed.read_changes(version, timedelta(seconds=1))
+
+        assert changes.changed_version == changes.version > version
+
     def test_undecodable_row_is_skipped(self, platform, feed):
         version = feed.read().version
         self.write(platform, "a", "bad")
