Repeat held table versions with each heartbeat

What callers would see: 404 by an old configuration on a node that was disconnected from its peers when the new version was announced.

Cause: a version was announced once. A node that missed it learns of it from the heartbeats of its readers, but not if these miss the change too.

Change: with each heartbeat, nodes send the newest announced versions that they have over their links, some 50 bytes a second and link.

test_missed_announcement_is_repeated fails without it (the node has not the change two seconds after it is connected again). The state machine of shared tables disconnects nodes too now.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_announcements.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_announcements.py
@@ -69,6 +69,11 @@
         self._requested_at = LONG_AGO
         self._read_at = LONG_AGO
 
+    @property
+    def newest(self) -> StoreVersion:
+        """The newest announced version, ``ORIGIN`` before the first."""
+        return self._newest
+
     def is_behind(self, known: StoreVersion) -> bool:
         """Return whether a version newer than ``known`` was announced."""
         return self._newest > known
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -200,6 +200,15 @@
         """Whether another node announced a newer version than the local copy's."""
         return self._missing.is_behind(self._known_version)
 
+    @property
+    def held_version(self) -> StoreVersion | None:
+        """The newest announced version, ``None`` if there is none or it is missing.
+
+        Nodes announce it repeatedly to those that missed its first announcement.
+        """
+        newest = self._missing.newest
+        return newest if ORIGIN < newest <= self._known_version else None
+
     @property
     def empty_changes(self) -> TableChanges | None:
         """Changes without rows, by which other nodes learn that they miss nothing.
--- a/packages/runhatch-coordination/tests/test_shared_world.py
+++ b/packages/runhatch-coordination/tests/test_shared_world.py
@@ -19,6 +19,8 @@
 from runhatch_coordination._shared import START_GRACE
 from runhatch_coordination.testing import ManualClock
 
+HEARTBEAT_INTERVAL = timedelta(seconds=1)
+
 
 class Node:
     """One node of a simulated system: its table and its faults."""
@@ -30,10 +32,12 @@
 
     def start(self):
         self.is_frozen = False
+        self.is_disconnected = False
+        """Whether announcements to and from the node are lost."""
         self.listener = TableListener()
         self.feed = StoreFeed(self.world.store)
         self.started_at = self.world.clock.elapsed()
-        self.due_at = self.started_at
+        self.due_at = self.heartbeat_at = self.started_at
         self.last_version = 0
         self.table = SharedTable(
             NAME,
@@ -73,7 +77,8 @@
 
     def publish_version(self, table, version):
         for other in self.world.nodes:
-            if other is not self and not other.is_frozen:
+            is_connected = not (self.is_disconnected or other.is_disconnected)
+            if other is not self and not other.is_frozen and is_connected:
                 other.table.record_version(version, self.vm.address)
 
     def record_source(self, table, source):
@@ -87,6 +92,11 @@
         self.table.obtain_missing()
         if self.role() is Role.READER and self.table.empty_changes is not None:
             self.publish(NAME, self.table.empty_changes, self.table.reaches_store)
+        if now >= self.heartbeat_at:
+            self.heartbeat_at = now + HEARTBEAT_INTERVAL
+            held = self.table.held_version
+            if held is not None:
+                self.publish_version(NAME, held)
         if now >= self.due_at:
             self.due_at = now + min(self.table.step(), timedelta(seconds=0.4))
 
@@ -155,6 +165,11 @@
     def set_hung(self, index, is_hung):
         self.nodes[index].feed.is_hung = is_hung
 
+    @rule(index=st.integers(0, 9), is_disconnected=st.booleans())
+    def set_disconnected(self, index, is_disconnected):
+        """Lose the announcements to and from a node, or stop losing them."""
+        self.nodes[index].is_disconnected = is_disconnected
+
     @rule(reader=st.integers(0, 9), node=st.integers(0, 9), is_lossy=st.booleans())
     def set_lossy(self, reader, node, is_lossy):
         """Lose the updates that ``reader`` sends to ``node``, or stop losing them."""
@@ -186,10 +201,12 @@
             feed = node.feed
             if node.is_frozen or feed.is_cut_off or feed.is_hung or node in starting:
                 continue
+            if node.is_disconnected:
+                continue
             assert node.listener.rows == self.store.rows, node.vm.name
         self.advance(1.0)
         for node in self.nodes:
-            if not node.is_frozen and node not in starting:
+            if not (node.is_frozen or node.is_disconnected or node in starting):
                 assert node.listener.rows == self.store.rows, node.vm.name
 
     def has_working_reader(self):
@@ -202,7 +219,9 @@
         working = [
             n
             for n in readers
-            if not (n.is_frozen or n.feed.is_cut_off or n.feed.is_hung)
+            if not (
+                n.is_frozen or n.is_disconnected or n.feed.is_cut_off or n.feed.is_hung
+            )
         ]
         return working or not any(node.feed.is_hung for node in self.nodes)
 
@@ -330,3 +349,23 @@
         world.advance(2.0)
 
         self.assert_up_to_date(world, followers)
+
+    def test_missed_announcement_is_repeated(self):
+        """A node that was disconnected kept its old version if its readers were stale.
+
+        Its readers miss the change too, and publish their version as the newest.
+        """
+        world, domain = self.make_world()
+        readers = [vm.name for vm in choose_readers("a", world.vms())]
+        node = next(node for node in domain if node.vm.name not in readers)
+        for reader in domain:
+            reader.feed.is_hung = reader.vm.name in readers
+            reader.is_disconnected = reader.vm.name in readers
+        node.is_disconnected = True
+        world.store.write("x", b"1")
+        world.advance(1.0)
+
+        node.is_disconnected = False
+        world.advance(2.0)
+
+        self.assert_up_to_date(world, [node])
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -345,6 +345,7 @@
         self._peers.announce_to_seeds(map(str, self._settings.seeds))
         self._peers.update_links()
         self._peers.check_members()
+        self._peers.publish_held_versions()
         self._balancer.node_count = len(self._membership.alive())
 
     def _update_lease(self) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -211,6 +211,14 @@
         self.publish(fact)
         self._tables.broadcast([fact])
 
+    def publish_held_versions(self) -> None:
+        """Publish the table versions that this node has, with each heartbeat.
+
+        A node that was disconnected when a version was announced learns of it so.
+        """
+        for fact in self._tables.held_versions():
+            self.publish(fact)
+
     def publish_draining(self, target: str) -> None:
         """Publish that ``target`` drains, as it reported in an answer."""
         self.publish(DrainingTargets((target,)))
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -285,6 +285,15 @@
         self.version_announced.set()
         return True
 
+    def held_versions(self) -> list[Fact]:
+        """Return the newest announced versions of tables that this node has."""
+        held = {name: table.held_version for name, table in self._tables.items()}
+        return [
+            TableVersion(name, version)
+            for name, version in held.items()
+            if version is not None
+        ]
+
     def changes_since(self, versions: dict[str, StoreVersion]) -> list[Fact]:
         """Return the changes of tables since ``versions``."""
         facts: list[Fact] = []
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -332,6 +332,7 @@
         self.updates = []
         self.answers = []
         self.announcers = []
+        self.held_version = None
 
     def apply_changes(self, reader, changes, reachable):
         self.updates.append(reader)
@@ -379,3 +380,12 @@
         assert links.sent == [("all", fact)]
         assert table.announcers == [PEER.address] * 2
         assert peers._tables.version_announced.is_set()
+
+    @pytest.mark.parametrize("version", [None, 6])
+    def test_version_that_the_node_has_is_published(self, clock, version):
+        peers, links, table = self.make(clock)
+        table.held_version = version
+
+        peers.publish_held_versions()
+
+        assert links.sent == ([("all", TableVersion("op", 6))] if version else [])
