Refuse unknown paths with 503 while a newer configuration is missing

A node that knew of a newer configuration than its own answered 404 for a route that had been added. Callers take a 404 as final; after a 503 with Retry-After they come back, to another node or when the configuration has arrived. A node that is not behind answers 404 at once, as before.

Weighed against holding the request until the configuration arrives: that may take seconds where the node is cut off, and the caller's next attempt goes to another node in three cases of four or more. This does not hide a late configuration from the node's operators: each such refusal is counted and logged as configuration_behind.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -30,6 +30,9 @@
 
 NOT_READY_RETRY_AFTER = timedelta(milliseconds=500)
 """Retry-After sent by a node that has no configuration yet."""
+BEHIND_RETRY_AFTER = timedelta(milliseconds=500)
+"""Retry-After sent by a node that lacks a newer configuration: the time in which it
+arrives, or the caller's next attempt reaches another node."""
 HEADER_PREFIX = "HTTP_"
 CONTENT_TYPE = "CONTENT_TYPE"
 MAX_LOGGED_LENGTH = 80
@@ -47,6 +50,7 @@
         metrics: Metrics,
         clock: Clock,
         on_request: Callable[[GatewayRequest], None],
+        lacks_newer_routes: Callable[[], bool],
     ) -> None:
         self._service = service
         self._codec = codec
@@ -54,6 +58,7 @@
         self._metrics = metrics
         self._clock = clock
         self._on_request = on_request
+        self._lacks_newer_routes = lacks_newer_routes
         self._random = random.Random()
         self.routes: RouteTable | None = None
         """The current routes, ``None`` before the first configuration."""
@@ -117,6 +122,13 @@
             return Refusal(Reason.BAD_HEADER, Executed.NO, detail)
         host = headers.get("host", "")
         route = routes.find(host, uri.partition("?")[0])
+        if route is None and self._lacks_newer_routes():
+            # Callers do not retry a 404.
+            return Refusal(
+                Reason.CONFIGURATION_BEHIND,
+                Executed.NO,
+                retry_after=BEHIND_RETRY_AFTER,
+            )
         if route is None:
             return Refusal(Reason.NO_ROUTE, Executed.NO)
         caller = self._codec.decode_caller(headers)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -256,6 +256,7 @@
             self._metrics,
             self._clock,
             self._record_demand,
+            lambda: self._tables.is_behind(self._platform.configurations.name),
         )
 
     def _build_membership(self) -> Membership:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -285,6 +285,10 @@
         self.version_announced.set()
         return True
 
+    def is_behind(self, table: str) -> bool:
+        """Return whether another node announced a newer version of ``table``."""
+        return self._tables[table].is_behind
+
     def held_versions(self) -> list[Fact]:
         """Return the newest announced versions of tables that this node has."""
         held = {name: table.held_version for name, table in self._tables.items()}
--- a/packages/runhatch-server/src/runhatch_server/refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/refusals.py
@@ -61,6 +61,11 @@
     STORE_UNAVAILABLE = ("store_unavailable", 503, "The store does not answer")
     FIRST_RUN_OPEN = ("first_run_open", 409, "An earlier run of this key is open")
     NOT_READY = ("not_ready", 503, "The node has no configuration yet")
+    CONFIGURATION_BEHIND = (
+        "configuration_behind",
+        503,
+        "The node lacks a newer configuration, which may declare the route",
+    )
     STOPPING = ("stopping", 503, "The node is stopping")
     CALLER_GONE = ("caller_gone", 499, "The caller went away")
 
