Test changes of a large table on links that callers use

The model of slow links had them free. A node read 603 KB from the store, in two seconds, and then once more for the second change.

--- a/packages/runhatch-coordination/tests/slow_links.py
+++ b/packages/runhatch-coordination/tests/slow_links.py
@@ -274,16 +274,20 @@
 
 
 class SlowWorld:
-    """A failure domain with slow links, one with fast links, and a store with a row."""
+    """A failure domain with slow links, one with fast links, and a store with a row.
 
-    def __init__(self):
+    ``free_share`` is the share of the slow links that callers do not use.
+    """
+
+    def __init__(self, free_share=1.0):
         self.simulation = Simulation()
         self.store = Store()
         self.store.write("config", b"2")
         self.store_link = Link(self.simulation, STORE_BYTES_PER_SECOND)
         self.nodes = []
         for number in range(NODE_COUNT):
-            self.nodes.append(SlowNode(self, f"a{number}", "a", NODE_BYTES_PER_SECOND))
+            free = NODE_BYTES_PER_SECOND * free_share
+            self.nodes.append(SlowNode(self, f"a{number}", "a", free))
         for number in range(2):
             self.nodes.append(SlowNode(self, f"b{number}", "b", FAST_BYTES_PER_SECOND))
         self.slow_nodes = self.nodes[:NODE_COUNT]
--- a/packages/runhatch-coordination/tests/test_shared_slow_links.py
+++ b/packages/runhatch-coordination/tests/test_shared_slow_links.py
@@ -9,9 +9,9 @@
 OBSERVED_SECONDS = 5.0
 
 
-@pytest.fixture
-def world():
-    world = SlowWorld()
+@pytest.fixture(params=[1.0, 0.5], ids=["idle links", "half used links"])
+def world(request):
+    world = SlowWorld(request.param)
     world.simulation.run_until(STARTUP_SECONDS)
     yield world
     world.simulation.close()
@@ -24,6 +24,8 @@
 
     All nodes then read the store at once, and an answer that is already arriving must
     not be interrupted: a node once still used the first version 3.2 s after the second.
+    On links that callers use too, the store's answer alone takes two seconds. It is ten
+    times as large as that of a node, which must not be requested after it only.
     """
     assert all(node.table.version for node in world.nodes)
     world.freeze_readers()
