Repeat the revision in force with each heartbeat

Cause, by reading, suspected to be that of the test: a node publishes a revision's number once, when it comes into force. A link that is not open within a second drops it, and a node that has just started retries its links at up to five seconds. A node that cannot read the store and was told by neither of the two others has nothing to request until its next refresh, 600 s in that test. It is the class of the gateways' versions, which are repeated now too.

Change: heartbeats repeat the number, some 12 bytes a second and link.

--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -314,6 +314,7 @@
         self._peers.announce_to_seeds(self._settings.peering.seeds)
         self._peers.update_links()
         self._peers.check_members()
+        self._peers.publish_held_revision()
         self._drain_tracker.remove_expired()
         self._demand_reporter.send_due_reports(
             self._placement_cache.deployment,
--- a/packages/runhatch-server/src/runhatch_server/_peer_service.py
+++ b/packages/runhatch-server/src/runhatch_server/_peer_service.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 
 from runhatch_coordination import (
+    ORIGIN,
     Clock,
     Membership,
     Revision,
@@ -68,6 +69,14 @@
         """Notify peers that the revision at ``position`` is in force on this node."""
         self.publish(RevisionNotice(position))
 
+    def publish_held_revision(self) -> None:
+        """Notify peers of the revision in force on this node, with each heartbeat.
+
+        A node whose links were not open when it was published learns of it so.
+        """
+        if self._feed.position > ORIGIN:
+            self.publish_revision(self._feed.position)
+
     def publish_hosting(self, hosting: Hosting) -> None:
         """Send peers the units that a target serves."""
         self.publish(HostingFact(hosting.target, hosting.version, hosting.units))
