Request no version that only this node has announced

A call that schedules attempts may pass the version of the local copy from before the node itself read and announced a newer one. There was then no announcer to choose, and the task logged an exception. Found by reading; the new test fails without the change (empty range for randrange). Two docstrings are clearer.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_announcements.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_announcements.py
@@ -83,6 +83,7 @@
     ) -> bool:
         """Record that the node at ``announcer`` announced ``version``.
 
+        ``announcer`` is empty if this node itself read the version from the store.
         Return whether no version as new was announced before. The node then announces
         it further, even if it already has the rows: other nodes may learn of the
         version from this one only.
@@ -149,8 +150,13 @@
         return max(since + self._read_delay, self._read_at + READ_INTERVAL)
 
     def _choose_announcer(self) -> str:
-        """Return an announcer of the newest version, each once before any again."""
+        """Return an announcer of the newest version, each once before any again.
+
+        Return an empty string if only this node has announced it.
+        """
         if not self._candidates:
             self._candidates = list(self._announcers)
+        if not self._candidates:
+            return ""
         index = self._random.randrange(len(self._candidates))
         return self._candidates.pop(index)
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -264,8 +264,8 @@
     def obtain_missing(self) -> Attempt | None:
         """Request an announced version that is overdue, or schedule a read for it.
 
-        Return the attempt that was made, if any. Requests are sent by the caller of
-        this method, because the task of the table may wait for the store.
+        Return the attempt that was made, if any. Must not be called by the task of
+        :meth:`run`, which may be waiting for the store.
         """
         attempt = self._missing.begin_attempt(self._known_version)
         if attempt is None:
--- a/packages/runhatch-coordination/tests/test_announcements.py
+++ b/packages/runhatch-coordination/tests/test_announcements.py
@@ -183,6 +183,16 @@
         assert attempts[0].waited == PAUSE + OVERDUE_MARGIN
         assert attempts[-1].waited >= timedelta(seconds=0.1 * (3 * MAX_PENDING - 1))
 
+    def test_version_that_only_this_node_announced_is_not_requested(self):
+        """A concurrent call may still pass the version from before the own read."""
+        missing, clock = make_missing()
+        missing.record(6, "p1", KNOWN)
+        missing.record(7, "", 7)
+
+        attempts = attempts_within(missing, clock, 1)
+
+        assert {each.peer for each in attempts} == {""}
+
     def test_time_until_attempt_is_when_one_begins(self):
         missing, clock = make_missing()
         missing.record(6, "p1", KNOWN)
