--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -23,7 +23,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
 from typing import Protocol
 
 from runhatch_coordination._announcements import Attempt, MissingVersions
@@ -38,6 +37,7 @@
 )
 from runhatch_coordination._history import ORIGIN, StoreVersion
 from runhatch_coordination._peers import Role
+from runhatch_coordination._reader_reports import ReaderReports, ReaderState
 from runhatch_coordination._replica import OfferOutcome, TableChanges, TableReplica
 from runhatch_coordination._sources import (
     CONTINUOUS_SOURCES,
@@ -106,23 +106,6 @@
         """Record that this node now receives the table from ``source``."""
 
 
-class ReaderState(Enum):
-    """The state of the readers of this node's failure domain."""
-
-    ACTIVE = "fresh"
-    CUT_OFF = "cut off"
-    """The readers are active but report that they cannot reach the store."""
-    SILENT = "silent"
-
-
-@dataclass(frozen=True, slots=True)
-class _ReaderReport:
-    """The last report of a reader: when it arrived and whether it reaches the store."""
-
-    received_at: timedelta
-    reachable: bool
-
-
 class SharedTable:
     """One table on one node; :meth:`run` is the body of one task.
 
@@ -157,10 +140,11 @@
             bounds.coalescing_pause,
         )
         jitter = random.uniform(0, SILENCE_JITTER) if jitter is None else jitter
-        self._silence_timeout = bounds.silence_timeout * (1 + jitter)
+        self._reader_reports = ReaderReports(
+            clock, bounds.silence_timeout * (1 + jitter)
+        )
         self._started_at = clock.elapsed()
         self._last_request_version = ORIGIN
-        self._reader_reports: dict[str, _ReaderReport] = {}
         self._missing = MissingVersions(clock, bounds.coalescing_pause)
         self._gap_since: timedelta | None = None
         self._must_read_once = False
@@ -225,7 +209,7 @@
         self, reader: str, changes: TableChanges | None, reachable: bool
     ) -> None:
         """Apply the changes, if any, that a reader sent and record its reachability."""
-        self._reader_reports[reader] = _ReaderReport(self._clock.elapsed(), reachable)
+        self._reader_reports.record(reader, reachable)
         if reachable:
             self._notify_reachability("")
         if changes is not None:
@@ -251,7 +235,7 @@
         """
         known = self._known_version
         is_new = self._missing.record(version, announcer, known)
-        is_cut_off = self._reader_state() is ReaderState.CUT_OFF
+        is_cut_off = self._reader_reports.state is ReaderState.CUT_OFF
         if is_new and version > known and is_cut_off:
             self._must_read_once = True
             self._wake_event.set()
@@ -375,7 +359,7 @@
             return Source.OVERDUE
         if self._gap_request_failed():
             return Source.GAP
-        readers = self._reader_state()
+        readers = self._reader_reports.state
         if readers is ReaderState.SILENT and not self._is_in_start_grace():
             return Source.NO_READER
         if readers is ReaderState.CUT_OFF and role is Role.RESERVE:
@@ -387,7 +371,7 @@
         if source in SINGLE_READ_SOURCES:
             return SINGLE_READ_WAIT
         is_continuous_reader = source in CONTINUOUS_SOURCES.values()
-        if is_continuous_reader and self._reader_state() is ReaderState.ACTIVE:
+        if is_continuous_reader and self._reader_reports.state is ReaderState.ACTIVE:
             return MAX_READER_CALL_WAIT
         return MAX_CALL_WAIT
 
@@ -424,24 +408,7 @@
         self._own_reachability = None
         if self._replica.version is None or self._gap_since is not None:
             return REQUEST_TIMEOUT
-        now = self._clock.elapsed()
-        last_received_at = max(
-            (report.received_at for report in self._reader_reports.values()),
-            default=now,
-        )
-        return max(last_received_at + self._silence_timeout - now, SINGLE_READ_WAIT)
-
-    def _reader_state(self) -> ReaderState:
-        """Return the state of the readers by their recent reports."""
-        now = self._clock.elapsed()
-        recent = [
-            report
-            for report in self._reader_reports.values()
-            if now - report.received_at < self._silence_timeout
-        ]
-        if any(report.reachable for report in recent):
-            return ReaderState.ACTIVE
-        return ReaderState.CUT_OFF if recent else ReaderState.SILENT
+        return max(self._reader_reports.time_until_silent, SINGLE_READ_WAIT)
 
     def _advance_watcher(self) -> None:
         """Make the watcher continue after the version of the local copy."""
@@ -454,7 +421,7 @@
         with self._reachability_lock:
             reachable = (
                 bool(self._own_reachability)
-                or self._reader_state() is ReaderState.ACTIVE
+                or self._reader_reports.state is ReaderState.ACTIVE
             )
             if reachable == self._notified_reachability:
                 return
