Clarify names of the relay and its tests

Read as a newcomer would: a report's epoch, number and orderer were called an order, which is also what targets are sent; tests spoke of hearing for receiving.

--- a/packages/runhatch-coordination/tests/test_announcements.py
+++ b/packages/runhatch-coordination/tests/test_announcements.py
@@ -77,14 +77,14 @@
         nodes = {vm.name: make_missing()[0] for vm in vms}
         known = {vm.name: KNOWN if vm.failure_domain == "b" else 6 for vm in vms}
         silent = choose_readers("b", vms)
-        heard = choose_readers("a", vms) + choose_readers("c", vms)
-        while heard:
-            announcer = heard.pop()
+        announcing = choose_readers("a", vms) + choose_readers("c", vms)
+        while announcing:
+            announcer = announcing.pop()
             for peer in choose_peers(announcer, vms):
                 missing = nodes[peer.name]
                 is_new = missing.record(6, announcer.name, known[peer.name])
                 if is_new and peer not in silent:
-                    heard.append(peer)
+                    announcing.append(peer)
 
         behind = {name for name in nodes if nodes[name].is_behind(known[name])}
         assert behind == {vm.name for vm in vms if vm.failure_domain == "b"}
--- a/packages/runhatch-server/src/runhatch_server/gateway/_holdings_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_holdings_relay.py
@@ -22,7 +22,7 @@
 BACKUP_DELAY = timedelta(milliseconds=250)
 """How long the first reader waits for the second one to relay a report."""
 
-_Order = tuple[int, int, str]
+_Position = tuple[int, int, str]
 """Epoch, number and orderer of a report; later ones are greater."""
 
 
@@ -30,7 +30,7 @@
 class _Report:
     """The newest report of one target, to be relayed at ``due_at``."""
 
-    order: _Order
+    position: _Position
     holding: HoldingOfTarget
     due_at: timedelta
 
@@ -56,22 +56,22 @@
         """
         if not self._tables.is_reader:
             return
-        order = _order_of(fact)
+        position = _position_of(fact)
         due_at = self._clock.elapsed() + self._delay()
         with self._lock:
             for holding in fact.holdings:
                 known = self._reports.get(holding.target)
-                if known is None or known.order <= order:
-                    self._reports[holding.target] = _Report(order, holding, due_at)
+                if known is None or known.position <= position:
+                    self._reports[holding.target] = _Report(position, holding, due_at)
         self.report_added.set()
 
     def discard_relayed(self, fact: TargetHoldings) -> None:
         """Discard the reports that the other reader has relayed in ``fact``."""
-        order = _order_of(fact)
+        position = _position_of(fact)
         with self._lock:
             for holding in fact.holdings:
                 known = self._reports.get(holding.target)
-                if known is not None and known.order <= order:
+                if known is not None and known.position <= position:
                     del self._reports[holding.target]
 
     def relay(self) -> None:
@@ -94,19 +94,19 @@
         return BACKUP_DELAY if is_first and has_second else timedelta()
 
     def _take_due(self) -> list[TargetHoldings]:
-        """Remove the reports that are due; return one message for each order."""
+        """Remove the reports that are due; return one message for each position."""
         now = self._clock.elapsed()
-        by_order: dict[_Order, list[HoldingOfTarget]] = {}
+        by_position: dict[_Position, list[HoldingOfTarget]] = {}
         with self._lock:
             for target, report in list(self._reports.items()):
                 if report.due_at <= now:
                     del self._reports[target]
-                    by_order.setdefault(report.order, []).append(report.holding)
+                    by_position.setdefault(report.position, []).append(report.holding)
         return [
-            TargetHoldings(epoch, by_order[epoch, number, orderer], number, orderer)
-            for epoch, number, orderer in sorted(by_order)
+            TargetHoldings(epoch, by_position[epoch, number, orderer], number, orderer)
+            for epoch, number, orderer in sorted(by_position)
         ]
 
 
-def _order_of(fact: TargetHoldings) -> _Order:
+def _position_of(fact: TargetHoldings) -> _Position:
     return fact.epoch, fact.number, fact.orderer
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -106,7 +106,7 @@
         self._updated_at: dict[str, timedelta] = {}
         self._renewed_at: dict[str, timedelta] = {}
         self.version_announced = threading.Event()
-        """Set when another node announces a version that this node lacks."""
+        """Set when another node announces a new version of a table."""
 
     @property
     def attempt_interval(self) -> timedelta:
@@ -241,8 +241,8 @@
 
     def apply_changes(self, update: TableUpdate, sender: Member) -> None:
         """Apply the changes of a table that a reader, or a node on request, sent."""
-        is_reader = sender.name in self._readers
-        if is_reader:
+        is_from_reader = sender.name in self._readers
+        if is_from_reader:
             self._received_at[sender.name] = self._clock.elapsed()
         table = self._tables.get(update.table)
         if table is None:
@@ -254,7 +254,7 @@
             self._metrics.peer_messages.labels("unreadable").inc()
             log_change("news_unreadable", sender=sender.name, why=str(error))
             return
-        if is_reader:
+        if is_from_reader:
             table.apply_changes(sender.name, changes, update.reachable)
         else:
             table.apply_answer(changes)
--- a/packages/runhatch-server/tests/test_uplink.py
+++ b/packages/runhatch-server/tests/test_uplink.py
@@ -115,7 +115,7 @@
             for facts in self.broadcaster.messages
         ]
 
-    def hear_sibling(self, *facts):
+    def receive_from_sibling(self, *facts):
         """Receive what the other reader broadcasts."""
         vm = self.sibling
         sender = Member(vm.name, "d1", vm.address, 5, Standing.ALIVE, 8787)
@@ -138,18 +138,18 @@
         }
         self.balancer.loads.apply_peer("n5", shares, True)
 
-    def run_busily(self, duration, hears_sibling):
+    def run_busily(self, duration, sibling_sends):
         """Relay holdings and sums while all targets change all the time."""
         start = self.clock.elapsed()
         received = 0
         while (elapsed := self.clock.elapsed() - start) < duration:
-            if hears_sibling and self.own == SECOND:
-                self.hear_sibling(TargetLoads([], False, ALL_DOMAINS))
+            if sibling_sends and self.own == SECOND:
+                self.receive_from_sibling(TargetLoads([], False, ALL_DOMAINS))
             while received < HOLDINGS_PER_SECOND * elapsed.total_seconds():
                 fact = self.receive_holdings(TARGETS[received % len(TARGETS)])
                 received += 1
-                if hears_sibling and self.own == FIRST:
-                    self.hear_sibling(fact)
+                if sibling_sends and self.own == FIRST:
+                    self.receive_from_sibling(fact)
             if self.clock.elapsed() >= self.sums_due_at:
                 self.change_loads(received)
                 self.peers.loads.send_sums()
@@ -160,18 +160,18 @@
 
 
 @pytest.mark.parametrize(
-    ("own", "hears_sibling"),
+    ("own", "sibling_sends"),
     [(FIRST, True), (SECOND, True), (FIRST, False), (SECOND, False)],
     ids=["first", "second", "first alone", "second alone"],
 )
-def test_busy_reader_does_not_fill_its_uplink(clock, own, hears_sibling):
+def test_busy_reader_does_not_fill_its_uplink(clock, own, sibling_sends):
     reader = Reader(clock, own)
     duration = seconds(LOADED_SECONDS)
-    reader.run_busily(duration, hears_sibling)
+    reader.run_busily(duration, sibling_sends)
 
     used = reader.tables.uplink.total_bytes / LOADED_SECONDS
     assert 0 < used < SLOWEST_UPLINK
-    if hears_sibling:
+    if sibling_sends:
         # Half remains for callers while both readers share the work.
         assert used < SLOWEST_UPLINK / 2 * 1.1
 
@@ -203,7 +203,7 @@
             assert seconds(0) <= clock.elapsed() - received_at - delay <= seconds(0.1)
 
     @pytest.mark.parametrize(
-        ("heard", "relayed"),
+        ("received", "relayed"),
         [
             pytest.param([], ["t1"], id="nothing"),
             pytest.param([5], [], id="same"),
@@ -211,13 +211,13 @@
             pytest.param([4], ["t1"], id="older"),
         ],
     )
-    def test_first_reader_does_not_repeat_what_it_hears(self, clock, heard, relayed):
+    def test_first_reader_discards_what_it_received(self, clock, received, relayed):
         reader = Reader(clock, FIRST)
         reader.receive_holdings("t1", number=5)
-        for number in heard:
+        for number in received:
             holding = HoldingOfTarget("t1", {}, [])
             fact = TargetHoldings(3, [holding], number, ORDERER.address)
-            reader.hear_sibling(fact)
+            reader.receive_from_sibling(fact)
 
         for _ in range(2):
             reader.peers.relay.relay()
