--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -31,8 +31,8 @@
 NOT_READY_RETRY_AFTER = timedelta(milliseconds=500)
 """Retry-After sent by a node that has no configuration yet."""
 BEHIND_RETRY_AFTER = timedelta(milliseconds=500)
-"""Retry-After sent by a node that lacks a newer configuration: the time in which it
-arrives, or the caller's next attempt reaches another node."""
+"""Retry-After sent by a node that lacks a newer configuration, which arrives within
+this time unless the first request for it fails."""
 HEADER_PREFIX = "HTTP_"
 CONTENT_TYPE = "CONTENT_TYPE"
 MAX_LOGGED_LENGTH = 80
--- a/packages/runhatch-server/src/runhatch_server/gateway/_load_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_load_exchange.py
@@ -29,8 +29,7 @@
 SUM_INTERVAL = timedelta(milliseconds=100)
 MAX_SUM_INTERVAL = timedelta(milliseconds=300)
 """Intervals between sums sent by a reader, by the bandwidth that its broadcasts take.
-The sums of 70 targets take up to 1.5 KB, 3.5 Mbit/s to 29 nodes at the shortest
-interval.  Processing a prompt takes 20 to 100 ms."""
+The shortest one is about the time in which a target processes a prompt."""
 FIRST_READER_TIMEOUT = timedelta(milliseconds=800)
 """How long the first reader of a domain may be silent before the second sends sums:
 two of the longest intervals, plus the delay of a busy node."""
