List a removal that no node announces after a lost history

What callers would see: a target that was removed stays in use on nodes whose own readers are silent, until the next change of the table.

A listing has no row for what was removed, so its newest row is one announced before (3 announced, at least 4 expected). Ruled out: changes read with their history, where a removal takes the version of the answer.

Next: announce the version of the answer where the local copy lost rows by a listing. The fake's listing states the version of its rows only, as the store's does.

--- a/packages/runhatch-coordination/tests/shared_cases.py
+++ b/packages/runhatch-coordination/tests/shared_cases.py
@@ -65,6 +65,11 @@
         numbers = [n for n in self.change_numbers.values() if n > after]
         return store_version(self.era, max(numbers)) if numbers else ORIGIN
 
+    def newest_row_version(self):
+        """Return the version of the newest row, as a listing has no removed rows."""
+        numbers = [self.change_numbers[key] for key in self.rows]
+        return store_version(self.era, max(numbers)) if numbers else ORIGIN
+
     def entries(self, after):
         keys = [key for key, number in self.change_numbers.items() if number > after]
         return tuple(Entry(key, self.rows.get(key)) for key in sorted(keys))
@@ -85,7 +90,7 @@
         if self.is_cut_off:
             return Unavailable("cut off")
         rows = tuple(Entry(key, value) for key, value in self._store.rows.items())
-        return Listing(rows, self._store.version, self._store.changed_version(0))
+        return Listing(rows, self._store.version, self._store.newest_row_version())
 
     def read_changes(self, after, wait):
         self._store.calls += 1
--- a/packages/runhatch-coordination/tests/test_shared.py
+++ b/packages/runhatch-coordination/tests/test_shared.py
@@ -5,7 +5,14 @@
 import pytest
 from shared_cases import SILENT, make_table, row, whole_table
 
-from runhatch_coordination import Role, Source, TableChanges, Vm, choose_role
+from runhatch_coordination import (
+    HistoryLost,
+    Role,
+    Source,
+    TableChanges,
+    Vm,
+    choose_role,
+)
 from runhatch_coordination._shared import (
     REQUEST_TIMEOUT,
     START_GRACE,
@@ -44,6 +51,24 @@
         assert table.version == 7
         assert peers.announced_versions == [2]
 
+    def test_announces_a_removal_found_by_a_listing(self):
+        """A listing states no version for a row that is gone.
+
+        The version of its newest row was announced before, so nodes whose readers are
+        silent are not told of the removal.
+        """
+        table, store, feed, listener, peers, _ = make_table(Role.READER, answers=False)
+        store.write("a", b"1")
+        store.write("b", b"2")
+        table.step()
+        store.write("a", None)
+        feed.read_changes = lambda after, wait: HistoryLost()
+        table.step()
+        table.step()
+
+        assert listener.rows == {"b": b"2"}
+        assert peers.announced_versions[-1] >= 4
+
     def test_does_not_announce_what_was_announced_to_it(self):
         table, store, _, _, peers, _ = make_table(Role.READER, answers=False)
         table.step()
