Split events at blank lines that end with CRLF or CR

Callers of resumable routes got a stream whose lines end with CRLF or CR only as a whole at its end, and nothing of it if its target broke off. The splitter knew LF alone, though server-sent events allow all three.

Evidence: the cases of TestEventSplitter and the resumable cases of test_events_are_delivered_as_they_arrive failed before and pass now. Fields of an event (id, data) are found with each line end too. No users' target is known to send such streams.

--- a/packages/runhatch-server/src/runhatch_server/targets/_stream.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_stream.py
@@ -1,8 +1,10 @@
 """Splits a stream of server-sent events into events without decoding them."""
 
+import re
 from collections.abc import Iterator
 
-EVENT_END = b"\n\n"
+EVENT_END = re.compile(rb"\n\r?\n|\r\r")
+"""A line end and a blank line; lines end with LF, CRLF or CR."""
 TERMINAL_EVENT = b"data: [DONE]"
 ID_FIELD = b"id: "
 MAX_EVENT_BYTES = 1_048_576
@@ -35,10 +37,11 @@
 
         Raises :class:`EventTooLongError` if the remaining event is too long.
         """
-        self._buffer += chunk
-        *events, self._buffer = self._buffer.split(EVENT_END)
-        for event in events:
-            yield event + EVENT_END
+        received = self._buffer + chunk
+        ends = [match.end() for match in EVENT_END.finditer(received)]
+        self._buffer = received[ends[-1] :] if ends else received
+        for start, end in zip([0, *ends], ends, strict=False):
+            yield received[start:end]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLongError(f"event exceeds {MAX_EVENT_BYTES} bytes")
 
@@ -50,7 +53,7 @@
     True
     """
     return TERMINAL_EVENT in event and any(
-        line == TERMINAL_EVENT for line in event.split(b"\n")
+        line == TERMINAL_EVENT for line in event.splitlines()
     )
 
 
@@ -60,7 +63,7 @@
     >>> parse_event_id(b"event: x\nid: 7\ndata: y\n\n")
     b'7'
     """
-    for line in event.split(b"\n"):
+    for line in event.splitlines():
         if line.startswith(ID_FIELD):
             return line[len(ID_FIELD) :].strip()
     return None
@@ -69,5 +72,5 @@
 def parse_event_data(event: bytes) -> bytes:
     """Return the event's data lines, joined by newlines."""
     prefix = b"data: "
-    lines = [line for line in event.split(b"\n") if line.startswith(prefix)]
+    lines = [line for line in event.splitlines() if line.startswith(prefix)]
     return b"\n".join(line[len(prefix) :] for line in lines)
