Keep a reset that was found by looking for data

Callers got streams whose target had reset the connection as complete ones, if the answer had neither a length nor chunks. Before each read the relay looks for data without waiting. That call got the reset, dropped it in the belief that the read would find it again, and the kernel reports it once: the read found a normal end.

The error is now kept and raised by the read.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -71,6 +71,9 @@
         super().__init__(sock, debuglevel, method, url)
         self.reader = _LeftoverReader(self.fp.detach(), sock)
         self.fp = self.reader
+        self.read_error: OSError | None = None
+        """Error of the connection that was found by looking for data.  The kernel
+        reports it once; the next read would find the end of the connection."""
 
     def has_pending(self) -> bool:
         """Return whether the next read returns data without blocking.
@@ -81,8 +84,8 @@
             return True
         try:
             pending = self.reader.pending()
-        except OSError:
-            # The next read raises the error.
+        except OSError as error:
+            self.read_error = error
             return True
         return len(pending) > (len(CHUNK_END) if self.chunked else 0)
 
@@ -146,6 +149,8 @@
         Raises ``OSError`` or ``HTTPException`` if the body ends early.
         """
         response = self._require_response()
+        if response.read_error is not None:
+            raise response.read_error
         if response.chunked or response.fp is None:
             # Raises if the connection ends within a chunk or before the last chunk.
             return bytes(response.read1(READ_SIZE))
