Reject answers whose head or chunk sizes end early

Callers got an empty answer with status 200, framed as complete, where a target's connection was closed within the head of its answer, and a stream without its last events where it was closed within the size of a chunk that has leading zeros, or within the last chunk. http.client takes the end of the connection for the blank line after the headers, and part of a line for the line: a head that ends before its Content-Length has none, and "0" of "000f" is the last chunk.

Evidence: the table of cuts of test_truncated_answers.py; ends in the head were taken as complete from the status line on, for all framings, and all prefixes of sizes that are zero. The nine cases of test_truncated_head_is_no_answer and the three chunked ones of test_body_ended_by_fin failed and pass.

All responses are now read by a reader for which a line that ends without its line feed is an error: those of targets in both stacks, and of services such as the platform's store.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -14,6 +14,7 @@
 from runhatch_coordination import Clock
 from runhatch_server.decisions import Headers
 from runhatch_server.fleet import Target
+from runhatch_server.http import StrictLineReader, StrictResponse
 from runhatch_server.targets import AttemptReason, NotSent, refuses_connections
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
@@ -27,7 +28,7 @@
 CHUNK_END = b"\r\n"
 
 
-class _LeftoverReader(io.BufferedReader):
+class _LeftoverReader(StrictLineReader):
     """Reads one answer and detects bytes that follow its end.
 
     ``http.client`` drops its buffer with each answer.  Part of an unsolicited
@@ -58,22 +59,18 @@
         super().close()
 
 
-class _LeftoverResponse(http.client.HTTPResponse):
+class _LeftoverResponse(StrictResponse):
     """An answer read through a :class:`_LeftoverReader`."""
 
-    def __init__(
-        self,
-        sock: socket.socket,
-        debuglevel: int = 0,
-        method: str | None = None,
-        url: str | None = None,
-    ) -> None:
-        super().__init__(sock, debuglevel, method, url)
-        self.reader = _LeftoverReader(self.fp.detach(), sock)
-        self.fp = self.reader
-        self.read_error: OSError | None = None
-        """Error of the connection that was found by looking for data.  The kernel
-        reports it once; the next read would find the end of the connection."""
+    reader: _LeftoverReader
+    read_error: OSError | None = None
+    """Error of the connection that was found by looking for data.  The kernel reports
+    it once; the next read would find the end of the connection."""
+
+    def open_reader(self, raw: io.RawIOBase, sock: socket.socket) -> _LeftoverReader:
+        """Return the reader of ``raw``, which reads from ``sock``."""
+        self.reader = _LeftoverReader(raw, sock)
+        return self.reader
 
     def has_pending(self) -> bool:
         """Return whether the next read returns data without blocking.
--- a/packages/runhatch-server/src/runhatch_server/http/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/http/__init__.py
@@ -6,6 +6,7 @@
     Reply,
     enable_keepalive,
 )
+from runhatch_server.http._response import StrictLineReader, StrictResponse
 from runhatch_server.http._server import HttpServer, ServerLimits
 from runhatch_server.http._wsgi import (
     AbortedStreamError,
@@ -28,6 +29,8 @@
     "Reply",
     "ServerLimits",
     "StartResponse",
+    "StrictLineReader",
+    "StrictResponse",
     "caller_disconnect_check",
     "enable_keepalive",
     "send_response",
--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -13,6 +13,7 @@
 from urllib.parse import urlsplit
 
 from runhatch_coordination import Unavailable, Unknown
+from runhatch_server.http._response import StrictResponse
 
 DEFAULT_POOL_SIZE = 6
 """Size of the connection pool of a service; further calls wait for a connection."""
@@ -127,7 +128,9 @@
         connection_class = (
             http.client.HTTPSConnection if secure else http.client.HTTPConnection
         )
-        return connection_class(self._host, self._port, timeout=self._timeout)
+        connection = connection_class(self._host, self._port, timeout=self._timeout)
+        connection.response_class = StrictResponse
+        return connection
 
     def _send(
         self,
--- a/packages/runhatch-server/src/runhatch_server/targets/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_client.py
@@ -8,6 +8,7 @@
 from urllib.parse import urlsplit
 
 from runhatch_coordination import Clock
+from runhatch_server.http import StrictResponse
 from runhatch_server.targets._answers import OpenAnswer
 from runhatch_server.targets._outcomes import (
     AttemptOutcome,
@@ -90,6 +91,7 @@
         connection = connection_type(
             parts.hostname or "", parts.port, timeout=timeout.total_seconds()
         )
+        connection.response_class = StrictResponse
         try:
             connection.connect()
         except OSError:
