Pass answers without framing on without framing

The target's answer had neither a length nor chunks, its process ended and its connection was closed normally. Such an end was returned as the end of the body, and the caller's answer, framed in chunks, got its last chunk. The request counted as answered and its target as sound.

In the table of cuts every position of an answer without framing was "complete".

A stream that ends inside an event, or without framing before its first one, has now been broken off, whatever its framing: it is resumed where the route allows, else the caller's connection is aborted. Between two events nothing tells the end of the stream from that of the target, so the caller's answer has no framing either and ends with its connection; so do plain answers. As a normal close then means a complete body, the connection is set up to be reset by any other end, that of the process included; HTTP/1.0 callers, who know no chunks, get the same. A part without framing that continues a framed answer can't complete it and is resumed again or aborted.

The fake connection of test_gateway_run.py states its framing, as real ones do.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_answers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_answers.py
@@ -10,12 +10,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CompleteAnswer:
-    """An answer with its complete body."""
+    """An answer with its complete body.
+
+    A body without framing is complete unless its connection was closed too early.
+    """
 
     status: int
     reason: str
     headers: Headers
     body: bytes
+    is_framed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +30,7 @@
     reason: str
     headers: Headers
     events: StreamRelay
+    is_framed: bool
 
 
 GatewayAnswer = CompleteAnswer | StreamAnswer
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -16,6 +16,7 @@
     Environ,
     StartResponse,
     caller_disconnect_check,
+    omit_framing,
     send_response,
 )
 from runhatch_server.observability import Metrics, log_change
@@ -74,12 +75,15 @@
         try:
             answer = self._answer(environ)
             status = f"{answer.status} {answer.reason or 'Status'}"
+            if not answer.is_framed:
+                omit_framing(environ)
             if isinstance(answer, StreamAnswer):
                 start_response(status, [*answer.headers])
                 is_streaming = True
                 return ClosingEvents(answer.events, self._progress.record_end)
+            close_connection = self.draining or not answer.is_framed
             return send_response(
-                status, answer.headers, answer.body, start_response, self.draining
+                status, answer.headers, answer.body, start_response, close_connection
             )
         finally:
             if not is_streaming:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -99,6 +99,16 @@
         self._response: _LeftoverResponse | None = None
         self._socket: socket.socket | None = None
         self._body_left: int | None = None
+        self._has_length = False
+
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer states where its body ends.
+
+        Otherwise the body ends with the connection, as it does if the target ends.
+        """
+        response = self._require_response()
+        return response.chunked or self._has_length
 
     def connect(self, timeout: timedelta) -> None:
         """Open the connection; raises ``OSError`` on failure or timeout."""
@@ -138,12 +148,14 @@
         assert isinstance(response, _LeftoverResponse)
         self._response = response
         self._body_left = None if response.chunked else response.length
+        self._has_length = self._body_left is not None
         return response
 
     def read_chunk(self) -> bytes:
         """Return the next bytes of the body as they arrive; empty at its end.
 
-        Raises ``OSError`` or ``HTTPException`` if the body ends early.
+        Raises ``OSError`` or ``HTTPException`` if the body ends early, which can't be
+        detected unless :attr:`is_framed`.
         """
         response = self._require_response()
         if response.read_error is not None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -16,7 +16,14 @@
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._pace import StreamPace
 from runhatch_server.http import AbortedStreamError
-from runhatch_server.targets import AttemptReason, EventSplitter, parse_event_id
+from runhatch_server.targets import (
+    AttemptReason,
+    EventEndDetector,
+    EventSplitter,
+    parse_event_id,
+)
+
+EVENT_STREAM_TYPE = "text/event-stream"
 
 
 class Resumer(Protocol):
@@ -35,6 +42,10 @@
     Iterating yields bytes for the caller.  It ends normally only if the stream is
     complete, and raises :class:`AbortedStreamError` otherwise, so that the caller's
     connection is aborted.  ``on_end`` is called once, after success or failure.
+
+    A stream that ends within an event has been broken off.  If it has no framing, its
+    end can't be distinguished from that of the target's process, so it may only be
+    relayed without framing.
     """
 
     def __init__(
@@ -61,6 +72,10 @@
         self._clock = clock
         self._caller_gone = is_caller_gone
         self._splitter = EventSplitter() if request.route.resumable else None
+        self._end_detector = EventEndDetector()
+        self.is_framed = opened.connection.is_framed
+        """Whether the stream's first target states where the body ends, and so may the
+        answer to the caller."""
         self._last_event_id = request.last_event_id
         self._holds_target = True
         self.pace = StreamPace()
@@ -90,12 +105,13 @@
     def _relay(self) -> Generator[bytes, None, None]:
         while True:
             chunk = self._read_chunk()
-            if chunk is None:
+            if chunk is None or (not chunk and self._is_broken_off()):
                 if not self._resume():
                     raise AbortedStreamError(self._request.attempt_id)
                 continue
             if not chunk:
                 break
+            self._end_detector.feed(chunk)
             sendable = self._take_sendable(chunk)
             if sendable:
                 self.pace.record_piece(self._clock.elapsed())
@@ -104,6 +120,18 @@
             yield self._splitter.incomplete_event
         self._finish()
 
+    def _is_broken_off(self) -> bool:
+        """Return whether a body at whose end no error was found is incomplete."""
+        is_framed = self._opened.connection.is_framed
+        if self.is_framed and not is_framed:
+            # The answer to the caller would state an end that nobody knows.
+            return True
+        if not _is_event_stream(self._opened):
+            return False
+        if self._end_detector.is_empty:
+            return not is_framed
+        return not self._end_detector.is_between_events
+
     def _read_chunk(self) -> bytes | None:
         """Return the next bytes, empty at the end, ``None`` if the connection broke."""
         connection = self._opened.connection
@@ -148,6 +176,7 @@
         self._grant, self._opened = resumed
         self._holds_target = True
         self._splitter = EventSplitter()
+        self._end_detector = EventEndDetector()
         return True
 
     def _finish(self) -> None:
@@ -170,3 +199,10 @@
         self._holds_target = False
         self._forwarder.discard_answer(self._opened)
         self._balancer.release(self._grant, faulty)
+
+
+def _is_event_stream(opened: OpenedAnswer) -> bool:
+    """Return whether the body consists of events, as on all routes with streams."""
+    names = {name.lower(): value for name, value in opened.head.forwarded}
+    content_type = names.get("content-type", EVENT_STREAM_TYPE)
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -306,7 +306,9 @@
             self._record_stream,
         )
         head = opened.head
-        return StreamAnswer(head.status, head.reason, head.forwarded, relay)
+        return StreamAnswer(
+            head.status, head.reason, head.forwarded, relay, relay.is_framed
+        )
 
     def _record_stream(self, relay: StreamRelay) -> None:
         if relay.outcome == "answered":
@@ -329,6 +331,7 @@
             return self._handle_broken_answer(
                 grant, opened, AttemptReason.CONNECTION_BROKEN
             )
+        is_framed = opened.connection.is_framed
         self._parts.forwarder.recycle_connection(opened)
         failed = head.status >= MIN_SERVER_ERROR_STATUS
         self._parts.balancer.release(grant, target_failed=failed)
@@ -338,7 +341,7 @@
             self._may_have_run = True
             if self._may_retry(AttemptReason.SERVER_ERROR):
                 return None
-        return CompleteAnswer(head.status, head.reason, head.forwarded, body)
+        return CompleteAnswer(head.status, head.reason, head.forwarded, body, is_framed)
 
     def _handle_broken_answer(
         self, grant: Grant, opened: OpenedAnswer, reason: AttemptReason
--- a/packages/runhatch-server/src/runhatch_server/http/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/http/__init__.py
@@ -15,6 +15,7 @@
     EventStream,
     StartResponse,
     caller_disconnect_check,
+    omit_framing,
     send_response,
 )
 
@@ -33,5 +34,6 @@
     "StrictResponse",
     "caller_disconnect_check",
     "enable_keepalive",
+    "omit_framing",
     "send_response",
 ]
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -8,6 +8,7 @@
 
 from waitress import create_server
 
+from runhatch_server.http._channel import FramingChannel
 from runhatch_server.http._dispatcher import GrowingDispatcher
 
 SPARE_CONNECTIONS = 100
@@ -61,6 +62,7 @@
             ident="runhatch",
             expose_tracebacks=False,
         )
+        self._server.channel_class = FramingChannel
         self.set_limits(limits)
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
--- a/packages/runhatch-server/src/runhatch_server/http/_wsgi.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_wsgi.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from runhatch_server._errors import RunhatchError
+from runhatch_server.http._channel import OMIT_FRAMING_KEY
 
 CLIENT_DISCONNECTED_KEY = "waitress.client_disconnected"
 
@@ -12,7 +13,11 @@
 
 
 class AbortedStreamError(RunhatchError):
-    """Raised to make the HTTP server close a connection without the final chunk."""
+    """Raised to make the HTTP server end a response so that it looks truncated.
+
+    The connection is closed without the last chunk, or reset if the body has no
+    framing.
+    """
 
 
 class EventStream(Protocol):
@@ -66,6 +71,17 @@
     return [body]
 
 
+def omit_framing(environ: Environ) -> None:
+    """Have the response to ``environ`` end with its connection, without framing.
+
+    The caller then can't take the end of the body for more than the end of the
+    connection.  Call before the first part of the body is returned.
+    """
+    omit = environ.get(OMIT_FRAMING_KEY)
+    if callable(omit):
+        omit()
+
+
 def caller_disconnect_check(environ: Environ) -> Callable[[], bool]:
     """Return a function that checks if the caller has closed its connection."""
     check = environ.get(CLIENT_DISCONNECTED_KEY)
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -28,6 +28,7 @@
 )
 from runhatch_server.targets._probe import refuses_connections
 from runhatch_server.targets._stream import (
+    EventEndDetector,
     EventSplitter,
     is_terminal_event,
     parse_event_data,
@@ -42,6 +43,7 @@
     "CacheEvents",
     "EngineClient",
     "EngineReport",
+    "EventEndDetector",
     "EventSplitter",
     "LoadedUnit",
     "NotSent",
--- a/packages/runhatch-server/src/runhatch_server/targets/_stream.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_stream.py
@@ -5,6 +5,8 @@
 
 EVENT_END = re.compile(rb"\n\r?\n|\r\r")
 """A line end and a blank line; lines end with LF, CRLF or CR."""
+EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+MAX_EVENT_END_BYTES = 3
 TERMINAL_EVENT = b"data: [DONE]"
 ID_FIELD = b"id: "
 MAX_EVENT_BYTES = 1_048_576
@@ -46,6 +48,36 @@
             raise EventTooLongError(f"event exceeds {MAX_EVENT_BYTES} bytes")
 
 
+class EventEndDetector:
+    r"""Detects whether a stream of events is between two events.
+
+    >>> detector = EventEndDetector()
+    >>> detector.feed(b"data: a\n")
+    >>> detector.is_between_events
+    False
+    >>> detector.feed(b"\n")
+    >>> detector.is_between_events
+    True
+    """
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing was received."""
+        return not self._tail
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether the bytes received end with an event and its blank line."""
+        return self._tail.endswith(EVENT_ENDS)
+
+    def feed(self, chunk: bytes) -> None:
+        """Add the next received bytes."""
+        self._tail = (self._tail + chunk[-MAX_EVENT_END_BYTES:])[-MAX_EVENT_END_BYTES:]
+
+
 def is_terminal_event(event: bytes) -> bool:
     """Return whether ``event`` ends a complete stream.
 
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -45,6 +45,8 @@
 class FakeConnection:
     """Fake of a connection whose answer has arrived; it breaks if ``body`` is None."""
 
+    is_framed = True
+
     def __init__(self, body):
         self._body = body
 
