Refuse streams that break before their first event

Callers of such a stream got a 500 in plain text, written by the HTTP server after an exception, and the log said status 200. The answer's head is only sent with the first part of the stream, so the node now waits for that part and refuses with a problem document if there is none: 504 if the deadline passed, else 502. Both say that the request may have run.

Evidence: test_stream_that_breaks_before_it_began_is_refused failed on both kinds of streams and passes.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -78,6 +78,9 @@
         answer to the caller."""
         self._last_event_id = request.last_event_id
         self._holds_target = True
+        self._first_part: bytes | None = None
+        self.has_begun = False
+        """Whether the caller has been or will be sent the head of the answer."""
         self.pace = StreamPace()
         self.outcome = "cut"
         """The outcome for the log; ``cut`` while the stream runs."""
@@ -91,7 +94,20 @@
         return self
 
     def __next__(self) -> bytes:
-        return next(self._chunks)
+        first_part, self._first_part = self._first_part, None
+        return next(self._chunks) if first_part is None else first_part
+
+    def begin(self) -> bool:
+        """Wait for the first part; return false if the stream breaks before it.
+
+        The caller can then still be refused.
+        """
+        try:
+            self._first_part = next(self._chunks, None)
+        except AbortedStreamError:
+            return False
+        self.has_begun = True
+        return True
 
     def close(self) -> None:
         """Release the target; the HTTP server calls this after success or failure."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -41,6 +41,11 @@
 """Shortest wait for such an answer, as a multiple of the predicted time."""
 UNRUN_RETRY_DELAY = timedelta(milliseconds=250)
 """Retry delay for a caller whose request no target could run."""
+BROKEN_STREAM_REASONS = {
+    "caller_gone": Reason.CALLER_GONE,
+    "deadline_passed": Reason.DEADLINE_PASSED,
+}
+"""Reasons for refusing a stream that broke before its first part, by its outcome."""
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -292,7 +297,9 @@
         is_stream_route = self._request.route.kind is RequestKind.STREAM
         return is_stream_route and opened.head.status in SUCCESS_STATUSES
 
-    def _stream_answer(self, grant: Grant, opened: OpenedAnswer) -> StreamAnswer:
+    def _stream_answer(
+        self, grant: Grant, opened: OpenedAnswer
+    ) -> StreamAnswer | Refusal:
         parts = self._parts
         relay = StreamRelay(
             self._request,
@@ -305,6 +312,9 @@
             self._caller_gone,
             self._record_stream,
         )
+        if not relay.begin():
+            relay.close()
+            return _refuse_broken_stream(relay)
         head = opened.head
         return StreamAnswer(
             head.status, head.reason, head.forwarded, relay, relay.is_framed
@@ -314,6 +324,8 @@
         if relay.outcome == "answered":
             self._record_answer(relay.grant)
         self.record.record_stream(relay.outcome, relay.pace)
+        if not relay.has_begun:
+            self.record.status = _refuse_broken_stream(relay).reason.status
         self._parts.recorder.record(self.record)
 
     def _read_whole(
@@ -353,3 +365,9 @@
         self.record.record_attempt(grant, f"unknown_{reason.value}")
         self.record_no_answer(grant, reason)
         return self._decide_after_unknown(reason)
+
+
+def _refuse_broken_stream(relay: StreamRelay) -> Refusal:
+    """Return the refusal of a stream that broke before its first part."""
+    reason = BROKEN_STREAM_REASONS.get(relay.outcome, Reason.TARGETS_FAILED)
+    return Refusal(reason, Executed.UNKNOWN)
