Reset bodies that break off on a kept connection

Callers that sent a second request on a connection got a stream without framing that had been broken off as a complete one: the connection was closed normally. The first response had set is_body_whole on the channel, and nothing cleared it when the next body began, so the close counted as the end of a whole body.

Evidence: test_body_without_framing_that_breaks_off_is_reset failed with HTTP/1.1 and 1.0 and passes, five runs of each. The table of cuts opens a connection for each request, which is why it did not show this.

The flag is cleared when a body without framing begins.

--- a/packages/runhatch-server/src/runhatch_server/http/_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_channel.py
@@ -63,10 +63,12 @@
 
     task_class = FramingTask
     is_body_whole = False
-    """Whether the last response has been written completely to the buffer."""
+    """Whether the last body without framing has been written completely to the
+    buffer."""
 
     def begin_unframed_body(self) -> None:
         """Have the connection reset by any close before the body is sent."""
+        self.is_body_whole = False
         self._set_linger(RESET_ON_CLOSE)
 
     def handle_close(self) -> None:
