Reject responses that end before their body begins

A response of a service whose connection was closed between its head and its body counted as complete, with an empty body, though its Content-Length said otherwise. HttpClient reads the first byte of the body on its own, and http.client checks the length only of a body that is read in one call.

Found by reading; no user has reported it. By reading, rows and reports fail to decode then, so that nothing worse than a retry comes of it. An object read with an empty body doesn't match the digest of its entry, which ends the process as a broken invariant.

Evidence: test_truncated_body_is_no_reply failed with no byte of the body sent, passed with one to four, and passes with all. Empty bodies of a known length are still replies.

The missing first byte is now an IncompleteRead, which makes the outcome Unknown.

--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -159,7 +159,11 @@
                 method, self._prefix + path, body=body, headers=dict(headers)
             )
             response = connection.getresponse()
+            length = response.length
             first_byte = response.read(1)
+            if length and not first_byte:
+                # http.client doesn't check the length of a body read in parts.
+                raise http.client.IncompleteRead(first_byte, length)
             if not response.isclosed():
                 self._record_first_byte(number, sock)
             answer = first_byte + response.read()
