--- a/packages/runhatch-server/tests/test_answer_framing.py
+++ b/packages/runhatch-server/tests/test_answer_framing.py
@@ -5,7 +5,17 @@
 from datetime import timedelta
 
 import pytest
-from truncated_answer_cases import ATTEMPT, CALLER_TIMEOUT_SECONDS, HEAD_END
+from truncated_answer_cases import (
+    ATTEMPT,
+    CALLER_TIMEOUT_SECONDS,
+    HEAD_END,
+    End,
+    Ending,
+    Gateway,
+    Route,
+    Script,
+    make_events,
+)
 
 from runhatch_coordination import Unknown
 from runhatch_server.http import (
@@ -18,9 +28,17 @@
     send_response,
 )
 
+BODY = b"".join(make_events())
 SERVER_THREADS = 4
 
 
+@pytest.fixture(scope="module")
+def gateway():
+    gateway = Gateway()
+    yield gateway
+    gateway.close()
+
+
 @pytest.fixture
 def server():
     limits = ServerLimits(1_000, 10_000)
@@ -129,3 +147,91 @@
 
         assert isinstance(outcome, Reply)
         assert outcome.body == b""
+
+
+def make_answer(framing, body):
+    """Return an answer whose framing headers are ``framing``."""
+    lines = (b"HTTP/1.1 200 OK", b"X-Id: " + ATTEMPT.encode(), *framing)
+    return b"\r\n".join(lines) + HEAD_END + body
+
+
+def frame_chunk(size, chunk_end=b"\r\n"):
+    """Return ``BODY`` as a chunk with a written size, and the last chunk."""
+    return size + b"\r\n" + BODY + chunk_end + b"0\r\n\r\n"
+
+
+LENGTH = b"Content-Length: %d" % len(BODY)
+CHUNKED = b"Transfer-Encoding: chunked"
+HEX_SIZE = b"%x" % len(BODY)
+MALFORMED = {
+    "two_lengths": ((b"Content-Length: 12", LENGTH), BODY),
+    "listed_lengths": ((b"Content-Length: %d, %d" % (len(BODY), len(BODY)),), BODY),
+    "empty_length": ((b"Content-Length:",), BODY),
+    "negative_length": ((b"Content-Length: -5",), BODY),
+    "signed_length": ((b"Content-Length: +12",), BODY),
+    "underscored_length": ((b"Content-Length: 1_2",), BODY),
+    "worded_length": ((b"Content-Length: many",), BODY),
+    "coding_before_chunked": (
+        (b"Transfer-Encoding: gzip, chunked",),
+        frame_chunk(HEX_SIZE),
+    ),
+    "coding_and_chunked": (
+        (b"Transfer-Encoding: gzip", CHUNKED),
+        frame_chunk(HEX_SIZE),
+    ),
+    "chunked_and_coding": (
+        (CHUNKED, b"Transfer-Encoding: gzip"),
+        frame_chunk(HEX_SIZE),
+    ),
+    "unknown_coding_with_length": ((b"Transfer-Encoding: gzip", LENGTH), BODY),
+    "chunk_size_with_prefix": ((CHUNKED,), frame_chunk(b"0x" + HEX_SIZE)),
+    "chunk_size_with_sign": ((CHUNKED,), frame_chunk(b"+" + HEX_SIZE)),
+    "chunk_size_with_underscore": ((CHUNKED,), frame_chunk(b"0_" + HEX_SIZE)),
+    "negative_chunk_size": ((CHUNKED,), frame_chunk(b"-" + HEX_SIZE)),
+    "negative_last_chunk": ((CHUNKED,), b"-0\r\n\r\n"),
+    "chunk_size_line_without_cr": (
+        (CHUNKED,),
+        HEX_SIZE + b"\n" + BODY + b"\r\n0\r\n\r\n",
+    ),
+    "space_after_name": ((b"Content-Length : 12",), BODY[:12]),
+    "line_without_colon": ((b"no header", LENGTH), BODY),
+    "line_without_name": ((b": 24", LENGTH), BODY),
+    "chunk_without_its_end": ((CHUNKED,), frame_chunk(HEX_SIZE, b"xx")),
+}
+VALID = {
+    "message_type": ((LENGTH, b"Content-Type: message/http"), BODY),
+    "multipart_type": ((LENGTH, b"Content-Type: multipart/mixed"), BODY),
+    "equal_lengths": ((LENGTH, LENGTH), BODY),
+    "length_between_spaces": ((b"Content-Length:  %d\t " % len(BODY),), BODY),
+    "chunked_over_length": ((CHUNKED, b"Content-Length: 12"), frame_chunk(HEX_SIZE)),
+    "upper_case": ((b"Transfer-Encoding: Chunked",), frame_chunk(HEX_SIZE.upper())),
+    "extension": ((CHUNKED,), frame_chunk(HEX_SIZE + b" ;a=b")),
+    "trailer": (
+        (CHUNKED,),
+        frame_chunk(HEX_SIZE).replace(b"0\r\n\r\n", b"0\r\nA: b\r\n\r\n"),
+    ),
+}
+each_route = pytest.mark.parametrize("route", Route, ids=lambda r: r.value)
+
+
+class TestFraming:
+    """Answers of targets whose framing is malformed, or unusual."""
+
+    @each_route
+    @pytest.mark.parametrize("case", MALFORMED)
+    def test_malformed_framing_is_never_complete(self, gateway, route, case):
+        """Guessing where the body ends could deliver part of it as a whole."""
+        answer = make_answer(*MALFORMED[case])
+
+        received = gateway.exchange(Script((answer,), End.FIN), route)
+
+        assert received.ending in (Ending.BROKEN, Ending.REFUSED)
+
+    @each_route
+    @pytest.mark.parametrize("case", VALID)
+    def test_valid_framing_is_complete(self, gateway, route, case):
+        answer = make_answer(*VALID[case])
+
+        received = gateway.exchange(Script((answer,), End.FIN), route)
+
+        assert (received.ending, received.body) == (Ending.COMPLETE, BODY)
