Read on after interim answers of targets

Callers would get an empty answer with status 102 or 103 where a target sends an interim answer before its final one with the same headers. http.client reads on after 100 alone and takes any other 1xx for a final answer without a body. 101 was passed on too, though no request asks for another protocol.

Found by reading http.client; no user's target is known to send them.

Evidence: the cases 102 and 103 of test_interim_answer_is_not_the_answer, with two interim answers each, and all of test_switch_of_protocols_is_no_answer failed (9) and pass; 100 passed before.

--- a/packages/runhatch-server/src/runhatch_server/http/_response.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_response.py
@@ -23,6 +23,7 @@
     MissingHeaderBodySeparatorDefect,
 )
 """Defects after which the parser drops headers; others concern bodies of mail."""
+INTERIM_STATUSES = frozenset(range(100, 200)) - {http.client.SWITCHING_PROTOCOLS}
 HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 WHITESPACE = " \t"
 LENGTH = re.compile(r"[0-9]+")
@@ -49,7 +50,7 @@
 class StrictResponse(http.client.HTTPResponse):
     """A response read through a :class:`StrictLineReader`.
 
-    Malformed framing raises an ``HTTPException``.
+    Malformed framing, or a switch to another protocol, raises an ``HTTPException``.
     """
 
     chunk_left: int | None
@@ -69,8 +70,14 @@
         return StrictLineReader(raw)
 
     def begin(self) -> None:
-        """Read the head."""
+        """Read the head of the final response, after interim ones."""
         super().begin()
+        while self.status in INTERIM_STATUSES:
+            # http.client reads a head only while there are no headers.
+            self.headers = None  # type: ignore[assignment]
+            super().begin()
+        if self.status == http.client.SWITCHING_PROTOCOLS:
+            raise http.client.HTTPException("found a switch to another protocol")
         self._check_header_names()
         self._check_framing()
 
--- a/packages/runhatch-server/tests/test_answer_framing.py
+++ b/packages/runhatch-server/tests/test_answer_framing.py
@@ -235,3 +235,25 @@
         received = gateway.exchange(Script((answer,), End.FIN), route)
 
         assert (received.ending, received.body) == (Ending.COMPLETE, BODY)
+
+    @each_route
+    @pytest.mark.parametrize(
+        "status", [b"100 Continue", b"102 Processing", b"103 Early Hints"]
+    )
+    def test_interim_answer_is_not_the_answer(self, gateway, route, status):
+        """It may have the headers of the final one; its body is not empty."""
+        interim = b"HTTP/1.1 " + status + b"\r\nX-Id: " + ATTEMPT.encode() + HEAD_END
+        answer = interim * 2 + make_answer((LENGTH,), BODY)
+
+        received = gateway.exchange(Script((answer,), End.FIN), route)
+
+        assert (received.ending, received.body) == (Ending.COMPLETE, BODY)
+
+    @each_route
+    def test_switch_of_protocols_is_no_answer(self, gateway, route):
+        """No request asks for one, and what follows is not HTTP."""
+        head = b"HTTP/1.1 101 Switching Protocols\r\nX-Id: " + ATTEMPT.encode()
+
+        received = gateway.exchange(Script((head + HEAD_END,), End.FIN), route)
+
+        assert received.ending is Ending.REFUSED
