Resume streams whose ids follow the colon directly

Callers of a resumable route would get all events again after a break, in a stream that then ends as complete, if the target writes "id:7". Only "id: 7" was recognized, so that the stream was resumed after no event. The space is optional in server-sent events.

Found by reading; no user's target is known to omit the space.

Evidence: test_id_without_a_space_is_resumed_after failed and passes. The other tests of resumed parts passed before: a part of an event is sent by the next target alone, a part without framing does not complete an answer with framing, and one with framing completes one without.

--- a/packages/runhatch-server/src/runhatch_server/targets/_stream.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_stream.py
@@ -8,7 +8,8 @@
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 MAX_EVENT_END_BYTES = 3
 TERMINAL_EVENT = b"data: [DONE]"
-ID_FIELD = b"id: "
+ID_FIELD = b"id:"
+"""The space that usually follows is optional."""
 MAX_EVENT_BYTES = 1_048_576
 
 
--- /dev/null
+++ b/packages/runhatch-server/tests/test_resumed_streams.py
@@ -0,0 +1,159 @@
+"""Streams of a gateway that break off and are resumed at another target."""
+
+from datetime import timedelta
+
+import pytest
+from gateway_cases import (
+    do_nothing,
+    make_request,
+    make_route,
+    never_disconnected,
+)
+
+from runhatch_server.gateway._forward import OpenedAnswer
+from runhatch_server.gateway._messages import AnswerHead
+from runhatch_server.gateway._relay import StreamRelay
+from runhatch_server.http import AbortedStreamError
+from runhatch_server.routing import RequestKind
+
+HEAD = AnswerHead(200, "", "id", True, False, False, None, timedelta(seconds=1), ())
+
+
+class PartConnection:
+    """Fake of a connection that sends ``chunks``, and then ends or breaks."""
+
+    def __init__(self, *chunks, is_framed=True, breaks=False):
+        self.is_framed = is_framed
+        self._chunks = list(chunks)
+        self._breaks = breaks
+
+    def wait_readable(self, timeout):
+        return True
+
+    def set_timeout(self, timeout):
+        pass
+
+    def read_chunk(self):
+        if self._chunks:
+            return self._chunks.pop(0)
+        if self._breaks:
+            raise ConnectionResetError
+        return b""
+
+
+class FakeTargetSide:
+    """Fake of the forwarder and balancer, which have nothing to return."""
+
+    def recycle_connection(self, opened):
+        pass
+
+    def discard_answer(self, opened):
+        pass
+
+    def release(self, grant, target_failed):
+        pass
+
+    def record_stream_pace(self, grant, gap):
+        pass
+
+
+class ScriptedResumer:
+    """Resumes with the next of ``parts``, and records after which events."""
+
+    def __init__(self, parts):
+        self._parts = list(parts)
+        self.resumed_after = []
+
+    def resume(self, after):
+        self.resumed_after.append(after)
+        if not self._parts:
+            return None
+        return object(), OpenedAnswer(self._parts.pop(0), HEAD)
+
+    def record_no_answer(self, grant, reason):
+        pass
+
+
+def relay_parts(clock, first, *others):
+    """Return what the caller got, whether it is complete, and the resumer."""
+    request = make_request(
+        clock, make_route(RequestKind.STREAM, resumable=True), "plain", ""
+    )
+    resumer = ScriptedResumer(others)
+    side = FakeTargetSide()
+    relay = StreamRelay(
+        request,
+        object(),
+        OpenedAnswer(first, HEAD),
+        side,
+        side,
+        resumer,
+        clock,
+        never_disconnected,
+        do_nothing,
+    )
+    received = b""
+    try:
+        for piece in relay:
+            received += piece
+    except AbortedStreamError:
+        return received, False, resumer
+    return received, True, resumer
+
+
+EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n")
+
+
+class TestResumedStream:
+    """The caller gets each event once, or an aborted stream."""
+
+    @pytest.mark.parametrize("cut", range(1, len(EVENTS[1])))
+    def test_broken_event_is_sent_by_the_next_target_alone(self, clock, cut):
+        first = PartConnection(EVENTS[0], EVENTS[1][:cut], breaks=True)
+
+        received, is_complete, resumer = relay_parts(
+            clock, first, PartConnection(*EVENTS[1:])
+        )
+
+        assert (received, is_complete) == (b"".join(EVENTS), True)
+        assert resumer.resumed_after == ["1"]
+
+    @pytest.mark.parametrize(
+        ("first_is_framed", "second_is_framed", "is_complete"),
+        [
+            (True, True, True),
+            (True, False, False),
+            (False, True, True),
+            (False, False, True),
+        ],
+    )
+    def test_framing_of_parts(
+        self, clock, first_is_framed, second_is_framed, is_complete
+    ):
+        """An answer with framing is completed by a part with framing alone."""
+        first = PartConnection(EVENTS[0], is_framed=first_is_framed, breaks=True)
+        second = PartConnection(*EVENTS[1:], is_framed=second_is_framed)
+
+        received, found, _ = relay_parts(clock, first, second)
+
+        assert (received, found) == (b"".join(EVENTS), is_complete)
+
+    def test_stream_that_broke_after_its_last_event_is_completed(self, clock):
+        """The next target has nothing left to send."""
+        first = PartConnection(*EVENTS, breaks=True)
+
+        received, is_complete, _ = relay_parts(clock, first, PartConnection())
+
+        assert (received, is_complete) == (b"".join(EVENTS), True)
+
+    def test_id_without_a_space_is_resumed_after(self, clock):
+        """The space after the colon is optional."""
+        events = [event.replace(b": ", b":") for event in EVENTS]
+        first = PartConnection(events[0], breaks=True)
+
+        received, is_complete, resumer = relay_parts(
+            clock, first, PartConnection(*events[1:])
+        )
+
+        assert resumer.resumed_after == ["1"]
+        assert (received, is_complete) == (b"".join(events), True)
