Abort streams that can't be resumed after their last event

Callers of a resumable route would get an event twice, in a stream that then ends as complete, if their target broke off after an event without an id: the next target continues after the last event that has one.

Found by reading; the platform's streams have an id in each event.

Evidence: test_event_without_id_is_not_sent_twice failed with both spellings of the field and passes. Comments don't prevent resuming.

Such a stream is now aborted, like one on a route that may not be resumed.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -20,6 +20,7 @@
     AttemptReason,
     EventEndDetector,
     EventSplitter,
+    has_data,
     parse_event_id,
 )
 
@@ -77,6 +78,8 @@
         """Whether the stream's first target states where the body ends, and so may the
         answer to the caller."""
         self._last_event_id = request.last_event_id
+        self._last_event_has_id = True
+        """Whether the stream can be resumed without sending an event again."""
         self._holds_target = True
         self.pace = StreamPace()
         self.outcome = "cut"
@@ -159,14 +162,17 @@
         events = list(self._splitter.feed(chunk))
         for event in events:
             found_id = parse_event_id(event)
-            if found_id is not None:
+            if found_id:
                 self._last_event_id = found_id.decode("latin-1")
+                self._last_event_has_id = True
+            elif has_data(event):
+                self._last_event_has_id = False
         return b"".join(events)
 
     def _resume(self) -> bool:
         self._release_target(faulty=True)
         self._resumer.record_no_answer(self._grant, AttemptReason.CONNECTION_BROKEN)
-        if self._splitter is None:
+        if self._splitter is None or not self._last_event_has_id:
             self.outcome = "target_broke_off"
             return False
         resumed = self._resumer.resume(self._last_event_id)
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -30,6 +30,7 @@
 from runhatch_server.targets._stream import (
     EventEndDetector,
     EventSplitter,
+    has_data,
     is_terminal_event,
     parse_event_data,
     parse_event_id,
@@ -63,5 +64,6 @@
     "compute_block_names",
     "parse_event_data",
     "parse_event_id",
+    "has_data",
     "is_terminal_event",
 ]
--- a/packages/runhatch-server/src/runhatch_server/targets/_stream.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_stream.py
@@ -102,6 +102,15 @@
     return None
 
 
+def has_data(event: bytes) -> bool:
+    r"""Return whether ``event`` has data; callers ignore others, such as comments.
+
+    >>> has_data(b": still here\n\n")
+    False
+    """
+    return any(line.partition(b":")[0] == b"data" for line in event.splitlines())
+
+
 def parse_event_data(event: bytes) -> bytes:
     """Return the event's data lines, joined by newlines."""
     prefix = b"data: "
--- a/packages/runhatch-server/tests/test_resumed_streams.py
+++ b/packages/runhatch-server/tests/test_resumed_streams.py
@@ -157,3 +157,27 @@
 
         assert resumer.resumed_after == ["1"]
         assert (received, is_complete) == (b"".join(events), True)
+
+    @pytest.mark.parametrize("data", [b"data: x\n\n", b"data:x\n\n"])
+    def test_event_without_id_is_not_sent_twice(self, clock, data):
+        """The next target would send it again."""
+        first = PartConnection(EVENTS[0], data, breaks=True)
+
+        received, is_complete, _ = relay_parts(
+            clock, first, PartConnection(data, *EVENTS[1:])
+        )
+
+        assert (received, is_complete) == (EVENTS[0] + data, False)
+
+    def test_comment_does_not_prevent_resuming(self, clock):
+        """It is no event, and may be sent again."""
+        first = PartConnection(EVENTS[0], b": still here\n\n", breaks=True)
+
+        received, is_complete, _ = relay_parts(
+            clock, first, PartConnection(*EVENTS[1:])
+        )
+
+        assert (received.replace(b": still here\n\n", b""), is_complete) == (
+            b"".join(EVENTS),
+            True,
+        )
