Probe targets whose answers end with their connection

A request that crashes targets between two events of a stream without framing, or within a plain answer without framing, counted as answered: it was cleared of suspicion, its target was not probed, and each of its retries could crash another target. Such an end looks like the end of the target's process.

Found by reading.

Evidence: the three tests of TestUnframedAnswer and the unframed case of TestCrashRecord failed and pass.

An answer without framing now clears no request. It still shows that its target was running when it answered, and has the target probed as after an abort, but by the thread that repeats probes, so that no caller waits for it.

--- a/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
@@ -131,6 +131,22 @@
         log_change("request_cleared", fingerprint=fingerprint, source="own")
         self._notify_updates()
 
+    def record_unframed_answer(
+        self, fingerprint: str, target: str, sent_at: timedelta
+    ) -> None:
+        """Record an answer whose body ended with its connection.
+
+        It would have ended like this too if ``target`` had crashed, so it clears no
+        request, and ``target`` is probed soon.
+        """
+        with self._lock:
+            self._suspects.record_running(target, sent_at)
+        if self._targets.standing(target) is not TargetStanding.RUNNING:
+            return
+        with self._lock:
+            self._suspects.record_abort(fingerprint, target, self._clock.elapsed())
+        self.recheck_requested.set()
+
     def recheck_targets(self) -> None:
         """Wait ``REPROBE_DELAY`` after an abort, then call :meth:`check_targets`."""
         self._clock.sleep(REPROBE_DELAY)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -81,6 +81,8 @@
         self._last_event_has_id = True
         """Whether the stream can be resumed without sending an event again."""
         self._holds_target = True
+        self.ended_framed = False
+        """Whether the last part of the stream stated where its body ends."""
         self.pace = StreamPace()
         self.outcome = "cut"
         """The outcome for the log; ``cut`` while the stream runs."""
@@ -188,6 +190,7 @@
     def _finish(self) -> None:
         self.outcome = "answered"
         self._holds_target = False
+        self.ended_framed = self._opened.connection.is_framed
         self._forwarder.recycle_connection(self._opened)
         mean_gap = self.pace.mean_gap
         if mean_gap is not None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -119,14 +119,16 @@
         else:
             crashes.record_abandoned(fingerprint, grant.target.incarnation)
 
-    def _record_answer(self, grant: Grant, is_success: bool = True) -> None:
-        """Record a complete answer; the request failed unless ``is_success``."""
-        self._parts.crashes.record_answer(
-            self._request.fingerprint,
-            grant.target.incarnation,
-            grant.granted_at,
-            is_success,
-        )
+    def _record_answer(
+        self, grant: Grant, is_framed: bool, is_success: bool = True
+    ) -> None:
+        """Record an answer read to its end; the target failed unless ``is_success``."""
+        crashes, fingerprint = self._parts.crashes, self._request.fingerprint
+        target, sent_at = grant.target.incarnation, grant.granted_at
+        if is_framed:
+            crashes.record_answer(fingerprint, target, sent_at, is_success)
+        else:
+            crashes.record_unframed_answer(fingerprint, target, sent_at)
 
     def _send(self, resume_after: str) -> tuple[Grant, OpenedAnswer] | Refusal:
         """Send the request until a target begins to answer, or return a refusal."""
@@ -312,7 +314,7 @@
 
     def _record_stream(self, relay: StreamRelay) -> None:
         if relay.outcome == "answered":
-            self._record_answer(relay.grant)
+            self._record_answer(relay.grant, relay.ended_framed)
         self.record.record_stream(relay.outcome, relay.pace)
         self._parts.recorder.record(self.record)
 
@@ -335,7 +337,7 @@
         self._parts.forwarder.recycle_connection(opened)
         failed = head.status >= MIN_SERVER_ERROR_STATUS
         self._parts.balancer.release(grant, target_failed=failed)
-        self._record_answer(grant, is_success=not failed)
+        self._record_answer(grant, is_framed, is_success=not failed)
         self._tried_targets = self._tried_targets.with_failure(grant.target.incarnation)
         if failed:
             self._may_have_run = True
--- a/packages/runhatch-server/tests/test_crashes.py
+++ b/packages/runhatch-server/tests/test_crashes.py
@@ -220,3 +220,36 @@
         known = KnownTargets(make_directory(clock), ConnectionPool(clock))
 
         assert not known.refuses_connections("t1")
+
+
+class TestUnframedAnswer:
+    """Answers that end with their connection, as they do if the target ends."""
+
+    def test_target_that_ends_with_its_answer_is_found(self, case):
+        """The request is no less suspect than one whose answer broke off."""
+        for target in ("t0", "t1"):
+            case.targets.refusing.add(target)
+            case.watch.record_unframed_answer("x", target, case.clock.elapsed())
+            assert case.watch.recheck_requested.is_set()
+            case.watch.recheck_targets()
+
+        assert case.targets.ended_targets == ["t0", "t1"]
+        assert case.watch.check_request("x") is not None
+
+    def test_it_clears_no_request(self, case):
+        case.end_target("t0")
+        case.watch.record_unframed_answer("x", "t2", case.clock.elapsed())
+        case.end_target("t1")
+
+        assert case.watch.check_request("x") is not None
+
+    def test_running_target_is_not_blamed(self, case):
+        """A later answer shows that the target ran on."""
+        case.watch.record_unframed_answer("x", "t0", case.clock.elapsed())
+        case.watch.recheck_targets()
+        case.clock.advance(PROBE_WINDOW)
+        case.watch.record_unframed_answer("y", "t0", case.clock.elapsed())
+        case.end_target("t0", "z")
+
+        assert case.targets.ended_targets == ["t0"]
+        assert {end.fingerprint for end in case.watch.known_ends()} == {"y", "z"}
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -45,10 +45,9 @@
 class FakeConnection:
     """Fake of a connection whose answer has arrived; it breaks if ``body`` is None."""
 
-    is_framed = True
-
-    def __init__(self, body):
+    def __init__(self, body, is_framed=True):
         self._body = body
+        self.is_framed = is_framed
 
     def set_timeout(self, timeout):
         pass
@@ -59,9 +58,9 @@
         return self._body
 
 
-def answer(status=200, body=b"ok"):
+def answer(status=200, body=b"ok", is_framed=True):
     head = AnswerHead(status, "", "id", True, False, False, None, seconds(1), ())
-    return OpenedAnswer(FakeConnection(body), head)
+    return OpenedAnswer(FakeConnection(body, is_framed), head)
 
 
 class ScriptedForwarder:
@@ -82,13 +81,13 @@
         pass
 
 
-def run(clock, kind, results, reserve=50, count=4, **route):
+def run(clock, kind, results, reserve=50, count=4, crashes=None, **route):
     targets = [make_target(f"t{i}", "plain", models=()) for i in range(count)]
     directory = make_directory(clock, *targets)
     balancer = make_balancer(directory, clock)
     forwarder = ScriptedForwarder(results)
     metrics = Metrics()
-    crashes = CrashDetector(clock, FakeTargets(), metrics, lambda: None)
+    crashes = crashes or CrashDetector(clock, FakeTargets(), metrics, lambda: None)
     recorder = RequestRecorder(metrics, clock)
     parts = RunParts(balancer, forwarder, recorder, crashes, clock)
     request = make_request(
@@ -215,3 +214,16 @@
         )
 
         assert refusal.reason is Reason.NO_TARGET
+
+
+class TestCrashRecord:
+    """What an answer says of the target that sent it."""
+
+    @pytest.mark.parametrize("is_framed", [True, False])
+    def test_target_is_probed_after_an_answer_without_framing(self, clock, is_framed):
+        """Its connection would have ended like this if it had crashed."""
+        crashes = CrashDetector(clock, FakeTargets(), Metrics(), lambda: None)
+
+        run(clock, IDEMPOTENT, [answer(is_framed=is_framed)], crashes=crashes)
+
+        assert crashes.recheck_requested.is_set() is not is_framed
