Send no body in responses to HEAD

Callers that send HEAD got a body, of a refusal or the last chunk of a stream. On a kept connection it would be read as the next response. Whole answers also stated a Content-Length of 0, though that of the response to GET isn't known. waitress leaves this to applications.

Found by reading waitress; no user has reported it.

Evidence: both cases of test_neither_body_nor_length_is_sent failed and pass.

A response to HEAD now has no body and no framing, and ends its connection as waitress does without a length.

--- a/packages/runhatch-server/src/runhatch_server/http/_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_channel.py
@@ -28,6 +28,11 @@
     chunked_response: bool = False
     _is_unframed = False
 
+    @property
+    def has_body(self) -> bool:
+        """Whether the response has a body; waitress would send one to ``HEAD`` too."""
+        return self.request.command != "HEAD" and bool(super().has_body)
+
     def get_environment(self) -> dict[str, Any]:
         """Return the environment, with the function that omits the framing."""
         environ: dict[str, Any] = super().get_environment()
--- a/packages/runhatch-server/tests/test_answer_framing.py
+++ b/packages/runhatch-server/tests/test_answer_framing.py
@@ -42,19 +42,21 @@
 @pytest.fixture
 def server():
     limits = ServerLimits(1_000, 10_000)
-    server = HttpServer(serve_framed_or_broken, "127.0.0.1", 0, SERVER_THREADS, limits)
+    server = HttpServer(serve_by_path, "127.0.0.1", 0, SERVER_THREADS, limits)
     server.start()
     yield server
     server.stop_listening()
     server.close_idle_connections()
 
 
-def serve_framed_or_broken(environ, start_response):
-    """Serve a framed body, or part of one without framing."""
+def serve_by_path(environ, start_response):
+    """Serve a body with a length, one in chunks, or part of one without framing."""
     if environ["REQUEST_URI"] == "/framed":
         return send_response("200 OK", (), b"whole", start_response, False)
-    omit_framing(environ)
     start_response("200 OK", [])
+    if environ["REQUEST_URI"] == "/chunked":
+        return iter([b"whole"])
+    omit_framing(environ)
     return iterate_broken_body()
 
 
@@ -63,14 +65,22 @@
     raise AbortedStreamError(ATTEMPT)
 
 
-def send_get(caller, path, version):
-    lines = (f"GET {path} HTTP/{version}", "Host: a", "Connection: keep-alive", "", "")
+def send_request(caller, path, version="1.1", method="GET"):
+    lines = (
+        f"{method} {path} HTTP/{version}",
+        "Host: a",
+        "Connection: keep-alive",
+        "",
+        "",
+    )
     caller.sendall("\r\n".join(lines).encode())
 
 
 def read_to_end(caller):
-    while caller.recv(65_536):
-        continue
+    received = b""
+    while newest := caller.recv(65_536):
+        received += newest
+    return received
 
 
 class TestKeptConnection:
@@ -81,16 +91,35 @@
         """That the first body was whole says nothing of the second."""
         with socket.create_connection(("127.0.0.1", server.port)) as caller:
             caller.settimeout(CALLER_TIMEOUT_SECONDS)
-            send_get(caller, "/framed", version)
+            send_request(caller, "/framed", version)
             received = b""
             while not received.endswith(b"whole"):
                 received += caller.recv(65_536)
-            send_get(caller, "/broken", version)
+            send_request(caller, "/broken", version)
 
             with pytest.raises(ConnectionResetError):
                 read_to_end(caller)
 
 
+class TestHead:
+    """Responses to ``HEAD``, which have no body whatever their headers say."""
+
+    @pytest.mark.parametrize("path", ["/framed", "/chunked"])
+    def test_neither_body_nor_length_is_sent(self, server, path):
+        """The caller would read the body as its next response.
+
+        The length of the response to ``GET`` isn't known.
+        """
+        with socket.create_connection(("127.0.0.1", server.port)) as caller:
+            caller.settimeout(CALLER_TIMEOUT_SECONDS)
+            send_request(caller, path, method="HEAD")
+            head, _, body = read_to_end(caller).partition(HEAD_END)
+
+        assert body == b""
+        assert b"content-length" not in head.lower()
+        assert b"transfer-encoding" not in head.lower()
+
+
 class RawService:
     """Answers each connection's request with ``answer``, then closes it."""
 
