State the ends of events once, and reword comments on framing

The ends of an event stood in the code twice, as a pattern and as a list, and the pattern is now made of the list. The comments that a newcomer would have had to ask about say what is meant.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -129,7 +129,8 @@
         """Return whether a body at whose end no error was found is incomplete."""
         is_framed = self._opened.connection.is_framed
         if self.is_framed and not is_framed:
-            # The answer to the caller would state an end that nobody knows.
+            # Only the end of the connection is known, and the last chunk sent to the
+            # caller would state more.
             return True
         if not _is_event_stream(self._opened):
             return False
@@ -211,7 +212,7 @@
 
 
 def _is_event_stream(opened: OpenedAnswer) -> bool:
-    """Return whether the body consists of events, as on all routes with streams."""
-    names = {name.lower(): value for name, value in opened.head.forwarded}
-    content_type = names.get("content-type", EVENT_STREAM_TYPE)
+    """Return whether the body consists of events, as it does unless it says not."""
+    headers = {name.lower(): value for name, value in opened.head.forwarded}
+    content_type = headers.get("content-type", EVENT_STREAM_TYPE)
     return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
--- a/packages/runhatch-server/src/runhatch_server/http/_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_channel.py
@@ -16,6 +16,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """``SO_LINGER`` value with which closing a socket resets its connection."""
 FLUSH_ON_CLOSE = struct.pack("ii", 0, 0)
+"""The default value, with which closing a socket sends what is left, then a FIN."""
 
 
 class FramingTask(WSGITask):  # type: ignore[misc]
@@ -72,7 +73,7 @@
     buffer."""
 
     def begin_unframed_body(self) -> None:
-        """Have the connection reset by any close before the body is sent."""
+        """Have any close reset the connection, until the whole body has been sent."""
         self.is_body_whole = False
         self._set_linger(RESET_ON_CLOSE)
 
--- a/packages/runhatch-server/src/runhatch_server/targets/_stream.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_stream.py
@@ -3,10 +3,13 @@
 import re
 from collections.abc import Iterator
 
-EVENT_END = re.compile(rb"\n\r?\n|\r\r")
-"""A line end and a blank line; lines end with LF, CRLF or CR."""
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
-MAX_EVENT_END_BYTES = 3
+"""The last byte of a line end and a blank line; lines end with LF, CRLF or CR.
+
+Streams that mix CR with other line ends are not split where they change.
+"""
+EVENT_END = re.compile(b"|".join(EVENT_ENDS))
+MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
 TERMINAL_EVENT = b"data: [DONE]"
 ID_FIELD = b"id:"
 """The space that usually follows is optional."""
