Don't read objects whose end is unknown

An object that the store sends without a length or chunks may be truncated, as its body ends with the connection. It was taken for the whole object. By reading, a revision of the configuration then doesn't match the digest of its entry, which ends the process as a broken invariant, and a stored answer can't be decoded.

Found by reading; no store is known to send such answers. Rows are JSON, of which a truncated part is no document, so they are read as before.

Replies say whether they are framed, and objects that are not count as unreadable.

--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -33,11 +33,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """A complete response; header names are in lower case."""
+    """A response read to its end; header names are in lower case.
+
+    Unless it is framed, a truncated body can't be distinguished from a complete one.
+    """
 
     status: int
     body: bytes
     headers: Mapping[str, str] = field(default_factory=dict)
+    is_framed: bool = True
 
 
 class HttpClient:
@@ -160,6 +164,7 @@
             )
             response = connection.getresponse()
             length = response.length
+            is_framed = response.chunked or length is not None
             first_byte = response.read(1)
             if length and not first_byte:
                 # http.client doesn't check the length of a body read in parts.
@@ -176,7 +181,7 @@
         finally:
             self._remove_wait(number)
         headers_by_name = {name.lower(): value for name, value in response.getheaders()}
-        return Reply(response.status, answer, headers_by_name)
+        return Reply(response.status, answer, headers_by_name, is_framed)
 
     def _was_aborted(self, number: int | None) -> bool:
         with self._waiting_lock:
--- a/packages/runhatch-server/tests/test_answer_framing.py
+++ b/packages/runhatch-server/tests/test_answer_framing.py
@@ -175,7 +175,14 @@
         outcome = call_service(answer)
 
         assert isinstance(outcome, Reply)
-        assert outcome.body == b""
+        assert (outcome.body, outcome.is_framed) == (b"", True)
+
+    @pytest.mark.parametrize("sent", [0, 1, 5])
+    def test_body_without_framing_is_marked(self, sent):
+        """Only its reader may know whether it is complete."""
+        outcome = call_service(b"HTTP/1.1 200 OK" + HEAD_END + b"12345"[:sent])
+
+        assert outcome == Reply(200, b"12345"[:sent], {}, is_framed=False)
 
 
 def make_answer(framing, body):
--- a/tests/adapter/test_platform_store.py
+++ b/tests/adapter/test_platform_store.py
@@ -23,6 +23,7 @@
     WaitInterrupted,
 )
 from runhatch_platform import Store, StoreFeed, StoreObjects, StoreTable
+from runhatch_server.http import Reply
 from runhatch_standins import launch
 from runhatch_standins._cluster import call
 from runhatch_standins._gateways import wait_until
@@ -325,3 +326,12 @@
 
         assert not StoreObjects(store).put("x", b"")
         assert StoreObjects(store).get("x") is None
+
+    def test_object_without_framing_is_not_read(self):
+        """Its reader could not tell whether it is complete."""
+
+        class UnframedStore:
+            def get_object(self, name):
+                return Reply(200, b"bo", is_framed=False)
+
+        assert StoreObjects(UnframedStore()).get("x") is None
