--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -20,6 +20,7 @@
     AttemptReason,
     EventEndDetector,
     EventSplitter,
+    has_data,
     parse_event_id,
 )
 
@@ -77,10 +78,14 @@
         """Whether the stream's first target states where the body ends, and so may the
         answer to the caller."""
         self._last_event_id = request.last_event_id
+        self._last_event_has_id = True
+        """Whether the stream can be resumed without sending an event again."""
         self._holds_target = True
         self._first_part: bytes | None = None
         self.has_begun = False
         """Whether the caller has been or will be sent the head of the answer."""
+        self.ended_framed = False
+        """Whether the last part of the stream stated where its body ends."""
         self.pace = StreamPace()
         self.outcome = "cut"
         """The outcome for the log; ``cut`` while the stream runs."""
@@ -140,7 +145,8 @@
         """Return whether a body at whose end no error was found is incomplete."""
         is_framed = self._opened.connection.is_framed
         if self.is_framed and not is_framed:
-            # The answer to the caller would state an end that nobody knows.
+            # Only the end of the connection is known, and the last chunk sent to the
+            # caller would state more.
             return True
         if not _is_event_stream(self._opened):
             return False
@@ -175,14 +181,17 @@
         events = list(self._splitter.feed(chunk))
         for event in events:
             found_id = parse_event_id(event)
-            if found_id is not None:
+            if found_id:
                 self._last_event_id = found_id.decode("latin-1")
+                self._last_event_has_id = True
+            elif has_data(event):
+                self._last_event_has_id = False
         return b"".join(events)
 
     def _resume(self) -> bool:
         self._release_target(faulty=True)
         self._resumer.record_no_answer(self._grant, AttemptReason.CONNECTION_BROKEN)
-        if self._splitter is None:
+        if self._splitter is None or not self._last_event_has_id:
             self.outcome = "target_broke_off"
             return False
         resumed = self._resumer.resume(self._last_event_id)
@@ -198,6 +207,7 @@
     def _finish(self) -> None:
         self.outcome = "answered"
         self._holds_target = False
+        self.ended_framed = self._opened.connection.is_framed
         self._forwarder.recycle_connection(self._opened)
         mean_gap = self.pace.mean_gap
         if mean_gap is not None:
@@ -218,7 +228,7 @@
 
 
 def _is_event_stream(opened: OpenedAnswer) -> bool:
-    """Return whether the body consists of events, as on all routes with streams."""
-    names = {name.lower(): value for name, value in opened.head.forwarded}
-    content_type = names.get("content-type", EVENT_STREAM_TYPE)
+    """Return whether the body consists of events, as it does unless it says not."""
+    headers = {name.lower(): value for name, value in opened.head.forwarded}
+    content_type = headers.get("content-type", EVENT_STREAM_TYPE)
     return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
--- a/packages/runhatch-server/src/runhatch_server/http/_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_channel.py
@@ -16,6 +16,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """``SO_LINGER`` value with which closing a socket resets its connection."""
 FLUSH_ON_CLOSE = struct.pack("ii", 0, 0)
+"""The default value, with which closing a socket sends what is left, then a FIN."""
 
 
 class FramingTask(WSGITask):  # type: ignore[misc]
@@ -28,6 +29,11 @@
     chunked_response: bool = False
     _is_unframed = False
 
+    @property
+    def has_body(self) -> bool:
+        """Whether the response has a body; waitress would send one to ``HEAD`` too."""
+        return self.request.command != "HEAD" and bool(super().has_body)
+
     def get_environment(self) -> dict[str, Any]:
         """Return the environment, with the function that omits the framing."""
         environ: dict[str, Any] = super().get_environment()
@@ -63,10 +69,12 @@
 
     task_class = FramingTask
     is_body_whole = False
-    """Whether the last response has been written completely to the buffer."""
+    """Whether the last body without framing has been written completely to the
+    buffer."""
 
     def begin_unframed_body(self) -> None:
-        """Have the connection reset by any close before the body is sent."""
+        """Have any close reset the connection, until the whole body has been sent."""
+        self.is_body_whole = False
         self._set_linger(RESET_ON_CLOSE)
 
     def handle_close(self) -> None:
--- a/packages/runhatch-server/src/runhatch_server/targets/_stream.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_stream.py
@@ -3,12 +3,16 @@
 import re
 from collections.abc import Iterator
 
-EVENT_END = re.compile(rb"\n\r?\n|\r\r")
-"""A line end and a blank line; lines end with LF, CRLF or CR."""
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
-MAX_EVENT_END_BYTES = 3
+"""The last byte of a line end and a blank line; lines end with LF, CRLF or CR.
+
+Streams that mix CR with other line ends are not split where they change.
+"""
+EVENT_END = re.compile(b"|".join(EVENT_ENDS))
+MAX_EVENT_END_BYTES = max(map(len, EVENT_ENDS))
 TERMINAL_EVENT = b"data: [DONE]"
-ID_FIELD = b"id: "
+ID_FIELD = b"id:"
+"""The space that usually follows is optional."""
 MAX_EVENT_BYTES = 1_048_576
 
 
@@ -101,6 +105,15 @@
     return None
 
 
+def has_data(event: bytes) -> bool:
+    r"""Return whether ``event`` has data; callers ignore others, such as comments.
+
+    >>> has_data(b": still here\n\n")
+    False
+    """
+    return any(line.partition(b":")[0] == b"data" for line in event.splitlines())
+
+
 def parse_event_data(event: bytes) -> bytes:
     """Return the event's data lines, joined by newlines."""
     prefix = b"data: "
