Log whether the answer of a request was framed

Callers got streams that looked complete, and the log line of such a request, "answered" without pieces, did not tell an answer without framing from a framed one with an empty body, or from one whose head was cut.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -29,6 +29,8 @@
         self.retry_after: timedelta | None = None
         self.refused_by = ""
         """The target whose answer led to the refusal."""
+        self.is_framed: bool | None = None
+        """Whether the last answer that began stated where its body ends."""
         self.pace = StreamPace()
         self.first_byte_latency: timedelta | None = None
 
@@ -139,6 +141,7 @@
             first_byte_ms=_to_milliseconds(record.first_byte_latency),
             took_ms=round(took / timedelta(milliseconds=1)),
             pieces=record.pace.pieces,
+            framed=record.is_framed,
             began_ms=_compute_began_ms(record),
             goal_ms=_to_milliseconds(request.route.goal),
             longest_pause_ms=_to_milliseconds(record.pace.longest_pause),
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -169,6 +169,7 @@
                 took = self._parts.clock.elapsed() - grant.granted_at
                 self.record.record_first_byte(took)
                 self.record.record_attempt(grant, f"status_{result.head.status}")
+                self.record.is_framed = result.connection.is_framed
                 return grant, result
             refusal = self._handle_failed_attempt(grant, result)
             if refusal is not None:
