Add a failing test of a gateway that reaches no target

Callers of nodes that were partitioned from targets got 503 for requests that other nodes served. The new stand-in partitioned_gateway refuses its own connects to given ports; n-cut is cut off from all targets, n1 and n2 are not.

--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -13,6 +13,7 @@
 from runhatch_standins._cluster import call, free_ports
 from runhatch_standins._launch import Launched, launch
 from runhatch_standins._tcp_relay import TcpRelay
+from runhatch_standins.partitioned_gateway import UNREACHABLE_PORTS_VARIABLE
 
 Document = dict[str, Any]
 
@@ -27,7 +28,7 @@
 region: "r1"
 listen: {{front: "127.0.0.1:{front}", ready: "127.0.0.1:{ready}",
           control: "127.0.0.1:{control}"}}
-port_range: [{broadcast}, {broadcast}]
+port_range: [{broadcast}, {forward}]
 seeds: [{seeds}]
 limits: {{memory_mb: 300}}
 bounds: {{grace_s: 8, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52}}
@@ -90,6 +91,7 @@
     control: int
     metrics: int
     broadcast: int
+    forward: int
     to_store: TcpRelay
 
 
@@ -126,17 +128,19 @@
         arguments += ["--service", service, "--models", models]
         return self._register(launch("worker", "runhatch_standins.worker", *arguments))
 
-    def start_gateway(self, name: str) -> Gateway:
-        """Start a gateway and wait until it is ready.
+    def start_gateway(self, name: str, module: str = "runhatch_platform") -> Gateway:
+        """Start a gateway, run by ``module``, and wait until it is ready.
 
         Raises ``RuntimeError`` if it is not ready within ``READY_SECONDS``.
         """
-        ports = free_ports(5)
+        ports = free_ports(6)
         relay = TcpRelay(self.platform.port)
         self._stack.callback(relay.close)
-        process = self._launch_gateway(name, ports, relay)
-        front, ready, control, metrics, broadcast = ports
-        gate = Gateway(name, process, front, ready, control, metrics, broadcast, relay)
+        process = self._launch_gateway(name, ports, relay, module)
+        front, ready, control, metrics, broadcast, forward = ports
+        gate = Gateway(
+            name, process, front, ready, control, metrics, broadcast, forward, relay
+        )
         self.gateways.append(gate)
         if not wait_until(lambda: self.is_ready(gate)):
             raise RuntimeError(
@@ -146,11 +150,35 @@
 
     def restart(self, gate: Gateway) -> None:
         """Restart the process of a gateway that has exited, on the same ports."""
-        ports = [gate.front, gate.ready, gate.control, gate.metrics, gate.broadcast]
+        ports = [
+            gate.front,
+            gate.ready,
+            gate.control,
+            gate.metrics,
+            gate.broadcast,
+            gate.forward,
+        ]
         gate.process = self._launch_gateway(gate.name, ports, gate.to_store)
 
-    def _launch_gateway(self, name: str, ports: list[int], relay: TcpRelay) -> Launched:
-        front, ready, control, metrics, broadcast = ports
+    def cut_off(self, gate: Gateway, targets: Iterable[Launched]) -> None:
+        """Refuse new connections of ``gate`` to ``targets``, and to no others.
+
+        The gateway must run ``runhatch_standins.partitioned_gateway``.
+        """
+        ports = " ".join(str(target.port) for target in targets)
+        self._unreachable_ports_path(gate.name).write_text(ports)
+
+    def _unreachable_ports_path(self, name: str) -> Path:
+        return self._folder / f"{name}.unreachable"
+
+    def _launch_gateway(
+        self,
+        name: str,
+        ports: list[int],
+        relay: TcpRelay,
+        module: str = "runhatch_platform",
+    ) -> Launched:
+        front, ready, control, metrics, broadcast, forward = ports
         seeds = ", ".join(f'"127.0.0.1:{gate.control}"' for gate in self.gateways)
         path = self._folder / f"{name}.yaml"
         path.write_text(
@@ -160,6 +188,7 @@
                 ready=ready,
                 control=control,
                 broadcast=broadcast,
+                forward=forward,
                 seeds=seeds,
                 store=f"127.0.0.1:{relay.port}",
             )
@@ -167,10 +196,9 @@
         variables = {
             "RUNHATCH_NODE_FILE": str(path),
             "RUNHATCH_METRICS_PORT": str(metrics),
+            UNREACHABLE_PORTS_VARIABLE: str(self._unreachable_ports_path(name)),
         }
-        launched = self._register(
-            launch(name, "runhatch_platform", variables=variables)
-        )
+        launched = self._register(launch(name, module, variables=variables))
         self._gateway_processes.append(launched)
         return launched
 
