Forward requests through a peer where targets cannot be reached

Callers of nodes that were partitioned from all or some targets were refused, or got no answer, though their node reached its peers and these reached the targets.

Cause: a node has one path to a target. A failed connect was a matter of that target alone; the only replica of a model was tried five times, and the request refused.

Change: a node that reaches no target with the model of a request forwards the request to a peer, over one hop, without an admission decision of its own. The peer accepts it on a port of its own that callers do not reach, makes the admission decision, sends it under the attempt id of the caller with the time left, and relays the answer as the target sent it. The first node counts demand, the retry budget's requests and attempts; the peer makes no retry after an unknown result. A broken hop is an unknown result. A peer that cannot reach the targets either refuses at once, with a header that says so; at most three are asked, the first in the own failure domain. After the backoff, one request tries the target again.

--- a/packages/runhatch-cli/src/runhatch_cli/_explain.py
+++ b/packages/runhatch-cli/src/runhatch_cli/_explain.py
@@ -39,6 +39,8 @@
     "too_busy": "All targets with its model spent nearly all their time on prompts, "
     "so that answers in progress would not have completed.",
     "targets_busy": "Targets refused it without running it, or could not be reached.",
+    "targets_unreachable": "A peer forwarded it here, and this node could not "
+    "connect to the targets either.",
     "targets_rest": "All targets with its model had requested a backoff.",
     "targets_limited": "All targets with its model had reported a rate limit, and it "
     "was exhausted.",
--- a/packages/runhatch-coordination/src/runhatch_coordination/_peers.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_peers.py
@@ -43,7 +43,8 @@
     """One VM of the system: its name, failure domain and peer address.
 
     ``broadcast_port`` is the port of the same host on which the VM publishes updates
-    to any subscriber, 0 if it does not.
+    to any subscriber, 0 if it does not.  ``forward_port`` is the one on which it
+    accepts requests forwarded by other VMs, 0 if it does not.
     """
 
     name: str
@@ -51,6 +52,7 @@
     address: str
     incarnation: int = 0
     broadcast_port: int = 0
+    forward_port: int = 0
 
 
 @lru_cache(WEIGHT_CACHE_SIZE)
--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -28,6 +28,7 @@
     TargetLoad,
 )
 from runhatch_server.decisions._load_book import LoadBook
+from runhatch_server.decisions._peer_choice import PeerChoice, Work
 from runhatch_server.decisions._prefixes import PrefixIndex, prefix_blocks
 from runhatch_server.decisions._rate_limits import (
     MIN_RATE,
@@ -70,6 +71,7 @@
     "bucket_capacity",
     "NoCandidates",
     "OutstandingRequest",
+    "PeerChoice",
     "PermitBucket",
     "Postponed",
     "prefix_blocks",
@@ -80,6 +82,7 @@
     "ScoredTarget",
     "Scorer",
     "issued_rate_share",
+    "Work",
     "WorkDistribution",
     "distribute_work",
     "Suspects",
--- a/packages/runhatch-server/src/runhatch_server/decisions/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load.py
@@ -44,6 +44,13 @@
 SHORTER_GAIN, LONGER_GAIN = 0.5, 0.05
 """Weights of the newest stream in a target's step time. Prompt reading only lengthens
 the steps, so a shorter measurement is more reliable and gets the larger weight."""
+MIN_CONNECT_BACKOFF = timedelta(milliseconds=500)
+MAX_CONNECT_BACKOFF = timedelta(seconds=4)
+"""Bounds of the backoff after a failed connect to a target; it doubles each time."""
+MAX_BACKOFF_DOUBLINGS = 4
+"""Doublings after which the backoff has reached its maximum."""
+CONNECT_TRIAL_TIME = timedelta(milliseconds=500)
+"""Time in which only one request tries to connect to a target after the backoff."""
 MAX_CACHE_FILL_SHARE = 0.95
 """Share of a target's cache to fill; above it the engine preempts running requests."""
 
@@ -157,6 +164,9 @@
     last_received_at: timedelta = timedelta()
     avoided_until: timedelta = timedelta()
     avoidance_count: int = 0
+    """Number of connects that failed since the last answer."""
+    next_connect_at: timedelta = timedelta()
+    """End of the backoff after a failed connect, or of the trial that follows it."""
     backoff_until: timedelta = timedelta()
     """End of the backoff that the target requested from this node."""
     step_ms: float = INITIAL_STEP_MS
@@ -257,6 +267,24 @@
         self.faults = rate + ((1.0 if faulty else 0.0) - rate) * FAULT_GAIN
         self.faults_at = now
 
+    def record_connect_failure(self, now: timedelta) -> None:
+        """Record a failed connect, which starts a backoff."""
+        doublings = min(self.avoidance_count, MAX_BACKOFF_DOUBLINGS)
+        pause = min(MAX_CONNECT_BACKOFF, MIN_CONNECT_BACKOFF * (1 << doublings))
+        self.avoidance_count += 1
+        self.next_connect_at = now + pause
+        self.avoided_until = max(self.avoided_until, self.next_connect_at)
+
+    def record_connected(self) -> None:
+        """Record that the target answered, which ends the backoff."""
+        self.avoidance_count = 0
+        self.next_connect_at = timedelta()
+
+    def begin_connect_trial(self, now: timedelta) -> None:
+        """Make other requests wait for the outcome of a connect after the backoff."""
+        if self.avoidance_count:
+            self.next_connect_at = max(self.next_connect_at, now + CONNECT_TRIAL_TIME)
+
     def is_silent(self, now: timedelta) -> bool:
         """Return whether a request has waited too long and the target sent nothing."""
         for outstanding in self.own_requests.values():
--- a/packages/runhatch-server/src/runhatch_server/decisions/_request.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_request.py
@@ -56,6 +56,17 @@
     """Version of the configuration that contains its route."""
     fingerprint: str = ""
     """Equal for all retries of the request, see :func:`compute_fingerprint`."""
+    is_forwarded: bool = False
+    """Whether a peer received it from the caller and forwarded it to this node."""
+
+    @property
+    def may_retry(self) -> bool:
+        """Whether this node may send the request again after an unknown result.
+
+        That is up to the node that received it from the caller, as it counts the
+        attempts.
+        """
+        return self.route.may_retry and not self.is_forwarded
 
     @property
     def start_deadline(self) -> timedelta:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -10,6 +10,11 @@
 from runhatch_server.decisions import GatewayRequest, compute_fingerprint
 from runhatch_server.gateway._answers import CompleteAnswer, GatewayAnswer, StreamAnswer
 from runhatch_server.gateway._messages import HeaderCodec, InvalidHeader
+from runhatch_server.gateway._peer_headers import (
+    apply_forwarded,
+    decode_forwarded,
+    encode_peer_refusal,
+)
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.http import (
     ClosingEvents,
@@ -51,7 +56,9 @@
         clock: Clock,
         on_request: Callable[[GatewayRequest], None],
         lacks_newer_routes: Callable[[], bool],
+        is_for_peers: bool = False,
     ) -> None:
+        """``is_for_peers``: callers' requests arrive by way of other nodes."""
         self._service = service
         self._codec = codec
         self._progress = progress
@@ -59,6 +66,7 @@
         self._clock = clock
         self._on_request = on_request
         self._lacks_newer_routes = lacks_newer_routes
+        self._is_for_peers = is_for_peers
         self._random = random.Random()
         self.routes: RouteTable | None = None
         """The current routes, ``None`` before the first configuration."""
@@ -99,8 +107,9 @@
                 configuration=None if self.routes is None else self.routes.version,
             )
             return self._build_refusal(request, headers)
-        self._metrics.requests.labels(request.route.kind.value).inc()
-        self._on_request(request)
+        if not request.is_forwarded:
+            self._metrics.requests.labels(request.route.kind.value).inc()
+            self._on_request(request)
         answer = self._service.serve(request, caller_disconnect_check(environ))
         if isinstance(answer, Refusal):
             return self._build_refusal(answer, headers)
@@ -140,8 +149,11 @@
         if caller.time_left is not None:
             time_left = min(time_left, caller.time_left)
         method = str(environ.get("REQUEST_METHOD"))
+        forwarded = decode_forwarded(headers) if self._is_for_peers else None
+        if self._is_for_peers and forwarded is None:
+            return Refusal(Reason.BAD_HEADER, Executed.NO, "not from a peer")
         body = cast(BinaryIO, environ["wsgi.input"]).read()
-        return GatewayRequest(
+        request = GatewayRequest(
             attempt_id=caller.attempt_id,
             route=route,
             service=choose_service(route, self._random),
@@ -157,6 +169,7 @@
             configuration_version=routes.version,
             fingerprint=compute_fingerprint(method, host.lower(), uri, body),
         )
+        return request if forwarded is None else apply_forwarded(request, forwarded)
 
     def _build_refusal(
         self, refusal: Refusal, headers: Mapping[str, str]
@@ -170,6 +183,8 @@
             ("Content-Type", PROBLEM_TYPE),
             *self._codec.encode_refusal(attempt_id),
         )
+        if self._is_for_peers:
+            response_headers += encode_peer_refusal(refusal)
         if refusal.retry_after is not None:
             seconds = refusal.retry_after.total_seconds()
             response_headers += (("Retry-After", f"{seconds:.2f}"),)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -53,14 +53,9 @@
 MAX_CONNECT_FAILURES = 2
 """Consecutive failed connects after which a target counts as down: the orderer then
 plans without it, so that other targets replace it."""
-MIN_CONNECT_BACKOFF = timedelta(milliseconds=500)
-MAX_CONNECT_BACKOFF = timedelta(seconds=4)
-"""Bounds of the backoff after a failed connect to a target; it doubles each time."""
 SHUTDOWN_STREAM_WINDOW = timedelta(seconds=2.5)
 """Time after the start of a shutdown in which streams are still accepted.  Later ones
 would be cut off at exit, and the load balancer has polled readiness twice by then."""
-MAX_BACKOFF_DOUBLINGS = 4
-"""Doublings after which the backoff has reached its maximum."""
 MIN_CONNECTIONS = 4
 """Minimum number of connections that each node may open to a target, however many nodes
 share the connections of the target."""
@@ -79,6 +74,7 @@
         has_connection: Callable[[str], bool],
         on_change: Callable[[], None],
         on_draining: Callable[[str], None],
+        close_idle: Callable[[str], None],
         seed: int | None = None,
     ) -> None:
         self._directory = directory
@@ -86,6 +82,8 @@
         self._on_missing_model = on_missing_model
         self._on_change = on_change
         self._on_draining = on_draining
+        self._has_connection = has_connection
+        self._close_idle = close_idle
         self._refusal_builder = RefusalBuilder(seed)
         self._lock = threading.Lock()
         self._book = LoadBook()
@@ -194,6 +192,7 @@
         with self._lock:
             load = self._book.load(grant.target.incarnation)
             load.last_received_at = now
+            load.record_connected()
             outstanding = load.own_requests.get(grant.number)
             if outstanding is None or outstanding.started:
                 return
@@ -207,6 +206,8 @@
 
     def record_stream_pace(self, grant: Grant, mean_gap: timedelta) -> None:
         """Update the target's pace by the mean gap of events in a complete stream."""
+        if grant.is_to_peer:
+            return
         service = self._services.get(grant.request.service)
         if service is None or service.engine is None:
             return
@@ -217,6 +218,8 @@
 
     def release(self, grant: Grant, target_failed: bool) -> None:
         """Release ``grant``; ``target_failed`` if the target failed the request."""
+        if grant.is_to_peer:
+            return
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
@@ -224,7 +227,7 @@
             load.record_outcome(target_failed, now)
             if not target_failed:
                 load.last_received_at = now
-                load.avoidance_count = 0
+                load.record_connected()
                 if grant.request.work is None:
                     duration = now - grant.granted_at
                     self._book.rates.record_service_time(
@@ -269,15 +272,35 @@
 
     def release_unreachable(self, grant: Grant) -> None:
         """Release ``grant``, to whose target no connection could be made."""
+        now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
-            pause = min(
-                MAX_CONNECT_BACKOFF,
-                MIN_CONNECT_BACKOFF
-                * (1 << min(load.avoidance_count, MAX_BACKOFF_DOUBLINGS)),
-            )
-            load.avoidance_count += 1
-        self._release_and_exclude(grant, pause)
+            load.own_requests.pop(grant.number, None)
+            load.record_connect_failure(now)
+
+    def lacks_path(self, request: GatewayRequest) -> bool:
+        """Return whether this node reaches no target that could serve ``request``.
+
+        It reaches none if no target has the model either, but then nodes that reach
+        more targets would not help.
+        """
+        holders = self._directory.holders(
+            request.service, request.model, request.adapter
+        )
+        now = self._clock.elapsed()
+        silent = []
+        with self._lock:
+            for target in holders:
+                load = self._book.load(target.incarnation)
+                if load.is_silent(now):
+                    silent.append(target.incarnation)
+                elif now >= load.next_connect_at or self._has_connection(
+                    target.incarnation
+                ):
+                    return False
+        for target_name in silent:
+            self._close_idle(target_name)
+        return bool(holders)
 
     def release_misdirected(self, grant: Grant) -> None:
         """Release ``grant``, whose target does not hold the model at present."""
@@ -400,6 +423,7 @@
             tokens = request.work.prompt_tokens + request.work.expected_output_tokens
         load = self._book.load(best.target.incarnation)
         load.record_sent(best.work_ms, now)
+        load.begin_connect_trial(now)
         load.own_requests[number] = OutstandingRequest(
             best.work_ms,
             tokens,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -238,6 +238,11 @@
         with self._lock:
             return bool(self._idle_connections.get(target))
 
+    def close_idle(self, target: str) -> None:
+        """Close the idle connections to ``target``, which no longer answers."""
+        while (connection := self._pop_idle(target)) is not None:
+            self.discard(connection)
+
     def refuses_connections_of(self, target: Target) -> bool:
         """Return whether the address of ``target`` refuses connections.
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
@@ -72,7 +72,7 @@
             headers = self._codec.add_resume_after(headers, resume_after)
         result = self._exchange(connection, request, headers, wait_until, caller_gone)
         if isinstance(result, RefusedNotRun):
-            self._recycle_after_refusal(connection, result)
+            self.recycle_after_refusal(connection, result.idle_timeout)
         elif not isinstance(result, OpenedAnswer):
             self._pool.discard(connection)
         return result
@@ -84,8 +84,8 @@
         else:
             self._pool.release(opened.connection, opened.head.idle_timeout)
 
-    def _recycle_after_refusal(
-        self, connection: TargetConnection, refused: RefusedNotRun
+    def recycle_after_refusal(
+        self, connection: TargetConnection, idle_timeout: timedelta | None
     ) -> None:
         """Pool the connection of a refusal if its body can be read to the end."""
         try:
@@ -94,10 +94,10 @@
         except (OSError, http.client.HTTPException):
             self._pool.discard(connection)
             return
-        if refused.idle_timeout is None:
+        if idle_timeout is None:
             self._pool.discard(connection)
         else:
-            self._pool.release(connection, refused.idle_timeout)
+            self._pool.release(connection, idle_timeout)
 
     def discard_answer(self, opened: OpenedAnswer) -> None:
         """Close the connection of an answer that will not be read to its end."""
@@ -111,6 +111,20 @@
         wait_until: timedelta,
         caller_gone: Callable[[], bool],
     ) -> AttemptResult:
+        head = self.read_head(connection, request, headers, wait_until, caller_gone)
+        if isinstance(head, UnknownResult):
+            return head
+        return self._classify(connection, request, head)
+
+    def read_head(
+        self,
+        connection: TargetConnection,
+        request: GatewayRequest,
+        headers: Headers,
+        wait_until: timedelta,
+        caller_gone: Callable[[], bool],
+    ) -> AnswerHead | UnknownResult:
+        """Send ``request`` with ``headers`` and return the head of the answer."""
         time_left = request.deadline - self._clock.elapsed()
         try:
             connection.send(
@@ -125,10 +139,9 @@
         except (OSError, http.client.HTTPException, ValueError):
             return UnknownResult(AttemptReason.CONNECTION_BROKEN)
         names = {name.lower(): value for name, value in response.getheaders()}
-        head = self._codec.decode_answer(
+        return self._codec.decode_answer(
             response.status, response.reason, names, response.will_close
         )
-        return self._classify(connection, request, head)
 
     def _await_head(
         self,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_grant.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_grant.py
@@ -11,7 +11,9 @@
 class Grant:
     """Permission to send one request to one target.
 
-    The holder must end it by ``Balancer.release`` or one of its variants.
+    The holder must end it by ``Balancer.release`` or one of its variants.  If
+    ``is_to_peer``, ``target`` stands for a peer that chooses the target, and whose
+    balancer counts the request.
     ``predicted_ms``, ``busy`` and ``pause_ms`` are those of its
     :class:`~runhatch_server.decisions.ScoredTarget`.
     """
@@ -25,3 +27,4 @@
     busy: float
     pause_ms: float
     max_connections: int
+    is_to_peer: bool = False
--- a/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
@@ -14,6 +14,10 @@
 """Requests served concurrently: 30 per second of at most 5 s need about 150."""
 CALLER_CONNECTIONS = 1_500
 """Maximum open connections of callers; a node may use about 3,900 descriptors."""
+FORWARD_THREADS = 200
+"""Forwarded requests served concurrently."""
+FORWARD_HEADER_BYTES = 1_024
+"""Maximum size of the headers that a node adds to a request that it forwards."""
 SIDE_THREADS = 2
 SIDE_LIMITS = ServerLimits(max_body_bytes=1_024, max_header_bytes=16_384)
 IDLE_TIMEOUT_MARGIN = timedelta(seconds=10)
@@ -48,6 +52,26 @@
     return servers
 
 
+def build_forward_server(
+    settings: GatewaySettings, app: Application
+) -> HttpServer | None:
+    """Return the server for requests forwarded by peers, ``None`` without a port."""
+    if not settings.forward_port:
+        return None
+    return HttpServer(
+        app,
+        settings.peers.host,
+        settings.forward_port,
+        FORWARD_THREADS,
+        forward_limits(RequestLimits()),
+    )
+
+
+def forward_limits(limits: RequestLimits) -> ServerLimits:
+    """Return the limits of the server for requests forwarded by peers."""
+    return ServerLimits(limits.body_bytes, limits.header_bytes + FORWARD_HEADER_BYTES)
+
+
 def server_limits(limits: RequestLimits) -> ServerLimits:
     """Return the limits of the server for callers."""
     return ServerLimits(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -16,7 +16,7 @@
 from runhatch_server._progress import RequestCounter
 from runhatch_server._tasks import RecurringTasks
 from runhatch_server.crashes import CHECK_INTERVAL, DIGEST_INTERVAL, CrashDetector
-from runhatch_server.decisions import GatewayRequest
+from runhatch_server.decisions import GatewayRequest, PeerChoice
 from runhatch_server.fleet import TargetDirectory
 from runhatch_server.gateway._app import GatewayApp, MetricsApp, ReadinessApp
 from runhatch_server.gateway._balancer import Balancer
@@ -27,11 +27,14 @@
 from runhatch_server.gateway._known_targets import KnownTargets
 from runhatch_server.gateway._listeners import (
     HEARTBEAT_INTERVAL,
+    build_forward_server,
     build_servers,
+    forward_limits,
     open_broadcast,
     open_links,
     server_limits,
 )
+from runhatch_server.gateway._peer_requests import PeerRequests
 from runhatch_server.gateway._peers import GatewayPeers
 from runhatch_server.gateway._platform import GatewayPlatform
 from runhatch_server.gateway._rate_limits import RateLimits
@@ -113,6 +116,7 @@
             self._pool.has_idle,
             self._demand.missed_event.set,
             lambda target: self._peers.publish_draining(target),
+            self._pool.close_idle,
         )
         self._crashes = CrashDetector(
             self._clock,
@@ -138,7 +142,20 @@
         )
         self._order_wanted = threading.Event()
         self._links: PeerLinks | None = None
+        self._forwarder = Forwarder(self._pool, platform.headers, self._clock)
+        self._peer_requests = PeerRequests(
+            self._membership,
+            self._pool,
+            self._forwarder,
+            platform.headers,
+            self._clock,
+            self._metrics,
+            PeerChoice(settings.failure_domain),
+        )
+        self._service = self._build_service()
         self._app = self._build_app()
+        self._forward_app = self._build_app(is_for_peers=True)
+        self._forward_server = build_forward_server(settings, self._forward_app)
         self._servers = build_servers(
             settings, self._app, ReadinessApp(self.is_ready), MetricsApp(self._metrics)
         )
@@ -200,6 +217,8 @@
         )
         for server in self._servers:
             server.start()
+        if self._forward_server is not None:
+            self._forward_server.start()
         log_change("started", node=self._settings.name)
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -213,6 +232,7 @@
         log_change("stopping", in_progress=self._progress.in_progress)
         self._stopping.set()
         self._app.draining = True
+        self._forward_app.draining = True
         self._balancer.close()
         self._membership.announce_draining()
         self._peers.check_members()
@@ -243,20 +263,27 @@
         """Set ``stop`` to be called if a task finds a broken invariant."""
         self._tasks.on_invariant_error = stop
 
-    def _build_app(self) -> GatewayApp:
-        forwarder = Forwarder(self._pool, self._platform.headers, self._clock)
-        recorder = RequestRecorder(self._metrics, self._clock)
+    def _build_service(self) -> GatewayService:
         parts = RunParts(
-            self._balancer, forwarder, recorder, self._crashes, self._clock
+            self._balancer,
+            self._forwarder,
+            RequestRecorder(self._metrics, self._clock),
+            self._crashes,
+            self._clock,
+            self._peer_requests,
         )
+        return GatewayService(parts, self._settings.retries)
+
+    def _build_app(self, is_for_peers: bool = False) -> GatewayApp:
         return GatewayApp(
-            GatewayService(parts, self._settings.retries),
+            self._service,
             self._platform.headers,
             self._progress,
             self._metrics,
             self._clock,
             self._record_demand,
             lambda: self._tables.is_behind(self._platform.configurations.name),
+            is_for_peers,
         )
 
     def _build_membership(self) -> Membership:
@@ -269,6 +296,7 @@
             str(settings.peers),
             incarnation,
             settings.broadcast_port,
+            settings.forward_port,
         )
         return Membership(own, self._clock, SUSPICION_TIMEOUT)
 
@@ -333,6 +361,9 @@
         self._orderer.declare(routes.services)
         self._servers[0].set_limits(server_limits(routes.configuration.limits))
         self._app.routes = routes
+        self._forward_app.routes = routes
+        if self._forward_server is not None:
+            self._forward_server.set_limits(forward_limits(routes.configuration.limits))
 
     def _record_demand(self, request: GatewayRequest) -> None:
         self._demand.count_request(request, self._balancer.prompt_work_ms(request))
@@ -402,7 +433,8 @@
     def _clean_up(self) -> None:
         self._directory.remove_expired()
         known = frozenset(target.incarnation for target in self._directory.all())
-        self._pool.close_expired(known)
+        self._pool.close_expired(known | self._peer_requests.known_names())
+        self._peer_requests.remove_expired()
         self._balancer.delete_unknown_targets()
         self._limits.remove_expired(known.__contains__)
         ready = [target for target in self._directory.all() if target.is_ready]
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -95,6 +95,14 @@
 
     def record(self, record: RequestRecord) -> None:
         """Count and log one request that has ended."""
+        request = record.request
+        for attempt in record.attempts:
+            self._metrics.attempts.labels(attempt.partition(":")[2]).inc()
+        if not request.is_forwarded:
+            self._count(record)
+        self._log(record)
+
+    def _count(self, record: RequestRecord) -> None:
         request = record.request
         in_time = record.is_in_time(self._clock.elapsed())
         if record.outcome == "answered":
@@ -106,8 +114,6 @@
         for reason, paid in record.retries:
             label = reason.value if paid else f"{reason.value}_no_budget"
             self._metrics.retries.labels(label).inc()
-        for attempt in record.attempts:
-            self._metrics.attempts.labels(attempt.partition(":")[2]).inc()
         kind = request.route.kind.value
         if record.pace.pieces > 1:
             pause = record.pace.longest_pause.total_seconds()
@@ -118,8 +124,13 @@
         self._metrics.wait_seconds.labels(kind).observe(record.waited.total_seconds())
         took = self._clock.elapsed() - request.received_at
         self._metrics.first_byte_seconds.labels(kind).observe(took.total_seconds())
+
+    def _log(self, record: RequestRecord) -> None:
+        request = record.request
+        now = self._clock.elapsed()
+        took = now - request.received_at
         log_change(
-            "request",
+            "forwarded_request" if request.is_forwarded else "request",
             request_id=request.attempt_id,
             fingerprint=request.fingerprint,
             route=request.route.name,
@@ -144,7 +155,7 @@
             longest_pause_ms=_to_milliseconds(record.pace.longest_pause),
             max_gap_ms=_to_milliseconds(request.route.max_gap),
             predicted_pause_ms=_round(record.pause_ms),
-            in_time=in_time,
+            in_time=record.is_in_time(now),
             retry_after=_to_seconds(record.retry_after),
             refused_by=record.refused_by,
             configuration=request.configuration_version,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -18,6 +18,7 @@
 )
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._messages import AnswerHead
+from runhatch_server.gateway._peer_requests import ForwardedAttempt, PeerRequests
 from runhatch_server.gateway._records import RequestRecord, RequestRecorder
 from runhatch_server.gateway._relay import StreamRelay
 from runhatch_server.refusals import Executed, Reason, Refusal
@@ -54,6 +55,8 @@
     recorder: RequestRecorder
     crashes: CrashDetector
     clock: Clock
+    peers: PeerRequests | None = None
+    """``None`` on a node whose peers accept no forwarded requests."""
 
 
 class RequestRun:
@@ -113,6 +116,9 @@
 
     def record_no_answer(self, grant: Grant, reason: AttemptReason) -> None:
         """Record that the attempt of ``grant`` got no complete answer, and why."""
+        if grant.is_to_peer:
+            # The peer records it.
+            return
         crashes, fingerprint = self._parts.crashes, self._request.fingerprint
         if reason is AttemptReason.CONNECTION_BROKEN:
             crashes.record_abort(fingerprint, grant.target.incarnation)
@@ -121,6 +127,8 @@
 
     def _record_answer(self, grant: Grant, is_success: bool = True) -> None:
         """Record a complete answer; the request failed unless ``is_success``."""
+        if grant.is_to_peer:
+            return
         self._parts.crashes.record_answer(
             self._request.fingerprint,
             grant.target.incarnation,
@@ -141,6 +149,10 @@
                     if self._may_have_run
                     else suspect_refusal
                 )
+            if self._parts.balancer.lacks_path(self._request):
+                forwarded = self._forward(resume_after)
+                if forwarded is not None:
+                    return forwarded
             wait_started_at = self._parts.clock.elapsed()
             grant = self._parts.balancer.acquire(
                 self._request, self._tried_targets, self._caller_gone
@@ -151,7 +163,7 @@
             result = self._parts.forwarder.send(
                 self._request,
                 grant,
-                self._head_deadline(grant),
+                self._head_deadline(grant.predicted_ms),
                 self._caller_gone,
                 resume_after,
             )
@@ -167,13 +179,60 @@
             if refusal is not None:
                 return refusal
 
-    def _head_deadline(self, grant: Grant) -> timedelta:
+    def _forward(
+        self, resume_after: str
+    ) -> tuple[Grant, OpenedAnswer] | Refusal | None:
+        """Forward the request, whose targets this node cannot reach, to a peer.
+
+        Returns ``None`` if no peer can reach them, or after an unknown result that
+        allows another attempt.
+        """
+        if self._request.is_forwarded:
+            return self._make_refusal(Reason.TARGETS_UNREACHABLE)
+        if self._parts.peers is None:
+            return None
+        started_at = self._parts.clock.elapsed()
+        attempt = self._parts.peers.send(
+            self._request,
+            self._head_deadline(0.0),
+            self._caller_gone,
+            resume_after,
+            self._record_forwarded,
+        )
+        if attempt is None:
+            return None
+        match attempt.result:
+            case OpenedAnswer() as opened:
+                self._attempt_count += 1
+                took = self._parts.clock.elapsed() - started_at
+                self.record.record_first_byte(took)
+                return attempt.grant, opened
+            case Refusal(executed=Executed.NO) as refusal:
+                return refusal.as_unknown() if self._may_have_run else refusal
+            case Refusal():
+                return self._decide_after_forward(AttemptReason.CONNECTION_BROKEN)
+            case UnknownResult(reason):
+                return self._decide_after_forward(reason)
+            case NotSent():
+                return self._make_refusal(Reason.DEADLINE_PASSED)
+            case _:
+                raise AssertionError(attempt.result)
+
+    def _record_forwarded(self, attempt: ForwardedAttempt) -> None:
+        self.record.record_attempt(attempt.grant, attempt.outcome)
+
+    def _decide_after_forward(self, reason: AttemptReason) -> Refusal | None:
+        self._attempt_count += 1
+        self._may_have_run = True
+        return self._decide_after_unknown(reason)
+
+    def _head_deadline(self, predicted_ms: float) -> timedelta:
         """Return the time at which to stop waiting for the head of the answer."""
         request = self._request
-        if not request.route.may_retry or not self._has_attempts_left(after=1):
+        if not request.may_retry or not self._has_attempts_left(after=1):
             return request.deadline
         now = self._parts.clock.elapsed()
-        predicted = timedelta(milliseconds=grant.predicted_ms) * HEAD_TIMEOUT_FACTOR
+        predicted = timedelta(milliseconds=predicted_ms) * HEAD_TIMEOUT_FACTOR
         longest_wait = max(predicted, (request.deadline - now) * HEAD_TIMEOUT_SHARE)
         return min(request.deadline, now + longest_wait)
 
@@ -261,7 +320,7 @@
 
     def _may_retry(self, reason: AttemptReason) -> bool:
         """Return whether a request that may have run is retried; spends the retry."""
-        if not self._request.route.may_retry or not self._has_attempts_left():
+        if not self._request.may_retry or not self._has_attempts_left():
             return False
         if self._parts.clock.elapsed() >= self._request.deadline:
             return False
--- a/packages/runhatch-server/src/runhatch_server/gateway/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_service.py
@@ -26,5 +26,6 @@
         if budget is None:
             new_budget = WindowedRetryBudget(self._bounds, self._parts.clock)
             budget = self._budgets.setdefault(request.service, new_budget)
-        budget.record_request()
+        if not request.is_forwarded:
+            budget.record_request()
         return RequestRun(self._parts, request, budget, is_caller_gone).answer()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
@@ -49,7 +49,8 @@
     other nodes, and may be outdated.  ``shutdown_grace`` is the time between the
     request to stop and the kill, ``drain`` the time after which a draining target must
     get no more requests.  A node that reads the store broadcasts on
-    ``broadcast_port`` of the peers' host; 0 if it cannot.
+    ``broadcast_port`` of the peers' host, and accepts requests forwarded by other nodes
+    on ``forward_port`` of that host; 0 if it cannot.
     """
 
     name: str
@@ -66,3 +67,4 @@
     orders: OrderBounds
     drain: timedelta = timedelta(seconds=2)
     broadcast_port: int = 0
+    forward_port: int = 0
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -39,6 +39,11 @@
         self.refusals = self._counter("refusals", "Requests refused", "reason")
         self.retries = self._counter("retries", "Attempts that were retried", "reason")
         self.attempts = self._counter("attempts", "Attempts sent to targets", "outcome")
+        self.forwarded_requests = self._counter(
+            "forwarded_requests",
+            "Attempts to have a request served by a peer",
+            "outcome",
+        )
         self.streams = self._counter("streams", "Streams by how they ended", "end")
         self.claims = self._counter("claims", "Claims by outcome", "outcome")
         self.orders = self._counter(
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -33,6 +33,7 @@
     incarnation: int
     standing: Standing
     broadcast_port: int = 0
+    forward_port: int = 0
 
 
 class RevisionNotice(msgspec.Struct, frozen=True, tag="notice", array_like=True):
@@ -361,6 +362,7 @@
         vm.incarnation,
         fact.standing,
         vm.broadcast_port,
+        vm.forward_port,
     )
 
 
@@ -372,6 +374,7 @@
         member.address,
         member.incarnation,
         member.broadcast_port,
+        member.forward_port,
     )
     return MemberFact(vm, member.standing)
 
--- a/packages/runhatch-server/src/runhatch_server/refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/refusals.py
@@ -49,6 +49,11 @@
     NO_TARGET = ("no_target", 503, "No target of the service takes work")
     NO_REPLICA = ("no_replica", 503, "No target serves this at the moment")
     TARGETS_BUSY = ("targets_busy", 503, "The targets refused the request unrun")
+    TARGETS_UNREACHABLE = (
+        "targets_unreachable",
+        503,
+        "The node cannot connect to the targets",
+    )
     TARGETS_BACK_OFF = ("targets_rest", 503, "The targets want no requests for a while")
     TARGETS_LIMITED = (
         "targets_limited",
--- a/packages/runhatch-server/tests/gateway_cases.py
+++ b/packages/runhatch-server/tests/gateway_cases.py
@@ -84,6 +84,7 @@
         "has_connection": lambda target: True,
         "on_change": do_nothing,
         "on_draining": do_nothing,
+        "close_idle": do_nothing,
     }
     limits = RateLimits(clock, Metrics())
     balancer = Balancer(
