Probe targets that a node could not connect to

Requests at a node that had lost its paths to targets waited up to 400 ms for each of several connects, since each target's loss was found by requests, and each backoff ended with a request that tried again. Connections opened before the loss were used until their requests timed out.

Change: a task probes targets whose backoff has ended, those that owe an answer for too long, and all others if most targets tried lately failed. The probes connect at the same time, send nothing, and end after 400 ms. A connect without any reply closes the idle connections to that target. A request that the targets in reach are too busy for is forwarded if others that hold the model are out of reach.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load.py
@@ -49,8 +49,9 @@
 """Bounds of the backoff after a failed connect to a target; it doubles each time."""
 MAX_BACKOFF_DOUBLINGS = 4
 """Doublings after which the backoff has reached its maximum."""
-CONNECT_TRIAL_TIME = timedelta(milliseconds=500)
-"""Time in which only one request tries to connect to a target after the backoff."""
+PROBE_ALLOWANCE = timedelta(seconds=1)
+"""Time after the backoff in which a probe shows whether the target can be reached;
+requests try it only if none did."""
 MAX_CACHE_FILL_SHARE = 0.95
 """Share of a target's cache to fill; above it the engine preempts running requests."""
 
@@ -166,7 +167,9 @@
     avoidance_count: int = 0
     """Number of connects that failed since the last answer."""
     next_connect_at: timedelta = timedelta()
-    """End of the backoff after a failed connect, or of the trial that follows it."""
+    """End of the backoff after a failed connect."""
+    reached_at: timedelta = timedelta()
+    """Time at which the target last accepted the connection of a probe."""
     backoff_until: timedelta = timedelta()
     """End of the backoff that the target requested from this node."""
     step_ms: float = INITIAL_STEP_MS
@@ -273,17 +276,21 @@
         pause = min(MAX_CONNECT_BACKOFF, MIN_CONNECT_BACKOFF * (1 << doublings))
         self.avoidance_count += 1
         self.next_connect_at = now + pause
-        self.avoided_until = max(self.avoided_until, self.next_connect_at)
+        self.avoided_until = max(
+            self.avoided_until, self.next_connect_at + PROBE_ALLOWANCE
+        )
 
     def record_connected(self) -> None:
-        """Record that the target answered, which ends the backoff."""
-        self.avoidance_count = 0
-        self.next_connect_at = timedelta()
-
-    def begin_connect_trial(self, now: timedelta) -> None:
-        """Make other requests wait for the outcome of a connect after the backoff."""
+        """Record that the target was reached, which ends the backoff."""
         if self.avoidance_count:
-            self.next_connect_at = max(self.next_connect_at, now + CONNECT_TRIAL_TIME)
+            self.avoidance_count = 0
+            self.avoided_until = timedelta()
+
+    def lacks_path(self, now: timedelta) -> bool:
+        """Return whether no connection to the target can be made at present."""
+        if not self.avoidance_count:
+            return False
+        return now < self.next_connect_at + PROBE_ALLOWANCE
 
     def is_silent(self, now: timedelta) -> bool:
         """Return whether a request has waited too long and the target sent nothing."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -44,15 +44,13 @@
     use_permit,
 )
 from runhatch_server.gateway._shared_loads import SharedLoads
+from runhatch_server.gateway._target_paths import TargetPaths
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind, ServiceSpec
 
 CALLER_CHECK_INTERVAL = timedelta(milliseconds=150)
 """Interval at which a held request checks that its caller is still connected: work
 must stop within half a second of a disconnect."""
-MAX_CONNECT_FAILURES = 2
-"""Consecutive failed connects after which a target counts as down: the orderer then
-plans without it, so that other targets replace it."""
 SHUTDOWN_STREAM_WINDOW = timedelta(seconds=2.5)
 """Time after the start of a shutdown in which streams are still accepted.  Later ones
 would be cut off at exit, and the load balancer has polled readiness twice by then."""
@@ -82,8 +80,6 @@
         self._on_missing_model = on_missing_model
         self._on_change = on_change
         self._on_draining = on_draining
-        self._has_connection = has_connection
-        self._close_idle = close_idle
         self._refusal_builder = RefusalBuilder(seed)
         self._lock = threading.Lock()
         self._book = LoadBook()
@@ -93,6 +89,10 @@
         self._number_sequence = itertools.count(1)
         self.loads = SharedLoads(self._book, self._lock, clock)
         """Outstanding load at targets, of this node and its peers."""
+        self.paths = TargetPaths(
+            self._book, self._lock, directory, clock, has_connection, close_idle
+        )
+        """The targets that this node can connect to."""
         self.limits = limits
         """The rate limits announced by targets."""
         self._held_requests = HeldRequests(directory, clock, self._book, self._lock)
@@ -227,7 +227,6 @@
             load.record_outcome(target_failed, now)
             if not target_failed:
                 load.last_received_at = now
-                load.record_connected()
                 if grant.request.work is None:
                     duration = now - grant.granted_at
                     self._book.rates.record_service_time(
@@ -272,35 +271,8 @@
 
     def release_unreachable(self, grant: Grant) -> None:
         """Release ``grant``, to whose target no connection could be made."""
-        now = self._clock.elapsed()
-        with self._lock:
-            load = self._book.load(grant.target.incarnation)
-            load.own_requests.pop(grant.number, None)
-            load.record_connect_failure(now)
-
-    def lacks_path(self, request: GatewayRequest) -> bool:
-        """Return whether this node reaches no target that could serve ``request``.
-
-        It reaches none if no target has the model either, but then nodes that reach
-        more targets would not help.
-        """
-        holders = self._directory.holders(
-            request.service, request.model, request.adapter
-        )
-        now = self._clock.elapsed()
-        silent = []
-        with self._lock:
-            for target in holders:
-                load = self._book.load(target.incarnation)
-                if load.is_silent(now):
-                    silent.append(target.incarnation)
-                elif now >= load.next_connect_at or self._has_connection(
-                    target.incarnation
-                ):
-                    return False
-        for target_name in silent:
-            self._close_idle(target_name)
-        return bool(holders)
+        self._release_and_exclude(grant, timedelta())
+        self.paths.record_failure(grant.target.incarnation)
 
     def release_misdirected(self, grant: Grant) -> None:
         """Release ``grant``, whose target does not hold the model at present."""
@@ -310,9 +282,8 @@
         self._directory.record_missing_model(target, request.model, request.adapter)
 
     def is_down(self, target: str) -> bool:
-        """Return whether the last ``MAX_CONNECT_FAILURES`` connects all failed."""
-        with self._lock:
-            return self._book.load(target).avoidance_count >= MAX_CONNECT_FAILURES
+        """Return whether the last connects to ``target`` all failed."""
+        return self.paths.is_down(target)
 
     def prompt_work_ms(self, request: GatewayRequest) -> float:
         """Return the milliseconds that processing the whole prompt would take."""
@@ -423,7 +394,6 @@
             tokens = request.work.prompt_tokens + request.work.expected_output_tokens
         load = self._book.load(best.target.incarnation)
         load.record_sent(best.work_ms, now)
-        load.begin_connect_trial(now)
         load.own_requests[number] = OutstandingRequest(
             best.work_ms,
             tokens,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -228,8 +228,11 @@
         connection = TargetConnection(target)
         try:
             connection.connect(min(timeout, CONNECT_TIMEOUT))
-        except OSError:
+        except OSError as error:
             self.discard(connection)
+            if isinstance(error, TimeoutError):
+                # Packets are lost on open connections too.
+                self.close_idle(target.incarnation)
             return NotSent(AttemptReason.CONNECT_FAILED)
         return connection
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -200,6 +200,12 @@
             self._crashes.recheck_targets,
             self._crashes.recheck_requested,
         )
+        self._tasks.start_task(
+            "probes",
+            lambda: self._balancer.paths.probe_interval,
+            self._balancer.paths.probe,
+            self._balancer.paths.failure_recorded,
+        )
         self._tasks.start_task(
             "suspects", DIGEST_INTERVAL, self._peers.suspects.send_digest
         )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -42,6 +42,16 @@
 """Shortest wait for such an answer, as a multiple of the predicted time."""
 UNRUN_RETRY_DELAY = timedelta(milliseconds=250)
 """Retry delay for a caller whose request no target could run."""
+REASONS_OF_LOAD = frozenset(
+    {
+        Reason.GOAL_UNMEETABLE,
+        Reason.TOO_BUSY,
+        Reason.TARGETS_BUSY,
+        Reason.TARGETS_BACK_OFF,
+        Reason.TARGETS_LIMITED,
+    }
+)
+"""Reasons that hold for the targets in reach only."""
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -149,7 +159,7 @@
                     if self._may_have_run
                     else suspect_refusal
                 )
-            if self._parts.balancer.lacks_path(self._request):
+            if self._parts.balancer.paths.lacks_all(self._request):
                 forwarded = self._forward(resume_after)
                 if forwarded is not None:
                     return forwarded
@@ -159,6 +169,9 @@
             )
             self.record.waited += self._parts.clock.elapsed() - wait_started_at
             if isinstance(grant, Refusal):
+                forwarded = self._forward_refused(grant, resume_after)
+                if forwarded is not None:
+                    return forwarded
                 return grant.as_unknown() if self._may_have_run else grant
             result = self._parts.forwarder.send(
                 self._request,
@@ -218,6 +231,16 @@
             case _:
                 raise AssertionError(attempt.result)
 
+    def _forward_refused(
+        self, refusal: Refusal, resume_after: str
+    ) -> tuple[Grant, OpenedAnswer] | Refusal | None:
+        """Forward a request that only targets out of reach could serve now."""
+        if refusal.reason not in REASONS_OF_LOAD:
+            return None
+        if not self._parts.balancer.paths.lacks_any(self._request):
+            return None
+        return self._forward(resume_after)
+
     def _record_forwarded(self, attempt: ForwardedAttempt) -> None:
         self.record.record_attempt(attempt.grant, attempt.outcome)
 
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
@@ -0,0 +1,147 @@
+"""Which targets this node can connect to, and probes of those that it could not.
+
+After a failed connect the target has ended, or the path to it is interrupted.  Probes
+find out when it can be reached again, and whether other targets are out of reach too,
+so that no further request waits for a connect that fails.
+"""
+
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+
+from runhatch_coordination import Clock
+from runhatch_server.decisions import GatewayRequest, LoadBook
+from runhatch_server.fleet import Target, TargetDirectory
+from runhatch_server.targets import Probed, probe_connects
+
+MAX_CONNECT_FAILURES = 2
+"""Consecutive failed connects after which a target counts as down: the orderer then
+plans without it, so that other targets replace it."""
+PROBE_TIMEOUT = timedelta(milliseconds=400)
+"""As long as a request waits for a connect."""
+PROBE_INTERVAL = timedelta(milliseconds=100)
+IDLE_PROBE_INTERVAL = timedelta(seconds=2)
+MIN_FAILING_TARGETS = 2
+"""Number of unreachable targets from which others may be out of reach too."""
+RECENT_ANSWER_AGE = timedelta(seconds=1)
+"""Age up to which an answer or a probe shows that the path to a target works."""
+MAX_PROBES = 64
+"""Maximum number of targets that are probed at a time."""
+
+
+class TargetPaths:
+    """The targets that one node can connect to; thread-safe."""
+
+    def __init__(
+        self,
+        book: LoadBook,
+        lock: threading.Lock,
+        directory: TargetDirectory,
+        clock: Clock,
+        has_connection: Callable[[str], bool],
+        close_idle: Callable[[str], None],
+    ) -> None:
+        self._book = book
+        self._lock = lock
+        self._directory = directory
+        self._clock = clock
+        self._has_connection = has_connection
+        self._close_idle = close_idle
+        self._is_any_failing = False
+        self.failure_recorded = threading.Event()
+        """Set after a failed connect, to begin probes."""
+
+    @property
+    def probe_interval(self) -> timedelta:
+        """Interval between rounds of probes."""
+        return PROBE_INTERVAL if self._is_any_failing else IDLE_PROBE_INTERVAL
+
+    def lacks_all(self, request: GatewayRequest) -> bool:
+        """Return whether no target with the model of ``request`` can be reached."""
+        holders, lacking = self._find_lacking(request)
+        return bool(holders) and len(lacking) == len(holders)
+
+    def lacks_any(self, request: GatewayRequest) -> bool:
+        """Return whether a target with the model of ``request`` cannot be reached."""
+        return bool(self._find_lacking(request)[1])
+
+    def is_down(self, target: str) -> bool:
+        """Return whether the last ``MAX_CONNECT_FAILURES`` connects all failed."""
+        with self._lock:
+            return self._book.load(target).avoidance_count >= MAX_CONNECT_FAILURES
+
+    def record_failure(self, target: str) -> None:
+        """Record that no connection to ``target`` could be made."""
+        now = self._clock.elapsed()
+        with self._lock:
+            self._book.load(target).record_connect_failure(now)
+        self._is_any_failing = True
+        self.failure_recorded.set()
+
+    def probe(self) -> None:
+        """Probe the targets that are due, and record which can be reached."""
+        due = self._find_due()
+        if not due:
+            return
+        results = probe_connects(
+            [(target.host, target.port) for target in due], PROBE_TIMEOUT
+        )
+        now = self._clock.elapsed()
+        with self._lock:
+            for target, result in zip(due, results, strict=True):
+                load = self._book.load(target.incarnation)
+                if result is Probed.ACCEPTED:
+                    load.record_connected()
+                    load.reached_at = now
+                else:
+                    load.record_connect_failure(now)
+        for target, result in zip(due, results, strict=True):
+            if result is Probed.SILENT:
+                # Packets are lost on open connections too.
+                self._close_idle(target.incarnation)
+
+    def _find_lacking(
+        self, request: GatewayRequest
+    ) -> tuple[list[Target], list[Target]]:
+        """Return the targets with the model, and those of them out of reach."""
+        holders = self._directory.holders(
+            request.service, request.model, request.adapter
+        )
+        now = self._clock.elapsed()
+        with self._lock:
+            lacking = [
+                target
+                for target in holders
+                if self._book.load(target.incarnation).lacks_path(now)
+                and not self._has_connection(target.incarnation)
+            ]
+        return holders, lacking
+
+    def _find_due(self) -> list[Target]:
+        """Return the targets to probe.
+
+        These are those whose backoff has ended, those that owe an answer for too
+        long, and all others if most targets that were tried lately failed: then this
+        node has most likely lost its path to them as well.
+        """
+        now = self._clock.elapsed()
+        recent = now - RECENT_ANSWER_AGE
+        due, untested = [], []
+        failing_count = reached_count = 0
+        with self._lock:
+            for target in self._directory.all():
+                load = self._book.load(target.incarnation)
+                if load.avoidance_count:
+                    failing_count += 1
+                    if now >= load.next_connect_at:
+                        due.append(target)
+                elif max(load.last_received_at, load.reached_at) > recent:
+                    reached_count += 1
+                elif load.is_silent(now):
+                    due.append(target)
+                else:
+                    untested.append(target)
+        self._is_any_failing = bool(failing_count)
+        if failing_count >= max(MIN_FAILING_TARGETS, reached_count):
+            due += untested
+        return due[:MAX_PROBES]
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -26,7 +26,11 @@
     decode_rate_limit,
     decode_retry_after,
 )
-from runhatch_server.targets._probe import refuses_connections
+from runhatch_server.targets._probe import (
+    Probed,
+    probe_connects,
+    refuses_connections,
+)
 from runhatch_server.targets._stream import (
     EventSplitter,
     is_terminal_event,
@@ -56,6 +60,8 @@
     "UnknownResult",
     "InvalidRateLimit",
     "decode_rate_limit",
+    "Probed",
+    "probe_connects",
     "refuses_connections",
     "decode_retry_after",
     "compute_block_names",
