Don't take used-up connections for an unreachable target

A node that had as many connections to a target open as it may counted that as a failed connect. The target then counted as down for the orderer after two, and would now count as out of reach, with its requests forwarded to peers.

Change: the target is avoided for as long as before, without a failure.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -51,6 +51,9 @@
 CALLER_CHECK_INTERVAL = timedelta(milliseconds=150)
 """Interval at which a held request checks that its caller is still connected: work
 must stop within half a second of a disconnect."""
+CONNECTIONS_USED_PAUSE = timedelta(milliseconds=500)
+"""How long a target is avoided when all connections to it that this node may open are
+in use."""
 SHUTDOWN_STREAM_WINDOW = timedelta(seconds=2.5)
 """Time after the start of a shutdown in which streams are still accepted.  Later ones
 would be cut off at exit, and the load balancer has polled readiness twice by then."""
@@ -269,6 +272,10 @@
             return self._refusal_builder.refuse_unwilling(result)
         return None
 
+    def release_unsent(self, grant: Grant) -> None:
+        """Release ``grant``, for which this node may open no further connection."""
+        self._release_and_exclude(grant, CONNECTIONS_USED_PAUSE)
+
     def release_unreachable(self, grant: Grant) -> None:
         """Release ``grant``, to whose target no connection could be made."""
         self._release_and_exclude(grant, timedelta())
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -277,7 +277,10 @@
                 if reason is AttemptReason.TIMED_OUT:
                     balancer.release(grant, target_failed=False)
                     return self._make_refusal(Reason.DEADLINE_PASSED)
-                balancer.release_unreachable(grant)
+                if reason is AttemptReason.CONNECT_FAILED:
+                    balancer.release_unreachable(grant)
+                else:
+                    balancer.release_unsent(grant)
                 if self._unsent_count <= MAX_UNSENT_RETRIES:
                     return None
                 return self._make_refusal(Reason.TARGETS_BUSY)
