Make another attempt after an unknown result of a peer

An idempotent request whose hop to a peer broke, or whose peer answered an unknown result, was sent to the unreachable target next, though its retry had been paid for and other peers reached the target.

Change: the choice between peers and targets is made again, as after other failed attempts. RunParts moves to a module of its own.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -39,7 +39,7 @@
 from runhatch_server.gateway._platform import GatewayPlatform
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._records import RequestRecorder
-from runhatch_server.gateway._run import RunParts
+from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.gateway._settings import GatewaySettings
 from runhatch_server.gateway._tables import (
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peer_requests.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peer_requests.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from enum import Enum
 
 from runhatch_coordination import Clock, Membership, Vm
 from runhatch_server.decisions import GatewayRequest, PeerChoice, Work
@@ -38,9 +39,27 @@
 )
 """Reasons that concern the peer, not the request or the targets."""
 
+REASONS_OF_LOAD = frozenset(
+    {
+        Reason.GOAL_UNMEETABLE,
+        Reason.TOO_BUSY,
+        Reason.TARGETS_BUSY,
+        Reason.TARGETS_BACK_OFF,
+        Reason.TARGETS_LIMITED,
+    }
+)
+"""Reasons that hold for the targets in reach only."""
+
 PeerResult = OpenedAnswer | Refusal | UnknownResult | NotSent
 
 
+class NextStep(Enum):
+    """What follows an attempt to have a request served by a peer."""
+
+    TRY_TARGETS = "no peer can serve it"
+    RETRY = "another attempt is allowed after an unknown result"
+
+
 @dataclass(frozen=True, slots=True)
 class ForwardedAttempt:
     """One attempt to have a request served by a peer; ``grant`` names the peer."""
@@ -48,6 +67,19 @@
     grant: Grant
     result: PeerResult
 
+    @property
+    def unknown_reason(self) -> AttemptReason | None:
+        """Why the request may have run without an answer, ``None`` if neither."""
+        match self.result:
+            case UnknownResult(reason):
+                return reason
+            case Refusal(Reason.DEADLINE_PASSED, Executed.UNKNOWN):
+                return AttemptReason.TIMED_OUT
+            case Refusal(executed=Executed.UNKNOWN):
+                return AttemptReason.CONNECTION_BROKEN
+            case _:
+                return None
+
     @property
     def outcome(self) -> str:
         """The outcome for the log."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -2,25 +2,25 @@
 
 import http.client
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
-from runhatch_coordination import Clock
-from runhatch_server.crashes import CrashDetector
 from runhatch_server.decisions import GatewayRequest, TriedTargets
 from runhatch_server.gateway._answers import CompleteAnswer, GatewayAnswer, StreamAnswer
-from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._budget import WindowedRetryBudget
 from runhatch_server.gateway._forward import (
     AttemptResult,
-    Forwarder,
     OpenedAnswer,
 )
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._messages import AnswerHead
-from runhatch_server.gateway._peer_requests import ForwardedAttempt, PeerRequests
-from runhatch_server.gateway._records import RequestRecord, RequestRecorder
+from runhatch_server.gateway._peer_requests import (
+    REASONS_OF_LOAD,
+    ForwardedAttempt,
+    NextStep,
+)
+from runhatch_server.gateway._records import RequestRecord
 from runhatch_server.gateway._relay import StreamRelay
+from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind
 from runhatch_server.targets import (
@@ -42,33 +42,10 @@
 """Shortest wait for such an answer, as a multiple of the predicted time."""
 UNRUN_RETRY_DELAY = timedelta(milliseconds=250)
 """Retry delay for a caller whose request no target could run."""
-REASONS_OF_LOAD = frozenset(
-    {
-        Reason.GOAL_UNMEETABLE,
-        Reason.TOO_BUSY,
-        Reason.TARGETS_BUSY,
-        Reason.TARGETS_BACK_OFF,
-        Reason.TARGETS_LIMITED,
-    }
-)
-"""Reasons that hold for the targets in reach only."""
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
 
 
-@dataclass(frozen=True, slots=True)
-class RunParts:
-    """The parts of a node that all its requests share."""
-
-    balancer: Balancer
-    forwarder: Forwarder
-    recorder: RequestRecorder
-    crashes: CrashDetector
-    clock: Clock
-    peers: PeerRequests | None = None
-    """``None`` on a node whose peers accept no forwarded requests."""
-
-
 class RequestRun:
     """Makes the attempts of one request in sequence; used by one thread."""
 
@@ -154,14 +131,12 @@
                 self._request.fingerprint
             )
             if suspect_refusal is not None:
-                return (
-                    suspect_refusal.as_unknown()
-                    if self._may_have_run
-                    else suspect_refusal
-                )
+                return self._qualify(suspect_refusal)
             if self._parts.balancer.paths.lacks_all(self._request):
                 forwarded = self._forward(resume_after)
-                if forwarded is not None:
+                if forwarded is NextStep.RETRY:
+                    continue
+                if forwarded is not NextStep.TRY_TARGETS:
                     return forwarded
             wait_started_at = self._parts.clock.elapsed()
             grant = self._parts.balancer.acquire(
@@ -170,9 +145,11 @@
             self.record.waited += self._parts.clock.elapsed() - wait_started_at
             if isinstance(grant, Refusal):
                 forwarded = self._forward_refused(grant, resume_after)
-                if forwarded is not None:
+                if forwarded is NextStep.RETRY:
+                    continue
+                if forwarded is not NextStep.TRY_TARGETS:
                     return forwarded
-                return grant.as_unknown() if self._may_have_run else grant
+                return self._qualify(grant)
             result = self._parts.forwarder.send(
                 self._request,
                 grant,
@@ -194,16 +171,12 @@
 
     def _forward(
         self, resume_after: str
-    ) -> tuple[Grant, OpenedAnswer] | Refusal | None:
-        """Forward the request, whose targets this node cannot reach, to a peer.
-
-        Returns ``None`` if no peer can reach them, or after an unknown result that
-        allows another attempt.
-        """
+    ) -> tuple[Grant, OpenedAnswer] | Refusal | NextStep:
+        """Forward the request, whose targets this node cannot reach, to a peer."""
         if self._request.is_forwarded:
             return self._make_refusal(Reason.TARGETS_UNREACHABLE)
         if self._parts.peers is None:
-            return None
+            return NextStep.TRY_TARGETS
         started_at = self._parts.clock.elapsed()
         attempt = self._parts.peers.send(
             self._request,
@@ -213,42 +186,34 @@
             self._record_forwarded,
         )
         if attempt is None:
-            return None
-        match attempt.result:
-            case OpenedAnswer() as opened:
-                self._attempt_count += 1
-                took = self._parts.clock.elapsed() - started_at
-                self.record.record_first_byte(took)
-                return attempt.grant, opened
-            case Refusal(executed=Executed.NO) as refusal:
-                return refusal.as_unknown() if self._may_have_run else refusal
-            case Refusal():
-                return self._decide_after_forward(AttemptReason.CONNECTION_BROKEN)
-            case UnknownResult(reason):
-                return self._decide_after_forward(reason)
-            case NotSent():
-                return self._make_refusal(Reason.DEADLINE_PASSED)
-            case _:
-                raise AssertionError(attempt.result)
+            return NextStep.TRY_TARGETS
+        if attempt.unknown_reason is not None:
+            self._attempt_count += 1
+            self._may_have_run = True
+            refusal = self._decide_after_unknown(attempt.unknown_reason)
+            return NextStep.RETRY if refusal is None else refusal
+        if isinstance(attempt.result, OpenedAnswer):
+            self._attempt_count += 1
+            took = self._parts.clock.elapsed() - started_at
+            self.record.record_first_byte(took)
+            return attempt.grant, attempt.result
+        if isinstance(attempt.result, Refusal):
+            return self._qualify(attempt.result)
+        return self._make_refusal(Reason.DEADLINE_PASSED)
 
     def _forward_refused(
         self, refusal: Refusal, resume_after: str
-    ) -> tuple[Grant, OpenedAnswer] | Refusal | None:
+    ) -> tuple[Grant, OpenedAnswer] | Refusal | NextStep:
         """Forward a request that only targets out of reach could serve now."""
         if refusal.reason not in REASONS_OF_LOAD:
-            return None
+            return NextStep.TRY_TARGETS
         if not self._parts.balancer.paths.lacks_any(self._request):
-            return None
+            return NextStep.TRY_TARGETS
         return self._forward(resume_after)
 
     def _record_forwarded(self, attempt: ForwardedAttempt) -> None:
         self.record.record_attempt(attempt.grant, attempt.outcome)
 
-    def _decide_after_forward(self, reason: AttemptReason) -> Refusal | None:
-        self._attempt_count += 1
-        self._may_have_run = True
-        return self._decide_after_unknown(reason)
-
     def _head_deadline(self, predicted_ms: float) -> timedelta:
         """Return the time at which to stop waiting for the head of the answer."""
         request = self._request
@@ -330,7 +295,7 @@
             self._request, self._tried_targets
         )
         if refusal is not None:
-            return refusal.as_unknown() if self._may_have_run else refusal
+            return self._qualify(refusal)
         if self._unrun_count > MAX_UNRUN_RETRIES or not self._try_spend_retry(reason):
             return self._make_refusal(refusal_reason)
         return None
@@ -357,6 +322,10 @@
         self.record.record_retry(reason, is_allowed)
         return is_allowed
 
+    def _qualify(self, refusal: Refusal) -> Refusal:
+        """Return ``refusal``, as unknown if an earlier attempt may have run."""
+        return refusal.as_unknown() if self._may_have_run else refusal
+
     def _make_refusal(self, reason: Reason) -> Refusal:
         if self._may_have_run:
             return Refusal(reason, Executed.UNKNOWN)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_service.py
@@ -5,7 +5,8 @@
 from runhatch_server.decisions import GatewayRequest
 from runhatch_server.gateway._answers import GatewayAnswer
 from runhatch_server.gateway._budget import WindowedRetryBudget
-from runhatch_server.gateway._run import RequestRun, RunParts
+from runhatch_server.gateway._run import RequestRun
+from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.gateway._settings import RetryBounds
 from runhatch_server.refusals import Refusal
 
--- /dev/null
+++ b/packages/runhatch-server/tests/test_forwarded_runs.py
@@ -0,0 +1,250 @@
+"""Requests whose targets a node cannot reach: forwarding, retries and promises."""
+
+from dataclasses import replace
+
+import pytest
+from gateway_cases import (
+    FakeTargets,
+    make_balancer,
+    make_directory,
+    make_request,
+    make_route,
+    make_target,
+    never_disconnected,
+    seconds,
+)
+
+from runhatch_coordination import Vm
+from runhatch_server.crashes import CrashDetector
+from runhatch_server.gateway import RetryBounds
+from runhatch_server.gateway._answers import CompleteAnswer
+from runhatch_server.gateway._budget import WindowedRetryBudget
+from runhatch_server.gateway._forward import OpenedAnswer
+from runhatch_server.gateway._messages import AnswerHead
+from runhatch_server.gateway._peer_requests import ForwardedAttempt, _make_grant
+from runhatch_server.gateway._records import RequestRecorder
+from runhatch_server.gateway._run import RequestRun
+from runhatch_server.gateway._run_parts import RunParts
+from runhatch_server.gateway._service import GatewayService
+from runhatch_server.observability import Metrics
+from runhatch_server.refusals import Executed, Reason, Refusal
+from runhatch_server.routing import RequestKind
+from runhatch_server.targets import AttemptReason, NotSent, UnknownResult
+
+IDEMPOTENT = RequestKind.IDEMPOTENT
+NON_IDEMPOTENT = RequestKind.NON_IDEMPOTENT
+PEER = Vm("p1", "d1", "h:1", forward_port=7)
+UNREACHED = NotSent(AttemptReason.CONNECT_FAILED)
+BROKEN = UnknownResult(AttemptReason.CONNECTION_BROKEN)
+TOO_BUSY = Refusal(Reason.TOO_BUSY, Executed.NO, retry_after=seconds(1.5))
+PEER_FAILED = Refusal(Reason.TARGETS_FAILED, Executed.UNKNOWN)
+
+
+class FakeConnection:
+    """Fake of a connection whose answer has arrived; it breaks if ``body`` is None."""
+
+    def __init__(self, body):
+        self._body = body
+
+    def set_timeout(self, timeout):
+        pass
+
+    def read_body(self):
+        if self._body is None:
+            raise ConnectionResetError
+        return self._body
+
+
+def answer(status=200, body=b"ok"):
+    head = AnswerHead(status, "", "id", True, False, False, None, seconds(1), ())
+    return OpenedAnswer(FakeConnection(body), head)
+
+
+class ScriptedForwarder:
+    """Returns the next of ``results`` for each attempt at a target."""
+
+    def __init__(self, results):
+        self.results = list(results)
+        self.targets = []
+
+    def send(self, request, grant, until, caller_gone, resume_after=""):
+        self.targets.append(grant.target.name)
+        return self.results.pop(0)
+
+    def recycle_connection(self, opened):
+        pass
+
+    def discard_answer(self, opened):
+        pass
+
+
+class ScriptedPeers:
+    """Returns the next of ``results`` for each forwarded request, then ``None``."""
+
+    def __init__(self, clock, results):
+        self._clock = clock
+        self._results = list(results)
+        self.sent = 0
+
+    def send(self, request, until, caller_gone, resume_after, on_attempt):
+        self.sent += 1
+        if not self._results:
+            return None
+        grant = _make_grant(PEER, request, self._clock.elapsed())
+        attempt = ForwardedAttempt(grant, self._results.pop(0))
+        on_attempt(attempt)
+        return attempt
+
+
+class Node:
+    """A node with one target, results of attempts at it, and results of peers."""
+
+    def __init__(self, clock, direct, forwarded):
+        self.clock = clock
+        self.balancer = make_balancer(
+            make_directory(clock, make_target("t1", "plain", models=())),
+            clock,
+            has_connection=lambda target: False,
+        )
+        self.forwarder = ScriptedForwarder(direct)
+        self.peers = ScriptedPeers(clock, forwarded)
+        self.metrics = Metrics()
+        self.targets = FakeTargets()
+        self.crashes = CrashDetector(clock, self.targets, self.metrics, lambda: None)
+        self.parts = RunParts(
+            self.balancer,
+            self.forwarder,
+            RequestRecorder(self.metrics, clock),
+            self.crashes,
+            clock,
+            self.peers,
+        )
+        self.budget = WindowedRetryBudget(RetryBounds(0.0, 50, seconds(10)), clock)
+
+    def run(self, kind=NON_IDEMPOTENT, is_forwarded=False):
+        route = make_route(kind, max_attempts=2)
+        request = make_request(self.clock, route, "plain", "")
+        request = replace(request, is_forwarded=is_forwarded)
+        return RequestRun(self.parts, request, self.budget, never_disconnected).answer()
+
+
+class TestFirstNode:
+    """The node that received the request from its caller."""
+
+    @pytest.mark.parametrize(
+        ("kind", "direct", "forwarded", "status"),
+        [
+            (NON_IDEMPOTENT, [UNREACHED], [answer()], 200),
+            (NON_IDEMPOTENT, [UNREACHED], [answer(500)], 500),
+            (IDEMPOTENT, [UNREACHED], [answer(500), answer()], 200),
+            (IDEMPOTENT, [UNREACHED], [BROKEN, answer()], 200),
+            (IDEMPOTENT, [UNREACHED], [PEER_FAILED, answer()], 200),
+            (IDEMPOTENT, [UNREACHED], [answer(body=None), answer()], 200),
+        ],
+    )
+    def test_request_is_answered(self, clock, kind, direct, forwarded, status):
+        node = Node(clock, direct, forwarded)
+        outcome = node.run(kind)
+
+        assert isinstance(outcome, CompleteAnswer)
+        assert outcome.status == status
+        assert node.peers.sent == len(forwarded)
+        assert node.forwarder.targets == ["t1"]
+
+    @pytest.mark.parametrize(
+        ("kind", "forwarded", "status", "executed"),
+        [
+            (NON_IDEMPOTENT, [TOO_BUSY], 503, Executed.NO),
+            (NON_IDEMPOTENT, [BROKEN], 502, Executed.UNKNOWN),
+            (NON_IDEMPOTENT, [PEER_FAILED], 502, Executed.UNKNOWN),
+            (NON_IDEMPOTENT, [answer(body=None)], 502, Executed.UNKNOWN),
+            (IDEMPOTENT, [BROKEN, BROKEN], 502, Executed.UNKNOWN),
+            (IDEMPOTENT, [BROKEN, TOO_BUSY], 502, Executed.UNKNOWN),
+        ],
+    )
+    def test_request_is_refused(self, clock, kind, forwarded, status, executed):
+        """After an unknown result no refusal may promise that nothing ran."""
+        node = Node(clock, [UNREACHED], forwarded)
+        outcome = node.run(kind)
+
+        assert isinstance(outcome, Refusal)
+        assert (outcome.reason.status, outcome.executed) == (status, executed)
+        assert node.peers.sent == len(forwarded)
+
+    def test_next_request_does_not_wait_for_a_connect(self, clock):
+        node = Node(clock, [UNREACHED], [answer(), answer()])
+        node.run()
+        node.run()
+
+        assert node.forwarder.targets == ["t1"]
+
+    def test_request_is_refused_if_no_peer_reaches_the_target(self, clock):
+        node = Node(clock, [UNREACHED] * 5, [])
+        outcome = node.run()
+
+        assert outcome.reason is Reason.TARGETS_BUSY
+        assert outcome.executed is Executed.NO
+        assert outcome.retry_after > seconds(0)
+
+    def test_peer_is_not_taken_for_a_target(self, clock):
+        """A peer that breaks off is no target that a request has crashed."""
+        node = Node(clock, [UNREACHED], [answer(body=None)])
+        node.run()
+        clock.advance(seconds(5))
+        node.crashes.recheck_targets()
+
+        assert node.targets.ended_targets == []
+        assert node.targets.check_count == 0
+        assert node.balancer.loads.own() == {}
+
+
+class TestPeer:
+    """The node to which a request was forwarded."""
+
+    def test_request_is_not_forwarded_again(self, clock):
+        node = Node(clock, [UNREACHED], [answer()])
+        outcome = node.run(is_forwarded=True)
+
+        assert outcome.reason is Reason.TARGETS_UNREACHABLE
+        assert outcome.executed is Executed.NO
+        assert node.peers.sent == 0
+
+    def test_request_is_refused_at_once_if_its_target_is_known_to_be_unreachable(
+        self, clock
+    ):
+        node = Node(clock, [UNREACHED], [])
+        node.run(is_forwarded=True)
+        node.run(is_forwarded=True)
+
+        assert node.forwarder.targets == ["t1"]
+
+    @pytest.mark.parametrize("result", [BROKEN, answer(500), answer(body=None)])
+    def test_request_that_may_have_run_is_not_retried(self, clock, result):
+        """The first node counts the attempts and would add its own."""
+        node = Node(clock, [result, answer()], [])
+        node.run(IDEMPOTENT, is_forwarded=True)
+
+        assert node.forwarder.targets == ["t1"]
+
+    @pytest.mark.parametrize("is_forwarded", [True, False])
+    def test_forwarded_request_adds_no_retries_to_the_budget(self, clock, is_forwarded):
+        node = Node(clock, [answer()], [])
+        service = GatewayService(node.parts, RetryBounds(10.0, 0, seconds(10)))
+        request = make_request(clock, make_route(IDEMPOTENT), "plain", "")
+        request = replace(request, is_forwarded=is_forwarded)
+        service.serve(request, never_disconnected)
+
+        assert service._budgets["plain"].try_spend(1) is not is_forwarded
+
+    @pytest.mark.parametrize(
+        ("is_forwarded", "message"),
+        [(True, "forwarded_request"), (False, "request")],
+    )
+    def test_forwarded_request_is_logged_apart(
+        self, clock, lines, is_forwarded, message
+    ):
+        node = Node(clock, [answer()], [])
+        lines.clear()
+        node.run(is_forwarded=is_forwarded)
+
+        assert [line["message_type"] for line in lines] == [message]
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -22,7 +22,8 @@
 from runhatch_server.gateway._forward import OpenedAnswer
 from runhatch_server.gateway._messages import AnswerHead
 from runhatch_server.gateway._records import RequestRecorder
-from runhatch_server.gateway._run import RequestRun, RunParts
+from runhatch_server.gateway._run import RequestRun
+from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.observability import Metrics
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind
