--- a/tests/adapter/test_platform_decoding.py
+++ b/tests/adapter/test_platform_decoding.py
@@ -242,6 +242,19 @@
 
         assert settings.gateway.drain == timedelta(seconds=drain)
 
+    @pytest.mark.parametrize(
+        ("port_range", "broadcast_port", "forward_port"),
+        [("[]", 0, 0), ("[7380, 7380]", 7380, 0), ("[7380, 7395]", 7380, 7395)],
+    )
+    def test_ports_between_nodes_are_the_ends_of_the_range(
+        self, port_range, broadcast_port, forward_port
+    ):
+        text = f"{SETTINGS}\nport_range: {port_range}\n"
+        settings = decode_settings(text.encode()).gateway
+
+        assert settings.broadcast_port == broadcast_port
+        assert settings.forward_port == forward_port
+
     @pytest.mark.parametrize(
         ("before", "after", "fault"),
         [
