Merge the forwarding of requests through peers

A node that can't connect to the targets of a request forwards it to a peer. Fakes of connections and streams in its tests state their framing.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load.py
@@ -44,6 +44,14 @@
 SHORTER_GAIN, LONGER_GAIN = 0.5, 0.05
 """Weights of the newest stream in a target's step time. Prompt reading only lengthens
 the steps, so a shorter measurement is more reliable and gets the larger weight."""
+MIN_CONNECT_BACKOFF = timedelta(milliseconds=500)
+MAX_CONNECT_BACKOFF = timedelta(seconds=4)
+"""Bounds of the backoff after a failed connect to a target; it doubles each time."""
+MAX_BACKOFF_DOUBLINGS = 4
+"""Doublings after which the backoff has reached its maximum."""
+PROBE_ALLOWANCE = timedelta(seconds=1)
+"""Time after the backoff in which a probe shows whether the target can be reached;
+requests try it only if none did."""
 MAX_CACHE_FILL_SHARE = 0.95
 """Share of a target's cache to fill; above it the engine preempts running requests."""
 
@@ -157,6 +165,11 @@
     last_received_at: timedelta = timedelta()
     avoided_until: timedelta = timedelta()
     avoidance_count: int = 0
+    """Number of connects that failed since the last answer."""
+    next_connect_at: timedelta = timedelta()
+    """End of the backoff after a failed connect."""
+    reached_at: timedelta = timedelta()
+    """Time at which the target last accepted the connection of a probe."""
     backoff_until: timedelta = timedelta()
     """End of the backoff that the target requested from this node."""
     step_ms: float = INITIAL_STEP_MS
@@ -257,6 +270,28 @@
         self.faults = rate + ((1.0 if faulty else 0.0) - rate) * FAULT_GAIN
         self.faults_at = now
 
+    def record_connect_failure(self, now: timedelta) -> None:
+        """Record a failed connect, which starts a backoff."""
+        doublings = min(self.avoidance_count, MAX_BACKOFF_DOUBLINGS)
+        pause = min(MAX_CONNECT_BACKOFF, MIN_CONNECT_BACKOFF * (1 << doublings))
+        self.avoidance_count += 1
+        self.next_connect_at = now + pause
+        self.avoided_until = max(
+            self.avoided_until, self.next_connect_at + PROBE_ALLOWANCE
+        )
+
+    def record_connected(self) -> None:
+        """Record that the target was reached, which ends the backoff."""
+        if self.avoidance_count:
+            self.avoidance_count = 0
+            self.avoided_until = timedelta()
+
+    def lacks_path(self, now: timedelta) -> bool:
+        """Return whether no connection to the target can be made at present."""
+        if not self.avoidance_count:
+            return False
+        return now < self.next_connect_at + PROBE_ALLOWANCE
+
     def is_silent(self, now: timedelta) -> bool:
         """Return whether a request has waited too long and the target sent nothing."""
         for outstanding in self.own_requests.values():
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -44,23 +44,19 @@
     use_permit,
 )
 from runhatch_server.gateway._shared_loads import SharedLoads
+from runhatch_server.gateway._target_paths import TargetPaths
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind, ServiceSpec
 
 CALLER_CHECK_INTERVAL = timedelta(milliseconds=150)
 """Interval at which a held request checks that its caller is still connected: work
 must stop within half a second of a disconnect."""
-MAX_CONNECT_FAILURES = 2
-"""Consecutive failed connects after which a target counts as down: the orderer then
-plans without it, so that other targets replace it."""
-MIN_CONNECT_BACKOFF = timedelta(milliseconds=500)
-MAX_CONNECT_BACKOFF = timedelta(seconds=4)
-"""Bounds of the backoff after a failed connect to a target; it doubles each time."""
+CONNECTIONS_USED_PAUSE = timedelta(milliseconds=500)
+"""How long a target is avoided when all connections to it that this node may open are
+in use."""
 SHUTDOWN_STREAM_WINDOW = timedelta(seconds=2.5)
 """Time after the start of a shutdown in which streams are still accepted.  Later ones
 would be cut off at exit, and the load balancer has polled readiness twice by then."""
-MAX_BACKOFF_DOUBLINGS = 4
-"""Doublings after which the backoff has reached its maximum."""
 MIN_CONNECTIONS = 4
 """Minimum number of connections that each node may open to a target, however many nodes
 share the connections of the target."""
@@ -79,6 +75,7 @@
         has_connection: Callable[[str], bool],
         on_change: Callable[[], None],
         on_draining: Callable[[str], None],
+        close_idle: Callable[[str], None],
         seed: int | None = None,
     ) -> None:
         self._directory = directory
@@ -95,6 +92,10 @@
         self._number_sequence = itertools.count(1)
         self.loads = SharedLoads(self._book, self._lock, clock)
         """Outstanding load at targets, of this node and its peers."""
+        self.paths = TargetPaths(
+            self._book, self._lock, directory, clock, has_connection, close_idle
+        )
+        """The targets that this node can connect to."""
         self.limits = limits
         """The rate limits announced by targets."""
         self._held_requests = HeldRequests(directory, clock, self._book, self._lock)
@@ -194,6 +195,7 @@
         with self._lock:
             load = self._book.load(grant.target.incarnation)
             load.last_received_at = now
+            load.record_connected()
             outstanding = load.own_requests.get(grant.number)
             if outstanding is None or outstanding.started:
                 return
@@ -207,6 +209,8 @@
 
     def record_stream_pace(self, grant: Grant, mean_gap: timedelta) -> None:
         """Update the target's pace by the mean gap of events in a complete stream."""
+        if grant.is_to_peer:
+            return
         service = self._services.get(grant.request.service)
         if service is None or service.engine is None:
             return
@@ -217,6 +221,8 @@
 
     def release(self, grant: Grant, target_failed: bool) -> None:
         """Release ``grant``; ``target_failed`` if the target failed the request."""
+        if grant.is_to_peer:
+            return
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
@@ -224,7 +230,6 @@
             load.record_outcome(target_failed, now)
             if not target_failed:
                 load.last_received_at = now
-                load.avoidance_count = 0
                 if grant.request.work is None:
                     duration = now - grant.granted_at
                     self._book.rates.record_service_time(
@@ -267,17 +272,14 @@
             return self._refusal_builder.refuse_unwilling(result)
         return None
 
+    def release_unsent(self, grant: Grant) -> None:
+        """Release ``grant``, for which this node may open no further connection."""
+        self._release_and_exclude(grant, CONNECTIONS_USED_PAUSE)
+
     def release_unreachable(self, grant: Grant) -> None:
         """Release ``grant``, to whose target no connection could be made."""
-        with self._lock:
-            load = self._book.load(grant.target.incarnation)
-            pause = min(
-                MAX_CONNECT_BACKOFF,
-                MIN_CONNECT_BACKOFF
-                * (1 << min(load.avoidance_count, MAX_BACKOFF_DOUBLINGS)),
-            )
-            load.avoidance_count += 1
-        self._release_and_exclude(grant, pause)
+        self._release_and_exclude(grant, timedelta())
+        self.paths.record_failure(grant.target.incarnation)
 
     def release_misdirected(self, grant: Grant) -> None:
         """Release ``grant``, whose target does not hold the model at present."""
@@ -287,9 +289,8 @@
         self._directory.record_missing_model(target, request.model, request.adapter)
 
     def is_down(self, target: str) -> bool:
-        """Return whether the last ``MAX_CONNECT_FAILURES`` connects all failed."""
-        with self._lock:
-            return self._book.load(target).avoidance_count >= MAX_CONNECT_FAILURES
+        """Return whether the last connects to ``target`` all failed."""
+        return self.paths.is_down(target)
 
     def prompt_work_ms(self, request: GatewayRequest) -> float:
         """Return the milliseconds that processing the whole prompt would take."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -242,8 +242,11 @@
         connection = TargetConnection(target)
         try:
             connection.connect(min(timeout, CONNECT_TIMEOUT))
-        except OSError:
+        except OSError as error:
             self.discard(connection)
+            if isinstance(error, TimeoutError):
+                # Packets are lost on open connections too.
+                self.close_idle(target.incarnation)
             return NotSent(AttemptReason.CONNECT_FAILED)
         return connection
 
@@ -252,6 +255,11 @@
         with self._lock:
             return bool(self._idle_connections.get(target))
 
+    def close_idle(self, target: str) -> None:
+        """Close the idle connections to ``target``, which no longer answers."""
+        while (connection := self._pop_idle(target)) is not None:
+            self.discard(connection)
+
     def refuses_connections_of(self, target: Target) -> bool:
         """Return whether the address of ``target`` refuses connections.
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -2,24 +2,25 @@
 
 import http.client
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
-from runhatch_coordination import Clock
-from runhatch_server.crashes import CrashDetector
 from runhatch_server.decisions import GatewayRequest, TriedTargets
 from runhatch_server.gateway._answers import CompleteAnswer, GatewayAnswer, StreamAnswer
-from runhatch_server.gateway._balancer import Balancer
 from runhatch_server.gateway._budget import WindowedRetryBudget
 from runhatch_server.gateway._forward import (
     AttemptResult,
-    Forwarder,
     OpenedAnswer,
 )
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._messages import AnswerHead
-from runhatch_server.gateway._records import RequestRecord, RequestRecorder
+from runhatch_server.gateway._peer_requests import (
+    REASONS_OF_LOAD,
+    ForwardedAttempt,
+    NextStep,
+)
+from runhatch_server.gateway._records import RequestRecord
 from runhatch_server.gateway._relay import StreamRelay
+from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind
 from runhatch_server.targets import (
@@ -50,17 +51,6 @@
 MIN_SERVER_ERROR_STATUS = 500
 
 
-@dataclass(frozen=True, slots=True)
-class RunParts:
-    """The parts of a node that all its requests share."""
-
-    balancer: Balancer
-    forwarder: Forwarder
-    recorder: RequestRecorder
-    crashes: CrashDetector
-    clock: Clock
-
-
 class RequestRun:
     """Makes the attempts of one request in sequence; used by one thread."""
 
@@ -118,6 +108,9 @@
 
     def record_no_answer(self, grant: Grant, reason: AttemptReason) -> None:
         """Record that the attempt of ``grant`` got no complete answer, and why."""
+        if grant.is_to_peer:
+            # The peer records it.
+            return
         crashes, fingerprint = self._parts.crashes, self._request.fingerprint
         if reason is AttemptReason.CONNECTION_BROKEN:
             crashes.record_abort(fingerprint, grant.target.incarnation)
@@ -128,6 +121,8 @@
         self, grant: Grant, is_framed: bool, is_success: bool = True
     ) -> None:
         """Record an answer read to its end; the target failed unless ``is_success``."""
+        if grant.is_to_peer:
+            return
         crashes, fingerprint = self._parts.crashes, self._request.fingerprint
         target, sent_at = grant.target.incarnation, grant.granted_at
         if is_framed:
@@ -143,22 +138,29 @@
                 self._request.fingerprint
             )
             if suspect_refusal is not None:
-                return (
-                    suspect_refusal.as_unknown()
-                    if self._may_have_run
-                    else suspect_refusal
-                )
+                return self._qualify(suspect_refusal)
+            if self._parts.balancer.paths.lacks_all(self._request):
+                forwarded = self._forward(resume_after)
+                if forwarded is NextStep.RETRY:
+                    continue
+                if forwarded is not NextStep.TRY_TARGETS:
+                    return forwarded
             wait_started_at = self._parts.clock.elapsed()
             grant = self._parts.balancer.acquire(
                 self._request, self._tried_targets, self._caller_gone
             )
             self.record.waited += self._parts.clock.elapsed() - wait_started_at
             if isinstance(grant, Refusal):
-                return grant.as_unknown() if self._may_have_run else grant
+                forwarded = self._forward_refused(grant, resume_after)
+                if forwarded is NextStep.RETRY:
+                    continue
+                if forwarded is not NextStep.TRY_TARGETS:
+                    return forwarded
+                return self._qualify(grant)
             result = self._parts.forwarder.send(
                 self._request,
                 grant,
-                self._head_deadline(grant),
+                self._head_deadline(grant.predicted_ms),
                 self._caller_gone,
                 resume_after,
             )
@@ -175,13 +177,59 @@
             if refusal is not None:
                 return refusal
 
-    def _head_deadline(self, grant: Grant) -> timedelta:
+    def _forward(
+        self, resume_after: str
+    ) -> tuple[Grant, OpenedAnswer] | Refusal | NextStep:
+        """Forward the request, whose targets this node cannot reach, to a peer."""
+        if self._request.is_forwarded:
+            return self._make_refusal(Reason.TARGETS_UNREACHABLE)
+        if self._parts.peers is None:
+            return NextStep.TRY_TARGETS
+        started_at = self._parts.clock.elapsed()
+        attempt = self._parts.peers.send(
+            self._request,
+            self._head_deadline(0.0),
+            self._caller_gone,
+            resume_after,
+            self._record_forwarded,
+        )
+        if attempt is None:
+            return NextStep.TRY_TARGETS
+        if attempt.unknown_reason is not None:
+            self._attempt_count += 1
+            self._may_have_run = True
+            refusal = self._decide_after_unknown(attempt.unknown_reason)
+            return NextStep.RETRY if refusal is None else refusal
+        if isinstance(attempt.result, OpenedAnswer):
+            self._attempt_count += 1
+            took = self._parts.clock.elapsed() - started_at
+            self.record.record_first_byte(took)
+            self.record.is_framed = attempt.result.connection.is_framed
+            return attempt.grant, attempt.result
+        if isinstance(attempt.result, Refusal):
+            return self._qualify(attempt.result)
+        return self._make_refusal(Reason.DEADLINE_PASSED)
+
+    def _forward_refused(
+        self, refusal: Refusal, resume_after: str
+    ) -> tuple[Grant, OpenedAnswer] | Refusal | NextStep:
+        """Forward a request that only targets out of reach could serve now."""
+        if refusal.reason not in REASONS_OF_LOAD:
+            return NextStep.TRY_TARGETS
+        if not self._parts.balancer.paths.lacks_any(self._request):
+            return NextStep.TRY_TARGETS
+        return self._forward(resume_after)
+
+    def _record_forwarded(self, attempt: ForwardedAttempt) -> None:
+        self.record.record_attempt(attempt.grant, attempt.outcome)
+
+    def _head_deadline(self, predicted_ms: float) -> timedelta:
         """Return the time at which to stop waiting for the head of the answer."""
         request = self._request
-        if not request.route.may_retry or not self._has_attempts_left(after=1):
+        if not request.may_retry or not self._has_attempts_left(after=1):
             return request.deadline
         now = self._parts.clock.elapsed()
-        predicted = timedelta(milliseconds=grant.predicted_ms) * HEAD_TIMEOUT_FACTOR
+        predicted = timedelta(milliseconds=predicted_ms) * HEAD_TIMEOUT_FACTOR
         longest_wait = max(predicted, (request.deadline - now) * HEAD_TIMEOUT_SHARE)
         return min(request.deadline, now + longest_wait)
 
@@ -203,7 +251,10 @@
                 if reason is AttemptReason.TIMED_OUT:
                     balancer.release(grant, target_failed=False)
                     return self._make_refusal(Reason.DEADLINE_PASSED)
-                balancer.release_unreachable(grant)
+                if reason is AttemptReason.CONNECT_FAILED:
+                    balancer.release_unreachable(grant)
+                else:
+                    balancer.release_unsent(grant)
                 if self._unsent_count <= MAX_UNSENT_RETRIES:
                     return None
                 return self._make_refusal(Reason.TARGETS_BUSY)
@@ -253,7 +304,7 @@
             self._request, self._tried_targets
         )
         if refusal is not None:
-            return refusal.as_unknown() if self._may_have_run else refusal
+            return self._qualify(refusal)
         if self._unrun_count > MAX_UNRUN_RETRIES or not self._try_spend_retry(reason):
             return self._make_refusal(refusal_reason)
         return None
@@ -269,7 +320,7 @@
 
     def _may_retry(self, reason: AttemptReason) -> bool:
         """Return whether a request that may have run is retried; spends the retry."""
-        if not self._request.route.may_retry or not self._has_attempts_left():
+        if not self._request.may_retry or not self._has_attempts_left():
             return False
         if self._parts.clock.elapsed() >= self._request.deadline:
             return False
@@ -280,6 +331,10 @@
         self.record.record_retry(reason, is_allowed)
         return is_allowed
 
+    def _qualify(self, refusal: Refusal) -> Refusal:
+        """Return ``refusal``, as unknown if an earlier attempt may have run."""
+        return refusal.as_unknown() if self._may_have_run else refusal
+
     def _make_refusal(self, reason: Reason) -> Refusal:
         if self._may_have_run:
             return Refusal(reason, Executed.UNKNOWN)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_service.py
@@ -5,7 +5,8 @@
 from runhatch_server.decisions import GatewayRequest
 from runhatch_server.gateway._answers import GatewayAnswer
 from runhatch_server.gateway._budget import WindowedRetryBudget
-from runhatch_server.gateway._run import RequestRun, RunParts
+from runhatch_server.gateway._run import RequestRun
+from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.gateway._settings import RetryBounds
 from runhatch_server.refusals import Refusal
 
@@ -26,5 +27,6 @@
         if budget is None:
             new_budget = WindowedRetryBudget(self._bounds, self._parts.clock)
             budget = self._budgets.setdefault(request.service, new_budget)
-        budget.record_request()
+        if not request.is_forwarded:
+            budget.record_request()
         return RequestRun(self._parts, request, budget, is_caller_gone).answer()
