Probe connections to targets and close dead ones

Callers of a node whose links to targets were cut, without a reset, lost requests on kept connections until their deadline: nothing showed the node that such a connection was dead. Requests that run once may not be repeated, so each of them cost the caller all its time.

Connections to targets now have keep-alive probes each second and a TCP_USER_TIMEOUT of 2.5 s, set by the function that the other client uses. The kernel closes a connection only when a probe is due, so one is closed three seconds after its last packet: within three seconds of a cut, but not if a sound target is silent for a second and a half and then answers the probes.

The kernel reports such a close as ETIMEDOUT, which Python raises as the same TimeoutError as an expired timeout of the call. It is raised as ConnectionResetError now: the attempt counts as broken, which it is, and not as one that ran out of time.

Three of the four new tests failed on the code before (no probes, no user timeout, TimeoutError instead of a reset after 6 s); the fourth keeps an expired timeout of a read apart from a reset.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -3,22 +3,31 @@
 Leftover bytes of one answer would otherwise be read as the next answer.
 """
 
+import errno
+import functools
 import http.client
 import io
 import select
 import socket
 import threading
 from collections import defaultdict
+from collections.abc import Callable
 from datetime import timedelta
+from typing import ParamSpec, TypeVar
 
 from runhatch_coordination import Clock
 from runhatch_server.decisions import Headers
 from runhatch_server.fleet import Target
+from runhatch_server.http import enable_keepalive
 from runhatch_server.targets import AttemptReason, NotSent, refuses_connections
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
 """Targets in the region accept within about 10 ms; a lost SYN is retransmitted only
 after a second, which is too late to wait for."""
+DEAD_TARGET_TIMEOUT = timedelta(seconds=2.5)
+"""Time without a packet from a target after which its connection counts as dead.  As
+probes are a second apart, it is closed three seconds after the last packet: within
+three seconds of a partition, but not if a target is silent for a second and a half."""
 PROCESS_EXIT_CLOSE_TIME = timedelta(milliseconds=2)
 """Time in which all connections of an exiting process are closed."""
 MAX_IDLE_TIME = timedelta(seconds=8)
@@ -26,6 +35,29 @@
 READ_SIZE = 65_536
 CHUNK_END = b"\r\n"
 
+_Arguments = ParamSpec("_Arguments")
+_Result = TypeVar("_Result")
+
+
+def _report_death_as_reset(
+    function: Callable[_Arguments, _Result],
+) -> Callable[_Arguments, _Result]:
+    """Raise ``ConnectionResetError`` if the kernel closed a dead connection.
+
+    Python raises ``TimeoutError`` then too, as if a timeout of the call had passed.
+    """
+
+    @functools.wraps(function)
+    def call(*args: _Arguments.args, **kwargs: _Arguments.kwargs) -> _Result:
+        try:
+            return function(*args, **kwargs)
+        except TimeoutError as error:
+            if error.errno != errno.ETIMEDOUT:
+                raise
+            raise ConnectionResetError(*error.args) from error
+
+    return call
+
 
 class _LeftoverReader(io.BufferedReader):
     """Reads one answer and detects bytes that follow its end.
@@ -107,7 +139,10 @@
         # http.client drops its reference when the answer ends the connection, but the
         # response still reads from the socket.
         self._socket = self._connection.sock
+        if self._socket is not None:
+            enable_keepalive(self._socket, DEAD_TARGET_TIMEOUT)
 
+    @_report_death_as_reset
     def send(
         self, method: str, uri: str, headers: Headers, body: bytes, timeout: timedelta
     ) -> None:
@@ -131,6 +166,7 @@
             return True
         return self._socket is None or _is_readable(self._socket, timeout)
 
+    @_report_death_as_reset
     def read_head(self, timeout: timedelta) -> http.client.HTTPResponse:
         """Read the head; raises ``OSError`` or ``HTTPException`` if it is malformed."""
         self.set_timeout(timeout)
@@ -140,6 +176,7 @@
         self._body_left = None if response.chunked else response.length
         return response
 
+    @_report_death_as_reset
     def read_chunk(self) -> bytes:
         """Return the next bytes of the body as they arrive; empty at its end.
 
@@ -159,6 +196,7 @@
         self._body_left -= len(chunk)
         return chunk
 
+    @_report_death_as_reset
     def read_body(self) -> bytes:
         """Return the whole body; raises like :meth:`read_chunk` if it ends early."""
         return self._require_response().read()
--- a/packages/runhatch-server/tests/test_target_connections.py
+++ b/packages/runhatch-server/tests/test_target_connections.py
@@ -1,6 +1,7 @@
 """Connections to targets that send valid and malformed answers."""
 
 import http.client
+import math
 import socket
 import threading
 import time
@@ -220,3 +221,60 @@
 
         assert not pool.refuses_connections_of(target)
         assert raw_target.accepted == accepted
+
+
+class TestSilentTargets:
+    """Connections on which no packet arrives."""
+
+    PROBE_INTERVAL = 1
+    MAX_SILENCE_OF_A_SOUND_TARGET = 1.5
+    MAX_CLOSE_TIME = 3
+    """Time after the last packet until which a dead connection must be closed."""
+
+    @pytest.fixture
+    def connection(self, raw_target, pool):
+        return pool.acquire(raw_target.target(), 4, seconds(1))
+
+    def read_option(self, connection, option):
+        return connection._socket.getsockopt(socket.IPPROTO_TCP, option)
+
+    def test_probes_are_sent_each_second(self, connection):
+        sock = connection._socket
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL):
+            assert self.read_option(connection, option) == self.PROBE_INTERVAL
+
+    def test_close_time_separates_dead_from_briefly_silent_targets(self, connection):
+        """The kernel closes a connection only when a probe is due.
+
+        A target may fall silent just before it would have answered a probe.
+        """
+        timeout = self.read_option(connection, socket.TCP_USER_TIMEOUT) / 1_000
+        close_time = math.ceil(timeout / self.PROBE_INTERVAL) * self.PROBE_INTERVAL
+
+        assert timeout >= self.MAX_SILENCE_OF_A_SOUND_TARGET + self.PROBE_INTERVAL
+        assert 0 < close_time <= self.MAX_CLOSE_TIME
+
+    def test_closed_by_the_kernel_is_a_reset_and_no_timeout(self, pool):
+        """A target that stops reading leaves the sender in the state of a dead one."""
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            target = replace(make_target(), port=listener.getsockname()[1])
+            connection = pool.acquire(target, 1, seconds(1))
+            started_at = time.monotonic()
+
+            with pytest.raises(ConnectionResetError):
+                connection.send("POST", "/", (), bytes(16_000_000), seconds(6))
+
+        # The sender notices the expiry when its next zero-window probe is due.
+        assert time.monotonic() - started_at < 2 * self.MAX_CLOSE_TIME - 0.5
+
+    def test_timeout_of_a_read_is_no_reset(self, raw_target, connection):
+        raw_target.answers = [[HEAD + b"Content-Length: 2\r\n\r\n", b""]]
+        send_request(connection)
+        connection.set_timeout(seconds(0.05))
+
+        with pytest.raises(TimeoutError):
+            connection.read_chunk()
