Confirm with peers that a target refuses connections

A node whose path to the targets is interrupted so that connections are refused took each target for one that had ended: it logged target_ended, published it to all nodes, and blamed the requests in progress, though the targets ran and answered everyone else. Two such ends hold a request back on all nodes. A refusal seen by one node is evidence of its path.

The node now asks up to five linked peers. The target has ended if a peer is refused too and none can connect; a peer that connects settles it at once. Peers answer from an open idle connection, or try to connect; a timeout is no answer either way. If no peer knows, the removal of the target's store entry shows its end, as for a target that is silent. A node without peers decides alone, as before. The messages are new, so the protocol of peers has version 8.

If most nodes are cut at once, all five asked may be cut as well; that takes the target for ended as before.

--- a/packages/runhatch-server/src/runhatch_server/crashes/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/__init__.py
@@ -5,6 +5,7 @@
     SuspectExchange,
     SuspectMessage,
 )
+from runhatch_server.crashes._refusals import RefusalCheck, RefusalMessage
 from runhatch_server.crashes._watch import (
     CHECK_INTERVAL,
     CrashDetector,
@@ -17,6 +18,8 @@
     "CrashDetector",
     "CHECK_INTERVAL",
     "TargetStanding",
+    "RefusalCheck",
+    "RefusalMessage",
     "SuspectExchange",
     "SuspectMessage",
     "TargetMonitor",
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -19,7 +19,7 @@
 from runhatch_server.decisions import Headers
 from runhatch_server.fleet import Target
 from runhatch_server.http import enable_keepalive
-from runhatch_server.targets import AttemptReason, NotSent, refuses_connections
+from runhatch_server.targets import AttemptReason, NotSent, probe_refusal
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
 """Targets in the region accept within about 10 ms; a lost SYN is retransmitted only
@@ -277,7 +277,11 @@
             return bool(self._idle_connections.get(target))
 
     def refuses_connections_of(self, target: Target) -> bool:
-        """Return whether the address of ``target`` refuses connections.
+        """Return whether the address of ``target`` is known to refuse connections."""
+        return self.probe_refusal_of(target) is True
+
+    def probe_refusal_of(self, target: Target) -> bool | None:
+        """Return whether ``target`` refuses connections, ``None`` if unknown.
 
         A process that exits closes its idle connections too, so if all are still
         open, the target most likely runs, and no new connection is tried.
@@ -286,7 +290,7 @@
             self._clock.sleep(PROCESS_EXIT_CLOSE_TIME)
             if self._all_idle_open(target.incarnation):
                 return False
-        return refuses_connections(target.host, target.port)
+        return probe_refusal(target.host, target.port)
 
     def release(self, connection: TargetConnection, idle: timedelta) -> None:
         """Pool ``connection`` for ``idle``, or close it if it isn't clean.
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -114,9 +114,14 @@
             self._demand.missed_event.set,
             lambda target: self._peers.publish_draining(target),
         )
+        known_targets = KnownTargets(
+            self._directory,
+            self._pool,
+            lambda target: self._peers.refusals.is_confirmed(target),
+        )
         self._crashes = CrashDetector(
             self._clock,
-            KnownTargets(self._directory, self._pool),
+            known_targets,
             self._metrics,
             lambda: self._peers.suspects.send_updates(),
         )
@@ -135,6 +140,7 @@
             self._orderer.record_resignation,
             self._tables,
             self._crashes,
+            known_targets.probe_refusal,
         )
         self._order_wanted = threading.Event()
         self._links: PeerLinks | None = None
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -13,7 +13,13 @@
     Vm,
     choose_readers,
 )
-from runhatch_server.crashes import CrashDetector, SuspectExchange, SuspectMessage
+from runhatch_server.crashes import (
+    CrashDetector,
+    RefusalCheck,
+    RefusalMessage,
+    SuspectExchange,
+    SuspectMessage,
+)
 from runhatch_server.fleet import TargetDirectory
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._holdings_relay import HoldingsRelay
@@ -80,6 +86,7 @@
         on_resigned: Callable[[Resignation], None],
         tables: GatewayTables,
         crashes: CrashDetector,
+        probe_refusal: Callable[[str], bool | None],
     ) -> None:
         super().__init__(membership, metrics)
         self._clock = clock
@@ -102,6 +109,8 @@
             crashes, clock, lambda: [*self._linked], self.send, self.publish
         )
         """Exchange of the requests during which targets have ended."""
+        self.refusals = RefusalCheck(probe_refusal, lambda: [*self._linked], self.send)
+        """Confirms with peers that targets refuse connections."""
         self.permits = PermitExchange(
             limits,
             membership,
@@ -305,6 +314,10 @@
     def _apply_suspects(self, fact: SuspectMessage, sender: Member) -> None:
         self.suspects.handle_message(fact, sender)
 
+    @handle_message.register
+    def _apply_refusals(self, fact: RefusalMessage, sender: Member) -> None:
+        self.refusals.handle_message(fact, sender)
+
     @handle_message.register
     def _apply_permits(self, fact: PermitFact, sender: Member) -> None:
         self.permits.handle_message(fact, sender)
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -17,7 +17,7 @@
 
 Tables of the store are far smaller; the limit keeps a peer from exhausting memory.
 """
-PROTOCOL_VERSION = 7
+PROTOCOL_VERSION = 8
 UNKNOWN_VERSION = StoreVersion(-1)
 """Version of a table of which no state is known."""
 ALL_DOMAINS = "*"
@@ -258,6 +258,20 @@
     digest: int
 
 
+class RefusalQuery(msgspec.Struct, frozen=True, tag="refusal", array_like=True):
+    """Asks whether ``target`` refuses connections from the receiver too."""
+
+    number: int
+    target: str
+
+
+class RefusalAnswer(msgspec.Struct, frozen=True, tag="refusal_seen", array_like=True):
+    """Answers the query ``number``; ``None`` if the target can't be reached."""
+
+    number: int
+    is_refused: bool | None
+
+
 class LimitOfTarget(msgspec.Struct, frozen=True, array_like=True):
     """A target accepts ``rate`` requests per second from all nodes together.
 
@@ -333,6 +347,8 @@
     | TargetsEnded
     | RequestsCleared
     | SuspectsDigest
+    | RefusalQuery
+    | RefusalAnswer
     | RateLimitsUpdate
     | PermitRequest
     | PermitAnswer
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -26,7 +26,7 @@
     decode_rate_limit,
     decode_retry_after,
 )
-from runhatch_server.targets._probe import refuses_connections
+from runhatch_server.targets._probe import probe_refusal, refuses_connections
 from runhatch_server.targets._stream import (
     EventSplitter,
     is_terminal_event,
@@ -56,6 +56,7 @@
     "UnknownResult",
     "InvalidRateLimit",
     "decode_rate_limit",
+    "probe_refusal",
     "refuses_connections",
     "decode_retry_after",
     "compute_block_names",
--- a/packages/runhatch-server/src/runhatch_server/targets/_probe.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_probe.py
@@ -8,8 +8,8 @@
 that has ended refuses within one round trip."""
 
 
-def refuses_connections(host: str, port: int) -> bool:
-    """Return whether ``host`` refuses connections to ``port``.
+def probe_refusal(host: str, port: int) -> bool | None:
+    """Return whether ``host`` refuses connections to ``port``, ``None`` if unknown.
 
     A timeout is no refusal, since the network path may be interrupted.
     """
@@ -19,4 +19,9 @@
     except ConnectionRefusedError:
         return True
     except OSError:
-        return False
+        return None
+
+
+def refuses_connections(host: str, port: int) -> bool:
+    """Return whether ``host`` is known to refuse connections to ``port``."""
+    return probe_refusal(host, port) is True
--- a/packages/runhatch-server/tests/test_crashes.py
+++ b/packages/runhatch-server/tests/test_crashes.py
@@ -1,5 +1,6 @@
 """Detection of targets that end while they run a request."""
 
+import socket
 from dataclasses import replace
 
 import pytest
@@ -22,6 +23,10 @@
 TARGETS = ("t0", "t1", "t2", "t3")
 
 
+def always(target):
+    return True
+
+
 class WatchCase:
     """A :class:`CrashDetector` over fake targets."""
 
@@ -212,11 +217,31 @@
         clock.advance(seconds(5))
         value = None if state is None else replace(target, state=state)
         directory.apply_entries((Entry(target.name, value),))
-        known = KnownTargets(directory, ConnectionPool(clock))
+        known = KnownTargets(directory, ConnectionPool(clock), always)
 
         assert known.standing("t1") is standing
 
     def test_unknown_target_does_not_count_as_refusing(self, clock):
-        known = KnownTargets(make_directory(clock), ConnectionPool(clock))
+        known = KnownTargets(make_directory(clock), ConnectionPool(clock), always)
 
         assert not known.refuses_connections("t1")
+        assert known.probe_refusal("t1") is None
+
+    @pytest.mark.parametrize("is_confirmed", [True, False])
+    def test_refusal_counts_only_if_it_is_confirmed(self, clock, is_confirmed):
+        """The path from this node to a running target may be interrupted."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            target = replace(make_target(), port=listener.getsockname()[1])
+        asked = []
+
+        def confirm(name):
+            asked.append(name)
+            return is_confirmed
+
+        known = KnownTargets(
+            make_directory(clock, target), ConnectionPool(clock), confirm
+        )
+
+        assert known.probe_refusal("t1") is True
+        assert known.refuses_connections("t1") is is_confirmed
+        assert asked == ["t1"]
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -85,6 +85,7 @@
         do_nothing,
         tables,
         CrashDetector(clock, FakeTargets(), Metrics(), do_nothing),
+        do_nothing,
     )
     peers.attach_links(links)
     return peers, links
--- a/packages/runhatch-server/tests/test_uplink.py
+++ b/packages/runhatch-server/tests/test_uplink.py
@@ -99,6 +99,7 @@
             do_nothing,
             self.tables,
             CrashDetector(clock, FakeTargets(), Metrics(), do_nothing),
+            do_nothing,
         )
         self.own, self.sibling = (own, SECOND if own == FIRST else FIRST)
         self.numbers = count(1)
