Let a holder that is cut off from the targets resign

A node whose paths to the targets were interrupted kept the lease of the orders: the store and its peers reached it, so nothing took the lease from it, and no model was loaded for anyone as long as that lasted.

A node now counts as cut off if none of the targets that run models has begun an answer for a second and the latest connects to at least half of them failed. A holder that is cut off resigns, as one that can't renew does: it sends no further order, and names the targets it has ordered, so that its successor keeps the interval between the orders of two nodes. A node that is cut off doesn't try to acquire the lease.

If the targets are down, all nodes fail alike. Nobody takes the lease then; failed connects count for their backoff only, four seconds at most, so that restarted targets, which hold no model and are sent no request, are ordered again. A single node, and one with fewer than three targets that run models, keeps it.

The task that keeps the lease moved from the node to a class of its own, so that it can be tested without one.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -59,6 +59,11 @@
 SHUTDOWN_STREAM_WINDOW = timedelta(seconds=2.5)
 """Time after the start of a shutdown in which streams are still accepted.  Later ones
 would be cut off at exit, and the load balancer has polled readiness twice by then."""
+CUT_OFF_TIME = timedelta(seconds=1)
+"""Time without an answer from any target after which failing connects mean that this
+node has lost its paths to the targets."""
+MIN_TARGETS_TO_JUDGE = 3
+"""Number of targets below which failing connects say more of them than of the node."""
 MAX_BACKOFF_DOUBLINGS = 4
 """Doublings after which the backoff has reached its maximum."""
 MIN_CONNECTIONS = 4
@@ -291,6 +296,31 @@
         with self._lock:
             return self._book.load(target).avoidance_count >= MAX_CONNECT_FAILURES
 
+    def is_cut_off(self) -> bool:
+        """Return whether this node seems to have lost its paths to targets with models.
+
+        None of them has begun an answer for ``CUT_OFF_TIME``, and the latest connects
+        to at least half of them failed.  The backoff after a failed connect limits how
+        long it counts.
+        """
+        now = self._clock.elapsed()
+        targets = [
+            target
+            for name, service in self._services.items()
+            if service.engine is not None
+            for target in self._directory.ready_targets(name)
+        ]
+        if len(targets) < MIN_TARGETS_TO_JUDGE:
+            return False
+        with self._lock:
+            loads = [self._book.load(target.incarnation) for target in targets]
+            failing_count = sum(
+                load.avoidance_count > 0 and now < load.avoided_until for load in loads
+            )
+            received_at = max(load.last_received_at for load in loads)
+        is_silent = now - received_at >= CUT_OFF_TIME
+        return is_silent and 2 * failing_count >= len(loads)
+
     def prompt_work_ms(self, request: GatewayRequest) -> float:
         """Return the milliseconds that processing the whole prompt would take."""
         with self._lock:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -8,7 +8,6 @@
 from runhatch_coordination import (
     InvariantError,
     Lease,
-    LeaseChange,
     Membership,
     Vm,
     rank_names,
@@ -25,6 +24,7 @@
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._forward import Forwarder
 from runhatch_server.gateway._known_targets import KnownTargets
+from runhatch_server.gateway._lease_keeper import LeaseKeeper, LeasePolicy
 from runhatch_server.gateway._listeners import (
     HEARTBEAT_INTERVAL,
     build_servers,
@@ -56,9 +56,6 @@
 """Allows two renewals to fail, and lets models be loaded again within a few seconds
 after the holder crashes."""
 LEASE_INTERVAL = timedelta(milliseconds=300)
-LEASE_CANDIDATES = 3
-"""Number of nodes that try to acquire the lease; if all did, reads of the store would
-grow with the number of nodes."""
 SHARE_INTERVAL = timedelta(milliseconds=250)
 """Longest interval between messages with loads and demand.  A request that is sent
 to a target causes one at once: processing its prompt takes some 100 ms, and other nodes
@@ -142,6 +139,12 @@
             self._crashes,
             known_targets.probe_refusal,
         )
+        self._lease_keeper = LeaseKeeper(
+            settings.name,
+            self._orderer,
+            self._peers,
+            LeasePolicy(self._clock, self._balancer.is_cut_off),
+        )
         self._order_wanted = threading.Event()
         self._links: PeerLinks | None = None
         self._app = self._build_app()
@@ -356,39 +359,19 @@
         self._balancer.node_count = len(self._membership.alive())
 
     def _update_lease(self) -> None:
-        """Renew the lease and publish the renewal, or try to acquire an expired one.
-
-        Other nodes measure expiry from the newest renewal that they received.  If
-        renewals were sent with the heartbeat, they would be up to a second old, and
-        delay a takeover by as much.
-        """
-        if self._orderer.holds_lease() is None and self._peers.has_active_orderer():
-            return
-        ranked = self._choose_lease_candidates()
-        own_name = self._settings.name
-        if own_name not in ranked and self._orderer.holds_lease() is None:
-            return
-        change = self._orderer.keep_lease(eager=ranked[0] == own_name)
-        if change is LeaseChange.ACQUIRED:
+        """Keep the lease, and start a round of the orderer if it was acquired."""
+        if self._lease_keeper.update(self._rank_lease_candidates()):
             self._order_wanted.set()
-        resignation = self._orderer.resign_if_lapsing()
-        if resignation is not None:
-            self._peers.publish_resignation(resignation)
-        self._peers.record_lease(self._orderer.record)
-        epoch = self._orderer.holds_lease()
-        record = self._orderer.record
-        if epoch is not None and record is not None:
-            self._peers.publish_renewal(epoch.number, record.renewal)
 
-    def _choose_lease_candidates(self) -> list[str]:
-        """Return the nodes that may acquire the lease: latest started, then by rank.
+    def _rank_lease_candidates(self) -> list[str]:
+        """Return the nodes that are alive: latest started, then by rank.
 
         During a rolling restart, the latest started nodes are not restarted again.
         """
         alive = {vm.name: vm for vm in self._membership.alive()}
         ranked = rank_names(ORDERS_LEASE_NAME, alive)
         ranked.sort(key=lambda name: alive[name].incarnation, reverse=True)
-        return ranked[:LEASE_CANDIDATES]
+        return ranked
 
     def _send_loads_and_demand(self) -> None:
         """Send loads and demand, after a short pause that batches requests."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_lease_log.py
@@ -59,12 +59,15 @@
             **_takeover_fields(takeover),
         )
 
-    def log_resignation(self, epoch: int, remaining: timedelta, now: timedelta) -> None:
-        """Log that the holder of ``epoch`` resigned because it cannot renew."""
+    def log_resignation(
+        self, epoch: int, remaining: timedelta, now: timedelta, reason: str
+    ) -> None:
+        """Log that the holder of ``epoch`` resigned, and why."""
         self._metrics.leases.labels(RESIGNED).inc()
         log_change(
             "lease",
             change=RESIGNED,
+            reason=reason,
             epoch=epoch,
             left_ms=_milliseconds(remaining),
             late_ms=_milliseconds(now - self._last_step_at),
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -189,14 +189,21 @@
 
         The holdings of targets are still published until another node holds the lease.
         """
+        return self._resign("cannot renew", RESIGN_MARGIN)
+
+    def resign(self, reason: str) -> Resignation | None:
+        """Resign although the lease is valid, so that another node can acquire it."""
+        return self._resign(reason, timedelta.max)
+
+    def _resign(self, reason: str, max_remaining: timedelta) -> Resignation | None:
         with self._lock:
             term, remaining = self._term, self._lease.remaining_validity()
-            if not term.epoch or term.is_resigned or remaining > RESIGN_MARGIN:
+            if not term.epoch or term.is_resigned or remaining > max_remaining:
                 return None
             self._term = replace(term, is_resigned=True)
             self._lease.abandon()
         now = self._clock.elapsed()
-        self._lease_log.log_resignation(term.epoch, remaining, now)
+        self._lease_log.log_resignation(term.epoch, remaining, now, reason)
         return self._order_times.make_resignation(term.epoch, now)
 
     def record_resignation(self, resignation: Resignation) -> None:
--- a/packages/runhatch-server/tests/test_balancer.py
+++ b/packages/runhatch-server/tests/test_balancer.py
@@ -18,6 +18,7 @@
 from runhatch_coordination import Entry, SystemClock
 from runhatch_server.decisions import LATE_TIER, LoadShare, TriedTargets
 from runhatch_server.fleet import ExpectedLoad, HeldModels
+from runhatch_server.gateway._balancer import MAX_CONNECT_BACKOFF
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.refusals import Reason, Refusal
 from runhatch_server.routing import RequestKind
@@ -326,3 +327,80 @@
         assert harness.acquire().reason is Reason.TARGETS_BACK_OFF
         clock.advance(seconds(8))
         assert isinstance(harness.acquire(), Grant)
+
+
+class TestCutOff:
+    """Whether this node seems to have lost its paths to the targets."""
+
+    TARGETS = 4
+
+    def fail_connects(self, harness, count):
+        for _ in range(count):
+            grant = harness.acquire()
+            harness.balancer.release_unreachable(grant)
+
+    def make_harness(self, clock, targets=TARGETS):
+        harness = BalancerHarness(
+            clock, *(make_target(f"t{number}") for number in range(targets))
+        )
+        grant = harness.acquire()
+        harness.balancer.record_first_byte(grant)
+        harness.balancer.release(grant, target_failed=False)
+        return harness
+
+    @pytest.mark.parametrize(
+        ("targets", "failures", "silence", "is_cut_off"),
+        [
+            (4, 4, 1.0, True),
+            (4, 2, 1.0, True),
+            (4, 1, 1.0, False),
+            (4, 4, 0.9, False),
+            (4, 0, 9.0, False),
+            (2, 2, 1.0, False),
+        ],
+        ids=[
+            "no target accepts",
+            "half of them fail",
+            "few targets fail",
+            "an answer began recently",
+            "no requests",
+            "too few targets",
+        ],
+    )
+    def test_requires_silence_and_failing_connects(
+        self, clock, targets, failures, silence, is_cut_off
+    ):
+        harness = self.make_harness(clock, targets)
+        clock.advance(seconds(silence))
+        self.fail_connects(harness, failures)
+
+        assert harness.balancer.is_cut_off() is is_cut_off
+
+    def test_first_answer_ends_it(self, clock):
+        harness = self.make_harness(clock)
+        clock.advance(seconds(1))
+        self.fail_connects(harness, 4)
+        harness.balancer.record_first_byte(harness.acquire())
+
+        assert not harness.balancer.is_cut_off()
+
+    def test_answers_of_targets_without_models_do_not_count(self, clock):
+        harness = self.make_harness(clock)
+        harness.directory.apply_entries(
+            (Entry("plain", make_target("plain", service="plain", models=())),)
+        )
+        clock.advance(seconds(1))
+        self.fail_connects(harness, 4)
+        plain_request = make_request(clock, service="plain", model="")
+        harness.balancer.record_first_byte(harness.acquire(plain_request))
+
+        assert harness.balancer.is_cut_off()
+
+    def test_old_failures_do_not_count(self, clock):
+        """Restarted targets hold no model, so no request is sent that could succeed."""
+        harness = self.make_harness(clock)
+        clock.advance(seconds(1))
+        self.fail_connects(harness, 8)
+        clock.advance(MAX_CONNECT_BACKOFF)
+
+        assert not harness.balancer.is_cut_off()
--- a/packages/runhatch-server/tests/test_orderer.py
+++ b/packages/runhatch-server/tests/test_orderer.py
@@ -187,6 +187,46 @@
 
         assert len(case.targets.orders) == sent
 
+    def test_holder_resigns_on_request_although_its_lease_is_valid(
+        self, clock, table, lines
+    ):
+        first = self.make_holder(clock, table)
+
+        resignation = first.orderer.resign("connects to no target")
+
+        assert first.orderer.holds_lease() is None
+        assert first.orderer.resign("connects to no target") is None
+        assert [line["reason"] for line in lines if "reason" in line] == [
+            "connects to no target"
+        ]
+        case = acquire_after_resignation(clock, table, resignation)
+        assert [order.model for order in case.targets.orders] == ["m1"]
+
+    @pytest.mark.parametrize(("waited", "sent"), [(0.9, 0), (1.1, 1)])
+    def test_successor_keeps_the_interval_after_a_resignation_on_request(
+        self, clock, table, waited, sent
+    ):
+        """The lease is still valid, so the holder has just sent orders under it."""
+        first = self.make_holder(clock, table)
+        first.request_model("m2")
+        for _ in range(3):
+            first.run_round()
+        assert first.targets.orders
+        resignation = first.orderer.resign("connects to no target")
+        case = acquire_after_resignation(clock, table, resignation)
+
+        for _ in range(6):
+            clock.advance(HANDOVER * waited * 1.1 / 6)
+            case.orderer.keep_lease(eager=True)
+        case.request_model("m1")
+        for _ in range(3):
+            case.run_round()
+
+        assert len(case.targets.orders) == sent
+        first.request_model("m1")
+        first.run_round()
+        assert len(first.targets.orders) == 1
+
     def test_holder_that_renews_does_not_resign(self, clock, table):
         first = self.make_holder(clock, table)
         clock.advance(TTL - RESIGN_MARGIN)
