--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -292,6 +292,20 @@
         """Return whether the last connects to ``target`` all failed."""
         return self.paths.is_down(target)
 
+    def is_cut_off(self) -> bool:
+        """Return whether this node seems to have lost its paths to targets with models.
+
+        See :meth:`TargetPaths.are_lost`.
+        """
+        return self.paths.are_lost(
+            [
+                target
+                for name, service in self._services.items()
+                if service.engine is not None
+                for target in self._directory.ready_targets(name)
+            ]
+        )
+
     def prompt_work_ms(self, request: GatewayRequest) -> float:
         """Return the milliseconds that processing the whole prompt would take."""
         with self._lock:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -3,23 +3,31 @@
 Leftover bytes of one answer would otherwise be read as the next answer.
 """
 
+import errno
+import functools
 import http.client
 import io
 import select
 import socket
 import threading
 from collections import defaultdict
+from collections.abc import Callable
 from datetime import timedelta
+from typing import ParamSpec, TypeVar
 
 from runhatch_coordination import Clock
 from runhatch_server.decisions import Headers
 from runhatch_server.fleet import Target
-from runhatch_server.http import StrictLineReader, StrictResponse
-from runhatch_server.targets import AttemptReason, NotSent, refuses_connections
+from runhatch_server.http import StrictLineReader, StrictResponse, enable_keepalive
+from runhatch_server.targets import AttemptReason, NotSent, probe_refusal
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
 """Targets in the region accept within about 10 ms; a lost SYN is retransmitted only
 after a second, which is too late to wait for."""
+DEAD_TARGET_TIMEOUT = timedelta(seconds=2.5)
+"""Time without a packet from a target after which its connection counts as dead.  As
+probes are a second apart, it is closed three seconds after the last packet: within
+three seconds of a partition, but not if a target is silent for a second and a half."""
 PROCESS_EXIT_CLOSE_TIME = timedelta(milliseconds=2)
 """Time in which all connections of an exiting process are closed."""
 MAX_IDLE_TIME = timedelta(seconds=8)
@@ -27,6 +35,29 @@
 READ_SIZE = 65_536
 CHUNK_END = b"\r\n"
 
+_Arguments = ParamSpec("_Arguments")
+_Result = TypeVar("_Result")
+
+
+def _report_death_as_reset(
+    function: Callable[_Arguments, _Result],
+) -> Callable[_Arguments, _Result]:
+    """Raise ``ConnectionResetError`` if the kernel closed a dead connection.
+
+    Python raises ``TimeoutError`` then too, as if a timeout of the call had passed.
+    """
+
+    @functools.wraps(function)
+    def call(*args: _Arguments.args, **kwargs: _Arguments.kwargs) -> _Result:
+        try:
+            return function(*args, **kwargs)
+        except TimeoutError as error:
+            if error.errno != errno.ETIMEDOUT:
+                raise
+            raise ConnectionResetError(*error.args) from error
+
+    return call
+
 
 class _LeftoverReader(StrictLineReader):
     """Reads one answer and detects bytes that follow its end.
@@ -117,7 +148,10 @@
         # http.client drops its reference when the answer ends the connection, but the
         # response still reads from the socket.
         self._socket = self._connection.sock
+        if self._socket is not None:
+            enable_keepalive(self._socket, DEAD_TARGET_TIMEOUT)
 
+    @_report_death_as_reset
     def send(
         self, method: str, uri: str, headers: Headers, body: bytes, timeout: timedelta
     ) -> None:
@@ -141,6 +175,7 @@
             return True
         return self._socket is None or _is_readable(self._socket, timeout)
 
+    @_report_death_as_reset
     def read_head(self, timeout: timedelta) -> http.client.HTTPResponse:
         """Read the head; raises ``OSError`` or ``HTTPException`` if it is malformed."""
         self.set_timeout(timeout)
@@ -151,6 +186,7 @@
         self._has_length = self._body_left is not None
         return response
 
+    @_report_death_as_reset
     def read_chunk(self) -> bytes:
         """Return the next bytes of the body as they arrive; empty at its end.
 
@@ -173,6 +209,7 @@
         self._body_left -= len(chunk)
         return chunk
 
+    @_report_death_as_reset
     def read_body(self) -> bytes:
         """Return the whole body; raises like :meth:`read_chunk` if it ends early."""
         return self._require_response().read()
@@ -261,7 +298,11 @@
             self.discard(connection)
 
     def refuses_connections_of(self, target: Target) -> bool:
-        """Return whether the address of ``target`` refuses connections.
+        """Return whether the address of ``target`` is known to refuse connections."""
+        return self.probe_refusal_of(target) is True
+
+    def probe_refusal_of(self, target: Target) -> bool | None:
+        """Return whether ``target`` refuses connections, ``None`` if unknown.
 
         A process that exits closes its idle connections too, so if all are still
         open, the target most likely runs, and no new connection is tried.
@@ -270,7 +311,7 @@
             self._clock.sleep(PROCESS_EXIT_CLOSE_TIME)
             if self._all_idle_open(target.incarnation):
                 return False
-        return refuses_connections(target.host, target.port)
+        return probe_refusal(target.host, target.port)
 
     def release(self, connection: TargetConnection, idle: timedelta) -> None:
         """Pool ``connection`` for ``idle``, or close it if it isn't clean.
--- a/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
@@ -25,6 +25,11 @@
 """Number of unreachable targets from which others may be out of reach too."""
 RECENT_ANSWER_AGE = timedelta(seconds=1)
 """Age up to which an answer or a probe shows that the path to a target works."""
+SILENCE_OF_LOST_PATHS = timedelta(seconds=1)
+"""Time without an answer from any target after which failing connects mean that this
+node has lost its paths to the targets."""
+MIN_TARGETS_TO_JUDGE = 3
+"""Number of targets below which failing connects say more of them than of the node."""
 MAX_PROBES = 64
 """Maximum number of targets that are probed at a time."""
 
@@ -70,6 +75,23 @@
         with self._lock:
             return self._book.load(target).avoidance_count >= MAX_CONNECT_FAILURES
 
+    def are_lost(self, targets: list[Target]) -> bool:
+        """Return whether this node seems to have lost its paths to ``targets``.
+
+        None of them has begun an answer for ``SILENCE_OF_LOST_PATHS``, and the latest
+        connects to at least half of them failed.  The backoff after a failed connect
+        limits how long it counts.
+        """
+        if len(targets) < MIN_TARGETS_TO_JUDGE:
+            return False
+        now = self._clock.elapsed()
+        with self._lock:
+            loads = [self._book.load(target.incarnation) for target in targets]
+            lacking_count = sum(load.lacks_path(now) for load in loads)
+            received_at = max(load.last_received_at for load in loads)
+        is_silent = now - received_at >= SILENCE_OF_LOST_PATHS
+        return is_silent and 2 * lacking_count >= len(loads)
+
     def record_failure(self, target: str) -> None:
         """Record that no connection to ``target`` could be made."""
         now = self._clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -29,6 +29,7 @@
 from runhatch_server.targets._probe import (
     Probed,
     probe_connects,
+    probe_refusal,
     refuses_connections,
 )
 from runhatch_server.targets._stream import (
@@ -65,6 +66,7 @@
     "decode_rate_limit",
     "Probed",
     "probe_connects",
+    "probe_refusal",
     "refuses_connections",
     "decode_retry_after",
     "compute_block_names",
--- a/packages/runhatch-server/src/runhatch_server/targets/_probe.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_probe.py
@@ -65,8 +65,8 @@
     return Probed.SILENT if error == errno.ETIMEDOUT else Probed.REFUSED
 
 
-def refuses_connections(host: str, port: int) -> bool:
-    """Return whether ``host`` refuses connections to ``port``.
+def probe_refusal(host: str, port: int) -> bool | None:
+    """Return whether ``host`` refuses connections to ``port``, ``None`` if unknown.
 
     A timeout is no refusal, since the network path may be interrupted.
     """
@@ -76,4 +76,9 @@
     except ConnectionRefusedError:
         return True
     except OSError:
-        return False
+        return None
+
+
+def refuses_connections(host: str, port: int) -> bool:
+    """Return whether ``host`` is known to refuse connections to ``port``."""
+    return probe_refusal(host, port) is True
