Probe unreachable targets at least once a second

With a backoff of up to 4 s, a node kept forwarding requests for seconds after it reached its targets again. A probe ends the backoff now, which delays no request, so that it need not be long.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load.py
@@ -45,9 +45,10 @@
 """Weights of the newest stream in a target's step time. Prompt reading only lengthens
 the steps, so a shorter measurement is more reliable and gets the larger weight."""
 MIN_CONNECT_BACKOFF = timedelta(milliseconds=500)
-MAX_CONNECT_BACKOFF = timedelta(seconds=4)
-"""Bounds of the backoff after a failed connect to a target; it doubles each time."""
-MAX_BACKOFF_DOUBLINGS = 4
+MAX_CONNECT_BACKOFF = timedelta(seconds=1)
+"""Bounds of the backoff after a failed connect to a target; it doubles each time.  A
+probe ends it, which delays no request, and targets that are back must be used soon."""
+MAX_BACKOFF_DOUBLINGS = 1
 """Doublings after which the backoff has reached its maximum."""
 PROBE_ALLOWANCE = timedelta(seconds=1)
 """Time after the backoff in which a probe shows whether the target can be reached;
