Test that broken-off streams never look complete

What callers saw: an answer that had been broken off reached its caller as if it were complete (ORDER). The stand-in worker could not answer with neither a length nor chunks, so no test with real processes showed it.

Change: the stand-in worker has the faults `unframed` (streams and plain answers that end with their connection) and `break_at` (a stream is broken off at that byte of its body, by a normal close or by a reset; `break_once_in` does so only for the first stream of an attempt, at whichever target runs it).

`_LeftoverResponse.has_pending` peeks, takes the ECONNRESET and drops it ("the next read raises the error"); Linux reports it once only, so the next read returns the end of the connection. With TargetConnection alone, a reset that arrives before `wait_readable` gives `read_chunk() == b""`, no error.

--- a/standins/src/runhatch_standins/_wsgi.py
+++ b/standins/src/runhatch_standins/_wsgi.py
@@ -2,13 +2,20 @@
 
 import json
 import re
+import socket
+import struct
 import sys
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping, MutableMapping
 from dataclasses import dataclass, field
 from typing import Any, BinaryIO, cast
 
 from waitress import create_server
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
 
+TASK_KEY = "runhatch_standins.task"
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Socket option that makes ``close`` reset the connection."""
 THREADS = 400
 JSON = (("Content-Type", "application/json"),)
 Document = dict[str, Any]
@@ -32,12 +39,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """A complete reply, or one whose ``chunks`` are streamed."""
+    """A complete reply, or one whose ``chunks`` are streamed.
+
+    One that is not framed has neither a length nor chunks, and ends with its
+    connection.
+    """
 
     status: int
     body: bytes = b""
     headers: tuple[tuple[str, str], ...] = ()
     chunks: Iterable[bytes] | None = None
+    is_framed: bool = True
 
 
 Handler = Callable[[Call], Reply]
@@ -48,6 +60,64 @@
     return Reply(status, json.dumps(document).encode(), JSON)
 
 
+class BrokenOffError(OSError):
+    """Raised by the chunks of a reply to break off its connection.
+
+    waitress closes the connection after an ``OSError`` without logging it.
+    """
+
+    def __init__(self, is_reset: bool) -> None:
+        super().__init__("connection broken off")
+        self.is_reset = is_reset
+
+
+def break_off(chunks: Iterable[bytes], at_byte: int, is_reset: bool) -> Iterator[bytes]:
+    """Yield ``at_byte`` bytes of ``chunks``; if more follow, break the connection.
+
+    The connection is closed normally unless ``is_reset``.
+    """
+    left = at_byte
+    for chunk in chunks:
+        if len(chunk) > left:
+            yield chunk[:left]
+            raise BrokenOffError(is_reset)
+        yield chunk
+        left -= len(chunk)
+
+
+class _Task(WSGITask):  # type: ignore[misc]
+    """A request to a stand-in, whose reply may be unframed or broken off."""
+
+    is_framed = True
+
+    def get_environment(self) -> Mapping[str, Any]:
+        return {**super().get_environment(), TASK_KEY: self}
+
+    def build_response_header(self) -> bytes:
+        if self.is_framed:
+            return bytes(super().build_response_header())
+        # waitress adds chunks to replies without a length, but not in HTTP/1.0.
+        self.version = "1.0"
+        header = bytes(super().build_response_header())
+        return header.replace(b"HTTP/1.0", b"HTTP/1.1", 1)
+
+    def execute(self) -> None:
+        try:
+            super().execute()
+        except BrokenOffError as error:
+            if not self.wrote_header:
+                self.write(b"")
+            if error.is_reset:
+                self.channel.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+                )
+            raise
+
+
+class _Channel(HTTPChannel):  # type: ignore[misc]
+    task_class = _Task
+
+
 @dataclass(slots=True)
 class Routes:
     """A WSGI application that dispatches calls by method and path pattern."""
@@ -59,15 +129,21 @@
         self.table.append((method, re.compile(pattern), handler))
 
     def __call__(
-        self, environ: Mapping[str, Any], start_response: Callable[..., object]
+        self,
+        environ: MutableMapping[str, Any],
+        start_response: Callable[..., object],
     ) -> Iterable[bytes]:
         """Answer one call."""
         reply = self._dispatch(environ)
+        environ[TASK_KEY].is_framed = reply.is_framed
         headers = list(reply.headers)
-        if reply.chunks is None:
+        if reply.chunks is None and reply.is_framed:
             headers.append(("Content-Length", str(len(reply.body))))
         start_response(f"{reply.status} Status", headers)
-        return [reply.body] if reply.chunks is None else reply.chunks
+        if reply.chunks is not None:
+            return reply.chunks
+        # waitress adds a length to a reply that is a list with one element.
+        return [reply.body] if reply.is_framed else iter([reply.body])
 
     def _dispatch(self, environ: Mapping[str, Any]) -> Reply:
         method, path = str(environ["REQUEST_METHOD"]), str(environ["PATH_INFO"])
@@ -108,6 +184,7 @@
         channel_request_lookahead=1,
         clear_untrusted_proxy_headers=False,
     )
+    server.channel_class = _Channel
     on_bound(int(server.effective_port))
     print(f"port {server.effective_port}", flush=True)
     try:
--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -11,10 +11,18 @@
 import uuid
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 from runhatch_standins._cluster import call as call_json
-from runhatch_standins._wsgi import Call, Reply, Routes, reply_json, serve
+from runhatch_standins._wsgi import (
+    Call,
+    Reply,
+    Routes,
+    break_off,
+    reply_json,
+    serve,
+)
 
 NOT_RUN = (("X-Runhatch-Not-Executed", "1"),)
 EVENT_SECONDS = 0.01
@@ -31,6 +39,15 @@
     "leaving": False,
     # Text in a path that makes the process exit, as if the request crashed it.
     "ends_on": "",
+    # Answer with neither a length nor chunks.
+    "unframed": False,
+    # Break off streams after this many bytes, by a reset or a normal close; none if
+    # negative.
+    "break_at": -1,
+    "break_by_reset": False,
+    # Break off only the first stream of an attempt, at whichever of the targets with
+    # this folder it runs first.
+    "break_once_in": "",
     # Violations, to test that the checkers detect them.
     "run_twice": False,
     "wrong_body": False,
@@ -249,12 +266,17 @@
             return Reply(int(self.faults["status"]), b"failed", headers)
         if not model:
             run.ended = "answered"
-            return Reply(200, f"{call.path} {attempt_id}".encode(), headers)
+            body = f"{call.path} {attempt_id}".encode()
+            return Reply(200, body, headers, is_framed=not self.faults["unframed"])
         count = int(call.headers.get("x-runhatch-token-count", "0,8").split(",")[1])
         first = int(call.headers.get("last-event-id", "0"))
         events = self._stream_events(run, first, count)
+        if self._breaks_off(attempt_id):
+            at, is_reset = self.faults["break_at"], self.faults["break_by_reset"]
+            events = break_off(events, at, is_reset)
         stream = (*headers, ("Content-Type", "text/event-stream"))
-        return Reply(200, headers=stream, chunks=events)
+        framed = not self.faults["unframed"]
+        return Reply(200, headers=stream, chunks=events, is_framed=framed)
 
     def _record_order(self, document: Document) -> None:
         recorded = [document]
@@ -272,6 +294,16 @@
     def _rate_limit_header(self) -> tuple[tuple[str, str], ...]:
         return (("Server-Limit", self.rate_limit),) if self.rate_limit else ()
 
+    def _breaks_off(self, attempt_id: str) -> bool:
+        """Return whether to break off a stream of ``attempt_id``."""
+        if self.faults["break_at"] < 0 or not self.faults["break_once_in"]:
+            return bool(self.faults["break_at"] >= 0)
+        try:
+            Path(self.faults["break_once_in"], attempt_id).touch(exist_ok=False)
+        except FileExistsError:
+            return False
+        return True
+
     def _stream_events(self, run: Run, first: int, count: int) -> Iterator[bytes]:
         run.ended = "left"
         for number in range(first + 1, count + 1):
