Break off streams in the gateway soak

The soak's targets never ended an answer early and always framed it, so no run could show this.

Change: kinds for targets that answer without framing, and that close or reset streams at bytes that change every 0.1 s, half of them unframed; `--kinds streams` repeats them among all others and adds resumable streams. Faults of one target may now overlap: they are merged, and the end of one no longer clears the others. Callers note whether an answer is framed. One that is must be whole; an unframed stream must consist of the first whole events, none twice, and may lack later ones only if a target that ran it closed its connection early. An unframed answer of a gateway that is being killed counts as broken: the system closes the connections of a killed process normally. The checks after a run move to a module of their own. Plans of existing kinds don't change.

--- a/standins/src/runhatch_standins/_gateway_faults.py
+++ b/standins/src/runhatch_standins/_gateway_faults.py
@@ -30,18 +30,28 @@
     RATE_LIMIT = "target names a rate limit"
     HOLDER_KILLED = "holder killed, starts again at once"
     HOLDER_STOPPED = "holder stopped gracefully"
+    ANSWERS_UNFRAMED = "target answers without framing"
+    STREAMS_CLOSED = "target closes streams early"
+    STREAMS_RESET = "target resets streams"
 
 
 FIRST_KINDS = tuple(GatewayFault)[:17]
 """Kinds used by the oldest plans, so that their seeds give the same faults."""
 ALL_KINDS = tuple(GatewayFault)[:19]
 HOLDER_KINDS = (
-    *GatewayFault,
+    *tuple(GatewayFault)[:21],
     *[GatewayFault.HOLDER_KILLED] * 12,
     *[GatewayFault.HOLDER_STOPPED] * 4,
     *[GatewayFault.STORE_RESTORED] * 4,
 )
-"""All kinds; those that change the holder of the order lease are repeated."""
+"""Kinds of which those that change the holder of the order lease are repeated."""
+STREAM_KINDS = (
+    *GatewayFault,
+    *[GatewayFault.ANSWERS_UNFRAMED] * 8,
+    *[GatewayFault.STREAMS_CLOSED] * 8,
+    *[GatewayFault.STREAMS_RESET] * 8,
+)
+"""All kinds; those that concern the ends of answers are repeated."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -66,6 +66,7 @@
     route("/plain/", "idempotent", "plain"),
     route("/once/", "non_idempotent", "plain"),
     route("/stream/", "stream", "engine"),
+    route("/resumable/", "stream", "engine", resumable=True),
 ]
 
 
--- a/standins/src/runhatch_standins/_history.py
+++ b/standins/src/runhatch_standins/_history.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+EVENT_END = "\n\n"
+
 
 class EventKind(Enum):
     """The outcome of one attempt at a request."""
@@ -25,7 +27,8 @@
 
     ``request`` identifies the request and is equal for its repeats.  ``once`` marks
     requests that may run at most once.  ``answer`` is the received text,
-    ``expected`` the correct and complete one, empty if not known in advance.
+    ``expected`` the correct and complete one, empty if not known in advance.  An
+    answer that is not framed may be complete or not: only its connection ended.
     """
 
     request: str
@@ -33,6 +36,17 @@
     once: bool = False
     answer: str = ""
     expected: str = ""
+    is_framed: bool = True
+
+    @property
+    def is_cut_stream(self) -> bool:
+        """Whether it is an unframed stream that ends between two events."""
+        return (
+            not self.is_framed
+            and self.answer != self.expected
+            and self.answer.endswith(EVENT_END)
+            and self.expected.startswith(self.answer)
+        )
 
 
 def check_history(events: Iterable[Event], runs: Mapping[str, int]) -> list[str]:
@@ -63,10 +77,11 @@
     answered = [event for event in attempts if event.kind is EventKind.ANSWERED]
     violations = [
         f"{request}: answered {event.answer[:60]!r} instead of {event.expected[:60]!r}"
+        f", {len(event.answer)} of {len(event.expected)} characters"
         for event in answered
-        if event.expected and event.answer != event.expected
+        if event.expected and event.answer != event.expected and not event.is_cut_stream
     ]
-    distinct = Counter(event.answer for event in answered)
+    distinct = Counter(e.answer for e in answered if not e.is_cut_stream)
     if len(distinct) > 1 and any(event.once for event in attempts):
         violations.append(f"{request}: repeats received {len(distinct)} answers")
     return violations
--- a/standins/src/runhatch_standins/gateway_soak.py
+++ b/standins/src/runhatch_standins/gateway_soak.py
@@ -16,30 +16,31 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
-from dataclasses import dataclass, field
-from functools import partial
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from runhatch_standins._cluster import call
-from runhatch_standins._gateway_callers import ask
+from runhatch_standins._gateway_callers import PREFIXES, RESUMING_PREFIXES, ask
+from runhatch_standins._gateway_checks import (
+    RATE_LIMIT,
+    check_cut_streams,
+    check_limits,
+    check_memory,
+    check_recovery,
+)
 from runhatch_standins._gateway_faults import (
     ALL_KINDS,
     FIRST_KINDS,
     HOLDER_KINDS,
+    STREAM_KINDS,
     GatewayFault,
     PlannedFault,
     plan_faults,
 )
-from runhatch_standins._gateways import (
-    MODELS,
-    ROUTES,
-    Gateway,
-    GatewaySystem,
-    route,
-    wait_until,
-)
-from runhatch_standins._history import Event, check_history
+from runhatch_standins._gateways import ROUTES, Gateway, GatewaySystem, route
+from runhatch_standins._history import Event, EventKind, check_history
 from runhatch_standins._order_checks import GivenOrder, check_orders, given_orders
+from runhatch_standins._target_faults import TargetFaults
 from runhatch_standins._tcp_relay import LinkFault
 from runhatch_standins.demo import say
 
@@ -47,6 +48,7 @@
     "ALL_KINDS",
     "FIRST_KINDS",
     "HOLDER_KINDS",
+    "STREAM_KINDS",
     "GatewayFault",
     "GatewaySoak",
     "plan_faults",
@@ -55,16 +57,17 @@
 
 CALLERS = 8
 CALLER_TIMEOUT = 8.0
-RECOVERY_SECONDS = 15.0
 GRACE_SECONDS = 9.0
-RATE_LIMIT = 1.0
-"""Requests per second that a target with a rate limit accepts."""
 LIMIT_KNOWN_SECONDS = 3.0
 """Time within which all gateways must comply with a new rate limit."""
-MOST_MEMORY_KB = 300 * 1024
 HANDOVER_SECONDS = 3.0
 """Minimum time between the orders of two holders: the platform's ``lease_ms``."""
-KINDS = {"first": FIRST_KINDS, "all": ALL_KINDS, "holder": HOLDER_KINDS}
+KINDS = {
+    "first": FIRST_KINDS,
+    "all": ALL_KINDS,
+    "holder": HOLDER_KINDS,
+    "streams": STREAM_KINDS,
+}
 FOREIGN: tuple[object, ...] = (
     {"service": "plain"},
     {"address": 7},
@@ -90,6 +93,9 @@
     """URL of a target, and start and end of the time its rate limit must hold."""
     resumed: dict[str, list[float]] = field(default_factory=dict)
     """Monotonic times at which each paused gateway was resumed."""
+    target_faults: TargetFaults = field(default_factory=TargetFaults)
+    _kills: Counter[str] = field(default_factory=Counter)
+    """By gateway, twice its number of kills, odd while one is in progress."""
     _stop: threading.Event = field(default_factory=threading.Event)
     _locks: dict[str, threading.Lock] = field(default_factory=dict)
 
@@ -112,16 +118,22 @@
     def _run_caller(self, caller: int) -> None:
         """Send requests on one connection until it closes, then open another."""
         rng = random.Random(self.seed * 1_000 + caller)
+        prefixes = RESUMING_PREFIXES if self.kinds is STREAM_KINDS else PREFIXES
         connection: http.client.HTTPConnection | None = None
         for number in range(1_000_000):
             if self._stop.is_set():
                 return
             if connection is None:
-                port = rng.choice(self.system.gateways).front
+                gate = rng.choice(self.system.gateways)
                 connection = http.client.HTTPConnection(
-                    "127.0.0.1", port, timeout=CALLER_TIMEOUT
+                    "127.0.0.1", gate.front, timeout=CALLER_TIMEOUT
                 )
-            event, reusable = ask(connection, rng, f"s{caller}-{number}")
+            kills = self._kills[gate.name]
+            event, reusable = ask(connection, rng, f"s{caller}-{number}", prefixes)
+            was_killed = kills % 2 == 1 or self._kills[gate.name] != kills
+            if was_killed and not event.is_framed:
+                # The system closes the connections of a killed process normally.
+                event = replace(event, kind=EventKind.BROKEN)
             self.events.append(event)
             if not reusable:
                 connection.close()
@@ -168,8 +180,11 @@
         self, gate: Gateway, number: signal.Signals, downtime: float
     ) -> None:
         with self._locks[gate.name]:
+            is_kill = number is signal.SIGKILL
+            self._kills[gate.name] += is_kill
             gate.process.signal(number)
             status = gate.process.process.wait(GRACE_SECONDS)
+            self._kills[gate.name] += is_kill
             if number is signal.SIGTERM and status != 0:
                 self.violations.append(
                     f"{gate.name} exited with status {status} after SIGTERM"
@@ -210,9 +225,14 @@
         """Set ``faults`` of one target and clear them after the duration."""
         targets = [*self.system.engines, *self.system.plain]
         url = targets[planned.subject % len(targets)].url
-        call(url, "POST", "/faults", faults)
-        time.sleep(planned.lasts)
-        call(url, "POST", "/faults", {})
+        with self.target_faults.hold(url, **faults):
+            time.sleep(planned.lasts)
+
+    def break_streams(self, planned: PlannedFault, is_reset: bool) -> None:
+        """Break off streams of one engine at random bytes."""
+        engines = self.system.engines
+        url = engines[planned.subject % len(engines)].url
+        self.target_faults.break_streams(url, planned.subject, planned.lasts, is_reset)
 
     def restart_target(self, planned: PlannedFault) -> None:
         """Make one engine restart under the same name."""
@@ -274,6 +294,9 @@
     GatewayFault.RATE_LIMIT: GatewaySoak.limit,
     GatewayFault.HOLDER_KILLED: lambda s, f: s.end_holder(f, signal.SIGKILL),
     GatewayFault.HOLDER_STOPPED: lambda s, f: s.end_holder(f, signal.SIGTERM),
+    GatewayFault.ANSWERS_UNFRAMED: lambda s, f: s.target(f, unframed=True),
+    GatewayFault.STREAMS_CLOSED: lambda s, f: s.break_streams(f, is_reset=False),
+    GatewayFault.STREAMS_RESET: lambda s, f: s.break_streams(f, is_reset=True),
 }
 
 
@@ -284,66 +307,13 @@
 def check(soak: GatewaySoak) -> list[str]:
     """Return all violations; called after all faults are cleared."""
     system = soak.system
-    targets = [*system.engines, *system.plain]
-    violations = [*soak.violations, *_check_recovery(soak)]
-    runs = Counter(str(run[0]) for run in system.runs(targets))
-    violations += check_history(soak.events, runs)
-    violations += _check_limits(soak)
+    violations = [*soak.violations, *check_recovery(system, soak.versions)]
+    runs = system.runs([*system.engines, *system.plain])
+    violations += check_history(soak.events, Counter(str(run[0]) for run in runs))
+    violations += check_cut_streams(soak.events, runs)
+    violations += check_limits(soak.limited)
     violations += check_orders(soak.orders(), soak.resumed, HANDOVER_SECONDS)
-    for gate in system.gateways:
-        memory = _peak_memory_kb(gate)
-        if memory > MOST_MEMORY_KB:
-            violations.append(f"{gate.name} used {memory} KB of memory")
-    return violations
-
-
-def _check_recovery(soak: GatewaySoak) -> list[str]:
-    """Return a violation per route that a gateway does not serve in time.
-
-    The route of the newest configuration is checked as well.
-    """
-    paths = [("/plain/x", ""), (f"/v{soak.versions}/x", "")]
-    paths += [("/stream/x", str(model["name"])) for model in MODELS]
-    return [
-        f"{gate.name} does not serve {path} {model}"
-        for i, gate in enumerate(soak.system.gateways)
-        for path, model in paths
-        if path != "/v0/x"
-        and not wait_until(
-            partial(_is_route_served, soak, i, path, model), RECOVERY_SECONDS
-        )
-    ]
-
-
-def _check_limits(soak: GatewaySoak) -> list[str]:
-    """Return a violation per target that received over 1.5 times its rate limit."""
-    violations = []
-    for url, starts, ends in soak.limited:
-        times = call(url, "GET", "/journal")["arrival_times"]
-        limited = [at for at in times if starts <= at <= ends]
-        peak = max(
-            (sum(at <= t < at + 4 for t in limited) for at in limited), default=0
-        )
-        if peak > 1.5 * RATE_LIMIT * 4 + 5:
-            violations.append(
-                f"{url} received {peak} requests in 4 s, limit {RATE_LIMIT} per second"
-            )
-    return violations
-
-
-def _is_route_served(soak: GatewaySoak, gate: int, path: str, model: str) -> bool:
-    method = "POST" if model else "GET"
-    try:
-        response, _ = soak.system.answer(path, method, gate=gate, model=model)
-    except (OSError, http.client.HTTPException):
-        return False
-    return response.status == 200
-
-
-def _peak_memory_kb(gate: Gateway) -> int:
-    status = Path(f"/proc/{gate.process.process.pid}/status").read_text()
-    peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-    return int(peak.split()[1])
+    return violations + check_memory(system.gateways)
 
 
 def soak_gateways(
@@ -366,7 +336,8 @@
             system.start_gateway(f"n{number + 1}")
         soak = GatewaySoak(system, seed, seconds, kinds=kinds)
         for target in (*system.engines, *system.plain):
-            call(target.url, "POST", "/faults", dict.fromkeys(planted.split(), True))
+            faults = dict.fromkeys(planted.split(), True)
+            stack.enter_context(soak.target_faults.hold(target.url, **faults))
         soak.run()
         soak.violations = check(soak)
         if logs is not None:
--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -16,6 +16,7 @@
 
 from runhatch_standins._cluster import call as call_json
 from runhatch_standins._wsgi import (
+    BrokenOffError,
     Call,
     Reply,
     Routes,
@@ -51,11 +52,16 @@
     # Violations, to test that the checkers detect them.
     "run_twice": False,
     "wrong_body": False,
+    "skip_event": False,
+    "short_stream": False,
     "untrue_refusal": False,
     "lower_fence": False,
     "shared_fence": False,
     "two_holders": False,
 }
+CLOSED_EARLY, RESET = "closed early", "reset"
+"""Ends of runs whose stream the target broke off."""
+SKIPPED_EVENT = 2
 PLANTED_ORDERS: dict[str, tuple[int, str]] = {
     "lower_fence": (-1, ""),
     "shared_fence": (0, "-other"),
@@ -272,8 +278,7 @@
         first = int(call.headers.get("last-event-id", "0"))
         events = self._stream_events(run, first, count)
         if self._breaks_off(attempt_id):
-            at, is_reset = self.faults["break_at"], self.faults["break_by_reset"]
-            events = break_off(events, at, is_reset)
+            events = self._break_off(run, events)
         stream = (*headers, ("Content-Type", "text/event-stream"))
         framed = not self.faults["unframed"]
         return Reply(200, headers=stream, chunks=events, is_framed=framed)
@@ -304,10 +309,22 @@
             return False
         return True
 
+    def _break_off(self, run: Run, events: Iterator[bytes]) -> Iterator[bytes]:
+        is_reset = bool(self.faults["break_by_reset"])
+        try:
+            yield from break_off(events, self.faults["break_at"], is_reset)
+        except BrokenOffError:
+            run.ended = RESET if is_reset else CLOSED_EARLY
+            raise
+
     def _stream_events(self, run: Run, first: int, count: int) -> Iterator[bytes]:
         run.ended = "left"
         for number in range(first + 1, count + 1):
             time.sleep(EVENT_SECONDS)
+            if self.faults["short_stream"] and number > count // 2:
+                break
+            if self.faults["skip_event"] and number == SKIPPED_EVENT:
+                continue
             run.events += 1
             yield f"id: {number}\ndata: {run.attempt_id}\n\n".encode()
         run.ended = "answered"
--- a/standins/tests/test_broken_off_streams.py
+++ b/standins/tests/test_broken_off_streams.py
@@ -13,14 +13,11 @@
 
 from runhatch_standins._cluster import call
 from runhatch_standins._gateways import (
-    ROUTES,
     GatewaySystem,
     request_headers,
-    route,
     wait_until,
 )
 
-RESUMABLE = route("/resumable/", "stream", "engine", resumable=True)
 TOKENS = 8
 RETRY_PAUSE_SECONDS = 0.8
 """With its share of the retry budget a node may retry about once in this time."""
@@ -146,7 +143,6 @@
 def shared_system(tmp_path_factory):
     with ExitStack() as stack:
         gateways = GatewaySystem(stack, tmp_path_factory.mktemp("gateways"))
-        gateways.configure([*ROUTES, RESUMABLE])
         system = System(gateways)
         for _ in gateways.gateways:
             assert wait_until(lambda: system.send("/resumable/")[1].status == 200)
--- a/standins/tests/test_gateway_soak.py
+++ b/standins/tests/test_gateway_soak.py
@@ -2,11 +2,12 @@
 
 import pytest
 
-from runhatch_standins import gateway_soak
+from runhatch_standins import _gateway_checks
 from runhatch_standins.gateway_soak import (
     ALL_KINDS,
     FIRST_KINDS,
     HOLDER_KINDS,
+    STREAM_KINDS,
     GatewayFault,
     plan_faults,
     soak_gateways,
@@ -23,14 +24,20 @@
     def test_plan_is_equal_for_equal_seeds(self):
         assert plan_faults(7, 60.0) == plan_faults(7, 60.0)
 
-    def test_every_kind_of_fault_is_planned(self):
+    @pytest.mark.parametrize(
+        ("kinds", "expected"),
+        [
+            (HOLDER_KINDS, [*GatewayFault][:21]),
+            (STREAM_KINDS, GatewayFault),
+        ],
+        ids=["holder", "streams"],
+    )
+    def test_every_kind_of_fault_is_planned(self, kinds, expected):
         planned_kinds = {
-            fault.kind
-            for seed in range(20)
-            for fault in plan_faults(seed, 60.0, HOLDER_KINDS)
+            fault.kind for seed in range(20) for fault in plan_faults(seed, 60.0, kinds)
         }
 
-        assert planned_kinds == {*GatewayFault}
+        assert planned_kinds == {*expected}
 
     @pytest.mark.parametrize(
         ("kinds", "count", "last"),
@@ -72,6 +79,7 @@
             # With this seed a gateway once ended by SIGABRT after SIGTERM.
             (32, 15.0, 3, FIRST_KINDS),
             (2, SECONDS, 3, ALL_KINDS),
+            (3, SECONDS, 3, STREAM_KINDS),
         ],
     )
     def test_run_has_no_violations(self, seed, seconds, gateways, kinds):
@@ -85,6 +93,8 @@
         [
             ("run_twice", ["may run once"]),
             ("wrong_body", ["instead of"]),
+            ("skip_event", ["instead of 'id: 1"]),
+            ("short_stream unframed", ["not closed by a target"]),
             ("untrue_refusal", ["refused as not run, ran", "does not serve"]),
             ("lower_fence", [": fence 0 of n1 at"]),
             ("shared_fence", ["fence 1 has holders n1, n1-other"]),
@@ -92,7 +102,7 @@
         ],
     )
     def test_injected_fault_is_detected(self, planted, found, monkeypatch):
-        monkeypatch.setattr(gateway_soak, "RECOVERY_SECONDS", 0.1)
+        monkeypatch.setattr(_gateway_checks, "RECOVERY_SECONDS", 0.1)
 
         soak = soak_gateways(1, WITHOUT_FAULTS, gateways=2, planted=planted)
 
