Test that nodes cut off from targets serve their callers

The stand-ins all use loopback, so no test could cut one gateway off from the targets.

Change: a system of gateways may have paths to targets: a relay for each gateway and target. Nodes pass the addresses of targets on to each other, so addresses can't differ by gateway; a gateway is started by a module that replaces the port it connects to by that in a file of its own. A cut resets open connections and refuses new ones, silences open ones and lets new ones hang (a full backlog), or refuses only new ones; the system refuses and drops, not the relay. Limit: keep-alive probes on silent connections are still answered, by the relay's host. The settings of gateways have two free ports in `port_range`, which were the same one before.

--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -12,6 +12,7 @@
 
 from runhatch_standins._cluster import call, free_ports
 from runhatch_standins._launch import Launched, launch
+from runhatch_standins._target_paths import PATHS_VARIABLE, TargetPaths
 from runhatch_standins._tcp_relay import TcpRelay
 
 Document = dict[str, Any]
@@ -27,7 +28,7 @@
 region: "r1"
 listen: {{front: "127.0.0.1:{front}", ready: "127.0.0.1:{ready}",
           control: "127.0.0.1:{control}"}}
-port_range: [{broadcast}, {broadcast}]
+port_range: [{broadcast}, {last_free}]
 seeds: [{seeds}]
 limits: {{memory_mb: 300}}
 bounds: {{grace_s: 8, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52}}
@@ -91,6 +92,8 @@
     control: int
     metrics: int
     broadcast: int
+    last_free: int
+    """The last port of the range that is free for traffic among gateways."""
     to_store: TcpRelay
 
 
@@ -98,13 +101,15 @@
     """A store, two engines, two plain targets and at least two gateways.
 
     Closing ``stack`` kills the processes; ``folder`` holds their settings files.
+    With ``has_paths``, gateways reach targets over ``paths``, which can be cut.
     """
 
-    def __init__(self, stack: ExitStack, folder: Path) -> None:
+    def __init__(self, stack: ExitStack, folder: Path, has_paths: bool = False) -> None:
         self._stack = stack
         self._folder = folder
         self._version = 0
         self._configuration: Document | None = None
+        self.paths = TargetPaths(stack, folder) if has_paths else None
         self.platform = self._register(launch("platform", "runhatch_standins.platform"))
         self.engines = [
             self.start_worker("engine", "m0,m1"),
@@ -125,19 +130,34 @@
         """Start a target of ``service`` that may serve ``models``."""
         arguments = ["--port", "0", "--store", self.platform.url]
         arguments += ["--service", service, "--models", models]
-        return self._register(launch("worker", "runhatch_standins.worker", *arguments))
+        worker = launch("worker", "runhatch_standins.worker", *arguments)
+        if self.paths is not None:
+            self.paths.add_target(worker.port)
+        return self._register(worker)
 
     def start_gateway(self, name: str) -> Gateway:
         """Start a gateway and wait until it is ready.
 
         Raises ``RuntimeError`` if it is not ready within ``READY_SECONDS``.
         """
-        ports = free_ports(5)
+        ports = sorted(free_ports(6))
         relay = TcpRelay(self.platform.port)
         self._stack.callback(relay.close)
+        if self.paths is not None:
+            self.paths.add_gateway(name)
         process = self._launch_gateway(name, ports, relay)
-        front, ready, control, metrics, broadcast = ports
-        gate = Gateway(name, process, front, ready, control, metrics, broadcast, relay)
+        front, ready, control, metrics, broadcast, last_free = ports
+        gate = Gateway(
+            name,
+            process,
+            front,
+            ready,
+            control,
+            metrics,
+            broadcast,
+            last_free,
+            relay,
+        )
         self.gateways.append(gate)
         if not wait_until(lambda: self.is_ready(gate)):
             raise RuntimeError(
@@ -147,11 +167,12 @@
 
     def restart(self, gate: Gateway) -> None:
         """Restart the process of a gateway that has exited, on the same ports."""
-        ports = [gate.front, gate.ready, gate.control, gate.metrics, gate.broadcast]
+        ports = [gate.front, gate.ready, gate.control, gate.metrics]
+        ports += [gate.broadcast, gate.last_free]
         gate.process = self._launch_gateway(gate.name, ports, gate.to_store)
 
     def _launch_gateway(self, name: str, ports: list[int], relay: TcpRelay) -> Launched:
-        front, ready, control, metrics, broadcast = ports
+        front, ready, control, metrics, broadcast, last_free = ports
         seeds = ", ".join(f'"127.0.0.1:{gate.control}"' for gate in self.gateways)
         path = self._folder / f"{name}.yaml"
         path.write_text(
@@ -161,6 +182,7 @@
                 ready=ready,
                 control=control,
                 broadcast=broadcast,
+                last_free=last_free,
                 seeds=seeds,
                 store=f"127.0.0.1:{relay.port}",
             )
@@ -169,9 +191,11 @@
             "RUNHATCH_NODE_FILE": str(path),
             "RUNHATCH_METRICS_PORT": str(metrics),
         }
-        launched = self._register(
-            launch(name, "runhatch_platform", variables=variables)
-        )
+        module = "runhatch_platform"
+        if self.paths is not None:
+            variables[PATHS_VARIABLE] = str(self.paths.file_of(name))
+            module = "runhatch_standins._gateway_process"
+        launched = self._register(launch(name, module, variables=variables))
         self._gateway_processes.append(launched)
         return launched
 
--- a/standins/src/runhatch_standins/_tcp_relay.py
+++ b/standins/src/runhatch_standins/_tcp_relay.py
@@ -1,12 +1,15 @@
 """A TCP relay that closes, freezes or refuses connections on demand."""
 
 import socket
+import struct
 import threading
 import time
 from contextlib import suppress
 from enum import Enum
 
 CHUNK = 16_384
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Socket option that makes ``close`` reset the connection."""
 
 
 class LinkFault(Enum):
@@ -15,6 +18,7 @@
     NONE = "none"
     REFUSE = "refuse"
     FREEZE = "freeze"
+    RESET = "reset"
     CUT_ANSWER = "cut answer"
 
 
@@ -41,7 +45,7 @@
         threading.Thread(target=self._accept_connections, daemon=True).start()
 
     def inject(self, fault: LinkFault, after: int = 0) -> None:
-        """Set the fault; refusing and freezing also apply to open connections."""
+        """Set the fault; all but ``CUT_ANSWER`` also apply to open connections."""
         self._fault = fault
         self._response_limit = after
         if fault is LinkFault.FREEZE:
@@ -50,6 +54,8 @@
             self._not_frozen.set()
         if fault is LinkFault.REFUSE:
             self._close_connections()
+        if fault is LinkFault.RESET:
+            self._reset_connections()
 
     def slow_down(self, bytes_per_second: float | None) -> None:
         """Limit the bandwidth of all responses together; ``None`` removes the limit."""
@@ -67,13 +73,21 @@
                 _close(sock)
             self._open_sockets.clear()
 
+    def _reset_connections(self) -> None:
+        with self._lock:
+            for sock in self._open_sockets:
+                with suppress(OSError):
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+                    # Ends the read in progress, whose thread closes the socket.
+                    sock.shutdown(socket.SHUT_RD)
+
     def _accept_connections(self) -> None:
         while True:
             try:
                 client, _ = self._listener.accept()
             except OSError:
                 return
-            if self._fault is LinkFault.REFUSE:
+            if self._fault in (LinkFault.REFUSE, LinkFault.RESET):
                 _close(client)
                 continue
             try:
@@ -114,6 +128,10 @@
                     self.answered += len(chunk)
         with self._lock:
             self._open_sockets -= {source, sink}
+        if self._fault is LinkFault.RESET:
+            source.close()
+            sink.close()
+            return
         _close(source)
         _close(sink)
 
