Cut gateways off from targets in the gateway soak

The soak cut gateways off from the store only.

Change: the kind "gateways cut off from targets" cuts some gateways, but not all, for 5.3 to 8 s, in one of three ways. From 3 s after the cut began on, they must serve two thirds of the others' share of tries, unless no more than 10 + 1 in 50 of all tries fail there. Tries at a gateway without a process don't count; the cut ones are neither killed nor paused meanwhile. With this kind there are 24 callers, each of which stays with its gateway: otherwise they gather at gateways without targets, which close fewer connections. `--kinds partition` repeats it among all kinds; the relays to targets and the further callers are there only if it is among the kinds. Other plans don't change.

--- a/standins/src/runhatch_standins/_gateway_faults.py
+++ b/standins/src/runhatch_standins/_gateway_faults.py
@@ -33,6 +33,7 @@
     ANSWERS_UNFRAMED = "target answers without framing"
     STREAMS_CLOSED = "target closes streams early"
     STREAMS_RESET = "target resets streams"
+    PARTITION = "gateways cut off from targets"
 
 
 FIRST_KINDS = tuple(GatewayFault)[:17]
@@ -46,12 +47,29 @@
 )
 """Kinds of which those that change the holder of the order lease are repeated."""
 STREAM_KINDS = (
-    *GatewayFault,
+    *tuple(GatewayFault)[:24],
     *[GatewayFault.ANSWERS_UNFRAMED] * 8,
     *[GatewayFault.STREAMS_CLOSED] * 8,
     *[GatewayFault.STREAMS_RESET] * 8,
 )
-"""All kinds; those that concern the ends of answers are repeated."""
+"""Kinds of which those that concern the ends of answers are repeated."""
+PARTITION_KINDS = (*GatewayFault, *[GatewayFault.PARTITION] * 8)
+"""All kinds; cuts between gateways and targets are repeated."""
+KINDS = {
+    "first": FIRST_KINDS,
+    "all": ALL_KINDS,
+    "holder": HOLDER_KINDS,
+    "streams": STREAM_KINDS,
+    "partition": PARTITION_KINDS,
+}
+
+FOREIGN_ENTRIES: tuple[object, ...] = (
+    {"service": "plain"},
+    {"address": 7},
+    "text",
+    [],
+    {"state": "ready"},
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -237,6 +237,10 @@
         """Make the store copy its rows."""
         call(self.platform.url, "POST", "/copy", {})
 
+    def forget_history(self) -> None:
+        """Make the store discard its history of changes."""
+        call(self.platform.url, "POST", "/forget", {})
+
     def restore_store(self, away: float = 0.3) -> None:
         """Restore the store from its copy after ``away`` seconds of downtime."""
         call(self.platform.url, "POST", "/faults", {"down": True})
--- a/standins/src/runhatch_standins/gateway_soak.py
+++ b/standins/src/runhatch_standins/gateway_soak.py
@@ -31,7 +31,10 @@
 from runhatch_standins._gateway_faults import (
     ALL_KINDS,
     FIRST_KINDS,
+    FOREIGN_ENTRIES,
     HOLDER_KINDS,
+    KINDS,
+    PARTITION_KINDS,
     STREAM_KINDS,
     GatewayFault,
     PlannedFault,
@@ -40,6 +43,12 @@
 from runhatch_standins._gateways import ROUTES, Gateway, GatewaySystem, route
 from runhatch_standins._history import Event, EventKind, check_history
 from runhatch_standins._order_checks import GivenOrder, check_orders, given_orders
+from runhatch_standins._partitions import (
+    Partition,
+    Try,
+    check_partitions,
+    cut_gateways,
+)
 from runhatch_standins._target_faults import TargetFaults
 from runhatch_standins._tcp_relay import LinkFault
 from runhatch_standins.demo import say
@@ -48,6 +57,7 @@
     "ALL_KINDS",
     "FIRST_KINDS",
     "HOLDER_KINDS",
+    "PARTITION_KINDS",
     "STREAM_KINDS",
     "GatewayFault",
     "GatewaySoak",
@@ -56,25 +66,14 @@
 ]
 
 CALLERS = 8
+PARTITION_CALLERS = 24
+"""Enough callers that more tries fail in a partition than are allowed to."""
 CALLER_TIMEOUT = 8.0
 GRACE_SECONDS = 9.0
 LIMIT_KNOWN_SECONDS = 3.0
 """Time within which all gateways must comply with a new rate limit."""
 HANDOVER_SECONDS = 3.0
 """Minimum time between the orders of two holders: the platform's ``lease_ms``."""
-KINDS = {
-    "first": FIRST_KINDS,
-    "all": ALL_KINDS,
-    "holder": HOLDER_KINDS,
-    "streams": STREAM_KINDS,
-}
-FOREIGN: tuple[object, ...] = (
-    {"service": "plain"},
-    {"address": 7},
-    "text",
-    [],
-    {"state": "ready"},
-)
 
 
 @dataclass(slots=True)
@@ -93,6 +92,8 @@
     """URL of a target, and start and end of the time its rate limit must hold."""
     resumed: dict[str, list[float]] = field(default_factory=dict)
     """Monotonic times at which each paused gateway was resumed."""
+    tries: list[Try] = field(default_factory=list)
+    partitions: list[Partition] = field(default_factory=list)
     target_faults: TargetFaults = field(default_factory=TargetFaults)
     _kills: Counter[str] = field(default_factory=Counter)
     """By gateway, twice its number of kills, odd while one is in progress."""
@@ -101,12 +102,13 @@
 
     def run(self) -> None:
         """Send requests and inject faults for ``seconds``, then clear the faults."""
-        self._locks = {gate.name: threading.Lock() for gate in self.system.gateways}
-        self._locks["store"] = threading.Lock()
-        self._locks["limits"] = threading.Lock()
+        names = [gate.name for gate in self.system.gateways]
+        names += ["store", "limits", "paths"]
+        self._locks = {name: threading.Lock() for name in names}
         started = time.monotonic()
         with ThreadPoolExecutor(64) as pool:
-            running = [pool.submit(self._run_caller, i) for i in range(CALLERS)]
+            callers = CALLERS if self.system.paths is None else PARTITION_CALLERS
+            running = [pool.submit(self._run_caller, i) for i in range(callers)]
             for planned in plan_faults(self.seed, self.seconds, self.kinds):
                 self._stop.wait(max(0.0, started + planned.at - time.monotonic()))
                 running.append(pool.submit(self._inject, planned))
@@ -118,28 +120,40 @@
     def _run_caller(self, caller: int) -> None:
         """Send requests on one connection until it closes, then open another."""
         rng = random.Random(self.seed * 1_000 + caller)
-        prefixes = RESUMING_PREFIXES if self.kinds is STREAM_KINDS else PREFIXES
+        resumes = GatewayFault.STREAMS_CLOSED in self.kinds
+        prefixes = RESUMING_PREFIXES if resumes else PREFIXES
         connection: http.client.HTTPConnection | None = None
         for number in range(1_000_000):
             if self._stop.is_set():
                 return
             if connection is None:
-                gate = rng.choice(self.system.gateways)
+                gate = self._choose_gateway(rng, caller)
                 connection = http.client.HTTPConnection(
                     "127.0.0.1", gate.front, timeout=CALLER_TIMEOUT
                 )
-            kills = self._kills[gate.name]
+            kills, began = self._kills[gate.name], time.monotonic()
             event, reusable = ask(connection, rng, f"s{caller}-{number}", prefixes)
             was_killed = kills % 2 == 1 or self._kills[gate.name] != kills
             if was_killed and not event.is_framed:
                 # The system closes the connections of a killed process normally.
                 event = replace(event, kind=EventKind.BROKEN)
             self.events.append(event)
+            if gate.process.process.poll() is None:
+                is_served = event.kind is EventKind.ANSWERED
+                self.tries.append(Try(gate.name, began, is_served))
             if not reusable:
                 connection.close()
                 connection = None
             time.sleep(rng.uniform(0, 0.05))
 
+    def _choose_gateway(self, rng: random.Random, caller: int) -> Gateway:
+        gateways = self.system.gateways
+        if self.system.paths is None:
+            return rng.choice(gateways)
+        # Gateways without targets close fewer connections, so that random choices
+        # would gather the callers there.
+        return gateways[caller % len(gateways)]
+
     def _inject(self, planned: PlannedFault) -> None:
         self.counts[planned.kind] += 1
         FAULTS[planned.kind](self, planned)
@@ -223,17 +237,27 @@
 
     def target(self, planned: PlannedFault, **faults: object) -> None:
         """Set ``faults`` of one target and clear them after the duration."""
-        targets = [*self.system.engines, *self.system.plain]
-        url = targets[planned.subject % len(targets)].url
-        with self.target_faults.hold(url, **faults):
+        with self.target_faults.hold(self._target_url(planned), **faults):
             time.sleep(planned.lasts)
 
+    def _target_url(self, planned: PlannedFault) -> str:
+        targets = [*self.system.engines, *self.system.plain]
+        return targets[planned.subject % len(targets)].url
+
     def break_streams(self, planned: PlannedFault, is_reset: bool) -> None:
         """Break off streams of one engine at random bytes."""
         engines = self.system.engines
         url = engines[planned.subject % len(engines)].url
         self.target_faults.break_streams(url, planned.subject, planned.lasts, is_reset)
 
+    def partition(self, planned: PlannedFault) -> None:
+        """Cut some gateways, but not all, off from all targets."""
+        assert self.system.paths is not None
+        names = [gate.name for gate in self.system.gateways]
+        self.partitions.append(
+            cut_gateways(self.system.paths, planned, names, self._locks, self._stop)
+        )
+
     def restart_target(self, planned: PlannedFault) -> None:
         """Make one engine restart under the same name."""
         engines = self.system.engines
@@ -242,7 +266,8 @@
     def write_foreign(self, planned: PlannedFault) -> None:
         """Write a malformed entry into the table of targets."""
         key = f"foreign-{planned.subject % 3}"
-        self.system.write_row("servers", key, FOREIGN[planned.subject % len(FOREIGN)])
+        entry = FOREIGN_ENTRIES[planned.subject % len(FOREIGN_ENTRIES)]
+        self.system.write_row("servers", key, entry)
 
     def restore_store(self, planned: PlannedFault) -> None:
         """Copy the store and restore it from that copy after the duration."""
@@ -255,8 +280,7 @@
 
     def limit(self, planned: PlannedFault) -> None:
         """Make a target announce a rate limit, and withdraw it later."""
-        targets = [*self.system.engines, *self.system.plain]
-        url = targets[planned.subject % len(targets)].url
+        url = self._target_url(planned)
         with self._locks["limits"]:
             call(url, "POST", "/rate_limit", {"named": str(RATE_LIMIT)})
             starts = time.monotonic() + LIMIT_KNOWN_SECONDS
@@ -283,7 +307,7 @@
     GatewayFault.STORE_SILENT: lambda soak, fault: soak.store(fault, silent=True),
     GatewayFault.STORE_SLOW: lambda soak, fault: soak.store(fault, slow_seconds=0.3),
     GatewayFault.STORE_LOSES: lambda soak, fault: soak.store(fault, lose_answer=0.3),
-    GatewayFault.STORE_FORGETS: lambda soak, fault: _discard_store_history(soak),
+    GatewayFault.STORE_FORGETS: lambda soak, _: soak.system.forget_history(),
     GatewayFault.TARGET_FAILS: lambda soak, fault: soak.target(fault, status=500),
     GatewayFault.TARGET_HANGS: lambda soak, fault: soak.target(fault, hang_seconds=2),
     GatewayFault.TARGET_RESTARTS: GatewaySoak.restart_target,
@@ -297,13 +321,10 @@
     GatewayFault.ANSWERS_UNFRAMED: lambda s, f: s.target(f, unframed=True),
     GatewayFault.STREAMS_CLOSED: lambda s, f: s.break_streams(f, is_reset=False),
     GatewayFault.STREAMS_RESET: lambda s, f: s.break_streams(f, is_reset=True),
+    GatewayFault.PARTITION: GatewaySoak.partition,
 }
 
 
-def _discard_store_history(soak: GatewaySoak) -> None:
-    call(soak.system.platform.url, "POST", "/forget", {})
-
-
 def check(soak: GatewaySoak) -> list[str]:
     """Return all violations; called after all faults are cleared."""
     system = soak.system
@@ -311,6 +332,7 @@
     runs = system.runs([*system.engines, *system.plain])
     violations += check_history(soak.events, Counter(str(run[0]) for run in runs))
     violations += check_cut_streams(soak.events, runs)
+    violations += check_partitions(soak.tries, soak.partitions)
     violations += check_limits(soak.limited)
     violations += check_orders(soak.orders(), soak.resumed, HANDOVER_SECONDS)
     return violations + check_memory(system.gateways)
@@ -331,7 +353,8 @@
     """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        system = GatewaySystem(stack, folder)
+        has_paths = GatewayFault.PARTITION in kinds
+        system = GatewaySystem(stack, folder, has_paths)
         for number in range(len(system.gateways), gateways):
             system.start_gateway(f"n{number + 1}")
         soak = GatewaySoak(system, seed, seconds, kinds=kinds)
--- a/standins/tests/test_gateway_soak.py
+++ b/standins/tests/test_gateway_soak.py
@@ -7,6 +7,7 @@
     ALL_KINDS,
     FIRST_KINDS,
     HOLDER_KINDS,
+    PARTITION_KINDS,
     STREAM_KINDS,
     GatewayFault,
     plan_faults,
@@ -28,9 +29,10 @@
         ("kinds", "expected"),
         [
             (HOLDER_KINDS, [*GatewayFault][:21]),
-            (STREAM_KINDS, GatewayFault),
+            (STREAM_KINDS, [*GatewayFault][:24]),
+            (PARTITION_KINDS, GatewayFault),
         ],
-        ids=["holder", "streams"],
+        ids=["holder", "streams", "partition"],
     )
     def test_every_kind_of_fault_is_planned(self, kinds, expected):
         planned_kinds = {
