--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -12,8 +12,8 @@
 
 from runhatch_standins._cluster import call, free_ports
 from runhatch_standins._launch import Launched, launch
+from runhatch_standins._target_paths import PATHS_VARIABLE, TargetPaths
 from runhatch_standins._tcp_relay import TcpRelay
-from runhatch_standins.partitioned_gateway import UNREACHABLE_PORTS_VARIABLE
 
 Document = dict[str, Any]
 
@@ -67,6 +67,7 @@
     route("/plain/", "idempotent", "plain"),
     route("/once/", "non_idempotent", "plain"),
     route("/stream/", "stream", "engine"),
+    route("/resumable/", "stream", "engine", resumable=True),
 ]
 
 
@@ -92,6 +93,7 @@
     metrics: int
     broadcast: int
     forward: int
+    """The port on which it accepts requests forwarded by other gateways."""
     to_store: TcpRelay
 
 
@@ -99,13 +101,15 @@
     """A store, two engines, two plain targets and at least two gateways.
 
     Closing ``stack`` kills the processes; ``folder`` holds their settings files.
+    With ``has_paths``, gateways reach targets over ``paths``, which can be cut.
     """
 
-    def __init__(self, stack: ExitStack, folder: Path) -> None:
+    def __init__(self, stack: ExitStack, folder: Path, has_paths: bool = False) -> None:
         self._stack = stack
         self._folder = folder
         self._version = 0
         self._configuration: Document | None = None
+        self.paths = TargetPaths(stack, folder) if has_paths else None
         self.platform = self._register(launch("platform", "runhatch_standins.platform"))
         self.engines = [
             self.start_worker("engine", "m0,m1"),
@@ -126,20 +130,33 @@
         """Start a target of ``service`` that may serve ``models``."""
         arguments = ["--port", "0", "--store", self.platform.url]
         arguments += ["--service", service, "--models", models]
-        return self._register(launch("worker", "runhatch_standins.worker", *arguments))
+        worker = launch("worker", "runhatch_standins.worker", *arguments)
+        if self.paths is not None:
+            self.paths.add_target(worker.port)
+        return self._register(worker)
 
-    def start_gateway(self, name: str, module: str = "runhatch_platform") -> Gateway:
-        """Start a gateway, run by ``module``, and wait until it is ready.
+    def start_gateway(self, name: str) -> Gateway:
+        """Start a gateway and wait until it is ready.
 
         Raises ``RuntimeError`` if it is not ready within ``READY_SECONDS``.
         """
-        ports = free_ports(6)
+        ports = sorted(free_ports(6))
         relay = TcpRelay(self.platform.port)
         self._stack.callback(relay.close)
-        process = self._launch_gateway(name, ports, relay, module)
+        if self.paths is not None:
+            self.paths.add_gateway(name)
+        process = self._launch_gateway(name, ports, relay)
         front, ready, control, metrics, broadcast, forward = ports
         gate = Gateway(
-            name, process, front, ready, control, metrics, broadcast, forward, relay
+            name,
+            process,
+            front,
+            ready,
+            control,
+            metrics,
+            broadcast,
+            forward,
+            relay,
         )
         self.gateways.append(gate)
         if not wait_until(lambda: self.is_ready(gate)):
@@ -150,34 +167,11 @@
 
     def restart(self, gate: Gateway) -> None:
         """Restart the process of a gateway that has exited, on the same ports."""
-        ports = [
-            gate.front,
-            gate.ready,
-            gate.control,
-            gate.metrics,
-            gate.broadcast,
-            gate.forward,
-        ]
+        ports = [gate.front, gate.ready, gate.control, gate.metrics]
+        ports += [gate.broadcast, gate.forward]
         gate.process = self._launch_gateway(gate.name, ports, gate.to_store)
 
-    def cut_off(self, gate: Gateway, targets: Iterable[Launched]) -> None:
-        """Refuse new connections of ``gate`` to ``targets``, and to no others.
-
-        The gateway must run ``runhatch_standins.partitioned_gateway``.
-        """
-        ports = " ".join(str(target.port) for target in targets)
-        self._unreachable_ports_path(gate.name).write_text(ports)
-
-    def _unreachable_ports_path(self, name: str) -> Path:
-        return self._folder / f"{name}.unreachable"
-
-    def _launch_gateway(
-        self,
-        name: str,
-        ports: list[int],
-        relay: TcpRelay,
-        module: str = "runhatch_platform",
-    ) -> Launched:
+    def _launch_gateway(self, name: str, ports: list[int], relay: TcpRelay) -> Launched:
         front, ready, control, metrics, broadcast, forward = ports
         seeds = ", ".join(f'"127.0.0.1:{gate.control}"' for gate in self.gateways)
         path = self._folder / f"{name}.yaml"
@@ -196,8 +190,11 @@
         variables = {
             "RUNHATCH_NODE_FILE": str(path),
             "RUNHATCH_METRICS_PORT": str(metrics),
-            UNREACHABLE_PORTS_VARIABLE: str(self._unreachable_ports_path(name)),
         }
+        module = "runhatch_platform"
+        if self.paths is not None:
+            variables[PATHS_VARIABLE] = str(self.paths.file_of(name))
+            module = "runhatch_standins._gateway_process"
         launched = self._register(launch(name, module, variables=variables))
         self._gateway_processes.append(launched)
         return launched
@@ -240,6 +237,10 @@
         """Make the store copy its rows."""
         call(self.platform.url, "POST", "/copy", {})
 
+    def forget_history(self) -> None:
+        """Make the store discard its history of changes."""
+        call(self.platform.url, "POST", "/forget", {})
+
     def restore_store(self, away: float = 0.3) -> None:
         """Restore the store from its copy after ``away`` seconds of downtime."""
         call(self.platform.url, "POST", "/faults", {"down": True})
--- a/standins/src/runhatch_standins/gateway_soak.py
+++ b/standins/src/runhatch_standins/gateway_soak.py
@@ -16,30 +16,40 @@
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
-from dataclasses import dataclass, field
-from functools import partial
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from runhatch_standins._cluster import call
-from runhatch_standins._gateway_callers import ask
+from runhatch_standins._gateway_callers import PREFIXES, RESUMING_PREFIXES, ask
+from runhatch_standins._gateway_checks import (
+    RATE_LIMIT,
+    check_cut_streams,
+    check_limits,
+    check_memory,
+    check_recovery,
+)
 from runhatch_standins._gateway_faults import (
     ALL_KINDS,
     FIRST_KINDS,
+    FOREIGN_ENTRIES,
     HOLDER_KINDS,
+    KINDS,
+    PARTITION_KINDS,
+    STREAM_KINDS,
     GatewayFault,
     PlannedFault,
     plan_faults,
 )
-from runhatch_standins._gateways import (
-    MODELS,
-    ROUTES,
-    Gateway,
-    GatewaySystem,
-    route,
-    wait_until,
-)
-from runhatch_standins._history import Event, check_history
+from runhatch_standins._gateways import ROUTES, Gateway, GatewaySystem, route
+from runhatch_standins._history import Event, EventKind, check_history
 from runhatch_standins._order_checks import GivenOrder, check_orders, given_orders
+from runhatch_standins._partitions import (
+    Partition,
+    Try,
+    check_partitions,
+    cut_gateways,
+)
+from runhatch_standins._target_faults import TargetFaults
 from runhatch_standins._tcp_relay import LinkFault
 from runhatch_standins.demo import say
 
@@ -47,6 +57,8 @@
     "ALL_KINDS",
     "FIRST_KINDS",
     "HOLDER_KINDS",
+    "PARTITION_KINDS",
+    "STREAM_KINDS",
     "GatewayFault",
     "GatewaySoak",
     "plan_faults",
@@ -54,24 +66,14 @@
 ]
 
 CALLERS = 8
+PARTITION_CALLERS = 24
+"""Enough callers that more tries fail in a partition than are allowed to."""
 CALLER_TIMEOUT = 8.0
-RECOVERY_SECONDS = 15.0
 GRACE_SECONDS = 9.0
-RATE_LIMIT = 1.0
-"""Requests per second that a target with a rate limit accepts."""
 LIMIT_KNOWN_SECONDS = 3.0
 """Time within which all gateways must comply with a new rate limit."""
-MOST_MEMORY_KB = 300 * 1024
 HANDOVER_SECONDS = 3.0
 """Minimum time between the orders of two holders: the platform's ``lease_ms``."""
-KINDS = {"first": FIRST_KINDS, "all": ALL_KINDS, "holder": HOLDER_KINDS}
-FOREIGN: tuple[object, ...] = (
-    {"service": "plain"},
-    {"address": 7},
-    "text",
-    [],
-    {"state": "ready"},
-)
 
 
 @dataclass(slots=True)
@@ -90,17 +92,23 @@
     """URL of a target, and start and end of the time its rate limit must hold."""
     resumed: dict[str, list[float]] = field(default_factory=dict)
     """Monotonic times at which each paused gateway was resumed."""
+    tries: list[Try] = field(default_factory=list)
+    partitions: list[Partition] = field(default_factory=list)
+    target_faults: TargetFaults = field(default_factory=TargetFaults)
+    _kills: Counter[str] = field(default_factory=Counter)
+    """By gateway, twice its number of kills, odd while one is in progress."""
     _stop: threading.Event = field(default_factory=threading.Event)
     _locks: dict[str, threading.Lock] = field(default_factory=dict)
 
     def run(self) -> None:
         """Send requests and inject faults for ``seconds``, then clear the faults."""
-        self._locks = {gate.name: threading.Lock() for gate in self.system.gateways}
-        self._locks["store"] = threading.Lock()
-        self._locks["limits"] = threading.Lock()
+        names = [gate.name for gate in self.system.gateways]
+        names += ["store", "limits", "paths"]
+        self._locks = {name: threading.Lock() for name in names}
         started = time.monotonic()
         with ThreadPoolExecutor(64) as pool:
-            running = [pool.submit(self._run_caller, i) for i in range(CALLERS)]
+            callers = CALLERS if self.system.paths is None else PARTITION_CALLERS
+            running = [pool.submit(self._run_caller, i) for i in range(callers)]
             for planned in plan_faults(self.seed, self.seconds, self.kinds):
                 self._stop.wait(max(0.0, started + planned.at - time.monotonic()))
                 running.append(pool.submit(self._inject, planned))
@@ -112,22 +120,40 @@
     def _run_caller(self, caller: int) -> None:
         """Send requests on one connection until it closes, then open another."""
         rng = random.Random(self.seed * 1_000 + caller)
+        resumes = GatewayFault.STREAMS_CLOSED in self.kinds
+        prefixes = RESUMING_PREFIXES if resumes else PREFIXES
         connection: http.client.HTTPConnection | None = None
         for number in range(1_000_000):
             if self._stop.is_set():
                 return
             if connection is None:
-                port = rng.choice(self.system.gateways).front
+                gate = self._choose_gateway(rng, caller)
                 connection = http.client.HTTPConnection(
-                    "127.0.0.1", port, timeout=CALLER_TIMEOUT
+                    "127.0.0.1", gate.front, timeout=CALLER_TIMEOUT
                 )
-            event, reusable = ask(connection, rng, f"s{caller}-{number}")
+            kills, began = self._kills[gate.name], time.monotonic()
+            event, reusable = ask(connection, rng, f"s{caller}-{number}", prefixes)
+            was_killed = kills % 2 == 1 or self._kills[gate.name] != kills
+            if was_killed and not event.is_framed:
+                # The system closes the connections of a killed process normally.
+                event = replace(event, kind=EventKind.BROKEN)
             self.events.append(event)
+            if gate.process.process.poll() is None:
+                is_served = event.kind is EventKind.ANSWERED
+                self.tries.append(Try(gate.name, began, is_served))
             if not reusable:
                 connection.close()
                 connection = None
             time.sleep(rng.uniform(0, 0.05))
 
+    def _choose_gateway(self, rng: random.Random, caller: int) -> Gateway:
+        gateways = self.system.gateways
+        if self.system.paths is None:
+            return rng.choice(gateways)
+        # Gateways without targets close fewer connections, so that random choices
+        # would gather the callers there.
+        return gateways[caller % len(gateways)]
+
     def _inject(self, planned: PlannedFault) -> None:
         self.counts[planned.kind] += 1
         FAULTS[planned.kind](self, planned)
@@ -168,8 +194,11 @@
         self, gate: Gateway, number: signal.Signals, downtime: float
     ) -> None:
         with self._locks[gate.name]:
+            is_kill = number is signal.SIGKILL
+            self._kills[gate.name] += is_kill
             gate.process.signal(number)
             status = gate.process.process.wait(GRACE_SECONDS)
+            self._kills[gate.name] += is_kill
             if number is signal.SIGTERM and status != 0:
                 self.violations.append(
                     f"{gate.name} exited with status {status} after SIGTERM"
@@ -208,11 +237,26 @@
 
     def target(self, planned: PlannedFault, **faults: object) -> None:
         """Set ``faults`` of one target and clear them after the duration."""
+        with self.target_faults.hold(self._target_url(planned), **faults):
+            time.sleep(planned.lasts)
+
+    def _target_url(self, planned: PlannedFault) -> str:
         targets = [*self.system.engines, *self.system.plain]
-        url = targets[planned.subject % len(targets)].url
-        call(url, "POST", "/faults", faults)
-        time.sleep(planned.lasts)
-        call(url, "POST", "/faults", {})
+        return targets[planned.subject % len(targets)].url
+
+    def break_streams(self, planned: PlannedFault, is_reset: bool) -> None:
+        """Break off streams of one engine at random bytes."""
+        engines = self.system.engines
+        url = engines[planned.subject % len(engines)].url
+        self.target_faults.break_streams(url, planned.subject, planned.lasts, is_reset)
+
+    def partition(self, planned: PlannedFault) -> None:
+        """Cut some gateways, but not all, off from all targets."""
+        assert self.system.paths is not None
+        names = [gate.name for gate in self.system.gateways]
+        self.partitions.append(
+            cut_gateways(self.system.paths, planned, names, self._locks, self._stop)
+        )
 
     def restart_target(self, planned: PlannedFault) -> None:
         """Make one engine restart under the same name."""
@@ -222,7 +266,8 @@
     def write_foreign(self, planned: PlannedFault) -> None:
         """Write a malformed entry into the table of targets."""
         key = f"foreign-{planned.subject % 3}"
-        self.system.write_row("servers", key, FOREIGN[planned.subject % len(FOREIGN)])
+        entry = FOREIGN_ENTRIES[planned.subject % len(FOREIGN_ENTRIES)]
+        self.system.write_row("servers", key, entry)
 
     def restore_store(self, planned: PlannedFault) -> None:
         """Copy the store and restore it from that copy after the duration."""
@@ -235,8 +280,7 @@
 
     def limit(self, planned: PlannedFault) -> None:
         """Make a target announce a rate limit, and withdraw it later."""
-        targets = [*self.system.engines, *self.system.plain]
-        url = targets[planned.subject % len(targets)].url
+        url = self._target_url(planned)
         with self._locks["limits"]:
             call(url, "POST", "/rate_limit", {"named": str(RATE_LIMIT)})
             starts = time.monotonic() + LIMIT_KNOWN_SECONDS
@@ -263,7 +307,7 @@
     GatewayFault.STORE_SILENT: lambda soak, fault: soak.store(fault, silent=True),
     GatewayFault.STORE_SLOW: lambda soak, fault: soak.store(fault, slow_seconds=0.3),
     GatewayFault.STORE_LOSES: lambda soak, fault: soak.store(fault, lose_answer=0.3),
-    GatewayFault.STORE_FORGETS: lambda soak, fault: _discard_store_history(soak),
+    GatewayFault.STORE_FORGETS: lambda soak, _: soak.system.forget_history(),
     GatewayFault.TARGET_FAILS: lambda soak, fault: soak.target(fault, status=500),
     GatewayFault.TARGET_HANGS: lambda soak, fault: soak.target(fault, hang_seconds=2),
     GatewayFault.TARGET_RESTARTS: GatewaySoak.restart_target,
@@ -274,76 +318,24 @@
     GatewayFault.RATE_LIMIT: GatewaySoak.limit,
     GatewayFault.HOLDER_KILLED: lambda s, f: s.end_holder(f, signal.SIGKILL),
     GatewayFault.HOLDER_STOPPED: lambda s, f: s.end_holder(f, signal.SIGTERM),
+    GatewayFault.ANSWERS_UNFRAMED: lambda s, f: s.target(f, unframed=True),
+    GatewayFault.STREAMS_CLOSED: lambda s, f: s.break_streams(f, is_reset=False),
+    GatewayFault.STREAMS_RESET: lambda s, f: s.break_streams(f, is_reset=True),
+    GatewayFault.PARTITION: GatewaySoak.partition,
 }
 
 
-def _discard_store_history(soak: GatewaySoak) -> None:
-    call(soak.system.platform.url, "POST", "/forget", {})
-
-
 def check(soak: GatewaySoak) -> list[str]:
     """Return all violations; called after all faults are cleared."""
     system = soak.system
-    targets = [*system.engines, *system.plain]
-    violations = [*soak.violations, *_check_recovery(soak)]
-    runs = Counter(str(run[0]) for run in system.runs(targets))
-    violations += check_history(soak.events, runs)
-    violations += _check_limits(soak)
+    violations = [*soak.violations, *check_recovery(system, soak.versions)]
+    runs = system.runs([*system.engines, *system.plain])
+    violations += check_history(soak.events, Counter(str(run[0]) for run in runs))
+    violations += check_cut_streams(soak.events, runs)
+    violations += check_partitions(soak.tries, soak.partitions)
+    violations += check_limits(soak.limited)
     violations += check_orders(soak.orders(), soak.resumed, HANDOVER_SECONDS)
-    for gate in system.gateways:
-        memory = _peak_memory_kb(gate)
-        if memory > MOST_MEMORY_KB:
-            violations.append(f"{gate.name} used {memory} KB of memory")
-    return violations
-
-
-def _check_recovery(soak: GatewaySoak) -> list[str]:
-    """Return a violation per route that a gateway does not serve in time.
-
-    The route of the newest configuration is checked as well.
-    """
-    paths = [("/plain/x", ""), (f"/v{soak.versions}/x", "")]
-    paths += [("/stream/x", str(model["name"])) for model in MODELS]
-    return [
-        f"{gate.name} does not serve {path} {model}"
-        for i, gate in enumerate(soak.system.gateways)
-        for path, model in paths
-        if path != "/v0/x"
-        and not wait_until(
-            partial(_is_route_served, soak, i, path, model), RECOVERY_SECONDS
-        )
-    ]
-
-
-def _check_limits(soak: GatewaySoak) -> list[str]:
-    """Return a violation per target that received over 1.5 times its rate limit."""
-    violations = []
-    for url, starts, ends in soak.limited:
-        times = call(url, "GET", "/journal")["arrival_times"]
-        limited = [at for at in times if starts <= at <= ends]
-        peak = max(
-            (sum(at <= t < at + 4 for t in limited) for at in limited), default=0
-        )
-        if peak > 1.5 * RATE_LIMIT * 4 + 5:
-            violations.append(
-                f"{url} received {peak} requests in 4 s, limit {RATE_LIMIT} per second"
-            )
-    return violations
-
-
-def _is_route_served(soak: GatewaySoak, gate: int, path: str, model: str) -> bool:
-    method = "POST" if model else "GET"
-    try:
-        response, _ = soak.system.answer(path, method, gate=gate, model=model)
-    except (OSError, http.client.HTTPException):
-        return False
-    return response.status == 200
-
-
-def _peak_memory_kb(gate: Gateway) -> int:
-    status = Path(f"/proc/{gate.process.process.pid}/status").read_text()
-    peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-    return int(peak.split()[1])
+    return violations + check_memory(system.gateways)
 
 
 def soak_gateways(
@@ -361,12 +353,14 @@
     """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        system = GatewaySystem(stack, folder)
+        has_paths = GatewayFault.PARTITION in kinds
+        system = GatewaySystem(stack, folder, has_paths)
         for number in range(len(system.gateways), gateways):
             system.start_gateway(f"n{number + 1}")
         soak = GatewaySoak(system, seed, seconds, kinds=kinds)
         for target in (*system.engines, *system.plain):
-            call(target.url, "POST", "/faults", dict.fromkeys(planted.split(), True))
+            faults = dict.fromkeys(planted.split(), True)
+            stack.enter_context(soak.target_faults.hold(target.url, **faults))
         soak.run()
         soak.violations = check(soak)
         if logs is not None:
--- a/standins/tests/test_partitioned_gateway.py
+++ b/standins/tests/test_partitioned_gateway.py
@@ -8,6 +8,7 @@
 
 from runhatch_standins._cluster import call
 from runhatch_standins._gateways import GatewaySystem, wait_until
+from runhatch_standins._target_paths import PathFault
 
 SETTLE_SECONDS = 2.5
 """Time in which gateways discover each other and idle connections to targets end."""
@@ -19,8 +20,9 @@
 @pytest.fixture(scope="module")
 def running_system(tmp_path_factory):
     with ExitStack() as stack:
-        system = GatewaySystem(stack, tmp_path_factory.mktemp("gateways"))
-        system.start_gateway("n-cut", module="runhatch_standins.partitioned_gateway")
+        folder = tmp_path_factory.mktemp("gateways")
+        system = GatewaySystem(stack, folder, has_paths=True)
+        system.start_gateway("n-cut")
         time.sleep(SETTLE_SECONDS)
         yield system
 
@@ -29,9 +31,9 @@
 def system(running_system):
     """Return a system whose gateway ``n-cut`` reaches no target."""
     targets = [*running_system.plain, *running_system.engines]
-    running_system.cut_off(running_system.gateways[-1], targets)
+    running_system.paths.cut("n-cut", PathFault.RESET)
     yield running_system
-    running_system.cut_off(running_system.gateways[-1], [])
+    running_system.paths.cut("n-cut", PathFault.NONE)
     for target in targets:
         call(target.url, "POST", "/faults", {})
 
