Let the relay of a stream build its refusal

What a stream that broke before its first event is refused with follows from the relay's outcome, so it stands there and not in RequestRun, which only passes it on. No behaviour changes; test_truncated_answers.py passes.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -16,6 +16,7 @@
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._pace import StreamPace
 from runhatch_server.http import AbortedStreamError
+from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.targets import (
     AttemptReason,
     EventEndDetector,
@@ -25,6 +26,11 @@
 )
 
 EVENT_STREAM_TYPE = "text/event-stream"
+BROKEN_STREAM_REASONS = {
+    "caller_gone": Reason.CALLER_GONE,
+    "deadline_passed": Reason.DEADLINE_PASSED,
+}
+"""Reasons for refusing a stream that broke before its first part, by its outcome."""
 
 
 class Resumer(Protocol):
@@ -114,6 +120,11 @@
         self.has_begun = True
         return True
 
+    def build_refusal(self) -> Refusal:
+        """Return the refusal of a stream that broke before its first part."""
+        reason = BROKEN_STREAM_REASONS.get(self.outcome, Reason.TARGETS_FAILED)
+        return Refusal(reason, Executed.UNKNOWN)
+
     def close(self) -> None:
         """Release the target; the HTTP server calls this after success or failure."""
         self._chunks.close()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -42,11 +42,6 @@
 """Shortest wait for such an answer, as a multiple of the predicted time."""
 UNRUN_RETRY_DELAY = timedelta(milliseconds=250)
 """Retry delay for a caller whose request no target could run."""
-BROKEN_STREAM_REASONS = {
-    "caller_gone": Reason.CALLER_GONE,
-    "deadline_passed": Reason.DEADLINE_PASSED,
-}
-"""Reasons for refusing a stream that broke before its first part, by its outcome."""
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -372,7 +367,7 @@
         )
         if not relay.begin():
             relay.close()
-            return _refuse_broken_stream(relay)
+            return relay.build_refusal()
         head = opened.head
         return StreamAnswer(
             head.status, head.reason, head.forwarded, relay, relay.is_framed
@@ -383,7 +378,7 @@
             self._record_answer(relay.grant, relay.ended_framed)
         self.record.record_stream(relay.outcome, relay.pace)
         if not relay.has_begun:
-            self.record.status = _refuse_broken_stream(relay).reason.status
+            self.record.status = relay.build_refusal().reason.status
         self._parts.recorder.record(self.record)
 
     def _read_whole(
@@ -423,9 +418,3 @@
         self.record.record_attempt(grant, f"unknown_{reason.value}")
         self.record_no_answer(grant, reason)
         return self._decide_after_unknown(reason)
-
-
-def _refuse_broken_stream(relay: StreamRelay) -> Refusal:
-    """Return the refusal of a stream that broke before its first part."""
-    reason = BROKEN_STREAM_REASONS.get(relay.outcome, Reason.TARGETS_FAILED)
-    return Refusal(reason, Executed.UNKNOWN)
