Share the fakes of targets' answers between tests of runs

test_gateway_run.py and test_forwarded_runs.py had the same fake connection, answer and forwarder; they stand in run_cases.py now.

--- a/packages/runhatch-server/tests/test_forwarded_runs.py
+++ b/packages/runhatch-server/tests/test_forwarded_runs.py
@@ -13,14 +13,13 @@
     never_disconnected,
     seconds,
 )
+from run_cases import ScriptedForwarder, make_answer
 
 from runhatch_coordination import Vm
 from runhatch_server.crashes import CrashDetector
 from runhatch_server.gateway import RetryBounds
 from runhatch_server.gateway._answers import CompleteAnswer
 from runhatch_server.gateway._budget import WindowedRetryBudget
-from runhatch_server.gateway._forward import OpenedAnswer
-from runhatch_server.gateway._messages import AnswerHead
 from runhatch_server.gateway._peer_requests import ForwardedAttempt, _make_grant
 from runhatch_server.gateway._records import RequestRecorder
 from runhatch_server.gateway._run import RequestRun
@@ -40,46 +39,6 @@
 PEER_FAILED = Refusal(Reason.TARGETS_FAILED, Executed.UNKNOWN)
 
 
-class FakeConnection:
-    """Fake of a connection whose answer has arrived; it breaks if ``body`` is None."""
-
-    is_framed = True
-
-    def __init__(self, body):
-        self._body = body
-
-    def set_timeout(self, timeout):
-        pass
-
-    def read_body(self):
-        if self._body is None:
-            raise ConnectionResetError
-        return self._body
-
-
-def answer(status=200, body=b"ok"):
-    head = AnswerHead(status, "", "id", True, False, False, None, seconds(1), ())
-    return OpenedAnswer(FakeConnection(body), head)
-
-
-class ScriptedForwarder:
-    """Returns the next of ``results`` for each attempt at a target."""
-
-    def __init__(self, results):
-        self.results = list(results)
-        self.targets = []
-
-    def send(self, request, grant, until, caller_gone, resume_after=""):
-        self.targets.append(grant.target.name)
-        return self.results.pop(0)
-
-    def recycle_connection(self, opened):
-        pass
-
-    def discard_answer(self, opened):
-        pass
-
-
 class ScriptedPeers:
     """Returns the next of ``results`` for each forwarded request, then ``None``."""
 
@@ -136,12 +95,12 @@
     @pytest.mark.parametrize(
         ("kind", "direct", "forwarded", "status"),
         [
-            (NON_IDEMPOTENT, [UNREACHED], [answer()], 200),
-            (NON_IDEMPOTENT, [UNREACHED], [answer(500)], 500),
-            (IDEMPOTENT, [UNREACHED], [answer(500), answer()], 200),
-            (IDEMPOTENT, [UNREACHED], [BROKEN, answer()], 200),
-            (IDEMPOTENT, [UNREACHED], [PEER_FAILED, answer()], 200),
-            (IDEMPOTENT, [UNREACHED], [answer(body=None), answer()], 200),
+            (NON_IDEMPOTENT, [UNREACHED], [make_answer()], 200),
+            (NON_IDEMPOTENT, [UNREACHED], [make_answer(500)], 500),
+            (IDEMPOTENT, [UNREACHED], [make_answer(500), make_answer()], 200),
+            (IDEMPOTENT, [UNREACHED], [BROKEN, make_answer()], 200),
+            (IDEMPOTENT, [UNREACHED], [PEER_FAILED, make_answer()], 200),
+            (IDEMPOTENT, [UNREACHED], [make_answer(body=None), make_answer()], 200),
         ],
     )
     def test_request_is_answered(self, clock, kind, direct, forwarded, status):
@@ -159,7 +118,7 @@
             (NON_IDEMPOTENT, [TOO_BUSY], 503, Executed.NO),
             (NON_IDEMPOTENT, [BROKEN], 502, Executed.UNKNOWN),
             (NON_IDEMPOTENT, [PEER_FAILED], 502, Executed.UNKNOWN),
-            (NON_IDEMPOTENT, [answer(body=None)], 502, Executed.UNKNOWN),
+            (NON_IDEMPOTENT, [make_answer(body=None)], 502, Executed.UNKNOWN),
             (IDEMPOTENT, [BROKEN, BROKEN], 502, Executed.UNKNOWN),
             (IDEMPOTENT, [BROKEN, TOO_BUSY], 502, Executed.UNKNOWN),
         ],
@@ -174,7 +133,7 @@
         assert node.peers.sent == len(forwarded)
 
     def test_next_request_does_not_wait_for_a_connect(self, clock):
-        node = Node(clock, [UNREACHED], [answer(), answer()])
+        node = Node(clock, [UNREACHED], [make_answer(), make_answer()])
         node.run()
         node.run()
 
@@ -190,7 +149,7 @@
 
     def test_peer_is_not_taken_for_a_target(self, clock):
         """A peer that breaks off is no target that a request has crashed."""
-        node = Node(clock, [UNREACHED], [answer(body=None)])
+        node = Node(clock, [UNREACHED], [make_answer(body=None)])
         node.run()
         clock.advance(seconds(5))
         node.crashes.recheck_targets()
@@ -204,7 +163,7 @@
     """The node to which a request was forwarded."""
 
     def test_request_is_not_forwarded_again(self, clock):
-        node = Node(clock, [UNREACHED], [answer()])
+        node = Node(clock, [UNREACHED], [make_answer()])
         outcome = node.run(is_forwarded=True)
 
         assert outcome.reason is Reason.TARGETS_UNREACHABLE
@@ -220,17 +179,19 @@
 
         assert node.forwarder.targets == ["t1"]
 
-    @pytest.mark.parametrize("result", [BROKEN, answer(500), answer(body=None)])
+    @pytest.mark.parametrize(
+        "result", [BROKEN, make_answer(500), make_answer(body=None)]
+    )
     def test_request_that_may_have_run_is_not_retried(self, clock, result):
         """The first node counts the attempts and would add its own."""
-        node = Node(clock, [result, answer()], [])
+        node = Node(clock, [result, make_answer()], [])
         node.run(IDEMPOTENT, is_forwarded=True)
 
         assert node.forwarder.targets == ["t1"]
 
     @pytest.mark.parametrize("is_forwarded", [True, False])
     def test_forwarded_request_adds_no_retries_to_the_budget(self, clock, is_forwarded):
-        node = Node(clock, [answer()], [])
+        node = Node(clock, [make_answer()], [])
         service = GatewayService(node.parts, RetryBounds(10.0, 0, seconds(10)))
         request = make_request(clock, make_route(IDEMPOTENT), "plain", "")
         request = replace(request, is_forwarded=is_forwarded)
@@ -245,7 +206,7 @@
     def test_forwarded_request_is_logged_apart(
         self, clock, lines, is_forwarded, message
     ):
-        node = Node(clock, [answer()], [])
+        node = Node(clock, [make_answer()], [])
         lines.clear()
         node.run(is_forwarded=is_forwarded)
 
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -13,14 +13,13 @@
     never_disconnected,
     seconds,
 )
+from run_cases import ScriptedForwarder, make_answer
 
 from runhatch_server.crashes import CrashDetector
 from runhatch_server.decisions import TriedTargets
 from runhatch_server.gateway import RetryBounds
 from runhatch_server.gateway._answers import CompleteAnswer
 from runhatch_server.gateway._budget import WindowedRetryBudget
-from runhatch_server.gateway._forward import OpenedAnswer
-from runhatch_server.gateway._messages import AnswerHead
 from runhatch_server.gateway._records import RequestRecorder
 from runhatch_server.gateway._run import RequestRun
 from runhatch_server.gateway._run_parts import RunParts
@@ -43,45 +42,6 @@
 CALLER_GONE = UnknownResult(AttemptReason.CALLER_GONE)
 
 
-class FakeConnection:
-    """Fake of a connection whose answer has arrived; it breaks if ``body`` is None."""
-
-    def __init__(self, body, is_framed=True):
-        self._body = body
-        self.is_framed = is_framed
-
-    def set_timeout(self, timeout):
-        pass
-
-    def read_body(self):
-        if self._body is None:
-            raise ConnectionResetError
-        return self._body
-
-
-def answer(status=200, body=b"ok", is_framed=True):
-    head = AnswerHead(status, "", "id", True, False, False, None, seconds(1), ())
-    return OpenedAnswer(FakeConnection(body, is_framed), head)
-
-
-class ScriptedForwarder:
-    """Returns the next of ``results`` for each attempt."""
-
-    def __init__(self, results):
-        self._results = list(results)
-        self.targets = []
-
-    def send(self, request, grant, until, caller_gone, resume_after=""):
-        self.targets.append(grant.target.incarnation)
-        return self._results.pop(0)
-
-    def recycle_connection(self, opened):
-        pass
-
-    def discard_answer(self, opened):
-        pass
-
-
 def run(clock, kind, results, reserve=50, count=4, crashes=None, **route):
     targets = [make_target(f"t{i}", "plain", models=()) for i in range(count)]
     directory = make_directory(clock, *targets)
@@ -110,16 +70,16 @@
     @pytest.mark.parametrize(
         ("kind", "results", "sent", "status"),
         [
-            (IDEMPOTENT, [answer()], 1, 200),
-            (NON_IDEMPOTENT, [answer()], 1, 200),
-            (NON_IDEMPOTENT, [UNREACHED, UNREACHED, answer()], 3, 200),
-            (NON_IDEMPOTENT, [BUSY, answer()], 2, 200),
-            (IDEMPOTENT, [BROKEN, answer()], 2, 200),
-            (IDEMPOTENT, [answer(500), answer()], 2, 200),
-            (IDEMPOTENT, [answer(500), answer(500)], 2, 500),
-            (IDEMPOTENT, [answer(body=None), answer()], 2, 200),
-            (NON_IDEMPOTENT, [answer(500)], 1, 500),
-            (IDEMPOTENT, [answer(404)], 1, 404),
+            (IDEMPOTENT, [make_answer()], 1, 200),
+            (NON_IDEMPOTENT, [make_answer()], 1, 200),
+            (NON_IDEMPOTENT, [UNREACHED, UNREACHED, make_answer()], 3, 200),
+            (NON_IDEMPOTENT, [BUSY, make_answer()], 2, 200),
+            (IDEMPOTENT, [BROKEN, make_answer()], 2, 200),
+            (IDEMPOTENT, [make_answer(500), make_answer()], 2, 200),
+            (IDEMPOTENT, [make_answer(500), make_answer(500)], 2, 500),
+            (IDEMPOTENT, [make_answer(body=None), make_answer()], 2, 200),
+            (NON_IDEMPOTENT, [make_answer(500)], 1, 500),
+            (IDEMPOTENT, [make_answer(404)], 1, 404),
         ],
     )
     def test_request_is_answered(self, clock, kind, results, sent, status):
@@ -134,7 +94,7 @@
         ("kind", "results", "sent", "status", "executed"),
         [
             (NON_IDEMPOTENT, [BROKEN], 1, 502, Executed.UNKNOWN),
-            (NON_IDEMPOTENT, [answer(body=None)], 1, 502, Executed.UNKNOWN),
+            (NON_IDEMPOTENT, [make_answer(body=None)], 1, 502, Executed.UNKNOWN),
             (NON_IDEMPOTENT, [BUSY, BROKEN], 2, 502, Executed.UNKNOWN),
             (IDEMPOTENT, [BROKEN, BROKEN], 2, 502, Executed.UNKNOWN),
             (IDEMPOTENT, [BROKEN, BUSY, BUSY, BUSY], 4, 502, Executed.UNKNOWN),
@@ -165,7 +125,7 @@
         assert len(forwarder.targets) == 1
 
     def test_grants_are_released_after_failures(self, clock):
-        _, _, balancer = run(clock, IDEMPOTENT, [BROKEN, answer(500)])
+        _, _, balancer = run(clock, IDEMPOTENT, [BROKEN, make_answer(500)])
 
         assert balancer.loads.own() == {}
 
@@ -204,10 +164,9 @@
         assert seconds(3) <= outcome.retry_after <= seconds(3.75)
 
     def test_backoff_and_draining_in_answer_are_applied(self, clock):
-        head = replace(answer(503).head, backoff=seconds(3), draining=True)
-        _, _, balancer = run(
-            clock, NON_IDEMPOTENT, [OpenedAnswer(FakeConnection(b""), head)], count=1
-        )
+        answer = make_answer(503)
+        answer.head = replace(answer.head, backoff=seconds(3), draining=True)
+        _, _, balancer = run(clock, NON_IDEMPOTENT, [answer], count=1)
         refusal = balancer.acquire(
             make_request(clock, service="plain", model=""),
             TriedTargets(),
@@ -225,6 +184,6 @@
         """Its connection would have ended like this if it had crashed."""
         crashes = CrashDetector(clock, FakeTargets(), Metrics(), lambda: None)
 
-        run(clock, IDEMPOTENT, [answer(is_framed=is_framed)], crashes=crashes)
+        run(clock, IDEMPOTENT, [make_answer(is_framed=is_framed)], crashes=crashes)
 
         assert crashes.recheck_requested.is_set() is not is_framed
