Relay resets as resets in the stand-in relay

A target of that run resets streams, and the relay between it and the gateway closed the gateway's connection normally after a reset, which ends an answer without framing as a whole one: the product got no reset to pass on. Both cases of test_reset_is_relayed_as_a_reset failed on the relay before and pass. The check of the soak stays as it was.

--- a/standins/src/runhatch_standins/_tcp_relay.py
+++ b/standins/src/runhatch_standins/_tcp_relay.py
@@ -6,6 +6,7 @@
 import time
 from contextlib import suppress
 from enum import Enum
+from weakref import WeakSet
 
 CHUNK = 16_384
 NO_LINGER = struct.pack("ii", 1, 0)
@@ -33,6 +34,8 @@
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=512)
         self._lock = threading.Lock()
         self._open_sockets: set[socket.socket] = set()
+        self._reset_sockets: WeakSet[socket.socket] = WeakSet()
+        """Sockets whose connection, or the other end's, was reset."""
         self._not_frozen = threading.Event()
         self._not_frozen.set()
         self._fault = LinkFault.NONE
@@ -75,11 +78,16 @@
 
     def _reset_connections(self) -> None:
         with self._lock:
-            for sock in self._open_sockets:
-                with suppress(OSError):
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-                    # Ends the read in progress, whose thread closes the socket.
-                    sock.shutdown(socket.SHUT_RD)
+            self._reset(self._open_sockets)
+
+    def _reset(self, sockets: set[socket.socket]) -> None:
+        """Have ``sockets`` reset by the threads that relay their bytes."""
+        self._reset_sockets |= sockets
+        for sock in sockets:
+            with suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+                # Ends the read in progress, whose thread closes the socket.
+                sock.shutdown(socket.SHUT_RD)
 
     def _accept_connections(self) -> None:
         while True:
@@ -110,31 +118,43 @@
     def _relay_bytes(
         self, source: socket.socket, sink: socket.socket, is_response: bool
     ) -> None:
-        relayed = 0
-        with suppress(OSError):
-            while chunk := source.recv(CHUNK):
-                self._not_frozen.wait()
-                if is_response and self._fault is LinkFault.CUT_ANSWER:
-                    chunk = chunk[: max(0, self._response_limit - relayed)]
-                    relayed += len(chunk)
-                    sink.sendall(chunk)
-                    if relayed >= self._response_limit:
-                        break
-                    continue
-                if is_response:
-                    self._limit_bandwidth(len(chunk))
-                sink.sendall(chunk)
-                if is_response:
-                    self.answered += len(chunk)
+        try:
+            self._relay_until_end(source, sink, is_response)
+        except ConnectionResetError:
+            with self._lock:
+                self._reset({source, sink})
+        except OSError:
+            # The other thread has closed the connection.
+            pass
         with self._lock:
             self._open_sockets -= {source, sink}
-        if self._fault is LinkFault.RESET:
+            was_reset = source in self._reset_sockets
+        if was_reset:
             source.close()
             sink.close()
             return
         _close(source)
         _close(sink)
 
+    def _relay_until_end(
+        self, source: socket.socket, sink: socket.socket, is_response: bool
+    ) -> None:
+        relayed = 0
+        while chunk := source.recv(CHUNK):
+            self._not_frozen.wait()
+            if is_response and self._fault is LinkFault.CUT_ANSWER:
+                chunk = chunk[: max(0, self._response_limit - relayed)]
+                relayed += len(chunk)
+                sink.sendall(chunk)
+                if relayed >= self._response_limit:
+                    break
+                continue
+            if is_response:
+                self._limit_bandwidth(len(chunk))
+            sink.sendall(chunk)
+            if is_response:
+                self.answered += len(chunk)
+
     def _limit_bandwidth(self, size: int) -> None:
         """Sleep as long as ``size`` bytes take at the limited bandwidth."""
         if self._bytes_per_second is not None:
