--- a/packages/runhatch-server/src/runhatch_server/gateway/_lease_keeper.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_lease_keeper.py
@@ -80,7 +80,7 @@
 
 
 class LeaseKeeper:
-    """Renews, acquires or gives up the orders' lease of the node ``name``."""
+    """Renews, acquires or resigns the orders' lease of the node ``name``."""
 
     def __init__(
         self, name: str, orderer: Orderer, peers: LeasePeers, policy: LeasePolicy
--- a/packages/runhatch-server/tests/test_target_paths.py
+++ b/packages/runhatch-server/tests/test_target_paths.py
@@ -30,7 +30,7 @@
         self.probed = []
         self.closed = []
         self.connected = set()
-        # The port tells which target is probed.
+        # The port identifies the probed target.
         targets = [make_target(f"t{i}") for i in range(count)]
         self._names = {}
         for port, target in enumerate(targets):
@@ -89,7 +89,7 @@
         assert targets.paths.lacks_all(request)
 
     def test_open_connection_is_a_path(self, build):
-        """Connections may live on while new ones are refused."""
+        """Connections may stay open while new ones are refused."""
         targets = build(1)
         targets.connected.add("t0")
         targets.paths.record_failure("t0")
--- a/packages/runhatch-server/tests/truncated_answer_cases.py
+++ b/packages/runhatch-server/tests/truncated_answer_cases.py
@@ -49,7 +49,7 @@
 
 
 class Framing(Enum):
-    """How the head of a target's answer tells the end of the body."""
+    """How the head of a target's answer defines the end of the body."""
 
     LENGTH = "length"
     CHUNKED = "chunked"
--- a/standins/src/runhatch_standins/_target_paths.py
+++ b/standins/src/runhatch_standins/_target_paths.py
@@ -25,7 +25,7 @@
     NONE = "none"
     RESET = "open ones are reset, new ones refused"
     HANG = "open ones are silent, new ones hang"
-    NEW_REFUSED = "open ones live on, new ones are refused"
+    NEW_REFUSED = "open ones stay open, new ones are refused"
 
 
 LINK_FAULTS = {
--- a/standins/tests/test_partitioned_gateway.py
+++ b/standins/tests/test_partitioned_gateway.py
@@ -76,7 +76,7 @@
 
 
 def test_failed_forwarded_request_is_not_repeated(system):
-    """The peer may have sent it to a target, so that nobody knows if it ran."""
+    """The peer may have sent it to a target, so it is unknown whether it ran."""
     for target in system.plain:
         call(target.url, "POST", "/faults", {"status": 500})
 
