--- a/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
@@ -79,8 +79,8 @@
         """Return whether this node seems to have lost its paths to ``targets``.
 
         None of them has begun an answer for ``SILENCE_OF_LOST_PATHS``, and the latest
-        connects to at least half of them failed.  The backoff after a failed connect
-        limits how long it counts.
+        connects to at least half of them failed.  A failed connect counts until a probe
+        after its backoff succeeds or is overdue.
         """
         if len(targets) < MIN_TARGETS_TO_JUDGE:
             return False
