Set the answer before connecting in the test of a read's timeout

The raw target ends a connection for which it has no answer when it accepts it, and the test connected first and set the answer later.

--- a/packages/runhatch-server/tests/test_target_connections.py
+++ b/packages/runhatch-server/tests/test_target_connections.py
@@ -271,8 +271,10 @@
         # The sender notices the expiry when its next zero-window probe is due.
         assert time.monotonic() - started_at < 2 * self.MAX_CLOSE_TIME - 0.5
 
-    def test_timeout_of_a_read_is_no_reset(self, raw_target, connection):
+    def test_timeout_of_a_read_is_no_reset(self, raw_target, pool):
+        # The target ends connections that it accepts without an answer to send.
         raw_target.answers = [[HEAD + b"Content-Length: 2\r\n\r\n", b""]]
+        connection = pool.acquire(raw_target.target(), 4, seconds(1))
         send_request(connection)
         connection.set_timeout(seconds(0.05))
 
