Take ports of started processes from a block that nobody else uses

Cause: free_ports() bound port 0, which gives a port of the range for outgoing connections, and closed the socket. Until the started process bound that port, any connection of another process could get it.

Now each process keeps a block of 200 ports below that range for itself, by binding the first one, and gives them out in turn.

--- a/standins/src/runhatch_standins/_cluster.py
+++ b/standins/src/runhatch_standins/_cluster.py
@@ -2,7 +2,6 @@
 
 import http.client
 import json
-import socket
 import sys
 import tempfile
 import time
@@ -25,6 +24,7 @@
 from runhatch_platform import Store, StoreTable
 from runhatch_server.external_services import VMS_PARTITION
 from runhatch_standins._launch import Launched, launch
+from runhatch_standins._ports import free_ports
 from runhatch_standins._tcp_relay import TcpRelay
 
 DOMAINS = ("d1", "d2", "d3")
@@ -351,15 +351,6 @@
     }
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ``count`` different ports that are unused at the moment."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for unbound in sockets:
-            unbound.bind(("127.0.0.1", 0))
-        return [bound.getsockname()[1] for bound in sockets]
-
-
 def call(
     url: str,
     method: str,
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -10,8 +10,9 @@
 from typing import Any
 from urllib.request import urlopen
 
-from runhatch_standins._cluster import call, free_ports
+from runhatch_standins._cluster import call
 from runhatch_standins._launch import Launched, launch
+from runhatch_standins._ports import free_ports
 from runhatch_standins._target_paths import PATHS_VARIABLE, TargetPaths
 from runhatch_standins._tcp_relay import TcpRelay
 
