Announce a removal that was found by listing the table

After the store had lost its history, a reader listed the table and announced the version of the listing's newest row. If only a row had been removed, that version had been announced before, so the announcement was dropped: the nodes of the reader's domain got the removal, those of domains whose readers are silent didn't until they read by themselves.

A listing states no version for a removal. If the changes that it brings may remove rows, the version of the listing itself is announced now. Nodes that have the removal already ask for what they miss once and get no rows.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -307,10 +307,15 @@
         previous = self._replica.version
         if self._replica.offer(changes) is not OfferOutcome.APPLIED:
             return
-        if self._publish_since(previous, changes):
-            version = self._watcher.changed_version
-            if self._missing.record(version, "", self._known_version):
-                self._peers.publish_version(self.name, version)
+        update = self._publish_since(previous, changes)
+        if update is None:
+            return
+        version = self._watcher.changed_version
+        if previous is not None and changes.is_whole and _may_remove_rows(update):
+            # A listing doesn't state the version of a removal, only its own.
+            version = changes.version
+        if self._missing.record(version, "", self._known_version):
+            self._peers.publish_version(self.name, version)
 
     def record_reachability(self, reachable: bool, reason: str) -> None:
         """Record whether this node itself reaches the store."""
@@ -336,16 +341,16 @@
 
     def _publish_since(
         self, previous: StoreVersion | None, changes: TableChanges
-    ) -> bool:
+    ) -> TableChanges | None:
         """Publish what is new since ``previous`` after ``changes`` were applied.
 
-        Return whether any rows changed.
+        Return what was published, ``None`` if no rows changed.
         """
         update = changes if previous is None else self._replica.changes_since(previous)
         if update is None or not update.entries:
-            return False
+            return None
         self._peers.publish(self.name, update, self.reaches_store)
-        return True
+        return update
 
     def _choose_source(self) -> Source:
         """Return whether to read the store now, and why, or to wait for updates."""
@@ -432,6 +437,11 @@
                 self._listener.handle_outage(reason)
 
 
+def _may_remove_rows(changes: TableChanges) -> bool:
+    """Return whether a copy to which ``changes`` are applied may lose rows."""
+    return changes.is_whole or any(entry.value is None for entry in changes.entries)
+
+
 class _ReadForwarder:
     """Forwards what a watcher reads to its shared table."""
 
