Reopen the link to a peer that gets no heartbeats over it

A connection between two nodes may go silent for good without being closed, while new ones work. The node at its other end then suspects the sender and tells it so over its own link. The sender refuted the suspicion over the silent link, so the refutation was lost as well, and so was all else that it sent to this peer, until the kernel gave the connection up after many minutes.

Cause: only the receiver of a link times its heartbeats, and the sender took no conclusion from its report. Now a node that hears from a linked peer that it isn't alive replaces the connection to that peer before it refutes.

--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -129,9 +129,15 @@
             self._send_recorded_fact(recorded)
 
     def _apply_member(self, fact: Member, sender: Member) -> None:
-        """Apply a peer's fact; refute it if it says that this node is not alive."""
+        """Apply a peer's fact; refute it if it says that this node is not alive.
+
+        A linked peer that says so gets no heartbeats from this node: the connection may
+        have gone silent without being closed, and would then lose the refutation too.
+        """
         is_contradicted = self._membership.merge_facts([fact_from_message(fact)])
         if is_contradicted:
+            if self._links is not None:
+                self._links.reopen(sender.address)
             self.send(sender.address, self.own_member())
 
     def _send_recorded_fact(self, fact: MemberFact) -> None:
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -64,6 +64,9 @@
     def send(self, address: str, facts: list[Fact]) -> None:
         """Send ``facts`` to one address, linked or not."""
 
+    def reopen(self, address: str) -> None:
+        """Replace the connection to ``address``, if linked, by a new one."""
+
     def set_direct_peer(self, address: str) -> None:
         """Keep a link to ``address`` that only :meth:`send` uses."""
 
@@ -141,6 +144,18 @@
             temporary.put(fact)
         temporary.close()
 
+    def reopen(self, address: str) -> None:
+        """Replace the connection to ``address``, if linked, by a new one.
+
+        What was sent on a connection that no longer delivers anything is lost.
+        """
+        with self._lock:
+            link = self._links.get(address)
+            if link is None:
+                return
+            link.close()
+            self._links[address] = self._open(address, self._interval)
+
     def set_direct_peer(self, address: str) -> None:
         """Keep one link that only :meth:`send` uses; replaces the previous one.
 
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -54,6 +54,9 @@
     def send(self, address, facts):
         self.sent += [(address, fact) for fact in facts]
 
+    def reopen(self, address):
+        pass
+
     def set_direct_peer(self, address):
         self.held = address
 
--- a/standins/src/runhatch_standins/_peer_group.py
+++ b/standins/src/runhatch_standins/_peer_group.py
@@ -78,6 +78,9 @@
         else:
             self._send(address, facts, linked=False)
 
+    def reopen(self, address: str) -> None:
+        """Do nothing; connections never go silent here."""
+
     def set_direct_peer(self, address: str) -> None:
         """Do nothing; facts for unlinked peers are sent at once here."""
 
--- a/standins/src/runhatch_standins/_tcp_relay.py
+++ b/standins/src/runhatch_standins/_tcp_relay.py
@@ -20,6 +20,7 @@
     REFUSE = "refuse"
     FREEZE = "freeze"
     RESET = "reset"
+    SILENCE = "silence"
     CUT_ANSWER = "cut answer"
 
 
@@ -27,6 +28,8 @@
     """Relays connections to a loopback port, subject to the injected fault.
 
     ``CUT_ANSWER`` closes each connection after ``after`` bytes of its response.
+    ``SILENCE`` drops what the connections that are open carry from then on, for good,
+    while new ones work.
     """
 
     def __init__(self, target_port: int) -> None:
@@ -36,6 +39,7 @@
         self._open_sockets: set[socket.socket] = set()
         self._reset_sockets: WeakSet[socket.socket] = WeakSet()
         """Sockets whose connection, or the other end's, was reset."""
+        self._silent_sockets: WeakSet[socket.socket] = WeakSet()
         self._not_frozen = threading.Event()
         self._not_frozen.set()
         self._fault = LinkFault.NONE
@@ -59,6 +63,9 @@
             self._close_connections()
         if fault is LinkFault.RESET:
             self._reset_connections()
+        if fault is LinkFault.SILENCE:
+            with self._lock:
+                self._silent_sockets.update(self._open_sockets)
 
     def slow_down(self, bytes_per_second: float | None) -> None:
         """Limit the bandwidth of all responses together; ``None`` removes the limit."""
@@ -142,6 +149,8 @@
         relayed = 0
         while chunk := source.recv(CHUNK):
             self._not_frozen.wait()
+            if source in self._silent_sockets:
+                continue
             if is_response and self._fault is LinkFault.CUT_ANSWER:
                 chunk = chunk[: max(0, self._response_limit - relayed)]
                 relayed += len(chunk)
