Renew the direct link to the orderer every five seconds

Each node keeps a link to the orderer that carries only what is addressed to it, without heartbeats. If its connection goes silent for good, no node notices: the demand of this node's callers isn't known to the orderer until the lease changes hands or the kernel gives the connection up after many minutes.

The connection is now replaced once it is five seconds old, which costs one connection between nodes in that time and node; heartbeats would cost a message a second. What is queued is still sent on the old one.

test_direct_link_is_renewed fails on the code before, where the link is kept for good.

--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -165,6 +165,7 @@
             peering.max_message_bytes,
             peering.tls,
             self._on_invariant_error,
+            self._clock,
         )
         self._peers.attach_links(self._links)
         placement = self._settings.placement
--- a/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
-from runhatch_coordination import InvariantError
+from runhatch_coordination import Clock, InvariantError
 from runhatch_server.gateway._settings import Endpoint, GatewaySettings
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics
@@ -86,6 +86,7 @@
     peers: MemberExchange,
     metrics: Metrics,
     on_broken: OnInvariantError,
+    clock: Clock,
 ) -> PeerLinks:
     """Open the links to other nodes; they receive messages at once."""
     return PeerLinks(
@@ -97,6 +98,7 @@
         MAX_MESSAGE_BYTES,
         None,
         on_broken,
+        clock,
     )
 
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -364,7 +364,9 @@
         def on_broken(error: InvariantError) -> None:
             self._tasks.on_invariant_error(error)
 
-        self._links = open_links(self._settings, self._peers, self._metrics, on_broken)
+        self._links = open_links(
+            self._settings, self._peers, self._metrics, on_broken, self._clock
+        )
         self._peers.attach_links(self._links)
         broadcaster, listener = open_broadcast(
             self._settings, self._peers, self._metrics, on_broken
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -9,7 +9,7 @@
 import msgspec
 import pynng
 
-from runhatch_coordination import InvariantError
+from runhatch_coordination import Clock, InvariantError
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers._keys import PeerKeys, ReloadOutcome
 from runhatch_server.peers._messages import (
@@ -27,6 +27,9 @@
 SEND_TIMEOUT = timedelta(seconds=1)
 MIN_RECONNECT_INTERVAL = timedelta(milliseconds=200)
 MAX_RECONNECT_INTERVAL = timedelta(seconds=5)
+DIRECT_LINK_LIFETIME = timedelta(seconds=5)
+"""Time after which the direct link gets a new connection.  It carries no heartbeats, so
+no peer notices that its connection has gone silent without being closed."""
 QUEUE_LIMIT = 4_096
 MAX_UNREADABLE_LOGGED = 10
 """Unreadable messages logged with their cause; further ones are only counted."""
@@ -88,8 +91,10 @@
         max_message: int,
         tls: "PeerTls | None",
         on_invariant_error: Callable[[InvariantError], None],
+        clock: Clock,
     ) -> None:
         self._own = own
+        self._clock = clock
         self._on_broken = on_invariant_error
         self._on_envelope = on_envelope
         self._metrics = metrics
@@ -99,6 +104,7 @@
         self._links: dict[str, _Link] = {}
         self._direct_address = ""
         self._direct_link: _Link | None = None
+        self._direct_link_opened_at = timedelta()
         self._lock = threading.Lock()
         self._socket = pynng.Pull0()
         self._socket.recv_max_size = max_message
@@ -160,13 +166,17 @@
         """Keep one link that only :meth:`send` uses; replaces the previous one.
 
         An empty ``address`` closes it.  Without it, a node that sends to one address
-        several times a second would open a connection and a task each time.
+        several times a second would open a connection and a task each time.  Calls
+        with the same ``address`` renew the connection after ``DIRECT_LINK_LIFETIME``.
         """
+        now = self._clock.elapsed()
         with self._lock:
-            if address == self._direct_address:
+            is_old = now - self._direct_link_opened_at >= DIRECT_LINK_LIFETIME
+            if address == self._direct_address and not (address and is_old):
                 return
             previous, self._direct_link = self._direct_link, None
             self._direct_address = address
+            self._direct_link_opened_at = now
             if address:
                 self._direct_link = self._open(address, None)
         if previous is not None:
--- a/packages/runhatch-server/tests/test_peers.py
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -7,7 +7,8 @@
 import pytest
 import trustme
 
-from runhatch_coordination import Standing
+from runhatch_coordination import Standing, SystemClock
+from runhatch_coordination.testing import ManualClock
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
     Envelope,
@@ -17,6 +18,7 @@
     PeerLinks,
     RevisionNotice,
 )
+from runhatch_server.peers._links import DIRECT_LINK_LIFETIME
 from runhatch_server.settings import PeerTls
 
 
@@ -40,7 +42,7 @@
             return self._changed.wait_for(lambda: len(self.facts) >= count, seconds)
 
 
-def open_links(name, received, tls=None, interval=0.1):
+def open_links(name, received, tls=None, interval=0.1, clock=None):
     member = Member(name, "d1", "", 1, Standing.ALIVE)
     return PeerLinks(
         "127.0.0.1:0",
@@ -51,6 +53,7 @@
         1_000_000,
         tls,
         pytest.fail,
+        clock or SystemClock(),
     )
 
 
@@ -62,9 +65,9 @@
 def pair():
     opened = []
 
-    def make(tls_a=None, tls_b=None):
+    def make(tls_a=None, tls_b=None, clock_a=None):
         received = FactCollector()
-        a = open_links("a", FactCollector(), tls_a)
+        a = open_links("a", FactCollector(), tls_a, clock=clock_a)
         b = open_links("b", received, tls_b)
         opened.extend([a, b])
         received.links = b
@@ -124,6 +127,7 @@
                 1000,
                 None,
                 pytest.fail,
+                SystemClock(),
             )
 
     def test_direct_link_sends_only_facts_addressed_to_it(self, pair):
@@ -144,6 +148,27 @@
         a.set_direct_peer("")
         assert a._direct_link is None
 
+    def test_direct_link_is_renewed(self, pair):
+        """Its connection may be silent for good, and it carries no heartbeats."""
+        clock = ManualClock()
+        a, received = pair(clock_a=clock)
+        target = next(iter(a._links))
+        a.set_peers(frozenset())
+        a.set_direct_peer(target)
+        first_link = a._direct_link
+        a.send(target, [RevisionNotice(7)])
+        clock.advance(DIRECT_LINK_LIFETIME - timedelta(milliseconds=1))
+        a.set_direct_peer(target)
+        assert a._direct_link is first_link
+
+        clock.advance(timedelta(milliseconds=1))
+        a.set_direct_peer(target)
+        assert a._direct_link is not first_link
+        a.send(target, [RevisionNotice(8)])
+
+        assert received.wait(3)
+        assert {RevisionNotice(7), RevisionNotice(8)} < set(received.facts)
+
     def test_fact_to_unlinked_address(self, pair):
         """A fact can be sent to an address without a link."""
         a, received = pair()
--- a/standins/tests/test_silent_peer_links.py
+++ b/standins/tests/test_silent_peer_links.py
@@ -41,6 +41,7 @@
             1_000_000,
             None,
             pytest.fail,
+            SystemClock(),
         )
         self.exchange.attach_links(self._links)
         self._stopping = threading.Event()
