--- a/standins/tests/test_broken_off_streams.py
+++ b/standins/tests/test_broken_off_streams.py
@@ -117,6 +117,14 @@
         for worker in (*self._gateways.engines, *self._gateways.plain):
             call(worker.url, "POST", "/faults", faults)
 
+    def break_off_once(self, folder, unframed, at, is_reset):
+        self.set_faults(
+            unframed=unframed,
+            break_at=at,
+            break_by_reset=is_reset,
+            break_once_in=str(folder),
+        )
+
     def send(self, prefix, method="POST", model="m1"):
         """Send a request to the gateways in turn; return its id and the answer."""
         self._number += 1
@@ -244,6 +252,14 @@
         assert answer.body == f"/plain/{name} {name}".encode()
 
 
+def receive_resumed(system):
+    """Receive a whole stream that is broken off once; return its attempt id."""
+    name, answer = system.send("/resumable/")
+    assert answer.body == write_events(name, 1, TOKENS)
+    assert answer.looks_complete
+    return name
+
+
 class TestResumableStreams:
     """Streams that gateways resume at another target."""
 
@@ -258,17 +274,10 @@
     def test_stream_broken_off_is_resumed(
         self, system, tmp_path, at, unframed, is_reset
     ):
-        system.set_faults(
-            unframed=unframed,
-            break_at=at,
-            break_by_reset=is_reset,
-            break_once_in=str(tmp_path),
-        )
+        system.break_off_once(tmp_path, unframed, at, is_reset)
 
-        name, answer = system.send("/resumable/")
+        name = receive_resumed(system)
 
-        assert answer.body == write_events(name, 1, TOKENS)
-        assert answer.looks_complete
         assert system.count_runs(name) == 2
 
     @pytest.mark.parametrize(
@@ -279,17 +288,9 @@
     def test_stream_broken_off_between_events_is_resumed(
         self, system, tmp_path, unframed, is_reset
     ):
-        system.set_faults(
-            unframed=unframed,
-            break_at=BETWEEN_EVENTS,
-            break_by_reset=is_reset,
-            break_once_in=str(tmp_path),
-        )
-
-        name, answer = system.send("/resumable/")
+        system.break_off_once(tmp_path, unframed, BETWEEN_EVENTS, is_reset)
 
-        assert answer.body == write_events(name, 1, TOKENS)
-        assert answer.looks_complete
+        receive_resumed(system)
 
     def test_unframed_stream_closed_between_events_stays_unframed(self, system):
         system.set_faults(unframed=True, break_at=BETWEEN_EVENTS)
