Decode software versions of targets and resumed attempts

Targets publish the version of their software, and callers that continue a stream name the attempt that brought its first event. Neither was decoded.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_request.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_request.py
@@ -52,6 +52,11 @@
     deadline: timedelta
     work: ModelWork | None = None
     last_event_id: str = ""
+    """The last event that the caller has of a stream, empty for a new request."""
+    resumes: str = ""
+    """The caller's attempt that brought the first event of the stream to resume."""
+    software_version: str | None = None
+    """Only targets with this software version may serve it, ``None`` if all may."""
     configuration_version: int = 0
     """Version of the configuration that contains its route."""
     fingerprint: str = ""
@@ -76,6 +81,18 @@
             return self.deadline
         return min(self.deadline, self.received_at + patience)
 
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller continues a stream of which it has events."""
+        return self.route.resumable and bool(self.last_event_id)
+
+    @property
+    def stream_id(self) -> str:
+        """The caller's attempt that brought, or brings, the stream's first event."""
+        if self.is_resumption and self.resumes:
+            return self.resumes
+        return self.attempt_id
+
     @property
     def model(self) -> str:
         """The requested model, empty for plain services."""
--- a/packages/runhatch-server/src/runhatch_server/fleet/_targets.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_targets.py
@@ -67,6 +67,8 @@
     drains_in: timedelta | None = None
     started_at: datetime | None = None
     """``None`` if not published; the target then has a new name after each start."""
+    software_version: str = ""
+    """A stream can only be continued by a target with the version that began it."""
     incarnation: str = field(init=False)
     """Unique name of this incarnation."""
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -170,6 +170,7 @@
             deadline=received + time_left,
             work=caller.work,
             last_event_id=caller.last_event,
+            resumes=caller.resumes,
             configuration_version=routes.version,
             fingerprint=compute_fingerprint(method, host.lower(), uri, body),
         )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
@@ -12,13 +12,18 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerHeaders:
-    """Decoded headers of a caller; ``forwarded`` go to the target."""
+    """Decoded headers of a caller; ``forwarded`` go to the target.
+
+    ``resumes`` is the caller's attempt that brought the first event of the stream that
+    is to continue after ``last_event``.
+    """
 
     attempt_id: str
     time_left: timedelta | None
     work: ModelWork | None
     last_event: str
     forwarded: Headers
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/adapter/test_platform_decoding.py
+++ b/tests/adapter/test_platform_decoding.py
@@ -155,6 +155,9 @@
         assert target.copies.on_disk == {"m", "n"}
         assert target.drains_in == timedelta(seconds=2)
 
+    def test_software_version_is_decoded(self):
+        assert decode_target("i-1", encode_entry()).software_version == "v1"
+
     def test_restart_creates_a_new_incarnation_of_the_same_name(self):
         first = decode_target("i-1", encode_entry(born=1_790_867_255_463))
         again = decode_target("i-1", encode_entry(born=1_790_867_259_001))
@@ -333,6 +336,15 @@
 
         assert name not in dict(caller.forwarded)
 
+    @pytest.mark.parametrize(
+        ("headers", "resumes"), [({}, ""), ({"resumes": "id-1"}, "id-1")]
+    )
+    def test_attempt_that_brought_the_first_event_is_decoded(self, headers, resumes):
+        caller = PlatformHeaders().decode_caller({**self.HEADERS, **headers})
+
+        assert caller.resumes == resumes
+        assert dict(caller.forwarded).get("resumes", "") == resumes
+
     def test_other_headers_are_forwarded(self):
         caller = PlatformHeaders().decode_caller({**self.HEADERS, "x-own": "1"})
         passed = dict(caller.forwarded)
