--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -1,15 +1,12 @@
 """Build a gateway from its parts, run its tasks, and shut it down."""
 
 import threading
-import time
 from collections.abc import Callable
 from datetime import timedelta
 
 from runhatch_coordination import (
     InvariantError,
     Lease,
-    Membership,
-    Vm,
     rank_names,
 )
 from runhatch_server._progress import RequestCounter
@@ -34,6 +31,7 @@
     open_links,
     server_limits,
 )
+from runhatch_server.gateway._own_membership import build_membership
 from runhatch_server.gateway._peer_requests import PeerRequests
 from runhatch_server.gateway._peers import GatewayPeers
 from runhatch_server.gateway._platform import GatewayPlatform
@@ -52,8 +50,6 @@
 from runhatch_server.residency import DemandShare, Orderer
 from runhatch_server.routing import RouteTable
 
-SUSPICION_TIMEOUT = timedelta(seconds=3.5)
-"""Time without a heartbeat after which a peer is suspected: three are lost."""
 ORDERS_LEASE_NAME = "orders"
 LEASE_TTL = timedelta(seconds=2)
 """Allows two renewals to fail, and lets models be loaded again within a few seconds
@@ -126,7 +122,7 @@
             self._metrics,
             lambda: self._peers.suspects.send_updates(),
         )
-        self._membership = self._build_membership()
+        self._membership = build_membership(settings, self._clock)
         self._tables = self._build_tables()
         self._orderer = self._build_orderer()
         self._peers = GatewayPeers(
@@ -301,20 +297,6 @@
             is_for_peers,
         )
 
-    def _build_membership(self) -> Membership:
-        settings = self._settings
-        # A restarted node must supersede reports of its previous incarnation.
-        incarnation = int(time.time())
-        own = Vm(
-            settings.name,
-            settings.failure_domain,
-            str(settings.peers),
-            incarnation,
-            settings.broadcast_port,
-            settings.forward_port,
-        )
-        return Membership(own, self._clock, SUSPICION_TIMEOUT)
-
     def _build_tables(self) -> GatewayTables:
         drain = self._settings.drain
         tables = GatewayTables(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -7,12 +7,9 @@
 from runhatch_server.decisions import GatewayRequest, TriedTargets
 from runhatch_server.gateway._answers import CompleteAnswer, GatewayAnswer, StreamAnswer
 from runhatch_server.gateway._budget import WindowedRetryBudget
-from runhatch_server.gateway._forward import (
-    AttemptResult,
-    OpenedAnswer,
-)
+from runhatch_server.gateway._crash_records import record_answer, record_no_answer
+from runhatch_server.gateway._forward import AttemptResult, OpenedAnswer
 from runhatch_server.gateway._grant import Grant
-from runhatch_server.gateway._messages import AnswerHead
 from runhatch_server.gateway._peer_requests import (
     REASONS_OF_LOAD,
     ForwardedAttempt,
@@ -21,6 +18,7 @@
 from runhatch_server.gateway._records import RequestRecord
 from runhatch_server.gateway._relay import StreamRelay
 from runhatch_server.gateway._run_parts import RunParts
+from runhatch_server.gateway._target_signals import apply_target_signals
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind
 from runhatch_server.targets import (
@@ -103,27 +101,7 @@
 
     def record_no_answer(self, grant: Grant, reason: AttemptReason) -> None:
         """Record that the attempt of ``grant`` got no complete answer, and why."""
-        if grant.is_to_peer:
-            # The peer records it.
-            return
-        crashes, fingerprint = self._parts.crashes, self._request.fingerprint
-        if reason is AttemptReason.CONNECTION_BROKEN:
-            crashes.record_abort(fingerprint, grant.target.incarnation)
-        else:
-            crashes.record_abandoned(fingerprint, grant.target.incarnation)
-
-    def _record_answer(
-        self, grant: Grant, is_framed: bool, is_success: bool = True
-    ) -> None:
-        """Record an answer read to its end; the target failed unless ``is_success``."""
-        if grant.is_to_peer:
-            return
-        crashes, fingerprint = self._parts.crashes, self._request.fingerprint
-        target, sent_at = grant.target.incarnation, grant.granted_at
-        if is_framed:
-            crashes.record_answer(fingerprint, target, sent_at, is_success)
-        else:
-            crashes.record_unframed_answer(fingerprint, target, sent_at)
+        record_no_answer(self._parts.crashes, grant, reason)
 
     def _send(self, resume_after: str) -> tuple[Grant, OpenedAnswer] | Refusal:
         """Send the request until a target begins to answer, or return a refusal."""
@@ -162,7 +140,7 @@
             if isinstance(result, OpenedAnswer):
                 self._attempt_count += 1
                 self._parts.balancer.record_first_byte(grant)
-                self._apply_target_state(grant, result.head)
+                apply_target_signals(self._parts.balancer, grant, result.head)
                 took = self._parts.clock.elapsed() - grant.granted_at
                 self.record.record_first_byte(took)
                 self.record.record_attempt(grant, f"status_{result.head.status}")
@@ -255,7 +233,7 @@
                 return self._make_refusal(Reason.TARGETS_BUSY)
             case RefusedNotRun(reason):
                 self.record.record_attempt(grant, f"not_run_{reason.value}")
-                self._apply_target_state(grant, result)
+                apply_target_signals(balancer, grant, result)
                 if reason is AttemptReason.MODEL_MISSING:
                     balancer.release_misdirected(grant)
                 else:
@@ -272,25 +250,6 @@
             case _:
                 raise AssertionError(result)
 
-    def _apply_target_state(
-        self, grant: Grant, answer: AnswerHead | RefusedNotRun
-    ) -> None:
-        """Apply drain, backoff and rate limit in an answer.
-
-        They override the target's entry in the store.
-        """
-        balancer = self._parts.balancer
-        backoff = (
-            answer.retry_after if isinstance(answer, RefusedNotRun) else answer.backoff
-        )
-        if answer.draining:
-            balancer.record_draining(grant)
-        if backoff is not None:
-            balancer.back_off_target(grant, backoff)
-        balancer.limits.apply_answer(
-            grant.target.incarnation, answer.rate_limit, grant.granted_at
-        )
-
     def _decide_after_unrun(self, reason: AttemptReason) -> Refusal | None:
         self._unrun_count += 1
         is_missing = reason is AttemptReason.MODEL_MISSING
@@ -375,7 +334,7 @@
 
     def _record_stream(self, relay: StreamRelay) -> None:
         if relay.outcome == "answered":
-            self._record_answer(relay.grant, relay.ended_framed)
+            record_answer(self._parts.crashes, relay.grant, relay.ended_framed)
         self.record.record_stream(relay.outcome, relay.pace)
         if not relay.has_begun:
             self.record.status = relay.build_refusal().reason.status
@@ -400,7 +359,7 @@
         self._parts.forwarder.recycle_connection(opened)
         failed = head.status >= MIN_SERVER_ERROR_STATUS
         self._parts.balancer.release(grant, target_failed=failed)
-        self._record_answer(grant, is_framed, is_success=not failed)
+        record_answer(self._parts.crashes, grant, is_framed, is_success=not failed)
         self._tried_targets = self._tried_targets.with_failure(grant.target.incarnation)
         if failed:
             self._may_have_run = True
