Continue streams only at the software version that began them

Callers saw streams with events of two software versions of one service: a stream that broke off went on at any target with its model, in the same answer, over a caller's attempts and over a hop. Targets don't check this.

A request is limited to a version from its first event on, and a caller's resumption to the version recorded for the attempt that it names in its header. A version that is neither recorded nor the only one is not guessed: the request is refused as not run. A node states the version that it requires to a peer, which states the version that began the answer.

--- a/packages/runhatch-cli/src/runhatch_cli/_explain.py
+++ b/packages/runhatch-cli/src/runhatch_cli/_explain.py
@@ -33,6 +33,8 @@
 HIDDEN_FIELDS = ("level", "task_uuid", "task_level", "timestamp", "message_type")
 CAUSES_BY_OUTCOME = {
     "answered": "It was answered.",
+    "stream_unknown": "It resumed a stream, and the node did not know which software "
+    "version began it. A target of another version must not continue it.",
     "no_replica": "No target had its model loaded, and none would have in time.",
     "no_target": "No target of its service accepted requests.",
     "goal_unmeetable": "All targets with its model were too busy to meet its goal.",
--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -46,6 +46,10 @@
     PromptPart,
 )
 from runhatch_server.decisions._scoring import HeldRequest, ScoredTarget, Scorer
+from runhatch_server.decisions._software_versions import (
+    find_sole_version,
+    select_version,
+)
 from runhatch_server.decisions._spread import WorkDistribution, distribute_work
 from runhatch_server.decisions._suspects import ObservedEnd, Suspects
 
@@ -85,6 +89,8 @@
     "Work",
     "WorkDistribution",
     "distribute_work",
+    "find_sole_version",
+    "select_version",
     "Suspects",
     "TargetLoad",
     "MIN_RATE",
--- a/packages/runhatch-server/src/runhatch_server/decisions/_request.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_request.py
@@ -86,13 +86,6 @@
         """Whether the caller continues a stream of which it has events."""
         return self.route.resumable and bool(self.last_event_id)
 
-    @property
-    def stream_id(self) -> str:
-        """The caller's attempt that brought, or brings, the stream's first event."""
-        if self.is_resumption and self.resumes:
-            return self.resumes
-        return self.attempt_id
-
     @property
     def model(self) -> str:
         """The requested model, empty for plain services."""
--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -80,7 +80,8 @@
         self._ready: defaultdict[str, dict[str, Target]] = defaultdict(dict)
         """Ready targets by service and incarnation, in order of incarnation."""
         self._by_service: dict[str, tuple[Target, ...]] = {}
-        self._reachable = True
+        self.is_reachable = True
+        """Whether the store sends updates at present."""
         self._reachable_since = clock.elapsed()
         self._restored_at = timedelta(days=-1)
         self.is_listed = False
@@ -124,13 +125,13 @@
         """Record that the store sends no updates from now on."""
         log_change("targets_unreachable", why=reason)
         with self.update_condition:
-            self._reachable = False
+            self.is_reachable = False
 
     def handle_recovery(self) -> None:
         """Record that the store sends updates again."""
         log_change("targets_reachable")
         with self.update_condition:
-            self._reachable = True
+            self.is_reachable = True
             self._reachable_since = self._clock.elapsed()
 
     def remove_expired(self) -> None:
@@ -234,13 +235,19 @@
             and not self._lacks_model(target.incarnation, model, adapter)
         ]
 
-    def earliest_load(self, service: str, model: str) -> ExpectedLoad | None:
-        """Return the load of ``model`` in progress that ends first, if any."""
+    def earliest_load(
+        self, service: str, model: str, software_version: str | None = None
+    ) -> ExpectedLoad | None:
+        """Return the load of ``model`` in progress that ends first, if any.
+
+        Only targets with ``software_version`` count, unless it is ``None``.
+        """
         loads = [
             load
             for target in self.ready_targets(service)
             for load in self._expected_loads.get(target.incarnation, ())
             if load.model == model
+            and software_version in (None, target.software_version)
         ]
         return min(loads, key=lambda load: load.ready_at, default=None)
 
@@ -313,7 +320,7 @@
         if key not in self._targets:
             self._ignored_entries.pop(key, None)
             return
-        if not self._reachable or now < grace_end:
+        if not self.is_reachable or now < grace_end:
             self._missing_until.setdefault(key, max(now, grace_end))
             return
         self._remove(key, "removed from the store")
--- a/packages/runhatch-server/src/runhatch_server/gateway/_answers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_answers.py
@@ -31,6 +31,8 @@
     headers: Headers
     events: StreamRelay
     is_framed: bool
+    software_version: str | None = None
+    """Software version of the target that began it, ``None`` if not known."""
 
 
 GatewayAnswer = CompleteAnswer | StreamAnswer
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -7,12 +7,13 @@
 
 from runhatch_coordination import Clock
 from runhatch_server._progress import RequestCounter
-from runhatch_server.decisions import GatewayRequest, compute_fingerprint
+from runhatch_server.decisions import GatewayRequest, Headers, compute_fingerprint
 from runhatch_server.gateway._answers import CompleteAnswer, GatewayAnswer, StreamAnswer
 from runhatch_server.gateway._messages import HeaderCodec, InvalidHeader
 from runhatch_server.gateway._peer_headers import (
     apply_forwarded,
     decode_forwarded,
+    encode_peer_answer,
     encode_peer_refusal,
 )
 from runhatch_server.gateway._service import GatewayService
@@ -86,7 +87,7 @@
             if not answer.is_framed:
                 omit_framing(environ)
             if isinstance(answer, StreamAnswer):
-                start_response(status, [*answer.headers])
+                start_response(status, [*self._build_stream_headers(answer)])
                 is_streaming = True
                 return ClosingEvents(answer.events, self._progress.record_end)
             close_connection = self.draining or not answer.is_framed
@@ -176,6 +177,11 @@
         )
         return request if forwarded is None else apply_forwarded(request, forwarded)
 
+    def _build_stream_headers(self, answer: StreamAnswer) -> Headers:
+        if not self._is_for_peers:
+            return answer.headers
+        return encode_peer_answer(answer.headers, answer.software_version)
+
     def _build_refusal(
         self, refusal: Refusal, headers: Mapping[str, str]
     ) -> CompleteAnswer:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -32,10 +32,12 @@
 from runhatch_server.fleet import Target, TargetDirectory
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._held import HeldRequests, HoldDecision
+from runhatch_server.gateway._holders import find_holders, find_ready_targets
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._refusal_builder import (
     RefusalBuilder,
     missing_model_retry_delay,
+    missing_target_retry_delay,
 )
 from runhatch_server.gateway._search import (
     NoPermit,
@@ -259,9 +261,7 @@
 
         Returns ``None`` if one may accept it, or if no target holds the model.
         """
-        holders = self._directory.holders(
-            request.service, request.model, request.adapter
-        )
+        holders = find_holders(self._directory, request, request.adapter)
         if not holders:
             return None
         with self._lock:
@@ -340,11 +340,10 @@
     ) -> Grant | Refusal | HoldDecision | PermitNeeded:
         request = search.request
         service = self._services.get(request.service)
-        if service is None or not self._directory.ready_targets(request.service):
-            return self._refusal_builder.refuse(Reason.NO_TARGET)
-        holders = self._directory.holders(
-            request.service, request.model, request.adapter
-        )
+        if service is None or not find_ready_targets(self._directory, request):
+            delay = missing_target_retry_delay(request)
+            return self._refusal_builder.refuse(Reason.NO_TARGET, delay)
+        holders = find_holders(self._directory, request, request.adapter)
         if not holders:
             decision = self._held_requests.decide(request, search.place)
             if isinstance(decision, HoldDecision):
--- a/packages/runhatch-server/src/runhatch_server/gateway/_grant.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_grant.py
@@ -28,3 +28,12 @@
     pause_ms: float
     max_connections: int
     is_to_peer: bool = False
+    peer_software_version: str | None = None
+    """Software version of the target that a peer chose, ``None`` if not stated."""
+
+    @property
+    def software_version(self) -> str | None:
+        """Software version of the target that serves the request, if known."""
+        if self.is_to_peer:
+            return self.peer_software_version
+        return self.target.software_version
--- a/packages/runhatch-server/src/runhatch_server/gateway/_held.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_held.py
@@ -18,6 +18,7 @@
     OutstandingRequest,
 )
 from runhatch_server.fleet import TargetDirectory
+from runhatch_server.gateway._holders import find_holders
 from runhatch_server.refusals import Reason
 
 ADAPTER_WAIT = timedelta(milliseconds=400)
@@ -89,11 +90,13 @@
     ) -> HoldDecision | LoadTooLate:
         """Decide whether to hold a request whose model or adapter no target holds."""
         now = self._clock.elapsed()
-        model_holders = self._directory.holders(request.service, request.model, "")
+        model_holders = find_holders(self._directory, request, adapter="")
         if model_holders and request.adapter:
             until = request.received_at + min(ADAPTER_WAIT, request.route.goal / 2)
             return HoldDecision(until, Reason.NO_REPLICA)
-        expected_load = self._directory.earliest_load(request.service, request.model)
+        expected_load = self._directory.earliest_load(
+            request.service, request.model, request.software_version
+        )
         if expected_load is None:
             plan_wait = max(PLAN_WAIT, request.route.goal * PLAN_WAIT_SHARE)
             return HoldDecision(request.received_at + plan_wait, Reason.NO_REPLICA)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -40,6 +40,7 @@
 from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.gateway._settings import GatewaySettings
+from runhatch_server.gateway._stream_versions import StreamVersions
 from runhatch_server.gateway._tables import (
     COALESCING_WINDOW,
     GatewayTables,
@@ -125,6 +126,9 @@
         self._membership = build_membership(settings, self._clock)
         self._tables = self._build_tables()
         self._orderer = self._build_orderer()
+        self._stream_versions = StreamVersions(
+            self._clock, self._directory.all, self._learns_of_targets
+        )
         self._peers = GatewayPeers(
             self._membership,
             self._clock,
@@ -281,6 +285,7 @@
             RequestRecorder(self._metrics, self._clock),
             self._crashes,
             self._clock,
+            self._stream_versions,
             self._peer_requests,
         )
         return GatewayService(parts, self._settings.retries)
@@ -359,11 +364,16 @@
         self._balancer.configure(routes.services, routes.max_gaps)
         self._orderer.declare(routes.services)
         self._servers[0].set_limits(server_limits(routes.configuration.limits))
+        self._stream_versions.extend_stream_age(routes.max_stream_age)
         self._app.routes = routes
         self._forward_app.routes = routes
         if self._forward_server is not None:
             self._forward_server.set_limits(forward_limits(routes.configuration.limits))
 
+    def _learns_of_targets(self) -> bool:
+        """Return whether the store or peers publish new targets to this node."""
+        return self._directory.is_reachable or len(self._membership.alive()) > 1
+
     def _record_demand(self, request: GatewayRequest) -> None:
         self._demand.count_request(request, self._balancer.prompt_work_ms(request))
 
@@ -414,6 +424,8 @@
         known = frozenset(target.incarnation for target in self._directory.all())
         self._pool.close_expired(known | self._peer_requests.known_names())
         self._peer_requests.remove_expired()
+        self._stream_versions.observe_targets()
+        self._stream_versions.remove_expired()
         self._balancer.delete_unknown_targets()
         self._limits.remove_expired(known.__contains__)
         ready = [target for target in self._directory.all() if target.is_ready]
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peer_headers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peer_headers.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from urllib.parse import quote, unquote
 
 from runhatch_server.decisions import GatewayRequest, Headers
 from runhatch_server.gateway._messages import AnswerHead
@@ -16,13 +17,16 @@
 """Time since the node received the request from the caller."""
 SERVICE_HEADER = "gateway-request-service"
 """The service that the node chose for the request."""
+VERSION_HEADER = "gateway-request-software-version"
+"""The software version of the targets that may serve the request, percent-encoded; in
+an answer, that of the target that began it."""
 REFUSAL_HEADER = "gateway-refusal"
 """The code of the reason for which the peer refused the request."""
 EXECUTED_HEADER = "gateway-refusal-executed"
 """Whether the refused request may have run."""
 RETRY_AFTER_HEADER = "retry-after"
 
-REQUEST_HEADERS = frozenset({AGE_HEADER, SERVICE_HEADER})
+REQUEST_HEADERS = frozenset({AGE_HEADER, SERVICE_HEADER, VERSION_HEADER})
 REASONS = {reason.code: reason for reason in Reason}
 
 
@@ -32,6 +36,7 @@
 
     age: timedelta
     service: str
+    software_version: str | None = None
 
 
 def encode_forwarded(
@@ -40,7 +45,8 @@
     """Return ``headers`` of ``request`` with those for the peer that receives it."""
     kept = tuple(pair for pair in headers if pair[0].lower() not in REQUEST_HEADERS)
     age_ms = round((now - request.received_at) / timedelta(milliseconds=1))
-    return (*kept, (AGE_HEADER, str(age_ms)), (SERVICE_HEADER, request.service))
+    stated = (*kept, (AGE_HEADER, str(age_ms)), (SERVICE_HEADER, request.service))
+    return (*stated, *_encode_version(request.software_version))
 
 
 def decode_forwarded(headers: Mapping[str, str]) -> ForwardedBy | None:
@@ -49,7 +55,9 @@
     if not age.isdecimal():
         return None
     return ForwardedBy(
-        timedelta(milliseconds=int(age)), headers.get(SERVICE_HEADER, "")
+        timedelta(milliseconds=int(age)),
+        headers.get(SERVICE_HEADER, ""),
+        _decode_version(headers.get(VERSION_HEADER)),
     )
 
 
@@ -72,9 +80,24 @@
         goal_at=min(received_at + request.route.goal, deadline),
         deadline=deadline,
         is_forwarded=True,
+        software_version=by.software_version,
     )
 
 
+def encode_peer_answer(headers: Headers, software_version: str | None) -> Headers:
+    """Return ``headers`` of an answer with the version of the target that began it."""
+    kept = tuple(pair for pair in headers if pair[0].lower() != VERSION_HEADER)
+    return (*kept, *_encode_version(software_version))
+
+
+def decode_peer_answer(head: AnswerHead) -> tuple[AnswerHead, str | None]:
+    """Return ``head`` as the target sent it, and the version that the peer states."""
+    headers = {name.lower(): value for name, value in head.forwarded}
+    kept = tuple(pair for pair in head.forwarded if pair[0].lower() != VERSION_HEADER)
+    version = _decode_version(headers.get(VERSION_HEADER))
+    return replace(head, forwarded=kept), version
+
+
 def encode_peer_refusal(refusal: Refusal) -> Headers:
     """Return the headers by which the forwarding node recognizes ``refusal``."""
     return (
@@ -100,6 +123,16 @@
     )
 
 
+def _encode_version(software_version: str | None) -> Headers:
+    if software_version is None:
+        return ()
+    return ((VERSION_HEADER, quote(software_version, safe="")),)
+
+
+def _decode_version(value: str | None) -> str | None:
+    return None if value is None else unquote(value)
+
+
 def _decode_retry_after(value: str | None) -> timedelta | None:
     try:
         return None if value is None else timedelta(seconds=float(value))
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peer_requests.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peer_requests.py
@@ -14,6 +14,7 @@
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._messages import HeaderCodec
 from runhatch_server.gateway._peer_headers import (
+    decode_peer_answer,
     decode_peer_refusal,
     encode_forwarded,
 )
@@ -35,6 +36,7 @@
         Reason.STOPPING,
         Reason.CONFIGURATION_BEHIND,
         Reason.NO_ROUTE,
+        Reason.STREAM_UNKNOWN,
     }
 )
 """Reasons that concern the peer, not the request or the targets."""
@@ -219,6 +221,8 @@
             self._pool.discard(connection)
             unknown = UnknownResult(AttemptReason.WRONG_ANSWER)
             return ForwardedAttempt(grant, unknown)
+        head, version = decode_peer_answer(head)
+        grant = replace(grant, peer_software_version=version)
         return ForwardedAttempt(grant, OpenedAnswer(connection, head))
 
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -31,6 +31,8 @@
         """The target whose answer led to the refusal."""
         self.is_framed: bool | None = None
         """Whether the last answer that began stated where its body ends."""
+        self.software_version: str | None = None
+        """Software version of the target that began the stream, if recorded."""
         self.pace = StreamPace()
         self.first_byte_latency: timedelta | None = None
 
@@ -161,6 +163,8 @@
             in_time=record.is_in_time(now),
             retry_after=_to_seconds(record.retry_after),
             refused_by=record.refused_by,
+            resumes=request.resumes if request.is_resumption else "",
+            software_version=record.software_version,
             configuration=request.configuration_version,
         )
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_refusal_builder.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_refusal_builder.py
@@ -12,6 +12,9 @@
 """Retry delay for a model that no target holds; the longer one applies if the route's
 goal leaves time for a load.  A load from a target's disk takes two seconds, and
 callers wait for a retry at most a third of the time that they have."""
+MISSING_VERSION_RETRY_DELAY = timedelta(seconds=2)
+"""Retry delay for a stream whose software version no target has: one may come back by a
+restart, which takes longer than the shortest delay."""
 MIN_RETRY_DELAY = timedelta(milliseconds=250)
 MAX_RETRY_DELAY = timedelta(seconds=4)
 """Bounds of the retry delay: earlier, little has changed at a target, and callers that
@@ -62,3 +65,10 @@
     if request.route.goal < HURRIED_GOAL:
         return MISSING_MODEL_RETRY_DELAY
     return LONG_GOAL_MISSING_MODEL_RETRY_DELAY
+
+
+def missing_target_retry_delay(request: GatewayRequest) -> timedelta:
+    """Return the retry delay for a request that no target may serve."""
+    if request.software_version is None:
+        return timedelta()
+    return MISSING_VERSION_RETRY_DELAY
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -39,6 +39,9 @@
     def resume(self, after: str) -> tuple[Grant, OpenedAnswer] | None:
         """Return an answer that continues after event ``after``, or ``None``."""
 
+    def record_begun(self, grant: Grant) -> None:
+        """Record that the target of ``grant`` sent the first event of the stream."""
+
     def record_no_answer(self, grant: Grant, reason: AttemptReason) -> None:
         """Record that the attempt of ``grant`` got no complete answer, and why."""
 
@@ -86,6 +89,7 @@
         self._last_event_id = request.last_event_id
         self._last_event_has_id = True
         """Whether the stream can be resumed without sending an event again."""
+        self._has_event = False
         self._holds_target = True
         self._first_part: bytes | None = None
         self.has_begun = False
@@ -197,6 +201,9 @@
                 self._last_event_has_id = True
             elif has_data(event):
                 self._last_event_has_id = False
+            if not self._has_event and (found_id or has_data(event)):
+                self._has_event = True
+                self._resumer.record_begun(self._grant)
         return b"".join(events)
 
     def _resume(self) -> bool:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -18,6 +18,11 @@
 from runhatch_server.gateway._records import RequestRecord
 from runhatch_server.gateway._relay import StreamRelay
 from runhatch_server.gateway._run_parts import RunParts
+from runhatch_server.gateway._stream_resumption import (
+    record_begun_stream,
+    require_begun_version,
+    require_resumed_version,
+)
 from runhatch_server.gateway._target_signals import apply_target_signals
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind
@@ -67,6 +72,10 @@
 
     def answer(self) -> GatewayAnswer | Refusal:
         """Return the answer, whose body may still be arriving, or the refusal."""
+        required = require_resumed_version(self._request, self._parts.versions)
+        if isinstance(required, Refusal):
+            return self._record_refusal(required)
+        self._request = required
         while True:
             sent = self._send("")
             if isinstance(sent, Refusal):
@@ -87,6 +96,11 @@
 
         Return ``None`` if that is not possible.
         """
+        if after:
+            required = require_begun_version(self._request, self._parts.versions)
+            if required is None:
+                return None
+            self._request = required
         if not self._may_retry(AttemptReason.CONNECTION_BROKEN):
             return None
         sent = self._send(after)
@@ -99,6 +113,11 @@
             return None
         return sent
 
+    def record_begun(self, grant: Grant) -> None:
+        """Record that the target of ``grant`` sent the first event of the stream."""
+        self._request = record_begun_stream(self._request, grant, self._parts.versions)
+        self.record.software_version = self._request.software_version
+
     def record_no_answer(self, grant: Grant, reason: AttemptReason) -> None:
         """Record that the attempt of ``grant`` got no complete answer, and why."""
         record_no_answer(self._parts.crashes, grant, reason)
@@ -329,7 +348,12 @@
             return relay.build_refusal()
         head = opened.head
         return StreamAnswer(
-            head.status, head.reason, head.forwarded, relay, relay.is_framed
+            head.status,
+            head.reason,
+            head.forwarded,
+            relay,
+            relay.is_framed,
+            relay.grant.software_version,
         )
 
     def _record_stream(self, relay: StreamRelay) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run_parts.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run_parts.py
@@ -8,6 +8,7 @@
 from runhatch_server.gateway._forward import Forwarder
 from runhatch_server.gateway._peer_requests import PeerRequests
 from runhatch_server.gateway._records import RequestRecorder
+from runhatch_server.gateway._stream_versions import StreamVersionSource
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,5 +20,6 @@
     recorder: RequestRecorder
     crashes: CrashDetector
     clock: Clock
+    versions: StreamVersionSource
     peers: PeerRequests | None = None
     """``None`` on a node whose peers accept no forwarded requests."""
--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -0,0 +1,157 @@
+"""Software versions of the targets that began streams, as this node knows them."""
+
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from runhatch_coordination import Clock
+from runhatch_server.decisions import find_sole_version
+from runhatch_server.fleet import Target
+
+MAX_RECORDS = 20_000
+"""Maximum number of recorded streams; the oldest records are dropped beyond it."""
+
+
+class StreamVersionSource(Protocol):
+    """Knows which software version began a stream; thread-safe."""
+
+    def record_begun(
+        self, attempt_id: str, service: str, software_version: str
+    ) -> None:
+        """Record that a target began to send events of a stream; does not block.
+
+        ``attempt_id`` is the caller's attempt that got the first event.
+        """
+
+    def find_version(self, attempt_id: str, service: str) -> str | None:
+        """Return the version that began a stream, ``None`` if it is not known.
+
+        ``attempt_id`` is empty if the caller does not name the attempt.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class StreamRecord:
+    """The software version that began the stream of a caller's attempt."""
+
+    attempt_id: str
+    service: str
+    software_version: str
+    begun_at: timedelta
+
+
+class StreamVersions:
+    """A :class:`StreamVersionSource` with this node's own records.
+
+    ``list_targets`` returns all known targets.  ``is_informed`` is whether this node
+    learns of new targets at present; otherwise a version may serve without its
+    knowledge.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        list_targets: Callable[[], Iterable[Target]],
+        is_informed: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._list_targets = list_targets
+        self._is_informed = is_informed
+        self._lock = threading.Lock()
+        self._records: dict[str, StreamRecord] = {}
+        """By attempt id, in the order of their begin."""
+        self._last_seen_at: dict[str, dict[str, timedelta]] = {}
+        """When a version was last seen, by service and version."""
+        self._observed_since: timedelta | None = None
+        self._max_stream_age = timedelta()
+
+    def record_begun(
+        self, attempt_id: str, service: str, software_version: str
+    ) -> None:
+        """Record that a target began to send events of a stream."""
+        now = self._clock.elapsed()
+        record = StreamRecord(attempt_id, service, software_version, now)
+        with self._lock:
+            self._records.pop(attempt_id, None)
+            self._records[attempt_id] = record
+            if len(self._records) > MAX_RECORDS:
+                del self._records[next(iter(self._records))]
+            self._record_seen(service, software_version, now)
+
+    def find_version(self, attempt_id: str, service: str) -> str | None:
+        """Return the version that began a stream, ``None`` if it is not known.
+
+        A stream without a record was begun by the only version of its service, if
+        there has been one only since the oldest stream in progress began.
+        """
+        self.observe_targets()
+        now = self._clock.elapsed()
+        with self._lock:
+            record = self._records.get(attempt_id)
+            if record is not None:
+                is_same_service = record.service == service
+                return record.software_version if is_same_service else None
+            if self._observed_since is None or not self._is_informed():
+                return None
+            return find_sole_version(
+                self._last_seen_at.get(service, {}),
+                self._observed_since,
+                now - self._max_stream_age,
+            )
+
+    def extend_stream_age(self, max_stream_age: timedelta) -> None:
+        """Set the longest time from a stream's begin to its last resumption.
+
+        It is never shortened, as streams of earlier routes may be in progress.
+        """
+        with self._lock:
+            self._max_stream_age = max(self._max_stream_age, max_stream_age)
+
+    def versions_of(self, service: str) -> frozenset[str]:
+        """Return the versions that may have begun streams in progress."""
+        with self._lock:
+            return frozenset(self._last_seen_at.get(service, {}))
+
+    def records_of(self, service: str) -> list[StreamRecord]:
+        """Return the records of streams of ``service`` that may be in progress."""
+        with self._lock:
+            return [each for each in self._records.values() if each.service == service]
+
+    def record_seen(self, service: str, software_version: str) -> None:
+        """Record that a target of ``service`` has ``software_version``."""
+        with self._lock:
+            self._record_seen(service, software_version, self._clock.elapsed())
+
+    def observe_targets(self) -> None:
+        """Record the versions of all known targets.
+
+        A target that drains counts too, since it may have begun streams.
+        """
+        targets = list(self._list_targets())
+        now = self._clock.elapsed()
+        with self._lock:
+            if targets and self._observed_since is None:
+                self._observed_since = now
+            for target in targets:
+                self._record_seen(target.service, target.software_version, now)
+
+    def remove_expired(self) -> None:
+        """Remove what concerns no stream in progress any more."""
+        oldest_begin = self._clock.elapsed() - self._max_stream_age
+        with self._lock:
+            expired = [
+                name
+                for name, record in self._records.items()
+                if record.begun_at < oldest_begin
+            ]
+            for name in expired:
+                del self._records[name]
+            for versions in self._last_seen_at.values():
+                gone = [name for name, at in versions.items() if at < oldest_begin]
+                for name in gone:
+                    del versions[name]
+
+    def _record_seen(self, service: str, version: str, now: timedelta) -> None:
+        self._last_seen_at.setdefault(service, {})[version] = now
--- a/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
@@ -12,6 +12,7 @@
 from runhatch_coordination import Clock
 from runhatch_server.decisions import GatewayRequest, LoadBook
 from runhatch_server.fleet import Target, TargetDirectory
+from runhatch_server.gateway._holders import find_holders
 from runhatch_server.targets import Probed, probe_connects
 
 MAX_CONNECT_FAILURES = 2
@@ -126,9 +127,7 @@
         self, request: GatewayRequest
     ) -> tuple[list[Target], list[Target]]:
         """Return the targets with the model, and those of them out of reach."""
-        holders = self._directory.holders(
-            request.service, request.model, request.adapter
-        )
+        holders = find_holders(self._directory, request, request.adapter)
         now = self._clock.elapsed()
         with self._lock:
             lacking = [
--- a/packages/runhatch-server/src/runhatch_server/refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/refusals.py
@@ -48,6 +48,11 @@
     TOO_BUSY = ("too_busy", 503, "Targets are too busy for answers to end in time")
     NO_TARGET = ("no_target", 503, "No target of the service takes work")
     NO_REPLICA = ("no_replica", 503, "No target serves this at the moment")
+    STREAM_UNKNOWN = (
+        "stream_unknown",
+        503,
+        "The node does not know which software version began the stream",
+    )
     TARGETS_BUSY = ("targets_busy", 503, "The targets refused the request unrun")
     TARGETS_UNREACHABLE = (
         "targets_unreachable",
--- a/packages/runhatch-server/src/runhatch_server/routing/_table.py
+++ b/packages/runhatch-server/src/runhatch_server/routing/_table.py
@@ -10,6 +10,10 @@
     ServiceSpec,
 )
 
+STREAM_AGE_FACTOR = 2
+"""Longest age of a resumed stream, as a multiple of its route's timeout: an attempt may
+break off at the end of the timeout, and its resumption may last as long again."""
+
 
 class RouteTable:
     """The routes of one configuration; immutable, so readers need no lock.
@@ -25,6 +29,11 @@
         }
         self.max_gaps: dict[str, timedelta] = {}
         """The smallest ``max_gap`` of all routes of a service, by service name."""
+        self.max_stream_age = STREAM_AGE_FACTOR * max(
+            (route.timeout for route in configuration.routes if route.resumable),
+            default=timedelta(),
+        )
+        """Longest time over which callers resume a stream after it began."""
         self._by_host: dict[str, dict[str, RouteSpec]] = defaultdict(dict)
         for route in configuration.routes:
             self._by_host[route.host.lower()][route.path_prefix] = route
--- a/packages/runhatch-server/tests/test_balancer.py
+++ b/packages/runhatch-server/tests/test_balancer.py
@@ -250,6 +250,17 @@
 
         assert refusal.reason is Reason.NO_REPLICA
 
+    def test_model_at_a_target_of_another_version_is_not_used(self, clock):
+        """Neither one that is loaded nor one that is being loaded there."""
+        holder = replace(make_target("t1", models=("m0",)), software_version="v1")
+        other = replace(make_target("t2", models=("m1",)), software_version="v2")
+        harness = BalancerHarness(clock, holder, other)
+        request = replace(make_request(clock, PATIENT), software_version="v2")
+
+        refusal = harness.acquire(request, caller_gone=lambda: True)
+
+        assert refusal.reason is Reason.CALLER_GONE
+
     def test_held_requests_count_as_load(self):
         clock = SystemClock()
         harness = BalancerHarness(clock, make_target())
--- a/packages/runhatch-server/tests/test_directory.py
+++ b/packages/runhatch-server/tests/test_directory.py
@@ -267,6 +267,8 @@
 
         assert directory.earliest_load("engine", "m7").target == "t2"
         assert directory.earliest_load("engine", "m6") is None
+        assert directory.earliest_load("engine", "m7", "").target == "t2"
+        assert directory.earliest_load("engine", "m7", "v2") is None
 
 
 class TestCostOfReports:
--- a/packages/runhatch-server/tests/test_forwarded_runs.py
+++ b/packages/runhatch-server/tests/test_forwarded_runs.py
@@ -13,14 +13,17 @@
     never_disconnected,
     seconds,
 )
-from run_cases import ScriptedForwarder, make_answer
+from run_cases import (
+    ScriptedForwarder,
+    ScriptedPeers,
+    ScriptedVersions,
+    make_answer,
+)
 
-from runhatch_coordination import Vm
 from runhatch_server.crashes import CrashDetector
 from runhatch_server.gateway import RetryBounds
 from runhatch_server.gateway._answers import CompleteAnswer
 from runhatch_server.gateway._budget import WindowedRetryBudget
-from runhatch_server.gateway._peer_requests import ForwardedAttempt, _make_grant
 from runhatch_server.gateway._records import RequestRecorder
 from runhatch_server.gateway._run import RequestRun
 from runhatch_server.gateway._run_parts import RunParts
@@ -32,31 +35,12 @@
 
 IDEMPOTENT = RequestKind.IDEMPOTENT
 NON_IDEMPOTENT = RequestKind.NON_IDEMPOTENT
-PEER = Vm("p1", "d1", "h:1", forward_port=7)
 UNREACHED = NotSent(AttemptReason.CONNECT_FAILED)
 BROKEN = UnknownResult(AttemptReason.CONNECTION_BROKEN)
 TOO_BUSY = Refusal(Reason.TOO_BUSY, Executed.NO, retry_after=seconds(1.5))
 PEER_FAILED = Refusal(Reason.TARGETS_FAILED, Executed.UNKNOWN)
 
 
-class ScriptedPeers:
-    """Returns the next of ``results`` for each forwarded request, then ``None``."""
-
-    def __init__(self, clock, results):
-        self._clock = clock
-        self._results = list(results)
-        self.sent = 0
-
-    def send(self, request, until, caller_gone, resume_after, on_attempt):
-        self.sent += 1
-        if not self._results:
-            return None
-        grant = _make_grant(PEER, request, self._clock.elapsed())
-        attempt = ForwardedAttempt(grant, self._results.pop(0))
-        on_attempt(attempt)
-        return attempt
-
-
 class Node:
     """A node with one target, results of attempts at it, and results of peers."""
 
@@ -78,6 +62,7 @@
             RequestRecorder(self.metrics, clock),
             self.crashes,
             clock,
+            ScriptedVersions(),
             self.peers,
         )
         self.budget = WindowedRetryBudget(RetryBounds(0.0, 50, seconds(10)), clock)
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -13,7 +13,7 @@
     never_disconnected,
     seconds,
 )
-from run_cases import ScriptedForwarder, make_answer
+from run_cases import ScriptedForwarder, ScriptedVersions, make_answer
 
 from runhatch_server.crashes import CrashDetector
 from runhatch_server.decisions import TriedTargets
@@ -50,7 +50,7 @@
     metrics = Metrics()
     crashes = crashes or CrashDetector(clock, FakeTargets(), metrics, lambda: None)
     recorder = RequestRecorder(metrics, clock)
-    parts = RunParts(balancer, forwarder, recorder, crashes, clock)
+    parts = RunParts(balancer, forwarder, recorder, crashes, clock, ScriptedVersions())
     request = make_request(
         clock, make_route(kind, max_attempts=2, **route), "plain", ""
     )
--- a/packages/runhatch-server/tests/test_peer_requests.py
+++ b/packages/runhatch-server/tests/test_peer_requests.py
@@ -18,7 +18,7 @@
 from runhatch_server.gateway._app import GatewayApp
 from runhatch_server.gateway._connections import ConnectionPool
 from runhatch_server.gateway._forward import Forwarder, OpenedAnswer
-from runhatch_server.gateway._peer_headers import REQUEST_HEADERS
+from runhatch_server.gateway._peer_headers import REQUEST_HEADERS, VERSION_HEADER
 from runhatch_server.gateway._peer_requests import PeerRequests
 from runhatch_server.http import AbortedStreamError, HttpServer, ServerLimits
 from runhatch_server.observability import Metrics
@@ -38,6 +38,7 @@
 UNREACHABLE = Refusal(
     Reason.TARGETS_UNREACHABLE, Executed.NO, retry_after=seconds(0.25)
 )
+VERSIONS = [None, "", "v1.2", " v 1/%2F\u00fc\r\nX: 1"]
 SYSTEM_HEADERS = ("time-left", "after")
 TOO_BUSY = Refusal(Reason.TOO_BUSY, Executed.NO, retry_after=seconds(1.5))
 
@@ -244,6 +245,21 @@
         with pytest.raises((OSError, http.client.HTTPException)):
             read_body(opened)
 
+    @pytest.mark.parametrize("version", VERSIONS)
+    def test_version_that_began_a_stream_is_stated_to_the_node_alone(
+        self, peer, version
+    ):
+        headers = (*SEALED, (VERSION_HEADER.title(), "of the target"))
+        peer.service.respond = lambda *_: StreamAnswer(
+            200, "OK", headers, EventList([b"data: 1\n\n"]), True, version
+        )
+        node = Node(peer)
+        opened = node.forward()
+
+        assert node.attempts[0].grant.software_version == version
+        names = {name.lower() for name, _ in opened.head.forwarded}
+        assert VERSION_HEADER not in names
+
     def test_connection_is_reused(self, peer):
         node = Node(peer)
         opened = node.forward()
@@ -285,6 +301,21 @@
 
         assert peer.service.requests[0].last_event_id == "7"
 
+    @pytest.mark.parametrize("version", VERSIONS)
+    def test_required_software_version_is_kept(self, peer, version):
+        node = Node(peer)
+        node.forward(replace(node.make_request(), software_version=version))
+
+        assert peer.service.requests[0].software_version == version
+
+    def test_header_of_a_caller_requires_no_version(self, peer):
+        node = Node(peer)
+        request = node.make_request()
+        headers = (*request.forwarded_headers, (VERSION_HEADER, "v9"))
+        node.forward(replace(request, forwarded_headers=headers))
+
+        assert peer.service.requests[0].software_version is None
+
     def test_peer_counts_no_demand(self, peer):
         Node(peer).forward()
 
@@ -328,7 +359,12 @@
 
     @pytest.mark.parametrize(
         "reason",
-        [Reason.TARGETS_UNREACHABLE, Reason.STOPPING, Reason.CONFIGURATION_BEHIND],
+        [
+            Reason.TARGETS_UNREACHABLE,
+            Reason.STOPPING,
+            Reason.CONFIGURATION_BEHIND,
+            Reason.STREAM_UNKNOWN,
+        ],
     )
     def test_another_peer_is_asked_if_the_first_cannot_serve(self, reason):
         peers = [Peer(f"p{i}", SystemClock()) for i in range(2)]
--- a/packages/runhatch-server/tests/test_resumed_streams.py
+++ b/packages/runhatch-server/tests/test_resumed_streams.py
@@ -9,6 +9,7 @@
     make_route,
     never_disconnected,
 )
+from run_cases import PartConnection
 
 from runhatch_server.gateway._forward import OpenedAnswer
 from runhatch_server.gateway._messages import AnswerHead
@@ -19,28 +20,6 @@
 HEAD = AnswerHead(200, "", "id", True, False, False, None, timedelta(seconds=1), ())
 
 
-class PartConnection:
-    """Fake of a connection that sends ``chunks``, and then ends or breaks."""
-
-    def __init__(self, *chunks, is_framed=True, breaks=False):
-        self.is_framed = is_framed
-        self._chunks = list(chunks)
-        self._breaks = breaks
-
-    def wait_readable(self, timeout):
-        return True
-
-    def set_timeout(self, timeout):
-        pass
-
-    def read_chunk(self):
-        if self._chunks:
-            return self._chunks.pop(0)
-        if self._breaks:
-            raise ConnectionResetError
-        return b""
-
-
 class FakeTargetSide:
     """Fake of the forwarder and balancer, which have nothing to return."""
 
@@ -70,6 +49,9 @@
             return None
         return object(), OpenedAnswer(self._parts.pop(0), HEAD)
 
+    def record_begun(self, grant):
+        pass
+
     def record_no_answer(self, grant, reason):
         pass
 
--- a/packages/runhatch-server/tests/truncated_answer_cases.py
+++ b/packages/runhatch-server/tests/truncated_answer_cases.py
@@ -16,6 +16,7 @@
     make_target,
     seconds,
 )
+from run_cases import ScriptedVersions
 
 from runhatch_coordination import SystemClock
 from runhatch_server._progress import RequestCounter
@@ -241,7 +242,9 @@
         forwarder = Forwarder(ConnectionPool(clock), Codec(), clock)
         crashes = CrashDetector(clock, FakeTargets(), self._metrics, do_nothing)
         recorder = RequestRecorder(self._metrics, clock)
-        parts = RunParts(balancer, forwarder, recorder, crashes, clock)
+        parts = RunParts(
+            balancer, forwarder, recorder, crashes, clock, ScriptedVersions()
+        )
         service = GatewayService(parts, RetryBounds(0.0, 50, seconds(10)))
         app = GatewayApp(
             service,
