Conclude on the only version ten seconds after a node's start

A stream's version has a target until the stream breaks off, so only versions since the break matter, and callers resume within seconds. target_learned names the software version.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_software_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_software_versions.py
@@ -24,12 +24,13 @@
 def find_sole_version(
     last_seen_at: Mapping[str, timedelta],
     observed_since: timedelta,
-    oldest_begin: timedelta,
+    oldest_break: timedelta,
 ) -> str | None:
     """Return the version that began all streams of a service, if there is only one.
 
     ``last_seen_at`` maps versions to the time at which a target had them last, as
-    observed from ``observed_since``; streams in progress began after ``oldest_begin``.
+    observed from ``observed_since``.  Streams that callers may still resume broke off
+    after ``oldest_break``; until then their version had a target.
 
     >>> hour = timedelta(hours=1)
     >>> find_sole_version({"v1": 3 * hour}, hour, 2 * hour)
@@ -37,7 +38,7 @@
     >>> find_sole_version({"v1": 3 * hour, "v2": 3 * hour}, hour, 2 * hour) is None
     True
     """
-    if observed_since > oldest_begin:
+    if observed_since > oldest_break:
         return None
-    recent = [version for version, at in last_seen_at.items() if at >= oldest_begin]
+    recent = [version for version, at in last_seen_at.items() if at >= oldest_break]
     return recent[0] if len(recent) == 1 else None
--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -300,6 +300,7 @@
                 "target_learned",
                 target=target.incarnation,
                 service=target.service,
+                software_version=target.software_version,
                 address=f"{target.host}:{target.port}",
                 state=target.state.value,
                 models=sorted(target.held.adapters_by_model),
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -10,6 +10,9 @@
 from runhatch_server.decisions import find_sole_version
 from runhatch_server.fleet import Target
 
+MAX_RESUMPTION_DELAY = timedelta(seconds=10)
+"""Longest time from a stream's break to its caller's last attempt to resume it: callers
+try a few times, with delays of at most some seconds."""
 MAX_RECORDS = 20_000
 """Maximum number of recorded streams; the oldest records are dropped beyond it."""
 
@@ -65,7 +68,7 @@
         self._last_seen_at: dict[str, dict[str, timedelta]] = {}
         """When a version was last seen, by service and version."""
         self._observed_since: timedelta | None = None
-        self._max_stream_age = timedelta()
+        self._max_stream_age = MAX_RESUMPTION_DELAY
 
     def record_begun(
         self, attempt_id: str, service: str, software_version: str
@@ -84,7 +87,7 @@
         """Return the version that began a stream, ``None`` if it is not known.
 
         A stream without a record was begun by the only version of its service, if
-        there has been one only since the oldest stream in progress began.
+        there has been one only since the stream broke off.
         """
         self.observe_targets()
         now = self._clock.elapsed()
@@ -98,7 +101,7 @@
             return find_sole_version(
                 self._last_seen_at.get(service, {}),
                 self._observed_since,
-                now - self._max_stream_age,
+                now - MAX_RESUMPTION_DELAY,
             )
 
     def extend_stream_age(self, max_stream_age: timedelta) -> None:
