--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -105,6 +105,7 @@
     """Times of restarts, each of which lost all state, by the same clock."""
     arrival_times: list[float] = field(default_factory=list)
     """Arrival times of ``arrivals``, by the same clock."""
+    software_version: str = "v1"
     rate_limit: str = ""
     """Requests per second from all gateways together, as announced in responses."""
     faults: Document = field(default_factory=lambda: dict(NO_FAULTS))
@@ -120,6 +121,7 @@
         routes.add("GET", "/journal", self.journal)
         routes.add("POST", "/faults", self.set_faults)
         routes.add("POST", "/rate_limit", self.name_limit)
+        routes.add("POST", "/version", self.set_version)
         routes.add("POST", "/drain", self.drain)
         routes.add("POST", "/restart", self.restart)
         routes.add("POST", "/register", self.register_again)
@@ -139,7 +141,7 @@
             "address": f"127.0.0.1:{self.port}",
             # ``zone`` is the published name of the failure domain.
             "zone": self.failure_domain,
-            "version": "v1",
+            "version": self.software_version,
             "slots": 8,
             "state": self.state,
             "cold_left_ms": 0,
@@ -210,6 +212,12 @@
         self.rate_limit = str(call.json()["named"])
         return reply_json({})
 
+    def set_version(self, call: Call) -> Reply:
+        """Set the version of its software in its entry."""
+        self.software_version = str(call.json()["version"])
+        self.register()
+        return reply_json({})
+
     def drain(self, call: Call) -> Reply:
         """Mark the target as draining in its entry."""
         self.state = "draining"
