--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -1,15 +1,12 @@
 """Build a gateway from its parts, run its tasks, and shut it down."""
 
 import threading
-import time
 from collections.abc import Callable
 from datetime import timedelta
 
 from runhatch_coordination import (
     InvariantError,
     Lease,
-    Membership,
-    Vm,
     rank_names,
 )
 from runhatch_server._progress import RequestCounter
@@ -34,6 +31,7 @@
     open_links,
     server_limits,
 )
+from runhatch_server.gateway._own_membership import build_membership
 from runhatch_server.gateway._peer_requests import PeerRequests
 from runhatch_server.gateway._peers import GatewayPeers
 from runhatch_server.gateway._platform import GatewayPlatform
@@ -42,6 +40,7 @@
 from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.gateway._settings import GatewaySettings
+from runhatch_server.gateway._stream_versions import StreamVersions
 from runhatch_server.gateway._tables import (
     COALESCING_WINDOW,
     GatewayTables,
@@ -52,8 +51,6 @@
 from runhatch_server.residency import DemandShare, Orderer
 from runhatch_server.routing import RouteTable
 
-SUSPICION_TIMEOUT = timedelta(seconds=3.5)
-"""Time without a heartbeat after which a peer is suspected: three are lost."""
 ORDERS_LEASE_NAME = "orders"
 LEASE_TTL = timedelta(seconds=2)
 """Allows two renewals to fail, and lets models be loaded again within a few seconds
@@ -126,9 +123,12 @@
             self._metrics,
             lambda: self._peers.suspects.send_updates(),
         )
-        self._membership = self._build_membership()
+        self._membership = build_membership(settings, self._clock)
         self._tables = self._build_tables()
         self._orderer = self._build_orderer()
+        self._stream_versions = StreamVersions(
+            self._clock, self._directory.all, self._learns_of_targets
+        )
         self._peers = GatewayPeers(
             self._membership,
             self._clock,
@@ -285,6 +285,7 @@
             RequestRecorder(self._metrics, self._clock),
             self._crashes,
             self._clock,
+            self._stream_versions,
             self._peer_requests,
         )
         return GatewayService(parts, self._settings.retries)
@@ -301,20 +302,6 @@
             is_for_peers,
         )
 
-    def _build_membership(self) -> Membership:
-        settings = self._settings
-        # A restarted node must supersede reports of its previous incarnation.
-        incarnation = int(time.time())
-        own = Vm(
-            settings.name,
-            settings.failure_domain,
-            str(settings.peers),
-            incarnation,
-            settings.broadcast_port,
-            settings.forward_port,
-        )
-        return Membership(own, self._clock, SUSPICION_TIMEOUT)
-
     def _build_tables(self) -> GatewayTables:
         drain = self._settings.drain
         tables = GatewayTables(
@@ -377,11 +364,16 @@
         self._balancer.configure(routes.services, routes.max_gaps)
         self._orderer.declare(routes.services)
         self._servers[0].set_limits(server_limits(routes.configuration.limits))
+        self._stream_versions.extend_stream_age(routes.max_stream_age)
         self._app.routes = routes
         self._forward_app.routes = routes
         if self._forward_server is not None:
             self._forward_server.set_limits(forward_limits(routes.configuration.limits))
 
+    def _learns_of_targets(self) -> bool:
+        """Return whether the store or peers publish new targets to this node."""
+        return self._directory.is_reachable or len(self._membership.alive()) > 1
+
     def _record_demand(self, request: GatewayRequest) -> None:
         self._demand.count_request(request, self._balancer.prompt_work_ms(request))
 
@@ -432,6 +424,8 @@
         known = frozenset(target.incarnation for target in self._directory.all())
         self._pool.close_expired(known | self._peer_requests.known_names())
         self._peer_requests.remove_expired()
+        self._stream_versions.observe_targets()
+        self._stream_versions.remove_expired()
         self._balancer.delete_unknown_targets()
         self._limits.remove_expired(known.__contains__)
         ready = [target for target in self._directory.all() if target.is_ready]
