Add messages about versions of streams, protocol version 9

A stream may go on only at the software version that began it, and its caller may take it up at any node. The messages carry records of such streams to the nodes that keep them, questions and answers. Nodes of version 8 and 9 do not hear each other, as with earlier versions.

--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -47,6 +47,12 @@
     pack_rows,
     unpack_rows,
 )
+from runhatch_server.peers._stream_messages import (
+    StreamVersionAnswer,
+    StreamVersionQuery,
+    StreamVersionRecord,
+    StreamVersionsUpdate,
+)
 
 __all__ = [
     "ALL_DOMAINS",
@@ -88,6 +94,10 @@
     "RevisionNotice",
     "RequestsCleared",
     "StateRequest",
+    "StreamVersionAnswer",
+    "StreamVersionQuery",
+    "StreamVersionRecord",
+    "StreamVersionsUpdate",
     "SuspectsDigest",
     "TargetEnded",
     "TargetsEnded",
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -9,6 +9,11 @@
 import msgspec
 
 from runhatch_coordination import MemberFact, Standing, StoreVersion, Vm
+from runhatch_server.peers._stream_messages import (
+    StreamVersionAnswer,
+    StreamVersionQuery,
+    StreamVersionsUpdate,
+)
 
 ROWS_COMPRESSION_LEVEL = 1
 """Fastest level of zlib: 60 rows of 400 bytes shrink to an eighth in 0.2 ms."""
@@ -17,7 +22,7 @@
 
 Tables of the store are far smaller; the limit keeps a peer from exhausting memory.
 """
-PROTOCOL_VERSION = 8
+PROTOCOL_VERSION = 9
 UNKNOWN_VERSION = StoreVersion(-1)
 """Version of a table of which no state is known."""
 ALL_DOMAINS = "*"
@@ -353,6 +358,9 @@
     | RateLimitsUpdate
     | PermitRequest
     | PermitAnswer
+    | StreamVersionsUpdate
+    | StreamVersionQuery
+    | StreamVersionAnswer
 )
 
 
