Choose the nodes that keep records of streams

Three nodes keep the records of a slot of attempt ids, by rendezvous weight and of different failure domains as far as possible. A node that leaves is replaced by one other. compare_keepers says what a node hands over after a change.

Slots rather than attempt ids are ranked: at 390 nodes a node would otherwise send to some 150 others within the retention of a link, and evict the cache of weights.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -39,6 +39,13 @@
     issued_rate_share,
 )
 from runhatch_server.decisions._rates import WorkRates
+from runhatch_server.decisions._record_keepers import (
+    KEEPER_SLOTS,
+    KeeperChange,
+    choose_keepers,
+    compare_keepers,
+    keeper_slot,
+)
 from runhatch_server.decisions._request import (
     GatewayRequest,
     Headers,
@@ -55,6 +62,7 @@
     "BUSY_AVOIDANCE_DURATION",
     "BUSY_RETRY_DELAY",
     "choose_candidates",
+    "choose_keepers",
     "ObservedEnd",
     "compute_fingerprint",
     "GatewayRequest",
@@ -62,6 +70,10 @@
     "HeldRequest",
     "decide_admission",
     "AdmissionDecision",
+    "KEEPER_SLOTS",
+    "KeeperChange",
+    "compare_keepers",
+    "keeper_slot",
     "LATE_TIER",
     "LimitedTarget",
     "ObservedLimit",
