--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -54,6 +54,13 @@
 )
 from runhatch_server.decisions._scoring import HeldRequest, ScoredTarget, Scorer
 from runhatch_server.decisions._spread import WorkDistribution, distribute_work
+from runhatch_server.decisions._stream_records import (
+    RECORD_RETENTION,
+    RecordOutcome,
+    StreamKey,
+    StreamRecord,
+    StreamRecords,
+)
 from runhatch_server.decisions._suspects import ObservedEnd, Suspects
 
 __all__ = [
@@ -89,6 +96,8 @@
     "prefix_blocks",
     "PrefixIndex",
     "PromptPart",
+    "RECORD_RETENTION",
+    "RecordOutcome",
     "Rejected",
     "request_tier",
     "ScoredTarget",
@@ -97,6 +106,9 @@
     "Work",
     "WorkDistribution",
     "distribute_work",
+    "StreamKey",
+    "StreamRecord",
+    "StreamRecords",
     "Suspects",
     "TargetLoad",
     "MIN_RATE",
