--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -100,6 +100,11 @@
         if self._links is not None:
             self._links.send(address, [fact])
 
+    def reopen_link(self, address: str) -> None:
+        """Replace the connection to ``address``, if linked, by a new one."""
+        if self._links is not None:
+            self._links.reopen(address)
+
     def receive(self, envelope: Envelope) -> None:
         """Handle one envelope; ignores those of another protocol version."""
         if envelope.version != PROTOCOL_VERSION:
@@ -136,8 +141,7 @@
         """
         is_contradicted = self._membership.merge_facts([fact_from_message(fact)])
         if is_contradicted:
-            if self._links is not None:
-                self._links.reopen(sender.address)
+            self.reopen_link(sender.address)
             self.send(sender.address, self.own_member())
 
     def _send_recorded_fact(self, fact: MemberFact) -> None:
