Exchange the versions that began streams with keepers

While a service has several software versions, a node sends the record of each stream to three keepers, and asks them for streams that it doesn't know, for at most 300 ms. Records are sent once more after 5 seconds, and an unanswered question is repeated over a new connection, because a link that has gone silent loses what is sent. New keepers are sent the earlier records.

--- /dev/null
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -0,0 +1,368 @@
+"""Shares between nodes which software version began a stream.
+
+A stream may go on only at the version that began it, and its caller may take it up at
+any node.  Once a service has several versions, each node sends the records of its
+streams to a few keepers, and asks them for streams that it doesn't know.  While a
+service has one version, no messages are sent.
+"""
+
+import itertools
+import math
+import threading
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Protocol
+
+from runhatch_coordination import Clock, Membership, Vm
+from runhatch_server.decisions import (
+    KEEPER_SLOTS,
+    RECORD_RETENTION,
+    KeeperChange,
+    RecordOutcome,
+    StreamKey,
+    StreamRecord,
+    StreamRecords,
+    choose_keepers,
+    compare_keepers,
+    keeper_slot,
+)
+from runhatch_server.observability import log_change
+from runhatch_server.peers import (
+    Fact,
+    Member,
+    StreamVersionAnswer,
+    StreamVersionQuery,
+    StreamVersionRecord,
+    StreamVersionsUpdate,
+)
+
+RECORD_BATCH_WINDOW = timedelta(milliseconds=20)
+"""Records made within this time are sent in one message to each keeper."""
+UPDATE_INTERVAL = timedelta(seconds=1)
+"""Longest time until a change of the keepers or of a service's versions is noticed."""
+RESEND_DELAY = timedelta(seconds=5)
+"""Time after which records are sent once more.  Connections that have gone silent, and
+lose what is sent, are replaced within it."""
+QUERY_REPEAT_DELAY = timedelta(milliseconds=100)
+"""Time after which keepers that haven't answered are asked once more, over new
+connections: the present ones may have gone silent."""
+REOPEN_INTERVAL = timedelta(seconds=1)
+"""Shortest interval between new connections to one node."""
+QUERY_TIMEOUT = timedelta(milliseconds=300)
+"""Longest wait for the answers of keepers."""
+KEEPER_LINK_RETENTION = timedelta(seconds=5)
+"""How long a link to a node is kept after a message to it."""
+MAX_RECORDS_PER_MESSAGE = 500
+MAX_RECORDS_PER_HANDOVER = 10_000
+"""Maximum number of records sent to a new keeper, the newest first.  They may become
+one message of the link, which must stay below the receiver's limit of 1 MiB."""
+MILLISECOND = timedelta(milliseconds=1)
+StreamVersionMessage = StreamVersionsUpdate | StreamVersionQuery | StreamVersionAnswer
+"""Messages between nodes about the versions that began streams."""
+
+Batches = dict[str, list[StreamVersionRecord]]
+"""Records to send, by the address of the receiver."""
+
+
+class StreamVersionSource(Protocol):
+    """Knows which software version began a stream, on whatever node."""
+
+    def record_begun(
+        self, attempt_id: str, service: str, software_version: str
+    ) -> None:
+        """Record that a target of ``software_version`` began a stream."""
+
+    def find_version(self, attempt_id: str, service: str) -> str | None:
+        """Return the version that began a stream, ``None`` if unknown; may block."""
+
+
+def wait_for_event(event: threading.Event, longest: timedelta) -> None:
+    """Wait until ``event`` is set, at most ``longest``."""
+    event.wait(longest.total_seconds())
+
+
+class StreamVersionExchange:
+    """Exchanges the records of one node with their keepers; thread-safe.
+
+    ``has_several_versions`` returns whether targets of several software versions may
+    have begun streams of a service that are still in progress.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        clock: Clock,
+        has_several_versions: Callable[[str], bool],
+        send: Callable[[str, Fact], None],
+        reopen: Callable[[str], None],
+        wait: Callable[[threading.Event, timedelta], None] = wait_for_event,
+    ) -> None:
+        self._membership = membership
+        self._clock = clock
+        self._has_several_versions = has_several_versions
+        self._send = send
+        self._reopen = reopen
+        self._wait = wait
+        self._lock = threading.Lock()
+        self._records = StreamRecords()
+        self._unsent: dict[str, dict[str, None]] = defaultdict(dict)
+        """Attempt ids by service whose records no keeper was sent, oldest first."""
+        self._alive: list[Vm] = []
+        self._keepers: list[list[Vm]] = []
+        """Keepers by slot among ``_alive``; empty while nothing is shared."""
+        self._resends: deque[tuple[timedelta, StreamKey]] = deque()
+        """Records to send once more, with the time at which they are due."""
+        self._used_at: dict[str, timedelta] = {}
+        """When a message was last sent to each address."""
+        self._reopened_at: dict[str, timedelta] = {}
+        """When the link to each address was last reopened."""
+        self._numbers = itertools.count(1)
+        self._inquiries: dict[int, _Inquiry] = {}
+        self.update_wanted = threading.Event()
+        """Set when there are records to send."""
+
+    def record_begun(
+        self, attempt_id: str, service: str, software_version: str
+    ) -> None:
+        """Record that a target of ``software_version`` began a stream.
+
+        Repeated for a stream that is still in progress, this extends the time for which
+        it is recorded.
+        """
+        key = service, attempt_id
+        with self._lock:
+            outcome = self._add(key, software_version, self._clock.elapsed(), True)
+            if outcome is RecordOutcome.KNOWN:
+                return
+            self._unsent[service][attempt_id] = None
+        if self._has_several_versions(service):
+            self.update_wanted.set()
+
+    def find_version(self, attempt_id: str, service: str) -> str | None:
+        """Return the version that began a stream, ``None`` if unknown.
+
+        Blocks for at most ``QUERY_TIMEOUT`` if this node has no record of the stream.
+        """
+        with self._lock:
+            record = self._records.find((service, attempt_id), self._clock.elapsed())
+        if record is not None:
+            return record.software_version
+        keepers = choose_keepers(keeper_slot(attempt_id), self._membership.alive())
+        own = self._membership.own.name
+        asked = {vm.name: vm.address for vm in keepers if vm.name != own}
+        if not asked:
+            return None
+        return self._ask(attempt_id, service, asked)
+
+    def send_updates(self) -> None:
+        """Send new records to their keepers, and earlier ones to new keepers."""
+        now = self._clock.elapsed()
+        with self._lock:
+            self._records.remove_expired(now)
+            services = self._records.services()
+        # Called without the lock: its owner may hold another one while it records.
+        shared = set(filter(self._has_several_versions, services))
+        batches: Batches = {}
+        with self._lock:
+            if shared:
+                batches = self._take_batches(shared, now)
+            else:
+                self._keepers = []
+                self._resends.clear()
+            self._drop_unsent(now)
+            self._used_at.update(dict.fromkeys(batches, now))
+        for address, records in batches.items():
+            for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
+                batch = records[start : start + MAX_RECORDS_PER_MESSAGE]
+                self._send(address, StreamVersionsUpdate(batch))
+
+    def choose_links(self, alive: list[Vm]) -> list[Vm]:
+        """Return the nodes to link to for streams: those sent to lately."""
+        now = self._clock.elapsed()
+        with self._lock:
+            self._used_at = _drop_before(now - KEEPER_LINK_RETENTION, self._used_at)
+            self._reopened_at = _drop_before(now - REOPEN_INTERVAL, self._reopened_at)
+            return [vm for vm in alive if vm.address in self._used_at]
+
+    @singledispatchmethod
+    def handle_message(self, fact: StreamVersionMessage, sender: Member) -> None:
+        """Apply a message of a peer about the versions that began streams."""
+        raise NotImplementedError(type(fact))
+
+    @handle_message.register
+    def _apply_update(self, fact: StreamVersionsUpdate, sender: Member) -> None:
+        now = self._clock.elapsed()
+        with self._lock:
+            if not self._keepers:
+                # Without them, a change before the next update would go unnoticed.
+                self._update_keepers()
+            for record in fact.records:
+                age = record.age_ms * MILLISECOND
+                if age < RECORD_RETENTION:
+                    key = record.service, record.attempt_id
+                    self._add(key, record.software_version, now - age, False)
+
+    @handle_message.register
+    def _answer_query(self, fact: StreamVersionQuery, sender: Member) -> None:
+        now = self._clock.elapsed()
+        with self._lock:
+            record = self._records.find((fact.service, fact.attempt_id), now)
+            self._used_at[sender.address] = now
+        if fact.is_repeated:
+            self._reopen_link(sender.address)
+        version = None if record is None else record.software_version
+        self._send(sender.address, StreamVersionAnswer(fact.number, version))
+
+    @handle_message.register
+    def _apply_answer(self, fact: StreamVersionAnswer, sender: Member) -> None:
+        with self._lock:
+            inquiry = self._inquiries.get(fact.number)
+            if inquiry is not None:
+                inquiry.record_answer(sender.name, fact.software_version)
+
+    def _add(
+        self, key: StreamKey, version: str, recorded_at: timedelta, is_own: bool
+    ) -> RecordOutcome:
+        outcome = self._records.add(key, version, recorded_at, is_own)
+        if outcome is RecordOutcome.CONFLICTING:
+            service, attempt_id = key
+            log_change("stream_version_conflict", service=service, attempt=attempt_id)
+        return outcome
+
+    def _ask(self, attempt_id: str, service: str, asked: dict[str, str]) -> str | None:
+        """Ask the nodes ``asked``, addresses by name, for a version."""
+        number, inquiry = next(self._numbers), _Inquiry(asked)
+        with self._lock:
+            self._inquiries[number] = inquiry
+        for address in asked.values():
+            self._send(address, StreamVersionQuery(number, attempt_id, service))
+        self._wait(inquiry.decided, QUERY_REPEAT_DELAY)
+        if not inquiry.decided.is_set():
+            with self._lock:
+                unanswered = [asked[name] for name in inquiry.unanswered]
+            query = StreamVersionQuery(number, attempt_id, service, is_repeated=True)
+            for address in unanswered:
+                self._reopen_link(address)
+                self._send(address, query)
+            self._wait(inquiry.decided, QUERY_TIMEOUT - QUERY_REPEAT_DELAY)
+        with self._lock:
+            del self._inquiries[number]
+        if inquiry.software_version is None:
+            log_change(
+                "stream_version_unknown",
+                service=service,
+                attempt=attempt_id,
+                asked=sorted(asked),
+                unanswered=sorted(inquiry.unanswered),
+            )
+        return inquiry.software_version
+
+    def _take_batches(self, shared: set[str], now: timedelta) -> Batches:
+        """Return the records to send of ``shared`` services, by address."""
+        batches: Batches = defaultdict(list)
+        change = self._update_keepers()
+        if change.new_keepers:
+            self._add_handovers(batches, change, shared, now)
+        # Due at full seconds, so that one message carries the records of a second.
+        due = timedelta(seconds=math.ceil((now + RESEND_DELAY).total_seconds()))
+        while self._resends and self._resends[0][0] <= now:
+            self._add_record(batches, self._resends.popleft()[1], now)
+        for service in shared & self._unsent.keys():
+            for attempt_id in self._unsent.pop(service):
+                key = service, attempt_id
+                self._add_record(batches, key, now)
+                self._resends.append((due, key))
+        return batches
+
+    def _add_record(self, batches: Batches, key: StreamKey, now: timedelta) -> None:
+        """Add the record of a stream for its keepers to ``batches``."""
+        message = _make_message(key, self._records.find(key, now), now)
+        if message is None:
+            return
+        for vm in self._keepers[keeper_slot(message.attempt_id)]:
+            if vm.name != self._membership.own.name:
+                batches[vm.address].append(message)
+
+    def _update_keepers(self) -> KeeperChange:
+        """Choose the keepers again if other nodes are alive, and return the change."""
+        alive = self._membership.alive()
+        if self._keepers and alive == self._alive:
+            return KeeperChange()
+        previous, self._alive = self._keepers, alive
+        self._keepers = [choose_keepers(slot, alive) for slot in range(KEEPER_SLOTS)]
+        if not previous:
+            return KeeperChange()
+        return compare_keepers(previous, self._keepers, self._membership.own)
+
+    def _add_handovers(
+        self, batches: Batches, change: KeeperChange, shared: set[str], now: timedelta
+    ) -> None:
+        """Add the records for nodes that have become keepers to ``batches``."""
+        for key, record in self._records.live(now):
+            service, attempt_id = key
+            slot = keeper_slot(attempt_id)
+            is_handed_over = record.is_own or slot in change.led_slots
+            is_unsent = attempt_id in self._unsent.get(service, ())
+            message = _make_message(key, record, now)
+            if not is_handed_over or is_unsent or service not in shared or not message:
+                continue
+            for vm in change.new_keepers.get(slot, ()):
+                if len(batches[vm.address]) < MAX_RECORDS_PER_HANDOVER:
+                    batches[vm.address].append(message)
+
+    def _reopen_link(self, address: str) -> None:
+        """Replace the connection to ``address``, unless that was just done."""
+        now = self._clock.elapsed()
+        with self._lock:
+            at = self._reopened_at.get(address)
+            if at is not None and now - at < REOPEN_INTERVAL:
+                return
+            self._reopened_at[address] = now
+        self._reopen(address)
+
+    def _drop_unsent(self, now: timedelta) -> None:
+        """Forget unsent records that have expired, up to the first still valid."""
+        for service, attempts in list(self._unsent.items()):
+            while attempts:
+                attempt_id = next(iter(attempts))
+                if self._records.find((service, attempt_id), now) is not None:
+                    break
+                del attempts[attempt_id]
+            if not attempts:
+                del self._unsent[service]
+
+
+class _Inquiry:
+    """The answers of keepers about one stream; guarded by the lock of the exchange."""
+
+    def __init__(self, asked: Iterable[str]) -> None:
+        self.decided = threading.Event()
+        self.unanswered = set(asked)
+        """Names of the asked nodes that haven't answered."""
+        self.software_version: str | None = None
+
+    def record_answer(self, name: str, software_version: str | None) -> None:
+        """Record the first answer of an asked node; the first version settles it."""
+        if name not in self.unanswered or self.decided.is_set():
+            return
+        self.unanswered.discard(name)
+        self.software_version = software_version
+        if software_version is not None or not self.unanswered:
+            self.decided.set()
+
+
+def _make_message(
+    key: StreamKey, record: StreamRecord | None, now: timedelta
+) -> StreamVersionRecord | None:
+    """Return the message for a record, ``None`` if it has no version to share."""
+    if record is None or record.software_version is None:
+        return None
+    service, attempt_id = key
+    age_ms = round((now - record.recorded_at) / MILLISECOND)
+    return StreamVersionRecord(attempt_id, service, record.software_version, age_ms)
+
+
+def _drop_before(start: timedelta, times: dict[str, timedelta]) -> dict[str, timedelta]:
+    return {address: at for address, at in times.items() if at > start}
