Wire the exchange of stream versions into gateways

The new tests of GatewayPeers failed before (no such argument); they pass now. The node does not know yet which services have several versions, and passes a function that always returns False: no messages are sent until it does.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -42,6 +42,10 @@
 from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.gateway._settings import GatewaySettings
+from runhatch_server.gateway._stream_version_exchange import (
+    RECORD_BATCH_WINDOW,
+    UPDATE_INTERVAL,
+)
 from runhatch_server.gateway._tables import (
     COALESCING_WINDOW,
     GatewayTables,
@@ -142,6 +146,7 @@
             self._tables,
             self._crashes,
             known_targets.probe_refusal,
+            lambda service: False,
         )
         self._lease_keeper = LeaseKeeper(
             settings.name,
@@ -218,6 +223,12 @@
         self._tasks.start_task(
             "suspects", DIGEST_INTERVAL, self._peers.suspects.send_digest
         )
+        self._tasks.start_task(
+            "streams",
+            UPDATE_INTERVAL,
+            self._send_stream_versions,
+            self._peers.stream_versions.update_wanted,
+        )
         self._tasks.start_task(
             "sums", self._peers.loads.next_sums_pause, self._peers.loads.send_sums
         )
@@ -418,6 +429,11 @@
         self._peers.loads.send_own()
         self._peers.send_demand(self._demand)
 
+    def _send_stream_versions(self) -> None:
+        """Send the records of streams, after a short pause that batches them."""
+        self._clock.sleep(RECORD_BATCH_WINDOW)
+        self._peers.stream_versions.send_updates()
+
     def _order_interval(self) -> timedelta:
         return ORDER_INTERVAL if self._orderer.has_work else IDLE_ORDER_INTERVAL
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -36,6 +36,10 @@
 from runhatch_server.gateway._permits import PermitExchange, PermitFact
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._shared_loads import SharedLoads
+from runhatch_server.gateway._stream_version_exchange import (
+    StreamVersionExchange,
+    StreamVersionMessage,
+)
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
@@ -87,6 +91,7 @@
         tables: GatewayTables,
         crashes: CrashDetector,
         probe_refusal: Callable[[str], bool | None],
+        has_several_versions: Callable[[str], bool],
     ) -> None:
         super().__init__(membership, metrics)
         self._clock = clock
@@ -120,6 +125,10 @@
             directory.notify_waiters,
         )
         """Exchange of the rate limits of targets and of permits for them."""
+        self.stream_versions = StreamVersionExchange(
+            membership, clock, has_several_versions, self.send, self.reopen_link
+        )
+        """Exchange of the software versions that began streams."""
         self._demand_sent_at = clock.elapsed()
         self._send_holdings_until: dict[str, timedelta] = {}
         self._recent_demand: deque[tuple[timedelta, list[DemandShare]]] = deque()
@@ -266,6 +275,7 @@
         own = self._membership.own
         alive = self._membership.alive()
         others = self.loads.choose_links(alive) + self.permits.choose_links(alive)
+        others += self.stream_versions.choose_links(alive)
         if self._orderer.address != own.address:
             return others
         domains = sorted({vm.failure_domain for vm in alive})
@@ -322,6 +332,12 @@
     def _apply_permits(self, fact: PermitFact, sender: Member) -> None:
         self.permits.handle_message(fact, sender)
 
+    @handle_message.register
+    def _apply_stream_versions(
+        self, fact: StreamVersionMessage, sender: Member
+    ) -> None:
+        self.stream_versions.handle_message(fact, sender)
+
     @handle_message.register
     def _apply_loads(self, fact: TargetLoads, sender: Member) -> None:
         self.loads.handle_message(fact, sender)
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -1,7 +1,10 @@
 """Messages of a gateway to its peers, and its knowledge of the orderer."""
 
 import threading
+import time
+from unittest.mock import patch
 
+import msgspec
 import pytest
 from gateway_cases import (
     FakeTargets,
@@ -19,6 +22,7 @@
 from runhatch_server.gateway._demand import DemandCounter
 from runhatch_server.gateway._known_orderer import ORDERER_TIMEOUT, UNKNOWN_RENEWAL
 from runhatch_server.gateway._peers import DEMAND_RETENTION, GatewayPeers
+from runhatch_server.gateway._stream_version_exchange import QUERY_REPEAT_DELAY
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
@@ -28,10 +32,15 @@
     Envelope,
     Member,
     OrdererNotice,
+    StreamVersionAnswer,
+    StreamVersionQuery,
+    StreamVersionRecord,
+    StreamVersionsUpdate,
     TableUpdate,
     TableVersion,
     TargetHoldings,
 )
+from runhatch_server.peers._links import ENCODER, decode_envelope
 from runhatch_server.peers._messages import PROTOCOL_VERSION
 from runhatch_server.residency import Holding, Resignation
 
@@ -61,7 +70,7 @@
         self.held = address
 
 
-def make_peers(clock, *targets, on_orderer=do_nothing):
+def make_peers(clock, *targets, on_orderer=do_nothing, has_several_versions=do_nothing):
     directory = make_directory(clock, *targets)
     balancer = make_balancer(directory, clock)
     links = RecordingLinks()
@@ -89,6 +98,7 @@
         tables,
         CrashDetector(clock, FakeTargets(), Metrics(), do_nothing),
         do_nothing,
+        has_several_versions,
     )
     peers.attach_links(links)
     return peers, links
@@ -329,6 +339,73 @@
         assert not peers._directory.ready_targets("engine")
 
 
+class TestStreamVersions:
+    """Messages about the versions that began streams reach their exchange."""
+
+    ATTEMPT = "9c41d07be2a35f68"
+
+    def receive(self, peers, *facts, version=PROTOCOL_VERSION):
+        peers.receive(Envelope(version, PEER, True, [*facts]))
+
+    def test_record_of_this_node_is_sent_to_peers(self, clock):
+        peers, links = make_peers(clock, has_several_versions=lambda service: True)
+        self.receive(peers)
+
+        peers.stream_versions.record_begun(self.ATTEMPT, "engine", "v1")
+        peers.stream_versions.send_updates()
+
+        record = StreamVersionRecord(self.ATTEMPT, "engine", "v1")
+        assert links.sent == [(PEER.address, StreamVersionsUpdate([record]))]
+        assert [vm.name for vm in peers.additional_peers()] == [PEER.name]
+
+    @pytest.mark.parametrize(
+        ("protocol_version", "answer"),
+        [(PROTOCOL_VERSION, "v1"), (PROTOCOL_VERSION - 1, None)],
+    )
+    def test_question_of_a_peer_is_answered(self, clock, protocol_version, answer):
+        """Nodes of another protocol version are not heard."""
+        peers, links = make_peers(clock)
+        record = StreamVersionRecord(self.ATTEMPT, "engine", "v1")
+        self.receive(peers, StreamVersionsUpdate([record]), version=protocol_version)
+
+        self.receive(peers, StreamVersionQuery(4, self.ATTEMPT, "engine"))
+
+        assert links.sent == [(PEER.address, StreamVersionAnswer(4, answer))]
+
+    def test_answer_of_a_peer_ends_the_wait(self, clock):
+        peers, links = make_peers(clock)
+        self.receive(peers)
+
+        def answer(address, facts):
+            (query,) = facts
+            self.receive(peers, StreamVersionAnswer(query.number, "v1"))
+
+        links.send = answer
+        started_at = time.monotonic()
+
+        assert peers.stream_versions.find_version(self.ATTEMPT, "engine") == "v1"
+        assert time.monotonic() - started_at < QUERY_REPEAT_DELAY.total_seconds()
+
+    def test_node_that_lacks_the_messages_ignores_them(self):
+        """Nodes of two versions run beside each other while they are replaced."""
+        previous_facts = OrdererNotice | DrainingTargets
+
+        class PreviousEnvelope(msgspec.Struct, array_like=True):
+            version: int
+            sender: Member
+            is_linked: bool
+            facts: list[previous_facts]
+
+        decoder = msgspec.msgpack.Decoder(PreviousEnvelope)
+        fact = StreamVersionQuery(4, self.ATTEMPT, "engine")
+        message = ENCODER.encode(Envelope(PROTOCOL_VERSION, PEER, True, [fact]))
+        metrics = Metrics()
+
+        with patch("runhatch_server.peers._links.DECODER", decoder):
+            assert decode_envelope(message, metrics) is None
+        assert metrics.counter_value(metrics.peer_messages, "unreadable") == 1
+
+
 class FakeTable:
     """Records what is passed to a watched table."""
 
--- a/packages/runhatch-server/tests/test_uplink.py
+++ b/packages/runhatch-server/tests/test_uplink.py
@@ -100,6 +100,7 @@
             self.tables,
             CrashDetector(clock, FakeTargets(), Metrics(), do_nothing),
             do_nothing,
+            do_nothing,
         )
         self.own, self.sibling = (own, SECOND if own == FIRST else FIRST)
         self.numbers = count(1)
