--- a/packages/runhatch-server/tests/test_stream_version_exchange.py
+++ b/packages/runhatch-server/tests/test_stream_version_exchange.py
@@ -73,7 +73,8 @@
     def test_nothing_is_sent_while_a_service_has_one_version(self, cluster):
         cluster.has_several_versions = False
         _, others = keepers_and_others(cluster)
-        cluster.begin_stream(others[0], ATTEMPT, "v1")
+        others[0].exchange.record_begun(ATTEMPT, SERVICE, "v1")
+        assert not others[0].exchange.update_wanted.is_set()
         cluster.play(seconds(5))
 
         assert cluster.sent == []
@@ -359,7 +360,9 @@
 
         assert others[1].exchange.find_version(ATTEMPT, SERVICE) is None
 
-    def test_expired_records_are_removed(self, cluster):
+    @pytest.mark.parametrize("has_several_versions", [True, False])
+    def test_expired_records_are_removed(self, cluster, has_several_versions):
+        cluster.has_several_versions = has_several_versions
         _, others = keepers_and_others(cluster)
         for number in range(50):
             cluster.begin_stream(others[0], f"a{number}", "v1")
@@ -368,6 +371,7 @@
         for node in cluster.alive():
             assert len(node.exchange._records) == 0
             assert not node.exchange._unsent
+            assert not node.exchange._resends
 
 
 class TestModel:
