Merge the exchange of stream versions, and use it to find versions

A version is found by this node's records, by what it has observed, by the records of peers, and last by the only version ever seen, so that a node that has just started continues streams of a service that has one.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -39,6 +39,13 @@
     issued_rate_share,
 )
 from runhatch_server.decisions._rates import WorkRates
+from runhatch_server.decisions._record_keepers import (
+    KEEPER_SLOTS,
+    KeeperChange,
+    choose_keepers,
+    compare_keepers,
+    keeper_slot,
+)
 from runhatch_server.decisions._request import (
     GatewayRequest,
     Headers,
@@ -51,6 +58,13 @@
     select_version,
 )
 from runhatch_server.decisions._spread import WorkDistribution, distribute_work
+from runhatch_server.decisions._stream_records import (
+    RECORD_RETENTION,
+    RecordOutcome,
+    StreamKey,
+    StreamRecord,
+    StreamRecords,
+)
 from runhatch_server.decisions._suspects import ObservedEnd, Suspects
 
 __all__ = [
@@ -59,6 +73,7 @@
     "BUSY_AVOIDANCE_DURATION",
     "BUSY_RETRY_DELAY",
     "choose_candidates",
+    "choose_keepers",
     "ObservedEnd",
     "compute_fingerprint",
     "GatewayRequest",
@@ -66,6 +81,10 @@
     "HeldRequest",
     "decide_admission",
     "AdmissionDecision",
+    "KEEPER_SLOTS",
+    "KeeperChange",
+    "compare_keepers",
+    "keeper_slot",
     "LATE_TIER",
     "LimitedTarget",
     "ObservedLimit",
@@ -81,6 +100,8 @@
     "prefix_blocks",
     "PrefixIndex",
     "PromptPart",
+    "RECORD_RETENTION",
+    "RecordOutcome",
     "Rejected",
     "request_tier",
     "ScoredTarget",
@@ -91,6 +112,9 @@
     "distribute_work",
     "find_sole_version",
     "select_version",
+    "StreamKey",
+    "StreamRecord",
+    "StreamRecords",
     "Suspects",
     "TargetLoad",
     "MIN_RATE",
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -40,6 +40,11 @@
 from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.gateway._service import GatewayService
 from runhatch_server.gateway._settings import GatewaySettings
+from runhatch_server.gateway._shared_stream_versions import SharedStreamVersions
+from runhatch_server.gateway._stream_version_exchange import (
+    RECORD_BATCH_WINDOW,
+    UPDATE_INTERVAL,
+)
 from runhatch_server.gateway._stream_versions import StreamVersions
 from runhatch_server.gateway._tables import (
     COALESCING_WINDOW,
@@ -142,6 +147,7 @@
             self._tables,
             self._crashes,
             known_targets.probe_refusal,
+            self._stream_versions.has_several_versions,
         )
         self._lease_keeper = LeaseKeeper(
             settings.name,
@@ -218,6 +224,12 @@
         self._tasks.start_task(
             "suspects", DIGEST_INTERVAL, self._peers.suspects.send_digest
         )
+        self._tasks.start_task(
+            "streams",
+            UPDATE_INTERVAL,
+            self._send_stream_versions,
+            self._peers.stream_versions.update_wanted,
+        )
         self._tasks.start_task(
             "sums", self._peers.loads.next_sums_pause, self._peers.loads.send_sums
         )
@@ -285,7 +297,7 @@
             RequestRecorder(self._metrics, self._clock),
             self._crashes,
             self._clock,
-            self._stream_versions,
+            SharedStreamVersions(self._stream_versions, self._peers.stream_versions),
             self._peer_requests,
         )
         return GatewayService(parts, self._settings.retries)
@@ -410,6 +422,11 @@
         self._peers.loads.send_own()
         self._peers.send_demand(self._demand)
 
+    def _send_stream_versions(self) -> None:
+        """Send the records of streams, after a short pause that batches them."""
+        self._clock.sleep(RECORD_BATCH_WINDOW)
+        self._peers.stream_versions.send_updates()
+
     def _order_interval(self) -> timedelta:
         return ORDER_INTERVAL if self._orderer.has_work else IDLE_ORDER_INTERVAL
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -36,7 +36,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StreamRecord:
+class BegunStream:
     """The software version that began the stream of a caller's attempt."""
 
     attempt_id: str
@@ -63,7 +63,7 @@
         self._list_targets = list_targets
         self._is_informed = is_informed
         self._lock = threading.Lock()
-        self._records: dict[str, StreamRecord] = {}
+        self._records: dict[str, BegunStream] = {}
         """By attempt id, in the order of their begin."""
         self._last_seen_at: dict[str, dict[str, timedelta]] = {}
         """When a version was last seen, by service and version."""
@@ -75,7 +75,7 @@
     ) -> None:
         """Record that a target began to send events of a stream."""
         now = self._clock.elapsed()
-        record = StreamRecord(attempt_id, service, software_version, now)
+        record = BegunStream(attempt_id, service, software_version, now)
         with self._lock:
             self._records.pop(attempt_id, None)
             self._records[attempt_id] = record
@@ -104,6 +104,23 @@
                 now - MAX_RESUMPTION_DELAY,
             )
 
+    def find_only_version(self, attempt_id: str, service: str) -> str | None:
+        """Return the only version seen of a service whose stream no node recorded.
+
+        Return ``None`` if there were several, or if the stream is of another service.
+        Nodes share their records once they see a second version.
+        """
+        with self._lock:
+            versions = self._last_seen_at.get(service, {})
+            is_recorded = attempt_id in self._records
+            if is_recorded or len(versions) != 1 or not self._is_informed():
+                return None
+            return next(iter(versions))
+
+    def has_several_versions(self, service: str) -> bool:
+        """Return whether several versions may have begun streams in progress."""
+        return len(self.versions_of(service)) > 1
+
     def extend_stream_age(self, max_stream_age: timedelta) -> None:
         """Set the longest time from a stream's begin to its last resumption.
 
@@ -117,7 +134,7 @@
         with self._lock:
             return frozenset(self._last_seen_at.get(service, {}))
 
-    def records_of(self, service: str) -> list[StreamRecord]:
+    def records_of(self, service: str) -> list[BegunStream]:
         """Return the records of streams of ``service`` that may be in progress."""
         with self._lock:
             return [each for each in self._records.values() if each.service == service]
--- /dev/null
+++ b/packages/runhatch-server/tests/test_shared_stream_versions.py
@@ -0,0 +1,107 @@
+"""Versions that began streams, by the records of a node and of its peers."""
+
+from dataclasses import replace
+
+import pytest
+from gateway_cases import make_target, seconds
+
+from runhatch_server.gateway._shared_stream_versions import SharedStreamVersions
+from runhatch_server.gateway._stream_versions import (
+    MAX_RESUMPTION_DELAY,
+    StreamVersions,
+)
+
+
+class FakeExchange:
+    """Answers for peers with the streams that they recorded."""
+
+    def __init__(self, known):
+        self.known = known
+        self.begun = []
+        self.asked = []
+
+    def record_begun(self, attempt_id, service, software_version):
+        self.begun.append((attempt_id, service, software_version))
+
+    def find_version(self, attempt_id, service):
+        self.asked.append((attempt_id, service))
+        return self.known.get((attempt_id, service))
+
+
+class Node:
+    """A node that sees ``versions`` at targets of the service "s"."""
+
+    def __init__(self, clock, *versions, known=(), is_informed=True):
+        targets = [
+            replace(make_target(f"t{number}", "s"), software_version=version)
+            for number, version in enumerate(versions)
+        ]
+        self.own = StreamVersions(clock, lambda: targets, lambda: is_informed)
+        self.exchange = FakeExchange(dict(known))
+        self.shared = SharedStreamVersions(self.own, self.exchange)
+
+
+PEER_RECORD = {("id-1", "s"): "v1"}
+
+
+@pytest.mark.parametrize(
+    ("versions", "known", "attempt_id", "found"),
+    [
+        (("v1", "v2"), PEER_RECORD, "id-1", "v1"),
+        (("v2",), PEER_RECORD, "id-1", "v1"),
+        ((), PEER_RECORD, "id-1", "v1"),
+        (("v1", "v2"), {}, "id-1", None),
+        (("v1", "v2"), PEER_RECORD, "", None),
+        (("v1", "v1"), {}, "id-1", "v1"),
+        (("v1", "v1"), {}, "", "v1"),
+        (("",), {}, "id-1", ""),
+        ((), {}, "id-1", None),
+    ],
+    ids=[
+        "peer knows",
+        "peer knows another one than listed",
+        "peer knows, nothing listed",
+        "nobody knows",
+        "attempt not named",
+        "only version",
+        "only version, attempt not named",
+        "only version is empty",
+        "nothing listed",
+    ],
+)
+def test_node_that_has_just_started(clock, versions, known, attempt_id, found):
+    node = Node(clock, *versions, known=known)
+
+    assert node.shared.find_version(attempt_id, "s") == found
+
+
+def test_peers_are_not_asked_about_own_streams(clock):
+    node = Node(clock, "v1", "v2")
+    node.shared.record_begun("id-1", "s", "v2")
+
+    assert node.shared.find_version("id-1", "s") == "v2"
+    assert node.exchange.begun == [("id-1", "s", "v2")]
+    assert node.exchange.asked == []
+
+
+def test_peers_are_not_asked_while_there_has_been_one_version(clock):
+    node = Node(clock, "v1")
+    for _ in range(MAX_RESUMPTION_DELAY // seconds(1) + 1):
+        node.own.observe_targets()
+        clock.advance(seconds(1))
+
+    assert node.shared.find_version("id-1", "s") == "v1"
+    assert node.exchange.asked == []
+
+
+def test_only_version_is_not_assumed_for_the_stream_of_another_service(clock):
+    node = Node(clock, "v1")
+    node.shared.record_begun("id-1", "other", "v1")
+
+    assert node.shared.find_version("id-1", "s") is None
+
+
+def test_only_version_is_not_assumed_by_a_node_that_learns_of_no_targets(clock):
+    node = Node(clock, "v1", is_informed=False)
+
+    assert node.shared.find_version("id-1", "s") is None
