--- a/standins/src/runhatch_standins/_gateway_checks.py
+++ b/standins/src/runhatch_standins/_gateway_checks.py
@@ -9,7 +9,7 @@
 from runhatch_standins._cluster import call
 from runhatch_standins._gateways import MODELS, Gateway, GatewaySystem, wait_until
 from runhatch_standins._history import Event, EventKind
-from runhatch_standins.worker import CLOSED_EARLY
+from runhatch_standins._worker_faults import CLOSED_EARLY
 
 RECOVERY_SECONDS = 15.0
 MAX_MEMORY_KB = 300 * 1024
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -3,7 +3,7 @@
 import http.client
 import json
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,6 +15,7 @@
 from runhatch_standins._ports import free_ports
 from runhatch_standins._target_paths import PATHS_VARIABLE, TargetPaths
 from runhatch_standins._tcp_relay import TcpRelay
+from runhatch_standins.worker import SLOTS
 
 Document = dict[str, Any]
 
@@ -71,6 +72,11 @@
     route("/resumable/", "stream", "engine", resumable=True),
 ]
 
+SERVICES = [
+    {"name": "engine", "max_conns": 100, "engine": ENGINE},
+    {"name": "plain", "max_conns": 50},
+]
+
 
 def wait_until(holds: Callable[[], object], longest: float = READY_SECONDS) -> bool:
     """Return whether ``holds()`` becomes true within ``longest`` seconds."""
@@ -110,6 +116,8 @@
         self._folder = folder
         self._version = 0
         self._configuration: Document | None = None
+        self.routes = [*ROUTES]
+        self.services = [*SERVICES]
         self.paths = TargetPaths(stack, folder) if has_paths else None
         self.platform = self._register(launch("platform", "runhatch_standins.platform"))
         self.engines = [
@@ -119,7 +127,7 @@
         self.plain = [self.start_worker("plain") for _ in range(2)]
         self.gateways: list[Gateway] = []
         self._gateway_processes: list[Launched] = []
-        self.configure(ROUTES)
+        self.configure()
         self.start_gateway("n1")
         self.start_gateway("n2")
 
@@ -127,10 +135,16 @@
         self._stack.callback(launched.kill)
         return launched
 
-    def start_worker(self, service: str, models: str = "") -> Launched:
-        """Start a target of ``service`` that may serve ``models``."""
+    def start_worker(
+        self, service: str, models: str = "", version: str = "", slots: int = SLOTS
+    ) -> Launched:
+        """Start a target of ``service`` that may serve ``models``.
+
+        One with a software ``version`` shows it in the data of its events.
+        """
         arguments = ["--port", "0", "--store", self.platform.url]
         arguments += ["--service", service, "--models", models]
+        arguments += ["--version", version, "--slots", str(slots)]
         worker = launch("worker", "runhatch_standins.worker", *arguments)
         if self.paths is not None:
             self.paths.add_target(worker.port)
@@ -223,14 +237,23 @@
             return False
         return True
 
-    def configure(self, routes: list[Document]) -> None:
-        """Write a configuration with ``routes`` and a higher version."""
+    def add_service(self, name: str, routes: list[Document], **limits: object) -> None:
+        """Add a service and its routes to this and all later configurations."""
+        self.services.append({"name": name, "max_conns": 100, **limits})
+        self.routes += routes
+        self.configure()
+
+    def configure(self, routes: Sequence[Document] | None = None) -> None:
+        """Write a configuration with a higher version.
+
+        It has ``routes``, or else those of all services.
+        """
         self._version += 3
-        services = [
-            {"name": "engine", "max_conns": 100, "engine": ENGINE},
-            {"name": "plain", "max_conns": 50},
-        ]
-        document = {"version": self._version, "routes": routes, "services": services}
+        document = {
+            "version": self._version,
+            "routes": self.routes if routes is None else [*routes],
+            "services": self.services,
+        }
         self._configuration = document
         self.write_row("op", "config", document)
 
--- a/standins/src/runhatch_standins/_wsgi.py
+++ b/standins/src/runhatch_standins/_wsgi.py
@@ -89,6 +89,7 @@
     """A request to a stand-in, whose reply may be unframed or broken off."""
 
     is_framed = True
+    wrote_header: bool
 
     def get_environment(self) -> Mapping[str, Any]:
         return {**super().get_environment(), TASK_KEY: self}
@@ -105,8 +106,10 @@
         try:
             super().execute()
         except BrokenOffError as error:
-            if not self.wrote_header:
+            if self.complete and not self.wrote_header:
                 self.write(b"")
+            # waitress answers with an error unless a header was written.
+            self.wrote_header = True
             if error.is_reset:
                 self.channel.socket.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -10,11 +10,19 @@
 import time
 import uuid
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
+from runhatch_standins._brittle import OccupyingChunks, Room
 from runhatch_standins._cluster import call as call_json
+from runhatch_standins._worker_faults import (
+    CLOSED_EARLY,
+    NO_FAULTS,
+    PLANTED_ORDERS,
+    RESET,
+    SKIPPED_EVENT,
+)
 from runhatch_standins._wsgi import (
     BrokenOffError,
     Call,
@@ -27,47 +35,11 @@
 
 NOT_RUN = (("X-Runhatch-Not-Executed", "1"),)
 EVENT_SECONDS = 0.01
+SLOTS = 8
+DEFAULT_VERSION = "v1"
 LOAD_SECONDS = 0.3
 CRASHED = 70
 """Exit status after a request crashed the process."""
-NO_FAULTS: dict[str, Any] = {
-    "status": 0,
-    "hang_seconds": 0.0,
-    "lose_orders": False,
-    # Refuse requests with this value in ``Retry-After``.
-    "rest_seconds": 0.0,
-    # Announce draining in responses, but not yet in the entry.
-    "leaving": False,
-    # Text in a path that makes the process exit, as if the request crashed it.
-    "ends_on": "",
-    # Answer with neither a length nor chunks.
-    "unframed": False,
-    # Break off streams after this many bytes, by a reset or a normal close; none if
-    # negative.
-    "break_at": -1,
-    "break_by_reset": False,
-    # Break off only the first stream of an attempt, at whichever of the targets with
-    # this folder it runs first.
-    "break_once_in": "",
-    # Violations, to test that the checkers detect them.
-    "run_twice": False,
-    "wrong_body": False,
-    "skip_event": False,
-    "short_stream": False,
-    "untrue_refusal": False,
-    "lower_fence": False,
-    "shared_fence": False,
-    "two_holders": False,
-}
-CLOSED_EARLY, RESET = "closed early", "reset"
-"""Ends of runs whose stream the target broke off."""
-SKIPPED_EVENT = 2
-PLANTED_ORDERS: dict[str, tuple[int, str]] = {
-    "lower_fence": (-1, ""),
-    "shared_fence": (0, "-other"),
-    "two_holders": (1, "-other"),
-}
-"""By fault, the fence increment and holder suffix of a forged second order."""
 Document = dict[str, Any]
 
 
@@ -89,6 +61,11 @@
     service: str
     failure_domain: str
     models: dict[str, set[str]]
+    software_version: str = ""
+    """Version in its entry and in the data of its events; empty for the default one,
+    which its events do not show."""
+    slots: int = SLOTS
+    """Places for requests, of which it turns away further ones while it is brittle."""
     identity: str = field(default_factory=lambda: f"i-{uuid.uuid4().hex[:10]}")
     port: int = 0
     state: str = "ready"
@@ -109,9 +86,13 @@
     """Requests per second from all gateways together, as announced in responses."""
     faults: Document = field(default_factory=lambda: dict(NO_FAULTS))
     lock: threading.Lock = field(default_factory=threading.Lock)
+    room: Room = field(init=False)
     born_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     """Unix time of its start in milliseconds."""
 
+    def __post_init__(self) -> None:
+        self.room = Room(self.slots, time.monotonic)
+
     def routes(self) -> Routes:
         """Return the WSGI application."""
         routes = Routes()
@@ -139,8 +120,8 @@
             "address": f"127.0.0.1:{self.port}",
             # ``zone`` is the published name of the failure domain.
             "zone": self.failure_domain,
-            "version": "v1",
-            "slots": 8,
+            "version": self.software_version or DEFAULT_VERSION,
+            "slots": self.slots,
             "state": self.state,
             "cold_left_ms": 0,
             "sequence": self.orders,
@@ -153,6 +134,7 @@
 
     def report(self, call: Call) -> Reply:
         """Return the loaded models and the number of accepted orders."""
+        self.room.check_up()
         return reply_json(
             {
                 "models": self._loaded_models(),
@@ -164,6 +146,7 @@
 
     def order(self, call: Call) -> Reply:
         """Carry out an order, unless another one was accepted in the meantime."""
+        self.room.check_up()
         document = call.json()
         if call.headers.get("x-runhatch-expect-instance") != self.identity:
             return Reply(421)
@@ -184,7 +167,7 @@
         return Reply(202)
 
     def journal(self, call: Call) -> Reply:
-        """Return the runs, arrivals, orders and restarts."""
+        """Return the runs, arrivals, orders, restarts and falls."""
         runs = [[run.attempt_id, run.model, run.ended] for run in self.runs]
         with self.lock:
             orders, order_times = [*self.orders_given], [*self.order_times]
@@ -197,12 +180,15 @@
                 "orders": orders,
                 "order_times": order_times,
                 "restart_times": self.restart_times,
+                "falls": self.room.falls,
             }
         )
 
     def set_faults(self, call: Call) -> Reply:
         """Replace all faults; reset those not named in the body to their defaults."""
         self.faults = {**NO_FAULTS, **call.json()}
+        self.room.brittle = int(self.faults["brittle"])
+        self.room.down_seconds = float(self.faults["down_seconds"])
         return reply_json(self.faults)
 
     def name_limit(self, call: Call) -> Reply:
@@ -232,7 +218,12 @@
         return reply_json({})
 
     def serve(self, call: Call) -> Reply:
-        """Serve one request, subject to the faults."""
+        """Serve one request, subject to the faults and the room."""
+        self.room.check_up()
+        reply = self._admit(call)
+        return replace(reply, headers=(*reply.headers, *self.room.headers()))
+
+    def _admit(self, call: Call) -> Reply:
         attempt_id = call.headers.get("x-runhatch-attempt-id", "")
         model, _, adapter = call.headers.get("x-runhatch-model", "").partition("/")
         expected = call.headers.get("x-runhatch-expect-instance", self.identity)
@@ -242,13 +233,28 @@
             return Reply(400, headers=NOT_RUN)
         self.arrivals.append(attempt_id)
         self.arrival_times.append(time.monotonic())
+        refusal = (
+            *NOT_RUN,
+            ("X-Runhatch-Attempt-Id", attempt_id),
+            *self._rate_limit_header(),
+        )
         if self.faults["rest_seconds"]:
             backoff = ("Retry-After", str(self.faults["rest_seconds"]))
-            attempt_header = ("X-Runhatch-Attempt-Id", attempt_id)
-            return Reply(
-                503,
-                headers=(*NOT_RUN, backoff, attempt_header, *self._rate_limit_header()),
-            )
+            return Reply(503, headers=(*refusal, backoff))
+        if not self.room.take():
+            return Reply(503, headers=refusal)
+        try:
+            reply = self._run(call, attempt_id, model)
+            self.room.check_up()
+        except BaseException:
+            self.room.release()
+            raise
+        if reply.chunks is None:
+            self.room.release()
+            return reply
+        return replace(reply, chunks=OccupyingChunks(reply.chunks, self.room))
+
+    def _run(self, call: Call, attempt_id: str, model: str) -> Reply:
         run = Run(attempt_id, model)
         self.runs.append(run)
         if self.faults["ends_on"] and self.faults["ends_on"] in call.path:
@@ -319,6 +325,7 @@
 
     def _stream_events(self, run: Run, first: int, count: int) -> Iterator[bytes]:
         run.ended = "left"
+        data = f"{run.attempt_id} {self.software_version}".rstrip()
         for number in range(first + 1, count + 1):
             time.sleep(EVENT_SECONDS)
             if self.faults["short_stream"] and number > count // 2:
@@ -326,7 +333,7 @@
             if self.faults["skip_event"] and number == SKIPPED_EVENT:
                 continue
             run.events += 1
-            yield f"id: {number}\ndata: {run.attempt_id}\n\n".encode()
+            yield f"id: {number}\ndata: {data}\n\n".encode()
         run.ended = "answered"
 
     def _carry_out(self, document: Document) -> None:
@@ -359,10 +366,17 @@
     parser.add_argument("--service", required=True)
     parser.add_argument("--failure-domain", default="d1")
     parser.add_argument("--models", default="")
+    parser.add_argument("--version", default="")
+    parser.add_argument("--slots", type=int, default=SLOTS)
     arguments = parser.parse_args()
     models = {name: set[str]() for name in arguments.models.split(",") if name}
     worker = Worker(
-        arguments.store, arguments.service, arguments.failure_domain, models
+        arguments.store,
+        arguments.service,
+        arguments.failure_domain,
+        models,
+        arguments.version,
+        arguments.slots,
     )
     serve(worker.routes(), arguments.port, threads=32, on_bound=worker.bound)
 
