Test that streams go on at the version that began them

Streams are broken off by targets, by callers and by a killed gateway, and are taken up at other gateways with Last-Event-Id and Resumes, beside targets of two software versions. The checks find events of two versions in one answer or over tries, and the share of streams taken up that go on.

--- a/standins/tests/test_software_versions.py
+++ b/standins/tests/test_software_versions.py
@@ -20,136 +20,153 @@
 )
 from runhatch_standins._stream_callers import StreamCaller, take_turns
 
-PREFIX = "/versions/"
-SERVICE = "versions"
 MODEL = "m0"
 VERSIONS = ("v1", "v2")
 TARGETS_OF_EACH = 2
-STREAMS = 16
-"""Streams taken up in a test, of which ``MIN_TAKEN_UP_STREAMS`` must count."""
+STREAMS = 24
+"""Streams in a test: more than the targets of one version have slots."""
 TOKENS = 30
 LONG_TOKENS = 150
 """Events of a stream that lasts while its gateway is killed."""
 LEAVE_AFTER = 5
-RETRY_AFTER_SECONDS = 2.0
+REFUSAL_SECONDS = 2.0
 """Time within which a stream that can't go on must be refused."""
 
 
-class System:
-    """Three gateways, and targets of two software versions."""
+class Service:
+    """A service with targets of two software versions, and its callers."""
 
-    def __init__(self, gateways):
+    def __init__(self, gateways, name):
         self.gateways = gateways
-        self.targets = {version: [] for version in VERSIONS}
-        self.serving = []
+        self.name = name
+        with ThreadPoolExecutor() as pool:
+            versions = VERSIONS * TARGETS_OF_EACH
+            started = list(pool.map(self._start_target, versions))
+        self.targets = list(zip(versions, started, strict=True))
+        began = time.monotonic()
+        self.serving = [ServingTime(version, began) for version in versions]
         self._number = 0
+        routes = [route(f"/{name}/", "stream", name, resumable=True)]
+        gateways.add_service(name, routes)
+        assert wait_until(self.is_served_by_both_versions)
 
-    def start_targets(self):
-        for version in VERSIONS * TARGETS_OF_EACH:
-            worker = self.gateways.start_worker(SERVICE, MODEL, version)
-            self.targets[version].append(worker)
-            self.serving.append(ServingTime(version, time.monotonic()))
+    def _start_target(self, version):
+        return self.gateways.start_worker(self.name, MODEL, version)
 
     def set_faults(self, **faults):
-        for version in VERSIONS:
-            for worker in self.targets[version]:
-                call(worker.url, "POST", "/faults", faults)
+        for _, worker in self.targets:
+            call(worker.url, "POST", "/faults", faults)
 
-    def read_streams(self, choices, **options):
-        """Read ``STREAMS`` streams at once; return them in the order of choices."""
-        callers = [self.make_caller(choose, **options) for choose in choices]
+    def stop(self):
+        for _, worker in self.targets:
+            call(worker.url, "POST", "/drain", {})
+            worker.kill()
+
+    def read_streams(self, callers):
         with ThreadPoolExecutor(len(callers)) as pool:
             return list(pool.map(StreamCaller.run, callers))
 
+    def make_callers(self, **options):
+        """Return callers that take turns at the gateways, from a different one each."""
+        gateways = self.gateways.gateways
+        return [
+            self.make_caller(take_turns(gateways, i), **options) for i in range(STREAMS)
+        ]
+
     def make_caller(self, choose, tokens=TOKENS, **options):
         self._number += 1
-        name = f"stream-{self._number}"
-        return StreamCaller(name, PREFIX, MODEL, tokens, choose, **options)
+        name = f"{self.name}-{self._number}"
+        return StreamCaller(name, f"/{self.name}/", MODEL, tokens, choose, **options)
 
-    def read_whole(self, gate):
-        return self.make_caller(lambda number: gate, max_tries=1).run()
+    def find_versions(self, gate, count):
+        """Return the versions that serve ``count`` short streams at ``gate``."""
+        callers = [
+            self.make_caller(lambda number: gate, tokens=1, max_tries=1)
+            for _ in range(count)
+        ]
+        return {v for caller in callers for v in caller.run().versions}
 
-    def finds_both_versions(self, gate):
-        found = set()
-        for _ in range(8):
-            found |= self.read_whole(gate).versions
-        return found == {*VERSIONS}
+    def is_served_by_both_versions(self):
+        return all(
+            self.find_versions(gate, 8) == {*VERSIONS}
+            for gate in self.gateways.gateways
+        )
 
 
 def count_taken_up(streams):
     return sum(any(t.is_take_up for t in stream.tries) for stream in streams)
 
 
+def check_began_at_both(streams):
+    assert {s.events[0].version for s in streams if s.events} == {*VERSIONS}
+
+
 @pytest.fixture(scope="module")
-def shared_system(tmp_path_factory):
+def gateways(tmp_path_factory):
     with ExitStack() as stack:
-        gateways = GatewaySystem(stack, tmp_path_factory.mktemp("gateways"))
-        gateways.start_gateway("n3")
-        system = System(gateways)
-        system.start_targets()
-        gateways.add_service(
-            SERVICE, [route(PREFIX, "stream", SERVICE, resumable=True)]
-        )
-        for gate in gateways.gateways:
-            assert wait_until(lambda gate=gate: system.finds_both_versions(gate))
+        system = GatewaySystem(stack, tmp_path_factory.mktemp("gateways"))
+        system.start_gateway("n3")
         yield system
 
 
 @pytest.fixture
-def system(shared_system):
-    yield shared_system
-    shared_system.set_faults()
-
-
-@pytest.fixture
-def turns(system):
-    """Return choices of gateways in turn, from a different one each."""
-    return [take_turns(system.gateways.gateways, i) for i in range(STREAMS)]
+def service(gateways):
+    """Start a service of each test's own: gateways avoid targets that failed lately."""
+    service = Service(gateways, f"service-{len(gateways.services)}")
+    yield service
+    service.stop()
 
 
 class TestWithinOneAnswer:
     """Targets break off streams, and gateways resume them."""
 
-    @pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
-    @pytest.mark.parametrize("at", [70, 205], ids=["early", "late"])
-    def test_stream_goes_on_at_its_version(self, system, turns, tmp_path, at, is_reset):
-        system.set_faults(
+    @pytest.mark.parametrize(
+        ("at", "is_reset"), [(80, False), (205, True)], ids=["closed", "reset"]
+    )
+    def test_stream_goes_on_at_its_version(self, service, tmp_path, at, is_reset):
+        service.set_faults(
             break_at=at, break_by_reset=is_reset, break_once_in=str(tmp_path)
         )
 
-        streams = system.read_streams(turns)
+        streams = service.read_streams(service.make_callers())
 
-        assert check_streams(streams, system.serving) == []
+        check_began_at_both(streams)
+        assert check_streams(streams, service.serving) == []
 
 
 class TestOverTries:
     """Callers take broken streams up again at other gateways."""
 
-    def test_stream_that_its_caller_left_goes_on(self, system, turns):
-        streams = system.read_streams(turns, leave_after=LEAVE_AFTER)
+    def test_stream_that_its_caller_left_goes_on(self, service):
+        callers = service.make_callers(leave_after=LEAVE_AFTER)
+
+        streams = service.read_streams(callers)
 
+        check_began_at_both(streams)
         assert count_taken_up(streams) >= MIN_TAKEN_UP_STREAMS
-        assert check_streams(streams, system.serving) == []
+        assert check_streams(streams, service.serving) == []
 
-    def test_stream_that_is_broken_off_again_goes_on(self, system, turns, tmp_path):
+    def test_stream_that_is_broken_off_again_goes_on(self, service, tmp_path):
         """Both the try that begins it and the one that takes it up are broken off."""
-        system.set_faults(break_at=205, break_once_in=str(tmp_path))
+        service.set_faults(break_at=205, break_once_in=str(tmp_path))
+        callers = service.make_callers(leave_after=LEAVE_AFTER, max_tries=6)
 
-        streams = system.read_streams(turns, leave_after=LEAVE_AFTER, max_tries=6)
+        streams = service.read_streams(callers)
 
+        check_began_at_both(streams)
         assert count_taken_up(streams) >= MIN_TAKEN_UP_STREAMS
-        assert check_streams(streams, system.serving) == []
+        assert check_streams(streams, service.serving) == []
 
-    def test_stream_of_a_killed_gateway_goes_on(self, system):
+    def test_stream_of_a_killed_gateway_goes_on(self, service):
         """The gateway that relayed the first event is gone when it is taken up."""
-        first, *others = system.gateways.gateways
+        first, *others = service.gateways.gateways
 
         def choose(turn):
             next_gate = take_turns(others, turn)
             return lambda number: next_gate(number) if number else first
 
         callers = [
-            system.make_caller(choose(i), tokens=LONG_TOKENS) for i in range(STREAMS)
+            service.make_caller(choose(i), tokens=LONG_TOKENS) for i in range(STREAMS)
         ]
         with ThreadPoolExecutor(STREAMS) as pool:
             running = [pool.submit(caller.run) for caller in callers]
@@ -158,73 +175,56 @@
             first.process.signal(signal.SIGKILL)
             first.process.process.wait()
             streams = [future.result() for future in running]
-        system.gateways.restart(first)
-        assert wait_until(lambda: system.gateways.is_ready(first))
+        service.gateways.restart(first)
+        assert wait_until(lambda: service.gateways.is_ready(first))
 
+        check_began_at_both(streams)
         assert count_taken_up(streams) >= MIN_TAKEN_UP_STREAMS
-        assert check_streams(streams, system.serving) == []
+        assert check_streams(streams, service.serving) == []
 
 
 class TestUnknownAttempt:
     """Nothing tells the version of a stream."""
 
-    def test_stream_with_unknown_attempt_is_refused_as_not_run(self, system):
-        for i, _ in enumerate(system.gateways.gateways):
-            response, body = system.gateways.answer(
-                f"{PREFIX}unknown-{i}",
-                "POST",
-                gate=i,
-                name=f"unknown-{i}",
-                model=MODEL,
-                **{"Last-Event-Id": "3", "Resumes": "never-sent"},
-            )
+    def test_stream_of_unknown_attempt_is_refused_as_not_run(self, service):
+        headers = {"Last-Event-Id": "3", "Resumes": "never-sent"}
+
+        answers = [
+            service.gateways.answer(
+                f"/{service.name}/x", "POST", gate=gate, model=MODEL, **headers
+            )[0]
+            for gate in range(len(service.gateways.gateways))
+        ]
 
-            assert response.status == 503, body
-            assert response.getheader("X-Runhatch-Not-Executed")
+        assert [response.status for response in answers] == [503, 503, 503]
+        assert all(r.getheader("X-Runhatch-Not-Executed") for r in answers)
 
 
 class TestVersionThatIsGone:
     """No target of the version that began a stream is left."""
 
-    def test_stream_is_refused_at_once(self, tmp_path):
-        with ExitStack() as stack:
-            gateways = GatewaySystem(stack, tmp_path)
-            system = System(gateways)
-            system.start_targets()
-            gateways.add_service(
-                SERVICE, [route(PREFIX, "stream", SERVICE, resumable=True)]
-            )
-            for gate in gateways.gateways:
-                assert wait_until(lambda gate=gate: system.finds_both_versions(gate))
-            callers = [
-                system.make_caller(
-                    take_turns(gateways.gateways, i),
-                    leave_after=LEAVE_AFTER,
-                    max_tries=1,
-                )
-                for i in range(STREAMS)
-            ]
-            with ThreadPoolExecutor(STREAMS) as pool:
-                streams = list(pool.map(StreamCaller.run, callers))
-            for worker in system.targets["v1"]:
+    def test_stream_is_refused_at_once(self, service):
+        callers = service.make_callers(leave_after=LEAVE_AFTER, max_tries=1)
+        streams = service.read_streams(callers)
+        check_began_at_both(streams)
+        for version, worker in service.targets:
+            if version == "v1":
                 call(worker.url, "POST", "/drain", {})
-            gates = gateways.gateways
-            assert wait_until(
-                lambda: all(
-                    system.read_whole(gate).versions == {"v2"}
-                    for gate in gates
-                    for _ in range(5)
-                )
+        assert wait_until(
+            lambda: all(
+                service.find_versions(gate, 8) == {"v2"}
+                for gate in service.gateways.gateways
             )
+        )
 
-            for caller in callers:
-                caller.take_up()
+        with ThreadPoolExecutor(STREAMS) as pool:
+            list(pool.map(StreamCaller.take_up, callers))
 
-        begun_by_old = [s for s in streams if s.events[0].version == "v1"]
-        assert begun_by_old
-        for stream in begun_by_old:
-            assert stream.versions == {"v1"}
+        for stream in streams:
             last = stream.tries[-1]
-            assert last.status == 503
-            assert last.ended - last.began < RETRY_AFTER_SECONDS
-        assert all(s.is_complete for s in streams if s not in begun_by_old)
+            if stream.events[0].version == "v2":
+                assert stream.is_complete
+            else:
+                assert last.status == 503
+                assert last.ended - last.began < REFUSAL_SECONDS
+        assert check_streams(streams, service.serving) == []
