Add the soak kinds release and brittle

Release: targets of a service are replaced one after the other by those of the next version, crash and break off streams, while gateways are killed, stopped, paused and reloaded; callers take streams up at other gateways. Brittle: load beyond the room of brittle targets under the same faults of gateways.

--- a/standins/src/runhatch_standins/_gateway_faults.py
+++ b/standins/src/runhatch_standins/_gateway_faults.py
@@ -34,6 +34,11 @@
     STREAMS_CLOSED = "target closes streams early"
     STREAMS_RESET = "target resets streams"
     PARTITION = "gateways cut off from targets"
+    RELEASE = "target replaced by one of another version"
+    RELEASED_CRASHES = "target of replaced service crashes"
+    RELEASED_CLOSES = "target of replaced service closes streams"
+    RELEASED_RESETS = "target of replaced service resets streams"
+    BRITTLE_LOAD = "load beyond room of brittle targets"
 
 
 FIRST_KINDS = tuple(GatewayFault)[:17]
@@ -53,14 +58,34 @@
     *[GatewayFault.STREAMS_RESET] * 8,
 )
 """Kinds of which those that concern the ends of answers are repeated."""
-PARTITION_KINDS = (*GatewayFault, *[GatewayFault.PARTITION] * 8)
-"""All kinds; cuts between gateways and targets are repeated."""
+PARTITION_KINDS = (*tuple(GatewayFault)[:25], *[GatewayFault.PARTITION] * 8)
+"""Kinds of which cuts between gateways and targets are repeated."""
+GATEWAY_ENDS = (GatewayFault.KILL, GatewayFault.PAUSE, GatewayFault.STOP)
+RELEASE_KINDS = (
+    *GATEWAY_ENDS,
+    GatewayFault.RELOAD,
+    GatewayFault.CONFIGURATION,
+    *[GatewayFault.RELEASE] * 4,
+    *[GatewayFault.RELEASED_CRASHES] * 2,
+    *[GatewayFault.RELEASED_CLOSES] * 2,
+    *[GatewayFault.RELEASED_RESETS] * 2,
+)
+"""Kinds that replace targets, break off streams or end gateways."""
+BRITTLE_KINDS = (
+    *GATEWAY_ENDS,
+    GatewayFault.RELOAD,
+    GatewayFault.CONFIGURATION,
+    *[GatewayFault.BRITTLE_LOAD] * 5,
+)
+"""Kinds that load brittle targets or end gateways."""
 KINDS = {
     "first": FIRST_KINDS,
     "all": ALL_KINDS,
     "holder": HOLDER_KINDS,
     "streams": STREAM_KINDS,
     "partition": PARTITION_KINDS,
+    "release": RELEASE_KINDS,
+    "brittle": BRITTLE_KINDS,
 }
 
 FOREIGN_ENTRIES: tuple[object, ...] = (
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -284,6 +284,11 @@
         row = {"table": table, "key": key, "document": document}
         call(self.platform.url, "PUT", "/rows", {"puts": [row]})
 
+    def remove_row(self, table: str, key: str) -> None:
+        """Remove a row without a condition."""
+        row = {"table": table, "key": key}
+        call(self.platform.url, "PUT", "/rows", {"remove": [row]})
+
     def ask(
         self,
         path: str,
--- a/standins/src/runhatch_standins/_software_versions.py
+++ b/standins/src/runhatch_standins/_software_versions.py
@@ -88,9 +88,15 @@
     )
 
 
-def remove_versions(text: str) -> str:
-    """Return the events in ``text`` without the versions in their data."""
-    return re.sub(r"(?m)^(data: \S+) \S+$", r"\1", text)
+def describe_streams(streams: Sequence[CallerStream]) -> str:
+    """Return the numbers of streams, of those taken up and of mixed ones."""
+    taken_up = [s for s in streams if any(t.is_take_up for t in s.tries)]
+    complete = sum(stream.is_complete for stream in taken_up)
+    mixed = len(find_mixed_streams(streams))
+    return (
+        f"{len(streams)} streams, {len(taken_up)} taken up, "
+        f"{complete} of these complete, {mixed} mixed"
+    )
 
 
 def find_mixed_streams(streams: Iterable[CallerStream]) -> list[CallerStream]:
--- a/standins/tests/test_gateway_soak.py
+++ b/standins/tests/test_gateway_soak.py
@@ -5,9 +5,11 @@
 from runhatch_standins import _gateway_checks
 from runhatch_standins.gateway_soak import (
     ALL_KINDS,
+    BRITTLE_KINDS,
     FIRST_KINDS,
     HOLDER_KINDS,
     PARTITION_KINDS,
+    RELEASE_KINDS,
     STREAM_KINDS,
     GatewayFault,
     plan_faults,
@@ -30,9 +32,11 @@
         [
             (HOLDER_KINDS, [*GatewayFault][:21]),
             (STREAM_KINDS, [*GatewayFault][:24]),
-            (PARTITION_KINDS, GatewayFault),
+            (PARTITION_KINDS, [*GatewayFault][:25]),
+            (RELEASE_KINDS, RELEASE_KINDS),
+            (BRITTLE_KINDS, BRITTLE_KINDS),
         ],
-        ids=["holder", "streams", "partition"],
+        ids=["holder", "streams", "partition", "release", "brittle"],
     )
     def test_every_kind_of_fault_is_planned(self, kinds, expected):
         planned_kinds = {
