--- a/standins/tests/test_gateway_software_versions.py
+++ b/standins/tests/test_gateway_software_versions.py
@@ -21,15 +21,11 @@
 
     def __init__(self, gateways):
         self.gateways = gateways
-        gateways.engines += [
-            gateways.start_worker("engine", "m1"),
-            gateways.start_worker("engine", "m1"),
-        ]
-        self._versions = list(
-            zip(gateways.engines, ("v1", "v2", "v1", "v2"), strict=True)
-        )
-        for worker, version in self._versions:
-            call(worker.url, "POST", "/version", {"version": version})
+        self._versions = [(worker, "v1") for worker in gateways.engines]
+        for _ in range(2):
+            worker = gateways.start_worker("engine", "m1", "v2")
+            self._versions.append((worker, "v2"))
+            gateways.engines.append(worker)
         self._numbers = itertools.count(1)
 
     def set_faults(self, **faults):
