Correct two checks of the tests of software versions

A gateway states in the problem document of its refusal that nothing was executed; X-Runhatch-Not-Executed is the targets' header. The test now checks status, Retry-After, reason and that statement.

The share of streams that go on counts while two targets of their version serve; the test drained all of one version and counted them as serving. It now ends their time, and still checks that no stream holds two versions and that each try is refused within two seconds.

--- a/standins/tests/test_software_versions.py
+++ b/standins/tests/test_software_versions.py
@@ -4,10 +4,12 @@
 and killed gateways, and are taken up again at other gateways.
 """
 
+import json
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
+from dataclasses import replace
 
 import pytest
 
@@ -59,6 +61,17 @@
         for _, worker in self.targets:
             call(worker.url, "POST", "/faults", faults)
 
+    def drain(self, version):
+        """Drain the targets of ``version``, which then count as ended."""
+        now = time.monotonic()
+        self.serving = [
+            replace(each, ends=now) if each.version == version else each
+            for each in self.serving
+        ]
+        for each, worker in self.targets:
+            if each == version:
+                call(worker.url, "POST", "/drain", {})
+
     def stop(self):
         for _, worker in self.targets:
             call(worker.url, "POST", "/drain", {})
@@ -194,12 +207,15 @@
         answers = [
             service.gateways.answer(
                 f"/{service.name}/x", "POST", gate=gate, model=MODEL, **headers
-            )[0]
+            )
             for gate in range(len(service.gateways.gateways))
         ]
 
-        assert [response.status for response in answers] == [503, 503, 503]
-        assert all(r.getheader("X-Runhatch-Not-Executed") for r in answers)
+        assert [response.status for response, _ in answers] == [503, 503, 503]
+        assert all(float(r.getheader("Retry-After")) > 0 for r, _ in answers)
+        problems = [json.loads(body) for _, body in answers]
+        assert [p["executed"] for p in problems] == ["no"] * len(answers)
+        assert [p["reason"] for p in problems] == ["stream_unknown"] * len(answers)
 
 
 class TestVersionThatIsGone:
@@ -209,9 +225,7 @@
         callers = service.make_callers(leave_after=LEAVE_AFTER, max_tries=1)
         streams = service.read_streams(callers)
         check_began_at_both(streams)
-        for version, worker in service.targets:
-            if version == "v1":
-                call(worker.url, "POST", "/drain", {})
+        service.drain("v1")
         assert wait_until(
             lambda: all(
                 service.find_versions(gate, 8) == {"v2"}
