--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -45,6 +45,12 @@
     ModelWork,
     PromptPart,
 )
+from runhatch_server.decisions._room import (
+    BRITTLE_GRACE,
+    RoomAnswer,
+    RoomGate,
+    RoomReport,
+)
 from runhatch_server.decisions._scoring import HeldRequest, ScoredTarget, Scorer
 from runhatch_server.decisions._spread import WorkDistribution, distribute_work
 from runhatch_server.decisions._suspects import ObservedEnd, Suspects
@@ -79,6 +85,10 @@
     "PromptPart",
     "Rejected",
     "request_tier",
+    "BRITTLE_GRACE",
+    "RoomAnswer",
+    "RoomGate",
+    "RoomReport",
     "ScoredTarget",
     "Scorer",
     "issued_rate_share",
--- a/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 
 from runhatch_server.decisions._load import TIER_COUNT
+from runhatch_server.decisions._room import BRITTLE_GRACE
 
 MIN_RATE = 0.2
 """Minimum requests per second sent to a target, even if its limit is lower. Only its
@@ -33,9 +34,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ObservedLimit:
-    """Rate limit in an answer of a target, in requests per second.
+    """Limits in an answer of a target: of its rate, and of what it rejects.
 
-    ``rate`` is ``None`` if the answer announced no limit. ``at`` is the arrival time of
+    ``rate`` is in requests per second, ``None`` if the answer announced none.
+    ``max_rejections`` is the most requests that a brittle target rejects in a second
+    without ending, ``None`` if it is not brittle, and ``brittle_since`` is when it was
+    first known to be brittle. ``at`` is the arrival time of
     an answer with a limit, and the send time of the request otherwise. Answers may
     arrive out of order, so only a request sent after the limit was announced can show
     that it has ended.
@@ -43,11 +47,32 @@
 
     rate: float | None
     at: timedelta
+    max_rejections: int | None = None
+    brittle_since: timedelta | None = None
+
+    @property
+    def is_in_force(self) -> bool:
+        """Whether the answer announced a limit."""
+        return self.rate is not None or self.max_rejections is not None
+
+    def equals(self, other: "ObservedLimit | None") -> bool:
+        """Return whether both announce the same limits."""
+        return (
+            other is not None
+            and self.rate == other.rate
+            and self.max_rejections == other.max_rejections
+        )
+
+    def grace_ends_at(self) -> timedelta | None:
+        """Return until when requests need no permit, ``None`` if they do at once."""
+        if self.rate is not None or self.brittle_since is None:
+            return None
+        return self.brittle_since + BRITTLE_GRACE
 
     def supersedes(self, known: "ObservedLimit | None") -> bool:
         """Return whether this replaces the limit in ``known``."""
         if known is None:
-            return self.rate is not None
+            return self.is_in_force
         return self.at > known.at
 
 
@@ -109,11 +134,17 @@
     """Time from which permits may be requested again, by tier."""
     waiting_requests: int = 0
     """Number of requests that wait for a permit that they requested."""
+    confirmed_grants: dict[str, int] = field(default_factory=dict)
+    """Number of the last grant of room received, by allocator."""
+    rejected_requests: int = 0
+    """Number of requests that the target rejected for want of room."""
     expired_permits: int = 0
     """Expired permits not yet returned by :meth:`take_expired_count`."""
 
     def opens_at(self, tier: int, now: timedelta) -> timedelta:
         """Return when a request of ``tier`` may be sent, or request a permit."""
+        if self.is_in_grace(now):
+            return now
         return now if self._has_permit(now) else self.denied_until[tier]
 
     def take_permit(self, now: timedelta, has_requested: bool) -> bool:
@@ -131,10 +162,26 @@
 
     def add_permit(self, now: timedelta) -> None:
         """Add a permit received at ``now``."""
-        rate = max(self.observed_limit.rate or 0.0, MIN_RATE)
-        self.permits.append(
-            now + MIN_PERMIT_VALIDITY + SECOND * (PERMIT_VALIDITY_PERMITS / rate)
-        )
+        validity = MIN_PERMIT_VALIDITY
+        if self.observed_limit.rate is not None:
+            rate = max(self.observed_limit.rate, MIN_RATE)
+            validity += SECOND * (PERMIT_VALIDITY_PERMITS / rate)
+        self.permits.append(now + validity)
+
+    def confirm_grant(self, allocator: str, number: int) -> bool:
+        """Record a grant of room; return whether it is newer than all others.
+
+        An older one is lost, as later reports of this node have told the allocator.
+        """
+        if number <= self.confirmed_grants.get(allocator, 0):
+            return False
+        self.confirmed_grants[allocator] = number
+        return True
+
+    def count_permits(self, now: timedelta) -> int:
+        """Return the number of valid permits."""
+        self._has_permit(now)
+        return len(self.permits)
 
     def deny_tier(self, tier: int, until: timedelta) -> None:
         """Record that ``tier`` and less urgent tiers get no permit before ``until``."""
@@ -147,6 +194,11 @@
         expired, self.expired_permits = self.expired_permits, 0
         return expired
 
+    def is_in_grace(self, now: timedelta) -> bool:
+        """Return whether requests need no permit yet."""
+        ends_at = self.observed_limit.grace_ends_at()
+        return ends_at is not None and now < ends_at
+
     def _has_permit(self, now: timedelta) -> bool:
         count = len(self.permits)
         self.permits = [expiry for expiry in self.permits if expiry > now]
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -98,6 +98,7 @@
         """The targets that this node can connect to."""
         self.limits = limits
         """The rate limits announced by targets."""
+        limits.count_outstanding = self.loads.count_own
         self._held_requests = HeldRequests(directory, clock, self._book, self._lock)
         self._closed_at: timedelta | None = None
         self.node_count = 1
@@ -235,10 +236,11 @@
                     self._book.rates.record_service_time(
                         grant.request.route.name, duration
                     )
+        self.limits.record_end(grant.target.incarnation)
 
     def release_refused(self, grant: Grant) -> None:
         """Release ``grant``, whose target was full and didn't run the request."""
-        self._release_and_exclude(grant, BUSY_AVOIDANCE_DURATION)
+        self._release_and_exclude(grant, BUSY_AVOIDANCE_DURATION, is_rejected=True)
 
     def back_off_target(self, grant: Grant, backoff: timedelta) -> None:
         """Send nothing to the target of ``grant`` for the duration ``backoff``."""
@@ -350,6 +352,7 @@
             if isinstance(decision, HoldDecision):
                 return decision
             return self._refusal_builder.refuse(Reason.NO_REPLICA, decision.retry_after)
+        self.limits.extend_brittleness(target.incarnation for target in holders)
         with self._lock:
             while True:
                 result = self._choose_candidates(holders, search)
@@ -438,9 +441,12 @@
             max(MIN_CONNECTIONS, max_connections),
         )
 
-    def _release_and_exclude(self, grant: Grant, pause: timedelta) -> None:
+    def _release_and_exclude(
+        self, grant: Grant, pause: timedelta, is_rejected: bool = False
+    ) -> None:
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
             load.own_requests.pop(grant.number, None)
             load.avoided_until = max(load.avoided_until, now + pause)
+        self.limits.record_end(grant.target.incarnation, is_rejected)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
@@ -179,6 +179,7 @@
             idle_timeout=head.idle_timeout,
             draining=head.draining,
             rate_limit=head.rate_limit,
+            max_rejections=head.max_rejections,
         )
     return RefusedNotRun(
         AttemptReason.TARGET_BUSY,
@@ -186,4 +187,5 @@
         idle_timeout=head.idle_timeout,
         draining=head.draining,
         rate_limit=head.rate_limit,
+        max_rejections=head.max_rejections,
     )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_messages.py
@@ -7,7 +7,7 @@
 
 from runhatch_server.decisions import GatewayRequest, Headers, ModelWork
 from runhatch_server.fleet import Target
-from runhatch_server.targets import InvalidRateLimit, ReportedLoad
+from runhatch_server.targets import InvalidMaxRejections, InvalidRateLimit, ReportedLoad
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +39,8 @@
     a request, ``None`` if it must not be reused.
     ``draining`` is whether the target drains and takes no new work; ``backoff`` is the
     backoff that it requests of this node, ``rate_limit`` the requests per second that
-    it accepts from all nodes together.
+    it accepts from all nodes together, ``max_rejections`` the most requests that it
+    rejects in a second without ending, if it is brittle.
     """
 
     status: int
@@ -54,6 +55,7 @@
     draining: bool = False
     backoff: timedelta | None = None
     rate_limit: float | InvalidRateLimit | None = None
+    max_rejections: int | InvalidMaxRejections | None = None
 
 
 class HeaderCodec(Protocol):
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -416,6 +416,7 @@
         """Send loads and demand, after a short pause that batches requests."""
         self._clock.sleep(SHARE_BATCH_WINDOW)
         self._peers.loads.send_own()
+        self._peers.permits.report_rooms()
         self._peers.send_demand(self._demand)
 
     def _order_interval(self) -> timedelta:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -35,6 +35,7 @@
 )
 from runhatch_server.gateway._permits import PermitExchange, PermitFact
 from runhatch_server.gateway._rate_limits import RateLimits
+from runhatch_server.gateway._rooms import count_slots
 from runhatch_server.gateway._shared_loads import SharedLoads
 from runhatch_server.gateway._tables import GatewayTables
 from runhatch_server.observability import Metrics, log_change
@@ -118,6 +119,7 @@
             self.send,
             self.publish,
             directory.notify_waiters,
+            lambda target: count_slots(directory, target),
         )
         """Exchange of the rate limits of targets and of permits for them."""
         self._demand_sent_at = clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
@@ -12,9 +12,14 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 
-from runhatch_coordination import Clock, Membership, Vm, compute_weight
+from runhatch_coordination import Clock, Membership, Vm
 from runhatch_server.decisions import ObservedLimit, PermitBucket, issued_rate_share
 from runhatch_server.gateway._rate_limits import RateLimits
+from runhatch_server.gateway._rooms import (
+    LOST_NODE_WINDOW,
+    RoomExchange,
+    choose_allocator,
+)
 from runhatch_server.peers import (
     Fact,
     LimitOfTarget,
@@ -22,16 +27,15 @@
     PermitAnswer,
     PermitRequest,
     RateLimitsUpdate,
+    RoomReports,
 )
 
-LOST_NODE_WINDOW = timedelta(seconds=60)
-"""How long a silent node counts as one that may still be granting permits."""
 LINK_RETENTION = timedelta(seconds=5)
 """How long a link to a node is kept after a permit request to or from it."""
 OTHER_ALLOCATOR_RETRY_DELAY = timedelta(milliseconds=200)
 """Wait before requesting again from a node that considers another the allocator."""
 MILLISECOND = timedelta(milliseconds=1)
-PermitFact = RateLimitsUpdate | PermitRequest | PermitAnswer
+PermitFact = RateLimitsUpdate | PermitRequest | PermitAnswer | RoomReports
 """Messages between nodes about rate limits."""
 
 
@@ -46,6 +50,7 @@
         send: Callable[[str, Fact], None],
         publish: Callable[[Fact], None],
         on_answer: Callable[[], None],
+        slots_of: Callable[[str], int] = lambda target: 1,
     ) -> None:
         self._limits = limits
         self._membership = membership
@@ -57,24 +62,35 @@
         self._buckets: dict[str, PermitBucket] = {}
         self._used_at: dict[str, timedelta] = {}
         """When a permit request was last sent to or received from each address."""
+        self._rooms = RoomExchange(
+            limits, membership, clock, send, on_answer, slots_of
+        )
         limits.on_limit = self.publish_limit
         limits.on_permit_request = self.request_permit
 
     def request_permit(self, target: str, tier: int) -> None:
         """Request a permit to send a request of ``tier`` to ``target``."""
         seen = self._limits.latest_limit(target)
-        if seen is None or seen.rate is None:
+        if seen is None or not seen.is_in_force:
             return
         alive = self._membership.alive()
         allocator = self._choose_allocator(target, alive)
         if allocator.name == self._membership.own.name:
-            wait = self._take_permit(target, tier, seen.rate, len(alive))
-            self._record_answer(target, tier, wait)
+            wait = self._take_permit(target, tier, seen, len(alive))
+            if wait is None and seen.max_rejections is not None:
+                self._rooms.request(target, tier, allocator.address)
+            else:
+                self._record_answer(PermitAnswer(target, tier, None), wait)
             return
         self._record_use(allocator.address)
         limit = self._make_limit_message(target, seen)
         self._send(allocator.address, PermitRequest(tier, limit))
 
+    def report_rooms(self) -> None:
+        """Report what this node has outstanding at brittle targets."""
+        for address in self._rooms.report_all():
+            self._record_use(address)
+
     def publish_limit(self, target: str, seen: ObservedLimit) -> None:
         """Publish a changed limit of ``target`` to peers, which forward it."""
         self._publish(RateLimitsUpdate([self._make_limit_message(target, seen)]))
@@ -95,6 +111,7 @@
 
         Forgets buckets of targets without a limit, and links that were not used lately.
         """
+        self._rooms.remove_ended()
         now = self._clock.elapsed()
         limits = self._limits.all_limits()
         with self._lock:
@@ -128,8 +145,7 @@
         wait: timedelta | None = OTHER_ALLOCATOR_RETRY_DELAY
         alive = self._membership.alive()
         known = self._limits.latest_limit(target)
-        rate = None if known is None else known.rate
-        if rate is None and known is not None:
+        if known is not None and not known.is_in_force:
             self._send(
                 sender.address,
                 RateLimitsUpdate([self._make_limit_message(target, known)]),
@@ -137,8 +153,11 @@
         elif self._choose_allocator(target, alive).name != self._membership.own.name:
             with self._lock:
                 self._buckets.pop(target, None)
-        elif rate is not None:
-            wait = self._take_permit(target, fact.tier, rate, len(alive))
+        elif known is not None:
+            wait = self._take_permit(target, fact.tier, known, len(alive))
+            if wait is None and known.max_rejections is not None:
+                self._rooms.request(target, fact.tier, sender.address)
+                return
         # Rounded up: the requester would take a wait of 0 for a missing answer.
         wait_ms = None if wait is None else math.ceil(wait / MILLISECOND)
         self._send(sender.address, PermitAnswer(target, fact.tier, wait_ms))
@@ -146,24 +165,33 @@
     @handle_message.register
     def _apply_answer(self, fact: PermitAnswer, sender: Member) -> None:
         wait = None if fact.wait_ms is None else fact.wait_ms * MILLISECOND
-        self._record_answer(fact.target, fact.tier, wait)
+        self._record_answer(fact, wait, sender.address)
         self._on_answer()
 
-    def _record_answer(self, target: str, tier: int, wait: timedelta | None) -> None:
+    @handle_message.register
+    def _apply_rooms(self, fact: RoomReports, sender: Member) -> None:
+        self._record_use(sender.address)
+        self._rooms.apply_reports(fact, sender.address)
+
+    def _record_answer(
+        self, fact: PermitAnswer, wait: timedelta | None, allocator: str = ""
+    ) -> None:
         if wait is None:
-            self._limits.record_granted(target)
+            self._limits.record_granted(fact.target, allocator, fact.grant)
         else:
-            self._limits.record_denied(target, tier, wait)
+            self._limits.record_denied(fact.target, fact.tier, wait)
 
     def _take_permit(
-        self, target: str, tier: int, rate: float, alive_count: int
+        self, target: str, tier: int, seen: ObservedLimit, alive_count: int
     ) -> timedelta | None:
-        """Take a permit of a target that this node allocates.
+        """Take a permit for the rate of a target that this node allocates.
 
         Return ``None`` if one is granted, else the time until the next can be granted.
         """
+        if seen.rate is None:
+            return None
         now = self._clock.elapsed()
-        rate *= issued_rate_share(
+        rate = seen.rate * issued_rate_share(
             alive_count, self._membership.count_suspected_within(LOST_NODE_WINDOW)
         )
         with self._lock:
@@ -172,17 +200,29 @@
 
     def _choose_allocator(self, target: str, alive: list[Vm]) -> Vm:
         """Return the node that allocates the permits of ``target``."""
-        if not alive:
-            return self._membership.own
-        return max(alive, key=lambda vm: compute_weight(target, vm.name))
+        return choose_allocator(target, self._membership.own, alive)
 
     def _apply_limit(self, limit: LimitOfTarget) -> None:
         at = self._clock.elapsed() - limit.age_ms * MILLISECOND
-        self._limits.apply_report(limit.target, ObservedLimit(limit.rate, at))
+        since = None
+        if limit.max_rejections is not None:
+            since = self._clock.elapsed() - limit.brittle_for_ms * MILLISECOND
+        self._limits.apply_report(
+            limit.target, ObservedLimit(limit.rate, at, limit.max_rejections, since)
+        )
 
     def _make_limit_message(self, target: str, seen: ObservedLimit) -> LimitOfTarget:
-        age = self._clock.elapsed() - seen.at
-        return LimitOfTarget(target, seen.rate, round(age / MILLISECOND))
+        now = self._clock.elapsed()
+        brittle_for = timedelta()
+        if seen.brittle_since is not None:
+            brittle_for = now - seen.brittle_since
+        return LimitOfTarget(
+            target,
+            seen.rate,
+            round((now - seen.at) / MILLISECOND),
+            seen.max_rejections,
+            round(brittle_for / MILLISECOND),
+        )
 
     def _record_use(self, address: str) -> None:
         with self._lock:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
@@ -2,12 +2,13 @@
 
 import threading
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from runhatch_coordination import Clock
 from runhatch_server.decisions import LimitedTarget, ObservedLimit
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.targets import InvalidRateLimit
+from runhatch_server.targets import InvalidMaxRejections, InvalidRateLimit
 
 PERMIT_REQUEST_TIMEOUT = timedelta(milliseconds=400)
 """Longest wait of a request for a permit, further capped at half of its goal.  The
@@ -23,6 +24,19 @@
 PermitRequester = Callable[[str, int], None]
 
 
+@dataclass(frozen=True, slots=True)
+class PermitUsage:
+    """Permits of one node for a brittle target.
+
+    ``permits`` are not used yet, ``confirmed`` is the last grant received from an
+    allocator, and ``rejected`` the number of requests that the target rejected.
+    """
+
+    permits: int
+    confirmed: int
+    rejected: int
+
+
 class RateLimits:
     """The limited targets known to one node; thread-safe.
 
@@ -41,18 +55,93 @@
         """Called when the known limit of a target changes."""
         self.on_permit_request: PermitRequester = lambda target, tier: None
         """Requests a permit without waiting for it."""
+        self.on_room_change: Callable[[str], None] = lambda target: None
+        """Called when a request to a brittle target has ended."""
+        self.count_outstanding: Callable[[str], int] = lambda target: 0
+        """Returns how many requests of this node a target has."""
 
     def apply_answer(
-        self, target: str, limit: float | InvalidRateLimit | None, sent_at: timedelta
+        self,
+        target: str,
+        limit: float | InvalidRateLimit | None,
+        sent_at: timedelta,
+        max_rejections: int | InvalidMaxRejections | None = None,
     ) -> None:
-        """Apply the limit in the answer of ``target`` to a request of ``sent_at``."""
+        """Apply the limits in the answer of ``target`` to a request of ``sent_at``."""
+        if isinstance(max_rejections, InvalidMaxRejections):
+            self._log_unreadable(target, max_rejections)
+            max_rejections = 0
         if isinstance(limit, InvalidRateLimit):
             self._log_unreadable(target, limit)
+            if max_rejections is None:
+                return
+            known = self.latest_limit(target)
+            limit = None if known is None else known.rate
+        if max_rejections is not None:
+            now = self._clock.elapsed()
+            self._apply(target, ObservedLimit(limit, now, max_rejections, now))
         elif limit is not None:
             self._apply(target, ObservedLimit(limit, self._clock.elapsed()))
         elif target in self._limited:
             self._apply(target, ObservedLimit(None, sent_at))
 
+    def extend_brittleness(self, targets: Iterable[str]) -> None:
+        """Take all ``targets``, which are of one service, as brittle if one is.
+
+        A target that has just started has not stated it yet.
+        """
+        if not self._limited:
+            return
+        targets = list(targets)
+        with self._lock:
+            brittle = [
+                self._limited[target].observed_limit
+                for target in targets
+                if target in self._limited
+                and self._limited[target].observed_limit.max_rejections is not None
+            ]
+            unknown = [
+                target
+                for target in targets
+                if target not in self._limited and target not in self._lifted
+            ]
+        if brittle:
+            for target in unknown:
+                self._apply(target, replace(brittle[0], rate=None), "service")
+
+    def brittle_targets(self) -> list[str]:
+        """Return the brittle targets."""
+        if not self._limited:
+            return []
+        limits = self.all_limits().items()
+        return [name for name, seen in limits if seen.max_rejections is not None]
+
+    def record_end(self, target: str, is_rejected: bool = False) -> None:
+        """Record that a request to ``target`` has ended.
+
+        ``is_rejected`` is whether the target rejected it for want of room.
+        """
+        if target not in self._limited:
+            return
+        with self._lock:
+            limited = self._limited.get(target)
+            if limited is None or limited.observed_limit.max_rejections is None:
+                return
+            limited.rejected_requests += int(is_rejected)
+        self.on_room_change(target)
+
+    def permit_usage(self, target: str, allocator: str) -> PermitUsage:
+        """Return the permits of this node as reported to ``allocator``."""
+        with self._lock:
+            limited = self._limited.get(target)
+            if limited is None:
+                return PermitUsage(0, 0, 0)
+            return PermitUsage(
+                limited.count_permits(self._clock.elapsed()),
+                limited.confirmed_grants.get(allocator, 0),
+                limited.rejected_requests,
+            )
+
     def apply_report(self, target: str, seen: ObservedLimit) -> None:
         """Apply the limit of ``target`` that a peer reported."""
         self._apply(target, seen, "peer")
@@ -103,7 +192,10 @@
             limited = self._limited.get(target)
             if limited is None:
                 return True
-            is_taken = limited.take_permit(self._clock.elapsed(), has_requested)
+            now = self._clock.elapsed()
+            if limited.is_in_grace(now):
+                return True
+            is_taken = limited.take_permit(now, has_requested)
             self._count("used", int(is_taken))
             self._count_lapsed(limited)
             return is_taken
@@ -126,12 +218,17 @@
                 limited.add_permit(self._clock.elapsed())
                 self._count("given_back")
 
-    def record_granted(self, target: str) -> None:
-        """Record a permit granted for ``target``."""
+    def record_granted(self, target: str, allocator: str = "", grant: int = 0) -> None:
+        """Record a permit granted for ``target``, numbered if the target is brittle."""
         self._count("granted")
         with self._lock:
             limited = self._limited.get(target)
-            if limited is not None:
+            is_lost = (
+                limited is not None
+                and grant > 0
+                and not limited.confirm_grant(allocator, grant)
+            )
+            if limited is not None and not is_lost:
                 self._count("late", int(not limited.waiting_requests))
                 limited.add_permit(self._clock.elapsed())
 
@@ -187,7 +284,8 @@
             )
             if not seen.supersedes(known):
                 return
-            if seen.rate is None:
+            seen = _keep_earliest_start(seen, known)
+            if not seen.is_in_force:
                 self._limited.pop(target, None)
                 self._lifted[target] = seen
             elif limited is None:
@@ -195,13 +293,30 @@
                 self._limited[target] = LimitedTarget(seen)
             else:
                 limited.observed_limit = seen
-        if known is None or known.rate != seen.rate:
-            log_change("rate_limit", target=target, rate=seen.rate, source=source)
+        if not seen.equals(known):
+            log_change(
+                "rate_limit",
+                target=target,
+                rate=seen.rate,
+                max_rejections=seen.max_rejections,
+                source=source,
+            )
             self.on_limit(target, seen)
 
-    def _log_unreadable(self, target: str, limit: InvalidRateLimit) -> None:
+    def _log_unreadable(
+        self, target: str, limit: InvalidRateLimit | InvalidMaxRejections
+    ) -> None:
         with self._lock:
             if target in self._unreadable:
                 return
             self._unreadable.add(target)
         log_change("rate_limit_unreadable", target=target, found=limit.value)
+
+
+def _keep_earliest_start(
+    seen: ObservedLimit, known: ObservedLimit | None
+) -> ObservedLimit:
+    """Return ``seen``, brittle since the time in ``known`` if that is earlier."""
+    if known is None or known.brittle_since is None or seen.brittle_since is None:
+        return seen
+    return replace(seen, brittle_since=min(seen.brittle_since, known.brittle_since))
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -288,7 +288,10 @@
         if backoff is not None:
             balancer.back_off_target(grant, backoff)
         balancer.limits.apply_answer(
-            grant.target.incarnation, answer.rate_limit, grant.granted_at
+            grant.target.incarnation,
+            answer.rate_limit,
+            grant.granted_at,
+            answer.max_rejections,
         )
 
     def _decide_after_unrun(self, reason: AttemptReason) -> Refusal | None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_loads.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_loads.py
@@ -26,6 +26,12 @@
         with self._lock:
             return self._book.own_shares(now)
 
+    def count_own(self, target: str) -> int:
+        """Return how many requests of this node were sent to ``target``."""
+        with self._lock:
+            own = self._book.load(target).own_requests.values()
+            return sum(not outstanding.held for outstanding in own)
+
     def apply_peer(self, node: str, shares: Shares, whole: bool) -> None:
         """Apply the outstanding load of ``node`` at some targets.
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -17,7 +17,7 @@
 
 Tables of the store are far smaller; the limit keeps a peer from exhausting memory.
 """
-PROTOCOL_VERSION = 8
+PROTOCOL_VERSION = 9
 UNKNOWN_VERSION = StoreVersion(-1)
 """Version of a table of which no state is known."""
 ALL_DOMAINS = "*"
@@ -276,12 +276,16 @@
 class LimitOfTarget(msgspec.Struct, frozen=True, array_like=True):
     """A target accepts ``rate`` requests per second from all nodes together.
 
-    ``None`` means that it stated no limit.  This was observed ``age_ms`` ago.
+    ``None`` means that it stated no limit.  This was observed ``age_ms`` ago.  A
+    brittle target ends if it rejects more than ``max_rejections`` in a second, as known
+    for ``brittle_for_ms``.
     """
 
     target: str
     rate: float | None
     age_ms: int
+    max_rejections: int | None = None
+    brittle_for_ms: int = 0
 
 
 class RateLimitsUpdate(msgspec.Struct, frozen=True, tag="limits", array_like=True):
@@ -304,11 +308,33 @@
     """A permit to send a request of ``tier`` to ``target``, or its refusal.
 
     With ``wait_ms`` the permit is refused; the receiver may retry after that time.
+    ``grant`` numbers the permits of a brittle target.
     """
 
     target: str
     tier: int
     wait_ms: int | None
+    grant: int = 0
+
+
+class RoomOfTarget(msgspec.Struct, frozen=True, array_like=True):
+    """Requests and unused permits of the sender for one brittle target.
+
+    ``confirmed`` is the last grant that it received from the receiver, and ``rejected``
+    the number of requests that the target rejected for want of room.
+    """
+
+    target: str
+    outstanding: int
+    confirmed: int
+    rejected: int
+
+
+class RoomReports(msgspec.Struct, frozen=True, tag="room", array_like=True):
+    """What the sender has outstanding at brittle targets, in its report ``number``."""
+
+    number: int
+    rooms: list[RoomOfTarget]
 
 
 class LinkClosed(msgspec.Struct, frozen=True, tag="closed", array_like=True):
@@ -353,6 +379,7 @@
     | RateLimitsUpdate
     | PermitRequest
     | PermitAnswer
+    | RoomReports
 )
 
 
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -19,10 +19,12 @@
 from runhatch_server.targets._outcomes import (
     AttemptOutcome,
     AttemptReason,
+    InvalidMaxRejections,
     InvalidRateLimit,
     NotSent,
     RefusedNotRun,
     UnknownResult,
+    decode_max_rejections,
     decode_rate_limit,
     decode_retry_after,
 )
@@ -63,6 +65,8 @@
     "TargetRequest",
     "UnknownResult",
     "InvalidRateLimit",
+    "InvalidMaxRejections",
+    "decode_max_rejections",
     "decode_rate_limit",
     "Probed",
     "probe_connects",
--- a/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
@@ -59,6 +59,30 @@
     return min(float(part) for part in parts)
 
 
+@dataclass(frozen=True, slots=True)
+class InvalidMaxRejections:
+    """An invalid number of rejections, truncated for logging."""
+
+    value: str
+
+
+def decode_max_rejections(value: str | None) -> int | InvalidMaxRejections | None:
+    """Decode the most requests that a brittle target may reject in a second.
+
+    The value is a decimal number of at least 0, of which the whole part counts, or a
+    list, of which the least number is returned; ``None`` if ``value`` is ``None``.
+
+    >>> decode_max_rejections("4"), decode_max_rejections("4, 2.5")
+    (4, 2)
+    >>> decode_max_rejections("many")
+    InvalidMaxRejections(value='many')
+    """
+    decoded = decode_rate_limit(value)
+    if isinstance(decoded, InvalidRateLimit):
+        return InvalidMaxRejections(decoded.value)
+    return None if decoded is None else int(decoded)
+
+
 class AttemptReason(Enum):
     """Why an attempt ended without a response; each reason has a counter."""
 
@@ -88,7 +112,8 @@
     ``idle_timeout`` is how long its connection may stay open, ``None`` if not at all.
     ``retry_after`` is how long the target accepts no requests.  ``draining`` is
     whether it drains and accepts no further ones.  ``rate_limit`` is the result of
-    :func:`decode_rate_limit`.
+    :func:`decode_rate_limit`, ``max_rejections`` that of
+    :func:`decode_max_rejections`.
     """
 
     reason: AttemptReason
@@ -96,6 +121,7 @@
     idle_timeout: timedelta | None = None
     draining: bool = False
     rate_limit: float | InvalidRateLimit | None = None
+    max_rejections: int | InvalidMaxRejections | None = None
 
 
 @dataclass(frozen=True, slots=True)
