--- a/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
@@ -29,6 +29,8 @@
 with newer ones, so the validity must be short."""
 MAX_RETRY_DELAY = timedelta(seconds=2)
 """Maximum delay after which a node that was denied a permit requests one again."""
+REUSE_WINDOW = timedelta(seconds=2)
+"""How long a node may reuse the room that it was granted at a brittle target."""
 SECOND = timedelta(seconds=1)
 
 
@@ -136,8 +138,12 @@
     """Number of requests that wait for a permit that they requested."""
     confirmed_grants: dict[str, int] = field(default_factory=dict)
     """Number of the last grant of room received, by allocator."""
+    reusable_until: list[timedelta] = field(default_factory=list)
+    """End of the time in which this node may reuse a grant of room, by grant."""
     rejected_requests: int = 0
     """Number of requests that the target rejected for want of room."""
+    answered_at: timedelta | None = None
+    """When a permit was last granted or denied."""
     expired_permits: int = 0
     """Expired permits not yet returned by :meth:`take_expired_count`."""
 
@@ -168,7 +174,25 @@
             validity += SECOND * (PERMIT_VALIDITY_PERMITS / rate)
         self.permits.append(now + validity)
 
-    def confirm_grant(self, allocator: str, number: int) -> bool:
+    def record_end(self, outstanding: int, is_rejected: bool, now: timedelta) -> bool:
+        """Record that a request ended, and reuse its room if other requests need it.
+
+        Return whether it is reused.  ``outstanding`` requests of this node remain. Reuse saves the delay of a new
+        grant; its time is limited so that room gets to other nodes.
+        """
+        if is_rejected:
+            self.rejected_requests += 1
+            self.reusable_until.clear()
+            return False
+        self.reusable_until = [until for until in self.reusable_until if now < until]
+        permits = self.count_permits(now)
+        is_needed = self.waiting_requests > permits
+        if not is_needed or outstanding + permits >= len(self.reusable_until):
+            return False
+        self.add_permit(now)
+        return True
+
+    def confirm_grant(self, allocator: str, number: int, now: timedelta) -> bool:
         """Record a grant of room; return whether it is newer than all others.
 
         An older one is lost, as later reports of this node have told the allocator.
@@ -176,6 +200,7 @@
         if number <= self.confirmed_grants.get(allocator, 0):
             return False
         self.confirmed_grants[allocator] = number
+        self.reusable_until.append(now + REUSE_WINDOW)
         return True
 
     def count_permits(self, now: timedelta) -> int:
--- a/packages/runhatch-server/src/runhatch_server/decisions/_room.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_room.py
@@ -20,7 +20,7 @@
 """How long the last report of a silent node counts."""
 GRANT_TIMEOUT = timedelta(seconds=1)
 """Time after which a grant that its node has not confirmed is lost."""
-MAX_QUEUE_TIME = timedelta(milliseconds=200)
+MAX_QUEUE_TIME = timedelta(milliseconds=300)
 """Longest time for which a permit request waits for room."""
 REJECTION_WINDOW = timedelta(seconds=1.5)
 """Window in which rejections are counted: the second of the target, and the delay until
@@ -28,13 +28,13 @@
 GROWTH_PAUSE = timedelta(seconds=4)
 """Time after a rejection in which no more is taken to fit."""
 GROWTH_INTERVAL = timedelta(milliseconds=500)
-MAX_ROOM_FACTOR = 2
-"""Most requests that are taken to fit, as a multiple of the slots of the target."""
+RISK_WINDOW = timedelta(milliseconds=750)
+"""Time until it is known whether a granted request was rejected: two messages, one of
+them repeated after a loss, and the validity of a permit."""
 RETRY_DELAY = timedelta(milliseconds=100)
-MAX_RETRY_DELAY = timedelta(seconds=2)
-"""Bounds of the delay after which a node that was denied a permit requests again."""
-RELEASE_GAIN = 0.1
-MIN_RELEASE_INTERVAL = timedelta(milliseconds=1)
+"""Delay after which a node that was denied a permit requests one again."""
+MIN_QUEUE_LENGTH = 4
+GRANT_RATE_WINDOW = timedelta(seconds=1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,8 +94,7 @@
         self._rejected_at: deque[timedelta] = deque()
         self._risked_at: deque[timedelta] = deque()
         self._grows_at = now + GROWTH_INTERVAL
-        self._released_at = now
-        self._release_interval = RETRY_DELAY
+        self._granted_at: deque[timedelta] = deque()
 
     @property
     def fitting(self) -> int:
@@ -132,7 +131,6 @@
             for number, at in room.unconfirmed.items()
             if number > report.confirmed
         }
-        self._record_released(known.outstanding - report.outstanding, now)
         # The count begins again on a node that learned anew of the target.
         is_continued = report.rejected >= known.rejected
         rejected = report.rejected - (known.rejected if is_continued else 0)
@@ -163,10 +161,11 @@
             )
             number = next(self._numbers)
             room.unconfirmed[number] = now
+            self._granted_at.append(now)
             outstanding += 1
             answers.append(RoomAnswer(queued.node, queued.tier, number))
         if self._queue:
-            self._grow(outstanding, now)
+            self._grow(outstanding, max_rejections, now)
         return answers + self._deny_late(now)
 
     def _may_grant(
@@ -187,25 +186,23 @@
             return False
         if outstanding < min(self._slots, self._fitting):
             return True
-        if rejected + _count_recent(self._risked_at, now) >= max_rejections // 2:
+        risked = _count_recent(self._risked_at, now, RISK_WINDOW)
+        if rejected + risked >= max_waiting(max_rejections):
             return False
         self._risked_at.append(now)
         return True
 
-    def _grow(self, outstanding: int, now: timedelta) -> None:
-        """Take one more request to fit if requests wait for want of room."""
+    def _grow(self, outstanding: int, max_rejections: int, now: timedelta) -> None:
+        """Take one more request to fit if requests wait for want of room.
+
+        What is beyond the slots of the target may be rejected all at once.
+        """
         is_full = outstanding >= self._fitting
         if is_full and now >= self._grows_at:
-            self._fitting = min(self._fitting + 1, MAX_ROOM_FACTOR * self._slots)
+            most = self._slots + max_waiting(max_rejections)
+            self._fitting = min(self._fitting + 1, most)
             self._grows_at = now + GROWTH_INTERVAL
 
-    def _record_released(self, count: int, now: timedelta) -> None:
-        if count <= 0:
-            return
-        interval = (now - self._released_at) / count
-        self._release_interval += RELEASE_GAIN * (interval - self._release_interval)
-        self._released_at = now
-
     def _record_rejected(self, count: int, now: timedelta) -> None:
         self._rejected_at.extend([now] * count)
         found = self.count_outstanding(now) + count
@@ -216,22 +213,39 @@
 
     def _deny_late(self, now: timedelta) -> list[RoomAnswer]:
         """Deny the requests that have waited, or would wait, for too long."""
-        interval = max(self._release_interval, MIN_RELEASE_INTERVAL)
-        max_queued = max(4, self._slots)
-        denied = [
-            queued
-            for place, queued in enumerate(self._queue)
-            if place >= max_queued or now - queued.at >= MAX_QUEUE_TIME
-        ]
-        self._queue = [queued for queued in self._queue if queued not in denied]
-        wait = min(max(interval, RETRY_DELAY), MAX_RETRY_DELAY)
+        rate = _count_recent(self._granted_at, now, GRANT_RATE_WINDOW)
+        in_time = int(rate * (MAX_QUEUE_TIME / GRANT_RATE_WINDOW))
+        max_queued = max(MIN_QUEUE_LENGTH, self._slots, in_time)
+        kept, denied = [], []
+        nodes: set[str] = set()
+        for place, queued in enumerate(self._queue):
+            # A node whose requests are all denied could not use the room it frees.
+            is_in_time = place < max_queued or queued.node not in nodes
+            nodes.add(queued.node)
+            is_kept = is_in_time and now - queued.at < MAX_QUEUE_TIME
+            (kept if is_kept else denied).append(queued)
+        self._queue = kept
         return [
-            RoomAnswer(queued.node, queued.tier, wait=wait)
+            RoomAnswer(queued.node, queued.tier, wait=RETRY_DELAY)
             for queued in denied
         ]
 
 
-def _count_recent(times: deque[timedelta], now: timedelta) -> int:
-    while times and now - times[0] >= REJECTION_WINDOW:
+def max_waiting(max_rejections: int) -> int:
+    """Return the most requests to let wait at a target, and to risk to be rejected.
+
+    Those that wait and those that were just granted may both be rejected within a
+    second.
+
+    >>> [max_waiting(rejections) for rejections in (0, 1, 3, 10)]
+    [0, 0, 1, 4]
+    """
+    return max(0, (max_rejections - 1) // 2)
+
+
+def _count_recent(
+    times: deque[timedelta], now: timedelta, window: timedelta = REJECTION_WINDOW
+) -> int:
+    while times and now - times[0] >= window:
         times.popleft()
     return len(times)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
@@ -57,6 +57,8 @@
         """Requests a permit without waiting for it."""
         self.on_room_change: Callable[[str], None] = lambda target: None
         """Called when a request to a brittle target has ended."""
+        self.on_reuse: Callable[[], None] = lambda: None
+        """Called when a request has left its room to others of this node."""
         self.count_outstanding: Callable[[str], int] = lambda target: 0
         """Returns how many requests of this node a target has."""
 
@@ -123,12 +125,18 @@
         """
         if target not in self._limited:
             return
+        outstanding = self.count_outstanding(target)
         with self._lock:
             limited = self._limited.get(target)
             if limited is None or limited.observed_limit.max_rejections is None:
                 return
-            limited.rejected_requests += int(is_rejected)
-        self.on_room_change(target)
+            is_reused = limited.record_end(
+                outstanding, is_rejected, self._clock.elapsed()
+            )
+        if is_reused:
+            self.on_reuse()
+        else:
+            self.on_room_change(target)
 
     def permit_usage(self, target: str, allocator: str) -> PermitUsage:
         """Return the permits of this node as reported to ``allocator``."""
@@ -226,8 +234,10 @@
             is_lost = (
                 limited is not None
                 and grant > 0
-                and not limited.confirm_grant(allocator, grant)
+                and not limited.confirm_grant(allocator, grant, self._clock.elapsed())
             )
+            if limited is not None:
+                limited.answered_at = self._clock.elapsed()
             if limited is not None and not is_lost:
                 self._count("late", int(not limited.waiting_requests))
                 limited.add_permit(self._clock.elapsed())
@@ -235,10 +245,29 @@
     def record_denied(self, target: str, tier: int, wait: timedelta) -> None:
         """Record a denied permit; ``tier`` may request another after ``wait``."""
         self._count("denied")
+        with self._lock:
+            limited = self._limited.get(target)
+            if limited is not None:
+                limited.answered_at = self._clock.elapsed()
         self._close(target, tier, wait)
 
+    def keeps_waiting(self, target: str) -> bool:
+        """Return whether requests wait on after a denial.
+
+        The permits of a brittle target are granted as room gets free, to any request.
+        """
+        limited = self._limited.get(target)
+        return limited is not None and (
+            limited.observed_limit.max_rejections is not None
+        )
+
     def record_unanswered(self, target: str, tier: int) -> None:
-        """Record that a permit request was not answered in time."""
+        """Record that a permit request was not answered in time.
+
+        The allocator of a brittle target answers only some of many requests.
+        """
+        if self._answers_brittle(target):
+            return
         self._count("unanswered")
         log_change("permit_unanswered", target=target, tier=tier)
         self._close(target, tier, UNANSWERED_RETRY_DELAY)
@@ -257,6 +286,17 @@
             self._unreadable = {name for name in self._unreadable if is_known(name)}
             self._metrics.limited_targets.set(len(self._limited))
 
+    def _answers_brittle(self, target: str) -> bool:
+        """Return whether the allocator of a brittle ``target`` answered lately."""
+        with self._lock:
+            limited = self._limited.get(target)
+            if limited is None or limited.observed_limit.max_rejections is None:
+                return False
+            if limited.answered_at is None:
+                return False
+            age = self._clock.elapsed() - limited.answered_at
+            return age < PERMIT_REQUEST_TIMEOUT
+
     def _count(self, outcome: str, permits: int = 1) -> None:
         if permits:
             self._metrics.permit_requests.labels(outcome).inc(permits)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_rooms.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rooms.py
@@ -68,6 +68,7 @@
         self._grant_numbers = itertools.count(first)
         self._reported_at = timedelta(days=-1)
         limits.on_room_change = self.report
+        limits.on_reuse = on_answer
 
     def request(self, target: str, tier: int, address: str) -> None:
         """Request room at ``target``, which this node allocates, for ``address``."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_search.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_search.py
@@ -55,7 +55,8 @@
     if limits.use_permit(target, requested_at is not None):
         return None
     opens_at = limits.available_at(target, tier, now)
-    if opens_at > now:
+    waits_on = requested_at is not None and limits.keeps_waiting(target)
+    if opens_at > now and not waits_on:
         return NoPermit(target, opens_at)
     if requested_at is None:
         return PermitNeeded(target, tier)
