--- a/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
@@ -41,10 +41,9 @@
     ``rate`` is in requests per second, ``None`` if the answer announced none.
     ``max_rejections`` is the most requests that a brittle target rejects in a second
     without ending, ``None`` if it is not brittle, and ``brittle_since`` is when it was
-    first known to be brittle. ``at`` is the arrival time of
-    an answer with a limit, and the send time of the request otherwise. Answers may
-    arrive out of order, so only a request sent after the limit was announced can show
-    that it has ended.
+    first known to be brittle. ``at`` is the arrival time of an answer with a limit, and
+    the send time of the request otherwise. Answers may arrive out of order, so only a
+    request sent after the limit was announced can show that it has ended.
     """
 
     rate: float | None
@@ -177,8 +176,9 @@
     def record_end(self, outstanding: int, is_rejected: bool, now: timedelta) -> bool:
         """Record that a request ended, and reuse its room if other requests need it.
 
-        Return whether it is reused.  ``outstanding`` requests of this node remain. Reuse saves the delay of a new
-        grant; its time is limited so that room gets to other nodes.
+        Return whether it is reused.  ``outstanding`` requests of this node remain.
+        Reuse saves the delay of a new grant; its time is limited so that room gets to
+        other nodes.
         """
         if is_rejected:
             self.rejected_requests += 1
--- a/packages/runhatch-server/src/runhatch_server/decisions/_room.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_room.py
@@ -144,12 +144,12 @@
     def answer_requests(
         self, max_rejections: int, alive: Collection[str], share: float, now: timedelta
     ) -> list[RoomAnswer]:
-        """Grant what fits, and deny what would wait too long.
+        """Grant what fits, and deny what waits too long.
 
         The target accepts ``max_rejections`` within a second. ``alive`` are the nodes
         whose reports are expected, and ``share`` is the share of the room to grant.
         """
-        answers = []
+        answers = self._deny_late(now)
         self._queue.sort(key=lambda queued: (queued.tier, queued.order))
         outstanding = self.count_outstanding(now)
         while self._queue and self._may_grant(
@@ -166,7 +166,7 @@
             answers.append(RoomAnswer(queued.node, queued.tier, number))
         if self._queue:
             self._grow(outstanding, max_rejections, now)
-        return answers + self._deny_late(now)
+        return answers + self._deny_excess(now)
 
     def _may_grant(
         self,
@@ -212,22 +212,33 @@
         self._grows_at = now + GROWTH_PAUSE
 
     def _deny_late(self, now: timedelta) -> list[RoomAnswer]:
-        """Deny the requests that have waited, or would wait, for too long."""
+        """Deny the requests that have waited for too long."""
+        return self._keep([now - queued.at < MAX_QUEUE_TIME for queued in self._queue])
+
+    def _deny_excess(self, now: timedelta) -> list[RoomAnswer]:
+        """Deny the requests that would wait for too long.
+
+        One request of each node is kept: a node whose requests are all denied could not
+        reuse the room that it frees.
+        """
         rate = _count_recent(self._granted_at, now, GRANT_RATE_WINDOW)
         in_time = int(rate * (MAX_QUEUE_TIME / GRANT_RATE_WINDOW))
         max_queued = max(MIN_QUEUE_LENGTH, self._slots, in_time)
-        kept, denied = [], []
+        is_kept = []
         nodes: set[str] = set()
         for place, queued in enumerate(self._queue):
-            # A node whose requests are all denied could not use the room it frees.
-            is_in_time = place < max_queued or queued.node not in nodes
+            is_kept.append(place < max_queued or queued.node not in nodes)
             nodes.add(queued.node)
-            is_kept = is_in_time and now - queued.at < MAX_QUEUE_TIME
-            (kept if is_kept else denied).append(queued)
-        self._queue = kept
+        return self._keep(is_kept)
+
+    def _keep(self, is_kept: list[bool]) -> list[RoomAnswer]:
+        """Deny the queued requests for which ``is_kept`` is false."""
+        pairs = list(zip(self._queue, is_kept, strict=True))
+        self._queue = [queued for queued, kept in pairs if kept]
         return [
             RoomAnswer(queued.node, queued.tier, wait=RETRY_DELAY)
-            for queued in denied
+            for queued, kept in pairs
+            if not kept
         ]
 
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -41,6 +41,7 @@
     NoPermit,
     PermitNeeded,
     TargetSearch,
+    find_awaited,
     use_permit,
 )
 from runhatch_server.gateway._shared_loads import SharedLoads
@@ -375,9 +376,15 @@
                 search.no_permit_until.get(target, limit_available_at),
             )
 
-        return choose_candidates(
+        result = choose_candidates(
             holders, search.tried, self._book.load, now, available_at
         )
+        awaited = find_awaited(self.limits, search, holders)
+        if not awaited or not isinstance(result, NoCandidates):
+            return result
+        return choose_candidates(
+            awaited, search.tried, self._book.load, now, lambda target: now
+        )
 
     def _choose_target(
         self, search: TargetSearch, service: ServiceSpec, targets: list[Target]
--- a/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
@@ -62,9 +62,7 @@
         self._buckets: dict[str, PermitBucket] = {}
         self._used_at: dict[str, timedelta] = {}
         """When a permit request was last sent to or received from each address."""
-        self._rooms = RoomExchange(
-            limits, membership, clock, send, on_answer, slots_of
-        )
+        self._rooms = RoomExchange(limits, membership, clock, send, on_answer, slots_of)
         limits.on_limit = self.publish_limit
         limits.on_permit_request = self.request_permit
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
@@ -123,7 +123,7 @@
 
         ``is_rejected`` is whether the target rejected it for want of room.
         """
-        if target not in self._limited:
+        if not self.keeps_waiting(target):
             return
         outstanding = self.count_outstanding(target)
         with self._lock:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_search.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_search.py
@@ -1,9 +1,11 @@
 """State of a request's search for a target, and its use of permits."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from runhatch_server.decisions import GatewayRequest, HeldRequest, TriedTargets
+from runhatch_server.fleet import Target
 from runhatch_server.gateway._held import HoldDecision
 from runhatch_server.gateway._rate_limits import (
     PERMIT_REQUEST_TIMEOUT,
@@ -44,6 +46,22 @@
     until: timedelta
 
 
+def find_awaited(
+    limits: RateLimits, search: TargetSearch, targets: Iterable[Target]
+) -> list[Target]:
+    """Return those of ``targets`` whose permits the request still waits for.
+
+    Another request of this node was denied one, but permits go to any request.
+    """
+    return [
+        target
+        for target in targets
+        if target.incarnation in search.permits_requested_at
+        and target.incarnation not in search.no_permit_until
+        and limits.keeps_waiting(target.incarnation)
+    ]
+
+
 def use_permit(
     limits: RateLimits, search: TargetSearch, target: str, tier: int, now: timedelta
 ) -> HoldDecision | PermitNeeded | NoPermit | None:
--- a/packages/runhatch-server/tests/brittle_cases.py
+++ b/packages/runhatch-server/tests/brittle_cases.py
@@ -13,7 +13,7 @@
 
 from gateway_cases import seconds
 
-from runhatch_coordination import MemberFact, Membership, Standing, Vm
+from runhatch_coordination import MemberFact, Membership, Standing, Vm, rank_names
 from runhatch_coordination.testing import ManualClock
 from runhatch_server.gateway._permits import PermitExchange
 from runhatch_server.gateway._rate_limits import PERMIT_REQUEST_TIMEOUT, RateLimits
@@ -69,6 +69,11 @@
             return lengths[0]
         return lengths[(1 + int(late / 4)) % len(lengths)]
 
+    @property
+    def busy_share(self):
+        """Share of the slots in use since the target may let fewer wait."""
+        return self.busy / (self.since - STATED_AT - SHRINKS_AFTER)
+
     def count_use(self):
         """Add the time since the last change to what was used."""
         now = self._cluster.now
@@ -217,11 +222,10 @@
         self._events, self._numbers = [], itertools.count()
         self._arrivals = {}
         self.target = BrittleTarget(self, site)
-        self.vms = [
-            Vm(f"n{i}", f"d{i % 3}", f"n{i}", 1 + i) for i in range(site.nodes)
-        ]
+        self.vms = [Vm(f"n{i}", f"d{i % 3}", f"n{i}", 1 + i) for i in range(site.nodes)]
         self.nodes = {vm.address: BrittleNode(self, vm, self.vms) for vm in self.vms}
         self.silent = set()
+        self.callable_nodes = list(self.nodes.values())
 
     @property
     def now(self):
@@ -243,6 +247,10 @@
             action()
         self.target.count_use()
 
+    def allocator(self):
+        """Return the node that allocates the permits of the target."""
+        return self.nodes[rank_names(TARGET, self.nodes)[0]]
+
     def schedule(self, after, action):
         heapq.heappush(self._events, (self.now + after, next(self._numbers), action))
 
@@ -272,6 +280,6 @@
         return report
 
     def _send_request(self):
-        self.rng.choice(list(self.nodes.values())).accept()
+        self.rng.choice(self.callable_nodes).accept()
         rate = self.site.load * self.site.slots / self.site.service
         self.schedule(self.rng.expovariate(rate), self._send_request)
--- /dev/null
+++ b/packages/runhatch-server/tests/test_brittle_targets.py
@@ -0,0 +1,433 @@
+"""Nodes in front of a brittle target, which ends if it rejects too many requests."""
+
+import itertools
+import threading
+
+import pytest
+from brittle_cases import STATED_AT, TARGET, BrittleCluster, Site
+from gateway_cases import (
+    make_balancer,
+    make_directory,
+    make_request,
+    make_target,
+    never_disconnected,
+    seconds,
+)
+
+from runhatch_coordination import Entry, MemberFact, Membership, Standing, Vm
+from runhatch_server.decisions import (
+    BRITTLE_GRACE,
+    ObservedLimit,
+    RoomGate,
+    RoomReport,
+    TriedTargets,
+)
+from runhatch_server.decisions._room import (
+    GROWTH_INTERVAL,
+    REJECTION_WINDOW,
+    REPORT_RETENTION,
+    WARM_UP,
+)
+from runhatch_server.gateway._grant import Grant
+from runhatch_server.gateway._permits import PermitExchange
+from runhatch_server.peers import Member, RoomOfTarget, RoomReports
+from runhatch_server.refusals import Executed, Refusal
+from runhatch_server.targets import InvalidMaxRejections, decode_max_rejections
+
+SLOTS = 4
+MANY = 10
+"""Rejections that a target accepts in a second, more than any test causes."""
+SUSPECTED_AFTER = 3.5
+
+
+def count_grants(answers):
+    return sum(answer.wait is None for answer in answers)
+
+
+def make_cluster(nodes, seed, **changes):
+    """Return a cluster with as many slots as nodes of such a deployment share."""
+    return BrittleCluster(Site(nodes, **changes), seed)
+
+
+def suspect(cluster, node, others):
+    facts = [MemberFact(other.vm, Standing.SUSPECT) for other in others]
+    node.membership.merge_facts(facts)
+
+
+class TestHeader:
+    """Values of the header that states how many rejections a target accepts."""
+
+    @pytest.mark.parametrize(
+        ("value", "found"),
+        [
+            (None, None),
+            ("4", 4),
+            ("0", 0),
+            ("2.5", 2),
+            ("4, 3", 3),
+            ("-1", InvalidMaxRejections("-1")),
+            ("some", InvalidMaxRejections("some")),
+        ],
+    )
+    def test_value_is_decoded(self, value, found):
+        assert decode_max_rejections(value) == found
+
+
+class TestOverload:
+    """Callers send three times what the target can run."""
+
+    @pytest.mark.parametrize("seed", range(2))
+    @pytest.mark.parametrize(
+        ("nodes", "changes", "least"),
+        [
+            (3, {}, 0.9),
+            (9, {"slots": 64, "service": 2.0, "max_waiting": (16, 4, 0, 8)}, 0.9),
+            (30, {"slots": 64, "service": 2.0, "max_waiting": (16, 4, 0, 8)}, 0.9),
+        ],
+    )
+    def test_target_does_not_end_and_its_slots_are_used(
+        self, nodes, changes, least, seed
+    ):
+        cluster = make_cluster(nodes, seed, **changes)
+
+        cluster.play()
+
+        assert cluster.target.falls == 0
+        assert cluster.target.busy_share >= least
+
+    @pytest.mark.parametrize("most", [0, 1, 2, 20])
+    def test_target_does_not_end_whatever_it_accepts(self, most):
+        cluster = make_cluster(9, 1, max_rejections=most)
+
+        cluster.play()
+
+        assert cluster.target.falls == 0
+
+    def test_target_ends_without_permits(self):
+        cluster = make_cluster(9, 1, is_stated=False)
+
+        cluster.play()
+
+        assert cluster.target.falls > 2
+
+    @pytest.mark.parametrize("has_ended", [True, False], ids=["ended", "cut off"])
+    @pytest.mark.parametrize("seed", range(3))
+    def test_target_does_not_end_when_the_allocator_is_lost(self, seed, has_ended):
+        cluster = make_cluster(9, seed, duration=20.0)
+        cluster.play(until=8)
+        lost = cluster.allocator()
+        others = [node for node in cluster.nodes.values() if node is not lost]
+        cluster.silent.add(lost.vm.address)
+        if has_ended:
+            cluster.callable_nodes = others
+        cluster.play(until=8 + SUSPECTED_AFTER)
+        for node in others:
+            suspect(cluster, node, [lost])
+        suspect(cluster, lost, others)
+        served = cluster.target.served
+
+        cluster.play()
+
+        assert cluster.target.falls == 0
+        seconds_left = 20.0 - 8 - SUSPECTED_AFTER
+        capacity = cluster.site.slots / cluster.site.service * seconds_left
+        assert cluster.target.served - served >= 0.7 * capacity
+
+    def test_no_messages_are_sent_while_no_target_is_brittle(self):
+        cluster = make_cluster(9, 1)
+
+        cluster.play(until=STATED_AT)
+
+        assert cluster.messages == 0
+
+
+class TestRoomGate:
+    """Decisions of the node that counts what all nodes have outstanding."""
+
+    @pytest.fixture
+    def gate(self):
+        return RoomGate(SLOTS, seconds(0), itertools.count(1))
+
+    def ask(self, gate, now, count=1, most=MANY, share=1.0, alive=("a", "b")):
+        for _ in range(count):
+            gate.request("a", 1, now)
+        return gate.answer_requests(most, alive, share, now)
+
+    @pytest.mark.parametrize(
+        ("reported", "after", "granted"),
+        [
+            pytest.param({}, seconds(0.1), 0, id="nothing reported"),
+            pytest.param({"a": 0}, seconds(0.1), 0, id="one has not reported"),
+            pytest.param({"a": 0, "b": 0}, seconds(0.1), 4, id="all have"),
+            pytest.param({"a": 1, "b": 2}, seconds(0.1), 1, id="some outstanding"),
+            pytest.param({"a": 3, "b": 9}, seconds(0.1), 0, id="more than fits"),
+            pytest.param({}, WARM_UP, 4, id="reports awaited long enough"),
+            pytest.param({"b": 3}, WARM_UP, 1, id="one has not, long enough"),
+        ],
+    )
+    def test_what_all_nodes_have_outstanding_counts(
+        self, gate, reported, after, granted
+    ):
+        for node, outstanding in reported.items():
+            gate.apply_report(node, RoomReport(1, outstanding, 0, 0), seconds(0))
+
+        assert count_grants(self.ask(gate, after, 6)) == granted
+
+    def test_grant_counts_until_its_node_reports_it(self, gate):
+        at = WARM_UP
+        numbers = [answer.grant for answer in self.ask(gate, at, 3)]
+        gate.apply_report("a", RoomReport(1, 1, numbers[0], 0), at)
+        assert gate.count_outstanding(at) == 3
+        gate.apply_report("a", RoomReport(2, 1, numbers[2], 0), at)
+        assert gate.count_outstanding(at) == 1
+
+    def test_late_report_is_ignored(self, gate):
+        gate.apply_report("a", RoomReport(2, 3, 0, 0), seconds(0))
+        gate.apply_report("a", RoomReport(1, 0, 0, 0), seconds(0.1))
+        assert gate.count_outstanding(seconds(0.1)) == 3
+
+    def test_report_of_silent_node_expires(self, gate):
+        gate.apply_report("a", RoomReport(1, 3, 0, 0), seconds(0))
+        assert gate.count_outstanding(REPORT_RETENTION - seconds(0.1)) == 3
+        assert gate.count_outstanding(REPORT_RETENTION) == 0
+
+    @pytest.mark.parametrize(
+        ("rejected", "most", "granted"), [(1, 10, 1), (4, 10, 1), (5, 10, 0), (1, 1, 0)]
+    )
+    def test_nothing_is_granted_near_the_most_rejections(
+        self, gate, rejected, most, granted
+    ):
+        gate.apply_report("a", RoomReport(1, 0, 0, 0), WARM_UP)
+        gate.apply_report("a", RoomReport(2, 0, 0, rejected), WARM_UP)
+        assert count_grants(self.ask(gate, WARM_UP, most=most)) == granted
+        later = WARM_UP + REJECTION_WINDOW
+        assert count_grants(self.ask(gate, later, most=most)) == 1
+
+    @pytest.mark.parametrize(("most", "fitting"), [(0, 4), (2, 4), (3, 5), (9, 8)])
+    def test_more_is_tried_while_a_wave_of_rejections_is_accepted(
+        self, gate, most, fitting
+    ):
+        now = WARM_UP
+        for number in range(1, 20):
+            gate.apply_report("a", RoomReport(number, gate.fitting, 0, 0), now)
+            self.ask(gate, now, most=most)
+            now += GROWTH_INTERVAL
+        assert gate.fitting == fitting
+
+    @pytest.mark.parametrize(
+        ("outstanding", "rejected", "fitting"),
+        [
+            pytest.param(8, 1, 4, id="slots still run"),
+            pytest.param(4, 1, 4, id="one more than the slots"),
+            pytest.param(3, 1, 3, id="all slots were not free"),
+            pytest.param(1, 1, 1, id="at least one"),
+        ],
+    )
+    def test_rejection_lowers_what_fits(self, gate, outstanding, rejected, fitting):
+        gate.apply_report("a", RoomReport(1, outstanding, 0, 0), seconds(0))
+        gate.apply_report("a", RoomReport(2, outstanding, 0, rejected), seconds(0))
+        assert gate.fitting == fitting
+
+    @pytest.mark.parametrize(("share", "granted"), [(1.0, 4), (0.5, 2), (0.2, 0)])
+    def test_part_of_a_partitioned_network_grants_its_share(self, gate, share, granted):
+        assert count_grants(self.ask(gate, WARM_UP, 6, share=share)) == granted
+
+    def test_urgent_request_gets_first_grant(self, gate):
+        gate.apply_report("b", RoomReport(1, SLOTS - 1, 0, 0), WARM_UP)
+        gate.request("a", 1, WARM_UP)
+        gate.request("b", 0, WARM_UP)
+        answers = gate.answer_requests(MANY, (), 1.0, WARM_UP)
+        assert [answer.node for answer in answers if answer.grant] == ["b"]
+
+    def test_requests_that_wait_too_long_are_denied(self, gate):
+        gate.apply_report("b", RoomReport(1, SLOTS, 0, 0), WARM_UP)
+        assert self.ask(gate, WARM_UP) == []
+        (denied,) = gate.answer_requests(MANY, (), 1.0, WARM_UP + seconds(0.3))
+        assert denied.wait is not None
+
+
+class BrittleHarness:
+    """A balancer whose node allocates the permits of two brittle targets."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.directory = make_directory(clock, make_target("t1"), make_target("t2"))
+        self.balancer = make_balancer(self.directory, clock)
+        vm = Vm("n1", "d1", "n1", 1)
+        membership = Membership(vm, clock)
+        membership.merge_facts([MemberFact(vm, Standing.ALIVE)])
+        self.sent = []
+        self.exchange = PermitExchange(
+            self.balancer.limits,
+            membership,
+            clock,
+            lambda address, fact: self.sent.append(fact),
+            self.sent.append,
+            self.directory.notify_waiters,
+            lambda target: SLOTS,
+        )
+
+    def state(self, target, most=MANY):
+        self.balancer.limits.apply_answer(target, None, self.clock.elapsed(), most)
+
+    def acquire(self):
+        """Return a grant or a refusal of a request whose caller does not wait."""
+        return self.balancer.acquire(
+            make_request(self.clock), TriedTargets(), lambda: True
+        )
+
+    def fill(self):
+        """Return grants until none is given, and what is returned then."""
+        grants = []
+        while isinstance(found := self.acquire(), Grant):
+            grants.append(found)
+        return grants, found
+
+
+class TestBalancer:
+    """The balancer sends brittle targets only what fits."""
+
+    @pytest.fixture
+    def harness(self, clock):
+        harness = BrittleHarness(clock)
+        harness.state("t1")
+        harness.state("t2")
+        clock.advance(BRITTLE_GRACE)
+        return harness
+
+    def test_requests_beyond_the_room_of_all_targets_are_not_sent(self, harness):
+        grants, found = harness.fill()
+
+        targets = [grant.target.incarnation for grant in grants]
+        assert targets.count("t1") == targets.count("t2") == SLOTS
+        assert isinstance(found, Refusal)
+        assert found.executed is Executed.NO
+
+    def test_room_of_an_ended_request_is_used_again(self, harness):
+        grants, _ = harness.fill()
+        harness.balancer.release(grants[0], target_failed=False)
+
+        again, _ = harness.fill()
+
+        assert [grant.target for grant in again] == [grants[0].target]
+
+    def test_outstanding_requests_of_peers_count(self, harness):
+        member = Member("n2", "d", "n2", 1, Standing.ALIVE)
+        rooms = [RoomOfTarget(name, SLOTS - 1, 0, 0) for name in ("t1", "t2")]
+        harness.exchange.handle_message(RoomReports(1, rooms), member)
+
+        assert len(harness.fill()[0]) == 2
+
+    def test_new_target_of_the_service_is_brittle_too(self, harness):
+        targets = [make_target(name) for name in ("t1", "t2", "t3")]
+        harness.directory.replace_entries(tuple(Entry(t.name, t) for t in targets))
+
+        grants, _ = harness.fill()
+
+        assert len([g for g in grants if g.target.incarnation == "t3"]) == SLOTS
+
+    def test_answer_without_the_header_ends_it(self, harness):
+        harness.fill()
+        harness.clock.advance(seconds(0.1))
+        for target in ("t1", "t2"):
+            harness.state(target, None)
+
+        grants = [harness.acquire() for _ in range(4)]
+
+        assert all(isinstance(grant, Grant) for grant in grants)
+
+    def test_rejections_stop_sending_for_a_second(self, clock):
+        harness = BrittleHarness(clock)
+        harness.state("t1", 2)
+        harness.state("t2", 2)
+        clock.advance(BRITTLE_GRACE)
+        for grant in (harness.acquire(), harness.acquire()):
+            harness.balancer.release_refused(grant)
+        clock.advance(seconds(0.5))
+
+        assert harness.fill()[0] == []
+        clock.advance(REJECTION_WINDOW)
+        assert harness.fill()[0]
+
+    def test_nothing_is_held_back_right_after_it_is_stated(self, clock):
+        harness = BrittleHarness(clock)
+        harness.state("t1")
+
+        grants = [harness.acquire() for _ in range(3 * SLOTS)]
+
+        assert all(isinstance(grant, Grant) for grant in grants)
+
+    def test_waiting_request_gets_the_room_of_an_ended_one(self, harness):
+        grants, _ = harness.fill()
+        found = []
+        waiting = threading.Thread(
+            target=lambda: found.append(
+                harness.balancer.acquire(
+                    make_request(harness.clock), TriedTargets(), never_disconnected
+                )
+            )
+        )
+        waiting.start()
+        assert not found
+        for _ in range(200):
+            if harness.balancer.limits._limited["t1"].waiting_requests:
+                break
+            if harness.balancer.limits._limited["t2"].waiting_requests:
+                break
+            waiting.join(0.01)
+
+        for grant in grants:
+            harness.balancer.release(grant, target_failed=False)
+
+        waiting.join(5)
+        assert isinstance(found[0], Grant)
+
+
+class TestObservedBrittleness:
+    """What a node remembers of a target's statements."""
+
+    def test_permits_are_needed_from_the_first_statement_on(self, clock):
+        limits = BrittleHarness(clock).balancer.limits
+        stated_at = clock.elapsed()
+        limits.apply_answer(TARGET, None, stated_at, 3)
+        clock.advance(seconds(5))
+        limits.apply_answer(TARGET, None, clock.elapsed(), 3)
+        limits.apply_report(
+            TARGET,
+            ObservedLimit(None, clock.elapsed() + seconds(1), 3, clock.elapsed()),
+        )
+
+        assert limits.latest_limit(TARGET).brittle_since == stated_at
+
+    @pytest.mark.parametrize(
+        ("sent_after", "ends"), [(seconds(-1), False), (seconds(1), True)]
+    )
+    def test_only_an_answer_to_a_later_request_ends_it(self, clock, sent_after, ends):
+        limits = BrittleHarness(clock).balancer.limits
+        clock.advance(seconds(10))
+        limits.apply_answer(TARGET, None, clock.elapsed(), 3)
+        limits.apply_answer(TARGET, None, clock.elapsed() + sent_after)
+
+        assert (TARGET not in limits.brittle_targets()) is ends
+
+    def test_change_is_published_with_its_age(self, clock):
+        harness = BrittleHarness(clock)
+        harness.state(TARGET, 3)
+        clock.advance(seconds(2))
+        (sent,) = harness.exchange.limit_facts()
+
+        assert [harness.sent[0].limits[0].max_rejections] == [3]
+        assert sent.limits[0].brittle_for_ms == 2000
+
+    def test_rate_and_brittleness_are_kept_together(self, clock):
+        limits = BrittleHarness(clock).balancer.limits
+        limits.apply_answer(TARGET, 2.0, clock.elapsed(), 3)
+
+        assert limits.rates() == {TARGET: 2.0}
+        assert limits.brittle_targets() == [TARGET]
+
+    def test_unreadable_statement_accepts_no_rejection(self, clock, lines):
+        limits = BrittleHarness(clock).balancer.limits
+        limits.apply_answer(TARGET, None, clock.elapsed(), InvalidMaxRejections("some"))
+
+        assert limits.latest_limit(TARGET).max_rejections == 0
