Send brittle targets only what fits over all nodes

Callers saw: workers of a service that state Server-Brittle ended again and again under load, because each node judged by its own view what fits and nodes overshot together; the workers turned away more than they had stated.

The allocator of a target counts what all nodes have outstanding, from numbered reports and grants, and grants permits for what fits. Logged: room_lowered.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
@@ -50,7 +50,7 @@
         send: Callable[[str, Fact], None],
         publish: Callable[[Fact], None],
         on_answer: Callable[[], None],
-        slots_of: Callable[[str], int] = lambda target: 1,
+        slots_of: Callable[[str], int] = lambda target: 0,
     ) -> None:
         self._limits = limits
         self._membership = membership
--- a/packages/runhatch-server/src/runhatch_server/gateway/_rooms.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rooms.py
@@ -20,12 +20,15 @@
 )
 from runhatch_server.fleet import TargetDirectory
 from runhatch_server.gateway._rate_limits import RateLimits
+from runhatch_server.observability import log_change
 from runhatch_server.peers import Fact, PermitAnswer, RoomOfTarget, RoomReports
 
 LOST_NODE_WINDOW = timedelta(seconds=60)
 """How long a silent node counts as one that may still be granting permits."""
 REPORT_INTERVAL = timedelta(milliseconds=240)
 """Shortest interval between two reports of everything outstanding."""
+UNKNOWN_RETRY_DELAY = timedelta(milliseconds=200)
+"""Delay after which a node requests room again from one without the target's entry."""
 NUMBERS_PER_INCARNATION = 1 << 24
 """Numbers begin higher in each incarnation of a node, which starts seconds later."""
 MILLISECOND = timedelta(milliseconds=1)
@@ -37,9 +40,9 @@
 
 
 def count_slots(directory: TargetDirectory, target: str) -> int:
-    """Return how many requests ``target`` runs concurrently, 1 if it is unknown."""
+    """Return how many requests ``target`` runs concurrently, 0 if it is unknown."""
     known = directory.get(target)
-    return 1 if known is None else known.slots
+    return 0 if known is None else known.slots
 
 
 class RoomExchange:
@@ -81,7 +84,10 @@
             gate = self._find_gate(target, alive)
             if gate is not None:
                 gate.request(address, tier, now)
-        self._answer_requests(target, alive)
+        if gate is None:
+            self._deliver(target, RoomAnswer(address, tier, wait=UNKNOWN_RETRY_DELAY))
+        else:
+            self._answer_requests(target, alive)
 
     def report(self, target: str) -> None:
         """Report what this node has outstanding at ``target`` to its allocator."""
@@ -118,10 +124,7 @@
             report = RoomReport(
                 fact.number, room.outstanding, room.confirmed, room.rejected
             )
-            with self._lock:
-                gate = self._find_gate(room.target, alive)
-                if gate is not None:
-                    gate.apply_report(address, report, now)
+            self._apply_report(room.target, address, report, now)
             self._answer_requests(room.target, alive)
 
     def remove_ended(self) -> None:
@@ -146,10 +149,9 @@
         if known is None or known.max_rejections is None:
             return None
         gate = self._gates.get(target)
-        if gate is None:
-            gate = RoomGate(
-                self._slots_of(target), self._clock.elapsed(), self._grant_numbers
-            )
+        slots = self._slots_of(target)
+        if gate is None and slots:
+            gate = RoomGate(slots, self._clock.elapsed(), self._grant_numbers)
             self._gates[target] = gate
         return gate
 
@@ -168,11 +170,20 @@
         report = RoomReport(
             fact.number, room.outstanding, room.confirmed, room.rejected
         )
-        now = self._clock.elapsed()
+        self._apply_report(target, own, report, self._clock.elapsed())
+
+    def _apply_report(
+        self, target: str, address: str, report: RoomReport, now: timedelta
+    ) -> None:
         with self._lock:
             gate = self._find_gate(target, self._membership.alive())
-            if gate is not None:
-                gate.apply_report(own, report, now)
+            if gate is None:
+                return
+            before = gate.fitting
+            gate.apply_report(address, report, now)
+            fitting = gate.fitting
+        if fitting < before:
+            log_change("room_lowered", target=target, fitting=fitting, node=address)
 
     def _make_reports(self, targets: list[str], allocator: str) -> RoomReports:
         # A later number must not go with an earlier count.
--- a/tests/adapter/test_platform_flow_headers.py
+++ b/tests/adapter/test_platform_flow_headers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from runhatch_platform import PlatformHeaders
-from runhatch_server.targets import InvalidRateLimit
+from runhatch_server.targets import InvalidMaxRejections, InvalidRateLimit
 
 
 class TestFlowControlHeaders:
@@ -59,3 +59,19 @@
         head = PlatformHeaders().decode_answer(status, "", headers, False)
 
         assert head.rate_limit == limit
+
+    @pytest.mark.parametrize(
+        ("headers", "most"),
+        [
+            ({"server-brittle": "6"}, 6),
+            ({"server-brittle": "0"}, 0),
+            ({"server-brittle": "few"}, InvalidMaxRejections("few")),
+            ({"x-runhatch-server-brittle": "6"}, None),
+            ({}, None),
+        ],
+    )
+    @pytest.mark.parametrize("status", [200, 421, 503])
+    def test_brittleness_is_decoded_for_any_status(self, status, headers, most):
+        head = PlatformHeaders().decode_answer(status, "", headers, False)
+
+        assert head.max_rejections == most
