Leave room at brittle targets to nodes that are not heard

The cut-off node went on sending, and its successor granted all room without knowing what that node had outstanding.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_room.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_room.py
@@ -18,6 +18,8 @@
 between reports, and the delay of a message."""
 REPORT_RETENTION = timedelta(seconds=10)
 """How long the last report of a silent node counts."""
+SILENT_AFTER = timedelta(seconds=1)
+"""Age of the last report from which a node counts as lost: three were missed."""
 GRANT_TIMEOUT = timedelta(seconds=1)
 """Time after which a grant that its node has not confirmed is lost."""
 MAX_QUEUE_TIME = timedelta(milliseconds=300)
@@ -142,16 +144,17 @@
         self._queue.append(_Queued(tier, next(self._orders), node, now))
 
     def answer_requests(
-        self, max_rejections: int, alive: Collection[str], share: float, now: timedelta
+        self, max_rejections: int, alive: Collection[str], lost: int, now: timedelta
     ) -> list[RoomAnswer]:
         """Grant what fits, and deny what waits too long.
 
         The target accepts ``max_rejections`` within a second. ``alive`` are the nodes
-        whose reports are expected, and ``share`` is the share of the room to grant.
+        whose reports are expected; ``lost`` others may still use the target.
         """
         answers = self._deny_late(now)
         self._queue.sort(key=lambda queued: (queued.tier, queued.order))
         outstanding = self.count_outstanding(now)
+        share = self._find_share(alive, lost, now)
         while self._queue and self._may_grant(
             outstanding, max_rejections, alive, share, now
         ):
@@ -168,6 +171,21 @@
             self._grow(outstanding, max_rejections, now)
         return answers + self._deny_excess(now)
 
+    def _find_share(self, alive: Collection[str], lost: int, now: timedelta) -> float:
+        """Return the share of the room to grant.
+
+        It leaves their part to nodes that this node does not hear. Parts of a
+        partitioned network do not know what the others send.
+        """
+        if not alive:
+            return 1.0
+        silent = sum(
+            name not in self._nodes
+            or now - self._nodes[name].reported_at >= SILENT_AFTER
+            for name in alive
+        )
+        return (len(alive) - silent) / (len(alive) + lost)
+
     def _may_grant(
         self,
         outstanding: int,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_rooms.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rooms.py
@@ -16,7 +16,6 @@
     RoomAnswer,
     RoomGate,
     RoomReport,
-    issued_rate_share,
 )
 from runhatch_server.fleet import TargetDirectory
 from runhatch_server.gateway._rate_limits import RateLimits
@@ -207,16 +206,14 @@
         known = self._limits.latest_limit(target)
         if known is None or known.max_rejections is None:
             return
-        share = issued_rate_share(
-            len(alive), self._membership.count_suspected_within(LOST_NODE_WINDOW)
-        )
+        lost = self._membership.count_suspected_within(LOST_NODE_WINDOW)
         addresses = [vm.address for vm in alive]
         now = self._clock.elapsed()
         with self._lock:
             gate = self._gates.get(target)
             if gate is None:
                 return
-            answers = gate.answer_requests(known.max_rejections, addresses, share, now)
+            answers = gate.answer_requests(known.max_rejections, addresses, lost, now)
         for answer in answers:
             self._deliver(target, answer)
 
