--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -33,8 +33,6 @@
     RequestsCleared,
     RevisionBody,
     RevisionNotice,
-    RoomOfTarget,
-    RoomReports,
     StateRequest,
     SuspectsDigest,
     TableStateRequest,
@@ -49,6 +47,7 @@
     pack_rows,
     unpack_rows,
 )
+from runhatch_server.peers._room_messages import RoomOfTarget, RoomReports
 
 __all__ = [
     "ALL_DOMAINS",
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from runhatch_coordination import MemberFact, Standing, StoreVersion, Vm
+from runhatch_server.peers._room_messages import RoomReports
 
 ROWS_COMPRESSION_LEVEL = 1
 """Fastest level of zlib: 60 rows of 400 bytes shrink to an eighth in 0.2 ms."""
@@ -317,26 +318,6 @@
     grant: int = 0
 
 
-class RoomOfTarget(msgspec.Struct, frozen=True, array_like=True):
-    """Requests and unused permits of the sender for one brittle target.
-
-    ``confirmed`` is the last grant that it received from the receiver, and ``rejected``
-    the number of requests that the target rejected for want of room.
-    """
-
-    target: str
-    outstanding: int
-    confirmed: int
-    rejected: int
-
-
-class RoomReports(msgspec.Struct, frozen=True, tag="room", array_like=True):
-    """What the sender has outstanding at brittle targets, in its report ``number``."""
-
-    number: int
-    rooms: list[RoomOfTarget]
-
-
 class LinkClosed(msgspec.Struct, frozen=True, tag="closed", array_like=True):
     """The sender has closed its link; the receiver must not suspect its silence."""
 
