--- a/packages/runhatch-server/tests/test_brittle_targets.py
+++ b/packages/runhatch-server/tests/test_brittle_targets.py
@@ -2,6 +2,7 @@
 
 import threading
 
+import msgspec
 import pytest
 from brittle_cases import STATED_AT, TARGET, BrittleCluster, Site
 from gateway_cases import (
@@ -24,7 +25,15 @@
 )
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._permits import PermitExchange
-from runhatch_server.peers import Member, RoomOfTarget, RoomReports
+from runhatch_server.peers import (
+    LimitOfTarget,
+    Member,
+    PermitAnswer,
+    RateLimitsUpdate,
+    RoomOfTarget,
+    RoomReports,
+)
+from runhatch_server.peers._messages import PROTOCOL_VERSION, Envelope
 from runhatch_server.refusals import Executed, Refusal
 from runhatch_server.targets import InvalidMaxRejections, decode_max_rejections
 
@@ -339,3 +348,23 @@
         limits.apply_answer(TARGET, None, clock.elapsed(), InvalidMaxRejections("some"))
 
         assert limits.latest_limit(TARGET).max_rejections == 0
+
+
+class TestMessages:
+    """Messages about brittle targets on the wire."""
+
+    @pytest.mark.parametrize(
+        "fact",
+        [
+            RoomReports(7, [RoomOfTarget(TARGET, 3, 1 << 55, 2)]),
+            PermitAnswer(TARGET, 1, None, 1 << 55),
+            RateLimitsUpdate([LimitOfTarget(TARGET, None, 5, 4, 2000)]),
+        ],
+    )
+    def test_message_is_decoded_as_it_was_encoded(self, fact):
+        sender = Member("n1", "d", "n1", 1, Standing.ALIVE)
+        envelope = Envelope(PROTOCOL_VERSION, sender, False, [fact])
+
+        encoded = msgspec.msgpack.encode(envelope)
+
+        assert msgspec.msgpack.decode(encoded, type=Envelope) == envelope
