--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -52,6 +52,12 @@
     ModelWork,
     PromptPart,
 )
+from runhatch_server.decisions._room import (
+    BRITTLE_GRACE,
+    RoomAnswer,
+    RoomGate,
+    RoomReport,
+)
 from runhatch_server.decisions._scoring import HeldRequest, ScoredTarget, Scorer
 from runhatch_server.decisions._software_versions import (
     find_sole_version,
@@ -104,6 +110,10 @@
     "RecordOutcome",
     "Rejected",
     "request_tier",
+    "BRITTLE_GRACE",
+    "RoomAnswer",
+    "RoomGate",
+    "RoomReport",
     "ScoredTarget",
     "Scorer",
     "issued_rate_share",
--- a/packages/runhatch-server/src/runhatch_server/gateway/_search.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_search.py
@@ -1,9 +1,11 @@
 """State of a request's search for a target, and its use of permits."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from runhatch_server.decisions import GatewayRequest, HeldRequest, TriedTargets
+from runhatch_server.fleet import Target
 from runhatch_server.gateway._held import HoldDecision
 from runhatch_server.gateway._rate_limits import (
     PERMIT_REQUEST_TIMEOUT,
@@ -44,6 +46,22 @@
     until: timedelta
 
 
+def find_awaited(
+    limits: RateLimits, search: TargetSearch, targets: Iterable[Target]
+) -> list[Target]:
+    """Return those of ``targets`` whose permits the request still waits for.
+
+    Another request of this node was denied one, but permits go to any request.
+    """
+    return [
+        target
+        for target in targets
+        if target.incarnation in search.permits_requested_at
+        and target.incarnation not in search.no_permit_until
+        and limits.keeps_waiting(target.incarnation)
+    ]
+
+
 def use_permit(
     limits: RateLimits, search: TargetSearch, target: str, tier: int, now: timedelta
 ) -> HoldDecision | PermitNeeded | NoPermit | None:
@@ -55,7 +73,8 @@
     if limits.use_permit(target, requested_at is not None):
         return None
     opens_at = limits.available_at(target, tier, now)
-    if opens_at > now:
+    waits_on = requested_at is not None and limits.keeps_waiting(target)
+    if opens_at > now and not waits_on:
         return NoPermit(target, opens_at)
     if requested_at is None:
         return PermitNeeded(target, tier)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_target_signals.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_signals.py
@@ -21,5 +21,8 @@
     if backoff is not None:
         balancer.back_off_target(grant, backoff)
     balancer.limits.apply_answer(
-        grant.target.incarnation, answer.rate_limit, grant.granted_at
+        grant.target.incarnation,
+        answer.rate_limit,
+        grant.granted_at,
+        answer.max_rejections,
     )
--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -47,6 +47,7 @@
     pack_rows,
     unpack_rows,
 )
+from runhatch_server.peers._room_messages import RoomOfTarget, RoomReports
 from runhatch_server.peers._stream_messages import (
     StreamVersionAnswer,
     StreamVersionQuery,
@@ -73,6 +74,8 @@
     "RateLimitsUpdate",
     "RefusalAnswer",
     "RefusalQuery",
+    "RoomOfTarget",
+    "RoomReports",
     "DemandReport",
     "OrdererNotice",
     "OrdererResigned",
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from runhatch_coordination import MemberFact, Standing, StoreVersion, Vm
+from runhatch_server.peers._room_messages import RoomReports
 from runhatch_server.peers._stream_messages import (
     StreamVersionAnswer,
     StreamVersionQuery,
@@ -281,12 +282,16 @@
 class LimitOfTarget(msgspec.Struct, frozen=True, array_like=True):
     """A target accepts ``rate`` requests per second from all nodes together.
 
-    ``None`` means that it stated no limit.  This was observed ``age_ms`` ago.
+    ``None`` means that it stated no limit.  This was observed ``age_ms`` ago.  A
+    brittle target ends if it rejects more than ``max_rejections`` in a second, as known
+    for ``brittle_for_ms``.
     """
 
     target: str
     rate: float | None
     age_ms: int
+    max_rejections: int | None = None
+    brittle_for_ms: int = 0
 
 
 class RateLimitsUpdate(msgspec.Struct, frozen=True, tag="limits", array_like=True):
@@ -309,11 +314,13 @@
     """A permit to send a request of ``tier`` to ``target``, or its refusal.
 
     With ``wait_ms`` the permit is refused; the receiver may retry after that time.
+    ``grant`` numbers the permits of a brittle target.
     """
 
     target: str
     tier: int
     wait_ms: int | None
+    grant: int = 0
 
 
 class LinkClosed(msgspec.Struct, frozen=True, tag="closed", array_like=True):
@@ -361,6 +368,7 @@
     | StreamVersionsUpdate
     | StreamVersionQuery
     | StreamVersionAnswer
+    | RoomReports
 )
 
 
