Pause for a minimum time after each round of the orderer

Seen: on a deployment of 90 nodes and 70 targets the process that orders the targets took minutes of processor time for 20 seconds of traffic.

Cause: the pause after a round is twice the round's duration by the clock passed in, with no lower bound. Rounds that take no time by that clock, or very little, follow each other for as long as answers of targets and messages with demand request them. A round that raised an exception was followed by no pause at all.

Now each round is followed by a pause of 25 ms or more, also if it fails. The reason for the value: a node batches its demand for 25 ms, so an earlier round learns nothing new from it; and an adapter needs two rounds, one that orders it and one that publishes it, of the about 400 ms that a request waits for both. The pause moves from the node to the orderer, so that it can be tested there.

test_requested_rounds_are_bounded and test_failing_rounds_are_bounded failed before (the count was ended at 100 rounds with the clock at rest; 50 a second are allowed). The row of a round without duration in test_is_proportional_to_round_within_bounds states the minimum now; it stated zero, which is the fault.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -228,7 +228,10 @@
             self._peers.relay.report_added,
         )
         self._tasks.start_task(
-            "orders", self._order_interval, self._run_orderer, self._order_wanted
+            "orders",
+            self._order_interval,
+            self._orderer.run_paced_round,
+            self._order_wanted,
         )
         for server in self._servers:
             server.start()
@@ -421,12 +424,6 @@
     def _order_interval(self) -> timedelta:
         return ORDER_INTERVAL if self._orderer.has_work else IDLE_ORDER_INTERVAL
 
-    def _run_orderer(self) -> None:
-        """Run a round of the orderer, then pause even if another was requested."""
-        self._orderer.step()
-        if self._orderer.has_work:
-            self._clock.sleep(self._orderer.round_pause)
-
     def _clean_up(self) -> None:
         self._directory.remove_expired()
         known = frozenset(target.incarnation for target in self._directory.all())
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -48,6 +48,10 @@
 that reach the store take over 2 s sooner, and order most targets at once."""
 
 
+MIN_ROUND_PAUSE = timedelta(milliseconds=25)
+"""Minimum pause after a round. A node batches its demand for as long, so that an
+earlier round learns nothing new from it. An adapter needs two rounds, one that orders
+it and one that publishes it, and a request waits about 400 ms for both."""
 MAX_ROUND_PAUSE = timedelta(milliseconds=500)
 """Maximum pause after a round: rounds send adapter orders, and requests that need an
 adapter wait for about 400 ms."""
@@ -130,7 +134,7 @@
             directory, client, self._calls, self._order_times, self._declared, clock
         )
         self._stopped = False
-        self._pause = timedelta()
+        self._pause = MIN_ROUND_PAUSE
 
     def declare(self, services: Mapping[str, ServiceSpec]) -> None:
         """Replace the declared services."""
@@ -265,9 +269,18 @@
                 self._run_round()
                 self._record_round(started_at)
 
+    def run_paced_round(self) -> None:
+        """Run a round, then pause even if another one was requested or it failed."""
+        try:
+            self.step()
+        finally:
+            if self.has_work:
+                self._clock.sleep(self._pause)
+
     def _record_round(self, started_at: timedelta) -> None:
         ended_at = self._clock.elapsed()
-        self._pause = min((ended_at - started_at) * ROUND_PAUSE_FACTOR, MAX_ROUND_PAUSE)
+        pause = (ended_at - started_at) * ROUND_PAUSE_FACTOR
+        self._pause = min(max(pause, MIN_ROUND_PAUSE), MAX_ROUND_PAUSE)
         self._round_log.record_round(
             started_at, ended_at, len(self._controls), self._inbox
         )
