Start a round of membership only when a peer's standing changes

Found by looking for tasks that run again whenever asked, without a pause. Each message of a VM that was not recorded as alive started a round of membership on its receiver. A VM that drains stays so, so each of its messages started one, and each round sends the versions or the revision held to all peers. Two nodes that both know the other as draining, while their own tasks still run (the platform lists them as draining before they are stopped), answer each other's messages without a pause.

The round now starts when a message changes the recorded standing of its sender: a new VM, one that was suspected, and also the first message of one that drains, which had waited for the next message.

test_message_of_draining_member_does_not_set_event failed before, and so did the row of test_first_message_of_draining_member_sets_event whose VM was known to be alive. Not seen on a deployment.

--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -172,7 +172,7 @@
         refresh = timedelta(seconds=placement.refresh_seconds)
         self._tasks.start_task("vms", VM_LIST_INTERVAL, self._read_vms)
         self._tasks.start_task(
-            "members", heartbeat, self._maintain_membership, self._peers.new_member_seen
+            "members", heartbeat, self._maintain_membership, self._peers.member_changed
         )
         follower = self._follower
         self._tasks.start_task(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -185,7 +185,7 @@
             "members",
             HEARTBEAT_INTERVAL,
             self._update_members,
-            self._peers.new_member_seen,
+            self._peers.member_changed,
         )
         self._tasks.start_task(
             "readers", self._tables.heartbeat_interval, self._peers.broadcast_state
--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -36,11 +36,12 @@
         self._linked: frozenset[str] = frozenset()
         """Addresses of the peers that this node is linked to."""
         self._random = random.Random(seed)
-        self.new_member_seen = threading.Event()
-        """Set on a message from a VM that was not known to be alive.
+        self.member_changed = threading.Event()
+        """Set on the message of a VM that changes its recorded standing.
 
-        Until that VM has links and the current state, it cannot serve requests that
-        depend on other nodes.
+        Until a new VM has links and the current state, it cannot serve requests that
+        depend on other nodes.  Other messages don't set it: each causes messages to all
+        peers, so that two VMs that drain would answer each other without a pause.
         """
 
     def attach_links(self, links: Links) -> None:
@@ -123,8 +124,8 @@
         sender = fact_from_message(envelope.sender)
         previous = self._membership.standing(sender.vm.name)
         recorded = self._membership.record_heartbeat(sender, envelope.is_linked)
-        if previous is not Standing.ALIVE:
-            self.new_member_seen.set()
+        if self._membership.standing(sender.vm.name) is not previous:
+            self.member_changed.set()
         if recorded is not None:
             self._send_recorded_fact(recorded)
 
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -12,6 +12,7 @@
     make_target,
     seconds,
 )
+from msgspec import structs
 
 from runhatch_coordination import LeaseRecord, Membership, Standing, Vm
 from runhatch_server.crashes import CrashDetector
@@ -301,16 +302,54 @@
 
         peers.receive(Envelope(PROTOCOL_VERSION, PEER, False, []))
 
-        assert peers.new_member_seen.is_set()
+        assert peers.member_changed.is_set()
 
     def test_message_of_known_member_does_not_set_event(self, clock):
         peers, _ = make_peers(clock)
         peers.receive(Envelope(PROTOCOL_VERSION, PEER, False, []))
-        peers.new_member_seen.clear()
+        peers.member_changed.clear()
 
         peers.receive(Envelope(PROTOCOL_VERSION, PEER, True, []))
 
-        assert not peers.new_member_seen.is_set()
+        assert not peers.member_changed.is_set()
+
+    def test_message_of_draining_member_does_not_set_event(self, clock):
+        """Two draining nodes would answer each other's messages without a pause.
+
+        The event starts a round of membership, which sends messages to all peers.
+        """
+        peers, _ = make_peers(clock)
+        draining = structs.replace(PEER, standing=Standing.DRAINING)
+        peers.receive(Envelope(PROTOCOL_VERSION, draining, True, []))
+        peers.member_changed.clear()
+
+        peers.receive(Envelope(PROTOCOL_VERSION, PEER, True, []))
+        peers.receive(Envelope(PROTOCOL_VERSION, draining, True, []))
+
+        assert not peers.member_changed.is_set()
+
+    @pytest.mark.parametrize("earlier_messages", [0, 1])
+    def test_first_message_of_draining_member_sets_event(self, clock, earlier_messages):
+        peers, _ = make_peers(clock)
+        for _ in range(earlier_messages):
+            peers.receive(Envelope(PROTOCOL_VERSION, PEER, True, []))
+        peers.member_changed.clear()
+        draining = structs.replace(PEER, standing=Standing.DRAINING)
+
+        peers.receive(Envelope(PROTOCOL_VERSION, draining, True, []))
+
+        assert peers.member_changed.is_set()
+
+    def test_message_of_suspected_member_sets_event(self, clock):
+        peers, _ = make_peers(clock)
+        other = Member("c", "d1", "10.0.0.3:1", 7, Standing.ALIVE)
+        suspected = structs.replace(PEER, standing=Standing.SUSPECT)
+        peers.receive(Envelope(PROTOCOL_VERSION, other, True, [suspected]))
+        peers.member_changed.clear()
+
+        peers.receive(Envelope(PROTOCOL_VERSION, PEER, True, []))
+
+        assert peers.member_changed.is_set()
 
 
 class TestDrainingTargets:
