Read the store once per announced revision

Found by looking for tasks that run again whenever asked, without a pause. While a node is behind and its reads fail, each notice of a revision caused another read of the store; peers repeat their notices with each heartbeat, so a store in trouble got calls from each node in proportion to its number of peers. A read that fails is repeated every second anyway, with a request to a peer.

Now only the first notice of a revision requests a read. test_repeated_notice_after_failed_read_causes_no_read failed before. Not seen on a deployment.

--- a/packages/runhatch-server/src/runhatch_server/configuration/_follower.py
+++ b/packages/runhatch-server/src/runhatch_server/configuration/_follower.py
@@ -28,13 +28,19 @@
         self._feed = feed
         self._request_from_peer = request_from_peer
         self._newest_known = FIRST_POSITION
+        self._requested_position = 0
         self.read_requested = threading.Event()
 
     def record_position(self, position: int) -> None:
-        """Record that the revision at ``position`` is in force on another node."""
+        """Record that the revision at ``position`` is in force on another node.
+
+        Only the first notice of a revision requests a read: peers repeat theirs, and
+        after a failed read :meth:`read_if_behind` tries again.
+        """
         if position > self._newest_known:
             self._newest_known = position
-        if position > self._feed.position:
+        if position > max(self._feed.position, self._requested_position):
+            self._requested_position = position
             self.read_requested.set()
 
     def read_store(self) -> None:
--- a/packages/runhatch-server/tests/test_follower.py
+++ b/packages/runhatch-server/tests/test_follower.py
@@ -82,6 +82,19 @@
             store.follower.read_if_behind()
         assert store.peer_requests == 3
 
+    def test_repeated_notice_after_failed_read_causes_no_read(self, store):
+        """Peers repeat their notices; each would cause a read of a store that fails."""
+        number = store.publish()
+        store.objects.is_down = True
+        store.follower.record_position(number)
+        store.follower.read_store()
+
+        store.follower.record_position(number)
+        assert not store.follower.read_requested.is_set()
+
+        store.follower.record_position(number + 1)
+        assert store.follower.read_requested.is_set()
+
     def test_current_node_sends_no_requests(self, store):
         """A node that is up to date neither reads nor sends requests."""
         store.publish()
