Probe a target when a connection to it breaks

Cause: a path that resets connections shows no sign of it on idle ones until they are used. Each request took one and broke it, the target counted as within reach as long as one was left, so nothing was forwarded, and the node looked able to serve to its peers. A refused connect does not close idle connections, as they may live on.

Now a connection that breaks before the end of an answer causes a probe of its target at once. If the target accepts, nothing else follows (a target may reset single requests). If not, the path is lost and the idle connections are closed.

TestBrokenConnections and two rows of TestBrokenConnection failed before (nothing was probed).

--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -109,6 +109,7 @@
         crashes, fingerprint = self._parts.crashes, self._request.fingerprint
         if reason is AttemptReason.CONNECTION_BROKEN:
             crashes.record_abort(fingerprint, grant.target.incarnation)
+            self._parts.balancer.paths.record_broken(grant.target.incarnation)
         else:
             crashes.record_abandoned(fingerprint, grant.target.incarnation)
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
@@ -53,8 +53,10 @@
         self._has_connection = has_connection
         self._close_idle = close_idle
         self._is_any_failing = False
+        self._broken: set[str] = set()
+        """Targets to which a connection broke since the last round of probes."""
         self.failure_recorded = threading.Event()
-        """Set after a failed connect, to begin probes."""
+        """Set after a failed connect or a broken connection, to begin probes."""
 
     @property
     def probe_interval(self) -> timedelta:
@@ -100,9 +102,21 @@
         self._is_any_failing = True
         self.failure_recorded.set()
 
+    def record_broken(self, target: str) -> None:
+        """Record that a connection to ``target`` broke before the end of an answer.
+
+        A path that resets connections shows no sign of it on idle ones until they are
+        used, and each would fail one request.
+        """
+        with self._lock:
+            self._broken.add(target)
+        self.failure_recorded.set()
+
     def probe(self) -> None:
         """Probe the targets that are due, and record which can be reached."""
-        due = self._find_due()
+        with self._lock:
+            broken, self._broken = self._broken, set()
+        due = self._find_due(broken)
         if not due:
             return
         results = probe_connects(
@@ -118,8 +132,9 @@
                 else:
                     load.record_connect_failure(now)
         for target, result in zip(due, results, strict=True):
-            if result is Probed.SILENT:
-                # Packets are lost on open connections too.
+            is_broken = target.incarnation in broken
+            if result is Probed.SILENT or (result is Probed.REFUSED and is_broken):
+                # Packets of open connections are lost or reset too.
                 self._close_idle(target.incarnation)
 
     def _find_lacking(
@@ -139,12 +154,12 @@
             ]
         return holders, lacking
 
-    def _find_due(self) -> list[Target]:
+    def _find_due(self, broken: set[str]) -> list[Target]:
         """Return the targets to probe.
 
-        These are those whose backoff has ended, those that owe an answer for too
-        long, and all others if most targets that were tried lately failed: then this
-        node has most likely lost its path to them as well.
+        These are those in ``broken``, those whose backoff has ended, those that owe an
+        answer for too long, and all others if most targets that were tried lately
+        failed: then this node has most likely lost its path to them as well.
         """
         now = self._clock.elapsed()
         recent = now - RECENT_ANSWER_AGE
@@ -153,10 +168,13 @@
         with self._lock:
             for target in self._directory.all():
                 load = self._book.load(target.incarnation)
+                is_broken = target.incarnation in broken
                 if load.avoidance_count:
                     failing_count += 1
-                    if now >= load.next_connect_at:
+                    if is_broken or now >= load.next_connect_at:
                         due.append(target)
+                elif is_broken:
+                    due.append(target)
                 elif max(load.last_received_at, load.reached_at) > recent:
                     reached_count += 1
                 elif load.is_silent(now):
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -187,3 +187,21 @@
         run(clock, IDEMPOTENT, [make_answer(is_framed=is_framed)], crashes=crashes)
 
         assert crashes.recheck_requested.is_set() is not is_framed
+
+
+class TestBrokenConnection:
+    """A target whose connection breaks is probed, so that other requests avoid it."""
+
+    @pytest.mark.parametrize(
+        ("result", "is_probed"),
+        [
+            (BROKEN, True),
+            (make_answer(body=None), True),
+            (make_answer(), False),
+            (UnknownResult(AttemptReason.TIMED_OUT), False),
+        ],
+    )
+    def test_probe_is_requested(self, clock, result, is_probed):
+        _, _, balancer = run(clock, NON_IDEMPOTENT, [result])
+
+        assert balancer.paths.failure_recorded.is_set() == is_probed
--- a/packages/runhatch-server/tests/test_target_paths.py
+++ b/packages/runhatch-server/tests/test_target_paths.py
@@ -213,6 +213,47 @@
         assert targets.closed == closed
 
 
+class TestBrokenConnections:
+    """A path that resets open connections: each idle one would fail one request."""
+
+    @pytest.mark.parametrize(
+        ("outcome", "closed", "lacks_path"),
+        [
+            (Probed.REFUSED, ["t0"], True),
+            (Probed.SILENT, ["t0"], True),
+            # The target reset one request, or the connection was closed while idle.
+            (Probed.ACCEPTED, [], False),
+        ],
+    )
+    def test_target_is_probed_at_once(self, build, outcome, closed, lacks_path):
+        targets = build(3)
+        targets.outcomes["t0"] = outcome
+        targets.paths.record_broken("t0")
+
+        assert targets.paths.failure_recorded.is_set()
+        assert targets.probe() == {"t0"}
+        assert targets.closed == closed
+        request = make_request(targets.clock)
+        assert targets.paths.lacks_any(request) == lacks_path
+
+    def test_target_is_probed_once(self, build):
+        targets = build(3)
+        targets.paths.record_broken("t0")
+        targets.probe()
+
+        assert targets.probe() == set()
+
+    def test_target_within_its_backoff_is_probed_too(self, build):
+        """Connects fail already, but idle connections would still be used."""
+        targets = build(1)
+        targets.outcomes["t0"] = Probed.REFUSED
+        targets.paths.record_failure("t0")
+        targets.paths.record_broken("t0")
+
+        assert targets.probe() == {"t0"}
+        assert targets.closed == ["t0"]
+
+
 def test_probe_outcomes_are_told_apart():
     with ExitStack() as stack:
         accepting = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
