--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -121,6 +121,8 @@
     def record_no_answer(self, grant: Grant, reason: AttemptReason) -> None:
         """Record that the attempt of ``grant`` got no complete answer, and why."""
         record_no_answer(self._parts.crashes, grant, reason)
+        if reason is AttemptReason.CONNECTION_BROKEN and not grant.is_to_peer:
+            self._parts.balancer.paths.record_broken(grant.target.incarnation)
 
     def _send(self, resume_after: str) -> tuple[Grant, OpenedAnswer] | Refusal:
         """Send the request until a target begins to answer, or return a refusal."""
