Pace the probes after broken connections

After a connection to a target broke and its probe failed, the next round of probes came after 2 s instead of 0.1 s: whether any target fails was computed before the probe. And a target that breaks the connection of each request was probed once a request, 100 times in 0.2 s in a trial.

A failed probe makes the next round due soon, and a target that was reached within the last 100 ms is probed at the end of that time.

test_target_that_refuses_is_probed_again_soon and test_target_that_breaks_each_answer_is_probed_at_an_interval failed before.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load.py
@@ -169,7 +169,7 @@
     """Number of connects that failed since the last answer."""
     next_connect_at: timedelta = timedelta()
     """End of the backoff after a failed connect."""
-    reached_at: timedelta = timedelta()
+    reached_at: timedelta = timedelta(days=-1)
     """Time at which the target last accepted the connection of a probe."""
     backoff_until: timedelta = timedelta()
     """End of the backoff that the target requested from this node."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
@@ -55,14 +55,15 @@
         self._close_idle = close_idle
         self._is_any_failing = False
         self._broken: set[str] = set()
-        """Targets to which a connection broke since the last round of probes."""
+        """Targets to which a connection broke since their last probe."""
         self.failure_recorded = threading.Event()
         """Set after a failed connect or a broken connection, to begin probes."""
 
     @property
     def probe_interval(self) -> timedelta:
         """Interval between rounds of probes."""
-        return PROBE_INTERVAL if self._is_any_failing else IDLE_PROBE_INTERVAL
+        is_probe_due_soon = self._is_any_failing or self._broken
+        return PROBE_INTERVAL if is_probe_due_soon else IDLE_PROBE_INTERVAL
 
     def lacks_all(self, request: GatewayRequest) -> bool:
         """Return whether no target with the model of ``request`` can be reached."""
@@ -115,8 +116,7 @@
 
     def probe(self) -> None:
         """Probe the targets that are due, and record which can be reached."""
-        with self._lock:
-            broken, self._broken = self._broken, set()
+        broken = self._take_broken()
         due = self._find_due(broken)
         if not due:
             return
@@ -132,12 +132,28 @@
                     load.reached_at = now
                 else:
                     load.record_connect_failure(now)
+                    self._is_any_failing = True
         for target, result in zip(due, results, strict=True):
             is_broken = target.incarnation in broken
             if result is Probed.SILENT or (result is Probed.REFUSED and is_broken):
                 # Packets of open connections are lost or reset too.
                 self._close_idle(target.incarnation)
 
+    def _take_broken(self) -> set[str]:
+        """Return the targets that broke a connection and were not reached just now.
+
+        A target may break the connection of each request.
+        """
+        earliest = self._clock.elapsed() - PROBE_INTERVAL
+        with self._lock:
+            taken = {
+                target
+                for target in self._broken
+                if self._book.load(target).reached_at <= earliest
+            }
+            self._broken -= taken
+        return taken
+
     def _find_lacking(
         self, request: GatewayRequest
     ) -> tuple[list[Target], list[Target]]:
--- a/packages/runhatch-server/tests/test_target_paths.py
+++ b/packages/runhatch-server/tests/test_target_paths.py
@@ -15,6 +15,7 @@
 
 from runhatch_server.decisions import TriedTargets
 from runhatch_server.gateway import _target_paths
+from runhatch_server.gateway._target_paths import PROBE_INTERVAL
 from runhatch_server.targets import Probed, probe_connects
 
 
@@ -243,6 +244,28 @@
 
         assert targets.probe() == set()
 
+    def test_target_that_refuses_is_probed_again_soon(self, build):
+        targets = build(3)
+        targets.outcomes["t0"] = Probed.REFUSED
+        targets.paths.record_broken("t0")
+        targets.probe()
+
+        assert targets.paths.probe_interval == PROBE_INTERVAL
+
+    def test_target_that_breaks_each_answer_is_probed_at_an_interval(self, build):
+        targets = build(3)
+        began_at = targets.clock.elapsed()
+        probe_count = 0
+        for _ in range(100):
+            targets.paths.record_broken("t0")
+            probe_count += len(targets.probe())
+            targets.clock.advance(seconds(0.002))
+
+        assert probe_count <= (targets.clock.elapsed() - began_at) / PROBE_INTERVAL
+        assert targets.paths.probe_interval == PROBE_INTERVAL
+        targets.clock.advance(PROBE_INTERVAL)
+        assert targets.probe() == {"t0"}
+
     def test_target_within_its_backoff_is_probed_too(self, build):
         """Connects fail already, but idle connections would still be used."""
         targets = build(1)
