Keep receiving from peers after an error in handling a message

The tasks that receive messages and broadcasts ended with any exception other than a broken invariant, and the node then heard no other one.

The error is logged (message_failed) and the task goes on; closing a link copes with a queue emptied meanwhile.

test_facts_are_received_after_an_error and test_link_ends_while_its_full_queue_is_emptied failed before.

--- a/packages/runhatch-server/src/runhatch_server/peers/_broadcast.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_broadcast.py
@@ -17,6 +17,7 @@
     ENCODER,
     OnEnvelope,
     decode_envelope,
+    handle_envelope,
     to_milliseconds,
 )
 from runhatch_server.peers._messages import PROTOCOL_VERSION, Envelope, Fact, Member
@@ -113,10 +114,7 @@
             envelope = decode_envelope(message, self._metrics)
             if envelope is None:
                 continue
-            try:
-                self._on_envelope(envelope)
-            except InvariantError as error:
-                self._on_broken(error)
+            if not handle_envelope(envelope, self._on_envelope, self._on_broken):
                 return
 
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -1,5 +1,6 @@
 """Links by pynng sockets: one for receiving, and one with a task for each peer."""
 
+import contextlib
 import queue
 import threading
 from collections.abc import Callable
@@ -55,6 +56,26 @@
         return None
 
 
+def handle_envelope(
+    envelope: Envelope,
+    on_envelope: OnEnvelope,
+    on_invariant_error: Callable[[InvariantError], None],
+) -> bool:
+    """Have ``envelope`` handled; return whether to receive further ones.
+
+    Only a broken invariant ends the receiving task: without it the node would hear no
+    other one any more.
+    """
+    try:
+        on_envelope(envelope)
+    except InvariantError as error:
+        on_invariant_error(error)
+        return False
+    except Exception as error:
+        log_change("message_failed", sender=envelope.sender.name, why=repr(error))
+    return True
+
+
 class Links(Protocol):
     """Sends facts to other nodes."""
 
@@ -240,10 +261,7 @@
             envelope = decode_envelope(message, self._metrics)
             if envelope is None:
                 continue
-            try:
-                self._on_envelope(envelope)
-            except InvariantError as error:
-                self._on_broken(error)
+            if not handle_envelope(envelope, self._on_envelope, self._on_broken):
                 return
 
 
@@ -285,7 +303,9 @@
                 self._facts.put_nowait(None)
                 return
             except queue.Full:
-                self._facts.get_nowait()
+                # The task may have emptied the queue meanwhile.
+                with contextlib.suppress(queue.Empty):
+                    self._facts.get_nowait()
 
     def _run(self) -> None:
         with pynng.Push0() as socket:
--- a/packages/runhatch-server/tests/test_peers.py
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Peer links and the facts sent over them, with and without TLS keys."""
 
+import queue
 import threading
 import time
 from datetime import timedelta
@@ -27,11 +28,15 @@
 
     def __init__(self):
         self.facts = []
+        self.failures = []
+        """Errors to raise, one for each of the next envelopes with facts."""
         self.senders = set()
         self.links = None
         self._changed = threading.Condition()
 
     def __call__(self, envelope: Envelope):
+        if self.failures and envelope.facts:
+            raise self.failures.pop()
         with self._changed:
             self.facts += envelope.facts
             self.senders.add(envelope.sender.name)
@@ -42,6 +47,27 @@
             return self._changed.wait_for(lambda: len(self.facts) >= count, seconds)
 
 
+class QueueEmptiedMeanwhile(queue.Queue):
+    """A queue that is found full once, and is empty directly afterwards."""
+
+    def __init__(self):
+        super().__init__()
+        self._is_full = True
+
+    def put_nowait(self, item):
+        was_full, self._is_full = self._is_full, False
+        if was_full:
+            raise queue.Full
+        super().put_nowait(item)
+
+
+def wait_for(holds, seconds=5.0):
+    deadline = time.monotonic() + seconds
+    while not holds() and time.monotonic() < deadline:
+        time.sleep(0.01)
+    return holds()
+
+
 def open_links(name, received, tls=None, interval=0.1, clock=None):
     member = Member(name, "d1", "", 1, Standing.ALIVE)
     return PeerLinks(
@@ -178,6 +204,27 @@
         assert received.wait(2)
         assert RevisionNotice(7) in received.facts
 
+    def test_facts_are_received_after_an_error(self, pair):
+        """Without the receiving task a node would hear no other one any more."""
+        a, received = pair()
+        received.failures.append(ValueError("fact"))
+        a.publish(RevisionNotice(1))
+        assert wait_for(lambda: not received.failures)
+        a.publish(RevisionNotice(2))
+
+        assert received.wait(1)
+        assert received.facts == [RevisionNotice(2)]
+
+    def test_link_ends_while_its_full_queue_is_emptied(self, pair):
+        a, _ = pair()
+        (link,) = a._links.values()
+        facts, link._facts = link._facts, QueueEmptiedMeanwhile()
+
+        link.close()
+
+        assert link._facts.get_nowait() is None
+        facts.put(None)
+
     def test_keys_of_one_authority(self, pair, tmp_path):
         """Nodes with keys of the same authority exchange facts."""
         authority = trustme.CA()
