Shorten the minimum pause after a round to 5 ms

The reason for the value is now the time that a target takes to answer a call. A node with rounds of 3 ms or more pauses for longer anyway.

The bound in the two tests follows the pause: 200 rounds a second, which they exceed without a minimum (checked again).

--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -48,10 +48,10 @@
 that reach the store take over 2 s sooner, and order most targets at once."""
 
 
-MIN_ROUND_PAUSE = timedelta(milliseconds=25)
-"""Minimum pause after a round. A node batches its demand for as long, so that an
-earlier round learns nothing new from it. An adapter needs two rounds, one that orders
-it and one that publishes it, and a request waits about 400 ms for both."""
+MIN_ROUND_PAUSE = timedelta(milliseconds=5)
+"""Minimum pause after a round. A target takes some milliseconds to answer a call, so
+that an earlier round finds few new answers. It is small against the 400 ms for which
+requests wait for an adapter, which takes several rounds."""
 MAX_ROUND_PAUSE = timedelta(milliseconds=500)
 """Maximum pause after a round: rounds send adapter orders, and requests that need an
 adapter wait for about 400 ms."""
