Observe targets anew after a time without updates

A node that had learned of no targets for a while still counted the time before as observed, so it took the version that it saw for the only one although another could have come and gone. The start of the observation is now reset while the node is uninformed. The new test failed before.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -152,7 +152,10 @@
         targets = list(self._list_targets())
         now = self._clock.elapsed()
         with self._lock:
-            if targets and self._observed_since is None:
+            if not self._is_informed():
+                # A version may come and go unnoticed.
+                self._observed_since = None
+            elif targets and self._observed_since is None:
                 self._observed_since = now
             for target in targets:
                 self._record_seen(target.service, target.software_version, now)
--- a/packages/runhatch-server/tests/test_stream_versions.py
+++ b/packages/runhatch-server/tests/test_stream_versions.py
@@ -155,6 +155,18 @@
 
         assert node.find() is None
 
+    def test_targets_are_observed_anew_after_a_time_without_updates(self, clock):
+        """Another version may have come and gone in that time."""
+        node = Records(clock, "v1")
+        node.observe(WINDOW + 1)
+        node.is_informed = False
+        node.observe(2)
+        node.is_informed = True
+
+        assert node.find() is None
+        node.observe(WINDOW + 1)
+        assert node.find() == "v1"
+
     def test_version_that_a_stream_had_counts_without_a_target(self, clock):
         node = Records(clock, "v1")
         node.observe(WINDOW + 1)
