Learn of targets from the store and its readers only

Nodes cut off from the store together counted as informed because they heard each other, and resumed streams at the version that they knew, which may have been replaced. is_reachable already covers peers that read the store. Such a node now refuses resumptions that no record covers, as unknown. The new test failed before (case of a node that is cut off).

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -386,8 +386,8 @@
             self._forward_server.set_limits(forward_limits(routes.configuration.limits))
 
     def _learns_of_targets(self) -> bool:
-        """Return whether the store or peers publish new targets to this node."""
-        return self._directory.is_reachable or len(self._membership.alive()) > 1
+        """Return whether the store or its readers publish targets to this node."""
+        return self._directory.is_reachable
 
     def _record_demand(self, request: GatewayRequest) -> None:
         self._demand.count_request(request, self._balancer.prompt_work_ms(request))
