Look for records of streams before the only version seen

A stream could go on at the wrong version although its version was recorded: a node that holds a peer's record of v2 but has seen v1 only answered v1, and one whose service had v1 unlisted for more than ten seconds answered v2 for a draining stream of v1. The records held here now come first, and the keepers are asked first while several versions may have begun streams. With one version nothing is asked, as before. Both new tests failed before.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
@@ -21,11 +21,19 @@
     def find_version(self, attempt_id: str, service: str) -> str | None:
         """Return the version that began a stream, ``None`` if it is not known.
 
-        May wait for the answers of peers, unless this node can tell.  A stream that no
-        node has recorded was begun by the only version ever seen.
+        Records go before conclusions from the versions seen.  May wait for the answers
+        of peers, unless this node can tell.
         """
+        is_asked = False
+        if attempt_id and not self._own.is_recorded(attempt_id):
+            version = self._exchange.find_held_version(attempt_id, service)
+            if version is None and self._own.has_several_versions(service):
+                is_asked = True
+                version = self._exchange.find_version(attempt_id, service)
+            if version is not None:
+                return version
         version = self._own.find_version(attempt_id, service)
-        if version is None and attempt_id:
+        if version is None and attempt_id and not is_asked:
             version = self._exchange.find_version(attempt_id, service)
         if version is None:
             version = self._own.find_only_version(attempt_id, service)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -127,6 +127,12 @@
         if self._has_several_versions(service):
             self.update_wanted.set()
 
+    def find_held_version(self, attempt_id: str, service: str) -> str | None:
+        """Return the version in a record that this node holds; does not block."""
+        with self._lock:
+            record = self._records.find((service, attempt_id), self._clock.elapsed())
+        return None if record is None else record.software_version
+
     def find_version(self, attempt_id: str, service: str) -> str | None:
         """Return the version that began a stream, ``None`` if unknown.
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -117,6 +117,11 @@
                 return None
             return next(iter(versions))
 
+    def is_recorded(self, attempt_id: str) -> bool:
+        """Return whether this node relayed the stream of ``attempt_id``."""
+        with self._lock:
+            return attempt_id in self._records
+
     def has_several_versions(self, service: str) -> bool:
         """Return whether several versions may have begun streams in progress."""
         return len(self.versions_of(service)) > 1
--- a/packages/runhatch-server/tests/test_shared_stream_versions.py
+++ b/packages/runhatch-server/tests/test_shared_stream_versions.py
@@ -17,12 +17,17 @@
 
     def __init__(self, known):
         self.known = known
+        self.held = {}
+        """Records of ``known`` that this node holds."""
         self.begun = []
         self.asked = []
 
     def record_begun(self, attempt_id, service, software_version):
         self.begun.append((attempt_id, service, software_version))
 
+    def find_held_version(self, attempt_id, service):
+        return self.held.get((attempt_id, service))
+
     def find_version(self, attempt_id, service):
         self.asked.append((attempt_id, service))
         return self.known.get((attempt_id, service))
@@ -36,6 +41,7 @@
             replace(make_target(f"t{number}", "s"), software_version=version)
             for number, version in enumerate(versions)
         ]
+        self.targets = targets
         self.own = StreamVersions(clock, lambda: targets, lambda: is_informed)
         self.exchange = FakeExchange(dict(known))
         self.shared = SharedStreamVersions(self.own, self.exchange)
@@ -94,6 +100,33 @@
     assert node.exchange.asked == []
 
 
+def observe(node, clock):
+    """Let the time pass after which the versions seen are conclusive."""
+    for _ in range(MAX_RESUMPTION_DELAY // seconds(1) + 1):
+        node.own.observe_targets()
+        clock.advance(seconds(1))
+
+
+def test_held_record_goes_before_the_only_version_seen(clock):
+    """A peer may have learned of a second version first."""
+    node = Node(clock, "v1")
+    observe(node, clock)
+    node.exchange.held = {("id-1", "s"): "v2"}
+
+    assert node.shared.find_version("id-1", "s") == "v2"
+    assert node.exchange.asked == []
+
+
+def test_peers_are_asked_while_streams_of_a_replaced_version_drain(clock):
+    node = Node(clock, "v1", "v2", known=PEER_RECORD)
+    node.own.extend_stream_age(seconds(60))
+    observe(node, clock)
+    del node.targets[0]
+    observe(node, clock)
+
+    assert node.shared.find_version("id-1", "s") == "v1"
+
+
 def test_only_version_is_not_assumed_for_the_stream_of_another_service(clock):
     node = Node(clock, "v1")
     node.shared.record_begun("id-1", "other", "v1")
