Rename find_only_version and find_sole_version

Their names did not tell them apart. find_unrecorded_version is for streams of which no keeper has a record; find_sole_recent_version looks at the versions of the last seconds. No change of behaviour.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -60,7 +60,7 @@
 )
 from runhatch_server.decisions._scoring import HeldRequest, ScoredTarget, Scorer
 from runhatch_server.decisions._software_versions import (
-    find_sole_version,
+    find_sole_recent_version,
     select_version,
 )
 from runhatch_server.decisions._spread import WorkDistribution, distribute_work
@@ -120,7 +120,7 @@
     "Work",
     "WorkDistribution",
     "distribute_work",
-    "find_sole_version",
+    "find_sole_recent_version",
     "select_version",
     "StreamKey",
     "StreamRecord",
--- a/packages/runhatch-server/src/runhatch_server/decisions/_software_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_software_versions.py
@@ -21,7 +21,7 @@
     ]
 
 
-def find_sole_version(
+def find_sole_recent_version(
     last_seen_at: Mapping[str, timedelta],
     observed_since: timedelta,
     oldest_break: timedelta,
@@ -33,9 +33,10 @@
     after ``oldest_break``; until then their version had a target.
 
     >>> hour = timedelta(hours=1)
-    >>> find_sole_version({"v1": 3 * hour}, hour, 2 * hour)
+    >>> find_sole_recent_version({"v1": 3 * hour}, hour, 2 * hour)
     'v1'
-    >>> find_sole_version({"v1": 3 * hour, "v2": 3 * hour}, hour, 2 * hour) is None
+    >>> seen = {"v1": 3 * hour, "v2": 3 * hour}
+    >>> find_sole_recent_version(seen, hour, 2 * hour) is None
     True
     """
     if observed_since > oldest_break:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
@@ -36,5 +36,5 @@
         if version is None and attempt_id and not is_asked:
             version = self._exchange.find_version(attempt_id, service)
         if version is None:
-            version = self._own.find_only_version(attempt_id, service)
+            version = self._own.find_unrecorded_version(attempt_id, service)
         return version
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from runhatch_coordination import Clock
-from runhatch_server.decisions import find_sole_version
+from runhatch_server.decisions import find_sole_recent_version
 from runhatch_server.fleet import Target
 
 MAX_RESUMPTION_DELAY = timedelta(seconds=10)
@@ -98,14 +98,16 @@
                 return record.software_version if is_same_service else None
             if self._observed_since is None or not self._is_informed():
                 return None
-            return find_sole_version(
+            return find_sole_recent_version(
                 self._last_seen_at.get(service, {}),
                 self._observed_since,
                 now - MAX_RESUMPTION_DELAY,
             )
 
-    def find_only_version(self, attempt_id: str, service: str) -> str | None:
-        """Return the only version seen of a service whose stream no node recorded.
+    def find_unrecorded_version(self, attempt_id: str, service: str) -> str | None:
+        """Return the only version ever seen of a service, for a stream without record.
+
+        Only for streams of which no keeper has a record.
 
         Return ``None`` if there were several, or if the stream is of another service.
         Nodes share their records once they see a second version.
--- a/packages/runhatch-server/tests/test_software_versions.py
+++ b/packages/runhatch-server/tests/test_software_versions.py
@@ -5,7 +5,7 @@
 import pytest
 from gateway_cases import make_target, seconds
 
-from runhatch_server.decisions import find_sole_version, select_version
+from runhatch_server.decisions import find_sole_recent_version, select_version
 
 TARGETS = [
     replace(make_target(name), software_version=version)
@@ -39,4 +39,6 @@
 ):
     seen = {name: seconds(at) for name, at in last_seen_at.items()}
 
-    assert find_sole_version(seen, seconds(observed_since), seconds(50)) == version
+    assert (
+        find_sole_recent_version(seen, seconds(observed_since), seconds(50)) == version
+    )
