Conclude a version only if all keepers deny a stream

A node that had just started resumed streams at the only version that it saw, also if keepers didn't answer or knew of a conflict: the exchange returned the same for all of these. It now tells whether all asked nodes denied the stream, and answers state conflicts. An attempt that is not named is asked about too, so that peers out of touch leave it unknown. A node without peers concludes as before. A failed question is now removed from the inquiries in any case.

The fake exchange told denied and unanswered alike; it now tells them apart. find_version of the exchange becomes find, so its tests read the version of the finding; none of their expectations changed.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
@@ -24,17 +24,19 @@
         Records go before conclusions from the versions seen.  May wait for the answers
         of peers, unless this node can tell.
         """
-        is_asked = False
+        finding = None
         if attempt_id and not self._own.is_recorded(attempt_id):
-            version = self._exchange.find_held_version(attempt_id, service)
-            if version is None and self._own.has_several_versions(service):
-                is_asked = True
-                version = self._exchange.find_version(attempt_id, service)
-            if version is not None:
-                return version
+            finding = self._exchange.find_held(attempt_id, service)
+            if finding is None and self._own.has_several_versions(service):
+                finding = self._exchange.find(attempt_id, service)
+            if finding is not None and not finding.is_denied:
+                return finding.software_version
         version = self._own.find_version(attempt_id, service)
-        if version is None and attempt_id and not is_asked:
-            version = self._exchange.find_version(attempt_id, service)
-        if version is None:
-            version = self._own.find_unrecorded_version(attempt_id, service)
-        return version
+        if version is not None:
+            return version
+        if finding is None:
+            # Without an attempt, this asks whether the keepers are in touch.
+            finding = self._exchange.find(attempt_id, service)
+        if not finding.is_denied:
+            return finding.software_version
+        return self._own.find_unrecorded_version(attempt_id, service)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -11,6 +11,7 @@
 import threading
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -65,6 +66,18 @@
 """Records to send, by the address of the receiver."""
 
 
+@dataclass(frozen=True, slots=True)
+class StreamFinding:
+    """The version that began a stream, ``None`` if unknown.
+
+    ``is_denied`` tells that no asked node has a record of the stream.  It is false if
+    one didn't answer, or if two versions claim the stream.
+    """
+
+    software_version: str | None = None
+    is_denied: bool = False
+
+
 def wait_for_event(event: threading.Event, longest: timedelta) -> None:
     """Wait until ``event`` is set, at most ``longest``."""
     event.wait(longest.total_seconds())
@@ -127,26 +140,25 @@
         if self._has_several_versions(service):
             self.update_wanted.set()
 
-    def find_held_version(self, attempt_id: str, service: str) -> str | None:
-        """Return the version in a record that this node holds; does not block."""
+    def find_held(self, attempt_id: str, service: str) -> StreamFinding | None:
+        """Return what a record that this node holds says, if any; does not block."""
         with self._lock:
             record = self._records.find((service, attempt_id), self._clock.elapsed())
-        return None if record is None else record.software_version
+        return None if record is None else StreamFinding(record.software_version)
 
-    def find_version(self, attempt_id: str, service: str) -> str | None:
-        """Return the version that began a stream, ``None`` if unknown.
+    def find(self, attempt_id: str, service: str) -> StreamFinding:
+        """Return what this node or the keepers know of a stream.
 
         Blocks for at most ``QUERY_TIMEOUT`` if this node has no record of the stream.
         """
-        with self._lock:
-            record = self._records.find((service, attempt_id), self._clock.elapsed())
-        if record is not None:
-            return record.software_version
+        held = self.find_held(attempt_id, service)
+        if held is not None:
+            return held
         keepers = choose_keepers(keeper_slot(attempt_id), self._membership.alive())
         own = self._membership.own.name
         asked = {vm.name: vm.address for vm in keepers if vm.name != own}
         if not asked:
-            return None
+            return StreamFinding(is_denied=True)
         return self._ask(attempt_id, service, asked)
 
     def send_updates(self) -> None:
@@ -206,14 +218,16 @@
         if fact.is_repeated:
             self._reopen_link(sender.address)
         version = None if record is None else record.software_version
-        self._send(sender.address, StreamVersionAnswer(fact.number, version))
+        is_conflicting = record is not None and version is None
+        answer = StreamVersionAnswer(fact.number, version, is_conflicting)
+        self._send(sender.address, answer)
 
     @handle_message.register
     def _apply_answer(self, fact: StreamVersionAnswer, sender: Member) -> None:
         with self._lock:
             inquiry = self._inquiries.get(fact.number)
             if inquiry is not None:
-                inquiry.record_answer(sender.name, fact.software_version)
+                inquiry.record_answer(sender.name, fact)
 
     def _add(
         self, key: StreamKey, version: str, recorded_at: timedelta, is_own: bool
@@ -224,24 +238,22 @@
             log_change("stream_version_conflict", service=service, attempt=attempt_id)
         return outcome
 
-    def _ask(self, attempt_id: str, service: str, asked: dict[str, str]) -> str | None:
+    def _ask(
+        self, attempt_id: str, service: str, asked: dict[str, str]
+    ) -> StreamFinding:
         """Ask the nodes ``asked``, addresses by name, for a version."""
         number, inquiry = next(self._numbers), _Inquiry(asked)
         with self._lock:
             self._inquiries[number] = inquiry
-        for address in asked.values():
-            self._send(address, StreamVersionQuery(number, attempt_id, service))
-        self._wait(inquiry.decided, QUERY_REPEAT_DELAY)
-        if not inquiry.decided.is_set():
+        try:
+            self._send_queries(StreamVersionQuery(number, attempt_id, service), asked)
+            self._wait(inquiry.decided, QUERY_REPEAT_DELAY)
+            if not inquiry.decided.is_set():
+                self._repeat_query(number, attempt_id, service, asked)
+                self._wait(inquiry.decided, QUERY_TIMEOUT - QUERY_REPEAT_DELAY)
+        finally:
             with self._lock:
-                unanswered = [asked[name] for name in inquiry.unanswered]
-            query = StreamVersionQuery(number, attempt_id, service, is_repeated=True)
-            for address in unanswered:
-                self._reopen_link(address)
-                self._send(address, query)
-            self._wait(inquiry.decided, QUERY_TIMEOUT - QUERY_REPEAT_DELAY)
-        with self._lock:
-            del self._inquiries[number]
+                del self._inquiries[number]
         if inquiry.software_version is None:
             log_change(
                 "stream_version_unknown",
@@ -250,7 +262,24 @@
                 asked=sorted(asked),
                 unanswered=sorted(inquiry.unanswered),
             )
-        return inquiry.software_version
+        return inquiry.finding()
+
+    def _send_queries(self, query: StreamVersionQuery, asked: dict[str, str]) -> None:
+        for address in asked.values():
+            self._send(address, query)
+
+    def _repeat_query(
+        self, number: int, attempt_id: str, service: str, asked: dict[str, str]
+    ) -> None:
+        """Ask the nodes that haven't answered once more, over new connections."""
+        with self._lock:
+            unanswered = {
+                name: asked[name] for name in self._inquiries[number].unanswered
+            }
+        query = StreamVersionQuery(number, attempt_id, service, is_repeated=True)
+        for address in unanswered.values():
+            self._reopen_link(address)
+        self._send_queries(query, unanswered)
 
     def _take_batches(self, shared: set[str], now: timedelta) -> Batches:
         """Return the records to send of ``shared`` services, by address."""
@@ -335,14 +364,22 @@
         self.unanswered = set(asked)
         """Names of the asked nodes that haven't answered."""
         self.software_version: str | None = None
+        self._is_conflicting = False
+
+    def finding(self) -> StreamFinding:
+        """Return what the answers say so far."""
+        is_denied = not self.unanswered and not self._is_conflicting
+        version = self.software_version
+        return StreamFinding(version, is_denied and version is None)
 
-    def record_answer(self, name: str, software_version: str | None) -> None:
+    def record_answer(self, name: str, answer: StreamVersionAnswer) -> None:
         """Record the first answer of an asked node; the first version settles it."""
         if name not in self.unanswered or self.decided.is_set():
             return
         self.unanswered.discard(name)
-        self.software_version = software_version
-        if software_version is not None or not self.unanswered:
+        self.software_version = answer.software_version
+        self._is_conflicting |= answer.is_conflicting
+        if answer.software_version is not None or not self.unanswered:
             self.decided.set()
 
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_stream_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_stream_messages.py
@@ -40,7 +40,11 @@
 class StreamVersionAnswer(
     msgspec.Struct, frozen=True, tag="stream_version", array_like=True
 ):
-    """Answers the query ``number``; ``None`` if the sender doesn't know."""
+    """Answers the query ``number``; ``None`` if the sender doesn't know.
+
+    If ``is_conflicting``, it doesn't because two versions claim the stream.
+    """
 
     number: int
     software_version: str | None
+    is_conflicting: bool = False
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -422,7 +422,9 @@
         links.send = answer
         started_at = time.monotonic()
 
-        assert peers.stream_versions.find_version(self.ATTEMPT, "engine") == "v1"
+        assert (
+            peers.stream_versions.find(self.ATTEMPT, "engine").software_version == "v1"
+        )
         assert time.monotonic() - started_at < QUERY_REPEAT_DELAY.total_seconds()
 
     def test_node_that_lacks_the_messages_ignores_them(self):
--- a/packages/runhatch-server/tests/test_shared_stream_versions.py
+++ b/packages/runhatch-server/tests/test_shared_stream_versions.py
@@ -6,6 +6,7 @@
 from gateway_cases import make_target, seconds
 
 from runhatch_server.gateway._shared_stream_versions import SharedStreamVersions
+from runhatch_server.gateway._stream_version_exchange import StreamFinding
 from runhatch_server.gateway._stream_versions import (
     MAX_RESUMPTION_DELAY,
     StreamVersions,
@@ -17,6 +18,7 @@
 
     def __init__(self, known):
         self.known = known
+        self.is_answered = True
         self.held = {}
         """Records of ``known`` that this node holds."""
         self.begun = []
@@ -25,12 +27,14 @@
     def record_begun(self, attempt_id, service, software_version):
         self.begun.append((attempt_id, service, software_version))
 
-    def find_held_version(self, attempt_id, service):
-        return self.held.get((attempt_id, service))
+    def find_held(self, attempt_id, service):
+        version = self.held.get((attempt_id, service))
+        return None if version is None else StreamFinding(version)
 
-    def find_version(self, attempt_id, service):
+    def find(self, attempt_id, service):
         self.asked.append((attempt_id, service))
-        return self.known.get((attempt_id, service))
+        version = self.known.get((attempt_id, service))
+        return StreamFinding(version, self.is_answered and version is None)
 
 
 class Node:
@@ -134,6 +138,15 @@
     assert node.shared.find_version("id-1", "s") is None
 
 
+@pytest.mark.parametrize("attempt_id", ["id-1", ""])
+def test_only_version_is_not_assumed_unless_peers_deny_the_stream(clock, attempt_id):
+    """Keepers that did not answer, or know of a conflict, may know another version."""
+    node = Node(clock, "v2")
+    node.exchange.is_answered = False
+
+    assert node.shared.find_version(attempt_id, "s") is None
+
+
 def test_only_version_is_not_assumed_by_a_node_that_learns_of_no_targets(clock):
     node = Node(clock, "v1", is_informed=False)
 
--- a/packages/runhatch-server/tests/test_stream_version_exchange.py
+++ b/packages/runhatch-server/tests/test_stream_version_exchange.py
@@ -88,7 +88,7 @@
         cluster.play(seconds(2))
         cluster.kill(others[0])
 
-        assert others[1].exchange.find_version(ATTEMPT, SERVICE) == "v1"
+        assert others[1].exchange.find(ATTEMPT, SERVICE).software_version == "v1"
 
     @pytest.mark.parametrize(
         ("pause", "times"),
@@ -152,14 +152,14 @@
         started_at = cluster.clock.elapsed()
 
         for node in [*others[1:], *keepers[killed_keepers:]]:
-            assert node.exchange.find_version(ATTEMPT, SERVICE) == "v1"
+            assert node.exchange.find(ATTEMPT, SERVICE).software_version == "v1"
         assert cluster.clock.elapsed() - started_at < QUERY_REPEAT_DELAY
 
     def test_own_record_needs_no_question(self, cluster):
         _, others = keepers_and_others(cluster)
         cluster.begin_stream(others[0], ATTEMPT, "v1")
 
-        assert others[0].exchange.find_version(ATTEMPT, SERVICE) == "v1"
+        assert others[0].exchange.find(ATTEMPT, SERVICE).software_version == "v1"
         assert cluster.sent == []
 
     @pytest.mark.parametrize(
@@ -175,7 +175,7 @@
         cluster.play(SOON)
         started_at = cluster.clock.elapsed()
 
-        assert others[1].exchange.find_version(attempt_id, service) is None
+        assert others[1].exchange.find(attempt_id, service).software_version is None
         assert cluster.clock.elapsed() - started_at < QUERY_REPEAT_DELAY
 
     def test_stream_of_a_node_killed_before_it_sent_the_record_is_unknown(
@@ -186,7 +186,7 @@
         cluster.kill(others[0])
         cluster.play(SOON)
 
-        assert others[1].exchange.find_version(ATTEMPT, SERVICE) is None
+        assert others[1].exchange.find(ATTEMPT, SERVICE).software_version is None
 
     def test_wait_for_dead_keepers_is_limited(self, cluster):
         keepers, others = keepers_and_others(cluster)
@@ -194,14 +194,14 @@
             cluster.kill(node)
         started_at = cluster.clock.elapsed()
 
-        assert others[0].exchange.find_version(ATTEMPT, SERVICE) is None
+        assert others[0].exchange.find(ATTEMPT, SERVICE).software_version is None
         assert cluster.clock.elapsed() - started_at == QUERY_TIMEOUT
         assert len(sent_facts(cluster, StreamVersionQuery)) == 6
 
     def test_unknown_version_is_logged_with_the_silent_keepers(self, cluster, lines):
         keepers, others = keepers_and_others(cluster)
         cluster.kill(keepers[0])
-        others[0].exchange.find_version(ATTEMPT, SERVICE)
+        others[0].exchange.find(ATTEMPT, SERVICE)
 
         (line,) = [
             each for each in lines if each["message_type"] == "stream_version_unknown"
@@ -209,10 +209,31 @@
         assert line["asked"] == sorted(node.vm.name for node in keepers)
         assert line["unanswered"] == [keepers[0].vm.name]
 
+    @pytest.mark.parametrize("killed_keepers", [0, 1, 3])
+    def test_stream_is_denied_only_if_all_keepers_answer(self, cluster, killed_keepers):
+        keepers, others = keepers_and_others(cluster)
+        for node in keepers[:killed_keepers]:
+            cluster.kill(node)
+
+        is_denied = others[0].exchange.find(ATTEMPT, SERVICE).is_denied
+
+        assert is_denied is (killed_keepers == 0)
+
+    def test_question_that_fails_is_forgotten(self, cluster):
+        _, others = keepers_and_others(cluster)
+        exchange = others[0].exchange
+        exchange._send = None
+        with pytest.raises(TypeError):
+            exchange.find(ATTEMPT, SERVICE)
+
+        assert not exchange._inquiries
+
     def test_node_without_peers_does_not_wait(self, clock):
         alone = VersionCluster(clock, random.Random(1), 1)
 
-        assert alone.nodes["n0"].exchange.find_version(ATTEMPT, SERVICE) is None
+        assert (
+            alone.nodes["n0"].exchange.find(ATTEMPT, SERVICE).software_version is None
+        )
         assert clock.elapsed() == seconds(0)
 
     @pytest.mark.parametrize(
@@ -239,19 +260,19 @@
                 ),
             )
 
-        assert others[1].exchange.find_version(ATTEMPT, SERVICE) == "v1"
+        assert others[1].exchange.find(ATTEMPT, SERVICE).software_version == "v1"
 
     def test_late_answer_is_ignored(self, cluster):
         keepers, others = keepers_and_others(cluster)
         for node in keepers:
             cluster.kill(node)
         exchange = others[0].exchange
-        assert exchange.find_version(ATTEMPT, SERVICE) is None
+        assert exchange.find(ATTEMPT, SERVICE).software_version is None
         sender = Member(keepers[0].vm.name, "d1", "", 1, Standing.ALIVE)
 
         exchange.handle_message(StreamVersionAnswer(1, "v1"), sender)
 
-        assert exchange.find_version("0123456789abcdef", SERVICE) is None
+        assert exchange.find("0123456789abcdef", SERVICE).software_version is None
 
 
 class TestSilentConnections:
@@ -263,7 +284,7 @@
         cluster.play(SOON)
         cluster.silence()
 
-        assert others[1].exchange.find_version(ATTEMPT, SERVICE) == "v1"
+        assert others[1].exchange.find(ATTEMPT, SERVICE).software_version == "v1"
 
     def test_connection_is_replaced_once_a_second_at_most(self, clock):
         """A node that has ended answers nothing, whatever the connection."""
@@ -279,7 +300,7 @@
             lambda event, longest: clock.advance(longest),
         )
         for number in range(10):
-            assert exchange.find_version(f"a{number}", SERVICE) is None
+            assert exchange.find(f"a{number}", SERVICE).software_version is None
 
         assert clock.elapsed() == 10 * QUERY_TIMEOUT
         assert reopened == ["n1"] * 3
@@ -293,7 +314,7 @@
         cluster.play(RESEND_DELAY)
         cluster.kill(others[0])
 
-        assert others[1].exchange.find_version(ATTEMPT, SERVICE) == "v1"
+        assert others[1].exchange.find(ATTEMPT, SERVICE).software_version == "v1"
 
     def test_records_of_a_second_are_sent_again_together(self, cluster):
         _, others = keepers_and_others(cluster)
@@ -316,7 +337,8 @@
         cluster.begin_stream(others[1], ATTEMPT, "v2")
         cluster.play(SOON)
 
-        assert others[2].exchange.find_version(ATTEMPT, SERVICE) is None
+        assert others[2].exchange.find(ATTEMPT, SERVICE).software_version is None
+        assert not others[2].exchange.find(ATTEMPT, SERVICE).is_denied
         conflicts = [
             each for each in lines if each["message_type"] == "stream_version_conflict"
         ]
@@ -335,7 +357,7 @@
             cluster.play(seconds(6))
 
         for node in others[1:]:
-            assert node.exchange.find_version(ATTEMPT, SERVICE) == "v1"
+            assert node.exchange.find(ATTEMPT, SERVICE).software_version == "v1"
 
     def test_restarted_keeper_is_sent_the_records_again(self, cluster):
         """Otherwise restarts of all nodes in turn would lose all records."""
@@ -348,7 +370,7 @@
             cluster.play(seconds(3))
 
         assert [node.vm.incarnation for node in cluster.alive()].count(2) == 3
-        assert others[1].exchange.find_version(ATTEMPT, SERVICE) == "v1"
+        assert others[1].exchange.find(ATTEMPT, SERVICE).software_version == "v1"
 
     def test_record_that_is_handed_over_keeps_its_age(self, cluster):
         """Otherwise records that are handed over again and again never expire."""
@@ -358,7 +380,7 @@
         cluster.restart(keepers[0])
         cluster.play(RECORD_RETENTION / 2 + seconds(1))
 
-        assert others[1].exchange.find_version(ATTEMPT, SERVICE) is None
+        assert others[1].exchange.find(ATTEMPT, SERVICE).software_version is None
 
     @pytest.mark.parametrize("has_several_versions", [True, False])
     def test_expired_records_are_removed(self, cluster, has_several_versions):
@@ -410,7 +432,9 @@
             if number in kills:
                 cluster.kill(rng.choice([recorder, rng.choice(cluster.alive())]))
             other = rng.choice([node for node in cluster.alive() if node != recorder])
-            found.append((other.exchange.find_version(attempt_id, SERVICE), version))
+            found.append(
+                (other.exchange.find(attempt_id, SERVICE).software_version, version)
+            )
         return found
 
 
--- a/packages/runhatch-server/tests/test_stream_version_links.py
+++ b/packages/runhatch-server/tests/test_stream_version_links.py
@@ -104,7 +104,8 @@
         def is_known(attempt_id):
             number = int(attempt_id[1:])
             versions = {
-                node.exchange.find_version(attempt_id, SERVICE) for node in nodes
+                node.exchange.find(attempt_id, SERVICE).software_version
+                for node in nodes
             }
             return versions == {f"v{number % 3}"}
 
