Count versions of received records as seen

A keeper that received records of a version that it had not seen still took the version that it knew for the only one. It now counts the version as seen when the record was made.

test_streams_begun_by_many_threads_are_known_to_all_nodes[False] failed once (five runs in all on this code) at a load average of 26; not traced.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -148,6 +148,7 @@
             self._crashes,
             known_targets.probe_refusal,
             self._stream_versions.has_several_versions,
+            self._stream_versions.record_seen,
         )
         self._lease_keeper = LeaseKeeper(
             settings.name,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -93,6 +93,7 @@
         crashes: CrashDetector,
         probe_refusal: Callable[[str], bool | None],
         has_several_versions: Callable[[str], bool],
+        record_seen: Callable[[str, str, timedelta], None],
     ) -> None:
         super().__init__(membership, metrics)
         self._clock = clock
@@ -128,7 +129,12 @@
         )
         """Exchange of the rate limits of targets and of permits for them."""
         self.stream_versions = StreamVersionExchange(
-            membership, clock, has_several_versions, self.send, self.reopen_link
+            membership,
+            clock,
+            has_several_versions,
+            record_seen,
+            self.send,
+            self.reopen_link,
         )
         """Exchange of the software versions that began streams."""
         self._demand_sent_at = clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -10,8 +10,7 @@
 import math
 import threading
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Callable
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -28,6 +27,7 @@
     compare_keepers,
     keeper_slot,
 )
+from runhatch_server.gateway._stream_inquiry import StreamFinding, StreamInquiry
 from runhatch_server.observability import log_change
 from runhatch_server.peers import (
     Fact,
@@ -66,18 +66,6 @@
 """Records to send, by the address of the receiver."""
 
 
-@dataclass(frozen=True, slots=True)
-class StreamFinding:
-    """The version that began a stream, ``None`` if unknown.
-
-    ``is_denied`` tells that no asked node has a record of the stream.  It is false if
-    one didn't answer, or if two versions claim the stream.
-    """
-
-    software_version: str | None = None
-    is_denied: bool = False
-
-
 def wait_for_event(event: threading.Event, longest: timedelta) -> None:
     """Wait until ``event`` is set, at most ``longest``."""
     event.wait(longest.total_seconds())
@@ -87,7 +75,8 @@
     """Exchanges the records of one node with their keepers; thread-safe.
 
     ``has_several_versions`` returns whether targets of several software versions may
-    have begun streams of a service that are still in progress.
+    have begun streams of a service that are still in progress.  ``record_seen`` records
+    that one had begun a stream of a service a time ago.
     """
 
     def __init__(
@@ -95,6 +84,7 @@
         membership: Membership,
         clock: Clock,
         has_several_versions: Callable[[str], bool],
+        record_seen: Callable[[str, str, timedelta], None],
         send: Callable[[str, Fact], None],
         reopen: Callable[[str], None],
         wait: Callable[[threading.Event, timedelta], None] = wait_for_event,
@@ -102,6 +92,7 @@
         self._membership = membership
         self._clock = clock
         self._has_several_versions = has_several_versions
+        self._record_seen = record_seen
         self._send = send
         self._reopen = reopen
         self._wait = wait
@@ -119,7 +110,7 @@
         self._reopened_at: dict[str, timedelta] = {}
         """When the link to each address was last reopened."""
         self._numbers = itertools.count(1)
-        self._inquiries: dict[int, _Inquiry] = {}
+        self._inquiries: dict[int, StreamInquiry] = {}
         self.update_wanted = threading.Event()
         """Set when there are records to send."""
 
@@ -199,6 +190,10 @@
     @handle_message.register
     def _apply_update(self, fact: StreamVersionsUpdate, sender: Member) -> None:
         now = self._clock.elapsed()
+        # Called without the lock: see ``send_updates``.
+        for record in fact.records:
+            age = record.age_ms * MILLISECOND
+            self._record_seen(record.service, record.software_version, age)
         with self._lock:
             if not self._keepers:
                 # Without them, a change before the next update would go unnoticed.
@@ -242,7 +237,7 @@
         self, attempt_id: str, service: str, asked: dict[str, str]
     ) -> StreamFinding:
         """Ask the nodes ``asked``, addresses by name, for a version."""
-        number, inquiry = next(self._numbers), _Inquiry(asked)
+        number, inquiry = next(self._numbers), StreamInquiry(asked)
         with self._lock:
             self._inquiries[number] = inquiry
         try:
@@ -356,33 +351,6 @@
                 del self._unsent[service]
 
 
-class _Inquiry:
-    """The answers of keepers about one stream; guarded by the lock of the exchange."""
-
-    def __init__(self, asked: Iterable[str]) -> None:
-        self.decided = threading.Event()
-        self.unanswered = set(asked)
-        """Names of the asked nodes that haven't answered."""
-        self.software_version: str | None = None
-        self._is_conflicting = False
-
-    def finding(self) -> StreamFinding:
-        """Return what the answers say so far."""
-        is_denied = not self.unanswered and not self._is_conflicting
-        version = self.software_version
-        return StreamFinding(version, is_denied and version is None)
-
-    def record_answer(self, name: str, answer: StreamVersionAnswer) -> None:
-        """Record the first answer of an asked node; the first version settles it."""
-        if name not in self.unanswered or self.decided.is_set():
-            return
-        self.unanswered.discard(name)
-        self.software_version = answer.software_version
-        self._is_conflicting |= answer.is_conflicting
-        if answer.software_version is not None or not self.unanswered:
-            self.decided.set()
-
-
 def _make_message(
     key: StreamKey, record: StreamRecord | None, now: timedelta
 ) -> StreamVersionRecord | None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -146,10 +146,10 @@
         with self._lock:
             return [each for each in self._records.values() if each.service == service]
 
-    def record_seen(self, service: str, software_version: str) -> None:
-        """Record that a target of ``service`` has ``software_version``."""
+    def record_seen(self, service: str, software_version: str, age: timedelta) -> None:
+        """Record that a target of ``service`` had ``software_version`` ``age`` ago."""
         with self._lock:
-            self._record_seen(service, software_version, self._clock.elapsed())
+            self._record_seen(service, software_version, self._clock.elapsed() - age)
 
     def observe_targets(self) -> None:
         """Record the versions of all known targets.
@@ -183,5 +183,6 @@
                 for name in gone:
                     del versions[name]
 
-    def _record_seen(self, service: str, version: str, now: timedelta) -> None:
-        self._last_seen_at.setdefault(service, {})[version] = now
+    def _record_seen(self, service: str, version: str, at: timedelta) -> None:
+        versions = self._last_seen_at.setdefault(service, {})
+        versions[version] = max(versions.get(version, at), at)
--- a/packages/runhatch-server/tests/stream_version_cases.py
+++ b/packages/runhatch-server/tests/stream_version_cases.py
@@ -26,12 +26,15 @@
     def __init__(self, cluster, vm, vms):
         self.vm = vm
         self.is_alive = True
+        self.seen = []
+        """Service, version and age of the records received."""
         self.membership = Membership(vm, cluster.clock)
         self.membership.merge_facts(MemberFact(each, Standing.ALIVE) for each in vms)
         self.exchange = StreamVersionExchange(
             self.membership,
             cluster.clock,
             lambda service: cluster.has_several_versions,
+            lambda *seen: self.seen.append(seen),
             lambda address, fact: cluster.send(self, address, fact),
             lambda address: cluster.reopen(self, address),
             cluster.wait,
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -100,6 +100,7 @@
         CrashDetector(clock, FakeTargets(), Metrics(), do_nothing),
         do_nothing,
         has_several_versions,
+        do_nothing,
     )
     peers.attach_links(links)
     return peers, links
--- a/packages/runhatch-server/tests/test_shared_stream_versions.py
+++ b/packages/runhatch-server/tests/test_shared_stream_versions.py
@@ -6,7 +6,7 @@
 from gateway_cases import make_target, seconds
 
 from runhatch_server.gateway._shared_stream_versions import SharedStreamVersions
-from runhatch_server.gateway._stream_version_exchange import StreamFinding
+from runhatch_server.gateway._stream_inquiry import StreamFinding
 from runhatch_server.gateway._stream_versions import (
     MAX_RESUMPTION_DELAY,
     StreamVersions,
--- a/packages/runhatch-server/tests/test_stream_version_exchange.py
+++ b/packages/runhatch-server/tests/test_stream_version_exchange.py
@@ -62,6 +62,15 @@
         sent = [(address, fact) for _, address, fact in cluster.sent]
         assert sorted(sent) == sorted((node.vm.name, update) for node in keepers)
 
+    def test_received_record_tells_that_its_version_serves(self, cluster):
+        """Its targets may not be listed at the keeper yet, or no longer."""
+        keepers, others = keepers_and_others(cluster)
+        cluster.begin_stream(others[0], ATTEMPT, "v1")
+        cluster.play(SOON)
+
+        for node in keepers:
+            assert node.seen == [(SERVICE, "v1", seconds(0.02))]
+
     def test_records_made_together_are_sent_together(self, cluster):
         _, others = keepers_and_others(cluster)
         for number in range(100):
@@ -114,7 +123,7 @@
 
         membership = Membership(Vm("n0", "d0", "n0"), clock)
         exchange = StreamVersionExchange(
-            membership, clock, has_several_versions, do_nothing, do_nothing
+            membership, clock, has_several_versions, do_nothing, do_nothing, do_nothing
         )
         exchange.record_begun(ATTEMPT, SERVICE, "v1")
         exchange.send_updates()
@@ -296,6 +305,7 @@
             clock,
             do_nothing,
             do_nothing,
+            do_nothing,
             reopened.append,
             lambda event, longest: clock.advance(longest),
         )
--- a/packages/runhatch-server/tests/test_stream_version_links.py
+++ b/packages/runhatch-server/tests/test_stream_version_links.py
@@ -45,6 +45,7 @@
             self.membership,
             SystemClock(),
             lambda service: True,
+            lambda service, software_version, age: None,
             lambda address, fact: self.links.send(address, [fact]),
             self.links.reopen,
         )
--- a/packages/runhatch-server/tests/test_stream_versions.py
+++ b/packages/runhatch-server/tests/test_stream_versions.py
@@ -89,7 +89,7 @@
         node = Records(clock, "v1")
         node.records.record_begun("id-1", "s", "v1")
         node.records.record_begun("id-2", "other", "v9")
-        node.records.record_seen("s", "v2")
+        node.records.record_seen("s", "v2", seconds(0))
         node.records.observe_targets()
 
         assert [each.attempt_id for each in node.records.records_of("s")] == ["id-1"]
@@ -155,6 +155,13 @@
 
         assert node.find() is None
 
+    def test_version_seen_earlier_does_not_look_older(self, clock):
+        node = Records(clock, "v1")
+        node.observe(WINDOW + 1)
+        node.records.record_seen("s", "v1", seconds(WINDOW + 1))
+
+        assert node.find() == "v1"
+
     def test_targets_are_observed_anew_after_a_time_without_updates(self, clock):
         """Another version may have come and gone in that time."""
         node = Records(clock, "v1")
--- a/packages/runhatch-server/tests/test_uplink.py
+++ b/packages/runhatch-server/tests/test_uplink.py
@@ -101,6 +101,7 @@
             CrashDetector(clock, FakeTargets(), Metrics(), do_nothing),
             do_nothing,
             do_nothing,
+            do_nothing,
         )
         self.own, self.sibling = (own, SECOND if own == FIRST else FIRST)
         self.numbers = count(1)
