--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -10,7 +10,7 @@
 import math
 import threading
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -27,6 +27,7 @@
     compare_keepers,
     keeper_slot,
 )
+from runhatch_server.gateway._stream_inquiry import StreamFinding, StreamInquiry
 from runhatch_server.observability import log_change
 from runhatch_server.peers import (
     Fact,
@@ -74,7 +75,8 @@
     """Exchanges the records of one node with their keepers; thread-safe.
 
     ``has_several_versions`` returns whether targets of several software versions may
-    have begun streams of a service that are still in progress.
+    have begun streams of a service that are still in progress.  ``record_seen`` records
+    that one had begun a stream of a service a time ago.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         membership: Membership,
         clock: Clock,
         has_several_versions: Callable[[str], bool],
+        record_seen: Callable[[str, str, timedelta], None],
         send: Callable[[str, Fact], None],
         reopen: Callable[[str], None],
         wait: Callable[[threading.Event, timedelta], None] = wait_for_event,
@@ -89,6 +92,7 @@
         self._membership = membership
         self._clock = clock
         self._has_several_versions = has_several_versions
+        self._record_seen = record_seen
         self._send = send
         self._reopen = reopen
         self._wait = wait
@@ -106,7 +110,7 @@
         self._reopened_at: dict[str, timedelta] = {}
         """When the link to each address was last reopened."""
         self._numbers = itertools.count(1)
-        self._inquiries: dict[int, _Inquiry] = {}
+        self._inquiries: dict[int, StreamInquiry] = {}
         self.update_wanted = threading.Event()
         """Set when there are records to send."""
 
@@ -127,20 +131,25 @@
         if self._has_several_versions(service):
             self.update_wanted.set()
 
-    def find_version(self, attempt_id: str, service: str) -> str | None:
-        """Return the version that began a stream, ``None`` if unknown.
+    def find_held(self, attempt_id: str, service: str) -> StreamFinding | None:
+        """Return what a record that this node holds says, if any; does not block."""
+        with self._lock:
+            record = self._records.find((service, attempt_id), self._clock.elapsed())
+        return None if record is None else StreamFinding(record.software_version)
+
+    def find(self, attempt_id: str, service: str) -> StreamFinding:
+        """Return what this node or the keepers know of a stream.
 
         Blocks for at most ``QUERY_TIMEOUT`` if this node has no record of the stream.
         """
-        with self._lock:
-            record = self._records.find((service, attempt_id), self._clock.elapsed())
-        if record is not None:
-            return record.software_version
+        held = self.find_held(attempt_id, service)
+        if held is not None:
+            return held
         keepers = choose_keepers(keeper_slot(attempt_id), self._membership.alive())
         own = self._membership.own.name
         asked = {vm.name: vm.address for vm in keepers if vm.name != own}
         if not asked:
-            return None
+            return StreamFinding(is_denied=True)
         return self._ask(attempt_id, service, asked)
 
     def send_updates(self) -> None:
@@ -181,6 +190,10 @@
     @handle_message.register
     def _apply_update(self, fact: StreamVersionsUpdate, sender: Member) -> None:
         now = self._clock.elapsed()
+        # Called without the lock: see ``send_updates``.
+        for record in fact.records:
+            age = record.age_ms * MILLISECOND
+            self._record_seen(record.service, record.software_version, age)
         with self._lock:
             if not self._keepers:
                 # Without them, a change before the next update would go unnoticed.
@@ -200,14 +213,16 @@
         if fact.is_repeated:
             self._reopen_link(sender.address)
         version = None if record is None else record.software_version
-        self._send(sender.address, StreamVersionAnswer(fact.number, version))
+        is_conflicting = record is not None and version is None
+        answer = StreamVersionAnswer(fact.number, version, is_conflicting)
+        self._send(sender.address, answer)
 
     @handle_message.register
     def _apply_answer(self, fact: StreamVersionAnswer, sender: Member) -> None:
         with self._lock:
             inquiry = self._inquiries.get(fact.number)
             if inquiry is not None:
-                inquiry.record_answer(sender.name, fact.software_version)
+                inquiry.record_answer(sender.name, fact)
 
     def _add(
         self, key: StreamKey, version: str, recorded_at: timedelta, is_own: bool
@@ -218,24 +233,22 @@
             log_change("stream_version_conflict", service=service, attempt=attempt_id)
         return outcome
 
-    def _ask(self, attempt_id: str, service: str, asked: dict[str, str]) -> str | None:
+    def _ask(
+        self, attempt_id: str, service: str, asked: dict[str, str]
+    ) -> StreamFinding:
         """Ask the nodes ``asked``, addresses by name, for a version."""
-        number, inquiry = next(self._numbers), _Inquiry(asked)
+        number, inquiry = next(self._numbers), StreamInquiry(asked)
         with self._lock:
             self._inquiries[number] = inquiry
-        for address in asked.values():
-            self._send(address, StreamVersionQuery(number, attempt_id, service))
-        self._wait(inquiry.decided, QUERY_REPEAT_DELAY)
-        if not inquiry.decided.is_set():
+        try:
+            self._send_queries(StreamVersionQuery(number, attempt_id, service), asked)
+            self._wait(inquiry.decided, QUERY_REPEAT_DELAY)
+            if not inquiry.decided.is_set():
+                self._repeat_query(number, attempt_id, service, asked)
+                self._wait(inquiry.decided, QUERY_TIMEOUT - QUERY_REPEAT_DELAY)
+        finally:
             with self._lock:
-                unanswered = [asked[name] for name in inquiry.unanswered]
-            query = StreamVersionQuery(number, attempt_id, service, is_repeated=True)
-            for address in unanswered:
-                self._reopen_link(address)
-                self._send(address, query)
-            self._wait(inquiry.decided, QUERY_TIMEOUT - QUERY_REPEAT_DELAY)
-        with self._lock:
-            del self._inquiries[number]
+                del self._inquiries[number]
         if inquiry.software_version is None:
             log_change(
                 "stream_version_unknown",
@@ -244,7 +257,24 @@
                 asked=sorted(asked),
                 unanswered=sorted(inquiry.unanswered),
             )
-        return inquiry.software_version
+        return inquiry.finding()
+
+    def _send_queries(self, query: StreamVersionQuery, asked: dict[str, str]) -> None:
+        for address in asked.values():
+            self._send(address, query)
+
+    def _repeat_query(
+        self, number: int, attempt_id: str, service: str, asked: dict[str, str]
+    ) -> None:
+        """Ask the nodes that haven't answered once more, over new connections."""
+        with self._lock:
+            unanswered = {
+                name: asked[name] for name in self._inquiries[number].unanswered
+            }
+        query = StreamVersionQuery(number, attempt_id, service, is_repeated=True)
+        for address in unanswered.values():
+            self._reopen_link(address)
+        self._send_queries(query, unanswered)
 
     def _take_batches(self, shared: set[str], now: timedelta) -> Batches:
         """Return the records to send of ``shared`` services, by address."""
@@ -321,25 +351,6 @@
                 del self._unsent[service]
 
 
-class _Inquiry:
-    """The answers of keepers about one stream; guarded by the lock of the exchange."""
-
-    def __init__(self, asked: Iterable[str]) -> None:
-        self.decided = threading.Event()
-        self.unanswered = set(asked)
-        """Names of the asked nodes that haven't answered."""
-        self.software_version: str | None = None
-
-    def record_answer(self, name: str, software_version: str | None) -> None:
-        """Record the first answer of an asked node; the first version settles it."""
-        if name not in self.unanswered or self.decided.is_set():
-            return
-        self.unanswered.discard(name)
-        self.software_version = software_version
-        if software_version is not None or not self.unanswered:
-            self.decided.set()
-
-
 def _make_message(
     key: StreamKey, record: StreamRecord | None, now: timedelta
 ) -> StreamVersionRecord | None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from runhatch_coordination import Clock
-from runhatch_server.decisions import find_sole_version
+from runhatch_server.decisions import find_sole_recent_version
 from runhatch_server.fleet import Target
 
 MAX_RESUMPTION_DELAY = timedelta(seconds=10)
@@ -98,14 +98,16 @@
                 return record.software_version if is_same_service else None
             if self._observed_since is None or not self._is_informed():
                 return None
-            return find_sole_version(
+            return find_sole_recent_version(
                 self._last_seen_at.get(service, {}),
                 self._observed_since,
                 now - MAX_RESUMPTION_DELAY,
             )
 
-    def find_only_version(self, attempt_id: str, service: str) -> str | None:
-        """Return the only version seen of a service whose stream no node recorded.
+    def find_unrecorded_version(self, attempt_id: str, service: str) -> str | None:
+        """Return the only version ever seen of a service, for a stream without record.
+
+        Only for streams of which no keeper has a record.
 
         Return ``None`` if there were several, or if the stream is of another service.
         Nodes share their records once they see a second version.
@@ -117,6 +119,11 @@
                 return None
             return next(iter(versions))
 
+    def is_recorded(self, attempt_id: str) -> bool:
+        """Return whether this node relayed the stream of ``attempt_id``."""
+        with self._lock:
+            return attempt_id in self._records
+
     def has_several_versions(self, service: str) -> bool:
         """Return whether several versions may have begun streams in progress."""
         return len(self.versions_of(service)) > 1
@@ -139,10 +146,10 @@
         with self._lock:
             return [each for each in self._records.values() if each.service == service]
 
-    def record_seen(self, service: str, software_version: str) -> None:
-        """Record that a target of ``service`` has ``software_version``."""
+    def record_seen(self, service: str, software_version: str, age: timedelta) -> None:
+        """Record that a target of ``service`` had ``software_version`` ``age`` ago."""
         with self._lock:
-            self._record_seen(service, software_version, self._clock.elapsed())
+            self._record_seen(service, software_version, self._clock.elapsed() - age)
 
     def observe_targets(self) -> None:
         """Record the versions of all known targets.
@@ -152,7 +159,10 @@
         targets = list(self._list_targets())
         now = self._clock.elapsed()
         with self._lock:
-            if targets and self._observed_since is None:
+            if not self._is_informed():
+                # A version may come and go unnoticed.
+                self._observed_since = None
+            elif targets and self._observed_since is None:
                 self._observed_since = now
             for target in targets:
                 self._record_seen(target.service, target.software_version, now)
@@ -173,5 +183,6 @@
                 for name in gone:
                     del versions[name]
 
-    def _record_seen(self, service: str, version: str, now: timedelta) -> None:
-        self._last_seen_at.setdefault(service, {})[version] = now
+    def _record_seen(self, service: str, version: str, at: timedelta) -> None:
+        versions = self._last_seen_at.setdefault(service, {})
+        versions[version] = max(versions.get(version, at), at)
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -100,6 +100,7 @@
         CrashDetector(clock, FakeTargets(), Metrics(), do_nothing),
         do_nothing,
         has_several_versions,
+        do_nothing,
     )
     peers.attach_links(links)
     return peers, links
@@ -422,7 +423,9 @@
         links.send = answer
         started_at = time.monotonic()
 
-        assert peers.stream_versions.find_version(self.ATTEMPT, "engine") == "v1"
+        assert (
+            peers.stream_versions.find(self.ATTEMPT, "engine").software_version == "v1"
+        )
         assert time.monotonic() - started_at < QUERY_REPEAT_DELAY.total_seconds()
 
     def test_node_that_lacks_the_messages_ignores_them(self):
--- a/packages/runhatch-server/tests/test_shared_stream_versions.py
+++ b/packages/runhatch-server/tests/test_shared_stream_versions.py
@@ -6,6 +6,7 @@
 from gateway_cases import make_target, seconds
 
 from runhatch_server.gateway._shared_stream_versions import SharedStreamVersions
+from runhatch_server.gateway._stream_inquiry import StreamFinding
 from runhatch_server.gateway._stream_versions import (
     MAX_RESUMPTION_DELAY,
     StreamVersions,
@@ -17,15 +18,23 @@
 
     def __init__(self, known):
         self.known = known
+        self.is_answered = True
+        self.held = {}
+        """Records of ``known`` that this node holds."""
         self.begun = []
         self.asked = []
 
     def record_begun(self, attempt_id, service, software_version):
         self.begun.append((attempt_id, service, software_version))
 
-    def find_version(self, attempt_id, service):
+    def find_held(self, attempt_id, service):
+        version = self.held.get((attempt_id, service))
+        return None if version is None else StreamFinding(version)
+
+    def find(self, attempt_id, service):
         self.asked.append((attempt_id, service))
-        return self.known.get((attempt_id, service))
+        version = self.known.get((attempt_id, service))
+        return StreamFinding(version, self.is_answered and version is None)
 
 
 class Node:
@@ -36,6 +45,7 @@
             replace(make_target(f"t{number}", "s"), software_version=version)
             for number, version in enumerate(versions)
         ]
+        self.targets = targets
         self.own = StreamVersions(clock, lambda: targets, lambda: is_informed)
         self.exchange = FakeExchange(dict(known))
         self.shared = SharedStreamVersions(self.own, self.exchange)
@@ -94,6 +104,33 @@
     assert node.exchange.asked == []
 
 
+def observe(node, clock):
+    """Let the time pass after which the versions seen are conclusive."""
+    for _ in range(MAX_RESUMPTION_DELAY // seconds(1) + 1):
+        node.own.observe_targets()
+        clock.advance(seconds(1))
+
+
+def test_held_record_goes_before_the_only_version_seen(clock):
+    """A peer may have learned of a second version first."""
+    node = Node(clock, "v1")
+    observe(node, clock)
+    node.exchange.held = {("id-1", "s"): "v2"}
+
+    assert node.shared.find_version("id-1", "s") == "v2"
+    assert node.exchange.asked == []
+
+
+def test_peers_are_asked_while_streams_of_a_replaced_version_drain(clock):
+    node = Node(clock, "v1", "v2", known=PEER_RECORD)
+    node.own.extend_stream_age(seconds(60))
+    observe(node, clock)
+    del node.targets[0]
+    observe(node, clock)
+
+    assert node.shared.find_version("id-1", "s") == "v1"
+
+
 def test_only_version_is_not_assumed_for_the_stream_of_another_service(clock):
     node = Node(clock, "v1")
     node.shared.record_begun("id-1", "other", "v1")
@@ -101,6 +138,15 @@
     assert node.shared.find_version("id-1", "s") is None
 
 
+@pytest.mark.parametrize("attempt_id", ["id-1", ""])
+def test_only_version_is_not_assumed_unless_peers_deny_the_stream(clock, attempt_id):
+    """Keepers that did not answer, or know of a conflict, may know another version."""
+    node = Node(clock, "v2")
+    node.exchange.is_answered = False
+
+    assert node.shared.find_version(attempt_id, "s") is None
+
+
 def test_only_version_is_not_assumed_by_a_node_that_learns_of_no_targets(clock):
     node = Node(clock, "v1", is_informed=False)
 
--- a/packages/runhatch-server/tests/test_stream_version_links.py
+++ b/packages/runhatch-server/tests/test_stream_version_links.py
@@ -45,6 +45,7 @@
             self.membership,
             SystemClock(),
             lambda service: True,
+            lambda service, software_version, age: None,
             lambda address, fact: self.links.send(address, [fact]),
             self.links.reopen,
         )
@@ -104,7 +105,8 @@
         def is_known(attempt_id):
             number = int(attempt_id[1:])
             versions = {
-                node.exchange.find_version(attempt_id, SERVICE) for node in nodes
+                node.exchange.find(attempt_id, SERVICE).software_version
+                for node in nodes
             }
             return versions == {f"v{number % 3}"}
 
