Continue streams in an outage of the store where one version was seen

Since a node that gets no updates of targets drew no conclusion from the versions that it has seen, all resumptions of streams begun elsewhere would be refused while the store is down, although no node learns of a new version then.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -107,15 +107,15 @@
     def find_unrecorded_version(self, attempt_id: str, service: str) -> str | None:
         """Return the only version ever seen of a service, for a stream without record.
 
-        Only for streams of which no keeper has a record.
+        Only for streams of which no keeper has a record: nodes share their records once
+        they see a second version.  In an outage of the store no node learns of targets,
+        so this node need not either.
 
         Return ``None`` if there were several, or if the stream is of another service.
-        Nodes share their records once they see a second version.
         """
         with self._lock:
             versions = self._last_seen_at.get(service, {})
-            is_recorded = attempt_id in self._records
-            if is_recorded or len(versions) != 1 or not self._is_informed():
+            if attempt_id in self._records or len(versions) != 1:
                 return None
             return next(iter(versions))
 
