Count no earlier rejections in a first report after a grant

A node whose report had expired, or that asked a new allocator before its first report, was granted room with a baseline of 0 rejections. Its first report then counted all its older rejections as new, which lowered what fits and stopped grants. A first report after a grant now only sets the baseline, as a first report without a grant does.

test_first_report_after_a_grant_counts_no_earlier_rejections failed before the change and passes with it; test_room.py passes.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_room.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_room.py
@@ -133,6 +133,10 @@
             for number, at in room.unconfirmed.items()
             if number > report.confirmed
         }
+        if known.number == 0:
+            # The node was granted room before its first report: there is no earlier
+            # count to compare with.
+            return
         # The count begins again on a node that learned anew of the target.
         is_continued = report.rejected >= known.rejected
         rejected = report.rejected - (known.rejected if is_continued else 0)
--- a/packages/runhatch-server/tests/test_room.py
+++ b/packages/runhatch-server/tests/test_room.py
@@ -111,6 +111,16 @@
         gate.apply_report("a", RoomReport(2, outstanding, 0, rejected), seconds(0))
         assert gate.fitting == fitting
 
+    def test_first_report_after_a_grant_counts_no_earlier_rejections(self, gate):
+        (answer,) = self.ask(gate, WARM_UP)
+
+        gate.apply_report("a", RoomReport(1, 0, answer.grant, 7), WARM_UP)
+        assert gate.fitting == SLOTS
+        assert count_grants(self.ask(gate, WARM_UP)) == 1
+
+        gate.apply_report("a", RoomReport(2, 1, answer.grant + 1, 8), WARM_UP)
+        assert gate.fitting == 1
+
     @pytest.mark.parametrize(
         ("heard", "silent", "lost", "granted"),
         [(2, 0, 0, 4), (2, 0, 1, 2), (2, 1, 1, 2), (1, 3, 0, 1), (1, 8, 0, 0)],
