Grant room of one request while most nodes report

A brittle target with few requests taken to fit got no grant while any node was lost (60 s) or silent: the share of 1 rounds down to 0, and what fits could not recover, as growth compared what is outstanding with the whole room, which the share made unreachable. Growth now compares with the part that is granted, and a part with more than half of the nodes grants at least one request. A part without room does not grow.

test_most_nodes_grant_room_of_one_request (three cases) and test_what_fits_grows_while_a_node_is_lost failed before.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_room.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_room.py
@@ -158,9 +158,9 @@
         answers = self._deny_late(now)
         self._queue.sort(key=lambda queued: (queued.tier, queued.order))
         outstanding = self.count_outstanding(now)
-        share = self._find_share(alive, lost, now)
+        most = self._find_room(alive, lost, now)
         while self._queue and self._may_grant(
-            outstanding, max_rejections, alive, share, now
+            outstanding, max_rejections, alive, most, now
         ):
             queued = self._queue.pop(0)
             room = self._nodes.setdefault(
@@ -172,36 +172,39 @@
             outstanding += 1
             answers.append(RoomAnswer(queued.node, queued.tier, number))
         if self._queue:
-            self._grow(outstanding, max_rejections, now)
+            self._grow(outstanding, max_rejections, most, now)
         return answers + self._deny_excess(now)
 
-    def _find_share(self, alive: Collection[str], lost: int, now: timedelta) -> float:
-        """Return the share of the room to grant.
+    def _find_room(self, alive: Collection[str], lost: int, now: timedelta) -> int:
+        """Return how many outstanding requests to grant room to.
 
         It leaves their part to nodes that this node does not hear. Parts of a
-        partitioned network do not know what the others send.
+        partitioned network do not know what the others send; only the part with most
+        nodes grants room that is too small to be shared.
         """
         if not alive:
-            return 1.0
+            return self._fitting
         silent = sum(
             name not in self._nodes
             or now - self._nodes[name].reported_at >= SILENT_AFTER
             for name in alive
         )
-        return (len(alive) - silent) / (len(alive) + lost)
+        heard = len(alive) - silent
+        least = 1 if heard > silent + lost else 0
+        return max(least, self._fitting * heard // (len(alive) + lost))
 
     def _may_grant(
         self,
         outstanding: int,
         max_rejections: int,
         alive: Collection[str],
-        share: float,
+        most: int,
         now: timedelta,
     ) -> bool:
         is_warm = now - self._began_at >= WARM_UP or all(
             name in self._nodes and self._nodes[name].report.number for name in alive
         )
-        if not is_warm or outstanding >= int(self._fitting * share):
+        if not is_warm or outstanding >= most:
             return False
         rejected = _count_recent(self._rejected_at, now)
         if rejected and rejected >= max_rejections // 2:
@@ -214,15 +217,17 @@
         self._risked_at.append(now)
         return True
 
-    def _grow(self, outstanding: int, max_rejections: int, now: timedelta) -> None:
+    def _grow(
+        self, outstanding: int, max_rejections: int, most: int, now: timedelta
+    ) -> None:
         """Take one more request to fit if requests wait for want of room.
 
         What is beyond the slots of the target may be rejected all at once.
         """
-        is_full = outstanding >= self._fitting
+        is_full = 0 < most <= outstanding
         if is_full and now >= self._grows_at:
-            most = self._slots + max_waiting(max_rejections)
-            self._fitting = min(self._fitting + 1, most)
+            limit = self._slots + max_waiting(max_rejections)
+            self._fitting = min(self._fitting + 1, limit)
             self._grows_at = now + GROWTH_INTERVAL
 
     def _record_rejected(self, count: int, now: timedelta) -> None:
--- a/packages/runhatch-server/tests/test_room.py
+++ b/packages/runhatch-server/tests/test_room.py
@@ -136,6 +136,41 @@
 
         assert count_grants(answers) == granted
 
+    @pytest.mark.parametrize(
+        ("heard", "silent", "lost", "granted"),
+        [(9, 0, 1, 1), (90, 0, 1, 1), (8, 1, 0, 1), (2, 1, 1, 0), (1, 0, 1, 0)],
+    )
+    def test_most_nodes_grant_room_of_one_request(self, heard, silent, lost, granted):
+        gate = RoomGate(1, seconds(0), itertools.count(1))
+        alive = [f"n{number}" for number in range(heard + silent)]
+        for name in alive[:heard]:
+            gate.apply_report(name, RoomReport(1, 0, 0, 0), WARM_UP)
+
+        answers = self.ask(gate, WARM_UP, 3, alive=alive, lost=lost)
+
+        assert count_grants(answers) == granted
+
+    @pytest.mark.parametrize(("lost", "fitting"), [(1, 8), (2, 4)])
+    def test_what_fits_grows_while_a_node_is_lost(self, gate, lost, fitting):
+        alive = ["a", "b"]
+        now = WARM_UP
+        for number in range(1, 20):
+            shared = int(gate.fitting * len(alive) / (len(alive) + lost))
+            gate.apply_report("a", RoomReport(number, shared, 0, 0), now)
+            gate.apply_report("b", RoomReport(number, 0, 0, 0), now)
+            self.ask(gate, now, most=9 if lost == 1 else 2, alive=alive, lost=lost)
+            now += GROWTH_INTERVAL
+        assert gate.fitting == fitting
+
+    def test_part_without_room_takes_no_more_to_fit(self, gate):
+        alive = [f"n{number}" for number in range(9)]
+        now = WARM_UP
+        for number in range(1, 20):
+            gate.apply_report("n0", RoomReport(number, 0, 0, 0), now)
+            self.ask(gate, now, most=9, alive=alive)
+            now += GROWTH_INTERVAL
+        assert gate.fitting == SLOTS
+
     def test_urgent_request_gets_first_grant(self, gate):
         gate.apply_report("b", RoomReport(1, SLOTS - 1, 0, 0), WARM_UP)
         gate.request("a", 1, WARM_UP)
