Return no permit of an unsent request to a brittle target

When nothing was sent of a request to a brittle target, its permit was returned, and the end of the request could reuse the same room for another that waited: two permits for one room. Within the grace time a permit was returned although none had been taken. The end of the request alone now passes the room on, or frees it at the allocator. Permits of targets that state only a rate are returned as before.

test_room_of_unsent_request_is_reused_once and test_unsent_request_in_grace_returns_no_permit failed before the change. test_rate_limits, test_room and test_brittle_targets pass.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
@@ -219,7 +219,12 @@
             self._add_waiting(target, -1)
 
     def return_permit(self, target: str) -> None:
-        """Return the permit of a request of which nothing was sent."""
+        """Return the permit of a request of which nothing was sent.
+
+        The room at a brittle target is reused or freed by :meth:`record_end`.
+        """
+        if self.keeps_waiting(target):
+            return
         with self._lock:
             limited = self._limited.get(target)
             if limited is not None:
--- a/packages/runhatch-server/tests/test_rate_limits.py
+++ b/packages/runhatch-server/tests/test_rate_limits.py
@@ -8,6 +8,7 @@
 
 from runhatch_coordination import Standing
 from runhatch_server.decisions import (
+    BRITTLE_GRACE,
     LimitedTarget,
     ObservedLimit,
     PermitBucket,
@@ -302,6 +303,32 @@
         limits.return_permit("t1")
         assert limits.use_permit("t1", has_requested=False)
 
+    def test_unsent_request_in_grace_returns_no_permit(self, clock):
+        limits = RateLimits(clock, Metrics())
+        limits.apply_answer("t1", None, clock.elapsed(), 3)
+        clock.advance(BRITTLE_GRACE - seconds(0.1))
+        assert limits.use_permit("t1", has_requested=False)
+        limits.return_permit("t1")
+        clock.advance(seconds(0.1))
+        assert not limits.use_permit("t1", has_requested=False)
+
+    def test_room_of_unsent_request_is_reused_once(self, clock):
+        limits = RateLimits(clock, Metrics())
+        limits.apply_answer("t1", None, clock.elapsed(), 3)
+        clock.advance(BRITTLE_GRACE)
+        for number in (1, 2):
+            limits.record_granted("t1", "n0", number)
+            assert limits.use_permit("t1", has_requested=True)
+        limits.record_end("t1")
+        for _ in range(3):
+            limits.request_permit("t1", 1)
+
+        limits.return_permit("t1")
+        limits.record_end("t1")
+
+        assert limits.use_permit("t1", has_requested=True)
+        assert not limits.use_permit("t1", has_requested=True)
+
     def test_limit_of_unlisted_target_is_kept_for_a_while(self, clock):
         limits = RateLimits(clock, Metrics())
         limits.apply_report("t1", ObservedLimit(1.0, clock.elapsed()))
