--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -274,7 +274,7 @@
         query = StreamVersionQuery(number, attempt_id, service, is_repeated=True)
         for address in unanswered.values():
             self._reopen_link(address)
-        self._send_queries(query, unanswered)
+            self._send(address, query)
 
     def _take_batches(self, shared: set[str], now: timedelta) -> Batches:
         """Return the records to send of ``shared`` services, by address."""
