Require permits of brittle targets at once on a node that starts

For three seconds after its start a node now takes its peers to have learned earlier, and needs a permit for each request at once.

test_node_that_starts_beside_others_needs_a_permit_at_once failed before (there was no such window).

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -61,6 +61,8 @@
 """Allows two renewals to fail, and lets models be loaded again within a few seconds
 after the holder crashes."""
 LEASE_INTERVAL = timedelta(milliseconds=300)
+START_WINDOW = timedelta(seconds=3)
+"""Time after its start in which a node may lack what its peers have learned."""
 SHARE_INTERVAL = timedelta(milliseconds=250)
 """Longest interval between messages with loads and demand.  A request that is sent
 to a target causes one at once: processing its prompt takes some 100 ms, and other nodes
@@ -105,7 +107,7 @@
         self._directory = TargetDirectory(self._clock)
         self._configuration = ActiveConfiguration(self._on_routes, self._metrics)
         self._pool = ConnectionPool(self._clock)
-        self._limits = RateLimits(self._clock, self._metrics)
+        self._limits = RateLimits(self._clock, self._metrics, START_WINDOW)
         self._balancer = Balancer(
             self._directory,
             self._clock,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock
-from runhatch_server.decisions import LimitedTarget, ObservedLimit
+from runhatch_server.decisions import BRITTLE_GRACE, LimitedTarget, ObservedLimit
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.targets import InvalidMaxRejections, InvalidRateLimit
 
@@ -44,8 +44,18 @@
     to a later request declares none.
     """
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        start_window: timedelta = timedelta(),
+    ) -> None:
+        """``start_window``: time in which peers know longer which targets are brittle.
+
+        A node that starts beside others needs permits at once.
+        """
         self._clock = clock
+        self._start_ends_at = clock.elapsed() + start_window
         self._metrics = metrics
         self._lock = threading.Lock()
         self._limited: dict[str, LimitedTarget] = {}
@@ -81,7 +91,9 @@
             limit = None if known is None else known.rate
         if max_rejections is not None:
             now = self._clock.elapsed()
-            self._apply(target, ObservedLimit(limit, now, max_rejections, now))
+            is_starting = now < self._start_ends_at
+            since = now - BRITTLE_GRACE if is_starting else now
+            self._apply(target, ObservedLimit(limit, now, max_rejections, since))
         elif limit is not None:
             self._apply(target, ObservedLimit(limit, self._clock.elapsed()))
         elif target in self._limited:
--- a/packages/runhatch-server/tests/test_rate_limits.py
+++ b/packages/runhatch-server/tests/test_rate_limits.py
@@ -303,6 +303,17 @@
         limits.return_permit("t1")
         assert limits.use_permit("t1", has_requested=False)
 
+    @pytest.mark.parametrize(("age", "needs_permit"), [(0.0, True), (3.0, False)])
+    def test_node_that_starts_beside_others_needs_a_permit_at_once(
+        self, clock, age, needs_permit
+    ):
+        """Its peers have learned earlier that the target is brittle."""
+        limits = RateLimits(clock, Metrics(), start_window=seconds(3))
+        clock.advance(seconds(age))
+        limits.apply_answer("t", None, clock.elapsed(), max_rejections=5)
+
+        assert limits.use_permit("t", has_requested=True) == (not needs_permit)
+
     def test_unsent_request_in_grace_returns_no_permit(self, clock):
         limits = RateLimits(clock, Metrics())
         limits.apply_answer("t1", None, clock.elapsed(), 3)
--- a/standins/tests/test_gateway_soak.py
+++ b/standins/tests/test_gateway_soak.py
@@ -86,6 +86,8 @@
             (32, 15.0, 3, FIRST_KINDS),
             (2, SECONDS, 3, ALL_KINDS),
             (3, SECONDS, 3, STREAM_KINDS),
+            (4, SECONDS, 3, RELEASE_KINDS),
+            (5, SECONDS, 3, BRITTLE_KINDS),
         ],
     )
     def test_run_has_no_violations(self, seed, seconds, gateways, kinds):
