--- a/standins/src/runhatch_standins/_worker_faults.py
+++ b/standins/src/runhatch_standins/_worker_faults.py
@@ -12,6 +12,8 @@
     "leaving": False,
     # Text in a path that makes the process exit, as if the request crashed it.
     "ends_on": "",
+    # Part of a prompt at whose first event the process exits.
+    "ends_on_part": "",
     # Answer with neither a length nor chunks.
     "unframed": False,
     # Break off streams after this many bytes, by a reset or a normal close; none if
--- a/standins/src/runhatch_standins/worker.py
+++ b/standins/src/runhatch_standins/worker.py
@@ -283,6 +283,8 @@
         count = int(call.headers.get("x-runhatch-token-count", "0,8").split(",")[1])
         first = int(call.headers.get("last-event-id", "0"))
         events = self._stream_events(run, first, count)
+        if self.faults["ends_on_part"] in _parts_of_prompt(call):
+            events = _exit_at_first_event()
         if self._breaks_off(attempt_id):
             events = self._break_off(run, events)
         stream = (*headers, ("Content-Type", "text/event-stream"))
@@ -358,6 +360,19 @@
         ]
 
 
+def _parts_of_prompt(call: Call) -> list[str]:
+    """Return the ids of the prompt's parts, in order."""
+    header = call.headers.get("x-runhatch-prompt-prefix", "")
+    return [item.partition(":")[0] for item in header.split(",") if item]
+
+
+def _exit_at_first_event() -> Iterator[bytes]:
+    """Exit before the first event, as if writing it crashed the process."""
+    time.sleep(EVENT_SECONDS)
+    os._exit(CRASHED)
+    yield b""
+
+
 def main() -> None:
     """Run the stand-in."""
     parser = argparse.ArgumentParser()
--- a/standins/tests/test_gateway_crashes.py
+++ b/standins/tests/test_gateway_crashes.py
@@ -2,7 +2,8 @@
 
 Nodes publish which targets ended under which request, and hold back a request named
 in two such reports.  Without that, each node treats a repeat as a new request, and
-one request ends every target in turn.
+one request ends every target in turn.  The same holds for a part of a prompt that
+crashes targets, in requests of which no two are equal.
 """
 
 import http.client
@@ -15,7 +16,10 @@
 from runhatch_standins._gateways import GatewaySystem
 
 MAX_CRASHED = 3
-"""Targets that one request may crash before all nodes hold it back."""
+"""Targets that one request, or one part of prompts, may crash before all nodes hold it
+back."""
+MIN_SERVED_SHARE = 0.5
+"""Least share of sound requests with a part of the crashing ones that are served."""
 TARGETS = 9
 REPEATS = 40
 PAUSE_SECONDS = 0.1
@@ -70,3 +74,63 @@
         send_to_nodes_in_turn(system, "/once/crashing", "POST", 6)
 
         assert set(send_to_nodes_in_turn(system, "/plain/sound", "GET", 6)) == {200}
+
+
+def send_prompts_in_turn(system, prompts):
+    """Send a stream with each of ``prompts`` to the nodes in turn; return statuses."""
+    statuses = []
+    for number, parts in enumerate(prompts):
+        own_part = f"own{number}"
+        prefix = ",".join(f"{part}:30" for part in (*parts, own_part))
+        headers = {"X-Runhatch-Prompt-Prefix": prefix}
+        try:
+            response, _ = system.answer(
+                f"/stream/{number}",
+                "POST",
+                gate=number % len(system.gateways),
+                model="m0",
+                **headers,
+            )
+            statuses.append(response.status)
+        except (OSError, http.client.HTTPException):
+            statuses.append(None)
+        time.sleep(PAUSE_SECONDS)
+    return statuses
+
+
+class TestCrashingPromptPart:
+    """A part of prompts that crashes targets, in requests of which no two are equal."""
+
+    @pytest.fixture
+    def system(self, tmp_path):
+        with ExitStack() as stack:
+            system = GatewaySystem(stack, tmp_path)
+            system.start_gateway("n3")
+            while len(system.engines) < TARGETS:
+                system.engines.append(system.start_worker("engine", "m0,m1"))
+            for target in system.engines:
+                call(target.url, "POST", "/faults", {"ends_on_part": "crashing"})
+            time.sleep(1)
+            yield system
+
+    @pytest.mark.parametrize(
+        ("crashing", "sound"),
+        [
+            pytest.param(("crashing", "b{}"), ("a", "b{}"), id="first-part"),
+            pytest.param(("a", "crashing"), ("a", "b{}"), id="second-part"),
+        ],
+    )
+    def test_it_crashes_few_targets_and_sound_requests_are_served(
+        self, system, crashing, sound
+    ):
+        prompts = [
+            tuple(part.format(number % 5) for part in parts)
+            for number in range(REPEATS)
+            for parts in (crashing, sound)
+        ]
+        statuses = send_prompts_in_turn(system, prompts)
+        crashed = sum(target.process.poll() is not None for target in system.engines)
+        statuses_of_sound = statuses[1::2]
+
+        assert crashed <= MAX_CRASHED
+        assert statuses_of_sound.count(200) >= MIN_SERVED_SHARE * len(statuses_of_sound)
