Hold parts of prompts under which targets ended

Cause: evidence was kept by the fingerprint of a whole request. The crashing requests share one part of their prompts and are never alike, so each was new at each end.

Change: requests have traits, hashes of each part of the prompt but the last for any model, its model, its adapter, and of the parts up to it. Requests whose answer had not begun when their target ended count against their traits, the first event of an answer clears them up to that moment, on all nodes. Two ends at moments 0.1 s apart hold a trait; the fewest traits that explain the ends are held, so that sound parts of the same requests are not. One node, chosen by rank, sends one trial after 5 s, the next after 1, 10, 20 minutes. A request that waited is checked again before it is sent. Refused with 503 and without Retry-After, as it has not run.

--- a/packages/runhatch-cli/src/runhatch_cli/_explain.py
+++ b/packages/runhatch-cli/src/runhatch_cli/_explain.py
@@ -30,6 +30,7 @@
     "targets_reachable",
     "log_lines_dropped",
 )
+TRAIT_MESSAGE_PREFIXES = ("prompt_trait_", "target_ended")
 HIDDEN_FIELDS = ("level", "task_uuid", "task_level", "timestamp", "message_type")
 CAUSES_BY_OUTCOME = {
     "answered": "It was answered.",
@@ -48,6 +49,8 @@
     "was exhausted.",
     "ends_targets": "Targets ended while running it or a repeat of it, so it was "
     "held back.",
+    "prompt_ends_targets": "Targets ended when they began to answer prompts with a "
+    "part of this one, so it was not sent.",
     "targets_failed": "The target that may have run it failed, and it must not be sent "
     "again.",
     "deadline_passed": "Its deadline passed before the target answered.",
@@ -145,7 +148,7 @@
 
 def _is_related(line: LogLine, own: list[LogLine], end: float) -> bool:
     """Return whether ``line`` is of the request or helps to explain its outcome."""
-    if line in own or _is_of_repeat(line, own):
+    if line in own or _is_of_repeat(line, own) or _is_of_held_trait(line, own):
         return True
     if line.message_type == "rate_limit" and line.timestamp <= end + 1:
         # Logged only when a limit changes, so an old line may still be in force.
@@ -171,6 +174,14 @@
     return fingerprint in fingerprints
 
 
+def _is_of_held_trait(line: LogLine, own: list[LogLine]) -> bool:
+    """Return whether ``line`` concerns the trait because of which it was not sent."""
+    trait = own[-1].fields.get("held_trait")
+    if not trait or not line.message_type.startswith(TRAIT_MESSAGE_PREFIXES):
+        return False
+    return trait in line.fields.get("traits", [line.fields.get("trait")])
+
+
 def _line_models(line: LogLine) -> Iterator[Any]:
     yield line.fields.get("model")
     yield from line.fields.get("evict", ())
@@ -193,7 +204,7 @@
             f"{name} {rate} a second" for name, rate in rates.items()
         )
         return f"{cause} Limits: {limits_text or 'not in these logs'}."
-    if outcome == "ends_targets":
+    if outcome in ("ends_targets", "prompt_ends_targets"):
         ended = {t for line in related for t in line.fields.get("targets", ())}
         return f"{cause} Ended: {', '.join(sorted(ended)) or 'not in these logs'}."
     if outcome != "no_replica":
--- a/packages/runhatch-cli/tests/test_explain.py
+++ b/packages/runhatch-cli/tests/test_explain.py
@@ -160,3 +160,29 @@
             "request_held",
             "request",
         ]
+
+
+class TestHeldPrompt:
+    """A request that was not sent because of a part of its prompt."""
+
+    @pytest.fixture
+    def logs(self, write_log):
+        held = {"trait": "part:x", "targets": ["i-1", "i-2"]}
+        return [
+            write_log(
+                make_line("target_ended", 1.0, target="i-1", traits=["part:x"]),
+                make_line("target_ended", 2.0, target="i-2", traits=["part:x", "y"]),
+                make_line("target_ended", 2.5, target="i-3", traits=["part:z"]),
+                make_line("prompt_trait_held", 2.6, **held),
+                make_line("prompt_trait_held", 2.7, trait="part:z", targets=["i-3"]),
+                make_request("prompt_ends_targets", 90.0, held_trait="part:x"),
+            )
+        ]
+
+    def test_cause_names_targets_that_ended_under_its_part(self, logs):
+        assert explain_request("r1", logs).cause.endswith("Ended: i-1, i-2.")
+
+    def test_shows_since_when_its_part_is_held(self, logs):
+        kinds = [shown.split()[3] for shown in explain_request("r1", logs).lines]
+
+        assert kinds == ["target_ended"] * 2 + ["prompt_trait_held", "request"]
--- a/packages/runhatch-server/src/runhatch_server/crashes/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/__init__.py
@@ -6,6 +6,8 @@
     SuspectMessage,
 )
 from runhatch_server.crashes._refusals import RefusalCheck, RefusalMessage
+from runhatch_server.crashes._trait_watch import TraitWatch
+from runhatch_server.crashes._trial_owner import TrialOwner
 from runhatch_server.crashes._watch import (
     CHECK_INTERVAL,
     CrashDetector,
@@ -23,4 +25,6 @@
     "SuspectExchange",
     "SuspectMessage",
     "TargetMonitor",
+    "TraitWatch",
+    "TrialOwner",
 ]
--- a/packages/runhatch-server/src/runhatch_server/crashes/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_exchange.py
@@ -25,7 +25,7 @@
 
 DIGEST_INTERVAL = timedelta(seconds=1)
 """Interval at which a node sends its digest to a peer."""
-MAX_ENDS_PER_MESSAGE = 500
+MAX_ENDS_PER_MESSAGE = 1_000
 """Maximum number of ends in one message, about 50 bytes each; those of the strongest
 suspects come first."""
 MILLISECOND = timedelta(milliseconds=1)
@@ -56,8 +56,11 @@
         ends, cleared = self._crashes.take_updates()
         if ends:
             self._broadcast(self._ends_message(ends))
-        if cleared:
-            self._broadcast(RequestsCleared(cleared))
+        begun = self._crashes.traits.take_begun()
+        if cleared or begun:
+            now = self._clock.elapsed()
+            ages = {name: round((now - at) / MILLISECOND) for name, at in begun.items()}
+            self._broadcast(RequestsCleared(cleared, ages))
 
     def send_digest(self) -> None:
         """Send the digest to a random connected peer, which replies on a mismatch."""
@@ -82,6 +85,10 @@
     @handle_message.register
     def _record_cleared(self, fact: RequestsCleared, sender: Member) -> None:
         self._crashes.receive_cleared(fact.fingerprints)
+        now = self._clock.elapsed()
+        self._crashes.traits.receive_begun(
+            {name: now - age * MILLISECOND for name, age in fact.begun_traits.items()}
+        )
 
     @handle_message.register
     def _answer_digest(self, fact: SuspectsDigest, sender: Member) -> None:
--- a/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
@@ -4,13 +4,19 @@
 """
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 from datetime import timedelta
 from enum import Enum
 from typing import Protocol
 
 from runhatch_coordination import Clock
-from runhatch_server.decisions import ObservedEnd, Suspects
+from runhatch_server.crashes._trait_watch import TraitWatch
+from runhatch_server.decisions import (
+    IncompleteRequest,
+    ObservedEnd,
+    Suspects,
+    is_trait,
+)
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.refusals import Executed, Reason, Refusal
 
@@ -63,47 +69,74 @@
         targets: TargetMonitor,
         metrics: Metrics,
         on_update: Callable[[], None],
+        owns_trials_of: Callable[[str], bool] = lambda trait: True,
     ) -> None:
+        """``owns_trials_of`` returns whether this node is the one that sends the trials
+        of a held trait."""
         self._clock = clock
         self._targets = targets
         self._metrics = metrics
         self._notify_updates = on_update
         self._lock = threading.Lock()
         self._suspects = Suspects()
+        self.traits = TraitWatch(clock, metrics, owns_trials_of, on_update)
+        """The traits of prompts that crash targets."""
         self._new_ends: list[ObservedEnd] = []
         self._new_cleared: list[str] = []
         self._probes: dict[str, _Probe] = {}
         self.recheck_requested = threading.Event()
         """Set when a target that aborted a request is to be probed again."""
 
-    def check_request(self, fingerprint: str) -> Refusal | None:
+    def check_request(
+        self,
+        fingerprint: str,
+        traits: tuple[str, ...] = (),
+        key: Hashable = None,
+    ) -> Refusal | None:
         """Return a refusal if a request must not be sent, else ``None``.
 
         The refusal states ``executed: no``, which applies to this attempt only.
+        ``key`` identifies the request on this node, as it may be sent as a trial.
         """
         now = self._clock.elapsed()
         with self._lock:
             remaining = self._suspects.remaining_hold(fingerprint, now)
         if remaining is None:
-            return None
+            return self.traits.check(traits, key)
         detail = "targets that ran this request have ended, so it is not sent again"
         # No retry time is given, because an early retry is not wanted.
         return Refusal(Reason.CRASHES_TARGETS, Executed.NO, detail)
 
-    def record_abort(self, fingerprint: str, target: str) -> None:
-        """Record that ``target`` aborted a request, and probe whether it has ended."""
+    def record_abort(
+        self,
+        fingerprint: str,
+        target: str,
+        traits: tuple[str, ...] = (),
+        has_begun: bool = False,
+    ) -> None:
+        """Record that ``target`` aborted a request, and probe whether it has ended.
+
+        ``has_begun``: the first event of the answer was received. ``traits`` are given
+        only if not.
+        """
         # A draining target ends as planned, with the requests it still has.
         if self._targets.standing(target) is not TargetStanding.RUNNING:
             return
         now = self._clock.elapsed()
         with self._lock:
-            self._suspects.record_abort(fingerprint, target, now)
+            self._suspects.record_abort(fingerprint, target, now, traits, has_begun)
         if self._refuses_connections(target):
             self._record_ended(target, "connections are refused")
         else:
             self.recheck_requested.set()
 
-    def record_abandoned(self, fingerprint: str, target: str) -> None:
+    def record_abandoned(
+        self,
+        fingerprint: str,
+        target: str,
+        traits: tuple[str, ...] = (),
+        has_begun: bool = False,
+    ) -> None:
         """Record that the caller disconnected or the deadline passed before the answer.
 
         ``target`` may still run the request and crash because of it.
@@ -112,7 +145,7 @@
             return
         now = self._clock.elapsed()
         with self._lock:
-            self._suspects.record_abandoned(fingerprint, target, now)
+            self._suspects.record_abandoned(fingerprint, target, now, traits, has_begun)
 
     def record_answer(
         self, fingerprint: str, target: str, sent_at: timedelta, succeeded: bool = True
@@ -168,6 +201,7 @@
                 continue
             elif self._refuses_connections(target):
                 self._record_ended(target, "connections are refused")
+        self.traits.remove_expired()
         with self._lock:
             self._suspects.remove_expired(now)
             self._metrics.requests_held_back.set(len(self._suspects.held_requests(now)))
@@ -180,7 +214,8 @@
     def digest(self) -> int:
         """Hash of all recorded ends, equal on nodes that have recorded the same."""
         with self._lock:
-            return self._suspects.digest
+            digest = self._suspects.digest
+        return digest ^ self.traits.digest
 
     def take_updates(self) -> tuple[list[ObservedEnd], list[str]]:
         """Return and clear the ends and cleared requests not yet sent to peers."""
@@ -192,7 +227,8 @@
     def known_ends(self) -> list[ObservedEnd]:
         """Return all recorded ends, those of the strongest suspects first."""
         with self._lock:
-            return self._suspects.known_ends()
+            ends = self._suspects.known_ends()
+        return [*self.traits.known_ends(), *ends]
 
     def receive_ends(self, ends: Iterable[ObservedEnd]) -> None:
         """Record ends received from a peer, and queue new ones for other peers."""
@@ -216,12 +252,15 @@
     def _record_ended(self, target: str, why: str) -> None:
         now = self._clock.elapsed()
         with self._lock:
+            requests = self._suspects.incomplete_requests(target)
             ends = self._suspects.record_end(target, now)
-            self._new_ends += ends
+        trait_ends = self.traits.record_ends(_ends_of_traits(target, requests), "own")
+        with self._lock:
+            self._new_ends += [*ends, *trait_ends]
             probe = self._probes.setdefault(target, _Probe())
             was_ended, probe.ended = probe.ended, True
         self._targets.record_end(target)
-        if not ends:
+        if not ends and not trait_ends:
             return
         if not was_ended:
             self._metrics.ended_targets.inc()
@@ -230,16 +269,25 @@
             target=target,
             why=why,
             requests=sorted(end.fingerprint for end in ends),
+            begun=sorted(each.fingerprint for each in requests if each.has_begun),
+            traits=sorted(end.fingerprint for end in trait_ends),
         )
         self._log_held(ends, "own")
         self._notify_updates()
 
     def _record_peer_ends(self, ends: Iterable[ObservedEnd], source: str) -> None:
+        ends = [*ends]
+        trait_ends = self.traits.record_ends(
+            [end for end in ends if is_trait(end.fingerprint)], source
+        )
         with self._lock:
-            new_ends = self._suspects.record_ends(ends, self._clock.elapsed())
-            self._new_ends += new_ends
-        if new_ends:
-            self._log_held(new_ends, source)
+            request_ends = self._suspects.record_ends(
+                [end for end in ends if not is_trait(end.fingerprint)],
+                self._clock.elapsed(),
+            )
+            self._new_ends += [*request_ends, *trait_ends]
+        self._log_held(request_ends, source)
+        if request_ends or trait_ends:
             self._notify_updates()
 
     def _log_held(self, ends: Iterable[ObservedEnd], source: str) -> None:
@@ -272,6 +320,14 @@
             return probe.refused
 
 
+def _ends_of_traits(
+    target: str, requests: Iterable[IncompleteRequest]
+) -> list[ObservedEnd]:
+    """Return the ends of ``target`` under the traits of requests not begun there."""
+    times = {trait: each.at for each in requests for trait in each.traits}
+    return [ObservedEnd(trait, target, at) for trait, at in times.items()]
+
+
 class _Probe:
     """The latest probe of one target; its lock is held during a probe."""
 
--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -30,6 +30,7 @@
 from runhatch_server.decisions._load_book import LoadBook
 from runhatch_server.decisions._peer_choice import PeerChoice, Work
 from runhatch_server.decisions._prefixes import PrefixIndex, prefix_blocks
+from runhatch_server.decisions._prompt_traits import compute_traits, is_trait
 from runhatch_server.decisions._rate_limits import (
     MIN_RATE,
     LimitedTarget,
@@ -71,7 +72,13 @@
     StreamRecord,
     StreamRecords,
 )
-from runhatch_server.decisions._suspects import ObservedEnd, Suspects
+from runhatch_server.decisions._suspect_traits import HeldTrait, SuspectTraits
+from runhatch_server.decisions._suspects import (
+    IncompleteRequest,
+    ObservedEnd,
+    Suspects,
+)
+from runhatch_server.decisions._trait_trials import TraitTrials
 
 __all__ = [
     "Admitted",
@@ -82,6 +89,11 @@
     "choose_keepers",
     "ObservedEnd",
     "compute_fingerprint",
+    "compute_traits",
+    "HeldTrait",
+    "IncompleteRequest",
+    "is_trait",
+    "SuspectTraits",
     "GatewayRequest",
     "Headers",
     "HeldRequest",
@@ -127,6 +139,7 @@
     "StreamRecords",
     "Suspects",
     "TargetLoad",
+    "TraitTrials",
     "MIN_RATE",
     "TriedTargets",
     "WorkRates",
--- a/packages/runhatch-server/src/runhatch_server/decisions/_request.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_request.py
@@ -61,6 +61,9 @@
     """Version of the configuration that contains its route."""
     fingerprint: str = ""
     """Equal for all retries of the request, see :func:`compute_fingerprint`."""
+    traits: tuple[str, ...] = ()
+    """What its prompt may have in common with those of other requests, see
+    :func:`compute_traits`."""
     is_forwarded: bool = False
     """Whether a peer received it from the caller and forwarded it to this node."""
 
--- a/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
-from hashlib import blake2b
+
+from runhatch_server.decisions._digests import hash_end
 
 MIN_ENDS_TO_HOLD = 2
 """Number of targets that must have ended under a request before it is held back. Each
@@ -43,7 +44,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ObservedEnd:
-    """The incarnation ``target`` ended at ``at`` while it ran a request."""
+    """The incarnation ``target`` ended at ``at`` while it ran a request.
+
+    ``fingerprint`` identifies the request, or is one of its traits if the target had
+    not begun to answer it.
+    """
 
     fingerprint: str
     target: str
@@ -79,15 +84,28 @@
         return self.held_until + SUSPICION_RETENTION
 
 
+@dataclass(frozen=True, slots=True)
+class IncompleteRequest:
+    """A request without a complete answer from one target, and the time of its abort.
+
+    ``traits`` are those of a request that the target had not begun to answer.
+    """
+
+    fingerprint: str
+    at: timedelta
+    traits: tuple[str, ...] = ()
+    has_begun: bool = False
+
+
 class Suspects:
     """Requests suspected of crashing targets, as known to one node."""
 
     def __init__(self) -> None:
-        self._incomplete_requests: defaultdict[str, dict[str, timedelta]] = defaultdict(
-            dict
+        self._incomplete_requests: defaultdict[str, dict[str, IncompleteRequest]] = (
+            defaultdict(dict)
         )
-        """Requests without a complete answer, with the time of their abort, by
-        incarnation of a target that may still be running."""
+        """Requests without a complete answer by fingerprint, by incarnation of a target
+        that may still be running."""
         self._last_disconnects: dict[str, timedelta] = {}
         """Time of the last disconnect of each target in ``_incomplete_requests``."""
         self._suspicions: dict[str, _Suspicion] = {}
@@ -109,16 +127,41 @@
             for target in self._incomplete_requests
         }
 
-    def record_abandoned(self, fingerprint: str, target: str, now: timedelta) -> None:
+    def incomplete_requests(self, target: str) -> list[IncompleteRequest]:
+        """Return the requests without a complete answer from ``target``."""
+        return [*self._incomplete_requests.get(target, {}).values()]
+
+    def record_abandoned(
+        self,
+        fingerprint: str,
+        target: str,
+        now: timedelta,
+        traits: tuple[str, ...] = (),
+        has_begun: bool = False,
+    ) -> None:
         """Record that a request was abandoned before ``target`` answered completely.
 
         Its caller disconnected or its deadline passed; the target may still run it.
+        ``has_begun``: the first event of the answer was received.
         """
-        self._incomplete_requests[target][fingerprint] = now
-
-    def record_abort(self, fingerprint: str, target: str, now: timedelta) -> None:
+        requests = self._incomplete_requests[target]
+        previous = requests.get(fingerprint)
+        if previous is not None:
+            # One of several equal requests that had not begun is enough to suspect it.
+            traits = traits or previous.traits
+            has_begun = has_begun and previous.has_begun
+        requests[fingerprint] = IncompleteRequest(fingerprint, now, traits, has_begun)
+
+    def record_abort(
+        self,
+        fingerprint: str,
+        target: str,
+        now: timedelta,
+        traits: tuple[str, ...] = (),
+        has_begun: bool = False,
+    ) -> None:
         """Record that ``target`` aborted a request and may have ended."""
-        self.record_abandoned(fingerprint, target, now)
+        self.record_abandoned(fingerprint, target, now, traits, has_begun)
         self._last_disconnects[target] = now
 
     def record_running(self, target: str, sent_at: timedelta) -> None:
@@ -126,7 +169,7 @@
         requests = self._incomplete_requests.get(target)
         if requests is None:
             return
-        for fingerprint in [name for name, at in requests.items() if at <= sent_at]:
+        for fingerprint in [n for n, each in requests.items() if each.at <= sent_at]:
             del requests[fingerprint]
         if not requests:
             self._remove_target(target)
@@ -140,9 +183,9 @@
         requests = self._remove_target(target)
         return self.record_ends(
             [
-                ObservedEnd(fingerprint, target, at)
-                for fingerprint, at in requests.items()
-                if now - at <= END_DETECTION_WINDOW
+                ObservedEnd(fingerprint, target, request.at)
+                for fingerprint, request in requests.items()
+                if now - request.at <= END_DETECTION_WINDOW
             ],
             now,
         )
@@ -194,7 +237,9 @@
         for target in [*self._incomplete_requests]:
             requests = self._incomplete_requests[target]
             expired = [
-                n for n, at in requests.items() if now - at > END_DETECTION_WINDOW
+                name
+                for name, request in requests.items()
+                if now - request.at > END_DETECTION_WINDOW
             ]
             for fingerprint in expired:
                 del requests[fingerprint]
@@ -204,7 +249,7 @@
         for fingerprint in obsolete:
             self._remove_suspect(fingerprint)
 
-    def _remove_target(self, target: str) -> dict[str, timedelta]:
+    def _remove_target(self, target: str) -> dict[str, IncompleteRequest]:
         self._last_disconnects.pop(target, None)
         return self._incomplete_requests.pop(target, {})
 
@@ -216,7 +261,7 @@
         if end.target in suspicion.ended_at:
             return False
         suspicion.ended_at[end.target] = end.at
-        self._digest ^= _hash_end(end.fingerprint, end.target)
+        self._digest ^= hash_end(end.fingerprint, end.target)
         if len(self._suspicions) > MAX_SUSPECTS:
             self._remove_suspect(self._weakest_suspect())
         return True
@@ -233,11 +278,5 @@
         if suspicion is None:
             return False
         for target in suspicion.ended_at:
-            self._digest ^= _hash_end(fingerprint, target)
+            self._digest ^= hash_end(fingerprint, target)
         return True
-
-
-def _hash_end(fingerprint: str, target: str) -> int:
-    """Return the hash of one end; the digest is the XOR of all of them."""
-    name = f"{fingerprint} {target}".encode()
-    return int.from_bytes(blake2b(name, digest_size=8).digest(), "big")
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -7,7 +7,12 @@
 
 from runhatch_coordination import Clock
 from runhatch_server._progress import RequestCounter
-from runhatch_server.decisions import GatewayRequest, Headers, compute_fingerprint
+from runhatch_server.decisions import (
+    GatewayRequest,
+    Headers,
+    compute_fingerprint,
+    compute_traits,
+)
 from runhatch_server.gateway._answers import CompleteAnswer, GatewayAnswer, StreamAnswer
 from runhatch_server.gateway._messages import HeaderCodec, InvalidHeader
 from runhatch_server.gateway._peer_headers import (
@@ -174,6 +179,7 @@
             resumes=caller.resumes,
             configuration_version=routes.version,
             fingerprint=compute_fingerprint(method, host.lower(), uri, body),
+            traits=compute_traits(caller.work),
         )
         return request if forwarded is None else apply_forwarded(request, forwarded)
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -275,6 +275,11 @@
             return self._refusal_builder.refuse_unwilling(result)
         return None
 
+    def release_unused(self, grant: Grant) -> None:
+        """Release ``grant``, whose request is not to be sent any more."""
+        self._release_and_exclude(grant, timedelta())
+        self.limits.return_permit(grant.target.incarnation)
+
     def release_unsent(self, grant: Grant) -> None:
         """Release ``grant``, for which this node may open no further connection."""
         self._release_and_exclude(grant, CONNECTIONS_USED_PAUSE)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_crash_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_crash_records.py
@@ -6,17 +6,27 @@
 
 
 def record_no_answer(
-    crashes: CrashDetector, grant: Grant, reason: AttemptReason
+    crashes: CrashDetector, grant: Grant, reason: AttemptReason, has_begun: bool = False
 ) -> None:
-    """Record that the attempt of ``grant`` got no complete answer, and why."""
+    """Record that the attempt of ``grant`` got no complete answer, and why.
+
+    ``has_begun``: its target sent the first event.
+    """
     if grant.is_to_peer:
         # The peer records it.
         return
-    fingerprint = grant.request.fingerprint
+    request, target = grant.request, grant.target.incarnation
+    traits = () if has_begun else request.traits
     if reason is AttemptReason.CONNECTION_BROKEN:
-        crashes.record_abort(fingerprint, grant.target.incarnation)
+        crashes.record_abort(request.fingerprint, target, traits, has_begun)
     else:
-        crashes.record_abandoned(fingerprint, grant.target.incarnation)
+        crashes.record_abandoned(request.fingerprint, target, traits, has_begun)
+
+
+def record_begun(crashes: CrashDetector, grant: Grant) -> None:
+    """Record that the target of ``grant`` sent the first event of its answer."""
+    if not grant.is_to_peer:
+        crashes.traits.record_begun(grant.request.traits)
 
 
 def record_answer(
@@ -28,6 +38,8 @@
     fingerprint = grant.request.fingerprint
     target, sent_at = grant.target.incarnation, grant.granted_at
     if is_framed:
+        if is_success:
+            record_begun(crashes, grant)
         crashes.record_answer(fingerprint, target, sent_at, is_success)
     else:
         crashes.record_unframed_answer(fingerprint, target, sent_at)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -11,7 +11,12 @@
 )
 from runhatch_server._progress import RequestCounter
 from runhatch_server._tasks import RecurringTasks
-from runhatch_server.crashes import CHECK_INTERVAL, DIGEST_INTERVAL, CrashDetector
+from runhatch_server.crashes import (
+    CHECK_INTERVAL,
+    DIGEST_INTERVAL,
+    CrashDetector,
+    TrialOwner,
+)
 from runhatch_server.decisions import GatewayRequest, PeerChoice
 from runhatch_server.fleet import TargetDirectory
 from runhatch_server.gateway._app import GatewayApp, MetricsApp, ReadinessApp
@@ -119,6 +124,7 @@
             lambda target: self._peers.publish_draining(target),
             self._pool.close_idle,
         )
+        self._membership = build_membership(settings, self._clock)
         known_targets = KnownTargets(
             self._directory,
             self._pool,
@@ -129,8 +135,8 @@
             known_targets,
             self._metrics,
             lambda: self._peers.suspects.send_updates(),
+            TrialOwner(self._membership, self._clock).owns,
         )
-        self._membership = build_membership(settings, self._clock)
         self._tables = self._build_tables()
         self._orderer = self._build_orderer()
         self._stream_versions = StreamVersions(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -28,6 +28,7 @@
         self.status = 0
         self.retry_after: timedelta | None = None
         self.refused_by = ""
+        self.held_trait = ""
         """The target whose answer led to the refusal."""
         self.is_framed: bool | None = None
         """Whether the last answer that began stated where its body ends."""
@@ -83,6 +84,7 @@
         self.status = refusal.reason.status
         self.retry_after = refusal.retry_after
         self.refused_by = refusal.target
+        self.held_trait = refusal.trait
         prediction = refusal.prediction
         if prediction is not None and not self.attempts:
             self.predicted_ms = prediction.predicted_ms
@@ -163,6 +165,7 @@
             in_time=record.is_in_time(now),
             retry_after=_to_seconds(record.retry_after),
             refused_by=record.refused_by,
+            held_trait=record.held_trait,
             resumes=request.resumes if request.is_resumption else "",
             software_version=record.software_version,
             configuration=request.configuration_version,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -21,6 +21,7 @@
     AttemptReason,
     EventEndDetector,
     EventSplitter,
+    EventTooLongError,
     has_data,
     parse_event_id,
 )
@@ -42,8 +43,16 @@
     def record_begun(self, grant: Grant) -> None:
         """Record that the target of ``grant`` sent the first event of the stream."""
 
-    def record_no_answer(self, grant: Grant, reason: AttemptReason) -> None:
-        """Record that the attempt of ``grant`` got no complete answer, and why."""
+    def record_first_event(self, grant: Grant) -> None:
+        """Record that the target of ``grant`` sent its first event, if resumed too."""
+
+    def record_no_answer(
+        self, grant: Grant, reason: AttemptReason, has_begun: bool
+    ) -> None:
+        """Record that the attempt of ``grant`` got no complete answer, and why.
+
+        ``has_begun``: its target sent an event.
+        """
 
 
 class StreamRelay:
@@ -90,6 +99,9 @@
         self._last_event_has_id = True
         """Whether the stream can be resumed without sending an event again."""
         self._has_event = False
+        self._first_event_splitter = EventSplitter()
+        self._target_has_begun = False
+        """Whether the newest target has sent an event."""
         self._holds_target = True
         self._first_part: bytes | None = None
         self.has_begun = False
@@ -148,6 +160,7 @@
             if not chunk:
                 break
             self._end_detector.feed(chunk)
+            self._record_first_event(chunk)
             sendable = self._take_sendable(chunk)
             if sendable:
                 self.pace.record_piece(self._clock.elapsed())
@@ -156,6 +169,23 @@
             yield self._splitter.incomplete_event
         self._finish()
 
+    def _record_first_event(self, chunk: bytes) -> None:
+        """Record the newest target's first event if it is complete with ``chunk``."""
+        if self._target_has_begun:
+            return
+        if self._completes_first_event(chunk):
+            self._target_has_begun = True
+            self._resumer.record_first_event(self._grant)
+
+    def _completes_first_event(self, chunk: bytes) -> bool:
+        if not _is_event_stream(self._opened):
+            return True
+        try:
+            return any(map(has_data, self._first_event_splitter.feed(chunk)))
+        except EventTooLongError:
+            # No comment is that long.
+            return True
+
     def _is_broken_off(self) -> bool:
         """Return whether a body at whose end no error was found is incomplete."""
         is_framed = self._opened.connection.is_framed
@@ -208,7 +238,9 @@
 
     def _resume(self) -> bool:
         self._release_target(faulty=True)
-        self._resumer.record_no_answer(self._grant, AttemptReason.CONNECTION_BROKEN)
+        self._resumer.record_no_answer(
+            self._grant, AttemptReason.CONNECTION_BROKEN, self._target_has_begun
+        )
         if self._splitter is None or not self._last_event_has_id:
             self.outcome = "target_broke_off"
             return False
@@ -218,6 +250,8 @@
             return False
         self._grant, self._opened = resumed
         self._holds_target = True
+        self._first_event_splitter = EventSplitter()
+        self._target_has_begun = False
         self._splitter = EventSplitter()
         self._end_detector = EventEndDetector()
         return True
@@ -237,7 +271,9 @@
             if self.outcome == "cut":
                 self.outcome = "caller_gone"
             self._release_target(faulty=False)
-            self._resumer.record_no_answer(self._grant, AttemptReason.CALLER_GONE)
+            self._resumer.record_no_answer(
+                self._grant, AttemptReason.CALLER_GONE, self._target_has_begun
+            )
 
     def _release_target(self, faulty: bool) -> None:
         self._holds_target = False
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -7,7 +7,11 @@
 from runhatch_server.decisions import GatewayRequest, TriedTargets
 from runhatch_server.gateway._answers import CompleteAnswer, GatewayAnswer, StreamAnswer
 from runhatch_server.gateway._budget import WindowedRetryBudget
-from runhatch_server.gateway._crash_records import record_answer, record_no_answer
+from runhatch_server.gateway._crash_records import (
+    record_answer,
+    record_begun,
+    record_no_answer,
+)
 from runhatch_server.gateway._forward import AttemptResult, OpenedAnswer
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._peer_requests import (
@@ -64,6 +68,8 @@
         self._budget = budget
         self._caller_gone = is_caller_gone
         self._tried_targets = TriedTargets()
+        self._trial_key = object()
+        """Identifies this run among those that try held traits."""
         self._attempt_count = 0
         self._unrun_count = 0
         self._unsent_count = 0
@@ -72,6 +78,12 @@
 
     def answer(self) -> GatewayAnswer | Refusal:
         """Return the answer, whose body may still be arriving, or the refusal."""
+        try:
+            return self._answer()
+        finally:
+            self._parts.crashes.traits.record_request_end(self._trial_key)
+
+    def _answer(self) -> GatewayAnswer | Refusal:
         required = require_resumed_version(self._request, self._parts.versions)
         if isinstance(required, Refusal):
             return self._record_refusal(required)
@@ -118,9 +130,15 @@
         self._request = record_begun_stream(self._request, grant, self._parts.versions)
         self.record.software_version = self._request.software_version
 
-    def record_no_answer(self, grant: Grant, reason: AttemptReason) -> None:
+    def record_first_event(self, grant: Grant) -> None:
+        """Record that the target of ``grant`` sent its first event."""
+        record_begun(self._parts.crashes, grant)
+
+    def record_no_answer(
+        self, grant: Grant, reason: AttemptReason, has_begun: bool = False
+    ) -> None:
         """Record that the attempt of ``grant`` got no complete answer, and why."""
-        record_no_answer(self._parts.crashes, grant, reason)
+        record_no_answer(self._parts.crashes, grant, reason, has_begun)
         if reason is AttemptReason.CONNECTION_BROKEN and not grant.is_to_peer:
             self._parts.balancer.paths.record_broken(grant.target.incarnation)
 
@@ -128,9 +146,7 @@
         """Send the request until a target begins to answer, or return a refusal."""
         while True:
             # Checked before retries too: the last attempt may have crashed a target.
-            suspect_refusal = self._parts.crashes.check_request(
-                self._request.fingerprint
-            )
+            suspect_refusal = self._check_suspicion()
             if suspect_refusal is not None:
                 return self._qualify(suspect_refusal)
             if self._parts.balancer.paths.lacks_all(self._request):
@@ -151,6 +167,12 @@
                 if forwarded is not NextStep.TRY_TARGETS:
                     return forwarded
                 return self._qualify(grant)
+            # Targets may have ended under requests like this one while it waited.
+            suspect_refusal = self._check_suspicion()
+            if suspect_refusal is not None:
+                self._parts.balancer.release_unused(grant)
+                return self._qualify(suspect_refusal)
+            self._parts.crashes.traits.record_sent(self._trial_key)
             result = self._parts.forwarder.send(
                 self._request,
                 grant,
@@ -171,6 +193,13 @@
             if refusal is not None:
                 return refusal
 
+    def _check_suspicion(self) -> Refusal | None:
+        """Return a refusal if requests like this one have crashed targets."""
+        request = self._request
+        return self._parts.crashes.check_request(
+            request.fingerprint, request.traits, self._trial_key
+        )
+
     def _forward(
         self, resume_after: str
     ) -> tuple[Grant, OpenedAnswer] | Refusal | NextStep:
@@ -237,6 +266,8 @@
         balancer = self._parts.balancer
         target = grant.target.incarnation
         self._tried_targets = self._tried_targets.with_failure(target)
+        if not isinstance(result, UnknownResult):
+            self._parts.crashes.traits.record_not_run(self._trial_key)
         match result:
             case NotSent(reason):
                 self.record.record_attempt(grant, f"not_sent_{reason.value}")
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -86,6 +86,13 @@
         self.limited_targets = self._gauge(
             "limited_targets", "Targets that have reported a rate limit"
         )
+        self.traits_held = self._gauge(
+            "prompt_traits_held",
+            "Traits of prompts not sent because targets ended when answers began",
+        )
+        self.trait_trials = self._counter(
+            "prompt_trait_trials", "Requests sent to try a held trait of prompts"
+        )
         self.requests_held_back = self._gauge(
             "requests_held_back",
             "Requests not sent because targets ended while running them",
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -236,7 +236,8 @@
 class TargetEnded(msgspec.Struct, frozen=True, array_like=True):
     """An incarnation of a target ended ``age_ms`` ago with a request in progress.
 
-    ``fingerprint`` identifies the request.
+    ``fingerprint`` identifies the request, or is one of its traits if the target had
+    not begun to answer it.
     """
 
     fingerprint: str
@@ -251,9 +252,14 @@
 
 
 class RequestsCleared(msgspec.Struct, frozen=True, tag="cleared", array_like=True):
-    """Fingerprints of suspected requests that have since been answered."""
+    """Fingerprints of suspected requests that have since been answered.
+
+    ``begun_traits`` gives suspected traits of prompts, with the milliseconds since an
+    answer to a request with the trait began.
+    """
 
     fingerprints: list[str]
+    begun_traits: dict[str, int] = {}
 
 
 class SuspectsDigest(msgspec.Struct, frozen=True, tag="suspects", array_like=True):
--- a/packages/runhatch-server/src/runhatch_server/refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/refusals.py
@@ -67,6 +67,11 @@
     )
     TARGETS_FAILED = ("targets_failed", 502, "The targets failed")
     CRASHES_TARGETS = ("ends_targets", 500, "Targets that ran the request have ended")
+    PROMPT_CRASHES_TARGETS = (
+        "prompt_ends_targets",
+        503,
+        "Targets that began to answer prompts like this one have ended",
+    )
     DEADLINE_PASSED = ("deadline_passed", 504, "The deadline passed during the run")
     STORE_UNAVAILABLE = ("store_unavailable", 503, "The store does not answer")
     FIRST_RUN_OPEN = ("first_run_open", 409, "An earlier run of this key is open")
@@ -111,6 +116,8 @@
     prediction: Prediction | None = None
     target: str = ""
     """The target whose answer caused the refusal, if any; for logs."""
+    trait: str = ""
+    """The trait of the prompt that caused the refusal, if any; for logs."""
 
     def as_unknown(self) -> "Refusal":
         """Return the refusal for a request that may have run already."""
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -37,6 +37,7 @@
 from runhatch_server.targets._stream import (
     EventEndDetector,
     EventSplitter,
+    EventTooLongError,
     has_data,
     is_terminal_event,
     parse_event_data,
@@ -53,6 +54,7 @@
     "EngineReport",
     "EventEndDetector",
     "EventSplitter",
+    "EventTooLongError",
     "LoadedUnit",
     "NotSent",
     "OpenAnswer",
--- a/packages/runhatch-server/tests/test_gateway_run.py
+++ b/packages/runhatch-server/tests/test_gateway_run.py
@@ -16,7 +16,7 @@
 from run_cases import ScriptedForwarder, ScriptedVersions, make_answer
 
 from runhatch_server.crashes import CrashDetector
-from runhatch_server.decisions import TriedTargets
+from runhatch_server.decisions import ObservedEnd, TriedTargets
 from runhatch_server.gateway import RetryBounds
 from runhatch_server.gateway._answers import CompleteAnswer
 from runhatch_server.gateway._budget import WindowedRetryBudget
@@ -189,6 +189,84 @@
         assert crashes.recheck_requested.is_set() is not is_framed
 
 
+class TestHeldPrompt:
+    """Requests whose prompts have a part under which targets ended."""
+
+    TRAIT = "part:x"
+
+    def run_request(self, clock, results, during_acquire=lambda: None):
+        """Run a request with ``TRAIT``; return outcome, crash detector, balancer."""
+        target = make_target("t0")
+        balancer = make_balancer(make_directory(clock, target), clock)
+        acquire = balancer.acquire
+
+        def acquire_late(*arguments):
+            during_acquire()
+            return acquire(*arguments)
+
+        balancer.acquire = acquire_late
+        metrics = Metrics()
+        parts = RunParts(
+            balancer,
+            ScriptedForwarder(results),
+            RequestRecorder(metrics, clock),
+            self.crashes,
+            clock,
+            ScriptedVersions(),
+        )
+        route = make_route(IDEMPOTENT)
+        request = replace(make_request(clock, route), traits=(self.TRAIT,))
+        budget = WindowedRetryBudget(RetryBounds(0.0, 0, seconds(10)), clock)
+        outcome = RequestRun(parts, request, budget, never_disconnected).answer()
+        return outcome, parts.forwarder, balancer
+
+    def hold(self, clock):
+        for name in ("a", "b"):
+            end = ObservedEnd(self.TRAIT, name, clock.elapsed())
+            self.crashes.receive_ends([end])
+            clock.advance(seconds(1))
+
+    @pytest.fixture(autouse=True)
+    def crashes(self, clock):
+        self.crashes = CrashDetector(clock, FakeTargets(), Metrics(), lambda: None)
+
+    def test_request_that_waited_meanwhile_is_not_sent(self, clock):
+        """It may have waited seconds for a model whose targets just ended."""
+        refusal, forwarder, balancer = self.run_request(
+            clock, [make_answer()], lambda: self.hold(clock)
+        )
+
+        assert refusal.reason is Reason.PROMPT_CRASHES_TARGETS
+        assert refusal.executed is Executed.NO
+        assert forwarder.targets == []
+        assert not balancer.loads.count_own("t0")
+
+    def test_complete_answer_clears_the_part(self, clock):
+        self.hold(clock)
+        clock.advance(seconds(60))
+        answer, _, _ = self.run_request(clock, [make_answer()])
+
+        assert answer.status == 200
+        assert self.crashes.check_request("other", (self.TRAIT,), "key") is None
+        assert self.crashes.check_request("other", (self.TRAIT,), "key 2") is None
+
+    def test_broken_trial_is_not_repeated(self, clock):
+        self.hold(clock)
+        clock.advance(seconds(60))
+        refusal, forwarder, _ = self.run_request(clock, [BROKEN, make_answer()])
+
+        assert refusal.executed is Executed.UNKNOWN
+        assert len(forwarder.targets) == 1
+
+    def test_rejected_trial_is_repeated_with_another_request(self, clock):
+        self.hold(clock)
+        clock.advance(seconds(60))
+        self.run_request(clock, [BUSY])
+        answer, _, _ = self.run_request(clock, [make_answer()])
+
+        assert answer.status == 200
+
+
 class TestBrokenConnection:
     """A target whose connection breaks is probed, so that other requests avoid it."""
 
--- a/packages/runhatch-server/tests/test_resumed_streams.py
+++ b/packages/runhatch-server/tests/test_resumed_streams.py
@@ -42,6 +42,9 @@
     def __init__(self, parts):
         self._parts = list(parts)
         self.resumed_after = []
+        self.first_events = 0
+        self.broken_begun = []
+        """For each broken attempt, whether its target had sent an event."""
 
     def resume(self, after):
         self.resumed_after.append(after)
@@ -52,8 +55,11 @@
     def record_begun(self, grant):
         pass
 
-    def record_no_answer(self, grant, reason):
-        pass
+    def record_first_event(self, grant):
+        self.first_events += 1
+
+    def record_no_answer(self, grant, reason, has_begun):
+        self.broken_begun.append(has_begun)
 
 
 def relay_parts(clock, first, *others):
@@ -163,3 +169,32 @@
             b"".join(EVENTS),
             True,
         )
+
+
+class TestFirstEvent:
+    """Crash detection needs to know which targets had begun to answer."""
+
+    @pytest.mark.parametrize(
+        ("pieces", "has_begun"),
+        [
+            ((), False),
+            ((b": wait\n\n",), False),
+            ((EVENTS[0][:9],), False),
+            ((EVENTS[0],), True),
+            ((EVENTS[0][:9], EVENTS[0][9:]), True),
+            ((EVENTS[0] + EVENTS[1][:3], EVENTS[1][3:]), True),
+            ((EVENTS[0] + EVENTS[1][:3],), True),
+        ],
+    )
+    def test_event_with_data_begins_an_answer(self, clock, pieces, has_begun):
+        _, _, resumer = relay_parts(clock, PartConnection(*pieces, breaks=True))
+
+        assert resumer.broken_begun == [has_begun]
+        assert resumer.first_events == int(has_begun)
+
+    def test_each_target_of_a_resumed_stream_begins_anew(self, clock):
+        """The next target may crash before its first event."""
+        first = PartConnection(EVENTS[0], breaks=True)
+        _, _, resumer = relay_parts(clock, first, PartConnection(breaks=True))
+
+        assert resumer.broken_begun == [True, False]
--- a/packages/runhatch-server/tests/test_suspect_exchange.py
+++ b/packages/runhatch-server/tests/test_suspect_exchange.py
@@ -44,6 +44,9 @@
     def record_end(self, target):
         self.watch.receive_ends([ObservedEnd("x", target, self.clock.elapsed())])
 
+    def record_trait_end(self, target):
+        self.watch.receive_ends([ObservedEnd("part:x", target, self.clock.elapsed())])
+
     @property
     def known(self):
         return {end.target for end in self.watch.known_ends()}
@@ -107,3 +110,42 @@
         run_rounds(ring, 8)
 
         assert all(node.watch.take_updates() == ([], []) for node in ring)
+
+    def test_beginning_of_an_answer_clears_a_trait_on_all_nodes(self, ring, clock):
+        ring[0].record_trait_end("t")
+        run_rounds(ring, 4)
+        assert all(node.known == {"t"} for node in ring)
+        clock.advance(seconds(1))
+        ring[3].watch.traits.record_begun(("part:x",))
+        run_rounds(ring, 4)
+
+        assert not any(node.known for node in ring)
+
+    def test_node_that_missed_the_beginning_catches_up(self, ring, clock):
+        """Its older end is not recorded again by the others, which reply to it."""
+        ring[2].record_trait_end("t")
+        run_rounds(ring, 4)
+        ring[2].is_disconnected = True
+        clock.advance(seconds(1))
+        ring[5].watch.traits.record_begun(("part:x",))
+        run_rounds(ring, 4)
+        assert ring[2].known == {"t"}
+        ring[2].is_disconnected = False
+        for _ in range(3):
+            for node in ring:
+                node.exchange.send_digest()
+            run_rounds(ring, 4)
+
+        assert not any(node.known for node in ring)
+
+    def test_end_after_the_beginning_is_kept(self, ring, clock):
+        """Messages carry ages, so that a late one does not clear a newer end."""
+        ring[0].record_trait_end("t0")
+        run_rounds(ring, 4)
+        clock.advance(seconds(1))
+        ring[3].watch.traits.record_begun(("part:x",))
+        clock.advance(seconds(1))
+        ring[0].record_trait_end("t1")
+        run_rounds(ring, 6)
+
+        assert all(node.known == {"t1"} for node in ring)
