Send no requests to targets found to have ended

Callers saw: after a target crashed, requests for its models were refused as targets_busy, Retry-After 0.25 s, for the 3.3 s until its entry left the store.

Cause: KnownTargets.record_end did nothing, and neither did an end reported by a peer, so what is known of an end was used neither in choosing targets, nor by the orderer, nor in what callers were told.

Change: the directory takes an ended target from its ready ones, on all nodes, so that its models count as missing and are loaded elsewhere. The reporting nodes may be cut off from a target that runs, so each node probes it; a probe that connects, or an answer, makes it ready again. After 30 s the entry in the store decides.

Evidence: 20 requests after both holders of a model had crashed made 100 connects that failed; the new test of real gateways failed with that before and has none now.

--- a/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
@@ -51,8 +51,8 @@
     def refuses_connections(self, target: str) -> bool:
         """Return whether the address of ``target`` refuses connections."""
 
-    def record_end(self, target: str) -> None:
-        """Record that ``target`` has ended; a restart is another incarnation."""
+    def record_end(self, target: str, at: timedelta) -> None:
+        """Record that ``target`` ended at ``at``; a restart is another incarnation."""
 
 
 class CrashDetector:
@@ -259,7 +259,7 @@
             self._new_ends += [*ends, *trait_ends]
             probe = self._probes.setdefault(target, _Probe())
             was_ended, probe.ended = probe.ended, True
-        self._targets.record_end(target)
+        self._targets.record_end(target, now)
         if not ends and not trait_ends:
             return
         if not was_ended:
@@ -286,6 +286,8 @@
                 self._clock.elapsed(),
             )
             self._new_ends += [*request_ends, *trait_ends]
+        for target, at in {end.target: end.at for end in ends}.items():
+            self._targets.record_end(target, at)
         self._log_held(request_ends, source)
         if request_ends or trait_ends:
             self._notify_updates()
--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -35,6 +35,9 @@
 DRAINING_RETENTION = timedelta(minutes=10)
 """Time for which an announced drain is remembered: the target's entry may expire in an
 outage of the store and come back with the state ``ready`` as last written."""
+ENDED_RETENTION = timedelta(seconds=30)
+"""Time for which a target that was found to have ended gets no requests although the
+store lists it. Its entry expires within seconds, or later if the store is slow."""
 CORRECTION_VALIDITY = timedelta(milliseconds=120)
 """Time for which a target that answered that it lacks a model gets no requests for it,
 unless the orderer reports on the target: an adapter may be loaded within some ten
@@ -74,6 +77,10 @@
         self._missing_until: dict[str, timedelta] = {}
         self._draining: dict[str, timedelta] = {}
         """Time of the announcement that it drains, by incarnation."""
+        self._ended: dict[str, timedelta] = {}
+        """Time of the end by incarnation, of targets that nodes found to have ended."""
+        self._reached: dict[str, timedelta] = {}
+        """Time at which a target was reached that had been found to have ended."""
         self._removed: dict[str, timedelta] = {}
         """Time of the removal, by incarnation."""
         self._ignored_entries: dict[str, tuple[Target, timedelta]] = {}
@@ -153,6 +160,9 @@
             if expired or remaining:
                 self._rebuild()
             self._delete_unlisted_reports(now)
+            if _delete_older(self._ended, now - ENDED_RETENTION):
+                self._rebuild()
+            _delete_older(self._reached, now - ENDED_RETENTION)
             _delete_older(self._draining, now - DRAINING_RETENTION)
             _delete_older(self._removed, now - REMOVED_RETENTION)
 
@@ -199,6 +209,31 @@
                 self._rebuild()
         return True
 
+    def record_end(self, incarnation: str, at: timedelta) -> bool:
+        """Record that a target ended at ``at``, long before its entry expires.
+
+        It is not ready until it is reached again. Returns whether this was not known.
+        """
+        with self.update_condition:
+            is_old = at <= self._clock.elapsed() - ENDED_RETENTION
+            # Nodes repeat old reports to those that missed them.
+            is_refuted = at <= self._reached.get(incarnation, at - ENDED_RETENTION)
+            if is_old or is_refuted or incarnation in self._ended:
+                return False
+            self._ended[incarnation] = at
+            self._rebuild()
+        return True
+
+    def record_reached(self, incarnation: str) -> None:
+        """Record that a target answers or accepts connections, so it has not ended."""
+        if incarnation not in self._ended:
+            return
+        with self.update_condition:
+            self._ended.pop(incarnation, None)
+            self._reached[incarnation] = self._clock.elapsed()
+            self._rebuild()
+        log_change("target_reached", target=incarnation)
+
     def record_missing_model(self, target: str, model: str, adapter: str) -> None:
         """Record that ``target`` answered that it does not hold ``model``."""
         with self.update_condition:
@@ -364,7 +399,7 @@
         }
         self._ready = defaultdict(dict)
         for target in sorted(self._targets.values(), key=lambda each: each.incarnation):
-            if target.is_ready:
+            if self._accepts_requests(target):
                 updated = replace(target, held=self._newest_held(target))
                 self._ready[target.service][target.incarnation] = updated
         self._by_service = {
@@ -377,7 +412,7 @@
         services = set()
         for incarnation in incarnations:
             target = self._by_incarnation.get(incarnation)
-            if target is not None and target.is_ready:
+            if target is not None and self._accepts_requests(target):
                 updated = replace(target, held=self._newest_held(target))
                 self._ready[target.service][incarnation] = updated
                 services.add(target.service)
@@ -385,6 +420,9 @@
             self._by_service[service] = tuple(self._ready[service].values())
         self.update_condition.notify_all()
 
+    def _accepts_requests(self, target: Target) -> bool:
+        return target.is_ready and target.incarnation not in self._ended
+
     def _newest_held(self, target: Target) -> HeldModels:
         report = self._reports.get(target.incarnation)
         if (
@@ -395,9 +433,12 @@
         return report.held
 
 
-def _delete_older(times: dict[str, timedelta], earliest: timedelta) -> None:
-    for name in [name for name, at in times.items() if at <= earliest]:
+def _delete_older(times: dict[str, timedelta], earliest: timedelta) -> bool:
+    """Delete the entries with older times; return whether there were any."""
+    older = [name for name, at in times.items() if at <= earliest]
+    for name in older:
         del times[name]
+    return bool(older)
 
 
 def _to_seconds(duration: timedelta | None) -> float | None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -195,6 +195,7 @@
 
     def record_first_byte(self, grant: Grant) -> None:
         """Record that the first byte of the answer has arrived."""
+        self._directory.record_reached(grant.target.incarnation)
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_known_targets.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_known_targets.py
@@ -1,6 +1,7 @@
 """Discovered targets, as seen by crash detection."""
 
 from collections.abc import Callable
+from datetime import timedelta
 
 from runhatch_server.crashes import TargetStanding
 from runhatch_server.fleet import TargetDirectory
@@ -12,7 +13,7 @@
     :class:`runhatch_server.crashes.TargetMonitor`.
 
     ``is_confirmed`` returns whether a refusal of connections from here means that a
-    target has ended.
+    target has ended, ``request_probe`` has a target probed from here.
     """
 
     def __init__(
@@ -20,10 +21,12 @@
         directory: TargetDirectory,
         pool: ConnectionPool,
         is_confirmed: Callable[[str], bool],
+        request_probe: Callable[[str], None],
     ) -> None:
         self._directory = directory
         self._pool = pool
         self._is_confirmed = is_confirmed
+        self._request_probe = request_probe
 
     def standing(self, target: str) -> TargetStanding:
         """Return the standing of ``target`` in the directory."""
@@ -46,5 +49,8 @@
         known = self._directory.get(target)
         return None if known is None else self._pool.probe_refusal_of(known)
 
-    def record_end(self, target: str) -> None:
-        """Do nothing: each incarnation has its own entry."""
+    def record_end(self, target: str, at: timedelta) -> None:
+        """Send ``target`` no requests, unless a probe from here reaches it."""
+        if self._directory.record_end(target, at):
+            # A node that reported the end may be cut off from a running target.
+            self._request_probe(target)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -129,6 +129,7 @@
             self._directory,
             self._pool,
             lambda target: self._peers.refusals.is_confirmed(target),
+            self._balancer.paths.record_broken,
         )
         self._crashes = CrashDetector(
             self._clock,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
@@ -134,6 +134,8 @@
                     load.record_connect_failure(now)
                     self._is_any_failing = True
         for target, result in zip(due, results, strict=True):
+            if result is Probed.ACCEPTED:
+                self._directory.record_reached(target.incarnation)
             is_broken = target.incarnation in broken
             if result is Probed.SILENT or (result is Probed.REFUSED and is_broken):
                 # Packets of open connections are lost or reset too.
--- a/packages/runhatch-server/src/runhatch_server/serving/_target_incarnations.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_target_incarnations.py
@@ -1,6 +1,7 @@
 """Identifies incarnations of declared targets for the crash watch."""
 
 import threading
+from datetime import timedelta
 from urllib.parse import urlsplit
 
 from runhatch_server.crashes import TargetStanding
@@ -39,7 +40,7 @@
             return False
         return refuses_connections(parts.hostname, parts.port)
 
-    def record_end(self, target: str) -> None:
+    def record_end(self, target: str, at: timedelta) -> None:
         """Record the end of an incarnation; the next one gets another id."""
         target_name = _target_of(target)
         with self._lock:
--- a/packages/runhatch-server/tests/gateway_cases.py
+++ b/packages/runhatch-server/tests/gateway_cases.py
@@ -110,7 +110,7 @@
         self.check_count += 1
         return target in self.refusing
 
-    def record_end(self, target):
+    def record_end(self, target, at):
         self.ended_targets.append(target)
 
 
--- a/packages/runhatch-server/tests/test_attempts.py
+++ b/packages/runhatch-server/tests/test_attempts.py
@@ -1,6 +1,7 @@
 """Tests of attempts: which outcomes are retried, how often and on which targets."""
 
 import socket
+from datetime import timedelta
 
 import pytest
 from server_cases import make_request
@@ -187,9 +188,9 @@
         """A repeated report of the same end does not change the id again."""
         lives = TargetIncarnations("n1")
         first = lives.current_id("w0", "http://127.0.0.1:1")
-        lives.record_end(first)
+        lives.record_end(first, timedelta())
         second = lives.current_id("w0", "http://127.0.0.1:1")
-        lives.record_end(first)
+        lives.record_end(first, timedelta())
 
         assert first != second
         assert lives.current_id("w0", "http://127.0.0.1:1") == second
--- a/packages/runhatch-server/tests/test_crashes.py
+++ b/packages/runhatch-server/tests/test_crashes.py
@@ -27,6 +27,10 @@
     return True
 
 
+def make_known_targets(clock, directory, is_confirmed=always, request_probe=always):
+    return KnownTargets(directory, ConnectionPool(clock), is_confirmed, request_probe)
+
+
 class WatchCase:
     """A :class:`CrashDetector` over fake targets."""
 
@@ -179,6 +183,11 @@
         assert cleared == []
         assert case.watch.take_updates() == ([], [])
 
+    def test_targets_that_ended_elsewhere_are_known(self, clock, case):
+        case.watch.receive_ends([ObservedEnd("x", "elsewhere", clock.elapsed())])
+
+        assert case.targets.ended_targets == ["elsewhere"]
+
     def test_only_new_ends_from_peers_are_forwarded(self, clock, case):
         end = ObservedEnd("x", "elsewhere", clock.elapsed())
         case.watch.receive_ends([end])
@@ -217,12 +226,12 @@
         clock.advance(seconds(5))
         value = None if state is None else replace(target, state=state)
         directory.apply_entries((Entry(target.name, value),))
-        known = KnownTargets(directory, ConnectionPool(clock), always)
+        known = make_known_targets(clock, directory)
 
         assert known.standing("t1") is standing
 
     def test_unknown_target_does_not_count_as_refusing(self, clock):
-        known = KnownTargets(make_directory(clock), ConnectionPool(clock), always)
+        known = make_known_targets(clock, make_directory(clock))
 
         assert not known.refuses_connections("t1")
         assert known.probe_refusal("t1") is None
@@ -238,14 +247,28 @@
             asked.append(name)
             return is_confirmed
 
-        known = KnownTargets(
-            make_directory(clock, target), ConnectionPool(clock), confirm
-        )
+        known = make_known_targets(clock, make_directory(clock, target), confirm)
 
         assert known.probe_refusal("t1") is True
         assert known.refuses_connections("t1") is is_confirmed
         assert asked == ["t1"]
 
+    def test_ended_target_gets_no_requests_until_it_is_reached(self, clock):
+        """Its entry stays in the store for seconds; requests for its model would fail
+        to connect and be refused, and no other target would load the model."""
+        directory = make_directory(clock, make_target())
+        probed = []
+        known = make_known_targets(clock, directory, request_probe=probed.append)
+        known.record_end("t1", clock.elapsed())
+
+        assert directory.holders("engine", "m0", "") == []
+        assert probed == ["t1"]
+        # Later requests that were in progress at it are still attributed to its end.
+        assert known.standing("t1") is TargetStanding.RUNNING
+        directory.record_reached("t1")
+        known.record_end("t1", clock.elapsed())
+        assert len(directory.holders("engine", "m0", "")) == 1
+
 
 class TestUnframedAnswer:
     """Answers that end with their connection, as they do if the target ends."""
--- a/packages/runhatch-server/tests/test_target_paths.py
+++ b/packages/runhatch-server/tests/test_target_paths.py
@@ -76,6 +76,35 @@
     return lambda count: ProbedTargets(clock, monkeypatch, count)
 
 
+class TestEndedTargets:
+    """Targets that other nodes reported as ended are probed from here."""
+
+    @pytest.mark.parametrize(
+        ("outcome", "is_ready"),
+        [(Probed.ACCEPTED, True), (Probed.REFUSED, False), (Probed.SILENT, False)],
+    )
+    def test_reached_one_gets_requests_again(self, build, outcome, is_ready):
+        targets = build(2)
+        targets.outcomes["t0"] = outcome
+        targets.directory.record_end("t0", targets.clock.elapsed())
+        targets.paths.record_broken("t0")
+        assert "t0" in targets.probe()
+        ready = [t.name for t in targets.directory.ready_targets("engine")]
+
+        assert ("t0" in ready) == is_ready
+
+    def test_answer_shows_that_it_runs(self, build):
+        targets = build(2)
+        grant = targets.balancer.acquire(
+            make_request(targets.clock), TriedTargets(), never_disconnected
+        )
+        name = grant.target.name
+        targets.directory.record_end(name, targets.clock.elapsed())
+        targets.balancer.record_first_byte(grant)
+
+        assert len(targets.directory.ready_targets("engine")) == 2
+
+
 class TestLackingPaths:
     """Whether requests can reach a target with their model."""
 
--- a/standins/tests/test_gateway_crashes.py
+++ b/standins/tests/test_gateway_crashes.py
@@ -7,6 +7,7 @@
 """
 
 import http.client
+import json
 import time
 from contextlib import ExitStack
 
@@ -76,7 +77,7 @@
         assert set(send_to_nodes_in_turn(system, "/plain/sound", "GET", 6)) == {200}
 
 
-def send_prompts_in_turn(system, prompts):
+def send_prompts_in_turn(system, prompts, model="m0"):
     """Send a stream with each of ``prompts`` to the nodes in turn; return statuses."""
     statuses = []
     for number, parts in enumerate(prompts):
@@ -88,7 +89,7 @@
                 f"/stream/{number}",
                 "POST",
                 gate=number % len(system.gateways),
-                model="m0",
+                model=model,
                 **headers,
             )
             statuses.append(response.status)
@@ -134,3 +135,45 @@
 
         assert crashed <= MAX_CRASHED
         assert statuses_of_sound.count(200) >= MIN_SERVED_SHARE * len(statuses_of_sound)
+
+
+CONNECT_FAILED = "not_sent_connect_failed"
+NOTIFICATION_SECONDS = 0.5
+"""Time in which all nodes learn that a target has ended."""
+
+
+def count_failed_connects(system):
+    """Return how many attempts of requests failed to connect, over all nodes."""
+    records = [
+        json.loads(line[line.index("{") :])
+        for gate in system.gateways
+        for line in gate.process.lines
+        if '"message_type": "request"' in line
+    ]
+    attempts = [attempt for each in records for attempt in each["attempts"]]
+    return sum(attempt.endswith(CONNECT_FAILED) for attempt in attempts)
+
+
+class TestEndedTargets:
+    """Targets that ended, whose entries are in the store for some seconds more."""
+
+    @pytest.fixture
+    def system(self, tmp_path):
+        with ExitStack() as stack:
+            system = GatewaySystem(stack, tmp_path)
+            system.start_gateway("n3")
+            # No other engine can load the model, so each request asks for these two.
+            for target in system.engines:
+                call(target.url, "POST", "/faults", {"ends_on_part": "crashing"})
+            time.sleep(1)
+            yield system
+
+    def test_they_get_no_further_requests_from_any_node(self, system):
+        send_prompts_in_turn(system, [("crashing",)] * 2, "m1")
+        assert all(t.process.poll() is not None for t in system.engines)
+        time.sleep(NOTIFICATION_SECONDS)
+        before = count_failed_connects(system)
+        send_prompts_in_turn(system, [("sound",)] * 20, "m1")
+        time.sleep(NOTIFICATION_SECONDS)
+
+        assert count_failed_connects(system) == before
