Hold prompts that crash declared targets by their first blocks

The own interface kept what crashed targets by the fingerprint of a whole request too, so different requests that begin with the same text would have ended one engine after the other.

A request has a trait for each block of its prompt, whose names cover the model and all text before. A relayed event or a complete answer clears them, a request that waited for a slot is checked again, and the node of highest rank sends trials.

The tests need the new traits of a request's context, so they do not run on the code before. Run: tests of attempts, dispatch and peer service, and the stand-ins' engine and stream tests.

--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -26,7 +26,12 @@
     RevisionFollower,
     parse_deployment,
 )
-from runhatch_server.crashes import CHECK_INTERVAL, DIGEST_INTERVAL, CrashDetector
+from runhatch_server.crashes import (
+    CHECK_INTERVAL,
+    DIGEST_INTERVAL,
+    CrashDetector,
+    TrialOwner,
+)
 from runhatch_server.external_services import ExternalServices
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, TraceLog, log_change
@@ -84,6 +89,7 @@
             target_incarnations,
             self._metrics,
             lambda: self._peers.suspect_exchange.send_updates(),
+            TrialOwner(self._membership, self._clock).owns,
         )
         self._callers = CallerSide(
             settings,
--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -30,7 +30,11 @@
 from runhatch_server.decisions._load_book import LoadBook
 from runhatch_server.decisions._peer_choice import PeerChoice, Work
 from runhatch_server.decisions._prefixes import PrefixIndex, prefix_blocks
-from runhatch_server.decisions._prompt_traits import compute_traits, is_trait
+from runhatch_server.decisions._prompt_traits import (
+    compute_traits,
+    is_trait,
+    make_block_traits,
+)
 from runhatch_server.decisions._rate_limits import (
     MIN_RATE,
     LimitedTarget,
@@ -108,6 +112,7 @@
     "ObservedLimit",
     "LoadBook",
     "LoadShare",
+    "make_block_traits",
     "ModelWork",
     "bucket_capacity",
     "NoCandidates",
--- a/packages/runhatch-server/src/runhatch_server/decisions/_prompt_traits.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_prompt_traits.py
@@ -16,6 +16,7 @@
 SCOPE_SEPARATOR = ":"
 """Separates a trait's scope from its hash; no fingerprint contains it."""
 ANY_MODEL, ONE_MODEL, ONE_ADAPTER, PREFIX = "part", "part-model", "part-one", "prefix"
+BLOCK = "block"
 
 
 def compute_traits(work: ModelWork | None) -> tuple[str, ...]:
@@ -44,6 +45,17 @@
     return tuple(dict.fromkeys(traits))
 
 
+def make_block_traits(blocks: Iterable[str]) -> tuple[str, ...]:
+    """Return the traits of a prompt whose text is divided into ``blocks``.
+
+    The name of a block covers the model and all text up to the end of the block.
+
+    >>> make_block_traits(["1a"])
+    ('block:1a',)
+    """
+    return tuple(f"{BLOCK}{SCOPE_SEPARATOR}{name}" for name in blocks)
+
+
 def is_trait(name: str) -> bool:
     """Return whether ``name`` is a trait; otherwise it is a fingerprint."""
     return SCOPE_SEPARATOR in name
--- a/packages/runhatch-server/src/runhatch_server/serving/_attempts.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_attempts.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from runhatch_coordination import Clock, RetryBudget
@@ -51,6 +51,12 @@
     last_target_url: str = ""
     target_incarnation: str = ""
     """Incarnation of the target of the latest attempt."""
+    traits: tuple[str, ...] = ()
+    """What its prompt may have in common with those of other requests."""
+    has_begun: bool = False
+    """Whether the latest attempt's target has sent an event."""
+    trial_key: object = field(default_factory=object)
+    """Identifies the request among those that try held traits."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,18 +98,20 @@
     def open_answer(self, context: RequestContext) -> OpenedAnswer | Refusal:
         """Return an answer that has started, or a refusal once no retry is allowed."""
         while True:
-            crash_refusal = self._crashes.check_request(context.fingerprint)
+            crash_refusal = self._check_suspicion(context)
             if crash_refusal is not None:
-                return (
-                    crash_refusal.as_unknown()
-                    if context.may_have_run
-                    else crash_refusal
-                )
+                return crash_refusal
             grant = self._dispatcher.acquire(
                 context.request, context.failed_targets, context.failed_domains
             )
             if isinstance(grant, Refusal):
+                self._crashes.traits.record_request_end(context.trial_key)
                 return grant.as_unknown() if context.may_have_run else grant
+            # Targets may have ended under requests like this one while it waited.
+            crash_refusal = self._check_suspicion(context)
+            if crash_refusal is not None:
+                self._dispatcher.release_unused(grant)
+                return crash_refusal
             opened = self._attempt(context, grant)
             if isinstance(opened, OpenedAnswer):
                 return opened
@@ -118,11 +126,19 @@
         self._dispatcher.release_completed(
             opened.grant, opened.time_to_first_byte, opened.answer.load
         )
+        self.record_begun(context)
         self._crashes.record_answer(
             context.fingerprint, context.target_incarnation, opened.grant.granted_at
         )
+        self._crashes.traits.record_request_end(context.trial_key)
         opened.answer.close()
 
+    def record_begun(self, context: RequestContext) -> None:
+        """Record that the target of the latest attempt began its answer."""
+        if not context.has_begun:
+            context.has_begun = True
+            self._crashes.traits.record_begun(context.traits)
+
     def handle_failure(
         self,
         context: RequestContext,
@@ -139,9 +155,14 @@
         if isinstance(outcome, UnknownResult):
             context.may_have_run = True
             self._record_possible_crash(context, outcome.reason)
+        else:
+            self._crashes.traits.record_not_run(context.trial_key)
         context.failed_targets |= {grant.host.target}
         context.failed_domains |= {grant.host.failure_domain}
-        return self._refuse_or_back_off(context, outcome)
+        refusal = self._refuse_or_back_off(context, outcome)
+        if refusal is not None:
+            self._crashes.traits.record_request_end(context.trial_key)
+        return refusal
 
     def record_abandoned(
         self, context: RequestContext, grant: Grant, outcome: UnknownResult
@@ -151,11 +172,23 @@
         self._record_possible_crash(context, outcome.reason)
         self._dispatcher.release_failed(grant, outcome)
         self._record_attempt(context, grant, outcome.reason.value)
+        self._crashes.traits.record_request_end(context.trial_key)
+
+    def _check_suspicion(self, context: RequestContext) -> Refusal | None:
+        """Return a refusal if requests like this one have crashed targets."""
+        refusal = self._crashes.check_request(
+            context.fingerprint, context.traits, context.trial_key
+        )
+        if refusal is not None and context.may_have_run:
+            return refusal.as_unknown()
+        return refusal
 
     def _attempt(
         self, context: RequestContext, grant: Grant
     ) -> OpenedAnswer | NotSent | RefusedNotRun | UnknownResult:
         context.attempts += 1
+        context.has_begun = False
+        self._crashes.traits.record_sent(context.trial_key)
         context.last_target_url = grant.host.url
         context.target_incarnation = self._lives.current_id(
             grant.host.target, grant.host.url
@@ -174,7 +207,12 @@
     ) -> None:
         """Report a broken connection, which may mean that the target crashed."""
         if reason is AttemptReason.CONNECTION_BROKEN:
-            self._crashes.record_abort(context.fingerprint, context.target_incarnation)
+            self._crashes.record_abort(
+                context.fingerprint,
+                context.target_incarnation,
+                () if context.has_begun else context.traits,
+                context.has_begun,
+            )
 
     def _refuse_or_back_off(
         self,
--- a/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
@@ -200,6 +200,11 @@
             self._prefixes.record_blocks(grant.host.target, grant.prefix)
             self._return_slot(state, grant)
 
+    def release_unused(self, grant: Grant) -> None:
+        """Return the slot of a request that is not to be sent any more."""
+        with self._lock:
+            self._return_slot(self._state_of(grant.host), grant)
+
     def release_failed(
         self, grant: Grant, outcome: NotSent | RefusedNotRun | UnknownResult
     ) -> None:
--- a/packages/runhatch-server/src/runhatch_server/serving/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_relay.py
@@ -116,6 +116,7 @@
             event = self._ready_events.pop(0)
             self._last_event_id = parse_event_id(event) or self._last_event_id
             self.events.append(event)
+            self._attempter.record_begun(self._context)
             yield event
 
     def _read_events(self) -> AttemptReason | None:
--- a/packages/runhatch-server/src/runhatch_server/serving/_request.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_request.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from runhatch_server.decisions import compute_fingerprint
+from runhatch_server.decisions import compute_fingerprint, make_block_traits
 
 
 class RouteKind(Enum):
@@ -58,6 +58,14 @@
         content = msgspec.json.encode(self.document) if self.is_model else self.body
         return compute_fingerprint(self.method, str(self.route), self.path, content)
 
+    @property
+    def traits(self) -> tuple[str, ...]:
+        """What its prompt may have in common with those of other requests.
+
+        See :func:`make_block_traits`.
+        """
+        return make_block_traits(self.prefix_blocks)
+
     @property
     def is_model(self) -> bool:
         """Whether the request goes to a model engine."""
--- a/packages/runhatch-server/src/runhatch_server/serving/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_service.py
@@ -253,7 +253,14 @@
         )
         # A run that can't be repeated is finished and recorded without its caller.
         is_caller_gone = caller_gone if request.idempotent else _never_gone
-        return RequestContext(request, request.fingerprint, trace, log, is_caller_gone)
+        return RequestContext(
+            request,
+            request.fingerprint,
+            trace,
+            log,
+            is_caller_gone,
+            traits=request.traits,
+        )
 
 
 def _never_gone() -> bool:
--- a/packages/runhatch-server/tests/test_attempts.py
+++ b/packages/runhatch-server/tests/test_attempts.py
@@ -8,6 +8,7 @@
 
 from runhatch_coordination import RetryBudget, SystemClock
 from runhatch_server.crashes import CrashDetector
+from runhatch_server.decisions._suspect_traits import MOMENT_DURATION
 from runhatch_server.observability import (
     Metrics,
     RequestLog,
@@ -181,6 +182,62 @@
         assert client.urls == []
 
 
+class TestCrashingPrompt:
+    """Different requests whose prompts begin alike, and which crash engines."""
+
+    TRAITS = ("block:a", "block:b")
+    TARGETS = ("w0", "w1", "w2")
+
+    def open_in_turn(self, picture, crashes, count):
+        """Open ``count`` requests at different moments; return the client."""
+        clock = SystemClock()
+        client = ScriptedClient([BROKEN])
+        dispatcher = Dispatcher(picture, clock, "d0", 8, 0.5, seed=1)
+        attempter = Attempter(
+            dispatcher,
+            client,
+            picture,
+            RetryBudget(),
+            Metrics(),
+            clock,
+            lambda target: None,
+            crashes,
+            crashes._targets,
+            1,
+        )
+        refusals = []
+        for index in range(count):
+            request = make_request(f"r{index}")
+            object.__setattr__(request, "idempotent", False)
+            trace = RequestTrace("r", "m", "c", 3, clock.now())
+            log = RequestLog("r", "m", "c")
+            context = RequestContext(
+                request, f"x{index}", trace, log, lambda: False, traits=self.TRAITS
+            )
+            refusals.append(attempter.open_answer(context))
+            clock.sleep(MOMENT_DURATION)
+        return refusals, client
+
+    def test_two_targets_end_at_most(self, picture):
+        crashes = make_crash_watch(SystemClock(), FakeTargetLives(*self.TARGETS))
+
+        refusals, client = self.open_in_turn(picture, crashes, 5)
+
+        assert len(client.urls) == 2
+        assert [refusal.reason for refusal in refusals[2:]] == [
+            Reason.PROMPT_CRASHES_TARGETS
+        ] * 3
+
+    def test_begun_answer_clears_the_prompt(self, picture):
+        crashes = make_crash_watch(SystemClock(), FakeTargetLives(*self.TARGETS))
+        self.open_in_turn(picture, crashes, 1)
+        crashes.traits.record_begun(self.TRAITS)
+        _, client = self.open_in_turn(picture, crashes, 1)
+
+        assert len(client.urls) == 1
+        assert crashes.check_request("x", self.TRAITS) is None
+
+
 class TestTargetLives:
     """Ids of the incarnations of a declared target."""
 
