Crash targets by parts of prompts in the gateway soak

No soak could end targets under a part of a prompt. KINDS=prompts starts a service whose targets do so and start anew, sends prompts with the part and sound ones that share the others, and ends, pauses and reloads gateways meanwhile.

--- a/standins/src/runhatch_standins/_gateway_faults.py
+++ b/standins/src/runhatch_standins/_gateway_faults.py
@@ -39,6 +39,7 @@
     RELEASED_CLOSES = "target of replaced service closes streams"
     RELEASED_RESETS = "target of replaced service resets streams"
     BRITTLE_LOAD = "load beyond room of brittle targets"
+    CRASHING_PROMPTS = "prompts with a part that crashes targets"
 
 
 FIRST_KINDS = tuple(GatewayFault)[:17]
@@ -78,6 +79,13 @@
     *[GatewayFault.BRITTLE_LOAD] * 5,
 )
 """Kinds that load brittle targets or end gateways."""
+PROMPT_KINDS = (
+    *GATEWAY_ENDS,
+    GatewayFault.RELOAD,
+    GatewayFault.CONFIGURATION,
+    *[GatewayFault.CRASHING_PROMPTS] * 5,
+)
+"""Kinds that crash targets by a part of prompts or end gateways."""
 KINDS = {
     "first": FIRST_KINDS,
     "all": ALL_KINDS,
@@ -86,6 +94,7 @@
     "partition": PARTITION_KINDS,
     "release": RELEASE_KINDS,
     "brittle": BRITTLE_KINDS,
+    "prompts": PROMPT_KINDS,
 }
 
 FOREIGN_ENTRIES: tuple[object, ...] = (
--- a/standins/src/runhatch_standins/_gateway_soak_run.py
+++ b/standins/src/runhatch_standins/_gateway_soak_run.py
@@ -25,6 +25,7 @@
 from runhatch_standins._history import Event, EventKind
 from runhatch_standins._order_checks import GivenOrder, given_orders
 from runhatch_standins._partitions import Partition, Try, cut_gateways
+from runhatch_standins._prompt_load import PromptLoad
 from runhatch_standins._releases import CALLERS as STREAM_CALLERS
 from runhatch_standins._releases import Releases
 from runhatch_standins._target_faults import TargetFaults
@@ -63,6 +64,7 @@
     target_faults: TargetFaults = field(default_factory=TargetFaults)
     releases: Releases | None = None
     brittle: BrittleLoad | None = None
+    prompts: PromptLoad | None = None
     _undisturbed: dict[str, float] = field(default_factory=dict)
     """Monotonic time since which a gateway was neither ended nor paused."""
     _kills: Counter[str] = field(default_factory=Counter)
@@ -73,7 +75,7 @@
     def run(self) -> None:
         """Send requests and inject faults for ``seconds``, then clear the faults."""
         names = [gate.name for gate in self.system.gateways]
-        names += ["store", "limits", "paths", "brittle"]
+        names += ["store", "limits", "paths", "brittle", "prompts"]
         self._locks = {name: threading.Lock() for name in names}
         started = time.monotonic()
         with ThreadPoolExecutor(64) as pool:
@@ -260,6 +262,13 @@
         with self._locks["brittle"]:
             self.brittle.run(planned.lasts)
 
+    def crash_by_prompts(self, planned: PlannedFault) -> None:
+        """Send prompts with a part that crashes targets, and sound ones beside them."""
+        assert self.prompts is not None
+        with self._locks["prompts"]:
+            if not self._stop.is_set():
+                self.prompts.run(planned.lasts, planned.subject, self._is_in_touch)
+
     def partition(self, planned: PlannedFault) -> None:
         """Cut some gateways, but not all, off from all targets."""
         assert self.system.paths is not None
@@ -338,4 +347,5 @@
     GatewayFault.RELEASED_CLOSES: lambda s, f: s.break_released(f, is_reset=False),
     GatewayFault.RELEASED_RESETS: lambda s, f: s.break_released(f, is_reset=True),
     GatewayFault.BRITTLE_LOAD: GatewaySoak.load_brittle,
+    GatewayFault.CRASHING_PROMPTS: GatewaySoak.crash_by_prompts,
 }
--- a/standins/src/runhatch_standins/gateway_soak.py
+++ b/standins/src/runhatch_standins/gateway_soak.py
@@ -26,6 +26,7 @@
     HOLDER_KINDS,
     KINDS,
     PARTITION_KINDS,
+    PROMPT_KINDS,
     RELEASE_KINDS,
     STREAM_KINDS,
     GatewayFault,
@@ -36,6 +37,7 @@
 from runhatch_standins._history import check_history
 from runhatch_standins._order_checks import check_orders
 from runhatch_standins._partitions import check_partitions
+from runhatch_standins._prompt_load import PromptLoad
 from runhatch_standins._releases import Releases
 from runhatch_standins._software_versions import describe_streams
 from runhatch_standins.demo import say
@@ -46,6 +48,7 @@
     "FIRST_KINDS",
     "HOLDER_KINDS",
     "PARTITION_KINDS",
+    "PROMPT_KINDS",
     "RELEASE_KINDS",
     "STREAM_KINDS",
     "GatewayFault",
@@ -68,7 +71,7 @@
     violations += check_partitions(soak.tries, soak.partitions)
     violations += check_limits(soak.limited)
     violations += check_orders(soak.orders(), soak.resumed, HANDOVER_SECONDS)
-    for part in (soak.releases, soak.brittle):
+    for part in (soak.releases, soak.brittle, soak.prompts):
         violations += part.check() if part is not None else []
     return violations + check_memory(system.gateways)
 
@@ -97,6 +100,8 @@
             soak.releases = Releases(system)
         if GatewayFault.BRITTLE_LOAD in kinds:
             soak.brittle = BrittleLoad(system)
+        if GatewayFault.CRASHING_PROMPTS in kinds:
+            soak.prompts = PromptLoad(system)
         for target in (*system.engines, *system.plain):
             faults = dict.fromkeys(planted.split(), True)
             stack.enter_context(soak.target_faults.hold(target.url, **faults))
--- a/standins/tests/test_gateway_soak.py
+++ b/standins/tests/test_gateway_soak.py
@@ -9,6 +9,7 @@
     FIRST_KINDS,
     HOLDER_KINDS,
     PARTITION_KINDS,
+    PROMPT_KINDS,
     RELEASE_KINDS,
     STREAM_KINDS,
     GatewayFault,
@@ -35,8 +36,9 @@
             (PARTITION_KINDS, [*GatewayFault][:25]),
             (RELEASE_KINDS, RELEASE_KINDS),
             (BRITTLE_KINDS, BRITTLE_KINDS),
+            (PROMPT_KINDS, PROMPT_KINDS),
         ],
-        ids=["holder", "streams", "partition", "release", "brittle"],
+        ids=["holder", "streams", "partition", "release", "brittle", "prompts"],
     )
     def test_every_kind_of_fault_is_planned(self, kinds, expected):
         planned_kinds = {
@@ -88,6 +90,7 @@
             (3, SECONDS, 3, STREAM_KINDS),
             (4, SECONDS, 3, RELEASE_KINDS),
             (5, SECONDS, 3, BRITTLE_KINDS),
+            (7, 16.0, 3, PROMPT_KINDS),
         ],
     )
     def test_run_has_no_violations(self, seed, seconds, gateways, kinds):
