--- a/packages/runhatch-server/src/runhatch_server/crashes/_trait_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_trait_watch.py
@@ -64,11 +64,12 @@
             held = self._suspects.find_held(traits)
             if not held:
                 return None
-            # Ranking all nodes takes time, so it comes last.
-            is_due = now >= held[0].next_trial_at
-            if is_due and self._owns_trials_of(held[0].trait):
-                if self._trials.try_start(key, held, now):
-                    return None
+            if (
+                now >= held[0].next_trial_at
+                and self._owns_trials_of(held[0].trait)
+                and self._trials.try_start(key, held, now)
+            ):
+                return None
         detail = "targets ended when they began to answer prompts like this one"
         # No retry time is given, because an early retry is not wanted.
         return Refusal(
