Reproduce the failure of test_shared_world.py once seen beside load

Traced for one: the only reader that reads a change from the store is disconnected; the other reader of its domain receives the rows by an update and neither reads nor announces them. The other is not traced.

--- a/packages/runhatch-coordination/tests/test_shared_world.py
+++ b/packages/runhatch-coordination/tests/test_shared_world.py
@@ -369,3 +369,30 @@
         world.advance(2.0)
 
         self.assert_up_to_date(world, [node])
+
+
+class TestDisconnectedReaders:
+    """Readers whose announcements are lost, beside others cut off from the store."""
+
+    def test_another_domain_receives_a_change(self):
+        """A disconnected reader is the only one to read the change.
+
+        The other reader of its domain receives the rows from it, so it neither reads
+        nor announces them, and no node of the other domain learns of the change.
+        """
+        world = World()
+        world.set_cut_off(index=0, is_cut_off=True)
+        world.set_disconnected(index=6, is_disconnected=True)
+        world.set_hung(index=4, is_hung=True)
+
+        world.nodes_receive_a_change_in_time(key="x", value=b"3")
+
+    def test_reader_cut_off_since_a_restoration_receives_a_change(self):
+        world = World()
+        world.set_cut_off(index=0, is_cut_off=True)
+        world.restore()
+        world.wait(seconds=0.1)
+        for index in (4, 6):
+            world.set_disconnected(index=index, is_disconnected=True)
+
+        world.nodes_receive_a_change_in_time(key="x", value=b"3")
