State reasons without measured times in comments on traits

Two comments gave the time in which targets start again and in which entries expire, which belong to a commit or docs/CAPACITY.md, and some sentences used figures of speech. Found by reading the change; no behaviour changes. Run: test_trait_trials.py and test_suspect_traits.py.

--- a/packages/runhatch-server/src/runhatch_server/crashes/_trait_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_trait_watch.py
@@ -106,7 +106,7 @@
     ) -> list[ObservedEnd]:
         """Record ends; return those not known before.
 
-        Their sender is told of traits that began since.
+        Their sender is notified of traits that began since.
         """
         ends = [*ends]
         with self._lock:
--- a/packages/runhatch-server/src/runhatch_server/crashes/_trial_owner.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_trial_owner.py
@@ -5,15 +5,15 @@
 from runhatch_coordination import Clock, Membership, rank_names
 
 MIN_UPTIME = timedelta(seconds=10)
-"""Time after a node's start before it owns trials: until then it may not have heard of
-recent ends and trials, nor of all other nodes."""
+"""Time after a node's start before it owns trials: until then it may not have received
+recent ends, nor know all other nodes."""
 
 
 class TrialOwner:
     """Whether this node owns the trials of a trait; thread-safe.
 
-    The owner is chosen by rank among the nodes that are alive. A node that hears from
-    no more than half of the nodes that it knows may be cut off, and owns none.
+    The owner is chosen by rank among the nodes that are alive. A node to
+    which no more than half of the nodes seem alive may be cut off, and owns none.
     """
 
     def __init__(self, membership: Membership, clock: Clock) -> None:
--- a/packages/runhatch-server/src/runhatch_server/decisions/_suspect_traits.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_suspect_traits.py
@@ -31,8 +31,8 @@
 HOLD_REACTION_TIME = timedelta(seconds=3)
 """Time after the start of a hold in which requests sent before may end targets."""
 FIRST_TRIAL_DELAY = timedelta(seconds=5)
-"""Time from the last end to the first trial of a held trait. Targets that ended are
-back after some four seconds."""
+"""Time from the last end to the first trial of a held trait. Until then targets that
+ended may not have started again, so a trial would crash one of few others."""
 SECOND_TRIAL_DELAY = timedelta(minutes=1)
 REPEATED_TRIAL_DELAY = timedelta(minutes=10)
 MAX_TRIAL_DELAY = timedelta(hours=2)
--- a/packages/runhatch-server/src/runhatch_server/decisions/_trait_trials.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_trait_trials.py
@@ -11,9 +11,8 @@
 from runhatch_server.decisions._suspect_traits import HeldTrait
 
 UNRESOLVED_DURATION = timedelta(seconds=8)
-"""Time after a trial without a result in which the end of its target may be found: the
-entry of a silent target expires in the store after some four seconds, or later if the
-store is slow."""
+"""Time after a trial without a result in which the end of its target may be found. The
+end of a silent target shows only when its entry expires in the store."""
 
 
 @dataclass(slots=True)
--- a/packages/runhatch-server/tests/test_trait_trials.py
+++ b/packages/runhatch-server/tests/test_trait_trials.py
@@ -159,7 +159,7 @@
 
         assert not any(owner.owns(str(trait)) for trait in range(20))
 
-    def test_node_that_hears_from_few_owns_none(self, clock, members):
+    def test_node_to_which_few_seem_alive_owns_none(self, clock, members):
         """It may be cut off while the others try the same traits."""
         owner = TrialOwner(members[0], clock)
         clock.advance(MIN_UPTIME)
