Pass the traits of unbegun requests alone to crash detection

Each attempt passed its traits only if its answer had not begun, and beside them whether it had: the same said twice, through three layers. One parameter is left, unbegun_traits; target_ended logs the unbegun requests instead of the begun ones, which a plain request also counted among. A new test covers which traits are reported.

--- a/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
+++ b/packages/runhatch-server/src/runhatch_server/crashes/_watch.py
@@ -111,20 +111,18 @@
         self,
         fingerprint: str,
         target: str,
-        traits: tuple[str, ...] = (),
-        has_begun: bool = False,
+        unbegun_traits: tuple[str, ...] = (),
     ) -> None:
         """Record that ``target`` aborted a request, and probe whether it has ended.
 
-        ``has_begun``: the first event of the answer was received. ``traits`` are given
-        only if not.
+        ``unbegun_traits`` are the traits of a request that it had not begun to answer.
         """
         # A draining target ends as planned, with the requests it still has.
         if self._targets.standing(target) is not TargetStanding.RUNNING:
             return
         now = self._clock.elapsed()
         with self._lock:
-            self._suspects.record_abort(fingerprint, target, now, traits, has_begun)
+            self._suspects.record_abort(fingerprint, target, now, unbegun_traits)
         if self._refuses_connections(target):
             self._record_ended(target, "connections are refused")
         else:
@@ -134,8 +132,7 @@
         self,
         fingerprint: str,
         target: str,
-        traits: tuple[str, ...] = (),
-        has_begun: bool = False,
+        unbegun_traits: tuple[str, ...] = (),
     ) -> None:
         """Record that the caller disconnected or the deadline passed before the answer.
 
@@ -145,7 +142,7 @@
             return
         now = self._clock.elapsed()
         with self._lock:
-            self._suspects.record_abandoned(fingerprint, target, now, traits, has_begun)
+            self._suspects.record_abandoned(fingerprint, target, now, unbegun_traits)
 
     def record_answer(
         self, fingerprint: str, target: str, sent_at: timedelta, succeeded: bool = True
@@ -269,7 +266,7 @@
             target=target,
             why=why,
             requests=sorted(end.fingerprint for end in ends),
-            begun=sorted(each.fingerprint for each in requests if each.has_begun),
+            unbegun=sorted(e.fingerprint for e in requests if e.unbegun_traits),
             traits=sorted(end.fingerprint for end in trait_ends),
         )
         self._log_held(ends, "own")
@@ -326,7 +323,7 @@
     target: str, requests: Iterable[IncompleteRequest]
 ) -> list[ObservedEnd]:
     """Return the ends of ``target`` under the traits of requests not begun there."""
-    times = {trait: each.at for each in requests for trait in each.traits}
+    times = {trait: each.at for each in requests for trait in each.unbegun_traits}
     return [ObservedEnd(trait, target, at) for trait, at in times.items()]
 
 
--- a/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_suspects.py
@@ -88,13 +88,12 @@
 class IncompleteRequest:
     """A request without a complete answer from one target, and the time of its abort.
 
-    ``traits`` are those of a request that the target had not begun to answer.
+    ``unbegun_traits`` are its traits if the target had not begun to answer it.
     """
 
     fingerprint: str
     at: timedelta
-    traits: tuple[str, ...] = ()
-    has_begun: bool = False
+    unbegun_traits: tuple[str, ...] = ()
 
 
 class Suspects:
@@ -136,32 +135,28 @@
         fingerprint: str,
         target: str,
         now: timedelta,
-        traits: tuple[str, ...] = (),
-        has_begun: bool = False,
+        unbegun_traits: tuple[str, ...] = (),
     ) -> None:
         """Record that a request was abandoned before ``target`` answered completely.
 
         Its caller disconnected or its deadline passed; the target may still run it.
-        ``has_begun``: the first event of the answer was received.
         """
         requests = self._incomplete_requests[target]
         previous = requests.get(fingerprint)
         if previous is not None:
             # One of several equal requests that had not begun is enough to suspect it.
-            traits = traits or previous.traits
-            has_begun = has_begun and previous.has_begun
-        requests[fingerprint] = IncompleteRequest(fingerprint, now, traits, has_begun)
+            unbegun_traits = unbegun_traits or previous.unbegun_traits
+        requests[fingerprint] = IncompleteRequest(fingerprint, now, unbegun_traits)
 
     def record_abort(
         self,
         fingerprint: str,
         target: str,
         now: timedelta,
-        traits: tuple[str, ...] = (),
-        has_begun: bool = False,
+        unbegun_traits: tuple[str, ...] = (),
     ) -> None:
         """Record that ``target`` aborted a request and may have ended."""
-        self.record_abandoned(fingerprint, target, now, traits, has_begun)
+        self.record_abandoned(fingerprint, target, now, unbegun_traits)
         self._last_disconnects[target] = now
 
     def record_running(self, target: str, sent_at: timedelta) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_crash_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_crash_records.py
@@ -16,11 +16,11 @@
         # The peer records it.
         return
     request, target = grant.request, grant.target.incarnation
-    traits = () if has_begun else request.traits
+    unbegun_traits = () if has_begun else request.traits
     if reason is AttemptReason.CONNECTION_BROKEN:
-        crashes.record_abort(request.fingerprint, target, traits, has_begun)
+        crashes.record_abort(request.fingerprint, target, unbegun_traits)
     else:
-        crashes.record_abandoned(request.fingerprint, target, traits, has_begun)
+        crashes.record_abandoned(request.fingerprint, target, unbegun_traits)
 
 
 def record_begun(crashes: CrashDetector, grant: Grant) -> None:
--- a/packages/runhatch-server/src/runhatch_server/serving/_attempts.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_attempts.py
@@ -211,7 +211,6 @@
                 context.fingerprint,
                 context.target_incarnation,
                 () if context.has_begun else context.traits,
-                context.has_begun,
             )
 
     def _refuse_or_back_off(
--- a/packages/runhatch-server/tests/test_crashes.py
+++ b/packages/runhatch-server/tests/test_crashes.py
@@ -209,6 +209,20 @@
         assert case.watch.check_request("x") is other.watch.check_request("x") is None
 
 
+class TestUnbegunRequests:
+    """Requests that a target had not begun to answer when it ended."""
+
+    def test_their_traits_are_reported(self, case):
+        """Also if an equal request had begun."""
+        case.watch.record_abandoned("x", "t0", ("part:x",))
+        case.watch.record_abandoned("x", "t0")
+        case.watch.record_abandoned("y", "t0")
+        case.end_target("t0", "z")
+        ends, _ = case.watch.take_updates()
+
+        assert [end.fingerprint for end in ends] == ["x", "y", "z", "part:x"]
+
+
 class TestKnownTargets:
     """Standing of targets according to the directory."""
 
