Move ended targets out of the directory

EndedTargets keeps the reported ends and their refutations in a module of its own, and its tests have a file of their own. No behaviour changes; the moved tests are the same.

Run: tests of the directory, ended targets, crashes, paths and balancer.

--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock, Entry
+from runhatch_server.fleet._ended_targets import EndedTargets
 from runhatch_server.fleet._targets import HeldModels, Target, TargetState
 from runhatch_server.observability import log_change
 
@@ -35,9 +36,6 @@
 DRAINING_RETENTION = timedelta(minutes=10)
 """Time for which an announced drain is remembered: the target's entry may expire in an
 outage of the store and come back with the state ``ready`` as last written."""
-ENDED_RETENTION = timedelta(seconds=30)
-"""Time for which a target that was found to have ended gets no requests although the
-store lists it. Its entry expires within seconds, or later if the store is slow."""
 CORRECTION_VALIDITY = timedelta(milliseconds=120)
 """Time for which a target that answered that it lacks a model gets no requests for it,
 unless the orderer reports on the target: an adapter may be loaded within some ten
@@ -77,10 +75,7 @@
         self._missing_until: dict[str, timedelta] = {}
         self._draining: dict[str, timedelta] = {}
         """Time of the announcement that it drains, by incarnation."""
-        self._ended: dict[str, timedelta] = {}
-        """Time of the end by incarnation, of targets that nodes found to have ended."""
-        self._reached: dict[str, timedelta] = {}
-        """Time at which a target was reached that had been found to have ended."""
+        self._ended = EndedTargets()
         self._removed: dict[str, timedelta] = {}
         """Time of the removal, by incarnation."""
         self._ignored_entries: dict[str, tuple[Target, timedelta]] = {}
@@ -160,9 +155,8 @@
             if expired or remaining:
                 self._rebuild()
             self._delete_unlisted_reports(now)
-            if _delete_older(self._ended, now - ENDED_RETENTION):
+            if self._ended.remove_expired(now):
                 self._rebuild()
-            _delete_older(self._reached, now - ENDED_RETENTION)
             _delete_older(self._draining, now - DRAINING_RETENTION)
             _delete_older(self._removed, now - REMOVED_RETENTION)
 
@@ -215,12 +209,8 @@
         It is not ready until it is reached again. Returns whether this was not known.
         """
         with self.update_condition:
-            is_old = at <= self._clock.elapsed() - ENDED_RETENTION
-            # Nodes repeat old reports to those that missed them.
-            is_refuted = at <= self._reached.get(incarnation, at - ENDED_RETENTION)
-            if is_old or is_refuted or incarnation in self._ended:
+            if not self._ended.record_end(incarnation, at, self._clock.elapsed()):
                 return False
-            self._ended[incarnation] = at
             self._rebuild()
         return True
 
@@ -229,8 +219,8 @@
         if incarnation not in self._ended:
             return
         with self.update_condition:
-            self._ended.pop(incarnation, None)
-            self._reached[incarnation] = self._clock.elapsed()
+            if not self._ended.record_reached(incarnation, self._clock.elapsed()):
+                return
             self._rebuild()
         log_change("target_reached", target=incarnation)
 
@@ -433,12 +423,9 @@
         return report.held
 
 
-def _delete_older(times: dict[str, timedelta], earliest: timedelta) -> bool:
-    """Delete the entries with older times; return whether there were any."""
-    older = [name for name, at in times.items() if at <= earliest]
-    for name in older:
+def _delete_older(times: dict[str, timedelta], earliest: timedelta) -> None:
+    for name in [name for name, at in times.items() if at <= earliest]:
         del times[name]
-    return bool(older)
 
 
 def _to_seconds(duration: timedelta | None) -> float | None:
