Build attempters of tests in one place

The tests of crashing prompts wrote the construction of an attempter and of a request's context again. Both have a function now; no check changes.

Run: test_attempts.py.

--- a/packages/runhatch-server/tests/test_attempts.py
+++ b/packages/runhatch-server/tests/test_attempts.py
@@ -71,14 +71,9 @@
     return CrashDetector(clock, lives, Metrics(), lambda: None)
 
 
-def open_requests(picture, outcomes, requests=1, idempotent=True, crashes=None):
-    """Open requests against scripted outcomes; return the refusals and the client."""
-    clock = SystemClock()
-    dispatcher = Dispatcher(picture, clock, "d0", 8, 0.5, seed=1)
-    client = ScriptedClient(outcomes)
-    crashes = crashes or make_crash_watch(clock, FakeTargetLives())
-    attempter = Attempter(
-        dispatcher,
+def make_attempter(picture, client, crashes, clock):
+    return Attempter(
+        Dispatcher(picture, clock, "d0", 8, 0.5, seed=1),
         client,
         picture,
         RetryBudget(),
@@ -89,14 +84,28 @@
         crashes._targets,
         1,
     )
+
+
+def make_context(clock, name, fingerprint="x", idempotent=True, traits=()):
+    request = make_request(name)
+    if not idempotent:
+        object.__setattr__(request, "idempotent", False)
+    trace = RequestTrace("r", "m", "c", 3, clock.now())
+    log = RequestLog("r", "m", "c")
+    return RequestContext(
+        request, fingerprint, trace, log, lambda: False, traits=traits
+    )
+
+
+def open_requests(picture, outcomes, requests=1, idempotent=True, crashes=None):
+    """Open requests against scripted outcomes; return the refusals and the client."""
+    clock = SystemClock()
+    client = ScriptedClient(outcomes)
+    crashes = crashes or make_crash_watch(clock, FakeTargetLives())
+    attempter = make_attempter(picture, client, crashes, clock)
     refusals = []
     for index in range(requests):
-        request = make_request(f"r{index}")
-        if not idempotent:
-            object.__setattr__(request, "idempotent", False)
-        trace = RequestTrace("r", "m", "c", 3, clock.now())
-        log = RequestLog("r", "m", "c")
-        context = RequestContext(request, "x", trace, log, lambda: False)
+        context = make_context(clock, f"r{index}", idempotent=idempotent)
         refusals.append(attempter.open_answer(context))
     return refusals, client
 
@@ -189,31 +198,16 @@
     TARGETS = ("w0", "w1", "w2")
 
     def open_in_turn(self, picture, crashes, count):
-        """Open ``count`` requests at different moments; return the client."""
+        """Open ``count`` requests at different moments.
+
+        Return the refusals and the client.
+        """
         clock = SystemClock()
         client = ScriptedClient([BROKEN])
-        dispatcher = Dispatcher(picture, clock, "d0", 8, 0.5, seed=1)
-        attempter = Attempter(
-            dispatcher,
-            client,
-            picture,
-            RetryBudget(),
-            Metrics(),
-            clock,
-            lambda target: None,
-            crashes,
-            crashes._targets,
-            1,
-        )
+        attempter = make_attempter(picture, client, crashes, clock)
         refusals = []
         for index in range(count):
-            request = make_request(f"r{index}")
-            object.__setattr__(request, "idempotent", False)
-            trace = RequestTrace("r", "m", "c", 3, clock.now())
-            log = RequestLog("r", "m", "c")
-            context = RequestContext(
-                request, f"x{index}", trace, log, lambda: False, traits=self.TRAITS
-            )
+            context = make_context(clock, f"r{index}", f"x{index}", False, self.TRAITS)
             refusals.append(attempter.open_answer(context))
             clock.sleep(MOMENT_DURATION)
         return refusals, client
