Rename the scope part-one to part-adapter

The scope names a part with one model and adapter, which part-one does not say, in logs and in messages between nodes. The scopes are explained one by one.

Run: test_prompt_traits.py, test_suspect_traits.py, test_trait_trials.py.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_prompt_traits.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_prompt_traits.py
@@ -15,8 +15,14 @@
 TRAIT_BYTES = 10
 SCOPE_SEPARATOR = ":"
 """Separates a trait's scope from its hash; no fingerprint contains it."""
-ANY_MODEL, ONE_MODEL, ONE_ADAPTER, PREFIX = "part", "part-model", "part-one", "prefix"
+ANY_MODEL = "part"
+"""Scope of a part, whatever the model."""
+ONE_MODEL = "part-model"
+ONE_ADAPTER = "part-adapter"
+PREFIX = "prefix"
+"""Scope of a part after just these parts, with one model and adapter."""
 BLOCK = "block"
+"""Scope of a block of text and all text before it, with one model."""
 
 
 def compute_traits(work: ModelWork | None) -> tuple[str, ...]:
@@ -29,7 +35,7 @@
     >>> prompt = (PromptPart("a", 30), PromptPart("own", 5))
     >>> [name.split(":")[0] for name in compute_traits(ModelWork("m", "", prompt, 35,
     ...     20, 20))]
-    ['part', 'part-model', 'part-one', 'prefix']
+    ['part', 'part-model', 'part-adapter', 'prefix']
     """
     if work is None:
         return ()
--- a/packages/runhatch-server/tests/test_prompt_traits.py
+++ b/packages/runhatch-server/tests/test_prompt_traits.py
@@ -31,8 +31,11 @@
     @pytest.mark.parametrize(
         ("other", "shared"),
         [
-            (make_work("a", "b", "y"), {"part", "part-model", "part-one", "prefix"}),
-            (make_work("b", "y"), {"part", "part-model", "part-one"}),
+            (
+                make_work("a", "b", "y"),
+                {"part", "part-model", "part-adapter", "prefix"},
+            ),
+            (make_work("b", "y"), {"part", "part-model", "part-adapter"}),
             (make_work("b", "y", adapter="x"), {"part", "part-model"}),
             (make_work("b", "y", model="other"), {"part"}),
             (make_work("c", "y"), set()),
