--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -149,6 +149,12 @@
         self._changed_version = ORIGIN
         self._consecutive_failures = 0
         self._confirmed_at: timedelta | None = None
+        self._answered_at: timedelta | None = None
+
+    @property
+    def answered_at(self) -> timedelta | None:
+        """When the store last answered a call, ``None`` if it never did."""
+        return self._answered_at
 
     @property
     def confirmed_at(self) -> timedelta | None:
@@ -252,6 +258,7 @@
         return pause
 
     def _record_success(self) -> None:
+        self._answered_at = self._clock.elapsed()
         if self._consecutive_failures:
             self._consecutive_failures = 0
             self._listener.handle_recovery()
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -164,6 +164,11 @@
         """The version last read from the store."""
         return self._watcher.version
 
+    @property
+    def answered_at(self) -> timedelta | None:
+        """When the store last answered a call of this node, if it ever did."""
+        return self._watcher.answered_at
+
     @property
     def reaches_store(self) -> bool:
         """Whether this node itself reaches the store, as far as it knows.
@@ -345,7 +350,7 @@
 
     def record_reachability(self, reachable: bool, reason: str) -> None:
         """Record whether this node itself reaches the store."""
-        self._own_reachability = reachable
+        self._set_own_reachability(reachable)
         self._notify_reachability(reason)
 
     @staticmethod
@@ -462,11 +467,17 @@
 
     def _pause_for_updates(self) -> timedelta:
         """Return how long to wait for updates before the readers count as silent."""
-        self._own_reachability = None
+        self._set_own_reachability(None)
         if self._replica.version is None or self._gap_since is not None:
             return REQUEST_TIMEOUT
         return max(self._reader_reports.time_until_silent, SINGLE_READ_WAIT)
 
+    def _set_own_reachability(self, reachable: bool | None) -> None:
+        if reachable is not self._own_reachability:
+            self._own_reachability = reachable
+            answered_at = self._watcher.answered_at
+            self._peers.record_store_contact(self.name, reachable, answered_at)
+
     def _advance_watcher(self) -> None:
         """Make the watcher continue after the version of the local copy."""
         version = self._replica.version
--- a/packages/runhatch-coordination/src/runhatch_coordination/_table_peers.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_table_peers.py
@@ -1,5 +1,6 @@
 """What a shared table needs of the other nodes."""
 
+from datetime import timedelta
 from typing import Protocol
 
 from runhatch_coordination._history import StoreVersion
@@ -34,3 +35,11 @@
 
     def record_source(self, table: str, source: Source) -> None:
         """Record that this node now receives the table from ``source``."""
+
+    def record_store_contact(
+        self, table: str, reachable: bool | None, answered_at: timedelta | None
+    ) -> None:
+        """Record whether this node itself reaches the store, ``None`` if unknown.
+
+        The store last answered a call of this node at ``answered_at``, if ever.
+        """
--- a/packages/runhatch-coordination/tests/shared_cases.py
+++ b/packages/runhatch-coordination/tests/shared_cases.py
@@ -149,6 +149,7 @@
         self.published = []
         self.announced_versions = []
         self.sources = []
+        self.contacts = []
 
     def role(self):
         return self.current_role
@@ -169,6 +170,9 @@
     def record_source(self, table, source):
         self.sources.append(source)
 
+    def record_store_contact(self, table, reachable, answered_at):
+        self.contacts.append((reachable, answered_at))
+
 
 def make_table(
     role=Role.FOLLOWER, answers=True, jitter=0.0, coalesce=BOUNDS.coalescing_pause
--- a/packages/runhatch-coordination/tests/slow_links.py
+++ b/packages/runhatch-coordination/tests/slow_links.py
@@ -242,6 +242,9 @@
     def record_source(self, table, source):
         pass
 
+    def record_store_contact(self, table, reachable, answered_at):
+        pass
+
     def receive(self, reader, changes, reachable):
         self.table.apply_changes(reader, changes, reachable)
         self._record_versions()
--- a/packages/runhatch-coordination/tests/test_shared.py
+++ b/packages/runhatch-coordination/tests/test_shared.py
@@ -93,6 +93,16 @@
         assert table.reaches_store
         assert listener.reachability == [False, True]
 
+    def test_records_when_the_store_answered_last(self):
+        table, _, feed, _, peers, clock = make_table(Role.READER, answers=False)
+        table.step()
+        clock.advance(timedelta(seconds=1))
+        feed.is_cut_off = True
+        table.step()
+
+        assert table.answered_at == timedelta()
+        assert peers.contacts == [(True, timedelta()), (False, timedelta())]
+
     def test_publishes_an_answer_to_its_domain(self):
         """Otherwise each node of the domain would have to request it for itself."""
         table, _, feed, _, peers, _ = make_table(Role.READER, answers=False)
--- a/packages/runhatch-coordination/tests/test_shared_world.py
+++ b/packages/runhatch-coordination/tests/test_shared_world.py
@@ -84,6 +84,9 @@
     def record_source(self, table, source):
         pass
 
+    def record_store_contact(self, table, reachable, answered_at):
+        pass
+
     def run_due_work(self):
         """Publish and run a step of the table if they are due."""
         if self.is_frozen:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -377,15 +377,28 @@
         log_change("table_source", table=table, source=source.value, age_s=age)
         self._metrics.table_sources.labels(table, source.value).inc()
 
+    def record_store_contact(
+        self, table: str, reachable: bool | None, answered_at: timedelta | None
+    ) -> None:
+        """Log whether this node itself reaches the store."""
+        age = None if answered_at is None else self._seconds_since(answered_at)
+        log_change("store_contact", table=table, reachable=reachable, answer_age_s=age)
+
     def update_metrics(self) -> None:
-        """Update the metric of the age of each table."""
-        for name in self._tables:
+        """Update the metrics of the age of each table."""
+        for name, table in self._tables.items():
             self._metrics.table_age.labels(name).set(self._age(name))
+            answered_at = table.answered_at
+            if answered_at is not None:
+                age = self._seconds_since(answered_at)
+                self._metrics.store_answer_age.labels(name).set(age)
 
     def _age(self, table: str) -> float:
         """Return the seconds since a table was read or received from a reader."""
-        updated_at = self._updated_at.get(table, self._started_at)
-        return round((self._clock.elapsed() - updated_at).total_seconds(), 3)
+        return self._seconds_since(self._updated_at.get(table, self._started_at))
+
+    def _seconds_since(self, moment: timedelta) -> float:
+        return round((self._clock.elapsed() - moment).total_seconds(), 3)
 
     def _initial_role(self) -> Role:
         """Return the role of this node while it doesn't know the other nodes yet.
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -92,6 +92,11 @@
             "Time since a watched table was read or received from its reader",
             "table",
         )
+        self.store_answer_age = self._gauge(
+            "store_answer_age_seconds",
+            "Time since the store last answered a call of this node for a table",
+            "table",
+        )
         self.key_reloads = self._counter(
             "key_reloads", "Reloads of changed key files of peer links", "outcome"
         )
