--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -208,6 +208,16 @@
         """
         return self._confirm(self._confirmed_at, self._replica.empty_changes)
 
+    @property
+    def pause_event(self) -> threading.Event:
+        """The event that ends the current pause between two steps.
+
+        Updates wake only a node that waits for them; a node that reads the store
+        pauses between two calls.
+        """
+        waits_for_updates = self._source is Source.UPDATES
+        return self._wake_event if waits_for_updates else self._stopping
+
     def changes_since(self, version: StoreVersion | None) -> TableChanges | None:
         """Return the changes since ``version``, ``None`` if no version is known."""
         return self._confirm(self._confirmed_at, self._replica.changes_since(version))
@@ -300,11 +310,7 @@
             except Exception as error:
                 self._on_failure(error)
                 pause = MAX_RETRY_PAUSE
-            # Updates wake only a node that waits for them; a node that reads the
-            # store pauses between two calls.
-            waits_for_updates = self._source is Source.UPDATES
-            wake_event = self._wake_event if waits_for_updates else self._stopping
-            wake_event.wait(pause.total_seconds())
+            self.pause_event.wait(pause.total_seconds())
             self._wake_event.clear()
 
     def step(self) -> timedelta:
