Rely on a wait for changes only while the store is known to answer

Cause: a reader waits for changes in calls of 8 or 24 s. A call that a silent store has lost looks the same as one during which nothing changes, and the next one after a failure was as long. Only another call of the same process ended such waits, in effect that of the lease's holder: while a node that is no reader held the lease, no reader read for up to 24 s. A node that had never been answered counted as one that reaches the store, as did one whose wait was interrupted, so that two readers vouched for each other and the reserves stopped reading.

Now a reader that has no answer yet, whose call failed or whose wait was interrupted first makes a call that is answered at once. Long waits are relied on only while the store is known to answer others: the renewals of the orders' lease, which reach all readers about every 0.9 s anyway, are the evidence. Without one for 1.5 s a wait is interrupted and checked; when they resume, failing and waiting readers call at once. Without evidence a wait lasts 2 s at most. An unknown contact is reported as no contact. Failing calls repeat 1.2 s after each other at the latest, also if they time out.

--- a/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/__init__.py
@@ -79,6 +79,7 @@
     SharedTableBounds,
 )
 from runhatch_coordination._sources import Source
+from runhatch_coordination._store_contact import Reachability
 from runhatch_coordination._store_time import StoreTime
 from runhatch_coordination._table import (
     ABSENT,
@@ -147,6 +148,7 @@
     "PublishOutcome",
     "Put",
     "QueryOutcome",
+    "Reachability",
     "RetryBudget",
     "Revision",
     "RevisionEntry",
--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -28,8 +28,8 @@
 billed; readers receive a change at most this much later."""
 MIN_RETRY_PAUSE = timedelta(milliseconds=200)
 MAX_RETRY_PAUSE = timedelta(seconds=1)
-"""Longest pause between failing calls, so that calls resume within a second after an
-outage."""
+"""Longest time from a failing call to the next one, unless the call lasts longer, so
+that calls resume within about a second after an outage."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,12 +149,7 @@
         self._changed_version = ORIGIN
         self._consecutive_failures = 0
         self._confirmed_at: timedelta | None = None
-        self._answered_at: timedelta | None = None
-
-    @property
-    def answered_at(self) -> timedelta | None:
-        """When the store last answered a call, ``None`` if it never did."""
-        return self._answered_at
+        self._was_interrupted = False
 
     @property
     def confirmed_at(self) -> timedelta | None:
@@ -179,6 +174,11 @@
         """Whether the last call failed."""
         return self._consecutive_failures > 0
 
+    @property
+    def was_interrupted(self) -> bool:
+        """Whether the last call was interrupted, so that its outcome is not known."""
+        return self._was_interrupted
+
     @property
     def needs_listing(self) -> bool:
         """Whether the next call reads the whole table."""
@@ -209,13 +209,16 @@
 
         The store holds the call for up to ``wait`` if nothing has changed.
         """
+        self._was_interrupted = False
+        began_at = self._clock.elapsed()
         if self._version is None:
-            return self._read_whole_table()
+            return self._read_whole_table(began_at)
         outcome = self._feed.read_changes(self._version, wait)
         if isinstance(outcome, WaitInterrupted):
+            self._was_interrupted = True
             return timedelta()
         if isinstance(outcome, Unavailable):
-            return self._record_failure(outcome)
+            return self._record_failure(outcome, began_at)
         self._record_success()
         if isinstance(outcome, HistoryLost):
             self._version = None
@@ -233,10 +236,10 @@
         self._listener.apply_entries(outcome.entries)
         return self._coalesce_pause
 
-    def _read_whole_table(self) -> timedelta:
+    def _read_whole_table(self, began_at: timedelta) -> timedelta:
         outcome = self._feed.read()
         if isinstance(outcome, Unavailable):
-            return self._record_failure(outcome)
+            return self._record_failure(outcome, began_at)
         self._record_success()
         if outcome.version < self._delivered_version:
             # A late answer: delivering it would undo changes already delivered.
@@ -248,17 +251,16 @@
         self._listener.replace_entries(outcome.entries)
         return timedelta()
 
-    def _record_failure(self, outcome: Unavailable) -> timedelta:
+    def _record_failure(self, outcome: Unavailable, began_at: timedelta) -> timedelta:
         if not self._consecutive_failures:
             self._listener.handle_outage(outcome.reason)
         pause = min(
             MAX_RETRY_PAUSE, MIN_RETRY_PAUSE * (1 << min(self._consecutive_failures, 4))
         )
         self._consecutive_failures += 1
-        return pause
+        return max(MIN_RETRY_PAUSE, pause - (self._clock.elapsed() - began_at))
 
     def _record_success(self) -> None:
-        self._answered_at = self._clock.elapsed()
         if self._consecutive_failures:
             self._consecutive_failures = 0
             self._listener.handle_recovery()
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -11,6 +11,8 @@
   store;
 - a node that misses changes requests them from another node, and reads the store if
   none answers;
+- a reader waits for changes only while it knows that the store answers, and checks that
+  whenever it does not (:mod:`runhatch_coordination._store_contact`);
 - a node that learns of a newer version than it has requests it from the nodes that
   announced it, and reads the store, until it has the version; so a reader that is cut
   off without noticing it delays no other node.
@@ -43,6 +45,7 @@
     SINGLE_READ_SOURCES,
     Source,
 )
+from runhatch_coordination._store_contact import Reachability, StoreContact
 from runhatch_coordination._table_peers import TablePeers
 
 START_REQUEST_WINDOW = timedelta(seconds=1.2)
@@ -124,9 +127,11 @@
         self._must_request_gap = False
         self._source = Source.UPDATES
         self._wake_event = threading.Event()
+        self._retry_event = threading.Event()
         self._confirmation_lock = threading.Lock()
         self._reachability_lock = threading.Lock()
-        self._own_reachability: bool | None = None
+        self._contact = StoreContact(clock)
+        self._recorded_reachability = Reachability.UNKNOWN
         self._notified_reachability = True
         self.max_call_wait = MAX_READER_CALL_WAIT
         """How long the store may hold a call of this node at most. Each call that ends
@@ -167,16 +172,17 @@
     @property
     def answered_at(self) -> timedelta | None:
         """When the store last answered a call of this node, if it ever did."""
-        return self._watcher.answered_at
+        return self._contact.answered_at
 
     @property
     def reaches_store(self) -> bool:
-        """Whether this node itself reaches the store, as far as it knows.
+        """Whether this node itself reaches the store, by its own calls.
 
         Reports of other nodes do not count: two readers that are both cut off would
-        each rely on the report of the other.
+        each rely on the report of the other. Before the first answer it does not, as
+        other nodes would rely on a store that no node has reached.
         """
-        return self._own_reachability is not False
+        return self._contact.reachability is Reachability.REACHED
 
     @property
     def is_behind(self) -> bool:
@@ -213,10 +219,10 @@
         """The event that ends the current pause between two steps.
 
         Updates wake only a node that waits for them; a node that reads the store
-        pauses between two calls.
+        pauses between two calls, unless the store has begun to answer again.
         """
         waits_for_updates = self._source is Source.UPDATES
-        return self._wake_event if waits_for_updates else self._stopping
+        return self._wake_event if waits_for_updates else self._retry_event
 
     def changes_since(self, version: StoreVersion | None) -> TableChanges | None:
         """Return the changes since ``version``, ``None`` if no version is known."""
@@ -245,6 +251,8 @@
         if was_active and not reachable and self._is_backup_reader:
             self._watcher.interrupt_wait()
         if reachable:
+            if not was_active:
+                self.record_answer_to_other()
             self._notify_reachability("")
         if changes is not None and self._offer(changes) is OfferOutcome.APPLIED:
             self._announce_received(changes)
@@ -298,6 +306,30 @@
             self._wake_event.set()
         return attempt
 
+    def record_answer_to_other(self) -> None:
+        """Record that the store has just answered another node.
+
+        If it had not done so for a while, this node calls the store again at once: it
+        may have lost the call in progress.
+        """
+        if self._contact.record_answer_to_other():
+            self._watcher.interrupt_wait()
+            self._retry_event.set()
+
+    def interrupt_doubtful_wait(self) -> bool:
+        """Interrupt a wait for changes that the store may have lost; return whether.
+
+        Must not be called by the task of :meth:`run`.
+        """
+        is_doubtful = self._contact.end_doubtful_wait()
+        if is_doubtful:
+            self._watcher.interrupt_wait()
+        return is_doubtful
+
+    def time_until_doubt(self) -> timedelta | None:
+        """Return when :meth:`interrupt_doubtful_wait` is due, ``None`` without wait."""
+        return self._contact.time_until_doubt
+
     def wake(self) -> None:
         """Wake the task if it waits for updates."""
         self._wake_event.set()
@@ -312,6 +344,7 @@
                 pause = MAX_RETRY_PAUSE
             self.pause_event.wait(pause.total_seconds())
             self._wake_event.clear()
+            self._retry_event.clear()
 
     def step(self) -> timedelta:
         """Read the store or request changes if needed; return the next pause."""
@@ -330,14 +363,19 @@
         self._replica.offer(
             TableChanges(self._last_request_version, self._watcher.version, ())
         )
-        if not self._watcher.is_failing:
-            self.record_reachability(True, "")
+        if self._watcher.was_interrupted:
+            self._contact.record_interruption()
+        elif self._watcher.is_failing:
+            self._contact.record_failure()
+        else:
+            self.record_answer()
         if self._watcher.confirmed_at is not None:
             self.record_confirmation(self._watcher.version, self._watcher.confirmed_at)
         return pause
 
     def apply_read_changes(self, changes: TableChanges) -> None:
         """Apply ``changes`` read from the store and publish what was new."""
+        self.record_answer()
         previous = self._replica.version
         if self._replica.offer(changes) is not OfferOutcome.APPLIED:
             return
@@ -354,9 +392,16 @@
         self._peers.publish(self.name, update, self.reaches_store)
         self._announce(version)
 
-    def record_reachability(self, reachable: bool, reason: str) -> None:
-        """Record whether this node itself reaches the store."""
-        self._set_own_reachability(reachable)
+    def record_answer(self) -> None:
+        """Record that the store answered this node."""
+        self._contact.record_answer()
+        self._record_contact()
+        self._notify_reachability("")
+
+    def record_failure(self, reason: str) -> None:
+        """Record that a call of this node to the store failed."""
+        self._contact.record_failure()
+        self._record_contact()
         self._notify_reachability(reason)
 
     @staticmethod
@@ -436,6 +481,10 @@
         """Return how long the store may hold the call to wait for a change."""
         if source in SINGLE_READ_SOURCES:
             return SINGLE_READ_WAIT
+        return self._contact.begin_call(self._longest_call_wait(source))
+
+    def _longest_call_wait(self, source: Source) -> timedelta:
+        """Return how long a call may wait while the store is known to answer."""
         is_continuous_reader = source in CONTINUOUS_SOURCES.values()
         if is_continuous_reader and self._reader_reports.state is ReaderState.ACTIVE:
             if self._is_backup_reader:
@@ -473,16 +522,19 @@
 
     def _pause_for_updates(self) -> timedelta:
         """Return how long to wait for updates before the readers count as silent."""
-        self._set_own_reachability(None)
+        self._contact.record_end_of_reading()
+        self._record_contact()
         if self._replica.version is None or self._gap_since is not None:
             return REQUEST_TIMEOUT
         return max(self._reader_reports.time_until_silent, SINGLE_READ_WAIT)
 
-    def _set_own_reachability(self, reachable: bool | None) -> None:
-        if reachable is not self._own_reachability:
-            self._own_reachability = reachable
-            answered_at = self._watcher.answered_at
-            self._peers.record_store_contact(self.name, reachable, answered_at)
+    def _record_contact(self) -> None:
+        """Record whether this node reaches the store, if that has changed."""
+        reachability = self._contact.reachability
+        if reachability is not self._recorded_reachability:
+            self._recorded_reachability = reachability
+            answered_at = self._contact.answered_at
+            self._peers.record_store_contact(self.name, reachability, answered_at)
 
     def _advance_watcher(self) -> None:
         """Make the watcher continue after the version of the local copy."""
@@ -494,8 +546,7 @@
         """Notify the listener if the reachability of the store has changed."""
         with self._reachability_lock:
             reachable = (
-                bool(self._own_reachability)
-                or self._reader_reports.state is ReaderState.ACTIVE
+                self.reaches_store or self._reader_reports.state is ReaderState.ACTIVE
             )
             if reachable == self._notified_reachability:
                 return
@@ -536,8 +587,8 @@
 
     def handle_outage(self, reason: str) -> None:
         """Record that this node does not reach the store."""
-        self._table.record_reachability(False, reason)
+        self._table.record_failure(reason)
 
     def handle_recovery(self) -> None:
         """Record that this node reaches the store again."""
-        self._table.record_reachability(True, "")
+        self._table.record_answer()
--- a/packages/runhatch-coordination/src/runhatch_coordination/_table_peers.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_table_peers.py
@@ -7,6 +7,7 @@
 from runhatch_coordination._peers import Role
 from runhatch_coordination._replica import TableChanges
 from runhatch_coordination._sources import Source
+from runhatch_coordination._store_contact import Reachability
 
 
 class TablePeers(Protocol):
@@ -37,9 +38,12 @@
         """Record that this node now receives the table from ``source``."""
 
     def record_store_contact(
-        self, table: str, reachable: bool | None, answered_at: timedelta | None
+        self,
+        table: str,
+        reachability: Reachability,
+        answered_at: timedelta | None,
     ) -> None:
-        """Record whether this node itself reaches the store, ``None`` if unknown.
+        """Record whether this node itself reaches the store.
 
         The store last answered a call of this node at ``answered_at``, if ever.
         """
--- a/packages/runhatch-coordination/tests/shared_cases.py
+++ b/packages/runhatch-coordination/tests/shared_cases.py
@@ -170,8 +170,8 @@
     def record_source(self, table, source):
         self.sources.append(source)
 
-    def record_store_contact(self, table, reachable, answered_at):
-        self.contacts.append((reachable, answered_at))
+    def record_store_contact(self, table, reachability, answered_at):
+        self.contacts.append((reachability, answered_at))
 
 
 def make_table(
--- a/packages/runhatch-coordination/tests/silent_store.py
+++ b/packages/runhatch-coordination/tests/silent_store.py
@@ -202,7 +202,7 @@
     def record_source(self, table, source):
         pass
 
-    def record_store_contact(self, table, reachable, answered_at):
+    def record_store_contact(self, table, reachability, answered_at):
         pass
 
     def receive(self, client, reader, changes, reachable):
@@ -219,6 +219,10 @@
         if self._is_process(client):
             self.table.record_version(version, announcer)
 
+    def receive_renewal(self, client):
+        if self._is_process(client):
+            self.table.record_answer_to_other()
+
     def _is_process(self, client):
         """Return whether ``client`` belongs to the process that runs now."""
         return client is not None and client is self.client
@@ -265,6 +269,7 @@
     def _check(self, client):
         if self._is_process(client):
             self.table.obtain_missing()
+            self.table.interrupt_doubtful_wait()
             self.world.simulation.schedule(CHECK_SECONDS, partial(self._check, client))
 
 
@@ -325,6 +330,13 @@
             for node in self.nodes
         }
 
+    def _notify_readers(self):
+        """Notify the readers of a renewal of the lease; its holder has links to all."""
+        for node in self.nodes:
+            if node.vm.name in self._readers[node.vm.failure_domain]:
+                deliver = partial(node.receive_renewal, node.client)
+                self.simulation.schedule(HOP_SECONDS, deliver)
+
     def _keep_lease(self):
         while True:
             client = self.holder.client
@@ -334,5 +346,7 @@
             except SimulationEndedError:
                 if client is self.holder.client:
                     raise
+            if is_renewed:
+                self._notify_readers()
             pause = RENEWAL_SECONDS if is_renewed else LEASE_STEP_SECONDS
             self.simulation.sleep(pause)
--- a/packages/runhatch-coordination/tests/slow_links.py
+++ b/packages/runhatch-coordination/tests/slow_links.py
@@ -242,7 +242,7 @@
     def record_source(self, table, source):
         pass
 
-    def record_store_contact(self, table, reachable, answered_at):
+    def record_store_contact(self, table, reachability, answered_at):
         pass
 
     def receive(self, reader, changes, reachable):
--- a/packages/runhatch-coordination/tests/test_shared.py
+++ b/packages/runhatch-coordination/tests/test_shared.py
@@ -7,10 +7,12 @@
 
 from runhatch_coordination import (
     HistoryLost,
+    Reachability,
     Role,
     Source,
     TableChanges,
     Vm,
+    WaitInterrupted,
     choose_role,
 )
 from runhatch_coordination._shared import (
@@ -101,7 +103,40 @@
         table.step()
 
         assert table.answered_at == timedelta()
-        assert peers.contacts == [(True, timedelta()), (False, timedelta())]
+        assert peers.contacts == [
+            (Reachability.REACHED, timedelta()),
+            (Reachability.UNREACHED, timedelta()),
+        ]
+
+    def test_does_not_reach_a_store_that_never_answered(self):
+        """It once reported that it did, and other readers relied on the report."""
+        table, _, feed, _, peers, _ = make_table(Role.READER)
+        table.apply_answer(whole_table(a=b"1"))
+        assert not table.reaches_store
+
+        feed.read_changes = lambda after, wait: WaitInterrupted()
+        table.step()
+        assert not table.reaches_store
+        assert peers.contacts == []
+
+    @pytest.mark.parametrize("is_cut_off", [False, True])
+    def test_an_interrupted_wait_is_no_answer(self, is_cut_off):
+        table, _, feed, _, _, _ = make_table(Role.READER, answers=False)
+        table.step()
+        feed.is_cut_off = is_cut_off
+        table.step()
+        waits = []
+
+        def interrupt(after, wait):
+            waits.append(wait)
+            return WaitInterrupted()
+
+        feed.read_changes = interrupt
+        table.step()
+        table.step()
+
+        assert table.reaches_store is not is_cut_off
+        assert waits[-1] == timedelta()
 
     def test_publishes_an_answer_to_its_domain(self):
         """Otherwise each node of the domain would have to request it for itself."""
--- a/packages/runhatch-coordination/tests/test_shared_world.py
+++ b/packages/runhatch-coordination/tests/test_shared_world.py
@@ -84,7 +84,7 @@
     def record_source(self, table, source):
         pass
 
-    def record_store_contact(self, table, reachable, answered_at):
+    def record_store_contact(self, table, reachability, answered_at):
         pass
 
     def run_due_work(self):
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -239,6 +239,7 @@
         """Publish that this node is the orderer, once per renewal of its lease."""
         self._record_orderer(self._membership.own.address, epoch)
         if self._orderer.record_renewal(epoch, renewal):
+            self._tables.record_store_answer()
             notice = OrdererNotice(epoch, renewal, self._membership.own.address)
             self._orderer.newest_notice = notice
             self.publish(notice)
@@ -412,6 +413,7 @@
         self._record_orderer(orderer, fact.epoch)
         if not self._orderer.record_renewal(fact.epoch, fact.renewal):
             return
+        self._tables.record_store_answer()
         notice = OrdererNotice(fact.epoch, fact.renewal, orderer)
         self._orderer.newest_notice = notice
         self._on_orderer(fact.epoch, fact.renewal)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -20,6 +20,7 @@
     Entry,
     FeedListener,
     Membership,
+    Reachability,
     Role,
     SharedTable,
     SharedTableBounds,
@@ -115,8 +116,10 @@
 
     @property
     def attempt_interval(self) -> timedelta:
-        """The time until the next call of :meth:`obtain_missing` is due."""
-        due = [table.time_until_attempt() for table in self._tables.values()]
+        """The time until the next call of :meth:`follow_up` is due."""
+        tables = self._tables.values()
+        due = [table.time_until_attempt() for table in tables]
+        due += [table.time_until_doubt() for table in tables]
         pauses = [pause for pause in due if pause is not None]
         return max(MIN_ATTEMPT_INTERVAL, min(pauses, default=IDLE_ATTEMPT_INTERVAL))
 
@@ -231,9 +234,11 @@
             size = self._broadcaster.publish(facts)
             self.uplink.record(size, self._receiver_count)
 
-    def obtain_missing(self) -> None:
-        """Request or read the announced versions that are overdue on this node."""
+    def follow_up(self) -> None:
+        """Obtain announced versions that are overdue; end waits that may be lost."""
         for name, table in self._tables.items():
+            if table.interrupt_doubtful_wait():
+                log_change("store_wait_interrupted", table=name)
             attempt = table.obtain_missing()
             if attempt is not None:
                 log_change(
@@ -266,6 +271,11 @@
         else:
             table.apply_answer(changes)
 
+    def record_store_answer(self) -> None:
+        """Record that the store has just answered the holder of the orders' lease."""
+        for table in self._tables.values():
+            table.record_answer_to_other()
+
     def record_version(self, fact: TableVersion, sender: Member) -> bool:
         """Record a version of a table; return whether it is new to this node."""
         table = self._tables.get(fact.table)
@@ -378,11 +388,16 @@
         self._metrics.table_sources.labels(table, source.value).inc()
 
     def record_store_contact(
-        self, table: str, reachable: bool | None, answered_at: timedelta | None
+        self,
+        table: str,
+        reachability: Reachability,
+        answered_at: timedelta | None,
     ) -> None:
         """Log whether this node itself reaches the store."""
         age = None if answered_at is None else self._seconds_since(answered_at)
-        log_change("store_contact", table=table, reachable=reachable, answer_age_s=age)
+        log_change(
+            "store_contact", table=table, store=reachability.value, answer_age_s=age
+        )
 
     def update_metrics(self) -> None:
         """Update the metrics of the age of each table."""
