Bound the time and the size of each answer that is read

A server in trouble may send bytes that are no answer, without end.

Cause: the time-out of a socket limits each read, not the call, and no size was bounded. Now the reads of a head, or of one part of a body, share a deadline; heads with their interim responses, trailers and whole bodies have a bound. The connection is closed and the call counts as not answered. A stream has no bound beside its route's, but its framing has: a part must arrive within the time-out once it has begun.

--- a/packages/runhatch-cli/src/runhatch_cli/_client.py
+++ b/packages/runhatch-cli/src/runhatch_cli/_client.py
@@ -13,6 +13,7 @@
 NODE_VARIABLE = "RUNHATCH_NODE"
 DEFAULT_NODE = "http://127.0.0.1:7402"
 TIMEOUT_SECONDS = 10.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 HTTP_CONFLICT = 409
 
 Document = dict[str, Any]
@@ -57,7 +58,12 @@
         try:
             connection.request(method, path, body, headers)
             response = connection.getresponse()
-            answer = json.loads(response.read())
+            content = response.read(MAX_ANSWER_BYTES + 1)
+            if len(content) > MAX_ANSWER_BYTES:
+                raise UnreachableError(
+                    f"{self.url}: found an answer of over {MAX_ANSWER_BYTES} bytes"
+                )
+            answer = json.loads(content)
         except (OSError, http.client.HTTPException, ValueError) as error:
             raise UnreachableError(f"{self.url}: {error}") from None
         finally:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -11,14 +11,21 @@
 import socket
 import threading
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 from typing import ParamSpec, TypeVar
 
 from runhatch_coordination import Clock
 from runhatch_server.decisions import Headers
 from runhatch_server.fleet import Target
-from runhatch_server.http import StrictLineReader, StrictResponse, enable_keepalive
+from runhatch_server.http import (
+    MAX_BODY_BYTES,
+    StrictLineReader,
+    StrictResponse,
+    enable_keepalive,
+    read_head,
+)
 from runhatch_server.targets import AttemptReason, NotSent, probe_refusal
 
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
@@ -121,12 +128,12 @@
 class TargetConnection:
     """A connection to one incarnation of a target; used by one thread at a time."""
 
-    def __init__(self, target: Target) -> None:
+    def __init__(self, target: Target, clock: Clock) -> None:
         self.target = target
         self.use_count = 0
         self.idle_until = timedelta()
         self._connection = http.client.HTTPConnection(target.host, target.port)
-        self._connection.response_class = _LeftoverResponse
+        self._clock = clock
         self._response: _LeftoverResponse | None = None
         self._socket: socket.socket | None = None
         self._body_left: int | None = None
@@ -179,8 +186,9 @@
     def read_head(self, timeout: timedelta) -> http.client.HTTPResponse:
         """Read the head; raises ``OSError`` or ``HTTPException`` if it is malformed."""
         self.set_timeout(timeout)
-        response = self._connection.getresponse()
-        assert isinstance(response, _LeftoverResponse)
+        deadline = self._clock.elapsed() + timeout
+        response = read_head(self._connection, _LeftoverResponse, deadline, self._clock)
+        response.set_deadline(None)
         self._response = response
         self._body_left = None if response.chunked else response.length
         self._has_length = self._body_left is not None
@@ -191,31 +199,23 @@
         """Return the next bytes of the body as they arrive; empty at its end.
 
         Raises ``OSError`` or ``HTTPException`` if the body ends early, which can't be
-        detected unless :attr:`is_framed`.
+        detected unless :attr:`is_framed`, or if none arrive within the timeout.
         """
-        response = self._require_response()
-        if response.read_error is not None:
-            raise response.read_error
-        if response.chunked or response.fp is None:
-            # Raises if the connection ends within a chunk or before the last chunk.
-            return bytes(response.read1(READ_SIZE))
-        if self._body_left is None:
-            return response.fp.read1(READ_SIZE)
-        if not self._body_left:
-            return b""
-        chunk = response.fp.read1(min(self._body_left, READ_SIZE))
-        if not chunk:
-            raise http.client.IncompleteRead(b"", self._body_left)
-        self._body_left -= len(chunk)
-        return chunk
+        with self._limit_reads() as response:
+            return self._read_chunk(response)
 
     @_report_death_as_reset
     def read_body(self) -> bytes:
-        """Return the whole body; raises like :meth:`read_chunk` if it ends early."""
-        return self._require_response().read()
+        """Return the whole body; raises like :meth:`read_chunk` if it ends early.
+
+        All of it must arrive within the timeout, and it must not exceed
+        ``MAX_BODY_BYTES``.
+        """
+        with self._limit_reads() as response:
+            return response.read_whole(MAX_BODY_BYTES)
 
     def set_timeout(self, timeout: timedelta) -> None:
-        """Set the timeout of each further read and write."""
+        """Set the timeout of further reads and writes."""
         if self._socket is not None:
             self._socket.settimeout(max(0.001, timeout.total_seconds()))
 
@@ -243,6 +243,34 @@
             self._response.close()
         self._connection.close()
 
+    def _read_chunk(self, response: _LeftoverResponse) -> bytes:
+        if response.read_error is not None:
+            raise response.read_error
+        if response.chunked or response.fp is None:
+            # Raises if the connection ends within a chunk or before the last chunk.
+            return bytes(response.read1(READ_SIZE))
+        if self._body_left is None:
+            return response.fp.read1(READ_SIZE)
+        if not self._body_left:
+            return b""
+        chunk = response.fp.read1(min(self._body_left, READ_SIZE))
+        if not chunk:
+            raise http.client.IncompleteRead(b"", self._body_left)
+        self._body_left -= len(chunk)
+        return chunk
+
+    @contextmanager
+    def _limit_reads(self) -> Iterator[_LeftoverResponse]:
+        """Limit the reads of one part of the body together by the timeout."""
+        response = self._require_response()
+        timeout = None if self._socket is None else self._socket.gettimeout()
+        if timeout is not None:
+            response.set_deadline(self._clock.elapsed() + timedelta(seconds=timeout))
+        try:
+            yield response
+        finally:
+            response.set_deadline(None)
+
     def _require_response(self) -> _LeftoverResponse:
         if self._response is None:
             raise http.client.ResponseNotReady
@@ -276,7 +304,7 @@
             if self._open_counts[target.incarnation] >= max_open:
                 return NotSent(AttemptReason.TARGET_BUSY)
             self._open_counts[target.incarnation] += 1
-        connection = TargetConnection(target)
+        connection = TargetConnection(target, self._clock)
         try:
             connection.connect(min(timeout, CONNECT_TIMEOUT))
         except OSError as error:
--- a/packages/runhatch-server/src/runhatch_server/http/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/http/__init__.py
@@ -1,12 +1,17 @@
 """An HTTP client for services, and a server for a WSGI application."""
 
 from runhatch_server.http._client import (
+    MAX_BODY_BYTES,
     AbortedCall,
     HttpClient,
     Reply,
     enable_keepalive,
 )
-from runhatch_server.http._response import StrictLineReader, StrictResponse
+from runhatch_server.http._response import (
+    StrictLineReader,
+    StrictResponse,
+    read_head,
+)
 from runhatch_server.http._server import HttpServer, ServerLimits
 from runhatch_server.http._wsgi import (
     AbortedStreamError,
@@ -27,6 +32,7 @@
     "EventStream",
     "HttpClient",
     "HttpServer",
+    "MAX_BODY_BYTES",
     "Reply",
     "ServerLimits",
     "StartResponse",
@@ -35,5 +41,6 @@
     "caller_disconnect_check",
     "enable_keepalive",
     "omit_framing",
+    "read_head",
     "send_response",
 ]
--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -12,9 +12,11 @@
 from typing import Any
 from urllib.parse import urlsplit
 
-from runhatch_coordination import Unavailable, Unknown
-from runhatch_server.http._response import StrictResponse
+from runhatch_coordination import Clock, SystemClock, Unavailable, Unknown
+from runhatch_server.http._response import StrictResponse, read_head
 
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Bound of the body of a response; objects of the store have 8 MiB at most."""
 DEFAULT_POOL_SIZE = 6
 """Size of the connection pool of a service; further calls wait for a connection."""
 DEAD_PEER_TIMEOUT = timedelta(seconds=3)
@@ -50,6 +52,10 @@
     A call that could not be sent returns ``Unavailable``; one that was sent without a
     complete response returns ``Unknown``.  ``on_date`` is called with the ``Date``
     header of each response.
+
+    The head of a response must arrive within ``timeout`` of the request, the whole
+    response within ``transfer_time`` more, and no read may take longer than
+    ``timeout``.
     """
 
     def __init__(
@@ -58,8 +64,12 @@
         timeout: timedelta,
         pool_size: int = DEFAULT_POOL_SIZE,
         on_date: Callable[[str | None], None] | None = None,
+        transfer_time: timedelta = timedelta(),
+        clock: Clock | None = None,
     ) -> None:
         self._on_date = on_date
+        self._clock = clock or SystemClock()
+        self._transfer_time = transfer_time
         parts = urlsplit(base_url)
         self._host = parts.hostname or ""
         self._port = parts.port
@@ -132,9 +142,7 @@
         connection_class = (
             http.client.HTTPSConnection if secure else http.client.HTTPConnection
         )
-        connection = connection_class(self._host, self._port, timeout=self._timeout)
-        connection.response_class = StrictResponse
-        return connection
+        return connection_class(self._host, self._port, timeout=self._timeout)
 
     def _send(
         self,
@@ -162,7 +170,8 @@
             connection.request(
                 method, self._prefix + path, body=body, headers=dict(headers)
             )
-            response = connection.getresponse()
+            deadline = self._clock.elapsed() + timedelta(seconds=timeout)
+            response = read_head(connection, StrictResponse, deadline, self._clock)
             length = response.length
             is_framed = response.chunked or length is not None
             first_byte = response.read(1)
@@ -171,7 +180,8 @@
                 raise http.client.IncompleteRead(first_byte, length)
             if not response.isclosed():
                 self._record_first_byte(number, sock)
-            answer = first_byte + response.read()
+            response.set_deadline(deadline + self._transfer_time)
+            answer = first_byte + response.read_whole(MAX_BODY_BYTES)
             if self._on_date is not None:
                 self._on_date(response.getheader("Date"))
         except (OSError, http.client.HTTPException) as error:
--- a/packages/runhatch-server/src/runhatch_server/targets/_answers.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_answers.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from runhatch_server.http import MAX_BODY_BYTES, StrictResponse
 from runhatch_server.targets._load import LOAD_HEADER, ReportedLoad, parse_load
 
 READ_SIZE = 65_536
@@ -24,7 +25,7 @@
     def __init__(
         self,
         connection: http.client.HTTPConnection,
-        response: http.client.HTTPResponse,
+        response: StrictResponse,
     ) -> None:
         self._connection = connection
         self._response = response
@@ -52,9 +53,10 @@
     def read_answer(self) -> Answer:
         """Read the rest of the body.
 
-        Raises the errors of :meth:`read_chunk` if the body is incomplete.
+        Raises the errors of :meth:`read_chunk` if the body is incomplete or exceeds
+        ``MAX_BODY_BYTES``.
         """
-        body = self._response.read()
+        body = self._response.read_whole(MAX_BODY_BYTES)
         return Answer(self.status, self.headers, body)
 
     def set_timeout(self, seconds: float) -> None:
--- a/packages/runhatch-server/src/runhatch_server/targets/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_client.py
@@ -8,7 +8,7 @@
 from urllib.parse import urlsplit
 
 from runhatch_coordination import Clock
-from runhatch_server.http import StrictResponse
+from runhatch_server.http import StrictResponse, read_head
 from runhatch_server.targets._answers import OpenAnswer
 from runhatch_server.targets._outcomes import (
     AttemptOutcome,
@@ -91,7 +91,6 @@
         connection = connection_type(
             parts.hostname or "", parts.port, timeout=timeout.total_seconds()
         )
-        connection.response_class = StrictResponse
         try:
             connection.connect()
         except OSError:
@@ -110,7 +109,9 @@
             failure = self._await_head(connection, request, caller_gone)
             if failure is not None:
                 return UnknownResult(failure)
-            response = connection.getresponse()
+            response = read_head(
+                connection, StrictResponse, request.deadline, self._clock
+            )
         except TimeoutError:
             return UnknownResult(AttemptReason.TIMED_OUT)
         except (OSError, http.client.HTTPException):
