Repeat a check of the store at once when others are answered again

Seen in the simulation: with a silence of 1 s, checks that were sent in its last moments occupied both readers of a domain until they timed out, so its 30 nodes could not confirm their keys 1.2 s after the return; 1 s is the aim.

Cause: a check had no wait, so it could not be interrupted. It has one of 10 ms now, and is repeated when answers of the store to others resume. Other reasons to interrupt a wait leave a check alone, since a node that cannot reach the store would else not notice it. Short waits too are repeated then; the first answer to others that is ever known is no resumption and ends no wait, so that a start costs no more calls.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -147,7 +147,7 @@
     def is_backup_reader(self, is_backup: bool) -> None:
         was_backup, self._is_backup_reader = self._is_backup_reader, is_backup
         if was_backup and not is_backup:
-            self._watcher.interrupt_wait()
+            self._interrupt_wait()
 
     @property
     def confirmed_at(self) -> timedelta | None:
@@ -249,7 +249,7 @@
         was_active = self._reader_reports.state is ReaderState.ACTIVE
         self._reader_reports.record(reader, reachable)
         if was_active and not reachable and self._is_backup_reader:
-            self._watcher.interrupt_wait()
+            self._interrupt_wait()
         if reachable:
             if not was_active:
                 self.record_answer_to_other()
@@ -301,7 +301,7 @@
         if attempt.peer:
             self._peers.request_from(attempt.peer, self.name, self._replica.version)
         if attempt.reads_store:
-            self._watcher.interrupt_wait()
+            self._interrupt_wait()
             self._must_read_once = True
             self._wake_event.set()
         return attempt
@@ -528,6 +528,15 @@
             return REQUEST_TIMEOUT
         return max(self._reader_reports.time_until_silent, SINGLE_READ_WAIT)
 
+    def _interrupt_wait(self) -> None:
+        """Interrupt a wait for changes; a check of the contact ends by itself.
+
+        A node that cannot reach the store would never notice that if each of its
+        checks were interrupted.
+        """
+        if not self._contact.is_checking:
+            self._watcher.interrupt_wait()
+
     def _record_contact(self) -> None:
         """Record whether this node reaches the store, if that has changed."""
         reachability = self._contact.reachability
--- a/packages/runhatch-coordination/src/runhatch_coordination/_store_contact.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_store_contact.py
@@ -5,7 +5,8 @@
 therefore tells apart what is known and what is not, and how the node finds out:
 
 - a node that has received no answer yet, whose last call failed or whose wait was
-  interrupted makes a call that the store answers at once, before it waits again;
+  interrupted checks the contact before it waits again: it makes a call that the store
+  answers at once;
 - a long wait is relied on only while the store keeps answering other nodes.
 """
 
@@ -23,6 +24,11 @@
 """How long the store may hold a call while no answer to another node is known."""
 
 
+CHECK_WAIT = timedelta(milliseconds=10)
+"""How long the store may hold a call that checks the contact. Only calls with a wait
+can be interrupted."""
+
+
 class Reachability(Enum):
     """Whether a node reaches the store itself."""
 
@@ -47,6 +53,8 @@
         self._answered_others_at: timedelta | None = None
         self._waiting_since: timedelta | None = None
         """When the call in progress began, ``None`` unless its wait is long."""
+        self._is_calling = False
+        self._is_checking = False
 
     @property
     def reachability(self) -> Reachability:
@@ -58,6 +66,11 @@
         """When the store last answered a call of this node, if it ever did."""
         return self._answered_at
 
+    @property
+    def is_checking(self) -> bool:
+        """Whether the call in progress checks the contact."""
+        return self._is_checking
+
     @property
     def time_until_doubt(self) -> timedelta | None:
         """The time until the wait in progress is no longer relied on.
@@ -70,9 +83,11 @@
     def begin_call(self, longest_wait: timedelta) -> timedelta:
         """Record that a call begins; return how long the store may hold it."""
         with self._lock:
-            self._waiting_since = None
+            self._end_call()
+            self._is_calling = True
             if self._must_check:
-                return timedelta()
+                self._is_checking = True
+                return CHECK_WAIT
             if not self._answers_others():
                 return min(longest_wait, UNCONFIRMED_WAIT)
             if longest_wait > UNCONFIRMED_WAIT:
@@ -82,7 +97,7 @@
     def record_answer(self) -> None:
         """Record that the store answered a call of this node."""
         with self._lock:
-            self._waiting_since = None
+            self._end_call()
             self._reachability = Reachability.REACHED
             self._must_check = False
             self._answered_at = self._clock.elapsed()
@@ -90,20 +105,20 @@
     def record_failure(self) -> None:
         """Record that a call of this node failed."""
         with self._lock:
-            self._waiting_since = None
+            self._end_call()
             self._reachability = Reachability.UNREACHED
             self._must_check = True
 
     def record_interruption(self) -> None:
         """Record that a wait was interrupted, which is no answer."""
         with self._lock:
-            self._waiting_since = None
+            self._end_call()
             self._must_check = True
 
     def record_end_of_reading(self) -> None:
         """Record that this node no longer calls the store."""
         with self._lock:
-            self._waiting_since = None
+            self._end_call()
             self._reachability = Reachability.UNKNOWN
             self._must_check = True
 
@@ -123,10 +138,17 @@
         ceased, so a wait in progress may have been lost, and the store may be back.
         """
         with self._lock:
+            is_first = self._answered_others_at is None
             had_ceased = not self._answers_others()
             self._answered_others_at = self._clock.elapsed()
+            may_be_lost = self._is_calling and not is_first
             is_unreached = self._reachability is Reachability.UNREACHED
-            return had_ceased and (is_unreached or self._waiting_since is not None)
+            return had_ceased and (may_be_lost or is_unreached)
+
+    def _end_call(self) -> None:
+        self._is_calling = False
+        self._is_checking = False
+        self._waiting_since = None
 
     def _time_until_doubt(self) -> timedelta | None:
         if self._waiting_since is None:
--- a/packages/runhatch-coordination/tests/test_silent_store.py
+++ b/packages/runhatch-coordination/tests/test_silent_store.py
@@ -11,6 +11,9 @@
 RESTART_SECONDS = 1.0
 MAX_DELAY_SECONDS = 2.0
 """Time from the acknowledgement of a change in which each node must apply it."""
+MAX_CONFIRMATION_SECONDS = 1.0
+"""Time from the return of the store in which each node must know that its copy is the
+newest."""
 OBSERVED_SECONDS = 12.0
 DOMAINS_BY_SIZE = {9: "aaaabbbcc", 90: "abc" * 30, 390: "abcdef" * 65}
 HOLDER_ROLES = [Role.READER, Role.RESERVE]
@@ -68,3 +71,20 @@
 
         for version, written_at in written:
             assert max(world.delays(version, written_at).values()) <= MAX_DELAY_SECONDS
+
+    @pytest.mark.parametrize("size", [9, 90])
+    @pytest.mark.parametrize("holder_role", HOLDER_ROLES)
+    @pytest.mark.parametrize("silent_seconds", [1.0, 3.3, 8.2])
+    def test_the_table_is_confirmed_in_time(
+        self, make_world, size, holder_role, silent_seconds
+    ):
+        """Nodes that can't confirm their keys refuse all requests with keys."""
+        world = make_world(size)
+        world.holder = world.nodes_with_role(holder_role)[-1]
+        world.run(STARTUP_SECONDS)
+        world.store.fall_silent(silent_seconds)
+        world.run(silent_seconds)
+        returned_at = world.simulation.now
+        world.run(MAX_CONFIRMATION_SECONDS)
+
+        assert world.unconfirmed_nodes(returned_at) == []
