Call no route unknown before a reader is known to reach the store

Cause, of the same class: what was not known counted as known. A node that had just started counted as in touch until the first report to the contrary, though it had its copy from a node of unknown age; so did one whose readers had fallen silent, until its own call failed. Whether a node may be behind is now what it knows at that moment: its own contact with the store, or a recent report of a reader that has it.

Both new tests failed before.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -193,9 +193,11 @@
     def may_be_behind(self) -> bool:
         """Whether the table may have changed without this node's knowledge.
 
-        It is behind, or reaches neither the store nor a reader that reaches it.
+        It is behind, or reaches neither the store nor a reader that reaches it, as far
+        as it knows: a node that has just started may have its copy from a node that is
+        cut off.
         """
-        return self.is_behind or not self._notified_reachability
+        return self.is_behind or not self._has_contact
 
     @property
     def held_version(self) -> StoreVersion | None:
@@ -413,6 +415,11 @@
             return None
         return replace(changes, confirmed_at=confirmed_at)
 
+    @property
+    def _has_contact(self) -> bool:
+        """Whether this node or a reader of its domain reaches the store."""
+        return self.reaches_store or self._reader_reports.state is ReaderState.ACTIVE
+
     @property
     def _known_version(self) -> StoreVersion:
         return self._replica.version or ORIGIN
@@ -554,9 +561,7 @@
     def _notify_reachability(self, reason: str) -> None:
         """Notify the listener if the reachability of the store has changed."""
         with self._reachability_lock:
-            reachable = (
-                self.reaches_store or self._reader_reports.state is ReaderState.ACTIVE
-            )
+            reachable = self._has_contact
             if reachable == self._notified_reachability:
                 return
             self._notified_reachability = reachable
--- a/packages/runhatch-coordination/tests/test_shared.py
+++ b/packages/runhatch-coordination/tests/test_shared.py
@@ -364,6 +364,22 @@
 
         assert not table.may_be_behind
 
+    def test_may_be_behind_until_it_learns_that_a_reader_reaches_the_store(self):
+        """A restarted node once called a new route unknown by a copy of unknown age."""
+        table, *_ = make_table()
+        table.apply_answer(whole_table(1, a=b"1"))
+        assert table.may_be_behind
+
+        table.apply_changes("r1", TableChanges(1, 1, ()), True)
+        assert not table.may_be_behind
+
+    def test_may_be_behind_while_its_readers_are_silent(self):
+        table, *_, clock = make_follower()
+        table.apply_changes("r1", TableChanges(1, 1, ()), True)
+        clock.advance(SILENT)
+
+        assert table.may_be_behind
+
     def test_reads_an_announced_change_at_once_if_the_readers_are_cut_off(self):
         table, store, _, listener, _, _ = make_follower()
         store.write("a", b"1")
