Test that renewals of the lease are evidence of the store's answers

The wiring from the notices of the lease's holder, and from this node's own renewals, to the shared tables had no test: without it readers would fall back to waits of 2 s and no test would fail. A repeated notice of one renewal is no new evidence.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_store_contact.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_store_contact.py
@@ -22,8 +22,6 @@
 about every 0.9 s."""
 UNCONFIRMED_WAIT = timedelta(seconds=2)
 """How long the store may hold a call while no answer to another node is known."""
-
-
 CHECK_WAIT = timedelta(milliseconds=10)
 """How long the store may hold a call that checks the contact. Only calls with a wait
 can be interrupted."""
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -307,6 +307,20 @@
 
         assert not peers.has_active_orderer()
 
+    @pytest.mark.parametrize("renewals", [(4,), (4, 4), (4, 5)])
+    def test_each_renewal_shows_that_the_store_answers(self, clock, renewals):
+        """Readers rely on long waits only while the store is known to answer."""
+        peers, _ = make_peers(clock)
+        own_peers, _ = make_peers(clock)
+
+        with patch.object(GatewayTables, "record_store_answer") as record:
+            for renewal in renewals:
+                notice = OrdererNotice(3, renewal)
+                peers.receive(Envelope(PROTOCOL_VERSION, PEER, True, [notice]))
+                own_peers.publish_renewal(3, renewal)
+
+        assert record.call_count == 2 * len(set(renewals))
+
 
 class TestNewMembers:
     """Detection of new members."""
