Close connections of callers whose request's head never ends

A caller that sends the head of a request byte by byte kept its connection for as long as it liked: the idle time starts anew with each byte, and header_timeout_ms, which the platform states, was decoded and not used. Connections are limited, so such callers can take all of them from others.

The time from the first byte of a head is measured on each connection, also of peers that forward requests, and checked with idle connections, each 5 s. A slow body is received as before; both are tested.

Without this change the first test has nothing to set: no limit of that kind existed.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
@@ -69,7 +69,11 @@
 
 def forward_limits(limits: RequestLimits) -> ServerLimits:
     """Return the limits of the server for requests forwarded by peers."""
-    return ServerLimits(limits.body_bytes, limits.header_bytes + FORWARD_HEADER_BYTES)
+    return ServerLimits(
+        limits.body_bytes,
+        limits.header_bytes + FORWARD_HEADER_BYTES,
+        header_timeout=limits.header_timeout,
+    )
 
 
 def server_limits(limits: RequestLimits) -> ServerLimits:
@@ -78,6 +82,7 @@
         limits.body_bytes,
         limits.header_bytes,
         limits.idle_timeout + IDLE_TIMEOUT_MARGIN,
+        limits.header_timeout,
     )
 
 
--- a/packages/runhatch-server/src/runhatch_server/http/_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_channel.py
@@ -6,11 +6,14 @@
 
 import socket
 import struct
+from datetime import timedelta
 from typing import Any
 
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from runhatch_coordination import Clock, SystemClock
+
 OMIT_FRAMING_KEY = "runhatch.omit_framing"
 CHUNKED_LINE = b"\r\nTransfer-Encoding: chunked\r\n"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -68,9 +71,27 @@
     """
 
     task_class = FramingTask
+    clock: Clock = SystemClock()
     is_body_whole = False
     """Whether the last body without framing has been written completely to the
     buffer."""
+    _head_began_at: timedelta | None = None
+
+    @property
+    def head_age(self) -> timedelta:
+        """The time since the first byte of a head that is not complete yet, else 0."""
+        began_at = self._head_began_at
+        return timedelta() if began_at is None else self.clock.elapsed() - began_at
+
+    def received(self, data: bytes) -> bool:
+        """Parse ``data``, which the caller sent."""
+        is_accepted = bool(super().received(data))
+        request = self.request
+        if request is None or request.headers_finished:
+            self._head_began_at = None
+        elif self._head_began_at is None:
+            self._head_began_at = self.clock.elapsed()
+        return is_accepted
 
     def begin_unframed_body(self) -> None:
         """Have any close reset the connection, until the whole body has been sent."""
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -15,8 +15,10 @@
 """Connections beyond the number of threads, for idle and soon refused ones."""
 RECEIVE_SLACK_BYTES = 65_536
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=120)
+DEFAULT_HEADER_TIMEOUT = timedelta(seconds=10)
 CLEANUP_INTERVAL = timedelta(seconds=5)
-"""Interval of the check for idle connections, which close at most this much late."""
+"""Interval of the check for idle connections and slow heads of requests, whose
+connections close at most this much late."""
 BACKLOG = 1024
 
 App = Callable[..., Iterable[bytes]]
@@ -24,11 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLimits:
-    """Maximum body and header size in bytes, and maximum idle time of a connection."""
+    """Limits on requests and connections; sizes are in bytes.
+
+    The head of a request must arrive within ``header_timeout`` of its first byte.
+    """
 
     max_body_bytes: int
     max_header_bytes: int
     idle_timeout: timedelta = DEFAULT_IDLE_TIMEOUT
+    header_timeout: timedelta = DEFAULT_HEADER_TIMEOUT
 
 
 class HttpServer:
@@ -63,6 +69,9 @@
             expose_tracebacks=False,
         )
         self._server.channel_class = FramingChannel
+        self._close_idle_channels = self._server.maintenance
+        self._server.maintenance = self._close_overdue_channels
+        self._header_timeout = limits.header_timeout
         self.set_limits(limits)
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
@@ -82,6 +91,7 @@
         settings.max_request_body_size = limits.max_body_bytes + RECEIVE_SLACK_BYTES
         settings.max_request_header_size = limits.max_header_bytes
         settings.channel_timeout = limits.idle_timeout.total_seconds()
+        self._header_timeout = limits.header_timeout
 
     def start(self) -> None:
         """Start the server thread."""
@@ -95,6 +105,13 @@
         """Close the connections without a request in progress."""
         self._server.trigger.pull_trigger(self._close_idle)
 
+    def _close_overdue_channels(self, now: float) -> None:
+        """Close idle connections, and those whose request's head takes too long."""
+        self._close_idle_channels(now)
+        for channel in list(self._server.active_channels.values()):
+            if channel.head_age > self._header_timeout:
+                channel.will_close = True
+
     def _close_idle(self) -> None:
         for channel in list(self._server.active_channels.values()):
             if not channel.requests and channel.request is None:
