--- a/packages/runhatch-coordination/src/runhatch_coordination/_store_contact.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_store_contact.py
@@ -39,7 +39,7 @@
 class StoreContact:
     """What one node knows of its contact with the store for one table; thread-safe.
 
-    .. versionadded:: 0.3
+    .. versionadded:: 0.2
     """
 
     def __init__(self, clock: Clock) -> None:
