--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 
 BENCHES := bench-relay bench-overload bench-claims bench-control \
 	bench-pictures bench-placement bench-membership bench-routing bench-logs \
-	bench-orders bench-permits
+	bench-orders bench-permits bench-silent-store
 
 .PHONY: bench slopes $(BENCHES)
 bench: $(BENCHES)
