Rename follow_up to check_overdue_tables

Read as a newcomer: the name had no object, and did not say that waits are interrupted; record_answer_to_other becomes record_answer_to_other_node, which says who was answered. No behaviour changes: types, style, and the tests of the coordination package and of the gateway's peers pass.

--- a/benchmarks/bench_silent_store.py
+++ b/benchmarks/bench_silent_store.py
@@ -45,7 +45,7 @@
     def end_doubtful_wait(self) -> bool:
         return False
 
-    def record_answer_to_other(self) -> bool:
+    def record_answer_to_other_node(self) -> bool:
         return False
 
 
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -254,7 +254,7 @@
             self._interrupt_wait()
         if reachable:
             if not was_active:
-                self.record_answer_to_other()
+                self.record_answer_to_other_node()
             self._notify_reachability("")
         if changes is not None and self._offer(changes) is OfferOutcome.APPLIED:
             self._announce_received(changes)
@@ -308,13 +308,13 @@
             self._wake_event.set()
         return attempt
 
-    def record_answer_to_other(self) -> None:
+    def record_answer_to_other_node(self) -> None:
         """Record that the store has just answered another node.
 
         If it had not done so for a while, this node calls the store again at once: it
         may have lost the call in progress.
         """
-        if self._contact.record_answer_to_other():
+        if self._contact.record_answer_to_other_node():
             self._watcher.interrupt_wait()
             self._retry_event.set()
 
--- a/packages/runhatch-coordination/src/runhatch_coordination/_store_contact.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_store_contact.py
@@ -129,7 +129,7 @@
             self._waiting_since = None
             return True
 
-    def record_answer_to_other(self) -> bool:
+    def record_answer_to_other_node(self) -> bool:
         """Record that the store has just answered another node.
 
         Return whether this node should call the store at once: the other answers had
--- a/packages/runhatch-coordination/tests/silent_store.py
+++ b/packages/runhatch-coordination/tests/silent_store.py
@@ -241,7 +241,7 @@
 
     def receive_renewal(self, client):
         if self._is_process(client):
-            self.table.record_answer_to_other()
+            self.table.record_answer_to_other_node()
 
     def _is_process(self, client):
         """Return whether ``client`` belongs to the process that runs now."""
--- a/packages/runhatch-coordination/tests/test_confirmations.py
+++ b/packages/runhatch-coordination/tests/test_confirmations.py
@@ -68,7 +68,7 @@
     def test_calls_end_in_time_to_confirm(self):
         table, feed, _ = make_reader(FIRST)
         feed.answers = [Changes((), 3), Changes((), 3)]
-        table.record_answer_to_other()
+        table.record_answer_to_other_node()
         table.step()
         table.max_call_wait = seconds(2)
         table.step()
--- a/packages/runhatch-coordination/tests/test_store_contact.py
+++ b/packages/runhatch-coordination/tests/test_store_contact.py
@@ -32,13 +32,16 @@
     [
         pytest.param([], Reachability.UNKNOWN, CHECK_WAIT, id="no call yet"),
         pytest.param(
-            ["record_answer_to_other"], Reachability.UNKNOWN, CHECK_WAIT, id="told only"
+            ["record_answer_to_other_node"],
+            Reachability.UNKNOWN,
+            CHECK_WAIT,
+            id="told only",
         ),
         pytest.param(
             ["record_answer"], Reachability.REACHED, UNCONFIRMED_WAIT, id="answered"
         ),
         pytest.param(
-            ["record_answer_to_other", "record_answer"],
+            ["record_answer_to_other_node", "record_answer"],
             Reachability.REACHED,
             LONG_WAIT,
             id="answered, as others are",
@@ -86,7 +89,7 @@
     """A long wait in progress."""
 
     def begin_wait(self):
-        contact, clock = make_contact("record_answer_to_other", "record_answer")
+        contact, clock = make_contact("record_answer_to_other_node", "record_answer")
         contact.begin_call(LONG_WAIT)
         return contact, clock
 
@@ -95,7 +98,7 @@
         for _ in range(20):
             clock.advance(ANSWER_TIMEOUT - TICK)
             assert not contact.end_doubtful_wait()
-            assert not contact.record_answer_to_other()
+            assert not contact.record_answer_to_other_node()
 
     def test_it_is_ended_once_if_no_other_is_answered(self):
         contact, clock = self.begin_wait()
@@ -108,17 +111,17 @@
 
     @pytest.mark.parametrize("longest_wait", [LONG_WAIT, SHORT_WAIT])
     def test_it_is_ended_when_others_are_answered_again(self, longest_wait):
-        contact, clock = make_contact("record_answer_to_other", "record_answer")
+        contact, clock = make_contact("record_answer_to_other_node", "record_answer")
         clock.advance(ANSWER_TIMEOUT)
         contact.begin_call(longest_wait)
 
-        assert contact.record_answer_to_other()
+        assert contact.record_answer_to_other_node()
 
     def test_it_goes_on_when_the_first_answer_to_others_is_known(self):
         contact, _ = make_contact("record_answer")
         contact.begin_call(LONG_WAIT)
 
-        assert not contact.record_answer_to_other()
+        assert not contact.record_answer_to_other_node()
 
     @pytest.mark.parametrize(
         "event", ["record_answer", "record_failure", "record_interruption"]
@@ -138,8 +141,8 @@
     silence, calls_at_once
 ):
     """Only once: else a node that is cut off would call with each renewal."""
-    contact, clock = make_contact("record_answer_to_other", "record_failure")
+    contact, clock = make_contact("record_answer_to_other_node", "record_failure")
     clock.advance(silence)
 
-    assert contact.record_answer_to_other() is calls_at_once
-    assert not contact.record_answer_to_other()
+    assert contact.record_answer_to_other_node() is calls_at_once
+    assert not contact.record_answer_to_other_node()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -220,7 +220,7 @@
         self._tasks.start_task(
             "behind",
             lambda: self._tables.attempt_interval,
-            self._tables.follow_up,
+            self._tables.check_overdue_tables,
             self._tables.version_announced,
         )
         self._tasks.start_task("lease", LEASE_INTERVAL, self._update_lease)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -116,7 +116,7 @@
 
     @property
     def attempt_interval(self) -> timedelta:
-        """The time until the next call of :meth:`follow_up` is due."""
+        """The time until the next call of :meth:`check_overdue_tables` is due."""
         tables = self._tables.values()
         due = [table.time_until_attempt() for table in tables]
         due += [table.time_until_doubt() for table in tables]
@@ -234,8 +234,11 @@
             size = self._broadcaster.publish(facts)
             self.uplink.record(size, self._receiver_count)
 
-    def follow_up(self) -> None:
-        """Obtain announced versions that are overdue; end waits that may be lost."""
+    def check_overdue_tables(self) -> None:
+        """Request or read announced versions that are overdue on this node.
+
+        Waits for changes that the store may have lost are interrupted.
+        """
         for name, table in self._tables.items():
             if table.interrupt_doubtful_wait():
                 log_change("store_wait_interrupted", table=name)
@@ -274,7 +277,7 @@
     def record_store_answer(self) -> None:
         """Record that the store has just answered the holder of the orders' lease."""
         for table in self._tables.values():
-            table.record_answer_to_other()
+            table.record_answer_to_other_node()
 
     def record_version(self, fact: TableVersion, sender: Member) -> bool:
         """Record a version of a table; return whether it is new to this node."""
