Send the record of a stream before its first event is relayed

Callers saw: 503 stream_unknown when they took up streams whose gateway was killed just after their first event, while a service had two versions.

Cause: the event was relayed first; the record went to the keepers with those of the next 20 ms, and whenever the sending thread got its turn. A kill in between lost it.

Change: StreamVersionExchange.record_begun returns an event that is set once a connection to one keeper has accepted the record (PeerLinks.send takes on_sent), and SharedStreamVersions waits for it, at most 100 ms.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -47,7 +47,6 @@
 from runhatch_server.gateway._settings import GatewaySettings
 from runhatch_server.gateway._shared_stream_versions import SharedStreamVersions
 from runhatch_server.gateway._stream_version_exchange import (
-    RECORD_BATCH_WINDOW,
     UPDATE_INTERVAL,
 )
 from runhatch_server.gateway._stream_versions import StreamVersions
@@ -254,7 +253,7 @@
         self._tasks.start_task(
             "streams",
             UPDATE_INTERVAL,
-            self._send_stream_versions,
+            self._peers.stream_versions.send_updates,
             self._peers.stream_versions.update_wanted,
         )
         if self._settings.key_removal is not None:
@@ -476,11 +475,6 @@
         self._peers.permits.report_rooms()
         self._peers.send_demand(self._demand)
 
-    def _send_stream_versions(self) -> None:
-        """Send the records of streams, after a short pause that batches them."""
-        self._clock.sleep(RECORD_BATCH_WINDOW)
-        self._peers.stream_versions.send_updates()
-
     def _order_interval(self) -> timedelta:
         return ORDER_INTERVAL if self._orderer.has_work else IDLE_ORDER_INTERVAL
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
@@ -1,22 +1,46 @@
 """Software versions of the targets that began streams, as all nodes know them."""
 
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+
+from runhatch_server._waiting import wait_for_event
 from runhatch_server.gateway._stream_version_exchange import StreamVersionExchange
 from runhatch_server.gateway._stream_versions import StreamVersions
+from runhatch_server.observability import log_change
+
+RECORD_SEND_TIMEOUT = timedelta(milliseconds=100)
+"""Longest delay of a stream whose record cannot be sent to a keeper."""
 
 
 class SharedStreamVersions:
     """A :class:`StreamVersionSource` with the records of this node and its peers."""
 
-    def __init__(self, own: StreamVersions, exchange: StreamVersionExchange) -> None:
+    def __init__(
+        self,
+        own: StreamVersions,
+        exchange: StreamVersionExchange,
+        wait: Callable[[threading.Event, timedelta], None] = wait_for_event,
+    ) -> None:
         self._own = own
         self._exchange = exchange
+        self._wait = wait
 
     def record_begun(
         self, attempt_id: str, service: str, software_version: str
     ) -> None:
-        """Record that a target began to send events of a stream."""
+        """Record that a target began to send events of a stream.
+
+        Waits until a keeper was sent the record, so that the stream can be resumed at
+        other nodes once its caller has an event.
+        """
         self._own.record_begun(attempt_id, service, software_version)
-        self._exchange.record_begun(attempt_id, service, software_version)
+        sent = self._exchange.record_begun(attempt_id, service, software_version)
+        if sent is None:
+            return
+        self._wait(sent, RECORD_SEND_TIMEOUT)
+        if not sent.is_set():
+            log_change("stream_version_unsent", service=service, attempt=attempt_id)
 
     def find_version(self, attempt_id: str, service: str) -> str | None:
         """Return the version that began a stream, ``None`` if it is not known.
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -29,9 +29,9 @@
     keeper_slot,
 )
 from runhatch_server.gateway._stream_inquiry import StreamFinding, StreamInquiry
+from runhatch_server.gateway._stream_record_batches import RecordBatches, SendFact
 from runhatch_server.observability import log_change
 from runhatch_server.peers import (
-    Fact,
     Member,
     StreamVersionAnswer,
     StreamVersionQuery,
@@ -39,8 +39,6 @@
     StreamVersionsUpdate,
 )
 
-RECORD_BATCH_WINDOW = timedelta(milliseconds=20)
-"""Records made within this time are sent in one message to each keeper."""
 UPDATE_INTERVAL = timedelta(seconds=1)
 """Longest time until a change of the keepers or of a service's versions is noticed."""
 RESEND_DELAY = timedelta(seconds=5)
@@ -55,7 +53,6 @@
 """Longest wait for the answers of keepers."""
 KEEPER_LINK_RETENTION = timedelta(seconds=5)
 """How long a link to a node is kept after a message to it."""
-MAX_RECORDS_PER_MESSAGE = 500
 MAX_RECORDS_PER_HANDOVER = 10_000
 """Maximum number of records sent to a new keeper, the newest first.  They may become
 one message of the link, which must stay below the receiver's limit of 1 MiB."""
@@ -63,9 +60,6 @@
 StreamVersionMessage = StreamVersionsUpdate | StreamVersionQuery | StreamVersionAnswer
 """Messages between nodes about the versions that began streams."""
 
-Batches = dict[str, list[StreamVersionRecord]]
-"""Records to send, by the address of the receiver."""
-
 
 class StreamVersionExchange:
     """Exchanges the records of one node with their keepers; thread-safe.
@@ -81,7 +75,7 @@
         clock: Clock,
         has_several_versions: Callable[[str], bool],
         record_seen: Callable[[str, str, timedelta], None],
-        send: Callable[[str, Fact], None],
+        send: SendFact,
         reopen: Callable[[str], None],
         wait: Callable[[threading.Event, timedelta], None] = wait_for_event,
     ) -> None:
@@ -94,8 +88,9 @@
         self._wait = wait
         self._lock = threading.Lock()
         self._records = StreamRecords()
-        self._unsent: dict[str, dict[str, None]] = defaultdict(dict)
-        """Attempt ids by service whose records no keeper was sent, oldest first."""
+        self._unsent: dict[str, dict[str, threading.Event]] = defaultdict(dict)
+        """Events to set once a keeper was sent a record, by service and attempt id, the
+        oldest first."""
         self._alive: list[Vm] = []
         self._keepers: list[list[Vm]] = []
         """Keepers by slot among ``_alive``; empty while nothing is shared."""
@@ -112,20 +107,25 @@
 
     def record_begun(
         self, attempt_id: str, service: str, software_version: str
-    ) -> None:
+    ) -> threading.Event | None:
         """Record that a target of ``software_version`` began a stream.
 
         Repeated for a stream that is still in progress, this extends the time for which
         it is recorded.
+
+        Return an event that is set once a keeper was sent the record of a new stream,
+        ``None`` if no keeper will be sent one now.
         """
-        key = service, attempt_id
+        key, sent = (service, attempt_id), threading.Event()
         with self._lock:
             outcome = self._add(key, software_version, self._clock.elapsed(), True)
             if outcome is RecordOutcome.KNOWN:
-                return
-            self._unsent[service][attempt_id] = None
-        if self._has_several_versions(service):
-            self.update_wanted.set()
+                return None
+            self._unsent[service][attempt_id] = sent
+        if not self._has_several_versions(service):
+            return None
+        self.update_wanted.set()
+        return sent if outcome is RecordOutcome.NEW else None
 
     def find_held(self, attempt_id: str, service: str) -> StreamFinding | None:
         """Return what a record that this node holds says, if any; does not block."""
@@ -156,7 +156,7 @@
             services = self._records.services()
         # Called without the lock: its owner may hold another one while it records.
         shared = set(filter(self._has_several_versions, services))
-        batches: Batches = {}
+        batches = RecordBatches()
         with self._lock:
             if shared:
                 batches = self._take_batches(shared, now)
@@ -164,11 +164,8 @@
                 self._keepers = []
                 self._resends.clear()
             self._drop_unsent(now)
-            self._used_at.update(dict.fromkeys(batches, now))
-        for address, records in batches.items():
-            for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
-                batch = records[start : start + MAX_RECORDS_PER_MESSAGE]
-                self._send(address, StreamVersionsUpdate(batch))
+            self._used_at.update(dict.fromkeys(batches.addresses, now))
+        batches.send(self._send)
 
     def choose_links(self, alive: list[Vm]) -> list[Vm]:
         """Return the nodes to link to for streams: those sent to lately."""
@@ -272,9 +269,9 @@
             self._reopen_link(address)
             self._send(address, query)
 
-    def _take_batches(self, shared: set[str], now: timedelta) -> Batches:
+    def _take_batches(self, shared: set[str], now: timedelta) -> RecordBatches:
         """Return the records to send of ``shared`` services, by address."""
-        batches: Batches = defaultdict(list)
+        batches = RecordBatches()
         change = self._update_keepers()
         if change.new_keepers:
             self._add_handovers(batches, change, shared, now)
@@ -283,20 +280,31 @@
         while self._resends and self._resends[0][0] <= now:
             self._add_record(batches, self._resends.popleft()[1], now)
         for service in shared & self._unsent.keys():
-            for attempt_id in self._unsent.pop(service):
+            for attempt_id, sent in self._unsent.pop(service).items():
                 key = service, attempt_id
-                self._add_record(batches, key, now)
+                self._add_record(batches, key, now, sent)
                 self._resends.append((due, key))
         return batches
 
-    def _add_record(self, batches: Batches, key: StreamKey, now: timedelta) -> None:
-        """Add the record of a stream for its keepers to ``batches``."""
+    def _add_record(
+        self,
+        batches: RecordBatches,
+        key: StreamKey,
+        now: timedelta,
+        sent: threading.Event | None = None,
+    ) -> None:
+        """Add the record of a stream for its keepers to ``batches``.
+
+        ``sent`` is set once one of them was sent it, or if there is nothing to send.
+        """
         message = _make_message(key, self._records.find(key, now), now)
-        if message is None:
-            return
-        for vm in self._keepers[keeper_slot(message.attempt_id)]:
-            if vm.name != self._membership.own.name:
-                batches[vm.address].append(message)
+        keepers = self._keepers[keeper_slot(key[1])]
+        others = [vm for vm in keepers if vm.name != self._membership.own.name]
+        if message is not None:
+            for vm in others:
+                batches.add(vm.address, message, sent)
+        if sent is not None and (message is None or not others):
+            sent.set()
 
     def _update_keepers(self) -> KeeperChange:
         """Choose the keepers again if other nodes are alive, and return the change."""
@@ -310,7 +318,11 @@
         return compare_keepers(previous, self._keepers, self._membership.own)
 
     def _add_handovers(
-        self, batches: Batches, change: KeeperChange, shared: set[str], now: timedelta
+        self,
+        batches: RecordBatches,
+        change: KeeperChange,
+        shared: set[str],
+        now: timedelta,
     ) -> None:
         """Add the records for nodes that have become keepers to ``batches``."""
         for key, record in self._records.live(now):
@@ -322,8 +334,8 @@
             if not is_handed_over or is_unsent or service not in shared or not message:
                 continue
             for vm in change.new_keepers.get(slot, ()):
-                if len(batches[vm.address]) < MAX_RECORDS_PER_HANDOVER:
-                    batches[vm.address].append(message)
+                if batches.count(vm.address) < MAX_RECORDS_PER_HANDOVER:
+                    batches.add(vm.address, message)
 
     def _reopen_link(self, address: str) -> None:
         """Replace the connection to ``address``, unless that was just done."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -23,7 +23,7 @@
     def record_begun(
         self, attempt_id: str, service: str, software_version: str
     ) -> None:
-        """Record that a target began to send events of a stream; does not block.
+        """Record that a target began to send events of a stream; may wait for a while.
 
         ``attempt_id`` is the caller's attempt that got the first event.
         """
--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -12,7 +12,7 @@
     choose_peers,
 )
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.peers._links import Links
+from runhatch_server.peers._links import Links, OnSent
 from runhatch_server.peers._messages import (
     PROTOCOL_VERSION,
     Envelope,
@@ -96,10 +96,10 @@
         if self._links is not None:
             self._links.publish(fact)
 
-    def send(self, address: str, fact: Fact) -> None:
-        """Send ``fact`` to one address."""
+    def send(self, address: str, fact: Fact, on_sent: OnSent | None = None) -> None:
+        """Send ``fact`` to one address; ``on_sent`` is called once it is sent."""
         if self._links is not None:
-            self._links.send(address, [fact])
+            self._links.send(address, [fact], on_sent)
 
     def reopen_link(self, address: str) -> None:
         """Replace the connection to ``address``, if linked, by a new one."""
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -4,6 +4,7 @@
 import queue
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
@@ -32,6 +33,8 @@
 DECODER = msgspec.msgpack.Decoder(Envelope)
 
 OnEnvelope = Callable[[Envelope], None]
+OnSent = Callable[[], None]
+"""Called in the task of a link once a connection has accepted the facts."""
 
 
 def decode_envelope(message: bytes, metrics: Metrics) -> Envelope | None:
@@ -79,7 +82,9 @@
     def publish(self, fact: Fact) -> None:
         """Send ``fact`` to every linked peer."""
 
-    def send(self, address: str, facts: list[Fact]) -> None:
+    def send(
+        self, address: str, facts: list[Fact], on_sent: OnSent | None = None
+    ) -> None:
         """Send ``facts`` to one address, linked or not."""
 
     def reopen(self, address: str) -> None:
@@ -152,18 +157,21 @@
         for link in links:
             link.put(fact)
 
-    def send(self, address: str, facts: list[Fact]) -> None:
-        """Send ``facts`` to one address, by its link or a temporary one."""
+    def send(
+        self, address: str, facts: list[Fact], on_sent: OnSent | None = None
+    ) -> None:
+        """Send ``facts`` to one address, by its link or a temporary one.
+
+        ``on_sent`` is not called if the facts were dropped or no connection took them.
+        """
         with self._lock:
             direct = self._direct_link if address == self._direct_address else None
             link = self._links.get(address) or direct
         if link is not None:
-            for fact in facts:
-                link.put(fact)
+            link.put_all(facts, on_sent)
             return
         temporary = self._open(address, None)
-        for fact in facts:
-            temporary.put(fact)
+        temporary.put_all(facts, on_sent)
         temporary.close()
 
     def reopen(self, address: str) -> None:
@@ -261,6 +269,26 @@
                 return
 
 
+@dataclass(frozen=True, slots=True)
+class _Delivery:
+    """Facts that are queued together, to report that they were sent."""
+
+    facts: list[Fact]
+    on_sent: OnSent
+
+
+@dataclass(slots=True)
+class _Batch:
+    """What a link takes from its queue at once.
+
+    ``is_last`` is whether the end marker was reached.
+    """
+
+    facts: list[Fact] = field(default_factory=list)
+    on_sent: list[OnSent] = field(default_factory=list)
+    is_last: bool = False
+
+
 class _Link:
     """A link to one peer: a queue, and a task that sends it over a socket."""
 
@@ -279,17 +307,25 @@
         self._traffic = traffic
         self._interval = interval
         self._keys = keys
-        self._facts: queue.Queue[Fact | None] = queue.Queue(QUEUE_LIMIT)
+        self._facts: queue.Queue[Fact | _Delivery | None] = queue.Queue(QUEUE_LIMIT)
         self._task = threading.Thread(target=self._run, name="peer", daemon=True)
         self._task.start()
 
-    def put(self, fact: Fact) -> None:
-        """Queue ``fact``, or drop it if the queue of a slow peer is full."""
+    def put(self, item: Fact | _Delivery) -> None:
+        """Queue ``item``, or drop it if the queue of a slow peer is full."""
         try:
-            self._facts.put_nowait(fact)
+            self._facts.put_nowait(item)
         except queue.Full:
             self._metrics.peer_messages.labels("dropped").inc()
 
+    def put_all(self, facts: list[Fact], on_sent: OnSent | None) -> None:
+        """Queue ``facts``; ``on_sent``, if any, is called once they are sent."""
+        if on_sent is not None:
+            self.put(_Delivery(facts, on_sent))
+            return
+        for fact in facts:
+            self.put(fact)
+
     def close(self) -> None:
         """Have the task send the queue and end; does not wait for it."""
         self.put_end_marker()
@@ -313,31 +349,36 @@
             if self._keys is not None:
                 socket.tls_config = self._keys.tls_config(server=False)
             socket.dial(self._url, block=False)
-            ended = False
-            while not ended:
-                facts, ended = self._collect()
-                if facts or self._interval is not None:
-                    self._send(socket, facts)
+            batch = _Batch()
+            while not batch.is_last:
+                batch = self._collect()
+                if batch.facts or self._interval is not None:
+                    self._send(socket, batch)
 
-    def _collect(self) -> tuple[list[Fact], bool]:
-        """Return the queued facts, and whether the end marker was reached.
+    def _collect(self) -> _Batch:
+        """Return what is queued.
 
         Waits for the first fact, at most for the interval if there is one.
         """
         timeout = None if self._interval is None else self._interval.total_seconds()
-        facts: list[Fact] = []
+        batch = _Batch()
         try:
-            fact = self._facts.get(timeout=timeout)
-            while fact is not None:
-                facts.append(fact)
-                fact = self._facts.get_nowait()
+            item = self._facts.get(timeout=timeout)
+            while item is not None:
+                if isinstance(item, _Delivery):
+                    batch.facts += item.facts
+                    batch.on_sent.append(item.on_sent)
+                else:
+                    batch.facts.append(item)
+                item = self._facts.get_nowait()
         except queue.Empty:
-            return facts, False
-        return facts, True
+            return batch
+        batch.is_last = True
+        return batch
 
-    def _send(self, socket: "pynng.Push0", facts: list[Fact]) -> None:
+    def _send(self, socket: "pynng.Push0", batch: _Batch) -> None:
         linked = self._interval is not None
-        message = self._traffic.encode(self._own(), linked, facts, "out")
+        message = self._traffic.encode(self._own(), linked, batch.facts, "out")
         try:
             socket.send(message)
         except pynng.NNGException:
@@ -345,6 +386,8 @@
             return
         self._metrics.peer_messages.labels("out").inc()
         self._metrics.peer_bytes.labels("out").inc(len(message))
+        for on_sent in batch.on_sent:
+            on_sent()
 
 
 def to_milliseconds(duration: timedelta) -> int:
--- a/packages/runhatch-server/tests/test_peers.py
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Peer links and the facts sent over them, with and without TLS keys."""
 
 import queue
+import socket
 import threading
 import time
 from datetime import timedelta
@@ -19,7 +20,7 @@
     PeerLinks,
     RevisionNotice,
 )
-from runhatch_server.peers._links import DIRECT_LINK_LIFETIME
+from runhatch_server.peers._links import DIRECT_LINK_LIFETIME, SEND_TIMEOUT
 from runhatch_server.settings import PeerTls
 
 
@@ -204,6 +205,36 @@
         assert received.wait(2)
         assert RevisionNotice(7) in received.facts
 
+    @pytest.mark.parametrize("is_linked", [True, False])
+    def test_sent_facts_are_reported(self, pair, is_linked):
+        a, received = pair()
+        target = next(iter(a._links))
+        if not is_linked:
+            a.set_peers(frozenset())
+        sent = threading.Event()
+        a.send(target, [RevisionNotice(7)], sent.set)
+
+        assert sent.wait(2)
+        assert wait_for(lambda: RevisionNotice(7) in received.facts)
+
+    @pytest.mark.parametrize("is_linked", [True, False])
+    def test_facts_that_no_connection_takes_are_not_reported(self, pair, is_linked):
+        a, received = pair()
+        target = next(iter(a._links))
+        if not is_linked:
+            a.set_peers(frozenset())
+        received.links.close()
+        assert wait_for(lambda: self.is_refused(target))
+        sent = threading.Event()
+        a.send(target, [RevisionNotice(7)], sent.set)
+
+        assert not sent.wait((SEND_TIMEOUT * 2).total_seconds())
+
+    def is_refused(self, target):
+        host, _, port = target.rpartition(":")
+        with socket.socket() as client:
+            return client.connect_ex((host, int(port))) != 0
+
     def test_facts_are_received_after_an_error(self, pair):
         """Without the receiving task a node would hear no other one any more."""
         a, received = pair()
--- a/standins/src/runhatch_standins/_peer_group.py
+++ b/standins/src/runhatch_standins/_peer_group.py
@@ -13,7 +13,7 @@
 from runhatch_server._peer_service import PeerService
 from runhatch_server.crashes import CrashDetector
 from runhatch_server.observability import Metrics
-from runhatch_server.peers import Envelope, Fact, LinkClosed
+from runhatch_server.peers import Envelope, Fact, LinkClosed, OnSent
 from runhatch_server.peers._messages import PROTOCOL_VERSION
 from runhatch_server.peers._traffic import ENCODER
 from runhatch_server.serving import PlacementCache, TargetIncarnations
@@ -71,8 +71,12 @@
         for facts in self._queued_by_address.values():
             facts.append(fact)
 
-    def send(self, address: str, facts: list[Fact]) -> None:
+    def send(
+        self, address: str, facts: list[Fact], on_sent: OnSent | None = None
+    ) -> None:
         """Queue ``facts`` for a linked peer; send them at once to any other."""
+        if on_sent is not None:
+            on_sent()
         if address in self._queued_by_address:
             self._queued_by_address[address] += facts
         else:
