Reopen the link to a restarted peer at once

Cause: a node learns of others from the messages that reach it. The links of its peers at its address belonged to the process before it, and had doubled their pause before the next attempt to connect with each failure. Until that passed the new process knew nobody, and sent the records of its streams to nobody.

Change: a node that learns of a newer incarnation of another, from its heartbeat or from a peer, opens the link anew. A link younger than 200 ms is kept, since two nodes that contradict each other renew their incarnations without a pause. The connection to the new process then does not depend on what the earlier one left behind.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_members.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_members.py
@@ -78,11 +78,15 @@
         with self._lock:
             return [self._facts[name] for name in sorted(self._facts)]
 
+    def find(self, name: str) -> MemberFact | None:
+        """Return the fact on one VM, ``None`` if the VM is unknown."""
+        with self._lock:
+            return self._facts.get(name)
+
     def standing(self, name: str) -> Standing | None:
         """Return the believed state of one VM, ``None`` if the VM is unknown."""
-        with self._lock:
-            fact = self._facts.get(name)
-            return None if fact is None else fact.standing
+        fact = self.find(name)
+        return None if fact is None else fact.standing
 
     def alive(self) -> list[Vm]:
         """Return the VMs believed alive, including this one."""
--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -127,10 +127,12 @@
     def _record_heartbeat(self, envelope: Envelope) -> None:
         """Record the heartbeat of the sender, and notify it if it is suspected."""
         sender = fact_from_message(envelope.sender)
-        previous = self._membership.standing(sender.vm.name)
+        previous = self._membership.find(sender.vm.name)
         recorded = self._membership.record_heartbeat(sender, envelope.is_linked)
-        if self._membership.standing(sender.vm.name) is not previous:
+        standing = None if previous is None else previous.standing
+        if self._membership.standing(sender.vm.name) is not standing:
             self.member_changed.set()
+        self._reopen_outdated_link(previous)
         if recorded is not None:
             self._send_recorded_fact(recorded)
 
@@ -140,11 +142,25 @@
         A linked peer that says so gets no heartbeats from this node: the connection may
         have gone silent without being closed, and would then lose the refutation too.
         """
+        previous = self._membership.find(fact.name)
         is_contradicted = self._membership.merge_facts([fact_from_message(fact)])
+        self._reopen_outdated_link(previous)
         if is_contradicted:
             self.reopen_link(sender.address)
             self.send(sender.address, self.own_member())
 
+    def _reopen_outdated_link(self, previous: MemberFact | None) -> None:
+        """Reopen the link to a VM that has a newer incarnation than ``previous``.
+
+        Its process may be new.  A link to a process that has ended waits longer before
+        each attempt to reconnect.
+        """
+        if previous is None or previous.vm.name == self._membership.own.name:
+            return
+        current = self._membership.find(previous.vm.name)
+        if current and current.vm.incarnation > previous.vm.incarnation:
+            self.reopen_link(current.vm.address)
+
     def _send_recorded_fact(self, fact: MemberFact) -> None:
         """Send a VM the membership fact recorded for it, so that it can refute it."""
         self.send(fact.vm.address, message_from_fact(fact))
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -177,11 +177,12 @@
     def reopen(self, address: str) -> None:
         """Replace the connection to ``address``, if linked, by a new one.
 
-        What was sent on a connection that no longer delivers anything is lost.
+        What was sent on a connection that no longer delivers anything is lost.  A
+        connection opened within ``MIN_RECONNECT_INTERVAL`` is kept.
         """
         with self._lock:
             link = self._links.get(address)
-            if link is None:
+            if link is None or link.is_new:
                 return
             link.close()
             self._links[address] = self._open(address, self._interval)
@@ -238,7 +239,15 @@
 
     def _open(self, address: str, interval: timedelta | None) -> "_Link":
         url = f"{self._scheme}://{address}"
-        return _Link(url, self._own, self._metrics, self._traffic, interval, self._keys)
+        return _Link(
+            url,
+            self._own,
+            self._metrics,
+            self._traffic,
+            interval,
+            self._keys,
+            self._clock,
+        )
 
     def _listen(self, url: str) -> "pynng.Listener":
         """Listen at ``url``; raises ``OSError`` naming the address on failure."""
@@ -300,8 +309,11 @@
         traffic: PeerTraffic,
         interval: timedelta | None,
         keys: PeerKeys | None,
+        clock: Clock,
     ) -> None:
         self._url = url
+        self._clock = clock
+        self._opened_at = clock.elapsed()
         self._own = own
         self._metrics = metrics
         self._traffic = traffic
@@ -311,6 +323,11 @@
         self._task = threading.Thread(target=self._run, name="peer", daemon=True)
         self._task.start()
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the link was opened within ``MIN_RECONNECT_INTERVAL``."""
+        return self._clock.elapsed() - self._opened_at < MIN_RECONNECT_INTERVAL
+
     def put(self, item: Fact | _Delivery) -> None:
         """Queue ``item``, or drop it if the queue of a slow peer is full."""
         try:
--- a/standins/src/runhatch_standins/_software_versions.py
+++ b/standins/src/runhatch_standins/_software_versions.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -29,7 +30,8 @@
     """One try of a caller, and the whole events that it received.
 
     ``began`` and ``ended`` are in seconds of the monotonic clock; ``status`` is 0 if
-    there was no answer.  The gateway of a try in touch ran without a fault meanwhile.
+    there was no answer, ``reason`` that of a refusal.  The gateway of a try in touch
+    ran without a fault meanwhile.
     """
 
     attempt_id: str
@@ -40,6 +42,7 @@
     events: tuple[StreamEvent, ...]
     is_take_up: bool = False
     is_in_touch: bool = True
+    reason: str = ""
 
 
 @dataclass(slots=True)
@@ -88,6 +91,16 @@
     )
 
 
+def parse_refusal_reason(text: str) -> str:
+    """Return the reason that the body of a refusal states, empty if none.
+
+    >>> parse_refusal_reason('{"status": 503, "reason": "stream_unknown"}')
+    'stream_unknown'
+    """
+    match = re.search(r'"reason": ?"(\w+)"', text)
+    return match[1] if match else ""
+
+
 def describe_streams(streams: Sequence[CallerStream]) -> str:
     """Return the numbers of streams, of those taken up and of mixed ones."""
     taken_up = [s for s in streams if any(t.is_take_up for t in s.tries)]
@@ -148,6 +161,7 @@
     """
     begun: list[bool] = []
     gone_on: list[bool] = []
+    refusals: Counter[str] = Counter()
     for stream in streams:
         first = [t for t in stream.tries if not t.is_take_up and t.is_in_touch]
         if first:
@@ -159,6 +173,7 @@
         ]
         if taken_up:
             gone_on.append(any(t.events for t in taken_up))
+            refusals.update(t.reason for t in taken_up if t.reason)
     if len(gone_on) < MIN_TAKEN_UP_STREAMS:
         return []
     share_begun = sum(begun) / len(begun) if begun else 0.0
@@ -167,7 +182,7 @@
         return []
     return [
         f"{sum(gone_on)} of {len(gone_on)} streams taken up went on, "
-        f"{sum(begun)} of {len(begun)} new ones began"
+        f"{sum(begun)} of {len(begun)} new ones began; refusals: {dict(refusals)}"
     ]
 
 
--- a/standins/src/runhatch_standins/_stream_callers.py
+++ b/standins/src/runhatch_standins/_stream_callers.py
@@ -11,6 +11,7 @@
     CallerStream,
     StreamTry,
     parse_events,
+    parse_refusal_reason,
 )
 
 TIMEOUT_SECONDS = 5.0
@@ -84,6 +85,7 @@
             parse_events(received.text) if is_answer else (),
             is_take_up="Last-Event-Id" in headers,
             is_in_touch=self.is_in_touch(gate, began),
+            reason="" if is_answer else parse_refusal_reason(received.text),
         )
         self.stream.tries.append(attempt)
         return min(received.retry_after, MAX_PAUSE_SECONDS)
--- a/standins/tests/test_software_versions.py
+++ b/standins/tests/test_software_versions.py
@@ -196,6 +196,8 @@
         check_began_at_both(streams)
         assert count_taken_up(streams) >= MIN_TAKEN_UP_STREAMS
         assert check_streams(streams, service.serving) == []
+        reasons = {t.reason for stream in streams for t in stream.tries}
+        assert "stream_unknown" not in reasons
 
 
 class TestUnknownAttempt:
--- a/standins/tests/test_version_checks.py
+++ b/standins/tests/test_version_checks.py
@@ -1,5 +1,7 @@
 """Test that the checks of streams detect mixed, broken and abandoned ones."""
 
+from dataclasses import replace
+
 import pytest
 
 from runhatch_standins._software_versions import (
@@ -120,3 +122,10 @@
     )
     def test_lower_share_is_reported(self, streams, serving, is_violation):
         assert bool(check_taken_up(streams, serving)) == is_violation
+
+    def test_reasons_of_refusals_are_stated(self):
+        refused = replace(make_try((), is_take_up=True), reason="stream_unknown")
+        stream = make_stream(make_try(make_events(1, "v1")), refused, refused)
+        (violation,) = check_taken_up([stream] * 12, TWO_TARGETS)
+
+        assert "{'stream_unknown': 24}" in violation
