--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -5,7 +5,8 @@
 
 from runhatch_server.peers._broadcast import Broadcaster, Listener
 from runhatch_server.peers._exchange import MemberExchange
-from runhatch_server.peers._links import Links, OnSent, PeerLinks
+from runhatch_server.peers._link import OnSent
+from runhatch_server.peers._links import Links, PeerLinks
 from runhatch_server.peers._messages import (
     ALL_DOMAINS,
     UNKNOWN_VERSION,
--- a/packages/runhatch-server/src/runhatch_server/peers/_broadcast.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_broadcast.py
@@ -13,12 +13,8 @@
 
 from runhatch_coordination import Clock, InvariantError
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.peers._links import (
-    OnEnvelope,
-    decode_envelope,
-    handle_envelope,
-    to_milliseconds,
-)
+from runhatch_server.peers._link import to_milliseconds
+from runhatch_server.peers._links import OnEnvelope, decode_envelope, handle_envelope
 from runhatch_server.peers._messages import Fact, Member
 from runhatch_server.peers._traffic import PeerTraffic
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -12,7 +12,8 @@
     choose_peers,
 )
 from runhatch_server.observability import Metrics, log_change
-from runhatch_server.peers._links import Links, OnSent
+from runhatch_server.peers._link import OnSent
+from runhatch_server.peers._links import Links
 from runhatch_server.peers._messages import (
     PROTOCOL_VERSION,
     Envelope,
--- a/packages/runhatch-server/tests/test_peers.py
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -20,7 +20,8 @@
     PeerLinks,
     RevisionNotice,
 )
-from runhatch_server.peers._links import DIRECT_LINK_LIFETIME, SEND_TIMEOUT
+from runhatch_server.peers._link import SEND_TIMEOUT
+from runhatch_server.peers._links import DIRECT_LINK_LIFETIME
 from runhatch_server.settings import PeerTls
 
 
--- a/packages/runhatch-server/tests/test_restarted_peers.py
+++ b/packages/runhatch-server/tests/test_restarted_peers.py
@@ -13,7 +13,7 @@
 from runhatch_coordination.testing import ManualClock
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import Envelope, Member, MemberExchange, PeerLinks
-from runhatch_server.peers._links import MIN_RECONNECT_INTERVAL
+from runhatch_server.peers._link import MIN_RECONNECT_INTERVAL
 from runhatch_server.peers._messages import PROTOCOL_VERSION
 
 HEARTBEAT_INTERVAL = timedelta(seconds=0.1)
