Keep the link to a node that is sent to again

Operators would see: a connection and a thread for each message to a node that is not linked.

The direct link to the orderer, which was the same for one address, is gone, and its tests now hold for all addresses.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -268,16 +268,12 @@
         self.publish(DrainingTargets((target,)))
 
     def update_links(self) -> None:
-        """Link to the peers chosen by the membership, and to the orderer.
+        """Link to the peers chosen by the membership.
 
         The orderer also links to the readers of every failure domain, which broadcast
         its messages to the nodes of their domain.
         """
         super().update_links()
-        if self._links is not None:
-            own = self._membership.own.address
-            orderer = self._orderer.address
-            self._links.set_direct_peer("" if orderer == own else orderer)
         self._tables.update_readers()
 
     def announce_to_seeds(self, seeds: Iterable[str]) -> None:
--- a/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_exchange.py
@@ -103,7 +103,7 @@
             self._links.send(address, [fact], on_sent)
 
     def reopen_link(self, address: str) -> None:
-        """Replace the connection to ``address``, if linked, by a new one."""
+        """Replace the connection to ``address``, if there is one, by a new one."""
         if self._links is not None:
             self._links.reopen(address)
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_link.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_link.py
@@ -18,6 +18,9 @@
 SEND_TIMEOUT = timedelta(seconds=1)
 MIN_RECONNECT_INTERVAL = timedelta(milliseconds=200)
 MAX_RECONNECT_INTERVAL = timedelta(seconds=5)
+MIN_REOPEN_INTERVAL = timedelta(milliseconds=50)
+"""Shortest time between new links to one peer: two nodes that contradict each other ask
+for them without a pause."""
 QUEUE_LIMIT = 4_096
 
 OnSent = Callable[[], None]
@@ -45,7 +48,11 @@
 
 
 class PeerLink:
-    """A link to one peer: a queue, and a task that sends it over a socket."""
+    """A link to one peer: a queue, and a task that sends it over a socket.
+
+    After ``interval`` without facts it sends a heartbeat, or calls ``on_idle`` in its
+    task if that is given.
+    """
 
     def __init__(
         self,
@@ -53,9 +60,10 @@
         own: Callable[[], Member],
         metrics: Metrics,
         traffic: PeerTraffic,
-        interval: timedelta | None,
+        interval: timedelta,
         keys: PeerKeys | None,
         clock: Clock,
+        on_idle: "Callable[[PeerLink], None] | None" = None,
     ) -> None:
         self._url = url
         self._clock = clock
@@ -65,14 +73,22 @@
         self._traffic = traffic
         self._interval = interval
         self._keys = keys
+        self._on_idle = on_idle
+        self.has_failed = False
+        """Whether no connection accepted the facts last sent."""
         self._facts: queue.Queue[Fact | _Delivery | None] = queue.Queue(QUEUE_LIMIT)
         self._task = threading.Thread(target=self._run, name="peer", daemon=True)
         self._task.start()
 
+    @property
+    def age(self) -> timedelta:
+        """Time since the link was opened."""
+        return self._clock.elapsed() - self._opened_at
+
     @property
     def is_new(self) -> bool:
-        """Whether the link was opened within ``MIN_RECONNECT_INTERVAL``."""
-        return self._clock.elapsed() - self._opened_at < MIN_RECONNECT_INTERVAL
+        """Whether the link was opened within ``MIN_REOPEN_INTERVAL``."""
+        return self.age < MIN_REOPEN_INTERVAL
 
     def put(self, item: Fact | _Delivery) -> None:
         """Queue ``item``, or drop it if the queue of a slow peer is full."""
@@ -115,18 +131,16 @@
             batch = _Batch()
             while not batch.is_last:
                 batch = self._collect()
-                if batch.facts or self._interval is not None:
+                if batch.facts or self._on_idle is None:
                     self._send(socket, batch)
+                elif not batch.is_last:
+                    self._on_idle(self)
 
     def _collect(self) -> _Batch:
-        """Return what is queued.
-
-        Waits for the first fact, at most for the interval if there is one.
-        """
-        timeout = None if self._interval is None else self._interval.total_seconds()
+        """Return what is queued; waits for the first fact, at most for the interval."""
         batch = _Batch()
         try:
-            item = self._facts.get(timeout=timeout)
+            item = self._facts.get(timeout=self._interval.total_seconds())
             while item is not None:
                 if isinstance(item, _Delivery):
                     batch.facts += item.facts
@@ -140,13 +154,15 @@
         return batch
 
     def _send(self, socket: "pynng.Push0", batch: _Batch) -> None:
-        linked = self._interval is not None
+        linked = self._on_idle is None
         message = self._traffic.encode(self._own(), linked, batch.facts, "out")
         try:
             socket.send(message)
         except pynng.NNGException:
+            self.has_failed = True
             self._metrics.peer_messages.labels("failed").inc()
             return
+        self.has_failed = False
         self._metrics.peer_messages.labels("out").inc()
         self._metrics.peer_bytes.labels("out").inc(len(message))
         for on_sent in batch.on_sent:
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -13,15 +13,17 @@
 from runhatch_server.peers._keys import PeerKeys, ReloadOutcome
 from runhatch_server.peers._link import OnSent, PeerLink
 from runhatch_server.peers._messages import Envelope, Fact, LinkClosed, Member
+from runhatch_server.peers._temporary_links import (
+    TEMPORARY_LINK_LIFETIME,
+    OnIdle,
+    TemporaryLinks,
+)
 from runhatch_server.peers._traffic import PeerTraffic
 
 if TYPE_CHECKING:
     # Gateways do not use these settings; importing them takes 0.1 s at start.
     from runhatch_server.settings import PeerTls
 
-DIRECT_LINK_LIFETIME = timedelta(seconds=5)
-"""Time after which the direct link gets a new connection.  It carries no heartbeats, so
-no peer notices that its connection has gone silent without being closed."""
 MAX_UNREADABLE_LOGGED = 10
 """Unreadable messages logged with their cause; further ones are only counted."""
 DECODER = msgspec.msgpack.Decoder(Envelope)
@@ -80,10 +82,7 @@
         """Send ``facts`` to one address, linked or not."""
 
     def reopen(self, address: str) -> None:
-        """Replace the connection to ``address``, if linked, by a new one."""
-
-    def set_direct_peer(self, address: str) -> None:
-        """Keep a link to ``address`` that only :meth:`send` uses."""
+        """Replace the connection to ``address``, if there is one, by a new one."""
 
 
 class PeerLinks:
@@ -115,9 +114,7 @@
         self._keys = None if tls is None else PeerKeys(tls)
         self._scheme = "tcp" if tls is None else "tls+tcp"
         self._links: dict[str, PeerLink] = {}
-        self._direct_address = ""
-        self._direct_link: PeerLink | None = None
-        self._direct_link_opened_at = timedelta()
+        self._temporary = TemporaryLinks(self._open_temporary, clock)
         self._lock = threading.Lock()
         self._socket = pynng.Pull0()
         self._socket.recv_max_size = max_message
@@ -140,7 +137,7 @@
                 link.put(LinkClosed())
                 link.close()
             for address in addresses - set(self._links):
-                self._links[address] = self._open(address, self._interval)
+                self._links[address] = self._open(address)
 
     def publish(self, fact: Fact) -> None:
         """Send ``fact`` to every linked peer."""
@@ -157,47 +154,25 @@
         ``on_sent`` is not called if the facts were dropped or no connection took them.
         """
         with self._lock:
-            direct = self._direct_link if address == self._direct_address else None
-            link = self._links.get(address) or direct
+            link = self._links.get(address)
         if link is not None:
             link.put_all(facts, on_sent)
-            return
-        temporary = self._open(address, None)
-        temporary.put_all(facts, on_sent)
-        temporary.close()
+        else:
+            self._temporary.send(address, facts, on_sent)
 
     def reopen(self, address: str) -> None:
-        """Replace the connection to ``address``, if linked, by a new one.
+        """Replace the connection to ``address``, if there is one, by a new one.
 
         What was sent on a connection that no longer delivers anything is lost.  A
-        connection opened within ``MIN_RECONNECT_INTERVAL`` is kept.
+        connection opened within ``MIN_REOPEN_INTERVAL`` is kept.
         """
+        self._temporary.reopen(address)
         with self._lock:
             link = self._links.get(address)
             if link is None or link.is_new:
                 return
             link.close()
-            self._links[address] = self._open(address, self._interval)
-
-    def set_direct_peer(self, address: str) -> None:
-        """Keep one link that only :meth:`send` uses; replaces the previous one.
-
-        An empty ``address`` closes it.  Without it, a node that sends to one address
-        several times a second would open a connection and a task each time.  Calls
-        with the same ``address`` renew the connection after ``DIRECT_LINK_LIFETIME``.
-        """
-        now = self._clock.elapsed()
-        with self._lock:
-            is_old = now - self._direct_link_opened_at >= DIRECT_LINK_LIFETIME
-            if address == self._direct_address and not (address and is_old):
-                return
-            previous, self._direct_link = self._direct_link, None
-            self._direct_address = address
-            self._direct_link_opened_at = now
-            if address:
-                self._direct_link = self._open(address, None)
-        if previous is not None:
-            previous.close()
+            self._links[address] = self._open(address)
 
     def renew_keys(self) -> None:
         """Use changed key files for both directions of every link.
@@ -218,27 +193,33 @@
         with self._lock:
             for address, link in self._links.items():
                 link.close()
-                self._links[address] = self._open(address, self._interval)
-        direct_address = self._direct_address
-        self.set_direct_peer("")
-        self.set_direct_peer(direct_address)
+                self._links[address] = self._open(address)
+        self._temporary.close()
 
     def close(self) -> None:
         """Have all links send their queues and end, and close the receiving socket."""
         self.set_peers(frozenset())
-        self.set_direct_peer("")
+        self._temporary.close()
         self._socket.close()
 
-    def _open(self, address: str, interval: timedelta | None) -> "PeerLink":
-        url = f"{self._scheme}://{address}"
+    def _open(self, address: str) -> PeerLink:
+        return self._make_link(address, self._interval)
+
+    def _open_temporary(self, address: str, on_idle: OnIdle) -> PeerLink:
+        return self._make_link(address, TEMPORARY_LINK_LIFETIME, on_idle)
+
+    def _make_link(
+        self, address: str, interval: timedelta, on_idle: OnIdle | None = None
+    ) -> PeerLink:
         return PeerLink(
-            url,
+            f"{self._scheme}://{address}",
             self._own,
             self._metrics,
             self._traffic,
             interval,
             self._keys,
             self._clock,
+            on_idle,
         )
 
     def _listen(self, url: str) -> "pynng.Listener":
--- a/packages/runhatch-server/tests/test_gateway_peers.py
+++ b/packages/runhatch-server/tests/test_gateway_peers.py
@@ -68,9 +68,6 @@
     def reopen(self, address):
         pass
 
-    def set_direct_peer(self, address):
-        self.held = address
-
 
 def make_peers(clock, *targets, on_orderer=do_nothing, has_several_versions=do_nothing):
     directory = make_directory(clock, *targets)
--- a/packages/runhatch-server/tests/test_peers.py
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -21,7 +21,7 @@
     RevisionNotice,
 )
 from runhatch_server.peers._link import SEND_TIMEOUT
-from runhatch_server.peers._links import DIRECT_LINK_LIFETIME
+from runhatch_server.peers._temporary_links import TEMPORARY_LINK_LIFETIME
 from runhatch_server.settings import PeerTls
 
 
@@ -158,44 +158,43 @@
                 SystemClock(),
             )
 
-    def test_direct_link_sends_only_facts_addressed_to_it(self, pair):
-        """A direct link sends no heartbeats or facts to all, and stays open."""
+    def test_temporary_link_sends_only_facts_addressed_to_it(self, pair):
+        """A temporary link sends no heartbeats or facts to all, and stays open."""
         a, received = pair()
         target = next(iter(a._links))
         a.set_peers(frozenset())
         assert received.wait(1)
-        a.set_direct_peer(target)
-        link = a._direct_link
+        a.send(target, [RevisionNotice(7)])
+        link = a._temporary._links[target]
+        assert received.wait(2)
         a.publish(RevisionNotice(1))
-        for number in (7, 8):
-            a.send(target, [RevisionNotice(number)])
+        a.send(target, [RevisionNotice(8)])
 
         assert received.wait(3)
         assert received.facts == [LinkClosed(), RevisionNotice(7), RevisionNotice(8)]
-        assert a._direct_link is link
-        a.set_direct_peer("")
-        assert a._direct_link is None
+        assert a._temporary._links[target] is link
+        a.close()
+        assert a._temporary.addresses == frozenset()
 
-    def test_direct_link_is_renewed(self, pair):
+    def test_temporary_link_is_renewed(self, pair):
         """Its connection may be silent for good, and it carries no heartbeats."""
         clock = ManualClock()
         a, received = pair(clock_a=clock)
         target = next(iter(a._links))
         a.set_peers(frozenset())
-        a.set_direct_peer(target)
-        first_link = a._direct_link
         a.send(target, [RevisionNotice(7)])
-        clock.advance(DIRECT_LINK_LIFETIME - timedelta(milliseconds=1))
-        a.set_direct_peer(target)
-        assert a._direct_link is first_link
+        first_link = a._temporary._links[target]
+        clock.advance(TEMPORARY_LINK_LIFETIME - timedelta(milliseconds=1))
+        a.send(target, [RevisionNotice(8)])
+        assert a._temporary._links[target] is first_link
 
         clock.advance(timedelta(milliseconds=1))
-        a.set_direct_peer(target)
-        assert a._direct_link is not first_link
-        a.send(target, [RevisionNotice(8)])
+        a.send(target, [RevisionNotice(9)])
+        assert a._temporary._links[target] is not first_link
 
-        assert received.wait(3)
-        assert {RevisionNotice(7), RevisionNotice(8)} < set(received.facts)
+        assert received.wait(4)
+        numbers = {7, 8, 9}
+        assert {RevisionNotice(each) for each in numbers} < set(received.facts)
 
     def test_fact_to_unlinked_address(self, pair):
         """A fact can be sent to an address without a link."""
--- a/packages/runhatch-server/tests/test_restarted_peers.py
+++ b/packages/runhatch-server/tests/test_restarted_peers.py
@@ -13,7 +13,7 @@
 from runhatch_coordination.testing import ManualClock
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import Envelope, Member, MemberExchange, PeerLinks
-from runhatch_server.peers._link import MIN_RECONNECT_INTERVAL
+from runhatch_server.peers._link import MIN_REOPEN_INTERVAL
 from runhatch_server.peers._messages import PROTOCOL_VERSION
 
 HEARTBEAT_INTERVAL = timedelta(seconds=0.1)
@@ -165,7 +165,7 @@
     links.reopen(address)
     assert links._links[address] is first
 
-    clock.advance(MIN_RECONNECT_INTERVAL)
+    clock.advance(MIN_REOPEN_INTERVAL)
     links.reopen(address)
     assert links._links[address] is not first
     links.close()
--- a/standins/src/runhatch_standins/_peer_group.py
+++ b/standins/src/runhatch_standins/_peer_group.py
@@ -85,9 +85,6 @@
     def reopen(self, address: str) -> None:
         """Do nothing; connections never go silent here."""
 
-    def set_direct_peer(self, address: str) -> None:
-        """Do nothing; facts for unlinked peers are sent at once here."""
-
     def flush(self, heartbeat: bool) -> None:
         """Send queued facts; with ``heartbeat``, also an empty message if none are."""
         for address, facts in self._queued_by_address.items():
