Wait until the links have ended when they are closed

Peers of a node that stopped may have heard of it late: close() returned before the queues were sent, and the process exits directly afterwards.

--- a/packages/runhatch-server/src/runhatch_server/peers/_link.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_link.py
@@ -77,8 +77,8 @@
         self.has_failed = False
         """Whether no connection accepted the facts last sent."""
         self._facts: queue.Queue[Fact | _Delivery | None] = queue.Queue(QUEUE_LIMIT)
-        self._task = threading.Thread(target=self._run, name="peer", daemon=True)
-        self._task.start()
+        self.task = threading.Thread(target=self._run, name="peer", daemon=True)
+        self.task.start()
 
     @property
     def age(self) -> timedelta:
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -24,6 +24,7 @@
     # Gateways do not use these settings; importing them takes 0.1 s at start.
     from runhatch_server.settings import PeerTls
 
+CLOSE_TIMEOUT = timedelta(milliseconds=300)
 MAX_UNREADABLE_LOGGED = 10
 """Unreadable messages logged with their cause; further ones are only counted."""
 DECODER = msgspec.msgpack.Decoder(Envelope)
@@ -197,10 +198,23 @@
         self._temporary.close()
 
     def close(self) -> None:
-        """Have all links send their queues and end, and close the receiving socket."""
+        """Have all links send their queues and end, and close the receiving socket.
+
+        Waits until they have ended, at most ``CLOSE_TIMEOUT``: the process may exit
+        directly afterwards.
+        """
+        with self._lock:
+            links = [*self._links.values()]
         self.set_peers(frozenset())
-        self._temporary.close()
+        links += self._temporary.close()
         self._socket.close()
+        tasks = [link.task for link in links]
+        if threading.current_thread() is not self._receiver:
+            tasks.append(self._receiver)
+        ends_at = self._clock.elapsed() + CLOSE_TIMEOUT
+        for task in tasks:
+            left = max(timedelta(), ends_at - self._clock.elapsed())
+            task.join(left.total_seconds())
 
     def _open(self, address: str) -> PeerLink:
         return self._make_link(address, self._interval)
--- a/packages/runhatch-server/src/runhatch_server/peers/_temporary_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_temporary_links.py
@@ -56,11 +56,13 @@
             if link is not None and not link.is_new:
                 self._close_link(address)
 
-    def close(self) -> None:
-        """Close all links; their queues are still sent."""
+    def close(self) -> list[PeerLink]:
+        """Close all links and return them; their queues are still sent."""
         with self._lock:
+            closed = [*self._links.values()]
             for address in [*self._links]:
                 self._close_link(address)
+        return closed
 
     def _open(self, address: str) -> PeerLink:
         if len(self._links) >= MAX_TEMPORARY_LINKS:
--- a/packages/runhatch-server/tests/test_peers.py
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -19,8 +19,10 @@
     Member,
     PeerLinks,
     RevisionNotice,
+    _links,
 )
 from runhatch_server.peers._link import SEND_TIMEOUT
+from runhatch_server.peers._links import CLOSE_TIMEOUT
 from runhatch_server.peers._temporary_links import TEMPORARY_LINK_LIFETIME
 from runhatch_server.settings import PeerTls
 
@@ -141,6 +143,33 @@
         assert received.wait(1)
         assert received.facts == [LinkClosed()]
 
+    @pytest.mark.parametrize("is_linked", [True, False])
+    def test_closing_waits_until_queues_are_sent(self, pair, is_linked, monkeypatch):
+        """Otherwise a node that stops would exit before its peers hear of it."""
+        monkeypatch.setattr(_links, "CLOSE_TIMEOUT", timedelta(seconds=10))
+        a, received = pair()
+        target = next(iter(a._links))
+        if not is_linked:
+            a.set_peers(frozenset())
+        a.send(target, [RevisionNotice(7)])
+        link = a._links.get(target) or a._temporary._links[target]
+        a.close()
+
+        assert not link.task.is_alive()
+        assert not a._receiver.is_alive()
+        assert wait_for(lambda: RevisionNotice(7) in received.facts)
+
+    def test_closing_does_not_wait_for_a_peer_that_is_gone(self, pair):
+        a, received = pair()
+        target = next(iter(a._links))
+        received.links.close()
+        a.send(target, [RevisionNotice(7)])
+        started_at = time.monotonic()
+        a.close()
+
+        took = timedelta(seconds=time.monotonic() - started_at)
+        assert took < CLOSE_TIMEOUT + timedelta(seconds=0.2)
+
     def test_address_in_use(self, pair):
         """An address in use raises an ``OSError`` that names it."""
         a, received = pair()
@@ -221,10 +250,11 @@
     def test_facts_that_no_connection_takes_are_not_reported(self, pair, is_linked):
         a, received = pair()
         target = next(iter(a._links))
-        if not is_linked:
-            a.set_peers(frozenset())
+        a.set_peers(frozenset())
         received.links.close()
         assert wait_for(lambda: self.is_refused(target))
+        if is_linked:
+            a.set_peers(frozenset({target}))
         sent = threading.Event()
         a.send(target, [RevisionNotice(7)], sent.set)
 
--- a/packages/runhatch-server/tests/test_restarted_peers.py
+++ b/packages/runhatch-server/tests/test_restarted_peers.py
@@ -169,3 +169,4 @@
     links.reopen(address)
     assert links._links[address] is not first
     links.close()
+    first.task.join()
