Move the calls of a shared table to the store into StoreReader

_shared.py had grown to 608 lines, as the contact with the store came into it. StoreReader joins the watcher of a table and the contact: it makes the calls, records their outcome and interrupts waits. SharedTable (522 lines) decides when to read. Nothing else changes; all tests of the package pass as they were, but for one that reached a private attribute.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -31,10 +31,8 @@
 from runhatch_coordination._feed import (
     MAX_CALL_WAIT,
     MAX_RETRY_PAUSE,
-    Entry,
     Feed,
     FeedListener,
-    TableWatcher,
 )
 from runhatch_coordination._history import ORIGIN, StoreVersion
 from runhatch_coordination._peers import Role
@@ -45,7 +43,8 @@
     SINGLE_READ_SOURCES,
     Source,
 )
-from runhatch_coordination._store_contact import Reachability, StoreContact
+from runhatch_coordination._store_contact import Reachability
+from runhatch_coordination._store_reader import StoreReader
 from runhatch_coordination._table_peers import TablePeers
 
 START_REQUEST_WINDOW = timedelta(seconds=1.2)
@@ -106,20 +105,14 @@
         self._stopping = stopping
         self._on_failure = on_failure
         self._replica = TableReplica(listener)
-        self._watcher: TableWatcher[bytes] = TableWatcher(
-            feed,
-            _ReadForwarder(self),
-            clock,
-            stopping,
-            on_failure,
-            bounds.coalescing_pause,
+        self._reader = StoreReader(
+            feed, self, clock, stopping, on_failure, bounds.coalescing_pause
         )
         jitter = random.uniform(0, SILENCE_JITTER) if jitter is None else jitter
         self._reader_reports = ReaderReports(
             clock, bounds.silence_timeout * (1 + jitter)
         )
         self._started_at = clock.elapsed()
-        self._last_request_version = ORIGIN
         self._missing = MissingVersions(clock, bounds.coalescing_pause)
         self._gap_since: timedelta | None = None
         self._confirmed_at: timedelta | None = None
@@ -127,11 +120,8 @@
         self._must_request_gap = False
         self._source = Source.UPDATES
         self._wake_event = threading.Event()
-        self._retry_event = threading.Event()
         self._confirmation_lock = threading.Lock()
         self._reachability_lock = threading.Lock()
-        self._contact = StoreContact(clock)
-        self._recorded_reachability = Reachability.UNKNOWN
         self._notified_reachability = True
         self.max_call_wait = MAX_READER_CALL_WAIT
         """How long the store may hold a call of this node at most. Each call that ends
@@ -147,7 +137,7 @@
     def is_backup_reader(self, is_backup: bool) -> None:
         was_backup, self._is_backup_reader = self._is_backup_reader, is_backup
         if was_backup and not is_backup:
-            self._interrupt_wait()
+            self._reader.interrupt_wait()
 
     @property
     def confirmed_at(self) -> timedelta | None:
@@ -159,20 +149,10 @@
         """The version of the local copy, ``None`` before it has one."""
         return self._replica.version
 
-    @property
-    def last_request_version(self) -> StoreVersion:
-        """The version after which changes were last requested from the store."""
-        return self._last_request_version
-
-    @property
-    def read_version(self) -> StoreVersion:
-        """The version last read from the store."""
-        return self._watcher.version
-
     @property
     def answered_at(self) -> timedelta | None:
         """When the store last answered a call of this node, if it ever did."""
-        return self._contact.answered_at
+        return self._reader.answered_at
 
     @property
     def reaches_store(self) -> bool:
@@ -182,7 +162,7 @@
         each rely on the report of the other. Before the first answer it does not, as
         other nodes would rely on a store that no node has reached.
         """
-        return self._contact.reachability is Reachability.REACHED
+        return self._reader.reaches_store
 
     @property
     def is_behind(self) -> bool:
@@ -224,7 +204,7 @@
         pauses between two calls, unless the store has begun to answer again.
         """
         waits_for_updates = self._source is Source.UPDATES
-        return self._wake_event if waits_for_updates else self._retry_event
+        return self._wake_event if waits_for_updates else self._reader.retry_event
 
     def changes_since(self, version: StoreVersion | None) -> TableChanges | None:
         """Return the changes since ``version``, ``None`` if no version is known."""
@@ -251,10 +231,10 @@
         was_active = self._reader_reports.state is ReaderState.ACTIVE
         self._reader_reports.record(reader, reachable)
         if was_active and not reachable and self._is_backup_reader:
-            self._interrupt_wait()
+            self._reader.interrupt_wait()
         if reachable:
             if not was_active:
-                self.record_answer_to_other_node()
+                self._reader.record_answer_to_other_node()
             self._notify_reachability("")
         if changes is not None and self._offer(changes) is OfferOutcome.APPLIED:
             self._announce_received(changes)
@@ -303,7 +283,7 @@
         if attempt.peer:
             self._peers.request_from(attempt.peer, self.name, self._replica.version)
         if attempt.reads_store:
-            self._interrupt_wait()
+            self._reader.interrupt_wait()
             self._must_read_once = True
             self._wake_event.set()
         return attempt
@@ -314,23 +294,18 @@
         If it had not done so for a while, this node calls the store again at once: it
         may have lost the call in progress.
         """
-        if self._contact.record_answer_to_other_node():
-            self._watcher.interrupt_wait()
-            self._retry_event.set()
+        self._reader.record_answer_to_other_node()
 
     def interrupt_doubtful_wait(self) -> bool:
         """Interrupt a wait for changes that the store may have lost; return whether.
 
         Must not be called by the task of :meth:`run`.
         """
-        is_doubtful = self._contact.end_doubtful_wait()
-        if is_doubtful:
-            self._watcher.interrupt_wait()
-        return is_doubtful
+        return self._reader.interrupt_doubtful_wait()
 
     def time_until_doubt(self) -> timedelta | None:
         """Return when :meth:`interrupt_doubtful_wait` is due, ``None`` without wait."""
-        return self._contact.time_until_doubt
+        return self._reader.time_until_doubt
 
     def wake(self) -> None:
         """Wake the task if it waits for updates."""
@@ -346,66 +321,58 @@
                 pause = MAX_RETRY_PAUSE
             self.pause_event.wait(pause.total_seconds())
             self._wake_event.clear()
-            self._retry_event.clear()
+            self._reader.retry_event.clear()
 
     def step(self) -> timedelta:
         """Read the store or request changes if needed; return the next pause."""
-        self._advance_watcher()
+        self._reader.advance_to(self._replica.version)
         source = self._choose_source()
         if source is not self._source:
             self._source = source
             self._peers.record_source(self.name, source)
         if source is Source.UPDATES:
             return self._pause_for_updates()
-        self._last_request_version = self._watcher.version
-        pause = self._watcher.step(self._choose_call_wait(source))
-        if source in SINGLE_READ_SOURCES and self._watcher.needs_listing:
-            self._must_read_once = True
+        pause = self._read_store(source)
         # A wait that ends without a change advances the version too.
-        self._replica.offer(
-            TableChanges(self._last_request_version, self._watcher.version, ())
-        )
-        if self._watcher.was_interrupted:
-            self._contact.record_interruption()
-        elif self._watcher.is_failing:
-            self._contact.record_failure()
-        else:
-            self.record_answer()
-        if self._watcher.confirmed_at is not None:
-            self.record_confirmation(self._watcher.version, self._watcher.confirmed_at)
+        reader = self._reader
+        self._replica.offer(TableChanges(reader.version_before, reader.version, ()))
+        reader.record_outcome()
+        if reader.confirmed_at is not None:
+            self.record_confirmation(reader.version, reader.confirmed_at)
         return pause
 
     def apply_read_changes(self, changes: TableChanges) -> None:
         """Apply ``changes`` read from the store and publish what was new."""
-        self.record_answer()
         previous = self._replica.version
         if self._replica.offer(changes) is not OfferOutcome.APPLIED:
             return
         update = self._changes_since(previous, changes)
         if update is None:
             return
-        version = self._watcher.changed_version
+        version = self._reader.changed_version
         if previous is not None and changes.is_whole and _may_remove_rows(update):
             # A listing doesn't state the version of a removal, only its own.
             version = changes.version
         update = replace(
-            update, changed_version=version, confirmed_at=self._watcher.confirmed_at
+            update, changed_version=version, confirmed_at=self._reader.confirmed_at
         )
         self._peers.publish(self.name, update, self.reaches_store)
         self._announce(version)
 
-    def record_answer(self) -> None:
-        """Record that the store answered this node."""
-        self._contact.record_answer()
-        self._record_contact()
+    def handle_answer(self) -> None:
+        """Handle that the store answered this node."""
         self._notify_reachability("")
 
-    def record_failure(self, reason: str) -> None:
-        """Record that a call of this node to the store failed."""
-        self._contact.record_failure()
-        self._record_contact()
+    def handle_failure(self, reason: str) -> None:
+        """Handle that calls of this node to the store have begun to fail."""
         self._notify_reachability(reason)
 
+    def handle_contact(
+        self, reachability: Reachability, answered_at: timedelta | None
+    ) -> None:
+        """Handle that the reachability of the store for this node has changed."""
+        self._peers.record_store_contact(self.name, reachability, answered_at)
+
     @staticmethod
     def _confirm(
         confirmed_at: timedelta | None, changes: TableChanges | None
@@ -435,7 +402,7 @@
             self._wake_event.set()
         if outcome is OfferOutcome.APPLIED:
             self._gap_since = None
-            self._advance_watcher()
+            self._reader.advance_to(self._replica.version)
             self._wake_event.set()
         return outcome
 
@@ -468,7 +435,7 @@
             return Source.UPDATES
         role = self._peers.role()
         if role in CONTINUOUS_SOURCES:
-            if self._watcher.is_failing:
+            if self._reader.is_failing:
                 # Requests a gap, which this reader cannot close by reading.
                 self._gap_request_failed()
             return CONTINUOUS_SOURCES[role]
@@ -484,11 +451,14 @@
             return Source.READERS_CUT_OFF
         return Source.UPDATES
 
-    def _choose_call_wait(self, source: Source) -> timedelta:
-        """Return how long the store may hold the call to wait for a change."""
-        if source in SINGLE_READ_SOURCES:
-            return SINGLE_READ_WAIT
-        return self._contact.begin_call(self._longest_call_wait(source))
+    def _read_store(self, source: Source) -> timedelta:
+        """Make one call to the store; return the pause before the next one."""
+        if source not in SINGLE_READ_SOURCES:
+            return self._reader.read(self._longest_call_wait(source))
+        pause = self._reader.read_once(SINGLE_READ_WAIT)
+        if self._reader.needs_listing:
+            self._must_read_once = True
+        return pause
 
     def _longest_call_wait(self, source: Source) -> timedelta:
         """Return how long a call may wait while the store is known to answer."""
@@ -529,35 +499,11 @@
 
     def _pause_for_updates(self) -> timedelta:
         """Return how long to wait for updates before the readers count as silent."""
-        self._contact.record_end_of_reading()
-        self._record_contact()
+        self._reader.record_end_of_reading()
         if self._replica.version is None or self._gap_since is not None:
             return REQUEST_TIMEOUT
         return max(self._reader_reports.time_until_silent, SINGLE_READ_WAIT)
 
-    def _interrupt_wait(self) -> None:
-        """Interrupt a wait for changes; a check of the contact ends by itself.
-
-        A node that cannot reach the store would never notice that if each of its
-        checks were interrupted.
-        """
-        if not self._contact.is_checking:
-            self._watcher.interrupt_wait()
-
-    def _record_contact(self) -> None:
-        """Record whether this node reaches the store, if that has changed."""
-        reachability = self._contact.reachability
-        if reachability is not self._recorded_reachability:
-            self._recorded_reachability = reachability
-            answered_at = self._contact.answered_at
-            self._peers.record_store_contact(self.name, reachability, answered_at)
-
-    def _advance_watcher(self) -> None:
-        """Make the watcher continue after the version of the local copy."""
-        version = self._replica.version
-        if version is not None:
-            self._watcher.advance_to(version)
-
     def _notify_reachability(self, reason: str) -> None:
         """Notify the listener if the reachability of the store has changed."""
         with self._reachability_lock:
@@ -574,35 +520,3 @@
 def _may_remove_rows(changes: TableChanges) -> bool:
     """Return whether a copy to which ``changes`` are applied may lose rows."""
     return changes.is_whole or any(entry.value is None for entry in changes.entries)
-
-
-class _ReadForwarder:
-    """Forwards what a watcher reads to its shared table."""
-
-    def __init__(self, table: SharedTable) -> None:
-        self._table = table
-
-    def replace_entries(self, entries: tuple[Entry[bytes], ...]) -> None:
-        """Forward the whole table."""
-        version = self._table.read_version
-        self._table.apply_read_changes(
-            TableChanges(ORIGIN, version, entries, is_whole=True)
-        )
-
-    def apply_entries(self, entries: tuple[Entry[bytes], ...]) -> None:
-        """Forward changes of some rows."""
-        table = self._table
-        table.apply_read_changes(
-            TableChanges(table.last_request_version, table.read_version, entries)
-        )
-
-    def handle_restoration(self) -> None:
-        """Do nothing: the local copy detects a restoration when it is replaced."""
-
-    def handle_outage(self, reason: str) -> None:
-        """Record that this node does not reach the store."""
-        self._table.record_failure(reason)
-
-    def handle_recovery(self) -> None:
-        """Record that this node reaches the store again."""
-        self._table.record_answer()
--- a/packages/runhatch-coordination/tests/test_confirmations.py
+++ b/packages/runhatch-coordination/tests/test_confirmations.py
@@ -31,7 +31,7 @@
 def make_reader(*answers):
     table, *_, peers, _ = make_table(Role.READER, answers=False)
     feed = TimedFeed(*answers)
-    table._watcher._feed = feed
+    table._reader._watcher._feed = feed
     for _ in answers:
         table.step()
     return table, feed, peers
