Count reads of the store, links to peers and forwarded bodies

store_reads_total by table and outcome (CountedFeed), store_read_bytes_total, peer_links_total (linked, temporary), forwarded_bytes_total (in, out).

--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -106,7 +106,9 @@
                 configuration=None if self.routes is None else self.routes.version,
             )
             return self._build_refusal(request, headers)
-        if not request.is_forwarded:
+        if request.is_forwarded:
+            self._metrics.forwarded_bytes.labels("in").inc(len(request.body))
+        else:
             self._metrics.requests.labels(request.route.kind.value).inc()
         answer = self._service.serve(request, caller_disconnect_check(environ))
         if isinstance(answer, Refusal):
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peer_requests.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peer_requests.py
@@ -204,6 +204,7 @@
         if resume_after:
             headers = self._codec.add_resume_after(headers, resume_after)
         headers = encode_forwarded(request, headers, now)
+        self._metrics.forwarded_bytes.labels("out").inc(len(request.body))
         head = self._forwarder.read_head(
             connection, request, headers, wait_until, caller_gone
         )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -31,6 +31,7 @@
     choose_readers,
     choose_role,
 )
+from runhatch_server.gateway._counted_feed import CountedFeed
 from runhatch_server.gateway._uplink import UplinkUsage
 from runhatch_server.gateway._watched_tables import DecodingListener, WatchedTable
 from runhatch_server.observability import Metrics, log_change
@@ -157,7 +158,7 @@
         """Watch ``table`` and pass its entries to ``listener``."""
         self._tables[table.name] = SharedTable(
             table.name,
-            table.feed,
+            CountedFeed(table.name, table.feed, self._metrics),
             DecodingListener(table, listener),
             self,
             self._clock,
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -44,6 +44,11 @@
             "Attempts to have a request served by a peer",
             "outcome",
         )
+        self.forwarded_bytes = self._counter(
+            "forwarded_bytes",
+            "Bytes of the bodies of requests forwarded to and received from peers",
+            "direction",
+        )
         self.streams = self._counter("streams", "Streams by how they ended", "end")
         self.claims = self._counter("claims", "Claims by outcome", "outcome")
         self.orders = self._counter(
@@ -60,6 +65,7 @@
         self.peer_messages = self._counter(
             "peer_messages", "Peer messages", "direction"
         )
+        self.peer_links = self._counter("peer_links", "Links opened to peers", "kind")
         self.peer_bytes = self._counter(
             "peer_bytes", "Bytes of peer messages", "direction"
         )
@@ -97,6 +103,12 @@
             "Time since the store last answered a call of this node for a table",
             "table",
         )
+        self.store_reads = self._counter(
+            "store_reads", "Reads of a watched table by outcome", "table", "outcome"
+        )
+        self.store_read_bytes = self._counter(
+            "store_read_bytes", "Bytes of the rows read of a watched table", "table"
+        )
         self.key_reloads = self._counter(
             "key_reloads", "Reloads of changed key files of peer links", "outcome"
         )
--- a/packages/runhatch-server/src/runhatch_server/peers/_links.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_links.py
@@ -225,6 +225,8 @@
     def _make_link(
         self, address: str, interval: timedelta, on_idle: OnIdle | None = None
     ) -> PeerLink:
+        kind = "linked" if on_idle is None else "temporary"
+        self._metrics.peer_links.labels(kind).inc()
         return PeerLink(
             f"{self._scheme}://{address}",
             self._own,
--- a/packages/runhatch-server/tests/test_peer_requests.py
+++ b/packages/runhatch-server/tests/test_peer_requests.py
@@ -105,11 +105,12 @@
 
     def __init__(self, name, clock):
         self.service = ScriptedService()
+        self.metrics = Metrics()
         app = GatewayApp(
             self.service,
             Codec(),
             RequestCounter(),
-            Metrics(),
+            self.metrics,
             clock,
             lambda: False,
             is_for_peers=True,
@@ -287,6 +288,14 @@
             assert abs(difference) < seconds(0.1)
         assert abs(received.goal_at - sent.received_at - ROUTE.goal) < seconds(0.1)
 
+    def test_bytes_of_its_body_are_counted_at_both_nodes(self, peer):
+        node = Node(peer)
+        node.forward()
+
+        for metrics, direction in ((node.metrics, "out"), (peer.metrics, "in")):
+            counted = metrics.counter_value(metrics.forwarded_bytes, direction)
+            assert counted == len(b"content")
+
     def test_target_is_sent_no_header_of_peers(self, peer):
         Node(peer).forward()
         (received,) = peer.service.requests
--- a/packages/runhatch-server/tests/test_peers.py
+++ b/packages/runhatch-server/tests/test_peers.py
@@ -202,6 +202,8 @@
         assert received.wait(3)
         assert received.facts == [LinkClosed(), RevisionNotice(7), RevisionNotice(8)]
         assert a._temporary._links[target] is link
+        for kind in ("linked", "temporary"):
+            assert a._metrics.counter_value(a._metrics.peer_links, kind) == 1
         a.close()
         assert a._temporary.addresses == frozenset()
 
