Check the confirmations of copies by a state machine

A node serves a key for a bounded time after the moment for which its copy is confirmed, so the copy must have all changes up to that moment.

With a node that accepts confirmations of versions newer than its copy the check fails.

Not in it: a restored store, and the times of clocks that differ, which test_key_currency.py has.

--- a/packages/runhatch-coordination/tests/silent_store.py
+++ b/packages/runhatch-coordination/tests/silent_store.py
@@ -81,11 +81,13 @@
         answer = self._call("rows", 0.0, lambda: True)
         if isinstance(answer, Unavailable):
             return answer
-        return Listing(
+        listing = Listing(
             self._store.entries(0),
             self._store.version,
             answered_at=self._simulation.clock.elapsed(),
         )
+        self._wait_while_frozen()
+        return listing
 
     def read_changes(self, after, wait):
         number = number_of(after)
@@ -94,12 +96,14 @@
         )
         if isinstance(answer, Unavailable | WaitInterrupted):
             return answer
-        return Changes(
+        changes = Changes(
             self._store.entries(number),
             self._store.version,
             self._store.changed_version(number),
             self._simulation.clock.elapsed(),
         )
+        self._wait_while_frozen()
+        return changes
 
     def interrupt_wait(self):
         """Interrupt the calls that wait for changes; close all idle connections."""
@@ -120,7 +124,8 @@
         while True:
             waited = self._simulation.now - sent_at
             is_due = has_changes() or waited >= wait
-            if is_due and not self._store.has_lost(connected_at):
+            is_lost = self._store.has_lost(connected_at) or self._node.is_cut_off
+            if is_due and not is_lost:
                 self._record_outcome(has_failed=False)
                 self._connected_at[kind] = connected_at
                 return None
@@ -136,6 +141,11 @@
             self._has_failed = has_failed
             self.interrupt_wait()
 
+    def _wait_while_frozen(self):
+        """Have the answer arrive once the process runs again."""
+        while self._node.frozen_seconds_left:
+            self._sleep(self._node.frozen_seconds_left)
+
     def _sleep(self, seconds):
         self._simulation.sleep(seconds)
         if self._node.client is not self:
@@ -152,6 +162,11 @@
         self.is_seed = is_seed
         self.client = None
         self.received_at = {}
+        self.is_cut_off = False
+        """Whether its calls get no answer of the store."""
+        self.is_isolated = False
+        """Whether no messages reach it or come from it."""
+        self._frozen_until = 0.0
         self.start()
 
     def start(self):
@@ -171,11 +186,22 @@
             BOUNDS,
             jitter,
         )
+        if self.world.max_call_wait is not None:
+            self.table.max_call_wait = self.world.max_call_wait
         simulation.start(partial(self._watch, self.client))
         offset = HEARTBEAT_SECONDS * self.number / len(self.world.domains)
         simulation.schedule(offset, partial(self._send_heartbeat, self.client))
         simulation.schedule(offset, partial(self._check, self.client))
 
+    def freeze(self, seconds):
+        """Let the process stand still; what reaches it meanwhile is handled later."""
+        self._frozen_until = self.world.simulation.now + seconds
+
+    @property
+    def frozen_seconds_left(self):
+        left = self._frozen_until - self.world.simulation.now
+        return left if left >= MIN_SLEEP_SECONDS else 0.0
+
     def stop(self):
         """Lose the process."""
         self.client = None
@@ -206,18 +232,16 @@
 
     def publish(self, table, changes, reachable):
         for other in self.world.followers_of(self):
-            deliver = partial(
-                other.receive, other.client, self.vm.name, changes, reachable
+            self._send(
+                other, other.receive, other.client, self.vm.name, changes, reachable
             )
-            self.world.simulation.schedule(HOP_SECONDS, deliver)
 
     def publish_version(self, table, version):
         for other in self.world.nodes:
             if other is not self:
-                deliver = partial(
-                    other.receive_version, other.client, version, self.vm.address
+                self._send(
+                    other, other.receive_version, other.client, version, self.vm.address
                 )
-                self.world.simulation.schedule(HOP_SECONDS, deliver)
 
     def record_source(self, table, source):
         pass
@@ -239,6 +263,10 @@
         if self._is_process(client):
             self.table.record_version(version, announcer)
 
+    def receive_confirmation(self, client, version, confirmed_at):
+        if self._is_process(client):
+            self.table.record_confirmation(version, confirmed_at)
+
     def receive_renewal(self, client):
         if self._is_process(client):
             self.table.record_answer_to_other_node()
@@ -247,17 +275,28 @@
         """Return whether ``client`` belongs to the process that runs now."""
         return client is not None and client is self.client
 
+    def _send(self, other, receive, *message):
+        """Have ``other`` handle a message once it arrives and the process runs."""
+        if self.is_isolated or other.is_isolated:
+            return
+
+        def deliver():
+            if other.frozen_seconds_left:
+                self.world.simulation.schedule(other.frozen_seconds_left, deliver)
+            else:
+                receive(*message)
+
+        self.world.simulation.schedule(HOP_SECONDS, deliver)
+
     def _request(self, node, version):
         requester = self.client
 
         def answer():
             changes = node.table.changes_since(version) if node.is_running else None
             if changes is not None:
-                self.world.simulation.schedule(
-                    HOP_SECONDS, partial(self.receive_answer, requester, changes)
-                )
+                node._send(self, self.receive_answer, requester, changes)
 
-        self.world.simulation.schedule(HOP_SECONDS, answer)
+        self._send(node, answer)
 
     def _record_versions(self):
         for version in range(2, number_of(self.table.version or 0) + 1):
@@ -266,6 +305,10 @@
     def _watch(self, client):
         table = self.table
         while self._is_process(client):
+            while self.frozen_seconds_left:
+                self.world.simulation.sleep(self.frozen_seconds_left)
+            if not self._is_process(client):
+                return
             pause = table.step().total_seconds()
             self._record_versions()
             end = self.world.simulation.now + pause
@@ -279,27 +322,38 @@
     def _send_heartbeat(self, client):
         if not self._is_process(client):
             return
-        changes = self.table.empty_changes
+        changes = None if self.frozen_seconds_left else self.table.empty_changes
         if self.role() is Role.READER and changes is not None:
             self.publish(NAME, changes, self.table.reaches_store)
+            for other in self.world.nodes:
+                if other is not self and changes.confirmed_at is not None:
+                    confirmation = other.client, changes.version, changes.confirmed_at
+                    self._send(other, other.receive_confirmation, *confirmation)
         self.world.simulation.schedule(
             HEARTBEAT_SECONDS, partial(self._send_heartbeat, client)
         )
 
     def _check(self, client):
         if self._is_process(client):
-            self.table.obtain_missing()
-            self.table.interrupt_doubtful_wait()
+            if not self.frozen_seconds_left:
+                self.table.obtain_missing()
+                self.table.interrupt_doubtful_wait()
             self.world.simulation.schedule(CHECK_SECONDS, partial(self._check, client))
 
 
 class SilentWorld:
-    """Nodes and a store; ``domains`` has the failure domain of each node."""
+    """Nodes and a store; ``domains`` has the failure domain of each node.
 
-    def __init__(self, domains):
+    ``max_call_wait`` is that of the nodes' tables.
+    """
+
+    def __init__(self, domains, max_call_wait=None):
         self.simulation = Simulation()
+        self.max_call_wait = max_call_wait
         self.store = SilentStore(self.simulation)
         self.store.write("config", b"2")
+        self.written_at = {}
+        """When each version was written, in seconds of the simulation."""
         self.domains = domains
         self.nodes = []
         for number, domain in enumerate(domains):
@@ -340,6 +394,7 @@
     def write(self):
         """Write a change; return its version and the time."""
         self.store.write("config", str(self.store.number).encode())
+        self.written_at[self.store.number] = self.simulation.now
         return self.store.number, self.simulation.now
 
     def delays(self, version, written_at):
@@ -354,8 +409,18 @@
         """Notify the readers of a renewal of the lease; its holder has links to all."""
         for node in self.nodes:
             if node.vm.name in self._readers[node.vm.failure_domain]:
-                deliver = partial(node.receive_renewal, node.client)
-                self.simulation.schedule(HOP_SECONDS, deliver)
+                self.holder._send(node, node.receive_renewal, node.client)
+
+    def wrongly_confirmed_nodes(self):
+        """Return the nodes that rely on a copy for longer than it was complete."""
+        return [
+            node.vm.name
+            for node in self.nodes
+            if node.is_running and node.table.confirmed_at is not None
+            for version, written_at in self.written_at.items()
+            if written_at <= node.table.confirmed_at.total_seconds()
+            and number_of(node.table.version) < version
+        ]
 
     def unconfirmed_nodes(self, since):
         """Return the nodes that don't know that the table was complete at ``since``."""
