Keep no event for the streams of a service with one version

Each recorded stream had an event that nobody waited for: some 500 bytes for each of up to 40,000 records, as records stay unsent while a service has one version. Only a new stream of a service with several versions has one now.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -88,9 +88,9 @@
         self._wait = wait
         self._lock = threading.Lock()
         self._records = StreamRecords()
-        self._unsent: dict[str, dict[str, threading.Event]] = defaultdict(dict)
-        """Events to set once a keeper was sent a record, by service and attempt id, the
-        oldest first."""
+        self._unsent: dict[str, dict[str, threading.Event | None]] = defaultdict(dict)
+        """Attempt ids by service whose records no keeper was sent, oldest first, with
+        the events to set once one was sent it, if a caller waits for that."""
         self._alive: list[Vm] = []
         self._keepers: list[list[Vm]] = []
         """Keepers by slot among ``_alive``; empty while nothing is shared."""
@@ -116,16 +116,19 @@
         Return an event that is set once a keeper was sent the record of a new stream,
         ``None`` if no keeper will be sent one now.
         """
-        key, sent = (service, attempt_id), threading.Event()
+        # Called without the lock: see ``send_updates``.
+        is_shared = self._has_several_versions(service)
+        key, sent = (service, attempt_id), None
         with self._lock:
             outcome = self._add(key, software_version, self._clock.elapsed(), True)
             if outcome is RecordOutcome.KNOWN:
                 return None
+            if is_shared and outcome is RecordOutcome.NEW:
+                sent = threading.Event()
             self._unsent[service][attempt_id] = sent
-        if not self._has_several_versions(service):
-            return None
-        self.update_wanted.set()
-        return sent if outcome is RecordOutcome.NEW else None
+        if is_shared:
+            self.update_wanted.set()
+        return sent
 
     def find_held(self, attempt_id: str, service: str) -> StreamFinding | None:
         """Return what a record that this node holds says, if any; does not block."""
