Let the nodes of the test of restarts know each other

Cause, from the messages of a failing repeat: the second node told only the restarted one of its new incarnation, as it had not heard of the third. The test waited until the first node had heard of both others, not they of each other; gateways request the list of members from their seed, these nodes do not.

--- a/packages/runhatch-server/tests/test_restarted_peers.py
+++ b/packages/runhatch-server/tests/test_restarted_peers.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from runhatch_coordination import Membership, Standing, SystemClock, Vm
+from runhatch_coordination import MemberFact, Membership, Standing, SystemClock, Vm
 from runhatch_coordination.testing import ManualClock
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import Envelope, Member, MemberExchange, PeerLinks
@@ -70,7 +70,9 @@
 @pytest.fixture
 def nodes():
     nodes = [LinkedNode(name) for name in ("n1", "n2", "n3")]
+    facts = [MemberFact(node.vm, Standing.ALIVE) for node in nodes]
     for node in nodes:
+        node.membership.merge_facts(facts)
         node.start([other.vm.address for other in nodes])
     yield nodes
     for node in nodes:
@@ -89,7 +91,7 @@
     """Also by those that it doesn't know of: their links remain."""
     first, *others = nodes
     names = {other.vm.name for other in others}
-    assert wait_until(lambda: first.heard_from == names, 5)
+    assert wait_until(lambda: all(len(node.heard_from) == 2 for node in nodes), 5)
     first.stop()
     time.sleep(pause)
     nodes[0] = LinkedNode("n1", first.vm.address, incarnation=2)
