Predict times by the work time that targets state

Targets of one service may differ lastingly in speed, and each may be slowed for some hundred milliseconds by other work on its machine.

Predictions of prompts, tokens, pauses and plain requests are usual times multiplied by the factor, and rates are learned from times divided by it. Targets that state nothing are predicted as before.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -92,6 +92,10 @@
     granted_share,
     initial_level,
 )
+from runhatch_server.decisions._work_time import (
+    WorkTime,
+    WorkTimeStatement,
+)
 
 __all__ = [
     "Admitted",
@@ -164,4 +168,6 @@
     "MIN_RATE",
     "TriedTargets",
     "WorkRates",
+    "WorkTime",
+    "WorkTimeStatement",
 ]
--- a/packages/runhatch-server/src/runhatch_server/decisions/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load.py
@@ -10,6 +10,12 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from runhatch_server.decisions._work_time import (
+    WorkTime,
+    WorkTimeStatement,
+    latest_statement,
+)
+
 TIER_COUNT = 4
 """Priority tiers: three for requests that are on time, one for late requests."""
 LATE_TIER = TIER_COUNT - 1
@@ -37,8 +43,8 @@
 enough to smooth bursts of about three requests, short compared with the duration of
 an answer."""
 INITIAL_STEP_MS = 12.0
-"""Initial estimate of the time between two tokens of a stream at an engine that reads
-no prompts. Steps take 5 to 9 ms, longer with more concurrent requests."""
+"""Initial estimate of the usual time between two tokens of a stream at an engine that
+reads no prompts. Steps take 5 to 9 ms, longer with more concurrent requests."""
 MIN_STEP_MS, MAX_STEP_MS = 1.0, 100.0
 """Bounds of the estimated step time, against wrong measurements."""
 SHORTER_GAIN, LONGER_GAIN = 0.5, 0.05
@@ -74,6 +80,8 @@
     """Prompt tokens that are not cached at the target."""
     queued_ms: float = 0.0
     """Prompt reading that was queued before it when it was sent."""
+    work_time_factor: float = 1.0
+    """Factor on the usual time of work that its prediction assumed."""
     started: bool = False
     held: bool = False
     """Whether it waits on the gateway until the target has loaded its model."""
@@ -105,6 +113,7 @@
     tokens: int = 0
     held_ms: float = 0.0
     busy: float = field(default=0.0, compare=False)
+    work_time: WorkTimeStatement | None = field(default=None, compare=False)
 
     def plus(self, other: "LoadShare") -> "LoadShare":
         """Return the sum of both shares."""
@@ -126,6 +135,7 @@
             max(0, self.tokens + sign * other.tokens),
             max(0.0, self.held_ms + sign * other.held_ms),
             max(0.0, self.busy + sign * other.busy),
+            latest_statement(self.work_time, other.work_time),
         )
 
     @property
@@ -146,6 +156,7 @@
             self.tokens,
             self.held_ms,
             self.busy * _decay(age),
+            self.work_time and self.work_time.aged(age),
         )
 
 
@@ -174,7 +185,9 @@
     backoff_until: timedelta = timedelta()
     """End of the backoff that the target requested from this node."""
     step_ms: float = INITIAL_STEP_MS
-    """Measured time between two tokens while no prompts are read."""
+    """Measured time between two tokens while no prompts are read, divided by the
+    target's work time factor."""
+    work_time: WorkTime = field(default_factory=WorkTime)
     sent_busy: float = 0.0
     sent_busy_at: timedelta = timedelta()
 
@@ -202,6 +215,7 @@
             sum(o.tokens for o in sent),
             sum(o.work_ms for o in held),
             self._own_busy(now),
+            self.work_time.latest(now),
         )
 
     def held_ahead_ms(self, since: timedelta, now: timedelta) -> float:
@@ -254,9 +268,10 @@
         self.slowness = previous + (observed - previous) * SLOWNESS_GAIN
         self.slowness_at = now
 
-    def record_step_time(self, step_ms: float) -> None:
+    def record_step_time(self, step_ms: float, now: timedelta) -> None:
         """Record the mean time between two tokens of a finished stream."""
-        observed = min(max(step_ms, MIN_STEP_MS), MAX_STEP_MS)
+        usual_ms = step_ms / self.work_time.lasting_factor(now)
+        observed = min(max(usual_ms, MIN_STEP_MS), MAX_STEP_MS)
         gain = SHORTER_GAIN if observed < self.step_ms else LONGER_GAIN
         self.step_ms += (observed - self.step_ms) * gain
 
--- a/packages/runhatch-server/src/runhatch_server/decisions/_load_book.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load_book.py
@@ -82,7 +82,9 @@
         for load in self._loads.values() if is_complete else ():
             load.peer_shares.pop(node, None)
         for target, share in shares.items():
-            self.load(target).peer_shares[node] = (share, now)
+            load = self.load(target)
+            load.peer_shares[node] = (share, now)
+            _record_work_time(load, share, now)
 
     def record_domain_shares(
         self,
@@ -100,7 +102,9 @@
             load.domain_shares.pop(domain, None)
             load.domain_shares.pop(ALL_OTHER_NODES, None)
         for target, share in shares.items():
-            self.load(target).domain_shares[domain] = (share, now)
+            load = self.load(target)
+            load.domain_shares[domain] = (share, now)
+            _record_work_time(load, share, now)
 
     def record_total_shares(
         self, shares: Mapping[str, LoadShare], is_complete: bool, now: timedelta
@@ -114,7 +118,9 @@
             load.peer_shares.clear()
             load.domain_shares.clear()
         for target, share in shares.items():
-            self.load(target).domain_shares[ALL_OTHER_NODES] = (share, now)
+            load = self.load(target)
+            load.domain_shares[ALL_OTHER_NODES] = (share, now)
+            _record_work_time(load, share, now)
 
     def direct_totals(self, now: timedelta) -> dict[str, LoadShare]:
         """Return, by engine, the work of this node and its directly reporting peers."""
@@ -128,6 +134,14 @@
             (target, load.total(now)) for target, load in self._loads.items()
         )
 
+    def lasting_work_times(self, now: timedelta) -> dict[str, float]:
+        """Return the lasting work time factor of each target that stated it."""
+        return {
+            target: load.work_time.lasting_factor(now)
+            for target, load in self._loads.items()
+            if load.work_time.latest(now) is not None
+        }
+
     def remove_ended(self, is_known: Callable[[str], bool], now: timedelta) -> None:
         """Remove the state of targets that no longer exist.
 
@@ -144,6 +158,11 @@
                 self._prefixes.remove_target(target)
 
 
+def _record_work_time(load: TargetLoad, share: LoadShare, now: timedelta) -> None:
+    if share.work_time is not None:
+        load.work_time.record(share.work_time, now)
+
+
 def _engine_shares(shares: Iterable[tuple[str, LoadShare]]) -> dict[str, LoadShare]:
     """Return the shares of engines only.
 
--- a/packages/runhatch-server/src/runhatch_server/decisions/_rates.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_rates.py
@@ -36,6 +36,8 @@
 class WorkRates:
     """Estimated times of prompts by model, and of plain requests by route.
 
+    All are usual times: what a target with a work time factor of 1.0 takes.
+
     The time to a first token is modelled as a base common to all models, plus a time
     per uncached prompt token that depends on the model. Each first token corrects both
     by its prediction error, in proportion to their share in the prediction.
@@ -62,14 +64,11 @@
         """Update the estimates, if the token waited mostly for its own prompt."""
         previous = self._ms_per_token.get(model, self._default_ms_per_token)
         expected_ms = self.base_ms + outstanding.uncached_tokens * previous
-        if (
-            not outstanding.uncached_tokens
-            or outstanding.queued_ms > expected_ms * MAX_QUEUED_SHARE
-        ):
+        max_queued_ms = expected_ms * outstanding.work_time_factor * MAX_QUEUED_SHARE
+        if not outstanding.uncached_tokens or outstanding.queued_ms > max_queued_ms:
             return
-        error_ms = (
-            took / timedelta(milliseconds=1) - expected_ms - outstanding.queued_ms
-        )
+        read_ms = took / timedelta(milliseconds=1) - outstanding.queued_ms
+        error_ms = read_ms / outstanding.work_time_factor - expected_ms
         error_ms = min(max(error_ms, -expected_ms), expected_ms * MAX_RELATIVE_ERROR)
         error_ms *= SOONER_GAIN if error_ms < 0 else LATER_GAIN
         relative_length = outstanding.uncached_tokens / REFERENCE_PROMPT_TOKENS
--- a/packages/runhatch-server/src/runhatch_server/decisions/_scoring.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_scoring.py
@@ -9,7 +9,6 @@
     LATE_TIER,
     MAX_CACHE_FILL_SHARE,
     LoadShare,
-    TargetLoad,
 )
 from runhatch_server.decisions._load_book import LoadBook
 from runhatch_server.decisions._request import GatewayRequest, ModelWork
@@ -82,6 +81,8 @@
     """Prompt tokens that are not cached at the target."""
     queue_ms: float = 0.0
     """Prompt reading queued at the target, of all tiers."""
+    work_time_factor: float = 1.0
+    """How long work is expected to take, relative to the usual time."""
 
 
 class Scorer:
@@ -129,6 +130,7 @@
         """Return the score and predictions for sending ``request`` to ``target``."""
         load = self._book.load(target.incarnation)
         total = load.total(now)
+        factor = load.work_time.current_factor(now)
         uncached = 0
         work_ms = 0.0
         token_ms = 0.0
@@ -137,20 +139,22 @@
             uncached = self._book.count_uncached_tokens(
                 target.incarnation, request.work
             )
-            work_ms = self._book.rates.prompt_ms(request.work.model, uncached)
-            base_ms = self._book.rates.base_ms
+            rates = self._book.rates
+            work_ms = rates.prompt_ms(request.work.model, uncached) * factor
+            base_ms = rates.base_ms * factor
             predicted_ms = _engine_ms(
                 service.engine, request.work, total, base_ms + work_ms, tier
             )
             predicted_ms *= load.slowness_factor(now)
-            chunk_ms = self._book.rates.prompt_ms(request.work.model, CHUNK_TOKENS)
-            token_ms = _token_ms(total.busy, chunk_ms, load.step_ms)
-            pause_ms = _pause_ms(service.engine, load, total, work_ms, chunk_ms)
+            chunk_ms = rates.prompt_ms(request.work.model, CHUNK_TOKENS) * factor
+            step_ms = load.step_ms * factor
+            token_ms = _token_ms(total.busy, chunk_ms, step_ms)
+            pause_ms = _pause_ms(service.engine, step_ms, total, work_ms, chunk_ms)
             if place is not None or tier == LATE_TIER:
                 since = now if place is None else place.held_since
                 predicted_ms += load.held_ahead_ms(since, now)
         else:
-            usual_ms = self._book.rates.service_ms(request.route.name)
+            usual_ms = self._book.rates.service_ms(request.route.name) * factor
             excess = max(0, total.waiting + total.running + 1 - target.slots)
             predicted_ms = usual_ms * (1 + excess / max(1, target.slots))
         if target.slow_start_remaining > timedelta():
@@ -175,12 +179,13 @@
             pause_ms,
             uncached,
             sum(total.waiting_ms),
+            factor,
         )
 
 
 def _pause_ms(
     engine: EngineSpec,
-    load: TargetLoad,
+    step_ms: float,
     total: LoadShare,
     work_ms: float,
     chunk_ms: float,
@@ -193,7 +198,7 @@
     """
     if not total.waiting and not total.running:
         return 0.0
-    event_ms = engine.event_tokens * load.step_ms
+    event_ms = engine.event_tokens * step_ms
     arriving = min(total.busy, MAX_BUSY_SHARE) * ARRIVING_SHARE
     max_event_ms = event_ms + engine.event_tokens * chunk_ms
     return min(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -25,6 +25,7 @@
     ScoredTarget,
     Scorer,
     TriedTargets,
+    WorkTimeStatement,
     choose_candidates,
     decide_admission,
     request_tier,
@@ -222,7 +223,8 @@
         gap_ms = mean_gap / timedelta(milliseconds=1)
         with self._lock:
             load = self._book.load(grant.target.incarnation)
-            load.record_step_time(gap_ms / service.engine.event_tokens)
+            now = self._clock.elapsed()
+            load.record_step_time(gap_ms / service.engine.event_tokens, now)
 
     def release(self, grant: Grant, target_failed: bool) -> None:
         """Release ``grant``; ``target_failed`` if the target failed the request."""
@@ -237,6 +239,7 @@
                 load.last_received_at = now
                 if grant.request.work is None:
                     duration = now - grant.granted_at
+                    duration /= load.work_time.current_factor(now)
                     self._book.rates.record_service_time(
                         grant.request.route.name, duration
                     )
@@ -253,6 +256,16 @@
             load = self._book.load(grant.target.incarnation)
             load.backoff_until = max(load.backoff_until, now + backoff)
 
+    def record_work_time(self, grant: Grant, factor: float) -> None:
+        """Record how long work takes at the target of ``grant``, as it stated.
+
+        ``factor`` is relative to the usual time.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            load = self._book.load(grant.target.incarnation)
+            load.work_time.record(WorkTimeStatement(factor, timedelta()), now)
+
     def record_draining(self, grant: Grant) -> None:
         """Record that the target of ``grant`` announced that it drains."""
         if self._directory.record_draining(grant.target.incarnation):
@@ -438,6 +451,7 @@
             tier,
             best.uncached_tokens,
             best.queue_ms,
+            best.work_time_factor,
         )
         self._on_change()
         max_connections = service.max_connections // max(1, self.node_count)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peer_conversions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peer_conversions.py
@@ -4,11 +4,13 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from runhatch_server.decisions import LoadShare
+from runhatch_server.decisions import LoadShare, WorkTimeStatement
 from runhatch_server.fleet import ExpectedLoad, HeldModels
 from runhatch_server.peers import DemandOfModel, HoldingOfTarget, LoadOfTarget
 from runhatch_server.residency import DemandKey, DemandShare, Holding
 
+MILLISECOND = timedelta(milliseconds=1)
+
 
 def sum_demand(
     recent: Iterable[tuple[timedelta, list[DemandShare]]],
@@ -95,6 +97,7 @@
         share.tokens,
         round(share.held_ms),
         round(share.busy, 3),
+        _message_of_work_time(share.work_time),
     )
 
 
@@ -107,4 +110,22 @@
         message.tokens,
         float(message.held_ms),
         message.busy,
+        _work_time_of_message(message.work_time),
     )
+
+
+def _message_of_work_time(
+    statement: WorkTimeStatement | None,
+) -> tuple[int, int] | None:
+    if statement is None:
+        return None
+    return round(statement.factor * 100), round(statement.age / MILLISECOND)
+
+
+def _work_time_of_message(
+    message: tuple[int, int] | None,
+) -> WorkTimeStatement | None:
+    if message is None:
+        return None
+    percent, age_ms = message
+    return WorkTimeStatement(percent / 100, age_ms * MILLISECOND)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_loads.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_loads.py
@@ -53,6 +53,12 @@
         with self._lock:
             self._book.record_total_shares(shares, whole, now)
 
+    def lasting_work_times(self) -> dict[str, float]:
+        """Return the lasting work time factor of each target that stated it."""
+        now = self._clock.elapsed()
+        with self._lock:
+            return self._book.lasting_work_times(now)
+
     def own_and_peers(self) -> dict[str, LoadShare]:
         """Return the load of this node plus that of nodes that sent theirs directly."""
         now = self._clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_target_signals.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_signals.py
@@ -16,6 +16,10 @@
     backoff = (
         answer.retry_after if isinstance(answer, RefusedNotRun) else answer.backoff
     )
+    if isinstance(answer, AnswerHead) and answer.load is not None:
+        factor = answer.load.work_time_factor
+        if factor is not None:
+            balancer.record_work_time(grant, factor)
     if answer.draining:
         balancer.record_draining(grant)
     if backoff is not None:
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -122,6 +122,8 @@
 
     ``waiting_ms`` is the prompt processing still to be done, by tier, most urgent
     first.  ``busy`` is the share of the target's time taken by recent prompts.
+    ``work_time`` is the target's latest statement of how long work takes there, in
+    percent of the usual time, and its age in milliseconds.
     """
 
     target: str
@@ -131,6 +133,7 @@
     tokens: int
     held_ms: int = 0
     busy: float = 0.0
+    work_time: tuple[int, int] | None = None
 
 
 class TargetLoads(msgspec.Struct, frozen=True, tag="loads", array_like=True):
--- a/packages/runhatch-server/src/runhatch_server/targets/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_load.py
@@ -18,6 +18,9 @@
 
     running: int
     waiting: int
+    work_time_factor: float | None = None
+    """How long work takes at this moment, relative to the usual time of the service;
+    ``None`` if the target did not state it."""
 
 
 class _NamedMetrics(msgspec.Struct):
--- a/packages/runhatch-server/tests/test_admission.py
+++ b/packages/runhatch-server/tests/test_admission.py
@@ -160,7 +160,7 @@
     def test_step_time_follows_streams_without_prompt_reading(self):
         load = TargetLoad()
         for step_ms in (6.0, 40.0, 6.0, 30.0, 6.0, 6.0):
-            load.record_step_time(step_ms)
+            load.record_step_time(step_ms, timedelta())
         assert 5.5 < load.step_ms < 9.0
 
 
