Replicate models early where loads are short or speeds are stated

A load takes 9 s and demand was taken to last 10 s, a replica read from the store never replaced a model, and no replica replaced the only one of a model in demand.

ReplicaPolicy now holds these limits. Where targets state how long work takes, or where the longest load from the store takes 3 s at most, replicas are loaded from a load of .35 instead of .5, demand is taken to last 20 s and replicas may replace any model; with long loads, as many replicas of a model are loaded at a time as targets hold it. The capacity of a target is the inverse of its lasting work time. Elsewhere nothing changes.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -388,6 +388,7 @@
             lambda: self._order_wanted.set(),
             self._balancer.is_down,
             self._limits.rates,
+            self._balancer.loads.lasting_work_times,
             lambda: self._peers.orderer_epoch,
             bounds.handover,
             bounds.load_window,
--- a/packages/runhatch-server/src/runhatch_server/residency/_fleet_view.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_fleet_view.py
@@ -9,6 +9,7 @@
 from runhatch_server.decisions import MIN_RATE, WorkDistribution, distribute_work
 from runhatch_server.residency._control import TargetControl
 from runhatch_server.residency._demand import Demand, DemandBook
+from runhatch_server.residency._replica_policy import choose_policy
 from runhatch_server.routing import EngineSpec
 
 EVICTION_MISS_SECONDS = 3.0
@@ -17,13 +18,6 @@
 ADAPTER_MISS_SHARE = 0.3
 """Share of requests for adapters whose adapter must first be loaded: a target accepts
 no adapter orders while it loads a model."""
-REPLICA_LOAD = 0.5
-"""Share of a target's time spent on prompts above which another replica is worth
-loading: at 0.5 a prompt of 100 ms waits half as long again, and requests arrive in
-bursts."""
-LOSSLESS_LOAD = 0.25
-"""Share of a target's time up to which it takes over another replica's requests without
-a loss; at ``REPLICA_LOAD`` all of them are counted as lost."""
 UNKNOWN_MODEL_VALUE = 2.5
 """Value, in weighted requests, of the last replica of a model that was never requested,
 or that requests which cannot wait for a load have used. Demand moves to other models
@@ -56,10 +50,12 @@
         demand: DemandBook,
         now: timedelta,
         rate_limits: Mapping[str, float] | None = None,
+        work_times: Mapping[str, float] | None = None,
     ) -> None:
         """Index the targets; ``rate_limits`` are requests per second, by incarnation.
 
-        A target without a limit is limited only by its processing time.
+        A target without a limit is limited only by its processing time. ``work_times``
+        are the lasting work time factors, by incarnation; 1.0 is assumed for others.
         """
         self.service = service
         self.engine = engine
@@ -78,6 +74,9 @@
             for model in control.held:
                 if control.holds(model):
                     self._holders.setdefault(model, []).append(control)
+        factors = work_times or {}
+        states_work_time = any(c.target.incarnation in factors for c in controls)
+        self.replica_policy = choose_policy(engine.models, states_work_time)
         work = {
             model.name: self.demand_for(model.name).work_share
             for model in engine.models
@@ -89,7 +88,9 @@
         limits = rate_limits or {}
         capacities = {
             control.target.incarnation: self._capacity(
-                control, limits.get(control.target.incarnation)
+                control,
+                limits.get(control.target.incarnation),
+                factors.get(control.target.incarnation, 1.0),
             )
             for control in controls
         }
@@ -119,6 +120,10 @@
         """Return the targets that hold ``model``."""
         return self._holders.get(model, [])
 
+    def count_loads(self, model: str) -> int:
+        """Return the number of loads of ``model`` in progress or planned."""
+        return sum(model in _expected_models(control) for control in self.controls)
+
     def load_ready_at(self, model: str) -> timedelta | None:
         """Return when a load of ``model`` in progress or planned ends."""
         return self._load_ready_times.get(model)
@@ -148,6 +153,12 @@
         """Return the share of a target's time spent on prompts."""
         return self.spread.utilisation(control.target.incarnation)
 
+    def load_with(self, control: TargetControl, added_work: float) -> float:
+        """Return the load of a target if ``added_work`` moved there."""
+        incarnation = control.target.incarnation
+        load = self.spread.loads[incarnation] + added_work
+        return load / self.spread.capacities[incarnation]
+
     def is_only_holder_in_demand(self, control: TargetControl, model: str) -> bool:
         """Return whether ``control`` is the only holder of a model in demand."""
         if any(holder is not control for holder in self.holders(model)):
@@ -169,31 +180,46 @@
             return base_value + value + demand.waiting_requests(self.now)
         share = self.spread.share(model, control.target.incarnation)
         moved = share / len(others)
-        load_after = min(self.load_of(other) + moved for other in others)
-        crowding = (load_after - LOSSLESS_LOAD) / (REPLICA_LOAD - LOSSLESS_LOAD)
+        load_after = min(self.load_with(other, moved) for other in others)
+        policy = self.replica_policy
+        crowding = (load_after - policy.lossless_load) / (
+            policy.replica_load - policy.lossless_load
+        )
         return value / (len(others) + 1) * min(max(crowding, 0.0), 1.0)
 
-    def _capacity(self, control: TargetControl, limit: float | None) -> float:
-        """Return the share of its time that prompts may take under its rate limit."""
+    def _capacity(
+        self, control: TargetControl, limit: float | None, work_time: float
+    ) -> float:
+        """Return the work per second that a target can do, in seconds of usual work.
+
+        ``limit`` is its rate limit in requests per second, ``work_time`` its lasting
+        work time factor.
+        """
+        unlimited = 1.0 / work_time
         if limit is None:
-            return 1.0
+            return unlimited
         demands = [self.demand_for(model) for model in control.held]
         rate = sum(demand.rate for demand in demands)
         work = sum(demand.work_share for demand in demands)
         if rate <= 0 or work <= 0:
-            return 1.0
-        return min(1.0, max(limit, MIN_RATE) * work / rate)
+            return unlimited
+        return min(unlimited, max(limit, MIN_RATE) * work / rate)
 
     def _record_expected_load(self, control: TargetControl) -> None:
-        models = {control.loading_model}
-        if control.intent is not None:
-            models.add(control.intent.model)
-        for model in models - {""}:
+        for model in _expected_models(control):
             ready_at = control.free_at(self.engine, self.now)
             known_ready_at = self._load_ready_times.get(model, ready_at)
             self._load_ready_times[model] = min(known_ready_at, ready_at)
 
 
+def _expected_models(control: TargetControl) -> set[str]:
+    """Return the models that a target loads or is about to load."""
+    models = {control.loading_model}
+    if control.intent is not None:
+        models.add(control.intent.model)
+    return models - {""}
+
+
 def group_by_service(
     controls: Iterable[TargetControl],
 ) -> Mapping[str, list[TargetControl]]:
--- a/packages/runhatch-server/src/runhatch_server/residency/_needs.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_needs.py
@@ -5,15 +5,11 @@
 
 from runhatch_server.residency._fleet_view import (
     MIN_DEMAND_RATE,
-    REPLICA_LOAD,
     UNMET_WEIGHT,
     FleetView,
 )
 from runhatch_server.routing import EngineModel
 
-PERSISTENCE_SECONDS = 10.0
-"""Expected duration of demand for a model. A load that takes longer gains only the
-requests already waiting for it."""
 RARE_PERSISTENCE_SECONDS = 4.0
 """Expected duration of demand after only a few requests, which do not show lasting
 demand."""
@@ -41,9 +37,11 @@
     waiting: float
     rate: float
     reason: str
-    persistence_seconds: float = PERSISTENCE_SECONDS
+    persistence_seconds: float
     missed_for: timedelta = timedelta()
     """How long requests have found no target that holds the model."""
+    excess_work: float = 0.0
+    """Work of a model that delays requests at its holders, in seconds per second."""
 
     @property
     def missed_gain(self) -> float:
@@ -71,34 +69,57 @@
 def _need_for(view: FleetView, model: EngineModel) -> Need | None:
     ready_at = view.load_ready_at(model.name)
     holders = view.holders(model.name)
-    if ready_at is not None and (holders or ready_at - view.now < MIN_LOAD_ADVANCE):
+    if ready_at is not None and not _may_load_again(view, model.name, ready_at):
         return None
     demand = view.demand_for(model.name)
     if holders:
-        overloaded = _overloaded_share(view, model.name)
-        rate = overloaded * demand.weighted_rate
-        return Need(model, 0.0, rate, TOO_BUSY) if overloaded > 0 else None
+        excess = _excess_work(view, model.name)
+        if excess <= 0:
+            return None
+        rate = min(1.0, excess / _assigned_work(view, model.name))
+        return Need(
+            model,
+            0.0,
+            rate * demand.weighted_rate,
+            TOO_BUSY,
+            view.replica_policy.persistence_seconds,
+            excess_work=excess,
+        )
     waiting = demand.waiting_requests(view.now)
     waiting += max(0.0, demand.unmet - 1.0) * UNMET_WEIGHT
     if waiting <= 0 and demand.rate < MIN_DEMAND_RATE:
         return None
-    persistence = PERSISTENCE_SECONDS if demand.is_steady else RARE_PERSISTENCE_SECONDS
+    persistence = RARE_PERSISTENCE_SECONDS
+    if demand.is_steady:
+        persistence = view.replica_policy.persistence_seconds
     missed_for = demand.missed_for(view.now)
     return Need(model, waiting, demand.weighted_rate, NOT_HELD, persistence, missed_for)
 
 
-def _overloaded_share(view: FleetView, model: str) -> float:
-    """Return the share of a model's requests that overloaded targets delay."""
+def _may_load_again(view: FleetView, model: str, ready_at: timedelta) -> bool:
+    """Return whether a model may be loaded while a load of it ends at ``ready_at``."""
     holders = view.holders(model)
-    total = sum(
-        view.spread.share(model, control.target.incarnation) for control in holders
+    if not holders:
+        return ready_at - view.now >= MIN_LOAD_ADVANCE
+    policy = view.replica_policy
+    return policy.loads_concurrently and view.count_loads(model) < len(holders)
+
+
+def _assigned_work(view: FleetView, model: str) -> float:
+    """Return the work of a model that its holders are expected to do."""
+    return sum(
+        view.spread.share(model, control.target.incarnation)
+        for control in view.holders(model)
     )
-    if total <= 0:
-        return 0.0
+
+
+def _excess_work(view: FleetView, model: str) -> float:
+    """Return the work of a model that overloaded targets delay."""
+    replica_load = view.replica_policy.replica_load
     excess = 0.0
-    for control in holders:
+    for control in view.holders(model):
         load = view.load_of(control)
-        if load > REPLICA_LOAD:
+        if load > replica_load:
             share = view.spread.share(model, control.target.incarnation)
-            excess += share * (load - REPLICA_LOAD) / load
-    return min(1.0, excess / total)
+            excess += share * (load - replica_load) / load
+    return excess
--- a/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_orderer.py
@@ -93,6 +93,7 @@
         on_answer: Callable[[], None],
         is_down: Callable[[str], bool],
         rate_limits: Callable[[], Mapping[str, float]],
+        work_times: Callable[[], Mapping[str, float]],
         newest_epoch: Callable[[], int],
         handover: timedelta,
         load_window: timedelta,
@@ -104,6 +105,7 @@
         self._metrics = metrics
         self._is_down = is_down
         self._rate_limits = rate_limits
+        self._work_times = work_times
         self._newest_epoch = newest_epoch
         self._order_times = OrderTimes(handover)
         self._last_resignation: tuple[Resignation, timedelta] | None = None
@@ -358,7 +360,7 @@
             if not self._is_down(target.incarnation)
         }
         controls = [c for c in self._controls if c.target.incarnation in ready_targets]
-        limits = self._rate_limits()
+        limits, work_times = self._rate_limits(), self._work_times()
         for service, members in group_by_service(controls).items():
             engine = self._declared.engine(service)
             if engine is None:
@@ -366,7 +368,9 @@
             for member in members:
                 for model, adapters in member.held_models().adapters_by_model.items():
                     self._demand.record_held(service, model, adapters)
-            view = FleetView(service, engine, members, self._demand, now, limits)
+            view = FleetView(
+                service, engine, members, self._demand, now, limits, work_times
+            )
             adapter_plan = plan_adapters(view)
             for adapter in adapter_plan.loads:
                 control = self._controls[adapter.target]
--- a/packages/runhatch-server/src/runhatch_server/residency/_places.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_places.py
@@ -32,9 +32,6 @@
 EVICTION_LOSS_FACTOR = 1.3
 """Factor by which the gain must exceed the loss, so that models do not evict each other
 in turn."""
-MIN_LOAD_DIFFERENCE = 0.2
-"""Minimum difference in load between the busiest holder and the target of a new
-replica."""
 MAX_OVERDUE_TARGET_SHARE = 1 / 8
 """Maximum share of the targets (at least one target) that load overdue models from the
 weight store, because they accept no adapter orders meanwhile."""
@@ -131,11 +128,11 @@
         self._lower_bounds = lower_bounds
 
     def find_evictions(
-        self, memory_mb: float, is_replica: bool
+        self, memory_mb: float, keeps_only_replicas: bool
     ) -> tuple[tuple[str, ...], float] | None:
         """Return the models to evict for ``memory_mb``, and the loss, or ``None``.
 
-        A new replica does not evict the only replica of another model in demand.
+        With ``keeps_only_replicas``, the only replica of a model in demand stays.
         """
         missing_mb = memory_mb - self._free_mb
         evictions: list[str] = []
@@ -143,7 +140,7 @@
         for evictable in self._evictable_models:
             if missing_mb <= 0:
                 break
-            if is_replica and evictable.is_only_replica_in_demand:
+            if keeps_only_replicas and evictable.is_only_replica_in_demand:
                 continue
             evictions.append(evictable.model)
             loss += evictable.value
@@ -170,7 +167,9 @@
     @cached_property
     def min_cost(self) -> float:
         """Lower bound of the cost of any load from the weight store on this target."""
-        eviction = self.find_evictions(self._lower_bounds.memory_mb, is_replica=False)
+        eviction = self.find_evictions(
+            self._lower_bounds.memory_mb, keeps_only_replicas=False
+        )
         if eviction is None:
             return math.inf
         seconds = (self.free_in + self._lower_bounds.duration).total_seconds()
@@ -265,17 +264,21 @@
         holders = view.holders(model.name)
         if holders:
             busiest = max(view.load_of(holder) for holder in holders)
-            if busiest - candidate.load < MIN_LOAD_DIFFERENCE:
+            difference = busiest - candidate.load
+            if difference < view.replica_policy.min_load_difference:
                 return None
         ready_in = candidate.free_in + control.load_time(model)
-        if self._is_load_ending_soon(model.name, ready_in):
+        waits_for_load = not (holders and view.replica_policy.loads_concurrently)
+        if waits_for_load and self._is_load_ending_soon(model.name, ready_in):
             return None
-        eviction = candidate.find_evictions(model.memory_mb, is_replica=bool(holders))
+        keeps_only_replicas = bool(holders) and not view.replica_policy.may_evict
+        eviction = candidate.find_evictions(model.memory_mb, keeps_only_replicas)
         if eviction is None:
             return None
         evictions, loss = eviction
         loads_from_store = control.loads_from_store(model.name)
-        if evictions and holders and loads_from_store:
+        may_evict = view.replica_policy.may_evict
+        if evictions and holders and loads_from_store and not may_evict:
             # The evicted models would be missed for the whole duration of the load.
             return None
         seconds = ready_in.total_seconds()
@@ -286,8 +289,9 @@
             candidate.cost(model.name, loss, seconds)
             + (STORE_LOAD_COST if loads_from_store else 0.0),
             seconds,
-            # Breaks ties between equal gains in favour of the least busy target.
-            candidate.load * FULL_UTILISATION_COST,
+            # Breaks ties between equal gains in favour of the target that is least busy
+            # with the replica, which is a fast one among equally busy ones.
+            view.load_with(control, need.excess_work) * FULL_UTILISATION_COST,
             candidate.is_startable,
             loads_from_store,
             0.0
--- a/packages/runhatch-server/tests/orderer_cases.py
+++ b/packages/runhatch-server/tests/orderer_cases.py
@@ -82,6 +82,7 @@
             self.answered.set,
             lambda target: False,
             dict,
+            dict,
             lambda: self.newest_epoch,
             HANDOVER,
             seconds(5),
