Admit prompts to a target in batches, permitted by one node

Two prompts that two nodes send to one target at a time delay every stream there, and each node learns of the other's prompts .1 to .3 s late. Where the setting shares_prompt_queues is on, the owner of a target (rendezvous hashing over the live nodes) permits each prompt. Prompts are permitted in batches shorter than the pause that streams may make, with the time of one event between two batches; what would begin too late is denied at once, with the time after which there is room. An owner that does not answer within 60 ms is left out for 1 s, during which prompts are admitted as before.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -13,6 +13,7 @@
     Rejected,
     decide_admission,
     request_tier,
+    stream_pause_limit_ms,
 )
 from runhatch_server.decisions._candidates import (
     BUSY_AVOIDANCE_DURATION,
@@ -30,6 +31,12 @@
 from runhatch_server.decisions._load_book import LoadBook
 from runhatch_server.decisions._peer_choice import PeerChoice, Work
 from runhatch_server.decisions._prefixes import PrefixIndex, prefix_blocks
+from runhatch_server.decisions._prompt_queue import (
+    PermitState,
+    PromptAnswer,
+    PromptQueue,
+    PromptRequest,
+)
 from runhatch_server.decisions._prompt_traits import (
     TRAIT_SCOPES,
     compute_traits,
@@ -135,6 +142,11 @@
     "OutstandingRequest",
     "PeerChoice",
     "PermitBucket",
+    "PermitState",
+    "PromptAnswer",
+    "PromptQueue",
+    "PromptRequest",
+    "stream_pause_limit_ms",
     "Postponed",
     "prefix_blocks",
     "PrefixIndex",
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -34,6 +34,8 @@
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._held import HeldRequests, HoldDecision
 from runhatch_server.gateway._holders import find_holders, find_ready_targets
+from runhatch_server.gateway._prompt_admission import PromptAdmission
+from runhatch_server.gateway._prompt_permits import PromptPermit
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._refusal_builder import (
     RefusalBuilder,
@@ -43,6 +45,7 @@
 from runhatch_server.gateway._search import (
     NoPermit,
     PermitNeeded,
+    PromptPermitNeeded,
     TargetSearch,
     find_awaited,
     use_permit,
@@ -81,6 +84,7 @@
         on_draining: Callable[[str], None],
         close_idle: Callable[[str], None],
         seed: int | None = None,
+        shares_prompt_queues: bool = False,
     ) -> None:
         self._directory = directory
         self._clock = clock
@@ -91,6 +95,8 @@
         self._lock = threading.Lock()
         self._book = LoadBook()
         self._scorer = Scorer(self._book, failure_domain, has_connection, seed)
+        self.prompts = PromptAdmission(self._book, shares_prompt_queues)
+        """Permits for prompts, given by the owners of targets."""
         self._services: Mapping[str, ServiceSpec] = {}
         self._max_gaps: Mapping[str, timedelta] = {}
         self._number_sequence = itertools.count(1)
@@ -163,6 +169,7 @@
             if search.place is not None:
                 self._held_requests.uncount(search.place)
             self.limits.stop_waiting(search.permits_requested_at)
+            self.prompts.stop(search)
 
     def _wait(
         self,
@@ -197,6 +204,7 @@
     def record_first_byte(self, grant: Grant) -> None:
         """Record that the first byte of the answer has arrived."""
         self._directory.record_reached(grant.target.incarnation)
+        self._release_prompt_permit(grant)
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
@@ -230,6 +238,7 @@
         """Release ``grant``; ``target_failed`` if the target failed the request."""
         if grant.is_to_peer:
             return
+        self._release_prompt_permit(grant)
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
@@ -351,6 +360,11 @@
     def _find_target(self, search: TargetSearch) -> Grant | Refusal | HoldDecision:
         while True:
             result = self._try_targets(search)
+            if isinstance(result, PromptPermitNeeded):
+                now = self._clock.elapsed()
+                if not self.prompts.request(search, result, now):
+                    search.needs_prompt_permit = False
+                continue
             if not isinstance(result, PermitNeeded):
                 return result
             search.permits_requested_at[result.target] = self._clock.elapsed()
@@ -359,7 +373,7 @@
 
     def _try_targets(
         self, search: TargetSearch
-    ) -> Grant | Refusal | HoldDecision | PermitNeeded:
+    ) -> Grant | Refusal | HoldDecision | PermitNeeded | PromptPermitNeeded:
         request = search.request
         service = self._services.get(request.service)
         if service is None or not find_ready_targets(self._directory, request):
@@ -376,7 +390,7 @@
             while True:
                 result = self._choose_candidates(holders, search)
                 if isinstance(result, NoCandidates):
-                    return self._refusal_builder.refuse_unwilling(result)
+                    return self._refuse_unwilling(search, result)
                 chosen = self._choose_target(search, service, result)
                 if not isinstance(chosen, NoPermit):
                     return chosen
@@ -406,7 +420,7 @@
 
     def _choose_target(
         self, search: TargetSearch, service: ServiceSpec, targets: list[Target]
-    ) -> Grant | Refusal | HoldDecision | PermitNeeded | NoPermit:
+    ) -> Grant | Refusal | HoldDecision | PermitNeeded | PromptPermitNeeded | NoPermit:
         now = self._clock.elapsed()
         request = search.request
 
@@ -416,6 +430,19 @@
             )
 
         max_gap = self._max_gaps.get(request.service)
+        if search.needs_prompt_permit and self.prompts.applies(
+            request, service.engine, max_gap
+        ):
+            assert service.engine is not None
+            assert max_gap is not None
+            step = self.prompts.next_step(
+                search, service.engine, max_gap, find_best, now
+            )
+            if isinstance(step, PromptPermit):
+                return self._use_prompt_permit(search, service, targets, step, now)
+            if step is not None:
+                return step
+            search.needs_prompt_permit = False
         match decide_admission(request, max_gap, find_best, now):
             case Admitted(best, tier):
                 blocked = use_permit(
@@ -429,6 +456,36 @@
             case Rejected(reason, best, after):
                 return self._refusal_builder.refuse(reason, after, best)
 
+    def _refuse_unwilling(self, search: TargetSearch, found: NoCandidates) -> Refusal:
+        if search.is_prompt_denied:
+            return self._refusal_builder.refuse(Reason.TOO_BUSY, found.retry_after)
+        return self._refusal_builder.refuse_unwilling(found)
+
+    def _use_prompt_permit(
+        self,
+        search: TargetSearch,
+        service: ServiceSpec,
+        targets: list[Target],
+        permit: PromptPermit,
+        now: timedelta,
+    ) -> Grant | HoldDecision | PermitNeeded | NoPermit:
+        """Send the request to the target that permits its prompt."""
+        target = next((t for t in targets if t.incarnation == permit.target), None)
+        if target is None:
+            # It ended or refused others while the request waited.
+            self.prompts.stop(search)
+            return NoPermit(permit.target, now + BUSY_AVOIDANCE_DURATION)
+        assert permit.answer is not None
+        tier = permit.answer.tier
+        blocked = use_permit(self.limits, search, permit.target, tier, now)
+        if blocked is not None:
+            return blocked
+        best = self._scorer.score(
+            search.request, service, target, tier, now, search.place
+        )
+        search.prompt_permit = None
+        return self._grant(search.request, service, best, tier, now, permit)
+
     def _grant(
         self,
         request: GatewayRequest,
@@ -436,6 +493,7 @@
         best: ScoredTarget,
         tier: int,
         now: timedelta,
+        prompt_permit: PromptPermit | None = None,
     ) -> Grant:
         number = next(self._number_sequence)
         tokens = 0
@@ -465,11 +523,18 @@
             best.busy,
             best.pause_ms,
             max(MIN_CONNECTIONS, max_connections),
+            prompt_permit=prompt_permit,
         )
 
+    def _release_prompt_permit(self, grant: Grant) -> None:
+        permits = self.prompts.permits
+        if grant.prompt_permit is not None and permits is not None:
+            permits.release(grant.prompt_permit)
+
     def _release_and_exclude(
         self, grant: Grant, pause: timedelta, is_rejected: bool = False
     ) -> None:
+        self._release_prompt_permit(grant)
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_grant.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_grant.py
@@ -5,6 +5,7 @@
 
 from runhatch_server.decisions import GatewayRequest
 from runhatch_server.fleet import Target
+from runhatch_server.gateway._prompt_permits import PromptPermit
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +29,8 @@
     pause_ms: float
     max_connections: int
     is_to_peer: bool = False
+    prompt_permit: PromptPermit | None = None
+    """The permit for its prompt, which is released when it begins or ends."""
     peer_software_version: str | None = None
     """Software version of the target that a peer chose, ``None`` if not stated."""
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -126,6 +126,7 @@
             self._demand.missed_event.set,
             lambda target: self._peers.publish_draining(target),
             self._pool.close_idle,
+            shares_prompt_queues=settings.shares_prompt_queues,
         )
         self._membership = build_membership(settings, self._clock)
         known_targets = KnownTargets(
@@ -164,6 +165,7 @@
             self._find_cap,
             platform.store_time,
         )
+        self._balancer.prompts.permits = self._peers.prompts
         self._key_currency = KeyCurrency(
             platform.store_time,
             lambda: self._tables.confirmed_at(platform.configurations.name),
@@ -262,6 +264,12 @@
                 lambda: self._peers.store_time.interval,
                 self._peers.store_time.send_query,
             )
+        self._tasks.start_task(
+            "prompts",
+            self._peers.prompts.next_decision_pause,
+            self._peers.prompts.decide_all,
+            self._peers.prompts.decision_due,
+        )
         self._tasks.start_task(
             "sums", self._peers.loads.next_sums_pause, self._peers.loads.send_sums
         )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -35,6 +35,7 @@
     sum_demand,
 )
 from runhatch_server.gateway._permits import PermitExchange, PermitFact
+from runhatch_server.gateway._prompt_permits import PromptFact, PromptPermits
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._rooms import count_slots
 from runhatch_server.gateway._shared_loads import SharedLoads
@@ -139,6 +140,15 @@
             lambda target: count_slots(directory, target),
         )
         """Exchange of the rate limits of targets and of permits for them."""
+        self.prompts = PromptPermits(
+            membership,
+            clock,
+            metrics,
+            self.send,
+            directory.notify_waiters,
+            loads.queued_ms,
+        )
+        """Permits for prompts."""
         self.stream_versions = StreamVersionExchange(
             membership,
             clock,
@@ -355,6 +365,10 @@
     def _apply_permits(self, fact: PermitFact, sender: Member) -> None:
         self.permits.handle_message(fact, sender)
 
+    @handle_message.register
+    def _apply_prompts(self, fact: PromptFact, sender: Member) -> None:
+        self.prompts.handle_message(fact, sender)
+
     @handle_message.register
     def _apply_stream_versions(
         self, fact: StreamVersionMessage, sender: Member
--- a/packages/runhatch-server/src/runhatch_server/gateway/_search.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_search.py
@@ -4,9 +4,15 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from runhatch_server.decisions import GatewayRequest, HeldRequest, TriedTargets
+from runhatch_server.decisions import (
+    GatewayRequest,
+    HeldRequest,
+    ScoredTarget,
+    TriedTargets,
+)
 from runhatch_server.fleet import Target
 from runhatch_server.gateway._held import HoldDecision
+from runhatch_server.gateway._prompt_permits import PromptPermit
 from runhatch_server.gateway._rate_limits import (
     PERMIT_REQUEST_TIMEOUT,
     UNANSWERED_RETRY_DELAY,
@@ -28,6 +34,12 @@
     """When a permit was requested, by target."""
     no_permit_until: dict[str, timedelta] = field(default_factory=dict)
     """Until when no permit is available, by target."""
+    needs_prompt_permit: bool = True
+    """Whether to request permits for its prompt; not if their owner was silent."""
+    prompt_permit: PromptPermit | None = None
+    """The permit for the prompt, requested and not yet used."""
+    is_prompt_denied: bool = False
+    """Whether a permit for the prompt was denied by any target."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +50,19 @@
     tier: int
 
 
+@dataclass(frozen=True, slots=True)
+class PromptPermitNeeded:
+    """The request needs a permit for its prompt at the target of ``best``.
+
+    An event of a stream there takes ``event_ms`` while no prompts are read, and may
+    take ``pause_limit_ms`` longer.
+    """
+
+    best: ScoredTarget
+    pause_limit_ms: float
+    event_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class NoPermit:
     """``target`` has no permit for the request before ``until``."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
@@ -49,7 +49,9 @@
     other nodes, and may be outdated.  ``shutdown_grace`` is the time between the
     request to stop and the kill, ``drain`` the time after which a draining target must
     get no more requests.  ``key_removal`` is the time after which no node may serve a
-    removed key, ``None`` if only nodes in touch with the store must not.  A node that
+    removed key, ``None`` if only nodes in touch with the store must not.  With
+    ``shares_prompt_queues``, one node decides for each target when prompts may be sent,
+    because callers compete for the targets.  A node that
     reads the store broadcasts on ``broadcast_port`` of the peers' host, and accepts
     requests forwarded by other nodes on ``forward_port`` of that host; 0 if it cannot.
     """
@@ -70,3 +72,4 @@
     broadcast_port: int = 0
     forward_port: int = 0
     key_removal: timedelta | None = None
+    shares_prompt_queues: bool = False
--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_loads.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_loads.py
@@ -32,6 +32,12 @@
             own = self._book.load(target).own_requests.values()
             return sum(not outstanding.held for outstanding in own)
 
+    def queued_ms(self, target: str) -> float:
+        """Return the prompt reading that is known to be queued at ``target``."""
+        now = self._clock.elapsed()
+        with self._lock:
+            return sum(self._book.load(target).total(now).waiting_ms)
+
     def apply_peer(self, node: str, shares: Shares, whole: bool) -> None:
         """Apply the outstanding load of ``node`` at some targets.
 
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -37,6 +37,11 @@
             "kind",
         )
         self.refusals = self._counter("refusals", "Requests refused", "reason")
+        self.prompt_permits = self._counter(
+            "prompt_permits",
+            "Permits to send a prompt to a target, by state",
+            "state",
+        )
         self.retries = self._counter("retries", "Attempts that were retried", "reason")
         self.attempts = self._counter("attempts", "Attempts sent to targets", "outcome")
         self.forwarded_requests = self._counter(
--- a/packages/runhatch-server/src/runhatch_server/peers/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/__init__.py
@@ -46,6 +46,11 @@
     PermitRequest,
     RateLimitsUpdate,
 )
+from runhatch_server.peers._prompt_messages import (
+    PromptPermitAnswer,
+    PromptPermitRequest,
+    PromptsReleased,
+)
 from runhatch_server.peers._room_messages import RoomOfTarget, RoomReports
 from runhatch_server.peers._store_time_messages import (
     StoreTimeAnswer,
@@ -87,6 +92,9 @@
     "LoadOfTarget",
     "PermitAnswer",
     "PermitRequest",
+    "PromptPermitAnswer",
+    "PromptPermitRequest",
+    "PromptsReleased",
     "RateLimitsUpdate",
     "RefusalAnswer",
     "RefusalQuery",
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -14,6 +14,11 @@
     PermitRequest,
     RateLimitsUpdate,
 )
+from runhatch_server.peers._prompt_messages import (
+    PromptPermitAnswer,
+    PromptPermitRequest,
+    PromptsReleased,
+)
 from runhatch_server.peers._room_messages import RoomReports
 from runhatch_server.peers._store_time_messages import (
     StoreTimeAnswer,
@@ -317,6 +322,9 @@
     | RateLimitsUpdate
     | PermitRequest
     | PermitAnswer
+    | PromptPermitRequest
+    | PromptPermitAnswer
+    | PromptsReleased
     | StreamVersionsUpdate
     | StreamVersionQuery
     | StreamVersionAnswer
