--- a/packages/runhatch-server/tests/test_load_exchange.py
+++ b/packages/runhatch-server/tests/test_load_exchange.py
@@ -158,6 +158,20 @@
     assert known == [2 * number] * number
 
 
+@pytest.mark.parametrize("number", [6, 30, 90])
+def test_node_that_never_sent_to_a_target_knows_its_work_time(clock, number):
+    """Most nodes send to a target so rarely that their own knowledge is outdated."""
+    cluster = Cluster(clock, number)
+    nodes = list(cluster.nodes.values())
+    nodes[4].begin(1)
+    nodes[4].balancer.record_work_time(nodes[4].grants[0], 1.7)
+
+    cluster.advance(EXCHANGE_TIME)
+
+    known = [node.balancer.loads.lasting_work_times() for node in nodes]
+    assert known == [{"t0": 1.7}] * number
+
+
 def test_ended_requests_are_removed(clock):
     cluster = Cluster(clock, 30)
     nodes = list(cluster.nodes.values())
--- a/tests/adapter/test_platform_decoding.py
+++ b/tests/adapter/test_platform_decoding.py
@@ -512,3 +512,61 @@
         found = PlatformHeaders().decode_answer(200, "", headers, False).load
 
         assert (found and (found.running, found.waiting)) == load
+
+    @pytest.mark.parametrize(
+        ("value", "load"),
+        [
+            ("3", None),
+            ("3,1", (3, 1, None)),
+            ("3,1,8", (3, 1, None)),
+            ("3,1,8,170", (3, 1, 1.7)),
+            (" 3 , 1 , 8 , 70 ", (3, 1, 0.7)),
+            ("3,1,8,5", (3, 1, 0.05)),
+            ("3,1,8,2000", (3, 1, 20.0)),
+            ("3,1,,170", (3, 1, 1.7)),
+            ("3,1,many,170", (3, 1, 1.7)),
+            ("3,,8,170", None),
+            (",1,8,170", None),
+            ("-3,1,8,170", None),
+            ("3,1000000,8,170", None),
+            ("\u0663,1,8,170", None),
+        ],
+    )
+    def test_work_time_is_decoded(self, value, load):
+        headers = {"x-runhatch-server-load": value}
+        found = PlatformHeaders().decode_answer(200, "", headers, False).load
+
+        assert (
+            found and (found.running, found.waiting, found.work_time_factor)
+        ) == load
+
+    @pytest.mark.parametrize(
+        "percent",
+        [
+            "",
+            "0",
+            "4",
+            "2001",
+            "-70",
+            "+70",
+            "70.5",
+            "7e1",
+            "slow",
+            "70%",
+            "nan",
+            "\u0667\u0660",
+            "9" * 5_000,
+        ],
+    )
+    def test_wrong_work_time_is_ignored_and_nothing_else_is_lost(self, percent):
+        """The loads of the target, and the rest of its answer, stay in use."""
+        headers = {
+            "x-runhatch-server-load": f"3,1,8,{percent}",
+            "server-limit": "2",
+            "server-leaving": "1",
+        }
+        head = PlatformHeaders().decode_answer(200, "", headers, False)
+
+        assert (head.load.running, head.load.waiting) == (3, 1)
+        assert head.load.work_time_factor is None
+        assert (head.rate_limit, head.draining) == (2.0, True)
