Log work times that cannot be decoded

A target whose statement of its work time was wrong was predicted as if it stated none, and nothing showed why. The first wrong statement of each target is now logged as work_time_unreadable, with the target and at most 40 characters of the value, as wrong rate limits are. The value is ignored otherwise: the loads in the header, the rest of the answer and the work time stated before stay in use.

Decoding moves from the platform to decode_work_time in the targets package, beside decode_rate_limit. The record of targets that were logged is now the class InvalidValueLog, which RateLimits and Balancer share.

--- a/packages/runhatch-cli/src/runhatch_cli/_explain.py
+++ b/packages/runhatch-cli/src/runhatch_cli/_explain.py
@@ -20,6 +20,7 @@
     "target_draining",
     "target_gone",
     "rate_limit_unreadable",
+    "work_time_unreadable",
     "permit_unanswered",
 )
 REQUEST_MESSAGE_TYPES = ("request", "target_ended", "request_held", "request_cleared")
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -34,6 +34,7 @@
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._held import HeldRequests, HoldDecision
 from runhatch_server.gateway._holders import find_holders, find_ready_targets
+from runhatch_server.gateway._invalid_values import InvalidValueLog
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._refusal_builder import (
     RefusalBuilder,
@@ -51,6 +52,7 @@
 from runhatch_server.gateway._target_paths import TargetPaths
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind, ServiceSpec
+from runhatch_server.targets import InvalidWorkTime
 
 CALLER_CHECK_INTERVAL = timedelta(milliseconds=150)
 """Interval at which a held request checks that its caller is still connected: work
@@ -104,6 +106,7 @@
         """The rate limits announced by targets."""
         limits.count_outstanding = self.loads.count_own
         self._held_requests = HeldRequests(directory, clock, self._book, self._lock)
+        self._invalid_work_times = InvalidValueLog("work_time_unreadable")
         self._closed_at: timedelta | None = None
         self.node_count = 1
         """Number of nodes among which the targets' connections are divided."""
@@ -256,11 +259,14 @@
             load = self._book.load(grant.target.incarnation)
             load.backoff_until = max(load.backoff_until, now + backoff)
 
-    def record_work_time(self, grant: Grant, factor: float) -> None:
+    def record_work_time(self, grant: Grant, factor: float | InvalidWorkTime) -> None:
         """Record how long work takes at the target of ``grant``, as it stated.
 
-        ``factor`` is relative to the usual time.
+        ``factor`` is relative to the usual time; an invalid one is logged.
         """
+        if isinstance(factor, InvalidWorkTime):
+            self._invalid_work_times.log(grant.target.incarnation, factor.value)
+            return
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
@@ -336,10 +342,13 @@
     def delete_unknown_targets(self) -> None:
         """Delete the load records of targets that no longer exist."""
         now = self._clock.elapsed()
+
+        def is_known(name: str) -> bool:
+            return self._directory.get(name) is not None
+
         with self._lock:
-            self._book.remove_ended(
-                lambda name: self._directory.get(name) is not None, now
-            )
+            self._book.remove_ended(is_known, now)
+        self._invalid_work_times.remove_ended(is_known)
 
     def _exits_before_end_of(self, request: GatewayRequest) -> bool:
         """Return whether this node would exit before the stream ``request`` ends."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_rate_limits.py
@@ -7,6 +7,7 @@
 
 from runhatch_coordination import Clock
 from runhatch_server.decisions import BRITTLE_GRACE, LimitedTarget, ObservedLimit
+from runhatch_server.gateway._invalid_values import InvalidValueLog
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.targets import InvalidMaxRejections, InvalidRateLimit
 
@@ -60,7 +61,7 @@
         self._lock = threading.Lock()
         self._limited: dict[str, LimitedTarget] = {}
         self._lifted: dict[str, ObservedLimit] = {}
-        self._unreadable: set[str] = set()
+        self._invalid_values = InvalidValueLog("rate_limit_unreadable")
         self.on_limit: LimitCallback = lambda target, seen: None
         """Called when the known limit of a target changes."""
         self.on_permit_request: PermitRequester = lambda target, tier: None
@@ -81,10 +82,10 @@
     ) -> None:
         """Apply the limits in the answer of ``target`` to a request of ``sent_at``."""
         if isinstance(max_rejections, InvalidMaxRejections):
-            self._log_unreadable(target, max_rejections)
+            self._invalid_values.log(target, max_rejections.value)
             max_rejections = 0
         if isinstance(limit, InvalidRateLimit):
-            self._log_unreadable(target, limit)
+            self._invalid_values.log(target, limit.value)
             if max_rejections is None:
                 return
             known = self.latest_limit(target)
@@ -300,8 +301,8 @@
             for name, seen in list(self._lifted.items()):
                 if seen.at < earliest and not is_known(name):
                     del self._lifted[name]
-            self._unreadable = {name for name in self._unreadable if is_known(name)}
             self._metrics.limited_targets.set(len(self._limited))
+        self._invalid_values.remove_ended(is_known)
 
     def _answers_brittle(self, target: str) -> bool:
         """Return whether the allocator of a brittle ``target`` answered lately."""
@@ -360,15 +361,6 @@
             )
             self.on_limit(target, seen)
 
-    def _log_unreadable(
-        self, target: str, limit: InvalidRateLimit | InvalidMaxRejections
-    ) -> None:
-        with self._lock:
-            if target in self._unreadable:
-                return
-            self._unreadable.add(target)
-        log_change("rate_limit_unreadable", target=target, found=limit.value)
-
 
 def _keep_earliest_start(
     seen: ObservedLimit, known: ObservedLimit | None
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -15,7 +15,11 @@
     OrderKind,
     OrderOutcome,
 )
-from runhatch_server.targets._load import ReportedLoad
+from runhatch_server.targets._load import (
+    InvalidWorkTime,
+    ReportedLoad,
+    decode_work_time,
+)
 from runhatch_server.targets._outcomes import (
     AttemptOutcome,
     AttemptReason,
@@ -67,6 +71,7 @@
     "TargetRequest",
     "UnknownResult",
     "InvalidRateLimit",
+    "InvalidWorkTime",
     "InvalidMaxRejections",
     "decode_max_rejections",
     "decode_rate_limit",
@@ -75,6 +80,7 @@
     "probe_refusal",
     "refuses_connections",
     "decode_retry_after",
+    "decode_work_time",
     "compute_block_names",
     "parse_event_data",
     "parse_event_id",
--- a/packages/runhatch-server/src/runhatch_server/targets/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_load.py
@@ -4,12 +4,40 @@
 model engines and proxies use.
 """
 
+import re
 from dataclasses import dataclass
 
 import msgspec
 
 LOAD_HEADER = "endpoint-load-metrics"
 FORMAT_PREFIX = "JSON "
+WORK_TIME_PERCENTS = range(5, 2_001)
+"""Believable statements of how long work takes, in percent of the usual time."""
+PERCENT_PATTERN = re.compile(r"[0-9]{1,6}", re.ASCII)
+MAX_LOGGED_CHARACTERS = 40
+"""Characters of an invalid value that are logged."""
+
+
+@dataclass(frozen=True, slots=True)
+class InvalidWorkTime:
+    """An invalid statement of how long work takes, truncated for logging."""
+
+    value: str
+
+
+def decode_work_time(value: str) -> float | InvalidWorkTime:
+    """Decode how long work takes at a target, in percent of the usual time.
+
+    Returns it relative to the usual time.
+
+    >>> decode_work_time("170")
+    1.7
+    >>> decode_work_time("slow"), decode_work_time("0")
+    (InvalidWorkTime(value='slow'), InvalidWorkTime(value='0'))
+    """
+    if PERCENT_PATTERN.fullmatch(value) and int(value) in WORK_TIME_PERCENTS:
+        return int(value) / 100
+    return InvalidWorkTime(value[:MAX_LOGGED_CHARACTERS])
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,7 +46,7 @@
 
     running: int
     waiting: int
-    work_time_factor: float | None = None
+    work_time_factor: float | InvalidWorkTime | None = None
     """How long work takes at this moment, relative to the usual time of the service;
     ``None`` if the target did not state it."""
 
--- a/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
@@ -9,14 +9,13 @@
 from enum import Enum
 
 from runhatch_server.targets._answers import OpenAnswer
+from runhatch_server.targets._load import MAX_LOGGED_CHARACTERS
 
 MAX_BACKOFF = timedelta(hours=1)
 """Limits the effect of a wrong header; a backoff ends with the target's
 incarnation."""
 SECONDS_PATTERN = re.compile(r"\d{1,9}(\.\d{1,9})?")
 RATE_PATTERN = re.compile(r"\d{1,15}(\.\d{0,15})?|\.\d{1,15}", re.ASCII)
-MAX_LOGGED_CHARACTERS = 40
-"""Characters of an invalid value that are logged."""
 
 
 def decode_retry_after(retry_after: str | None) -> timedelta | None:
--- a/packages/runhatch-server/tests/test_work_time.py
+++ b/packages/runhatch-server/tests/test_work_time.py
@@ -37,11 +37,14 @@
     WorkTimeStatement,
 )
 from runhatch_server.gateway._grant import Grant
+from runhatch_server.gateway._messages import AnswerHead
 from runhatch_server.gateway._peer_conversions import (
     load_of_message,
     message_of_load,
 )
+from runhatch_server.gateway._target_signals import apply_target_signals
 from runhatch_server.peers import LoadOfTarget
+from runhatch_server.targets import InvalidWorkTime, ReportedLoad
 
 TIER = 1
 START = seconds(1_000)
@@ -376,6 +379,77 @@
         assert run_unstated_service(clock) == UNSTATED_PREDICTIONS
 
 
+class TestInvalidStatements:
+    """Statements of targets that cannot be decoded."""
+
+    @pytest.fixture
+    def directory(self, clock):
+        return make_directory(clock, make_target("t1"), make_target("t2"))
+
+    @pytest.fixture
+    def balancer(self, clock, directory):
+        return make_balancer(directory, clock)
+
+    def answer(self, clock, balancer, name, factor, rate_limit=None):
+        """Let ``name`` answer a request and state ``factor``."""
+        tried = TriedTargets(frozenset({"t1", "t2"} - {name}))
+        grant = balancer.acquire(make_request(clock), tried, never_disconnected)
+        assert grant.target.name == name
+        head = AnswerHead(
+            200,
+            "",
+            "id",
+            True,
+            False,
+            False,
+            ReportedLoad(1, 0, factor),
+            None,
+            (),
+            rate_limit=rate_limit,
+        )
+        apply_target_signals(balancer, grant, head)
+        balancer.release(grant, target_failed=False)
+
+    def found(self, lines):
+        return [
+            (line["target"], line["found"])
+            for line in lines
+            if line["message_type"] == "work_time_unreadable"
+        ]
+
+    def test_they_are_ignored_and_the_rest_of_the_answer_applies(self, clock, balancer):
+        """A target with a faulty statement keeps the speed that it stated before."""
+        self.answer(clock, balancer, "t1", 1.7)
+        clock.advance(seconds(1))
+        self.answer(clock, balancer, "t1", InvalidWorkTime("slow"), rate_limit=2.0)
+
+        assert balancer.loads.lasting_work_times() == {"t1": 1.7}
+        assert balancer.limits.rates() == {"t1": 2.0}
+
+    def test_first_one_of_each_target_is_logged(self, clock, balancer, lines):
+        """Each answer of such a target would otherwise write a line."""
+        for number in range(50):
+            for name in ("t1", "t2"):
+                value = InvalidWorkTime(f"slow{number}")
+                self.answer(clock, balancer, name, value)
+            clock.advance(seconds(1))
+            balancer.delete_unknown_targets()
+
+        assert self.found(lines) == [("t1", "slow0"), ("t2", "slow0")]
+
+    def test_ended_targets_are_forgotten(self, clock, balancer, directory, lines):
+        """The names of ended targets would otherwise accumulate."""
+        self.answer(clock, balancer, "t1", InvalidWorkTime("a"))
+        directory.replace_entries(())
+        clock.advance(seconds(60))
+        directory.remove_expired()
+        balancer.delete_unknown_targets()
+
+        assert directory.get("t1") is None
+        assert balancer._invalid_work_times._targets == set()
+        assert self.found(lines) == [("t1", "a")]
+
+
 class TestMessages:
     """The work time in reports of loads between nodes."""
 
--- a/tests/adapter/test_platform_decoding.py
+++ b/tests/adapter/test_platform_decoding.py
@@ -22,6 +22,7 @@
     WorkspaceSpec,
     digest_key,
 )
+from runhatch_server.targets import InvalidWorkTime
 
 MS = timedelta(milliseconds=1)
 ROUTE = {
@@ -568,5 +569,5 @@
         head = PlatformHeaders().decode_answer(200, "", headers, False)
 
         assert (head.load.running, head.load.waiting) == (3, 1)
-        assert head.load.work_time_factor is None
+        assert head.load.work_time_factor == InvalidWorkTime(percent[:40])
         assert (head.rate_limit, head.draining) == (2.0, True)
