Correct the example of parse_load

ReportedLoad has the field work_time_factor since targets state it, so its representation in the example was out of date and the doctest failed.

--- a/packages/runhatch-server/src/runhatch_server/targets/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_load.py
@@ -64,7 +64,7 @@
     """Decode a header value; return ``None`` if it is absent or not valid.
 
     >>> parse_load('JSON {"named_metrics": {"num_requests_running": 3}}')
-    ReportedLoad(running=3, waiting=0)
+    ReportedLoad(running=3, waiting=0, work_time_factor=None)
     >>> parse_load("TEXT cpu=0.3") is None
     True
     """
