Log the work time factor that a prediction used

predicted_ms in the line of a request contains the factor that its target stated, so that a wrong prediction could not be told from a wrong statement. The line now has work_time_factor: of the first attempt's target as it was when the request was sent, or of the best target on a refusal. It is null if a peer chose the target, whose own line has it.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -474,6 +474,7 @@
             best.busy,
             best.pause_ms,
             max(MIN_CONNECTIONS, max_connections),
+            work_time_factor=best.work_time_factor,
         )
 
     def _release_and_exclude(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_grant.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_grant.py
@@ -14,7 +14,7 @@
     The holder must end it by ``Balancer.release`` or one of its variants.  If
     ``is_to_peer``, ``target`` stands for a peer that chooses the target, and whose
     balancer counts the request.
-    ``predicted_ms``, ``busy`` and ``pause_ms`` are those of its
+    ``predicted_ms``, ``busy``, ``pause_ms`` and ``work_time_factor`` are those of its
     :class:`~runhatch_server.decisions.ScoredTarget`.
     """
 
@@ -30,6 +30,8 @@
     is_to_peer: bool = False
     peer_software_version: str | None = None
     """Software version of the target that a peer chose, ``None`` if not stated."""
+    work_time_factor: float | None = None
+    """``None`` if a peer chose the target."""
 
     @property
     def software_version(self) -> str | None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -21,6 +21,7 @@
         self.predicted_ms: float | None = None
         self.busy: float | None = None
         self.pause_ms: float | None = None
+        self.work_time_factor: float | None = None
         self.waited = timedelta()
         """Total time for which the request waited on this node for a target."""
         self.tier = 0
@@ -43,6 +44,7 @@
             self.predicted_ms = grant.predicted_ms
             self.busy = grant.busy
             self.pause_ms = grant.pause_ms
+            self.work_time_factor = grant.work_time_factor
             self.tier = grant.tier
         self.attempts.append(f"{grant.target.incarnation}:{outcome}")
 
@@ -90,6 +92,7 @@
             self.predicted_ms = prediction.predicted_ms
             self.busy = prediction.busy_share
             self.pause_ms = prediction.pause_ms
+            self.work_time_factor = prediction.work_time_factor
 
 
 class RequestRecorder:
@@ -152,7 +155,8 @@
                 for reason, paid in record.retries
             ],
             predicted_ms=_round(record.predicted_ms),
-            busy=None if record.busy is None else round(record.busy, 2),
+            busy=_round_share(record.busy),
+            work_time_factor=_round_share(record.work_time_factor),
             waited_ms=_to_milliseconds(record.waited),
             first_byte_ms=_to_milliseconds(record.first_byte_latency),
             took_ms=round(took / timedelta(milliseconds=1)),
@@ -186,6 +190,10 @@
     return None if value is None else round(value)
 
 
+def _round_share(value: float | None) -> float | None:
+    return None if value is None else round(value, 2)
+
+
 def _to_milliseconds(duration: timedelta | None) -> int | None:
     return None if duration is None else round(duration / timedelta(milliseconds=1))
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_refusal_builder.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_refusal_builder.py
@@ -48,6 +48,7 @@
                 best.predicted_ms,
                 best.busy,
                 best.pause_ms,
+                best.work_time_factor,
             )
         return Refusal(reason, Executed.NO, retry_after=wait, prediction=judged_by)
 
--- a/packages/runhatch-server/src/runhatch_server/refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/refusals.py
@@ -108,13 +108,15 @@
 
     ``predicted_ms`` is the time to the first byte, ``busy_share`` the share of the
     target's time that recently sent prompts take, ``pause_ms`` the longest pause
-    that the request would have caused in the target's streams.
+    that the request would have caused in the target's streams, ``work_time_factor``
+    how long work was expected to take there, relative to the usual time.
     """
 
     target: str
     predicted_ms: float
     busy_share: float
     pause_ms: float = 0.0
+    work_time_factor: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/runhatch-server/tests/test_work_time.py
+++ b/packages/runhatch-server/tests/test_work_time.py
@@ -42,8 +42,11 @@
     load_of_message,
     message_of_load,
 )
+from runhatch_server.gateway._records import RequestRecord, RequestRecorder
 from runhatch_server.gateway._target_signals import apply_target_signals
+from runhatch_server.observability import Metrics
 from runhatch_server.peers import LoadOfTarget
+from runhatch_server.refusals import Refusal
 from runhatch_server.targets import InvalidWorkTime, ReportedLoad
 
 TIER = 1
@@ -450,6 +453,59 @@
         assert self.found(lines) == [("t1", "a")]
 
 
+class TestRequestLine:
+    """The log line of a request."""
+
+    def log(self, clock, answer, lines):
+        request = make_request(clock)
+        record = RequestRecord(request)
+        if isinstance(answer, Refusal):
+            record.record_refusal(answer)
+        else:
+            record.record_attempt(answer, "status_200")
+        RequestRecorder(Metrics(), clock).record(record)
+        return next(line for line in lines if line["message_type"] == "request")
+
+    @pytest.mark.parametrize(
+        ("factor", "logged"), [(None, 1.0), (0.7, 0.7), (1.7449, 1.74)]
+    )
+    def test_factor_of_the_prediction_is_logged(self, clock, lines, factor, logged):
+        """``predicted_ms`` of targets with different speeds cannot be compared."""
+        balancer = make_balancer(make_directory(clock, make_target("t1")), clock)
+        request = make_request(clock)
+        grant = balancer.acquire(request, TriedTargets(), never_disconnected)
+        if factor is not None:
+            balancer.record_work_time(grant, factor)
+        grant = balancer.acquire(request, TriedTargets(), never_disconnected)
+        balancer.record_work_time(grant, 4.0)
+
+        assert self.log(clock, grant, lines)["work_time_factor"] == logged
+
+    def test_factor_of_the_best_target_is_logged_for_a_refusal(self, clock, lines):
+        balancer = make_balancer(make_directory(clock, make_target("t1")), clock)
+        share = LoadShare(
+            (0.0, 9_000.0, 0.0, 0.0),
+            9,
+            work_time=WorkTimeStatement(1.7, timedelta()),
+        )
+        balancer.loads.apply_peer("other", {"t1": share}, whole=False)
+        refusal = balancer.acquire(
+            make_request(clock), TriedTargets(), never_disconnected
+        )
+
+        assert isinstance(refusal, Refusal)
+        assert self.log(clock, refusal, lines)["work_time_factor"] == 1.7
+
+    def test_no_factor_is_logged_if_a_peer_chose_the_target(self, clock, lines):
+        """The prediction is in the line of the peer."""
+        target = make_target("n2")
+        grant = Grant(
+            0, target, make_request(clock), 0.0, seconds(0), 0, 0.0, 0.0, 1, True
+        )
+
+        assert self.log(clock, grant, lines)["work_time_factor"] is None
+
+
 class TestMessages:
     """The work time in reports of loads between nodes."""
 
