--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -55,6 +55,7 @@
     GatewayTables,
     target_coalescing_window,
 )
+from runhatch_server.gateway._work_time_gauge import WorkTimeGauge
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
@@ -115,6 +116,7 @@
         self._directory = TargetDirectory(self._clock)
         self._configuration = ActiveConfiguration(self._on_routes, self._metrics)
         self._pool = ConnectionPool(self._clock)
+        self._work_time_gauge = WorkTimeGauge(self._metrics)
         self._limits = RateLimits(self._clock, self._metrics, START_WINDOW)
         self._balancer = Balancer(
             self._directory,
@@ -490,6 +492,9 @@
         self._limits.remove_expired(known.__contains__)
         ready = [target for target in self._directory.all() if target.is_ready]
         self._metrics.targets.set(len(ready))
+        self._work_time_gauge.update(
+            self._directory.all(), self._balancer.loads.lasting_work_times()
+        )
         replicas = sum(len(target.held.adapters_by_model) for target in ready)
         self._metrics.replicas.set(replicas)
         self._metrics.orders_lease_held.set(self._orderer.holds_lease() is not None)
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -146,6 +146,11 @@
         )
         self.planning_leases = self._gauge("planning_leases", "Planning leases held")
         self.targets = self._gauge("targets", "Targets that accept new requests")
+        self.target_work_time = self._gauge(
+            "target_work_time_factor",
+            "How long work lastingly takes at a target that states it, 1 as usual",
+            "target",
+        )
         self.requests_held = self._gauge(
             "requests_held", "Requests waiting for a model"
         )
--- a/packages/runhatch-server/tests/test_work_time.py
+++ b/packages/runhatch-server/tests/test_work_time.py
@@ -44,6 +44,7 @@
 )
 from runhatch_server.gateway._records import RequestRecord, RequestRecorder
 from runhatch_server.gateway._target_signals import apply_target_signals
+from runhatch_server.gateway._work_time_gauge import MAX_LABELS, WorkTimeGauge
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import LoadOfTarget
 from runhatch_server.refusals import Refusal
@@ -506,6 +507,58 @@
         assert self.log(clock, grant, lines)["work_time_factor"] is None
 
 
+def read_gauge(metrics):
+    """Return the exposed work times by target."""
+    return {
+        sample.labels["target"]: sample.value
+        for family in metrics.target_work_time.collect()
+        for sample in family.samples
+    }
+
+
+class TestWorkTimeGauge:
+    """The metric of the work time of each target."""
+
+    def test_factors_follow_the_targets(self):
+        """An ended target, or one that states nothing any more, shows no factor."""
+        metrics = Metrics()
+        gauge = WorkTimeGauge(metrics)
+        targets = [make_target(f"t{i}") for i in range(4)]
+        assert read_gauge(metrics) == {}
+
+        gauge.update(targets, {"t1": 0.7, "t2": 1.7})
+        assert read_gauge(metrics) == {"t1": 0.7, "t2": 1.7}
+
+        gauge.update(targets[:3], {"t1": 0.7, "t2": 0.7, "t3": 1.0})
+        assert read_gauge(metrics) == {"t1": 0.7, "t2": 0.7}
+
+        gauge.update(targets, {"t2": 0.7})
+        assert read_gauge(metrics) == {"t2": 0.7}
+
+    def test_restarted_target_keeps_its_label(self):
+        """Labels of incarnations would accumulate where the metrics are stored."""
+        metrics = Metrics()
+        gauge = WorkTimeGauge(metrics)
+        for started_at in (100, 200):
+            target = make_target("t1", started_at_seconds=started_at)
+            assert target.incarnation != target.name
+            gauge.update([target], {target.incarnation: started_at / 100})
+
+        assert read_gauge(metrics) == {"t1": 2.0}
+
+    def test_number_of_targets_is_bounded(self):
+        """Each label costs memory on the node and at whatever reads its metrics."""
+        metrics = Metrics()
+        gauge = WorkTimeGauge(metrics)
+        for start in (0, 150):
+            targets = [make_target(f"t{i:04}") for i in range(start, start + 500)]
+            gauge.update(targets, {target.incarnation: 1.7 for target in targets})
+
+        assert sorted(read_gauge(metrics)) == [
+            f"t{i:04}" for i in range(150, 150 + MAX_LABELS)
+        ]
+
+
 class TestMessages:
     """The work time in reports of loads between nodes."""
 
