Pass on only work times received from the target itself

A node passed on the latest statement it knew of, also one that another node had told it. The age of a statement lacks the time that its message takes, so each pass made it younger, and nodes with requests at the same target sent it back and forth.

Nodes now pass on only what the target stated to them. Sums over domains consist of such statements, so that no statement comes back to be passed on again. The new test of the exchange fails on the code before.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_load.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_load.py
@@ -215,7 +215,7 @@
             sum(o.tokens for o in sent),
             sum(o.work_ms for o in held),
             self._own_busy(now),
-            self.work_time.latest(now),
+            self.work_time.received(now),
         )
 
     def held_ahead_ms(self, since: timedelta, now: timedelta) -> float:
--- a/packages/runhatch-server/src/runhatch_server/decisions/_work_time.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_work_time.py
@@ -56,6 +56,13 @@
     _lasting: float = USUAL_FACTOR
     _latest: float = USUAL_FACTOR
     _stated_at: timedelta | None = None
+    _received: float = USUAL_FACTOR
+    _received_at: timedelta | None = None
+
+    def record_received(self, factor: float, now: timedelta) -> None:
+        """Record a statement in an answer of the target to this node."""
+        self._received, self._received_at = factor, now
+        self.record(WorkTimeStatement(factor, timedelta()), now)
 
     def record(self, statement: WorkTimeStatement, now: timedelta) -> None:
         """Record a statement, unless a later one is known."""
@@ -70,9 +77,15 @@
 
     def latest(self, now: timedelta) -> WorkTimeStatement | None:
         """Return the latest statement, ``None`` without a recent one."""
-        if self._stated_at is None or now - self._stated_at >= STATEMENT_TTL:
-            return None
-        return WorkTimeStatement(self._latest, now - self._stated_at)
+        return _recent_statement(self._latest, self._stated_at, now)
+
+    def received(self, now: timedelta) -> WorkTimeStatement | None:
+        """Return the latest statement to this node, ``None`` without a recent one.
+
+        Only these are passed on. The ages of others lack the time that their messages
+        took, and if nodes passed them back and forth, they would become ever younger.
+        """
+        return _recent_statement(self._received, self._received_at, now)
 
     def lasting_factor(self, now: timedelta) -> float:
         """Return the factor without brief disturbances, 1.0 if it is unknown."""
@@ -85,3 +98,11 @@
             return USUAL_FACTOR
         weight = 0.5 ** (latest.age / DISTURBANCE_HALF_LIFE)
         return float(self._lasting + (latest.factor - self._lasting) * weight)
+
+
+def _recent_statement(
+    factor: float, stated_at: timedelta | None, now: timedelta
+) -> WorkTimeStatement | None:
+    if stated_at is None or now - stated_at >= STATEMENT_TTL:
+        return None
+    return WorkTimeStatement(factor, now - stated_at)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -25,7 +25,6 @@
     ScoredTarget,
     Scorer,
     TriedTargets,
-    WorkTimeStatement,
     choose_candidates,
     decide_admission,
     request_tier,
@@ -270,7 +269,7 @@
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
-            load.work_time.record(WorkTimeStatement(factor, timedelta()), now)
+            load.work_time.record_received(factor, now)
 
     def record_draining(self, grant: Grant) -> None:
         """Record that the target of ``grant`` announced that it drains."""
--- a/packages/runhatch-server/tests/test_load_exchange.py
+++ b/packages/runhatch-server/tests/test_load_exchange.py
@@ -118,10 +118,12 @@
 class Cluster:
     """Nodes of several failure domains, and their messages to each other."""
 
-    def __init__(self, clock, number, domains=3):
+    def __init__(self, clock, number, domains=3, delay=seconds(0)):
         self.clock = clock
         self.vms = [Vm(f"n{i}", f"d{i % domains}", f"a{i}") for i in range(number)]
         self.broadcasts = 0
+        self.delay = delay
+        self.delayed = []
         self.nodes = {vm.address: Node(self, vm) for vm in self.vms}
 
     def deliver(self, sender, address, facts):
@@ -130,12 +132,22 @@
             sender.name, sender.failure_domain, sender.address, 1, Standing.ALIVE
         )
         for fact in facts:
+            if self.delay:
+                due_at = self.clock.elapsed() + self.delay
+                self.delayed.append((due_at, node, fact, member))
+            elif not node.frozen:
+                node.loads.handle_message(fact, member)
+
+    def deliver_delayed(self):
+        while self.delayed and self.delayed[0][0] <= self.clock.elapsed():
+            _, node, fact, member = self.delayed.pop(0)
             if not node.frozen:
                 node.loads.handle_message(fact, member)
 
     def advance(self, time):
         for _ in range(round(time / TICK)):
             self.clock.advance(TICK)
+            self.deliver_delayed()
             for node in self.nodes.values():
                 if node.frozen:
                     continue
@@ -172,6 +184,38 @@
     assert known == [{"t0": 1.7}] * number
 
 
+@pytest.mark.parametrize("number", [6, 30])
+def test_statement_of_a_work_time_ages_while_nodes_exchange_it(clock, number):
+    """Ages lack the time of each message.
+
+    Nodes that passed on what others had told them made one statement during a
+    disturbance appear new for as long as they had requests there, and counted it again
+    and again, until it was the lasting factor everywhere.
+    """
+    cluster = Cluster(clock, number, delay=TICK)
+    nodes = list(cluster.nodes.values())
+    active = nodes[:: number // 3]
+    for node in active:
+        node.begin(1)
+    for factor in (0.7, 0.7, 0.7, 1.75):
+        for node in active:
+            node.balancer.record_work_time(node.grants[0], factor)
+        cluster.advance(seconds(0.5))
+
+    for tick in range(100):
+        cluster.advance(TICK)
+        for node in active:
+            if tick % 2:
+                node.balancer.release(node.grants.pop(), target_failed=False)
+            else:
+                node.begin(1)
+
+    ages = [node.balancer.loads.totals()["t0"].work_time.age for node in nodes]
+    assert min(ages) >= seconds(5)
+    known = [node.balancer.loads.lasting_work_times() for node in nodes]
+    assert known == [{"t0": 0.7}] * number
+
+
 def test_ended_requests_are_removed(clock):
     cluster = Cluster(clock, 30)
     nodes = list(cluster.nodes.values())
--- a/packages/runhatch-server/tests/test_work_time.py
+++ b/packages/runhatch-server/tests/test_work_time.py
@@ -140,6 +140,18 @@
         assert work_time.latest(START) == WorkTimeStatement(1.7, seconds(59))
         assert work_time.lasting_factor(START + seconds(1)) == 1.0
 
+    def test_only_statements_to_this_node_are_passed_on(self):
+        work_time = WorkTime()
+        work_time.record(WorkTimeStatement(1.7, seconds(1)), START)
+        assert work_time.received(START) is None
+
+        work_time.record_received(0.7, START)
+        later = START + seconds(2)
+        work_time.record(WorkTimeStatement(1.7, seconds(1)), later)
+        assert work_time.latest(later) == WorkTimeStatement(1.7, seconds(1))
+        assert work_time.received(later) == WorkTimeStatement(0.7, seconds(2))
+        assert work_time.received(START + seconds(60)) is None
+
 
 class TestLearnedRates:
     """Rates are usual times, whichever target they were measured at."""
