Add the pace of targets that have just started or recovered

A target that comes up under full load is flooded, because every node sees it idle, or left idle if nodes avoid it.

TargetPaces keeps the paces of one service by incarnation. Targets that become known within 5 s of the service's first one are not paced: at the start of a service or of a node all are new, and none has recovered.

Nothing uses it yet: the prompt queue will apply the bound.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -28,6 +28,7 @@
     TargetLoad,
 )
 from runhatch_server.decisions._load_book import LoadBook
+from runhatch_server.decisions._pace import Pace, TargetPaces
 from runhatch_server.decisions._peer_choice import PeerChoice, Work
 from runhatch_server.decisions._prefixes import PrefixIndex, prefix_blocks
 from runhatch_server.decisions._prompt_traits import (
@@ -133,6 +134,7 @@
     "bucket_capacity",
     "NoCandidates",
     "OutstandingRequest",
+    "Pace",
     "PeerChoice",
     "PermitBucket",
     "Postponed",
@@ -164,6 +166,7 @@
     "StreamRecords",
     "Suspects",
     "TargetLoad",
+    "TargetPaces",
     "TraitTrials",
     "MIN_RATE",
     "TriedTargets",
