Replay the restart of a target under full load

The unit tests of Pace do not show that its rule serves a restarted target.

The replay sends seeded arrivals from 40 nodes to ten targets with a queue each. Nodes learn of each other's prompts 200 ms late, and the restarted target works at the usual speed or 2.5 times slower in its first second. The bounds are those of the requirement: with the pace, no larger share of late first answers than at the other targets, and its share of requests is back within 2 s (0.9 of the others'); without it, it gets over twice a fair share at once and is late more often than others.

--- a/packages/runhatch-server/tests/test_pace.py
+++ b/packages/runhatch-server/tests/test_pace.py
@@ -1,5 +1,7 @@
 """The pace of targets that have just started or recovered."""
 
+import random
+from collections import Counter, deque
 from datetime import timedelta
 
 import pytest
@@ -187,3 +189,136 @@
         paces = self.make_paces()
         paces.take_over(target, outstanding, seconds(12))
         assert paces.most(target, seconds(12)) is None
+
+
+TARGETS = [f"t{number}" for number in range(10)]
+RESTARTED, OTHERS = TARGETS[0], TARGETS[1:]
+NODES = 40
+PROMPT_MS = 75.0
+FULL_LOAD = 0.9
+"""Share of the time of all targets that prompts take: without the restarted target, the
+others have no time to spare."""
+SEEN_AFTER_MS = 200.0
+"""Time until a node knows of the prompts that others sent."""
+COLD_MS = 1_000.0
+"""Time for which a restarted target works slower than predicted."""
+SCORE_JITTER = 0.2
+GOAL_MS = 810.0
+"""Time from the request by which an urgent answer must begin."""
+RESTARTED_AT_MS = 8_000.0
+BACK_MS = 2_000.0
+SEEDS = range(10)
+
+
+class Replay:
+    """Many nodes send prompts to targets that read them in order of arrival.
+
+    A node sends each prompt to the target where it predicts the earliest answer. It
+    knows its own prompts at once and those of other nodes 200 ms late.
+    """
+
+    def __init__(self, seed, load, cold_factor, is_paced):
+        self.random = random.Random(seed)
+        self.prompts_per_ms = load * len(TARGETS) / PROMPT_MS
+        self.cold_factor = cold_factor
+        self.is_paced = is_paced
+        self.paces = TargetPaces()
+        self.paces.update_targets(dict.fromkeys(OTHERS, SLOTS), seconds(0))
+        self.free_at = dict.fromkeys(TARGETS, 0.0)
+        self.unread = {target: deque() for target in TARGETS}
+        """Prompts not yet read: (read at, sent at, node, usual ms, predicted ms)."""
+        self.answers = []
+        """Each (sent ms after the restart, target, ms until it began)."""
+
+    def run(self):
+        now, serving = 0.0, OTHERS
+        while now < RESTARTED_AT_MS + 2 * BACK_MS:
+            now += self.random.expovariate(self.prompts_per_ms)
+            self.record_begun(now)
+            if serving is OTHERS and now >= RESTARTED_AT_MS:
+                serving = TARGETS
+                restarted_at = timedelta(milliseconds=now)
+                self.paces.update_targets(dict.fromkeys(serving, SLOTS), restarted_at)
+            node = self.random.randrange(NODES)
+            work_ms = PROMPT_MS * self.random.uniform(0.5, 1.5)
+            allowed = [target for target in serving if self.has_room(target, now)]
+            best = min(allowed, key=lambda each: self.score(each, node, work_ms, now))
+            self.send(best, node, work_ms, now)
+        return self.answers
+
+    def record_begun(self, now):
+        for target, prompts in self.unread.items():
+            while prompts and prompts[0][0] <= now:
+                read_at, sent_at, _, _, predicted_ms = prompts.popleft()
+                self.record_answer(target, predicted_ms, read_at - sent_at, read_at)
+
+    def record_answer(self, target, predicted_ms, took_ms, read_at):
+        times = (predicted_ms, took_ms, read_at)
+        self.paces.record_begun(target, *(timedelta(milliseconds=t) for t in times))
+
+    def has_room(self, target, now):
+        """Return whether the owner grants one more prompt."""
+        most = self.paces.most(target, timedelta(milliseconds=now))
+        return not self.is_paced or most is None or len(self.unread[target]) < most
+
+    def score(self, target, node, work_ms, now):
+        """Return the time to the first byte as the node sees it, with its jitter."""
+        seen_ms = sum(
+            usual_ms
+            for _, sent_at, sender, usual_ms, _ in self.unread[target]
+            if sender == node or sent_at <= now - SEEN_AFTER_MS
+        )
+        return (seen_ms + work_ms) * self.random.uniform(1, 1 + SCORE_JITTER)
+
+    def send(self, target, node, work_ms, now):
+        begin = max(self.free_at[target], now)
+        is_cold = target == RESTARTED and begin < RESTARTED_AT_MS + COLD_MS
+        read_at = begin + work_ms * (self.cold_factor if is_cold else 1.0)
+        self.free_at[target] = read_at
+        # The owner knows all prompts, but not that the target is cold.
+        predicted_ms = sum(prompt[3] for prompt in self.unread[target]) + work_ms
+        self.unread[target].append((read_at, now, node, work_ms, predicted_ms))
+        self.answers.append((now - RESTARTED_AT_MS, target, read_at - now))
+
+
+def replay_answers(load, cold_factor, is_paced):
+    """Return the answers of all seeds from the restart on."""
+    answers = []
+    for seed in SEEDS:
+        answers += Replay(seed, load, cold_factor, is_paced).run()
+    return [answer for answer in answers if answer[0] >= 0]
+
+
+def late_shares(answers):
+    """Return the shares of late first answers at the restarted and other targets."""
+    sent, late = Counter(), Counter()
+    for _, target, took_ms in answers:
+        sent[target == RESTARTED] += 1
+        late[target == RESTARTED] += took_ms > GOAL_MS
+    return late[True] / sent[True], late[False] / sent[False]
+
+
+def relative_share(answers, after_ms, before_ms):
+    """Return the restarted target's requests relative to those of other targets."""
+    sent = Counter(target for at, target, _ in answers if after_ms <= at < before_ms)
+    return sent[RESTARTED] / (sum(sent[each] for each in OTHERS) / len(OTHERS))
+
+
+@pytest.mark.parametrize("cold_factor", [1.0, 2.5])
+class TestRestartUnderFullLoad:
+    """A target is restarted while many nodes send as much as all targets can read."""
+
+    @pytest.mark.parametrize("load", [0.85, FULL_LOAD])
+    def test_paced_target_is_neither_late_nor_idle(self, load, cold_factor):
+        """Its share counts as back if it is within a tenth of the others'."""
+        answers = replay_answers(load, cold_factor, is_paced=True)
+        late, late_elsewhere = late_shares(answers)
+        assert late <= late_elsewhere
+        assert relative_share(answers, BACK_MS, 2 * BACK_MS) >= 0.9
+
+    def test_unpaced_target_is_flooded(self, cold_factor):
+        """All nodes see it idle until they know of each other's prompts."""
+        answers = replay_answers(FULL_LOAD, cold_factor, is_paced=False)
+        late, late_elsewhere = late_shares(answers)
+        assert relative_share(answers, 0, SEEN_AFTER_MS) > 2
+        assert late > late_elsewhere
