Separate evaluating hosts from choosing one

Operators ask where a request would go without sending it. The router and the queue decided and acted in one step, so the question could not be put to them without using random numbers or shedding a waiting request.

Router.evaluate_hosts is the part of choose_host that has no effect; it takes its source of random numbers. WaitingRequests.check_room is the part of make_room that sheds nothing.

--- a/packages/runhatch-server/src/runhatch_server/serving/_queue.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_queue.py
@@ -75,6 +75,19 @@
 
         A full queue sheds its least urgent waiter in favour of a more urgent one.
         """
+        reason = self.check_room(waiter)
+        if reason is not None or self._size < self._limit:
+            return reason
+        least_urgent = self._find_least_urgent()
+        if least_urgent is None:
+            return Reason.QUEUE_FULL
+        least_urgent.is_shed = True
+        self.remove(least_urgent)
+        least_urgent.settled.set()
+        return None
+
+    def check_room(self, waiter: Waiter[GrantT]) -> Reason | None:
+        """Return why ``waiter`` may not be queued, without shedding a waiter."""
         is_contended = self._size >= CONTENDED_SHARE * self._limit
         if is_contended and self._counts_by_caller[waiter.caller] >= self._caller_limit:
             return Reason.CALLER_SHARE
@@ -83,9 +96,6 @@
         least_urgent = self._find_least_urgent()
         if least_urgent is None or least_urgent.priority <= waiter.priority:
             return Reason.QUEUE_FULL
-        least_urgent.is_shed = True
-        self.remove(least_urgent)
-        least_urgent.settled.set()
         return None
 
     def add(self, waiter: Waiter[GrantT]) -> None:
--- a/packages/runhatch-server/src/runhatch_server/serving/_router.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_router.py
@@ -40,6 +40,30 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class ScoredHost:
+    """A host that was compared with others; the lowest score is chosen."""
+
+    host: Host
+    score: timedelta
+    wait: timedelta
+    matched: int
+
+
+@dataclass(frozen=True, slots=True)
+class Evaluation:
+    """Hosts that remained after each step of a choice, and the scores."""
+
+    not_ejected: Sequence[Host]
+    with_room: Sequence[Host]
+    scored: Sequence[ScoredHost]
+
+    @property
+    def best(self) -> ScoredHost | None:
+        """The host with the lowest score, ``None`` if no host has room."""
+        return min(self.scored, key=lambda scored: scored.score, default=None)
+
+
 class Router:
     """Scores hosts for one request; guarded by the dispatcher's lock."""
 
@@ -67,6 +91,27 @@
 
         Hosts in ``avoided_domains`` are chosen only if no other host has room.
         """
+        evaluation = self.evaluate_hosts(
+            hosts, states, prefix, avoided_domains, now, self._random
+        )
+        best = evaluation.best
+        if best is None:
+            return None
+        return TargetChoice(best.host, best.wait, best.matched, len(evaluation.scored))
+
+    def evaluate_hosts(
+        self,
+        hosts: Sequence[Host],
+        states: Mapping[str, TargetState],
+        prefix: tuple[str, ...],
+        avoided_domains: frozenset[str],
+        now: timedelta,
+        random_source: random.Random,
+    ) -> Evaluation:
+        """Evaluate ``hosts`` as for :meth:`choose_host`.
+
+        Changes nothing except the state of ``random_source``.
+        """
         not_ejected = _drop_ejected(hosts, states, now)
         hosts_with_room = [
             host for host in not_ejected if states[host.target].has_room()
@@ -75,17 +120,21 @@
             h for h in hosts_with_room if h.failure_domain not in avoided_domains
         ]
         candidates = in_other_domains or hosts_with_room
-        if not candidates:
-            return None
-        sampled = self._sample_hosts(candidates, prefix)
-        scored = [self._score(host, states, prefix, now) for host in sampled]
-        best = min(scored, key=lambda scored_host: scored_host.score)
-        return TargetChoice(best.host, best.wait, best.matched, len(sampled))
+        sampled = self._sample_hosts(candidates, prefix, random_source)
+        scored = [
+            self._score(host, states, prefix, now, random_source) for host in sampled
+        ]
+        return Evaluation(not_ejected, hosts_with_room, scored)
 
-    def _sample_hosts(self, hosts: list[Host], prefix: tuple[str, ...]) -> list[Host]:
+    def _sample_hosts(
+        self,
+        hosts: list[Host],
+        prefix: tuple[str, ...],
+        random_source: random.Random,
+    ) -> list[Host]:
         if len(hosts) <= SAMPLE_SIZE:
             return hosts
-        sampled = self._random.sample(hosts, SAMPLE_SIZE)
+        sampled = random_source.sample(hosts, SAMPLE_SIZE)
         if prefix and self._affinity:
             best = max(hosts, key=lambda host: self._affinity_rank(host, prefix))
             if best not in sampled:
@@ -103,29 +152,23 @@
         states: Mapping[str, TargetState],
         prefix: tuple[str, ...],
         now: timedelta,
-    ) -> "_Scored":
-        wait = _predict_wait(host, states[host.target], now)
+        random_source: random.Random,
+    ) -> ScoredHost:
+        wait = predict_wait(host, states[host.target], now)
         matched = (
             self._prefixes.count_matching(host.target, prefix) if self._affinity else 0
         )
-        score = wait * self._random.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
+        score = wait * random_source.uniform(1 - SCORE_JITTER, 1 + SCORE_JITTER)
         # The bonus equals the prefill saved, so affinity never adds a longer wait.
         score -= PREFILL_TIME_PER_BLOCK * matched
         score += states[host.target].estimate_excess(now)
         if host.failure_domain != self._failure_domain:
             score += REMOTE_DOMAIN_PENALTY
-        return _Scored(host, score, wait, matched)
-
-
-@dataclass(frozen=True, slots=True)
-class _Scored:
-    host: Host
-    score: timedelta
-    wait: timedelta
-    matched: int
+        return ScoredHost(host, score, wait, matched)
 
 
-def _predict_wait(host: Host, state: TargetState, now: timedelta) -> timedelta:
+def predict_wait(host: Host, state: TargetState, now: timedelta) -> timedelta:
+    """Return how long a request would wait at ``host``, by its load and speed."""
     service = state.service_time or DEFAULT_SERVICE_TIME
     load = state.estimate_load(now)
     over_capacity = max(0.0, load + 1 - host.concurrency)
