Preview where a request would go without effects

Dispatcher.preview_route asks the code that grants slots where a request that arrives now would go. It works on copies of the random numbers and of the drain rate, whose window moves when it is read, and stores no state for unused targets or routes. It returns the verdict (sent, waits or refused, with the reason and Retry-After) and why each other target is left out.

--- a/packages/runhatch-server/src/runhatch_server/serving/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/__init__.py
@@ -12,6 +12,12 @@
 from runhatch_server.serving._queue import Waiter
 from runhatch_server.serving._request import CallerRequest, Route, RouteKind
 from runhatch_server.serving._request_reader import RequestReader
+from runhatch_server.serving._route_preview import (
+    HostPreview,
+    RouteOutcome,
+    RoutePreview,
+    Verdict,
+)
 from runhatch_server.serving._service import ServingService
 from runhatch_server.serving._target_incarnations import TargetIncarnations
 
@@ -26,13 +32,17 @@
     "Dispatcher",
     "Grant",
     "Host",
+    "HostPreview",
     "Hosting",
     "OnceGuard",
     "PlacementCache",
     "RequestReader",
     "Route",
     "RouteKind",
+    "RouteOutcome",
+    "RoutePreview",
     "ServingService",
     "TargetIncarnations",
+    "Verdict",
     "Waiter",
 ]
--- a/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_dispatch.py
@@ -1,7 +1,9 @@
 """Grants requests slots at targets: limits, the queue and admission by deadline."""
 
+import copy
 import itertools
 import random
+import sys
 import threading
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
@@ -15,7 +17,19 @@
 from runhatch_server.serving._queue import Waiter, WaitingRequests
 from runhatch_server.serving._rates import CompletionRate, MeanServiceTime
 from runhatch_server.serving._request import CallerRequest, Route
-from runhatch_server.serving._router import Router, TargetChoice
+from runhatch_server.serving._route_preview import (
+    HostPreview,
+    RouteOutcome,
+    RoutePreview,
+    Verdict,
+    explain_exclusion,
+)
+from runhatch_server.serving._router import (
+    Evaluation,
+    Router,
+    TargetChoice,
+    predict_wait,
+)
 from runhatch_server.serving._target_state import TargetState
 from runhatch_server.targets import (
     AttemptReason,
@@ -154,7 +168,7 @@
             avoided_domains,
         )
         with self._lock:
-            backoff = self._shortest_backoff(waiter)
+            backoff = self._shortest_backoff(waiter, self._random)
             if backoff is not None:
                 return Refusal(
                     Reason.TARGETS_BACK_OFF, Executed.NO, retry_after=backoff
@@ -167,7 +181,7 @@
             if refusal is not None:
                 return refusal
             self._waiting.add(waiter)
-            waiter.patience = self._max_wait(waiter)
+            waiter.patience = self._max_wait(waiter, self._routes[waiter.route])
             return waiter
 
     def finish_waiting(self, waiter: Waiter[Grant]) -> Grant | Refusal:
@@ -176,7 +190,8 @@
             if waiter.grant is not None:
                 return waiter.grant
             self._waiting.remove(waiter)
-            retry_after = self._retry_after(waiter.route)
+            route = waiter.route
+            retry_after = self._retry_after(route, self._routes[route], self._random)
             reason = self._refusal_reason(waiter)
             return Refusal(reason, Executed.NO, retry_after=retry_after)
 
@@ -257,18 +272,116 @@
                 for name, state in self._states.items()
             }
 
+    def preview_route(
+        self, route: Route, caller: str, priority: int, allowed: timedelta
+    ) -> RoutePreview:
+        """Return where a request that arrives now would go, without any effect.
+
+        ``allowed`` is the time until its deadline.  The request has no prompt, so
+        cached prefixes don't count.
+        """
+        with self._lock:
+            now = self._clock.elapsed()
+            # A copy, so that the next request gets the same random numbers.
+            random_source = random.Random()
+            random_source.setstate(self._random.getstate())
+            # Sorts after all waiting requests of its priority and deadline.
+            waiter: Waiter[Grant] = Waiter(
+                route, caller, priority, now + allowed, sys.maxsize
+            )
+            ahead = self._waiting.count_ahead(waiter)
+            evaluation = None
+            backoff = self._shortest_backoff(waiter, random_source)
+            if backoff is None and not ahead:
+                evaluation = self._evaluate_hosts(waiter, random_source)
+            if backoff is not None:
+                verdict = Verdict(
+                    RouteOutcome.REFUSED, Reason.TARGETS_BACK_OFF, backoff
+                )
+            elif evaluation is not None and evaluation.best is not None:
+                verdict = Verdict(RouteOutcome.SENT)
+            else:
+                verdict = self._preview_wait(waiter, random_source)
+            hosts = tuple(
+                self._preview_host(host, evaluation, now)
+                for host in self._picture.hosts(route)
+            )
+            return RoutePreview(verdict, ahead, hosts)
+
     def estimate_retry_after(self, route: Route) -> timedelta:
         """Return the delay before a retry, from the observed drain rate."""
         with self._lock:
-            return self._retry_after(route)
+            return self._retry_after(route, self._routes[route], self._random)
 
     def _state_of(self, host: Host) -> TargetState:
         state = self._states.get(host.target)
         if state is None:
-            state = TargetState(host.concurrency, self._random)
-            self._states[host.target] = state
+            state = self._states[host.target] = self._read_state(host)
+        return state
+
+    def _read_state(self, host: Host) -> TargetState:
+        """Return the state of a target without storing that of an unused one."""
+        state = self._states.get(host.target)
+        if state is None:
+            return TargetState(host.concurrency, self._random)
         return state
 
+    def _copy_route_state(self, route: Route) -> _RouteState:
+        """Return a copy, because reading a rate moves its window."""
+        state = self._routes.get(route)
+        return _RouteState() if state is None else copy.deepcopy(state)
+
+    def _evaluate_hosts(
+        self, waiter: Waiter[Grant], random_source: random.Random
+    ) -> Evaluation:
+        hosts = self._available_hosts(waiter)
+        return self._router.evaluate_hosts(
+            hosts,
+            {host.target: self._read_state(host) for host in hosts},
+            waiter.prefix,
+            waiter.avoided_domains,
+            self._clock.elapsed(),
+            random_source,
+        )
+
+    def _preview_wait(
+        self, waiter: Waiter[Grant], random_source: random.Random
+    ) -> Verdict:
+        """Return whether ``waiter`` may wait, and the refusal it would get."""
+        state = self._copy_route_state(waiter.route)
+        retry_after = self._retry_after(waiter.route, state, random_source)
+        reason = self._predict_missed_deadline(
+            waiter, state
+        ) or self._waiting.check_room(waiter)
+        if reason is not None:
+            return Verdict(RouteOutcome.REFUSED, reason, retry_after)
+        reason = self._refusal_reason(waiter)
+        max_wait = self._max_wait(waiter, state)
+        if max_wait <= timedelta():
+            return Verdict(RouteOutcome.REFUSED, reason, retry_after)
+        return Verdict(RouteOutcome.WAITS, reason, retry_after, max_wait)
+
+    def _preview_host(
+        self, host: Host, evaluation: Evaluation | None, now: timedelta
+    ) -> HostPreview:
+        state = self._read_state(host)
+        exclusion = explain_exclusion(
+            host,
+            evaluation,
+            is_draining=host.target in self._draining,
+            backoff=state.backoff_until - now,
+        )
+        return HostPreview(
+            host.target,
+            host.failure_domain,
+            state.outstanding,
+            state.limit.value,
+            state.estimate_load(now),
+            predict_wait(host, state, now),
+            state.estimate_excess(now),
+            exclusion,
+        )
+
     def _undrained_hosts(self, route: Route) -> list[Host]:
         """Return the hosts of ``route`` that are not draining."""
         hosts = self._picture.hosts(route)
@@ -279,25 +392,28 @@
         hosts = [
             host
             for host in self._undrained_hosts(waiter.route)
-            if now >= self._state_of(host).backoff_until
+            if now >= self._read_state(host).backoff_until
         ]
         untried = [host for host in hosts if host.target not in waiter.avoided_targets]
         return untried or hosts
 
-    def _shortest_backoff(self, waiter: Waiter[Grant]) -> timedelta | None:
+    def _shortest_backoff(
+        self, waiter: Waiter[Grant], random_source: random.Random
+    ) -> timedelta | None:
         """Return the shortest remaining backoff if all hosts of the route back off."""
         now = self._clock.elapsed()
         hosts = self._undrained_hosts(waiter.route)
-        backoffs = [self._state_of(host).backoff_until - now for host in hosts]
+        backoffs = [self._read_state(host).backoff_until - now for host in hosts]
         if not backoffs or min(backoffs) <= timedelta():
             return None
-        return min(backoffs) * self._random.uniform(1, 1 + RETRY_AFTER_JITTER)
+        return min(backoffs) * random_source.uniform(1, 1 + RETRY_AFTER_JITTER)
 
     def _try_grant(self, waiter: Waiter[Grant]) -> Grant | None:
         now = self._clock.elapsed()
+        hosts = self._available_hosts(waiter)
         choice = self._router.choose_host(
-            self._available_hosts(waiter),
-            self._states,
+            hosts,
+            {host.target: self._state_of(host) for host in hosts},
             waiter.prefix,
             waiter.avoided_domains,
             now,
@@ -309,27 +425,31 @@
         return Grant(choice, waiter.route, now, usual, waiter.prefix)
 
     def _check_admission(self, waiter: Waiter[Grant]) -> Refusal | None:
-        missed_deadline = self._predict_missed_deadline(waiter)
+        route = waiter.route
+        state = self._routes[route]
+        missed_deadline = self._predict_missed_deadline(waiter, state)
         reason = missed_deadline or self._waiting.make_room(waiter)
         if reason is None:
             return None
-        return Refusal(reason, Executed.NO, retry_after=self._retry_after(waiter.route))
+        retry_after = self._retry_after(route, state, self._random)
+        return Refusal(reason, Executed.NO, retry_after=retry_after)
 
-    def _predict_missed_deadline(self, waiter: Waiter[Grant]) -> Reason | None:
+    def _predict_missed_deadline(
+        self, waiter: Waiter[Grant], state: _RouteState
+    ) -> Reason | None:
         now = self._clock.elapsed()
-        route = self._routes[waiter.route]
-        rate = route.drain_rate.per_second(now)
+        rate = state.drain_rate.per_second(now)
         if not rate:
             return None
         wait = timedelta(seconds=(self._waiting.count_ahead(waiter) + 1) / rate)
-        service = route.service_times.mean or timedelta()
+        service = state.service_times.mean or timedelta()
         if now + wait + service > waiter.deadline:
             return Reason.DEADLINE_UNMEETABLE
         return None
 
-    def _max_wait(self, waiter: Waiter[Grant]) -> timedelta:
+    def _max_wait(self, waiter: Waiter[Grant], state: _RouteState) -> timedelta:
         """Return how long ``waiter`` can wait and still be answered in time."""
-        service = self._routes[waiter.route].service_times.mean or timedelta()
+        service = state.service_times.mean or timedelta()
         patience = waiter.deadline - service - self._clock.elapsed()
         if not self._picture.hosts(waiter.route):
             return min(patience, MAX_NO_REPLICA_WAIT)
@@ -342,12 +462,14 @@
             return Reason.NO_REPLICA
         return Reason.DEADLINE_UNMEETABLE
 
-    def _retry_after(self, route: Route) -> timedelta:
-        rate = self._routes[route].drain_rate.per_second(self._clock.elapsed())
+    def _retry_after(
+        self, route: Route, state: _RouteState, random_source: random.Random
+    ) -> timedelta:
+        rate = state.drain_rate.per_second(self._clock.elapsed())
         backlog = len(self._waiting.waiters(route)) + 1
         wait = timedelta(seconds=backlog / rate) if rate else MIN_RETRY_AFTER
         wait = min(max(wait, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
-        return wait * self._random.uniform(1, 1 + RETRY_AFTER_JITTER)
+        return wait * random_source.uniform(1, 1 + RETRY_AFTER_JITTER)
 
     def _return_slot(self, state: TargetState, grant: Grant) -> None:
         state.record_return(grant.granted_at, grant.usual_duration)
