Answer operators where a request would go

GET /v1/where takes a pool, a model and optionally an adapter and a priority, and returns the preview of such a request. Unknown names are answered with 404, other bad input with 400. The priority of a request that states none and the Retry-After in whole seconds come from the code that serves callers.

--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -35,7 +35,13 @@
 from runhatch_server.external_services import ExternalServices
 from runhatch_server.http import HttpServer, ServerLimits
 from runhatch_server.observability import Metrics, TraceLog, log_change
-from runhatch_server.operations import Access, CommandService, Inventory, OperatorApp
+from runhatch_server.operations import (
+    Access,
+    CommandService,
+    Inventory,
+    OperatorApp,
+    RouteService,
+)
 from runhatch_server.peers import PeerLinks, PlannerNotice
 from runhatch_server.placement import PlacementService
 from runhatch_server.serving import Hosting, PlacementCache, TargetIncarnations
@@ -258,12 +264,18 @@
             self._metrics,
             self._outside.table,
         )
+        routes = RouteService(
+            self._placement_cache,
+            self._dispatcher,
+            timedelta(seconds=self._settings.serving.default_deadline_seconds),
+        )
         app = OperatorApp(
             Access(self._settings.access),
             inventory,
             CommandService(self._configuration),
             self._configuration,
             self._placement,
+            routes,
             self._traces,
             self._metrics,
             self.is_ready,
--- a/packages/runhatch-server/src/runhatch_server/operations/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/operations/__init__.py
@@ -5,6 +5,7 @@
 from runhatch_server.operations._commands import CommandService
 from runhatch_server.operations._nouns import Inventory, Noun
 from runhatch_server.operations._query import Query, run_query
+from runhatch_server.operations._where import RouteService
 
 __all__ = [
     "Access",
@@ -13,5 +14,6 @@
     "Noun",
     "OperatorApp",
     "Query",
+    "RouteService",
     "run_query",
 ]
--- a/packages/runhatch-server/src/runhatch_server/operations/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/operations/_app.py
@@ -22,6 +22,7 @@
 from runhatch_server.operations._commands import COMMAND_ADAPTER, CommandService
 from runhatch_server.operations._nouns import Inventory
 from runhatch_server.operations._query import Query, QueryError, run_query
+from runhatch_server.operations._where import RouteService, UnknownNameError
 from runhatch_server.placement import PlacementService, explain_placement, plan
 from runhatch_server.settings import OperatorRole
 from runhatch_server.validation import StrictModel, format_validation_errors
@@ -80,6 +81,7 @@
         commands: CommandService,
         configuration: ConfigurationService,
         placement: PlacementService,
+        routes: RouteService,
         traces: TraceLog,
         metrics: Metrics,
         is_ready: Callable[[], bool],
@@ -89,6 +91,7 @@
         self._commands = commands
         self._configuration = configuration
         self._placement = placement
+        self._routes = routes
         self._traces = traces
         self._metrics = metrics
         self._is_ready = is_ready
@@ -102,6 +105,7 @@
             ("GET", "/v1/history"): _Endpoint(read, self._show_history),
             ("GET", "/v1/difference"): _Endpoint(read, self._show_difference),
             ("GET", "/v1/plan"): _Endpoint(read, self._show_plan),
+            ("GET", "/v1/where"): _Endpoint(read, self._show_where),
             ("GET", "/v1/explain/request"): _Endpoint(read, self._explain_request),
             ("GET", "/v1/explain/placement"): _Endpoint(read, self._explain_placement),
         }
@@ -161,6 +165,8 @@
             return problem_response(
                 400, "invalid", "\n".join(format_validation_errors(error))
             )
+        except UnknownNameError as error:
+            return problem_response(404, "unknown_name", str(error))
         except QueryError as error:
             return problem_response(400, "invalid", str(error))
 
@@ -282,6 +288,9 @@
         ]
         return _json({"records": actions})
 
+    def _show_where(self, call: Call) -> Response:
+        return _json(self._routes.preview(call.arguments))
+
     def _explain_request(self, call: Call) -> Response:
         request_id = call.arguments.get("id", "")
         trace = self._traces.find(request_id)
--- a/packages/runhatch-server/src/runhatch_server/serving/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/__init__.py
@@ -7,11 +7,12 @@
 from runhatch_server.serving._canceller import Canceller
 from runhatch_server.serving._demand import DemandCounter
 from runhatch_server.serving._dispatch import Dispatcher, Grant
+from runhatch_server.serving._headers import DEFAULT_CALLER, PRIORITIES
 from runhatch_server.serving._once_guard import OnceGuard
 from runhatch_server.serving._placement_cache import Host, Hosting, PlacementCache
 from runhatch_server.serving._queue import Waiter
 from runhatch_server.serving._request import CallerRequest, Route, RouteKind
-from runhatch_server.serving._request_reader import RequestReader
+from runhatch_server.serving._request_reader import RequestReader, declared_priority
 from runhatch_server.serving._route_preview import (
     HostPreview,
     RouteOutcome,
@@ -28,6 +29,7 @@
     "CallerApp",
     "CallerRequest",
     "Canceller",
+    "DEFAULT_CALLER",
     "DemandCounter",
     "Dispatcher",
     "Grant",
@@ -35,6 +37,7 @@
     "HostPreview",
     "Hosting",
     "OnceGuard",
+    "PRIORITIES",
     "PlacementCache",
     "RequestReader",
     "Route",
@@ -45,4 +48,5 @@
     "TargetIncarnations",
     "Verdict",
     "Waiter",
+    "declared_priority",
 ]
--- a/packages/runhatch-server/src/runhatch_server/serving/_request_reader.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_request_reader.py
@@ -11,7 +11,7 @@
 from pydantic import ValidationError
 
 from runhatch_coordination import Clock
-from runhatch_server.configuration import PathSpec, PlainServiceSpec
+from runhatch_server.configuration import Deployment, PathSpec, PlainServiceSpec
 from runhatch_server.decisions._prefixes import prefix_blocks
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.serving._caller_models import BODY_MODELS
@@ -172,14 +172,18 @@
     def _choose_priority(self, headers: CallerHeaders, name: str) -> int:
         if headers.priority is not None:
             return headers.priority
-        declared = self._picture.deployment.priority_by_model
-        return declared.get(name, DEFAULT_PRIORITY)
+        return declared_priority(self._picture.deployment, name)
 
     def _find_service(self, name: str) -> PlainServiceSpec | None:
         services = self._picture.deployment.plain_services
         return next((s for s in services if s.name == name), None)
 
 
+def declared_priority(deployment: Deployment, name: str) -> int:
+    """Return the priority of a request that states none."""
+    return deployment.priority_by_model.get(name, DEFAULT_PRIORITY)
+
+
 def _decode_body(path: str, body: bytes) -> dict[str, object] | Refusal:
     try:
         BODY_MODELS[path].validate_json(body)
