Add runhatch where

The command asks a node where a request would go now and why, and prints the verdict and a row for each candidate, or JSON. Bad input ends with status 2 before the node is asked; a name that the node does not know is refused with status 4, as by other commands.

There is no option for the length of the prompt: the router of nodes with declared targets does not use it.

--- a/packages/runhatch-cli/src/runhatch_cli/__main__.py
+++ b/packages/runhatch-cli/src/runhatch_cli/__main__.py
@@ -12,6 +12,7 @@
 from runhatch_cli._explain import explain_request
 from runhatch_cli._language import Sentence, SentenceKind, parse
 from runhatch_cli._render import OutputFormat, show_document, show_records
+from runhatch_cli._where import describe_verdict
 
 app = typer.Typer(
     help="Query and control a runhatch system.",
@@ -106,6 +107,41 @@
     print(f"cause: {explanation.cause}")
 
 
+@app.command()
+def where(
+    pool: Annotated[str, typer.Argument(help="Pool of the model.")],
+    model: Annotated[str, typer.Argument(help="Name of the model.")],
+    adapter: Annotated[
+        str | None, typer.Option(help="Name of an adapter of the model.")
+    ] = None,
+    priority: Annotated[
+        int | None,
+        typer.Option(
+            min=0,
+            max=7,
+            help="0 (most urgent) to 7; default: that of a request that states none.",
+        ),
+    ] = None,
+    node: NodeOption = DEFAULT_NODE,
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Show where a request would go now and why, without sending it.
+
+    Example: runhatch where reader m4 --adapter a3 --priority 1
+    """
+    arguments = {"pool": pool, "model": model}
+    if adapter is not None:
+        arguments["adapter"] = adapter
+    if priority is not None:
+        arguments["priority"] = str(priority)
+    answer = NodeClient(node).get("/v1/where", **arguments)
+    if output is OutputFormat.JSON:
+        show_document(answer, output)
+        return
+    print(describe_verdict(answer))
+    show_records(answer["candidates"], output)
+
+
 @config.command("show")
 def config_show(
     node: NodeOption = DEFAULT_NODE,
