Compare targets as before under the cautious limits

Services that state no work time were to keep their plans, but work that moves to a target was compared with its capacity for them too.

Moved work is compared with capacities only under the eager limits. Four of the plans are kept as a test, which fails without the change.

--- a/packages/runhatch-server/src/runhatch_server/residency/_fleet_view.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_fleet_view.py
@@ -180,8 +180,11 @@
             return base_value + value + demand.waiting_requests(self.now)
         share = self.spread.share(model, control.target.incarnation)
         moved = share / len(others)
-        load_after = min(self.load_with(other, moved) for other in others)
         policy = self.replica_policy
+        if policy.uses_capacities:
+            load_after = min(self.load_with(other, moved) for other in others)
+        else:
+            load_after = min(self.load_of(other) + moved for other in others)
         crowding = (load_after - policy.lossless_load) / (
             policy.replica_load - policy.lossless_load
         )
--- a/packages/runhatch-server/src/runhatch_server/residency/_places.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_places.py
@@ -282,6 +282,9 @@
             # The evicted models would be missed for the whole duration of the load.
             return None
         seconds = ready_in.total_seconds()
+        load_after = candidate.load
+        if view.replica_policy.uses_capacities:
+            load_after = view.load_with(control, need.excess_work)
         return PlacementOption(
             candidate.name,
             evictions,
@@ -291,7 +294,7 @@
             seconds,
             # Breaks ties between equal gains in favour of the target that is least busy
             # with the replica, which is a fast one among equally busy ones.
-            view.load_with(control, need.excess_work) * FULL_UTILISATION_COST,
+            load_after * FULL_UTILISATION_COST,
             candidate.is_startable,
             loads_from_store,
             0.0
--- a/packages/runhatch-server/src/runhatch_server/residency/_replica_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_replica_policy.py
@@ -42,6 +42,8 @@
     may_evict: bool
     """Whether a replica may replace the only replica of a model in demand, and may
     replace models while it is loaded from the weight store."""
+    uses_capacities: bool
+    """Whether work that moves to a target is compared with the target's capacity."""
 
 
 CAUTIOUS = ReplicaPolicy(
@@ -51,6 +53,7 @@
     persistence_seconds=10.0,
     loads_concurrently=False,
     may_evict=False,
+    uses_capacities=False,
 )
 EAGER = ReplicaPolicy(
     replica_load=0.35,  # Leaves room for a target that is slowed for a moment.
@@ -59,6 +62,7 @@
     persistence_seconds=20.0,  # Twice the longest load of about 9 s.
     loads_concurrently=False,
     may_evict=True,
+    uses_capacities=True,
 )
 
 
--- a/packages/runhatch-server/tests/test_uneven_load.py
+++ b/packages/runhatch-server/tests/test_uneven_load.py
@@ -407,3 +407,38 @@
         assert max(by_plan.values()) == 1
         assert max_starts(simulation.started, 5) <= 8.5 * 5
         assert simulation.max_used_mb <= simulation.engine.memory_mb
+
+
+def plan_limited_fleet(seed):
+    """Return the loads planned for a random fleet, half of it with rate limits."""
+    controls, book = make_random_fleet(seed)
+    rng = random.Random(seed)
+    limits = {
+        f"t{i}": rng.choice((2.0, 6.0, 20.0)) for i in range(1, 9) if rng.random() < 0.5
+    }
+    engine = make_engine(LONG_LOADS)
+    view = FleetView("engine", engine, controls, book, seconds(100), limits)
+    return [(e.target, e.model, *e.evictions) for e in plan_models(view).loads]
+
+
+class TestRateLimitedServicesThatStateNothing:
+    """Services with rate limits and long loads, whose targets state no work time."""
+
+    @pytest.mark.parametrize(
+        ("seed", "expected"),
+        [
+            (191, "t6/m5 t2/m3 t1/m4/m16 t7/m14 t3/m1/m15 t4/m18 t5/m0/m11 t8/m2"),
+            (208, "t1/m1 t4/m6/m8 t2/m21 t3/m22 t8/m3/m8"),
+            (213, "t1/m7 t3/m17/m10 t8/m2 t2/m5/m16 t4/m9 t6/m12 t7/m4/m16 t5/m14/m10"),
+            (225, "t4/m18 t1/m6 t6/m9/m21 t5/m10 t2/m17/m19"),
+        ],
+    )
+    def test_plan_is_as_without_capacities(self, seed, expected):
+        """Comparing moved work with the limited capacities would give other plans.
+
+        The expected loads, as target, model and evictions, are those of the version
+        before work times.
+        """
+        planned = " ".join("/".join(load) for load in plan_limited_fleet(seed))
+
+        assert planned == expected
