Keep one replica of each model in a plan

The loss of evicting a replica is computed as if all other replicas stayed, so two loads of one plan could evict both replicas of a model in demand at the price of a spare one.

Once a load of a plan evicts the last but one replica, the plan excludes the last one from eviction; the next plan computes its loss as that of the only replica. This holds under the eager limits; plans under the cautious limits stay as they are.

--- a/packages/runhatch-server/src/runhatch_server/residency/_places.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_places.py
@@ -147,6 +147,15 @@
             missing_mb -= evictable.memory_mb
         return (tuple(evictions), loss) if missing_mb <= 0 else None
 
+    def keep_model(self, model: str) -> None:
+        """Exclude ``model`` from eviction; ``min_cost`` is computed again."""
+        self._evictable_models = [
+            evictable
+            for evictable in self._evictable_models
+            if evictable.model != model
+        ]
+        vars(self).pop("min_cost", None)
+
     def charge_for_delay(self, model: str, rate: float) -> None:
         """Raise the cost of other loads here, because they delay ``model``.
 
@@ -185,6 +194,7 @@
         candidates = [
             CandidateTarget(view, control, lower_bounds) for control in view.controls
         ]
+        self._candidates = {candidate.name: candidate for candidate in candidates}
         self._with_copy: dict[str, list[CandidateTarget]] = defaultdict(list)
         for candidate in candidates:
             control = candidate.control
@@ -193,11 +203,11 @@
         for need in needs:
             if need.reason == NOT_HELD:
                 self._charge_for_delayed_loads(need)
-        self.unused_candidates = sorted(
-            candidates, key=lambda candidate: candidate.min_cost
-        )
+        self.unused_candidates = sorted(candidates, key=_min_cost)
         """Unused targets, by rising lower bound of cost."""
         self._used_targets: set[str] = set()
+        self._evicted_replicas: set[tuple[str, str]] = set()
+        self._last_replicas: set[tuple[str, str]] = set()
         self._overdue_loads = sum(map(_is_loading_overdue, view.controls))
         self._max_overdue_loads = max(
             1.0, len(view.controls) * MAX_OVERDUE_TARGET_SHARE
@@ -207,6 +217,10 @@
         """Return whether ``option`` is still available at its computed cost."""
         if option.target in self._used_targets:
             return False
+        if any(
+            (option.target, model) in self._last_replicas for model in option.evictions
+        ):
+            return False
         needs_overdue_slot = option.loads_from_store and option.is_overdue
         return not (needs_overdue_slot and self._is_overdue_limit_reached)
 
@@ -220,6 +234,8 @@
         ]
         if option.is_startable and option.loads_from_store and option.is_overdue:
             self._overdue_loads += 1
+        if option.is_startable and self._view.replica_policy.may_evict:
+            self._keep_last_replicas(option)
 
     def find_best_option(self, need: Need) -> PlacementOption | None:
         """Return the best option for ``need``, even if it is not worthwhile."""
@@ -249,6 +265,25 @@
         for candidate in free:
             candidate.charge_for_delay(need.model.name, need.rate / len(free) ** 2)
 
+    def _keep_last_replicas(self, option: PlacementOption) -> None:
+        """Keep the replicas that are the last ones after the evictions of ``option``.
+
+        The loss by evicting a replica is computed as if all others stayed; the next
+        plan computes it for the last one.
+        """
+        for model in option.evictions:
+            self._evicted_replicas.add((option.target, model))
+            remaining = [
+                holder.target.incarnation
+                for holder in self._view.holders(model)
+                if (holder.target.incarnation, model) not in self._evicted_replicas
+            ]
+            if len(remaining) != 1:
+                continue
+            self._last_replicas.add((remaining[0], model))
+            self._candidates[remaining[0]].keep_model(model)
+            self.unused_candidates.sort(key=_min_cost)
+
     @property
     def _is_overdue_limit_reached(self) -> bool:
         """Whether the maximum number of targets already load overdue models."""
@@ -314,6 +349,10 @@
         )
 
 
+def _min_cost(candidate: CandidateTarget) -> float:
+    return candidate.min_cost
+
+
 def _is_loading_overdue(control: TargetControl) -> bool:
     return control.pending_load_reason == OVERDUE and control.is_loading_from_store
 
--- a/packages/runhatch-server/tests/test_uneven_load.py
+++ b/packages/runhatch-server/tests/test_uneven_load.py
@@ -442,3 +442,81 @@
         planned = " ".join("/".join(load) for load in plan_limited_fleet(seed))
 
         assert planned == expected
+
+
+SHARED_MODEL = "m6"
+
+
+def make_targets_with_shared_replica(count):
+    """Return targets that hold two busy models each, and one model together."""
+    return [
+        make_control(f"t{i + 1}", [f"m{2 * i}", f"m{2 * i + 1}", SHARED_MODEL])
+        for i in range(count)
+    ]
+
+
+def add_demand(book, model, per_second, missed=0):
+    """Add demand of the last ten seconds before 100 s."""
+    for second in range(91, 101):
+        at = seconds(second)
+        add_requests(book, model, 0, per_second, missed, at)
+
+
+class TestLastReplicas:
+    """Replicas of one model that several loads of one plan would evict.
+
+    Each target's loss by an eviction assumes that the other replicas stay, so two loads
+    of one plan could evict both replicas of a model in demand, for the loss of none.
+    """
+
+    @pytest.mark.parametrize("missing", [1, 2, 3])
+    @pytest.mark.parametrize("holders", [2, 3])
+    @pytest.mark.parametrize(
+        ("loads", "work_times"),
+        [
+            pytest.param(LONG_LOADS, WORK_TIMES, id="long-loads"),
+            pytest.param(SHORT_LOADS, WORK_TIMES, id="short-loads"),
+            pytest.param(SHORT_LOADS, {}, id="short-loads-no-work-times"),
+        ],
+    )
+    def test_a_plan_keeps_one(self, loads, work_times, holders, missing):
+        controls = make_targets_with_shared_replica(holders)
+        book = DemandBook()
+        for index in range(2 * holders):
+            add_demand(book, f"m{index}", 3)
+        add_demand(book, SHARED_MODEL, 1)
+        for index in range(missing):
+            add_demand(book, f"m{index + 10}", 4, missed=4)
+        view = FleetView(
+            "engine",
+            make_engine(loads),
+            controls,
+            book,
+            seconds(100),
+            work_times=work_times,
+        )
+
+        planned = plan_models(view).loads
+
+        evictions = [model for load in planned for model in load.evictions]
+        assert planned
+        assert evictions.count(SHARED_MODEL) < holders
+
+    @pytest.mark.parametrize("loads", LOADS)
+    def test_plans_for_moving_demand_keep_one(self, loads):
+        simulation = FleetSimulation(
+            make_engine(loads), make_full_fleet(6), moving_streams()
+        )
+
+        simulation.simulate(PHASES * PHASE_SECONDS)
+
+        assert simulation.lost_models == []
+
+    @pytest.mark.parametrize("loads", LOADS)
+    def test_random_plans_keep_one(self, loads):
+        for seed in range(80):
+            controls, _ = make_random_fleet(seed)
+            held = Counter(model for control in controls for model in control.held)
+            planned = plan_random_fleet(seed, loads, WORK_TIMES).loads
+            evicted = Counter(m for load in planned for m in load.evictions)
+            assert not [m for m, n in evicted.items() if n > 1 and n >= held[m]], seed
