Do not count replicas that are about to be evicted

A target holds a model until it has accepted the order to unload it. Plans made before that counted the replica as one that stays, and could evict the other one at the price of a spare replica.

Under the eager limits, a target whose planned load evicts a model no longer counts as its holder.

--- a/packages/runhatch-server/src/runhatch_server/residency/_fleet_view.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_fleet_view.py
@@ -69,14 +69,14 @@
         self._adapter_demands: dict[tuple[str, str], Demand] = {}
         self._load_ready_times: dict[str, timedelta] = {}
         self._holders: dict[str, list[TargetControl]] = {}
+        factors = work_times or {}
+        states_work_time = any(c.target.incarnation in factors for c in controls)
+        self.replica_policy = choose_policy(engine.models, states_work_time)
         for control in controls:
             self._record_expected_load(control)
             for model in control.held:
-                if control.holds(model):
+                if control.holds(model) and not self._is_to_be_evicted(control, model):
                     self._holders.setdefault(model, []).append(control)
-        factors = work_times or {}
-        states_work_time = any(c.target.incarnation in factors for c in controls)
-        self.replica_policy = choose_policy(engine.models, states_work_time)
         work = {
             model.name: self.demand_for(model.name).work_share
             for model in engine.models
@@ -208,6 +208,19 @@
             return unlimited
         return min(unlimited, max(limit, MIN_RATE) * work / rate)
 
+    def _is_to_be_evicted(self, control: TargetControl, model: str) -> bool:
+        """Return whether ``control`` is about to unload ``model`` for another.
+
+        Otherwise the plans made before it has done so would evict other replicas of the
+        model as if this one stayed.
+        """
+        intent = control.intent
+        return (
+            self.replica_policy.may_evict
+            and intent is not None
+            and model in intent.evictions
+        )
+
     def _record_expected_load(self, control: TargetControl) -> None:
         for model in _expected_models(control):
             ready_at = control.free_at(self.engine, self.now)
--- a/packages/runhatch-server/tests/test_uneven_load.py
+++ b/packages/runhatch-server/tests/test_uneven_load.py
@@ -17,7 +17,13 @@
     make_full_fleet,
 )
 
-from runhatch_server.residency import OVERDUE, DemandBook, FleetView, plan_models
+from runhatch_server.residency import (
+    OVERDUE,
+    DemandBook,
+    FleetView,
+    Intent,
+    plan_models,
+)
 from runhatch_server.residency import _fleet_view as fleet_view_module
 from runhatch_server.residency._replica_policy import (
     CAUTIOUS,
@@ -520,3 +526,36 @@
             planned = plan_random_fleet(seed, loads, WORK_TIMES).loads
             evicted = Counter(m for load in planned for m in load.evictions)
             assert not [m for m, n in evicted.items() if n > 1 and n >= held[m]], seed
+
+    @pytest.mark.parametrize(
+        ("loads", "work_times", "expected"),
+        [
+            pytest.param(LONG_LOADS, WORK_TIMES, 0, id="long-loads"),
+            pytest.param(SHORT_LOADS, {}, 0, id="short-loads"),
+            pytest.param(LONG_LOADS, {}, 1, id="long-loads-no-work-times"),
+        ],
+    )
+    def test_next_plan_keeps_one(self, loads, work_times, expected):
+        """An eviction is planned some time before the target unloads the model.
+
+        Until then the replica must not count as one that stays.
+        """
+        first, second = make_targets_with_shared_replica(2)
+        first.intent = Intent("m9", (SHARED_MODEL,), "not held")
+        book = DemandBook()
+        for index in range(4):
+            add_demand(book, f"m{index}", 3)
+        add_demand(book, SHARED_MODEL, 3)
+        add_demand(book, "m10", 6, missed=6)
+        view = FleetView(
+            "engine",
+            make_engine(loads),
+            [first, second],
+            book,
+            seconds(100),
+            work_times=work_times,
+        )
+
+        evicted = [m for load in plan_models(view).loads for m in load.evictions]
+
+        assert evicted.count(SHARED_MODEL) == expected
