--- a/packages/runhatch-server/src/runhatch_server/decisions/_prompt_queue.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_prompt_queue.py
@@ -153,6 +153,8 @@
 
     def release(self, node: str, numbers: Iterable[int], now: timedelta) -> None:
         """Remove prompts of ``node`` that began, ended or were given up."""
+        # Time until now was spent on the prompts ahead, not on those behind them.
+        self._advance(now)
         released = {(node, number) for number in numbers}
         for key in released:
             self._granted.pop(key, None)
