Test permits for prompts, and ask the next owner if one ends

A request that waited in the queue of a node that ended stayed there until its deadline, at most 20 s, and was then refused although the target had room (test_request_asks_the_next_owner_if_the_owner_ends_while_it_waits failed). It now requests its permit from the next owner.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_prompt_admission.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_prompt_admission.py
@@ -81,6 +81,10 @@
         a permit.
         """
         permit = search.prompt_permit
+        if permit is not None and self._has_lost_owner(permit):
+            # Its queue has ended with it; the next owner is asked.
+            self.stop(search)
+            permit = None
         if permit is None:
             tier = request_tier(search.request)
             best = find_best(tier, float("inf"))
@@ -138,6 +142,12 @@
             self.permits.release(search.prompt_permit)
             search.prompt_permit = None
 
+    def _has_lost_owner(self, permit: PromptPermit) -> bool:
+        """Return whether the request waits in the queue of a node that has ended."""
+        assert self.permits is not None
+        is_queued = permit.state is PermitState.QUEUED
+        return is_queued and not self.permits.is_owner_alive(permit)
+
     def _wait_in_queue(
         self, search: TargetSearch, permit: PromptPermit, now: timedelta
     ) -> HoldDecision | NoPermit:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_prompt_permits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_prompt_permits.py
@@ -159,6 +159,10 @@
         else:
             self._send(permit.owner, PromptsReleased(permit.target, [permit.number]))
 
+    def is_owner_alive(self, permit: PromptPermit) -> bool:
+        """Return whether the node that was asked for the permit still decides on it."""
+        return any(vm.address == permit.owner for vm in self._membership.alive())
+
     def record_unanswered(self, permit: PromptPermit) -> None:
         """Record that the owner did not answer in time; it is not asked for a while."""
         now = self._clock.elapsed()
