Bound the prompts at targets that started or recovered by their pace

PromptsReleased tells prompts that began from those given up; a node of an earlier version sends both as begun. An answer is late by the owner's own prediction: the backlog at the permit, the prompt's work, and the time until an answer begins. Without the last, answers to prompts of less than 25 ms would all be late. The last 64 permits that expired are kept, so that a target slow enough for permits to expire is seen to be late. Nodes look for targets that recovered every 100 ms (chosen, not measured), and at the first prompt for a target. The gauge target_prompt_bound shows the bounds of a node's targets. Where prompts need no permits, nothing changes.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -33,6 +33,8 @@
 from runhatch_server.decisions._peer_choice import PeerChoice, Work
 from runhatch_server.decisions._prefixes import PrefixIndex, prefix_blocks
 from runhatch_server.decisions._prompt_queue import (
+    BegunPrompt,
+    KnownPrompts,
     PermitState,
     PromptAnswer,
     PromptQueue,
@@ -145,6 +147,8 @@
     "PeerChoice",
     "PermitBucket",
     "PermitState",
+    "BegunPrompt",
+    "KnownPrompts",
     "PromptAnswer",
     "PromptQueue",
     "PromptRequest",
--- a/packages/runhatch-server/src/runhatch_server/decisions/_prompt_queue.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_prompt_queue.py
@@ -28,9 +28,35 @@
 Longer prompts count for their own reading time."""
 MIN_RETRY_DELAY = timedelta(milliseconds=100)
 """Shortest time after which a denied request is worth asking for again."""
+MAX_EXPIRED = 64
+"""Most expired permits that are remembered, to know how late their prompts begin."""
 MILLISECOND = timedelta(milliseconds=1)
 
 
+@dataclass(frozen=True, slots=True)
+class KnownPrompts:
+    """Prompts known to be at a target, whoever permitted them.
+
+    Reading the ``count`` prompts takes ``backlog_ms``. An answer begins ``start_ms``
+    after its prompt was read.
+    """
+
+    backlog_ms: float = 0.0
+    count: int = 0
+    start_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class BegunPrompt:
+    """A prompt whose answer began, with the times from its permit until then.
+
+    ``predicted`` is the reading ahead of it at its permit, and its own.
+    """
+
+    predicted: timedelta
+    took: timedelta
+
+
 class PermitState(IntEnum):
     """What the owner of a target answers to a request for a permit."""
 
@@ -96,6 +122,9 @@
     """A permitted prompt, the time to read it, and how much of that has passed."""
 
     cost_ms: float
+    granted_at: timedelta
+    predicted_ms: float
+    """Reading until its answer begins, as predicted at its permit."""
     read_ms: float = 0.0
     overdue_ms: float = 0.0
     """Time since it should have been read."""
@@ -115,10 +144,15 @@
 class PromptQueue:
     """Prompts permitted and waiting at one target; the caller holds a lock."""
 
-    def __init__(self, known_backlog_ms: float, now: timedelta) -> None:
+    def __init__(
+        self, known_backlog_ms: float, now: timedelta, known_count: int = 0
+    ) -> None:
         """Begin with the prompts that are already queued at the target."""
         self._granted: dict[tuple[str, int], _Granted] = {}
         """By node and number, in the order in which the target reads them."""
+        self._expired: dict[tuple[str, int], _Granted] = {}
+        """Prompts that count no longer and were not released, the latest ones."""
+        self._known_count = known_count
         self._waiting: list[_Waiting] = []
         self._order = 0
         self._read_until = now
@@ -127,12 +161,18 @@
         self._batch_ended_at: timedelta | None = None
         """When the last prompt of the batch was released, ``None`` if some are not."""
         if known_backlog_ms > 0:
-            self._granted["", 0] = _Granted(known_backlog_ms)
+            self._granted["", 0] = _Granted(known_backlog_ms, now, known_backlog_ms)
         self._end_batch_if_read(now)
 
     def __len__(self) -> int:
         return len(self._granted) + len(self._waiting)
 
+    @property
+    def outstanding(self) -> int:
+        """Number of prompts at the target that have not been released."""
+        known = self._known_count - 1 if ("", 0) in self._granted else 0
+        return len(self._granted) + known
+
     def backlog_ms(self, now: timedelta) -> float:
         """Return the prompt reading permitted and not yet done, in milliseconds."""
         self._advance(now)
@@ -152,12 +192,13 @@
         )
 
     def release(self, node: str, numbers: Iterable[int], now: timedelta) -> None:
-        """Remove prompts of ``node`` that began, ended or were given up."""
+        """Remove prompts of ``node`` that ended or were given up."""
         # Time until now was spent on the prompts ahead, not on those behind them.
         self._advance(now)
         released = {(node, number) for number in numbers}
         for key in released:
             self._granted.pop(key, None)
+            self._expired.pop(key, None)
         self._end_batch_if_read(now)
         self._waiting = [
             each
@@ -165,10 +206,28 @@
             if (each.request.node, each.request.number) not in released
         ]
 
-    def decide(self, now: timedelta) -> list[PromptAnswer]:
+    def begin(
+        self, node: str, numbers: Iterable[int], now: timedelta
+    ) -> list[BegunPrompt]:
+        """Remove prompts of ``node`` whose answers began, and return their times.
+
+        Prompts that were not permitted here are left out.
+        """
+        self._advance(now)
+        keys = [(node, number) for number in numbers]
+        found = [self._granted.get(key) or self._expired.get(key) for key in keys]
+        self.release(node, [number for _, number in keys], now)
+        return [
+            BegunPrompt(granted.predicted_ms * MILLISECOND, now - granted.granted_at)
+            for granted in found
+            if granted is not None
+        ]
+
+    def decide(self, now: timedelta, most: int | None = None) -> list[PromptAnswer]:
         """Grant what fits, and deny what would begin too late.
 
-        Each request that stays in the queue is answered once that it does.
+        At most ``most`` prompts are outstanding at the target, if it is given. Each
+        request that stays in the queue is answered once that it does.
         """
         backlog_ms = self.backlog_ms(now)
         answers: list[PromptAnswer] = []
@@ -178,7 +237,7 @@
         while self._waiting:
             waiting = self._waiting.pop(0)
             work_ms = waiting.request.work_ms
-            if not kept and self._fits(waiting.request, now):
+            if not kept and self._fits(waiting.request, now, most):
                 answers.append(self._grant(waiting, backlog_ms, now))
                 backlog_ms += work_ms
                 ahead_ms = backlog_ms
@@ -210,12 +269,14 @@
         event = self._waiting[0].request.event_ms * MILLISECOND
         return max(self._batch_ended_at + event - now, MILLISECOND)
 
-    def _fits(self, request: PromptRequest, now: timedelta) -> bool:
+    def _fits(self, request: PromptRequest, now: timedelta, most: int | None) -> bool:
         """Return whether the prompt may join the batch, or begin a new one.
 
         A prompt that is too long for any batch is sent alone; otherwise it would never
         be sent.
         """
+        if most is not None and self.outstanding >= most:
+            return False
         if self._batch_ended_at is not None:
             pause = now - self._batch_ended_at
             if pause >= request.event_ms * MILLISECOND:
@@ -228,7 +289,9 @@
         self, waiting: _Waiting, backlog_ms: float, now: timedelta
     ) -> PromptAnswer:
         request = waiting.request
-        self._granted[request.node, request.number] = _Granted(request.work_ms)
+        self._granted[request.node, request.number] = _Granted(
+            request.work_ms, now, backlog_ms + request.work_ms
+        )
         self._batch_ms += request.work_ms
         self._batch_ended_at = None
         return _answer(waiting, PermitState.GRANTED, backlog_ms)
@@ -244,7 +307,9 @@
             if granted.read_ms >= granted.cost_ms:
                 granted.overdue_ms += left_ms
             if granted.has_expired:
-                del self._granted[key]
+                self._expired[key] = self._granted.pop(key)
+        while len(self._expired) > MAX_EXPIRED:
+            del self._expired[next(iter(self._expired))]
         self._end_batch_if_read(now)
 
     def _end_batch_if_read(self, now: timedelta) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -206,7 +206,7 @@
     def record_first_byte(self, grant: Grant) -> None:
         """Record that the first byte of the answer has arrived."""
         self._directory.record_reached(grant.target.incarnation)
-        self._release_prompt_permit(grant)
+        self._release_prompt_permit(grant, has_begun=True)
         now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
@@ -342,6 +342,17 @@
             ]
         )
 
+    def find_serving(self) -> dict[str, dict[str, int]]:
+        """Return the slots of targets with models that serve, by service.
+
+        Those are the ready ones that are neither down nor silent.
+        """
+        return {
+            name: self.paths.find_serving(self._directory.ready_targets(name))
+            for name, service in self._services.items()
+            if service.engine is not None
+        }
+
     def prompt_work_ms(self, request: GatewayRequest) -> float:
         """Return the milliseconds that processing the whole prompt would take."""
         with self._lock:
@@ -535,10 +546,10 @@
             work_time_factor=best.work_time_factor,
         )
 
-    def _release_prompt_permit(self, grant: Grant) -> None:
+    def _release_prompt_permit(self, grant: Grant, has_begun: bool = False) -> None:
         permits = self.prompts.permits
         if grant.prompt_permit is not None and permits is not None:
-            permits.release(grant.prompt_permit)
+            permits.release(grant.prompt_permit, has_begun)
 
     def _release_and_exclude(
         self, grant: Grant, pause: timedelta, is_rejected: bool = False
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -40,6 +40,7 @@
 from runhatch_server.gateway._peer_requests import PeerRequests
 from runhatch_server.gateway._peers import GatewayPeers
 from runhatch_server.gateway._platform import GatewayPlatform
+from runhatch_server.gateway._prompt_paces import PromptBoundGauge
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._records import RequestRecorder
 from runhatch_server.gateway._run_parts import RunParts
@@ -82,6 +83,8 @@
 lease starts a round at once."""
 IDLE_RELAY_INTERVAL = timedelta(seconds=5)
 """Interval between checks for reports to relay; each report starts one at once."""
+PACE_INTERVAL = timedelta(milliseconds=100)
+"""Interval of checks for targets that recovered, which are not paced before."""
 CLEANUP_INTERVAL = timedelta(milliseconds=500)
 """Interval between removals of expired state; missing targets are kept for 1.8 s."""
 MIN_DRAIN_DURATION = timedelta(seconds=4.2)
@@ -117,6 +120,7 @@
         self._configuration = ActiveConfiguration(self._on_routes, self._metrics)
         self._pool = ConnectionPool(self._clock)
         self._work_time_gauge = WorkTimeGauge(self._metrics)
+        self._prompt_bound_gauge = PromptBoundGauge(self._metrics)
         self._limits = RateLimits(self._clock, self._metrics, START_WINDOW)
         self._balancer = Balancer(
             self._directory,
@@ -168,6 +172,8 @@
             platform.store_time,
         )
         self._balancer.prompts.permits = self._peers.prompts
+        if settings.shares_prompt_queues:
+            self._peers.prompts.find_serving = self._balancer.find_serving
         self._key_currency = KeyCurrency(
             platform.store_time,
             lambda: self._tables.confirmed_at(platform.configurations.name),
@@ -272,6 +278,10 @@
             self._peers.prompts.decide_all,
             self._peers.prompts.decision_due,
         )
+        if self._settings.shares_prompt_queues:
+            self._tasks.start_task(
+                "paces", PACE_INTERVAL, self._peers.prompts.update_paces
+            )
         self._tasks.start_task(
             "sums", self._peers.loads.next_sums_pause, self._peers.loads.send_sums
         )
@@ -503,6 +513,9 @@
         self._work_time_gauge.update(
             self._directory.all(), self._balancer.loads.lasting_work_times()
         )
+        self._prompt_bound_gauge.update(
+            self._directory.all(), self._peers.prompts.owned_bounds()
+        )
         replicas = sum(len(target.held.adapters_by_model) for target in ready)
         self._metrics.replicas.set(replicas)
         self._metrics.orders_lease_held.set(self._orderer.holds_lease() is not None)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -146,7 +146,7 @@
             metrics,
             self.send,
             directory.notify_waiters,
-            loads.queued_ms,
+            loads.known_prompts,
         )
         """Permits for prompts."""
         self.stream_versions = StreamVersionExchange(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_prompt_permits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_prompt_permits.py
@@ -14,11 +14,13 @@
 
 from runhatch_coordination import Clock, Membership
 from runhatch_server.decisions import (
+    KnownPrompts,
     PermitState,
     PromptAnswer,
     PromptQueue,
     PromptRequest,
 )
+from runhatch_server.gateway._prompt_paces import PromptPaces, ServingTargets
 from runhatch_server.gateway._rooms import choose_allocator
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import (
@@ -75,20 +77,26 @@
         metrics: Metrics,
         send: Callable[[str, Fact], None],
         on_answer: Callable[[], None],
-        backlog_of: Callable[[str], float],
+        known_prompts: Callable[[str], KnownPrompts],
     ) -> None:
-        """Create permits; ``backlog_of`` returns a target's known queue in ms."""
+        """Create permits; ``known_prompts`` returns those known to be at a target."""
         self._membership = membership
         self._clock = clock
         self._metrics = metrics
         self._send = send
         self._on_answer = on_answer
-        self._backlog_of = backlog_of
+        self._known_prompts = known_prompts
         self._lock = threading.Lock()
         self._numbers = itertools.count(1)
         self._permits: dict[int, PromptPermit] = {}
         self._queues: dict[str, _OwnedQueue] = {}
+        self._paces = PromptPaces()
         self._silent_until: dict[str, timedelta] = {}
+        self.find_serving: Callable[[], ServingTargets] = dict
+        """Returns the slots of the targets that serve, by service and incarnation.
+
+        Without it no target has a pace.
+        """
         self.decision_due = threading.Event()
         """Set when requests wait, to begin decisions at an interval."""
 
@@ -144,8 +152,8 @@
             )
         return permit
 
-    def release(self, permit: PromptPermit) -> None:
-        """Tell the owner that the prompt began, ended or is not sent."""
+    def release(self, permit: PromptPermit, has_begun: bool = False) -> None:
+        """Tell the owner that the answer to the prompt began, or never will."""
         with self._lock:
             if permit.is_released:
                 return
@@ -155,9 +163,16 @@
             return
         own = self._membership.own.address
         if permit.owner == own:
-            self._release_at_owner(permit.target, own, [permit.number])
-        else:
+            if has_begun:
+                self._begin_at_owner(permit.target, own, [permit.number])
+            else:
+                self._release_at_owner(permit.target, own, [permit.number])
+        elif has_begun:
             self._send(permit.owner, PromptsReleased(permit.target, [permit.number]))
+        else:
+            self._send(
+                permit.owner, PromptsReleased(permit.target, [], [permit.number])
+            )
 
     def is_owner_alive(self, permit: PromptPermit) -> bool:
         """Return whether the node that was asked for the permit still decides on it."""
@@ -172,6 +187,26 @@
         self._metrics.prompt_permits.labels("unanswered").inc()
         self.release(permit)
 
+    def update_paces(self) -> None:
+        """Begin the paces of targets that started or recovered, and end others."""
+        serving = self.find_serving()
+        with self._lock:
+            self._paces.update_targets(serving, self._clock.elapsed())
+
+    def owned_bounds(self) -> dict[str, int]:
+        """Return the most prompts that may be at targets owned by this node.
+
+        Targets without such a bound are left out.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            bounds = self._paces.bounds(now)
+            return {
+                target: most
+                for target, most in bounds.items()
+                if target in self._queues
+            }
+
     def decide_all(self) -> None:
         """Answer the requests that wait in the queues of this node."""
         now = self._clock.elapsed()
@@ -234,18 +269,25 @@
 
     @handle_message.register
     def _apply_released(self, fact: PromptsReleased, sender: Member) -> None:
-        self._release_at_owner(fact.target, sender.address, fact.numbers)
+        if fact.begun:
+            self._begin_at_owner(fact.target, sender.address, fact.begun)
+        if fact.given_up:
+            self._release_at_owner(fact.target, sender.address, fact.given_up)
 
     def _queue_request(self, target: str, request: PromptRequest) -> None:
         now = self._clock.elapsed()
-        known_ms = 0.0
+        known = KnownPrompts()
         if target not in self._queues:
-            known_ms = self._backlog_of(target)
+            known = self._known_prompts(target)
+            # A target that has just started is paced from its first prompt on.
+            self.update_paces()
         with self._lock:
             owned = self._queues.get(target)
             if owned is None:
-                owned = _OwnedQueue(PromptQueue(known_ms, now))
+                queue = PromptQueue(known.backlog_ms, now, known.count)
+                owned = _OwnedQueue(queue)
                 self._queues[target] = owned
+                self._paces.take_over(target, known.count, now)
             owned.used_at = now
             owned.queue.request(request, now)
         if self._decide(target):
@@ -259,6 +301,20 @@
             owned.queue.release(node, numbers, self._clock.elapsed())
         self._decide(target)
 
+    def _begin_at_owner(self, target: str, node: str, numbers: list[int]) -> None:
+        now = self._clock.elapsed()
+        with self._lock:
+            is_paced = self._paces.most(target, now) is not None
+        start_ms = self._known_prompts(target).start_ms if is_paced else 0.0
+        with self._lock:
+            owned = self._queues.get(target)
+            if owned is None:
+                return
+            for begun in owned.queue.begin(node, numbers, now):
+                predicted = begun.predicted + start_ms * MILLISECOND
+                self._paces.record_begun(target, predicted, begun.took, now)
+        self._decide(target)
+
     def _decide(self, target: str) -> bool:
         """Answer what can be answered; return whether requests still wait."""
         now = self._clock.elapsed()
@@ -266,7 +322,7 @@
             owned = self._queues.get(target)
             if owned is None:
                 return False
-            answers = owned.queue.decide(now)
+            answers = owned.queue.decide(now, self._paces.most(target, now))
             is_waiting = owned.queue.next_decision_in(now) is not None
         own = self._membership.own.address
         for answer in answers:
@@ -289,7 +345,7 @@
             if owner == self._membership.own.address:
                 self._release_at_owner(target, owner, [answer.number])
             else:
-                self._send(owner, PromptsReleased(target, [answer.number]))
+                self._send(owner, PromptsReleased(target, [], [answer.number]))
 
 
 def _message_of_answer(target: str, answer: PromptAnswer) -> PromptPermitAnswer:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_loads.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_loads.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 
 from runhatch_coordination import Clock
-from runhatch_server.decisions import LoadBook, LoadShare
+from runhatch_server.decisions import KnownPrompts, LoadBook, LoadShare
 
 Shares = Mapping[str, LoadShare]
 
@@ -32,11 +32,14 @@
             own = self._book.load(target).own_requests.values()
             return sum(not outstanding.held for outstanding in own)
 
-    def queued_ms(self, target: str) -> float:
-        """Return the prompt reading that is known to be queued at ``target``."""
+    def known_prompts(self, target: str) -> KnownPrompts:
+        """Return the prompts that are known to be queued at ``target``."""
         now = self._clock.elapsed()
         with self._lock:
-            return sum(self._book.load(target).total(now).waiting_ms)
+            load = self._book.load(target)
+            total = load.total(now)
+            start_ms = self._book.rates.base_ms * load.work_time.current_factor(now)
+            return KnownPrompts(sum(total.waiting_ms), total.waiting, start_ms)
 
     def apply_peer(self, node: str, shares: Shares, whole: bool) -> None:
         """Apply the outstanding load of ``node`` at some targets.
--- a/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_paths.py
@@ -7,7 +7,7 @@
 
 import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from runhatch_coordination import Clock
@@ -85,6 +85,18 @@
         with self._lock:
             return self._book.load(target).avoidance_count >= MAX_CONNECT_FAILURES
 
+    def find_serving(self, targets: Iterable[Target]) -> dict[str, int]:
+        """Return the slots of those of ``targets`` that are neither down nor silent."""
+        now = self._clock.elapsed()
+        serving = {}
+        with self._lock:
+            for target in targets:
+                load = self._book.load(target.incarnation)
+                is_down = load.avoidance_count >= MAX_CONNECT_FAILURES
+                if not is_down and not load.is_silent(now):
+                    serving[target.incarnation] = target.slots
+        return serving
+
     def are_lost(self, targets: list[Target]) -> bool:
         """Return whether this node seems to have lost its paths to ``targets``.
 
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -156,6 +156,12 @@
             "How long work lastingly takes at a target that states it, 1 as usual",
             "target",
         )
+        self.target_prompt_bound = self._gauge(
+            "target_prompt_bound",
+            "Most prompts that this node permits at a time at a target that started or "
+            "recovered a short time ago",
+            "target",
+        )
         self.requests_held = self._gauge(
             "requests_held", "Requests waiting for a model"
         )
--- a/packages/runhatch-server/src/runhatch_server/peers/_prompt_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_prompt_messages.py
@@ -43,7 +43,12 @@
 class PromptsReleased(
     msgspec.Struct, frozen=True, tag="prompts_released", array_like=True
 ):
-    """Prompts of the sender for ``target`` that began, ended or were given up."""
+    """Prompts of the sender for ``target`` that no longer wait to be read.
+
+    The answers of ``begun`` have begun; those of ``given_up`` never will. Earlier
+    versions send and read ``begun`` alone, for both.
+    """
 
     target: str
-    numbers: list[int]
+    begun: list[int]
+    given_up: list[int] = []
--- a/packages/runhatch-server/tests/test_prompt_permits.py
+++ b/packages/runhatch-server/tests/test_prompt_permits.py
@@ -1,8 +1,10 @@
 """Permits for prompts between nodes, and admission of requests that need one."""
 
+import random
 from dataclasses import replace
 from datetime import timedelta
 
+import msgspec
 import pytest
 from gateway_cases import (
     ENGINE,
@@ -16,9 +18,20 @@
     seconds,
 )
 
-from runhatch_coordination import MemberFact, Membership, Standing, Vm
-from runhatch_server.decisions import PermitState, TriedTargets
+from runhatch_coordination import Entry, MemberFact, Membership, Standing, Vm
+from runhatch_server.decisions import (
+    KnownPrompts,
+    OutstandingRequest,
+    PermitState,
+    TriedTargets,
+)
+from runhatch_server.decisions._pace import (
+    MAX_PACE_DURATION,
+    MIN_START_BOUND,
+    SERVICE_START_DURATION,
+)
 from runhatch_server.gateway._grant import Grant
+from runhatch_server.gateway._prompt_paces import PromptBoundGauge
 from runhatch_server.gateway._prompt_permits import (
     ANSWER_TIMEOUT,
     QUEUE_RETENTION,
@@ -27,6 +40,7 @@
 )
 from runhatch_server.gateway._refusal_builder import MAX_RETRY_JITTER
 from runhatch_server.gateway._rooms import choose_allocator
+from runhatch_server.gateway._target_paths import MAX_CONNECT_FAILURES
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
     Member,
@@ -72,7 +86,7 @@
             self.metrics,
             lambda address, fact: network.send(vm, address, fact),
             self._record_update,
-            self.balancer.loads.queued_ms,
+            self.balancer.loads.known_prompts,
         )
         self.balancer.prompts.permits = self.permits
         self._network = network
@@ -285,7 +299,7 @@
     def test_new_owner_begins_with_the_load_that_it_knows(self, clock):
         network = Network(clock)
         owner = network.owner()
-        owner.permits._backlog_of = lambda target: 120.0
+        owner.permits._known_prompts = lambda target: KnownPrompts(120.0, 1)
         assert owner.ask(work_ms=100.0).state is QUEUED
         assert owner.ask(work_ms=20.0).state is QUEUED
 
@@ -298,6 +312,23 @@
         assert len(owner.permits._queues) == 0
 
 
+class TestReleaseMessage:
+    """The message about prompts that began or were given up."""
+
+    @pytest.mark.parametrize(
+        ("sent", "begun", "given_up"),
+        [
+            (["t1", [1, 2]], [1, 2], []),
+            (["t1", [1], [2]], [1], [2]),
+        ],
+    )
+    def test_release_of_an_earlier_version_is_read(self, sent, begun, given_up):
+        """Nodes of both versions run during a rolling restart."""
+        encoded = msgspec.json.encode(["prompts_released", *sent])
+        fact = msgspec.json.decode(encoded, type=PromptsReleased)
+        assert (fact.begun, fact.given_up) == (begun, given_up)
+
+
 class TestPromptAdmission:
     """Requests that are sent, wait, or are refused by the answers of owners."""
 
@@ -310,6 +341,8 @@
         node.balancer.record_first_byte(grant)
         network.advance(milliseconds(1))
         assert owner.outstanding == 0
+        (released,) = network.sent_of(PromptsReleased)
+        assert (released.begun, released.given_up) == ([grant.prompt_permit.number], [])
 
     @pytest.mark.parametrize(
         "end",
@@ -328,6 +361,8 @@
         end(node.balancer, grant)
         network.advance(milliseconds(1))
         assert owner.outstanding == 0
+        (released,) = network.sent_of(PromptsReleased)
+        assert (released.begun, released.given_up) == ([], [grant.prompt_permit.number])
 
     def test_request_waits_for_its_permit(self, network):
         """It is sent when the prompts of another node have begun."""
@@ -424,3 +459,204 @@
         assert isinstance(grant, Grant)
         assert grant.prompt_permit is None
         assert network.sent == []
+
+
+class PacedNetwork(Network):
+    """A network in which the target ``new`` starts after all others."""
+
+    def __init__(self, clock):
+        super().__init__(clock, targets=("t1",))
+        for node in self.nodes.values():
+            node.permits.find_serving = node.balancer.find_serving
+            node.permits.update_paces()
+        clock.advance(SERVICE_START_DURATION)
+        entries = tuple(Entry(name, make_target(name)) for name in ("t1", "new"))
+        for node in self.nodes.values():
+            node.directory.replace_entries(entries)
+
+    def ask_all(self, count, work_ms=10.0):
+        """Request permits on all nodes in turn; return the nodes with the permits."""
+        nodes = list(self.nodes.values())
+        asked = [nodes[i % len(nodes)] for i in range(count)]
+        permits = [(node, node.ask("new", work_ms=work_ms)) for node in asked]
+        self.advance(milliseconds(2))
+        return permits
+
+    def bound(self):
+        return self.owner("new").permits.owned_bounds().get("new")
+
+
+def count_granted(permits):
+    return sum(permit.state is GRANTED for _, permit in permits)
+
+
+def release_granted(permits, has_begun):
+    """Release the granted ones and return those that wait."""
+    waiting = [each for each in permits if each[1].state is not GRANTED]
+    # A release may permit the next prompt at once.
+    granted = [each for each in permits if each[1].state is GRANTED]
+    for node, permit in granted:
+        node.permits.release(permit, has_begun)
+    return waiting
+
+
+class TestPacedTargets:
+    """Few prompts are permitted at a target that has just started or recovered."""
+
+    @pytest.fixture
+    def paced(self, clock):
+        return PacedNetwork(clock)
+
+    def test_prompts_of_all_nodes_stay_within_the_bound(self, paced):
+        """All fit into one batch, and each node sees the target idle."""
+        assert count_granted(paced.ask_all(6)) == MIN_START_BOUND
+        assert paced.bound() == MIN_START_BOUND
+
+    def test_bound_grows_with_answers_that_begin_in_time(self, paced):
+        waiting = release_granted(paced.ask_all(9), has_begun=True)
+        paced.advance(milliseconds(EVENT_MS + 3))
+        assert paced.bound() == MIN_START_BOUND + 2
+        assert count_granted(waiting) == MIN_START_BOUND + 2
+
+    def test_bound_stays_if_prompts_are_given_up(self, paced):
+        """They say nothing about the speed of the target."""
+        waiting = release_granted(paced.ask_all(9), has_begun=False)
+        paced.advance(milliseconds(EVENT_MS + 3))
+        assert paced.bound() == MIN_START_BOUND
+        assert count_granted(waiting) == MIN_START_BOUND
+
+    @pytest.mark.parametrize(
+        ("work_ms", "after_ms", "bound"),
+        [
+            (70, 80, 4),
+            # The first is late after 2 * (70 + 25) ms, the second after 2 * 165 ms.
+            (70, 180, 4),
+            (70, 200, 2),
+            (70, 320, 2),
+            (70, 340, 1),
+            # Their permits have expired.
+            (70, 1_500, 1),
+            # Reading takes 1 ms, but no answer begins within 25 ms.
+            (1, 27, 4),
+        ],
+    )
+    def test_late_answers_lower_the_bound(self, paced, work_ms, after_ms, bound):
+        """The prediction of the owner counts.
+
+        An answer begins 25 ms after its prompt was read. Two late ones halve the bound
+        once.
+        """
+        node = paced.others("new")[0]
+        permits = [(node, node.ask("new", work_ms=work_ms)) for _ in range(2)]
+        paced.advance(milliseconds(2))
+        assert count_granted(permits) == 2
+        paced.advance(milliseconds(after_ms))
+        release_granted(permits, has_begun=True)
+        paced.advance(milliseconds(2))
+        assert paced.bound() == bound
+
+    def test_target_that_was_there_from_the_start_is_not_paced(self, paced):
+        node = paced.owner("t1")
+        permits = [node.ask("t1", work_ms=10.0) for _ in range(6)]
+        assert all(permit.state is GRANTED for permit in permits)
+
+    def test_no_target_is_paced_if_none_is_looked_for(self, clock):
+        """Only a node that shares prompt queues looks for targets that serve."""
+        network = PacedNetwork(clock)
+        for node in network.nodes.values():
+            node.permits.find_serving = dict
+        assert count_granted(network.ask_all(6)) == 6
+        assert network.bound() is None
+
+    def test_recovered_target_is_paced(self, paced):
+        """All nodes see it idle when it is back, as if it had started."""
+        owner = paced.owner("new")
+        owner.permits.update_paces()
+        paced.clock.advance(MAX_PACE_DURATION)
+        for _ in range(MAX_CONNECT_FAILURES):
+            owner.balancer.paths.record_failure("new")
+        owner.permits.update_paces()
+        owner.balancer._book.load("new").record_connected()
+        owner.permits.update_paces()
+        assert count_granted(paced.ask_all(6)) == MIN_START_BOUND
+
+    def test_bound_ends_with_its_time(self, paced):
+        paced.owner("new").permits.update_paces()
+        paced.clock.advance(MAX_PACE_DURATION - milliseconds(10))
+        assert count_granted(paced.ask_all(6)) == MIN_START_BOUND
+        paced.advance(milliseconds(10))
+        assert paced.bound() is None
+        assert count_granted(paced.ask_all(6)) == 6
+
+    def test_silent_target_does_not_serve(self, paced):
+        balancer = paced.owner("new").balancer
+        assert balancer.find_serving() == {"engine": {"t1": 8, "new": 8}}
+        sent = OutstandingRequest(10.0, 10, paced.clock.elapsed(), 10.0, 0)
+        balancer._book.load("new").own_requests[1] = sent
+        paced.clock.advance(seconds(60))
+        assert balancer.find_serving() == {"engine": {"t1": 8}}
+
+    @pytest.mark.parametrize(("known_count", "bound"), [(0, 2), (1, 2), (5, 5)])
+    def test_next_owner_starts_at_the_prompts_that_it_knows(
+        self, paced, known_count, bound
+    ):
+        """The answers that its predecessor saw are unknown to it."""
+        known = KnownPrompts(10.0 * known_count, known_count)
+        for node in paced.nodes.values():
+            node.permits._known_prompts = lambda target: known
+        permits = paced.ask_all(6)
+        assert paced.bound() == bound
+        assert count_granted(permits) == bound - known_count
+
+    def test_prompts_outstanding_never_exceed_the_bound(self, paced):
+        """Answers begin in time, late or never, in the order of a seeded load."""
+        generator = random.Random(7)
+        nodes, asked, bounds = list(paced.nodes.values()), [], set()
+        outstanding = 0
+        for _ in range(400):
+            node = generator.choice(nodes)
+            asked.append((node, node.ask("new", work_ms=generator.uniform(5, 80))))
+            paced.advance(milliseconds(generator.randint(1, 60)))
+            most = paced.bound()
+            if most is None:
+                break
+            bounds.add(most)
+            # After a halving, no prompt is permitted until enough have ended.
+            limit = max(most, outstanding)
+            outstanding = paced.owner("new").permits._queues["new"].queue.outstanding
+            assert outstanding <= limit
+            granted = [each for each in asked if each[1].state is GRANTED]
+            if outstanding >= most and granted:
+                ended = generator.choice(granted)
+                ended[0].permits.release(ended[1], generator.random() < 0.8)
+                asked.remove(ended)
+        # The bound has changed in both directions.
+        assert {1, MIN_START_BOUND, MIN_START_BOUND + 1} <= bounds
+
+
+class TestPromptBoundGauge:
+    """Operators see the bounds of the targets that a node owns."""
+
+    def read(self, metrics):
+        return {
+            sample.labels["target"]: sample.value
+            for family in metrics.target_prompt_bound.collect()
+            for sample in family.samples
+        }
+
+    def test_bounds_are_shown_by_target_until_they_end(self):
+        metrics = Metrics()
+        gauge = PromptBoundGauge(metrics)
+        targets = [make_target("t1"), make_target("t2"), make_target("t3")]
+        gauge.update(targets, {"t1": 2, "t2": 5, "ended": 3})
+        assert self.read(metrics) == {"t1": 2, "t2": 5}
+        gauge.update(targets, {"t2": 6})
+        assert self.read(metrics) == {"t2": 6}
+
+    def test_only_the_owner_shows_the_bound(self, clock):
+        """Other nodes see none of the answers that change it."""
+        network = PacedNetwork(clock)
+        network.ask_all(3)
+        for node in network.nodes.values():
+            is_owner = node is network.owner("new")
+            assert ("new" in node.permits.owned_bounds()) == is_owner
--- a/packages/runhatch-server/tests/test_prompt_queue.py
+++ b/packages/runhatch-server/tests/test_prompt_queue.py
@@ -7,7 +7,11 @@
 
 from runhatch_server.decisions import PermitState, PromptQueue, PromptRequest
 from runhatch_server.decisions._load import LATE_TIER
-from runhatch_server.decisions._prompt_queue import MAX_WAITING, MIN_OVERDUE_TIME
+from runhatch_server.decisions._prompt_queue import (
+    MAX_EXPIRED,
+    MAX_WAITING,
+    MIN_OVERDUE_TIME,
+)
 
 PAUSE_LIMIT_MS = 300.0
 EVENT_MS = 25.0
@@ -296,6 +300,83 @@
         assert case.numbers(GRANTED) == [1, 2]
 
 
+class TestBound:
+    """Prompts at a target that has just started or recovered are few."""
+
+    @pytest.mark.parametrize(
+        ("most", "known_count", "granted"),
+        [
+            (None, 0, [1, 2, 3]),
+            (1, 0, [1]),
+            (2, 0, [1, 2]),
+            (3, 0, [1, 2, 3]),
+            (3, 2, [1]),
+            (2, 2, []),
+            (None, 2, [1, 2, 3]),
+        ],
+    )
+    def test_prompts_outstanding_stay_within_the_bound(
+        self, most, known_count, granted
+    ):
+        """They would all fit into one batch."""
+        queue = PromptQueue(10.0 * known_count, START, known_count)
+        for number in (1, 2, 3):
+            queue.request(make_prompt(number, 10), START)
+        answers = queue.decide(START, most)
+        assert [each.number for each in answers if each.state is GRANTED] == granted
+        assert queue.outstanding == known_count + len(granted)
+
+    @pytest.mark.parametrize("has_begun", [True, False])
+    def test_released_prompt_makes_room(self, has_begun):
+        queue = PromptQueue(0.0, START)
+        for number in (1, 2):
+            queue.request(make_prompt(number, 10), START)
+        queue.decide(START, 1)
+        assert queue.decide(at(9), 1) == []
+        if has_begun:
+            queue.begin("a", [1], at(10))
+        else:
+            queue.release("a", [1], at(10))
+        # The next batch begins one event later.
+        assert states(queue.decide(at(10 + EVENT_MS), 1)) == {2: GRANTED}
+
+    def test_begun_prompts_are_returned_with_predicted_and_actual_time(self):
+        """The prediction counts the prompts of all nodes ahead at the permit."""
+        case = QueueCase()
+        case.ask(make_prompt(1, 100), make_prompt(1, 100, node="b"), make_prompt(2, 80))
+        begun = case.queue.begin("b", [1], at(250))
+        assert [(each.predicted, each.took) for each in begun] == [
+            (milliseconds(200), milliseconds(250))
+        ]
+        assert case.queue.begin("b", [1, 7], at(260)) == []
+        assert case.queue.outstanding == 2
+
+    def test_begin_of_an_expired_prompt_still_says_how_late_it_was(self):
+        """A target so slow that permits expire would otherwise never seem late."""
+        case = QueueCase()
+        case.ask(make_prompt(1, 100))
+        case.decide(1_000)
+        assert case.queue.outstanding == 0
+        (begun,) = case.queue.begin("a", [1], at(1_500))
+        assert begun.took == milliseconds(1_500)
+        assert case.queue.begin("a", [1], at(1_600)) == []
+
+    def test_given_up_prompt_says_nothing_about_the_speed(self):
+        case = QueueCase()
+        case.ask(make_prompt(1, 100))
+        case.decide(1_000)
+        case.release(1, ms=1_100)
+        assert case.queue.begin("a", [1], at(1_200)) == []
+
+    def test_number_of_remembered_permits_is_bounded(self):
+        """Nodes that end would otherwise fill the memory of the owner."""
+        case = QueueCase()
+        for number in range(3 * MAX_EXPIRED):
+            case.ask(make_prompt(number, 10), ms=1_000 * number)
+        assert len(case.queue._expired) == MAX_EXPIRED
+        assert case.queue.outstanding == 1
+
+
 class TestReplayedLoad:
     """An engine that reads chunks of prompts between the tokens of its streams."""
 
