Drop a known backlog from a prompt queue when it was read

Cause: a new owner begins its queue with the prompts that it knows of.

Change: they end when they were read. Prompts whose nodes report to the queue are kept as before, since a target may be slower than predicted.

Ruled out: starting with an empty queue, which would put a batch on top of the last owner's. The new test, four backlogs, fails without the change; the other tests of the queue pass unchanged.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_prompt_queue.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_prompt_queue.py
@@ -71,8 +71,8 @@
 
     Reading it takes ``work_ms`` at the target. An event of a stream there takes
     ``event_ms`` while no prompts are read, and ``pause_limit_ms`` longer at most. The
-    prompt is in time if it begins to be answered within
-    ``begin_within``, and of any use within ``late_within``.
+    prompt is in time if it begins to be answered within ``begin_within``, and of any
+    use within ``late_within``.
     """
 
     node: str
@@ -128,6 +128,8 @@
     read_ms: float = 0.0
     overdue_ms: float = 0.0
     """Time since it should have been read."""
+    is_reported: bool = True
+    """Whether its node reports when it begins; not for prompts known by other means."""
 
     @property
     def remaining_ms(self) -> float:
@@ -137,6 +139,8 @@
     @property
     def has_expired(self) -> bool:
         """Whether the permit has not been released for too long."""
+        if not self.is_reported:
+            return self.read_ms >= self.cost_ms
         min_overdue_ms = MIN_OVERDUE_TIME / MILLISECOND
         return self.overdue_ms >= max(min_overdue_ms, self.cost_ms)
 
@@ -161,7 +165,9 @@
         self._batch_ended_at: timedelta | None = None
         """When the last prompt of the batch was released, ``None`` if some are not."""
         if known_backlog_ms > 0:
-            self._granted["", 0] = _Granted(known_backlog_ms, now, known_backlog_ms)
+            self._granted["", 0] = _Granted(
+                known_backlog_ms, now, known_backlog_ms, is_reported=False
+            )
         self._end_batch_if_read(now)
 
     def __len__(self) -> int:
--- a/packages/runhatch-server/tests/test_prompt_queue.py
+++ b/packages/runhatch-server/tests/test_prompt_queue.py
@@ -145,6 +145,14 @@
         case = QueueCase(known_backlog_ms=known_ms)
         assert (states(case.ask(make_prompt(1, 100)))[1] is GRANTED) == is_granted
 
+    @pytest.mark.parametrize("known_ms", [100, 200, 375, 800])
+    def test_known_backlog_ends_when_it_was_read(self, known_ms):
+        """No node releases it: a new owner waited for up to twice its length."""
+        case = QueueCase(known_backlog_ms=known_ms)
+        assert states(case.ask(make_prompt(1, 290))) == {1: QUEUED}
+        assert case.decide(known_ms) == []
+        assert states(case.decide(known_ms + EVENT_MS)) == {1: GRANTED}
+
 
 class TestOrder:
     """Requests wait in the order of their tier and the time left to them."""
