Do not wait if the permit was answered after the last search

Cause: an answer that arrived between the search for a target and the wait for an update notified nobody. The request slept for up to 150 ms, and its permit held up the batch of the target for that time. Found by reading.

Change: a request remembers the answer that its last search saw, and does not wait if there is another, checked under the condition's lock.

Ruled out: shorter intervals between checks, which cost processor time at every waiting request. The new test waits 30 s without the change.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -196,7 +196,8 @@
             self._held_requests.count_at(request, result.target, held_request)
             recheck_interval = result.recheck_interval or CALLER_CHECK_INTERVAL
             self._held_requests.wait_for_update(
-                min(result.until - now, recheck_interval, CALLER_CHECK_INTERVAL)
+                min(result.until - now, recheck_interval, CALLER_CHECK_INTERVAL),
+                lambda: search.has_new_prompt_answer,
             )
             next_result = self._find_target(search)
             if not isinstance(next_result, HoldDecision):
--- a/packages/runhatch-server/src/runhatch_server/gateway/_held.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_held.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -143,11 +144,17 @@
                 self._book.load(place.target).own_requests.pop(place.number, None)
             place.target = ""
 
-    def wait_for_update(self, timeout: timedelta) -> None:
-        """Wait at most ``timeout`` for an update of the targets."""
+    def wait_for_update(
+        self, timeout: timedelta, is_due: Callable[[], bool] = lambda: False
+    ) -> None:
+        """Wait at most ``timeout`` for an update of the targets.
+
+        Do not wait if ``is_due``, which shows an update since the last search.
+        """
         self.count += 1
         try:
             with self._directory.update_condition:
-                self._directory.update_condition.wait(timeout.total_seconds())
+                if not is_due():
+                    self._directory.update_condition.wait(timeout.total_seconds())
         finally:
             self.count -= 1
--- a/packages/runhatch-server/src/runhatch_server/gateway/_prompt_admission.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_prompt_admission.py
@@ -93,6 +93,7 @@
             event_ms = engine.event_tokens * load.step_ms * best.work_time_factor
             return PromptPermitNeeded(best, max(0.0, limit_ms - event_ms), event_ms)
         assert self.permits is not None
+        search.seen_prompt_answer = permit.answer
         match permit.state:
             case PermitState.GRANTED:
                 return permit
--- a/packages/runhatch-server/src/runhatch_server/gateway/_search.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_search.py
@@ -7,6 +7,7 @@
 from runhatch_server.decisions import (
     GatewayRequest,
     HeldRequest,
+    PromptAnswer,
     ScoredTarget,
     TriedTargets,
 )
@@ -38,9 +39,17 @@
     """Whether to request permits for its prompt; not if their owner was silent."""
     prompt_permit: PromptPermit | None = None
     """The permit for the prompt, requested and not yet used."""
+    seen_prompt_answer: PromptAnswer | None = None
+    """The answer to ``prompt_permit`` as of the last search."""
     is_prompt_denied: bool = False
     """Whether a permit for the prompt was denied by any target."""
 
+    @property
+    def has_new_prompt_answer(self) -> bool:
+        """Whether the owner has answered since the last search."""
+        permit = self.prompt_permit
+        return permit is not None and permit.answer is not self.seen_prompt_answer
+
 
 @dataclass(frozen=True, slots=True)
 class PermitNeeded:
--- a/packages/runhatch-server/tests/delayed_cluster.py
+++ b/packages/runhatch-server/tests/delayed_cluster.py
@@ -75,8 +75,8 @@
         fleet = [make_target(name, "plain", ()) for name in targets]
         directory = make_directory(cluster.clock, *fleet)
         self.balancer = make_balancer(directory, cluster.clock, seed=int(vm.name[1:]))
-        self.balancer._held_requests.wait_for_update = lambda longest: cluster.pause(
-            self, longest
+        self.balancer._held_requests.wait_for_update = lambda longest, is_due: (
+            cluster.pause(self, longest)
         )
         self.limits = self.balancer.limits
         self.exchange = PermitExchange(
--- a/packages/runhatch-server/tests/test_prompt_permits.py
+++ b/packages/runhatch-server/tests/test_prompt_permits.py
@@ -1,6 +1,7 @@
 """Permits for prompts between nodes, and admission of requests that need one."""
 
 import random
+import time
 from dataclasses import replace
 from datetime import timedelta
 
@@ -23,6 +24,7 @@
     KnownPrompts,
     OutstandingRequest,
     PermitState,
+    PromptAnswer,
     TriedTargets,
 )
 from runhatch_server.decisions._pace import (
@@ -36,10 +38,12 @@
     ANSWER_TIMEOUT,
     QUEUE_RETENTION,
     SILENCE_DURATION,
+    PromptPermit,
     PromptPermits,
 )
 from runhatch_server.gateway._refusal_builder import MAX_RETRY_JITTER
 from runhatch_server.gateway._rooms import choose_allocator
+from runhatch_server.gateway._search import TargetSearch
 from runhatch_server.gateway._target_paths import MAX_CONNECT_FAILURES
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
@@ -97,7 +101,9 @@
     def _record_update(self):
         self._is_updated = True
 
-    def _wait(self, timeout):
+    def _wait(self, timeout, is_due):
+        if is_due():
+            return
         self._is_updated = False
         self._network.advance(timeout, lambda: self._is_updated)
 
@@ -374,6 +380,22 @@
         assert grant.granted_at >= milliseconds(200)
         assert second.balancer.held_count == 0
 
+    def test_answer_that_arrives_right_after_the_search_is_not_missed(self, clock):
+        """A wake-up before the wait was lost, and the batch stood still for 150 ms."""
+        balancer = make_balancer(make_directory(clock, make_target("t1")), clock)
+        search = TargetSearch(make_request(clock), TriedTargets(), 0)
+        permit = PromptPermit("t1", 1, "owner", clock.elapsed())
+        search.prompt_permit, search.seen_prompt_answer = permit, None
+        permit.answer = PromptAnswer("n1", 1, PermitState.GRANTED, 0.0, 0)
+        balancer._directory.notify_waiters()
+        started_at = time.monotonic()
+
+        balancer._held_requests.wait_for_update(
+            seconds(30), lambda: search.has_new_prompt_answer
+        )
+
+        assert time.monotonic() - started_at < 10
+
     def test_request_is_admitted_as_without_permits_if_the_owner_is_silent(
         self, network
     ):
