Start the task of prompt queues only where they are shared

Cause: every gateway started a thread that decides on prompt queues, also where the setting is off and there are none; what is new must cost nothing there. Found by reading.

Change: the task starts with that of the paces. Expired queues are dropped in one expression instead of a list that was built twice, and a queue has no default time of use.

No figure: nothing decides differently; the tests of permits are unchanged.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -272,13 +272,13 @@
                 lambda: self._peers.store_time.interval,
                 self._peers.store_time.send_query,
             )
-        self._tasks.start_task(
-            "prompts",
-            self._peers.prompts.next_decision_pause,
-            self._peers.prompts.decide_all,
-            self._peers.prompts.decision_due,
-        )
         if self._settings.shares_prompt_queues:
+            self._tasks.start_task(
+                "prompts",
+                self._peers.prompts.next_decision_pause,
+                self._peers.prompts.decide_all,
+                self._peers.prompts.decision_due,
+            )
             self._tasks.start_task(
                 "paces", PACE_INTERVAL, self._peers.prompts.update_paces
             )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_prompt_permits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_prompt_permits.py
@@ -8,7 +8,7 @@
 import itertools
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -64,7 +64,7 @@
 @dataclass(slots=True)
 class _OwnedQueue:
     queue: PromptQueue
-    used_at: timedelta = field(default=timedelta())
+    used_at: timedelta
 
 
 class PromptPermits:
@@ -211,11 +211,11 @@
         """Answer the requests that wait in the queues of this node."""
         now = self._clock.elapsed()
         with self._lock:
-            targets = [*self._queues]
-            for target in targets:
-                owned = self._queues[target]
-                if not len(owned.queue) and now - owned.used_at >= QUEUE_RETENTION:
-                    del self._queues[target]
+            self._queues = {
+                target: owned
+                for target, owned in self._queues.items()
+                if len(owned.queue) or now - owned.used_at < QUEUE_RETENTION
+            }
             targets = [*self._queues]
         for target in targets:
             self._decide(target)
@@ -285,7 +285,7 @@
             owned = self._queues.get(target)
             if owned is None:
                 queue = PromptQueue(known.backlog_ms, now, known.count)
-                owned = _OwnedQueue(queue)
+                owned = _OwnedQueue(queue, now)
                 self._queues[target] = owned
                 self._paces.take_over(target, known.count, now)
             owned.used_at = now
