--- a/packages/runhatch-server/src/runhatch_server/decisions/_pace.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_pace.py
@@ -13,8 +13,8 @@
 MIN_START_BOUND = 2
 """Smallest initial bound: one prompt is read while the next is on its way."""
 FINAL_BOUND = 16
-"""Bound at which the pace ends. 16 prompts of 75 ms are read in 1.2 s, the goal of
-urgent requests; predictions keep longer queues away."""
+"""Bound at which the pace ends. So many prompts take longer than the goals of urgent
+requests; predictions keep longer queues away."""
 MAX_PACE_DURATION = timedelta(seconds=20)
 """Time after which the pace ends in any case. A target that is still late then is slow,
 which predictions take into account."""
@@ -83,8 +83,8 @@
 class TargetPaces:
     """Paces of the targets of one service, by incarnation.
 
-    Every node keeps one and is told of all targets, so that it can become the owner of
-    any of them. Targets that become known in the first 5 s after the first one are not
+    Every node keeps one for all targets, so that it can become the owner of any of
+    them. Targets that become known in the first 5 s after the first one are not
     paced: they carry the load together from the start. Callers guard it by a lock.
     """
 
--- a/packages/runhatch-server/src/runhatch_server/decisions/_work_time.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_work_time.py
@@ -1,7 +1,7 @@
 """How long work takes at a target, relative to what is usual for its service.
 
 Targets of one service can differ lastingly in speed, and each can be slowed for a
-fraction of a second by other work on its machine. A factor of 1.0 means the usual time,
+fraction of a second by other work on its host. A factor of 1.0 means the usual time,
 2.0 twice that. Targets state the factor in their answers, and nodes pass it on.
 """
 
@@ -19,8 +19,8 @@
 DISTURBANCE_HALF_LIFE = timedelta(milliseconds=300)
 """Half-life of the difference between the latest and the lasting factor."""
 STATEMENT_TTL = timedelta(seconds=60)
-"""Age from which all statements are ignored: the machine's other work may have ended
-for good."""
+"""Age from which all statements are ignored: other work on the host may have ended for
+good."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/runhatch-server/src/runhatch_server/residency/_replica_policy.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_replica_policy.py
@@ -1,8 +1,8 @@
 """When another replica of a model is worth its load.
 
 Models are replicated early, and replicas may replace models that are used less, where
-targets state how long work takes, because they differ in speed and share their
-machines, or where loads are short.
+targets state how long work takes, because they differ in speed and share their hosts,
+or where loads are short.
 """
 
 from collections.abc import Sequence
@@ -59,7 +59,7 @@
     replica_load=0.35,  # Leaves room for a target that is slowed for a moment.
     lossless_load=0.2,
     min_load_difference=0.1,
-    persistence_seconds=20.0,  # Twice the longest load of about 9 s.
+    persistence_seconds=20.0,  # Leaves half of it to use a replica after a long load.
     loads_concurrently=False,
     may_evict=True,
     uses_capacities=True,
