Move the selection of targets out of Balancer

Change: TargetSelector, in a module of its own, has the search; Balancer has the waits, the ends of requests and what it learns from answers. Callers use balancer.selector for node_count and refusal_for_retry.

Ruled out: moving the ends of requests instead, which all callers use under their present names.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -14,44 +14,27 @@
 from runhatch_server.decisions import (
     BUSY_AVOIDANCE_DURATION,
     BUSY_RETRY_DELAY,
-    Admitted,
     GatewayRequest,
     HeldRequest,
     LoadBook,
-    NoCandidates,
-    OutstandingRequest,
-    Postponed,
-    Rejected,
-    ScoredTarget,
     Scorer,
     TriedTargets,
-    choose_candidates,
-    decide_admission,
     request_tier,
 )
-from runhatch_server.fleet import Target, TargetDirectory
+from runhatch_server.fleet import TargetDirectory
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._held import HeldRequests, HoldDecision
-from runhatch_server.gateway._holders import find_holders, find_ready_targets
 from runhatch_server.gateway._invalid_values import InvalidValueLog
 from runhatch_server.gateway._prompt_admission import PromptAdmission
-from runhatch_server.gateway._prompt_permits import PromptPermit
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._refusal_builder import (
     RefusalBuilder,
     missing_model_retry_delay,
-    missing_target_retry_delay,
-)
-from runhatch_server.gateway._search import (
-    NoPermit,
-    PermitNeeded,
-    PromptPermitNeeded,
-    TargetSearch,
-    find_awaited,
-    use_permit,
 )
+from runhatch_server.gateway._search import TargetSearch
 from runhatch_server.gateway._shared_loads import SharedLoads
 from runhatch_server.gateway._target_paths import TargetPaths
+from runhatch_server.gateway._target_selection import TargetSelector
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind, ServiceSpec
 from runhatch_server.targets import InvalidWorkTime
@@ -65,9 +48,6 @@
 SHUTDOWN_STREAM_WINDOW = timedelta(seconds=2.5)
 """Time after the start of a shutdown in which streams are still accepted.  Later ones
 would be cut off at exit, and the load balancer has polled readiness twice by then."""
-MIN_CONNECTIONS = 4
-"""Minimum number of connections that each node may open to a target, however many nodes
-share the connections of the target."""
 
 
 class Balancer:
@@ -90,16 +70,12 @@
         self._directory = directory
         self._clock = clock
         self._on_missing_model = on_missing_model
-        self._on_change = on_change
         self._on_draining = on_draining
         self._refusal_builder = RefusalBuilder(seed)
         self._lock = threading.Lock()
         self._book = LoadBook()
-        self._scorer = Scorer(self._book, failure_domain, has_connection, seed)
         self.prompts = PromptAdmission(self._book, shares_prompt_queues)
         """Permits for prompts, given by the owners of targets."""
-        self._services: Mapping[str, ServiceSpec] = {}
-        self._max_gaps: Mapping[str, timedelta] = {}
         self._number_sequence = itertools.count(1)
         self.loads = SharedLoads(self._book, self._lock, clock)
         """Outstanding load at targets, of this node and its peers."""
@@ -113,8 +89,20 @@
         self._held_requests = HeldRequests(directory, clock, self._book, self._lock)
         self._invalid_work_times = InvalidValueLog("work_time_unreadable")
         self._closed_at: timedelta | None = None
-        self.node_count = 1
-        """Number of nodes among which the targets' connections are divided."""
+        self.selector = TargetSelector(
+            directory,
+            clock,
+            self._book,
+            self._lock,
+            Scorer(self._book, failure_domain, has_connection, seed),
+            limits,
+            self.prompts,
+            self._held_requests,
+            self._refusal_builder,
+            self._number_sequence,
+            on_change,
+        )
+        """Selects the targets of requests."""
 
     @property
     def held_count(self) -> int:
@@ -131,8 +119,8 @@
         ``max_gaps`` gives, by service, the longest acceptable pause between two
         events of a stream.
         """
-        self._services = services
-        self._max_gaps = max_gaps or {}
+        self.selector.services = services
+        self.selector.max_gaps = max_gaps or {}
 
     def close(self) -> None:
         """Refuse held requests, and hold no further ones.
@@ -158,7 +146,7 @@
             return Refusal(Reason.STOPPING, Executed.NO, retry_after=timedelta())
         search = TargetSearch(request, tried, request_tier(request))
         try:
-            result = self._find_target(search)
+            result = self.selector.select(search)
             if not isinstance(result, HoldDecision):
                 return result
             if result.recheck_interval is None:
@@ -199,7 +187,7 @@
                 min(result.until - now, recheck_interval, CALLER_CHECK_INTERVAL),
                 lambda: search.has_new_prompt_answer,
             )
-            next_result = self._find_target(search)
+            next_result = self.selector.select(search)
             if not isinstance(next_result, HoldDecision):
                 return next_result
             result = next_result
@@ -228,7 +216,7 @@
         """Update the target's pace by the mean gap of events in a complete stream."""
         if grant.is_to_peer:
             return
-        service = self._services.get(grant.request.service)
+        service = self.selector.services.get(grant.request.service)
         if service is None or service.engine is None:
             return
         gap_ms = mean_gap / timedelta(milliseconds=1)
@@ -286,24 +274,6 @@
         if self._directory.record_draining(grant.target.incarnation):
             self._on_draining(grant.target.incarnation)
 
-    def refusal_for_retry(
-        self, request: GatewayRequest, tried: TriedTargets
-    ) -> Refusal | None:
-        """Return a refusal if every target with the model rejects a retry now.
-
-        Returns ``None`` if one may accept it, or if no target holds the model.
-        """
-        holders = find_holders(self._directory, request, request.adapter)
-        if not holders:
-            return None
-        with self._lock:
-            result = self._choose_candidates(
-                holders, TargetSearch(request, tried, request_tier(request))
-            )
-        if isinstance(result, NoCandidates):
-            return self._refusal_builder.refuse_unwilling(result)
-        return None
-
     def release_unused(self, grant: Grant) -> None:
         """Release ``grant``, whose request is not to be sent any more."""
         self._release_and_exclude(grant, timedelta())
@@ -337,7 +307,7 @@
         return self.paths.are_lost(
             [
                 target
-                for name, service in self._services.items()
+                for name, service in self.selector.services.items()
                 if service.engine is not None
                 for target in self._directory.ready_targets(name)
             ]
@@ -350,7 +320,7 @@
         """
         return {
             name: self.paths.find_serving(self._directory.ready_targets(name))
-            for name, service in self._services.items()
+            for name, service in self.selector.services.items()
             if service.engine is not None
         }
 
@@ -377,176 +347,6 @@
             return False
         return self._clock.elapsed() - closed_at >= SHUTDOWN_STREAM_WINDOW
 
-    def _find_target(self, search: TargetSearch) -> Grant | Refusal | HoldDecision:
-        while True:
-            result = self._try_targets(search)
-            if isinstance(result, PromptPermitNeeded):
-                now = self._clock.elapsed()
-                if not self.prompts.request(search, result, now):
-                    search.needs_prompt_permit = False
-                continue
-            if not isinstance(result, PermitNeeded):
-                return result
-            search.permits_requested_at[result.target] = self._clock.elapsed()
-            # Answered synchronously if this node allocates the target's permits itself.
-            self.limits.request_permit(result.target, result.tier)
-
-    def _try_targets(
-        self, search: TargetSearch
-    ) -> Grant | Refusal | HoldDecision | PermitNeeded | PromptPermitNeeded:
-        request = search.request
-        service = self._services.get(request.service)
-        if service is None or not find_ready_targets(self._directory, request):
-            delay = missing_target_retry_delay(request)
-            return self._refusal_builder.refuse(Reason.NO_TARGET, delay)
-        holders = find_holders(self._directory, request, request.adapter)
-        if not holders:
-            decision = self._held_requests.decide(request, search.place)
-            if isinstance(decision, HoldDecision):
-                return decision
-            return self._refusal_builder.refuse(Reason.NO_REPLICA, decision.retry_after)
-        self.limits.extend_brittleness(target.incarnation for target in holders)
-        with self._lock:
-            while True:
-                result = self._choose_candidates(holders, search)
-                if isinstance(result, NoCandidates):
-                    return self._refuse_unwilling(search, result)
-                chosen = self._choose_target(search, service, result)
-                if not isinstance(chosen, NoPermit):
-                    return chosen
-                search.no_permit_until[chosen.target] = chosen.until
-
-    def _choose_candidates(
-        self, holders: list[Target], search: TargetSearch
-    ) -> list[Target] | NoCandidates:
-        now = self._clock.elapsed()
-
-        def available_at(target: str) -> timedelta:
-            limit_available_at = self.limits.available_at(target, search.tier, now)
-            return max(
-                limit_available_at,
-                search.no_permit_until.get(target, limit_available_at),
-            )
-
-        result = choose_candidates(
-            holders, search.tried, self._book.load, now, available_at
-        )
-        awaited = find_awaited(self.limits, search, holders)
-        if not awaited or not isinstance(result, NoCandidates):
-            return result
-        return choose_candidates(
-            awaited, search.tried, self._book.load, now, lambda target: now
-        )
-
-    def _choose_target(
-        self, search: TargetSearch, service: ServiceSpec, targets: list[Target]
-    ) -> Grant | Refusal | HoldDecision | PermitNeeded | PromptPermitNeeded | NoPermit:
-        now = self._clock.elapsed()
-        request = search.request
-
-        def find_best(tier: int, allowed_ms: float) -> ScoredTarget:
-            return self._scorer.find_best(
-                request, service, targets, tier, now, search.place, allowed_ms
-            )
-
-        max_gap = self._max_gaps.get(request.service)
-        if search.needs_prompt_permit and self.prompts.applies(
-            request, service.engine, max_gap
-        ):
-            assert service.engine is not None
-            assert max_gap is not None
-            step = self.prompts.next_step(
-                search, service.engine, max_gap, find_best, now
-            )
-            if isinstance(step, PromptPermit):
-                return self._use_prompt_permit(search, service, targets, step, now)
-            if step is not None:
-                return step
-            search.needs_prompt_permit = False
-        match decide_admission(request, max_gap, find_best, now):
-            case Admitted(best, tier):
-                blocked = use_permit(
-                    self.limits, search, best.target.incarnation, tier, now
-                )
-                if blocked is not None:
-                    return blocked
-                return self._grant(request, service, best, tier, now)
-            case Postponed(best, pause, until):
-                return HoldDecision(until, Reason.TOO_BUSY, recheck_interval=pause)
-            case Rejected(reason, best, after):
-                return self._refusal_builder.refuse(reason, after, best)
-
-    def _refuse_unwilling(self, search: TargetSearch, found: NoCandidates) -> Refusal:
-        if search.is_prompt_denied:
-            return self._refusal_builder.refuse(Reason.TOO_BUSY, found.retry_after)
-        return self._refusal_builder.refuse_unwilling(found)
-
-    def _use_prompt_permit(
-        self,
-        search: TargetSearch,
-        service: ServiceSpec,
-        targets: list[Target],
-        permit: PromptPermit,
-        now: timedelta,
-    ) -> Grant | HoldDecision | PermitNeeded | NoPermit:
-        """Send the request to the target that permits its prompt."""
-        target = next((t for t in targets if t.incarnation == permit.target), None)
-        if target is None:
-            # It ended or refused others while the request waited.
-            self.prompts.stop(search)
-            return NoPermit(permit.target, now + BUSY_AVOIDANCE_DURATION)
-        assert permit.answer is not None
-        tier = permit.answer.tier
-        blocked = use_permit(self.limits, search, permit.target, tier, now)
-        if blocked is not None:
-            return blocked
-        best = self._scorer.score(
-            search.request, service, target, tier, now, search.place
-        )
-        search.prompt_permit = None
-        return self._grant(search.request, service, best, tier, now, permit)
-
-    def _grant(
-        self,
-        request: GatewayRequest,
-        service: ServiceSpec,
-        best: ScoredTarget,
-        tier: int,
-        now: timedelta,
-        prompt_permit: PromptPermit | None = None,
-    ) -> Grant:
-        number = next(self._number_sequence)
-        tokens = 0
-        if request.work is not None:
-            tokens = request.work.prompt_tokens + request.work.expected_output_tokens
-        load = self._book.load(best.target.incarnation)
-        load.record_sent(best.work_ms, now)
-        load.own_requests[number] = OutstandingRequest(
-            best.work_ms,
-            tokens,
-            now,
-            best.predicted_ms,
-            tier,
-            best.uncached_tokens,
-            best.queue_ms,
-            best.work_time_factor,
-        )
-        self._on_change()
-        max_connections = service.max_connections // max(1, self.node_count)
-        return Grant(
-            number,
-            best.target,
-            request,
-            best.predicted_ms,
-            now,
-            tier,
-            best.busy,
-            best.pause_ms,
-            max(MIN_CONNECTIONS, max_connections),
-            prompt_permit=prompt_permit,
-            work_time_factor=best.work_time_factor,
-        )
-
     def _release_prompt_permit(self, grant: Grant, has_begun: bool = False) -> None:
         permits = self.prompts.permits
         if grant.prompt_permit is not None and permits is not None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -472,7 +472,7 @@
         self._peers.update_links()
         self._peers.check_members()
         self._peers.publish_held_versions()
-        self._balancer.node_count = len(self._membership.alive())
+        self._balancer.selector.node_count = len(self._membership.alive())
 
     def _update_lease(self) -> None:
         """Keep the lease, and start a round of the orderer if it was acquired."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -306,7 +306,7 @@
         self._unrun_count += 1
         is_missing = reason is AttemptReason.MODEL_MISSING
         refusal_reason = Reason.NO_REPLICA if is_missing else Reason.TARGETS_BUSY
-        refusal = self._parts.balancer.refusal_for_retry(
+        refusal = self._parts.balancer.selector.refusal_for_retry(
             self._request, self._tried_targets
         )
         if refusal is not None:
@@ -333,7 +333,7 @@
         return self._try_spend_retry(reason)
 
     def _try_spend_retry(self, reason: AttemptReason) -> bool:
-        is_allowed = self._budget.try_spend(self._parts.balancer.node_count)
+        is_allowed = self._budget.try_spend(self._parts.balancer.selector.node_count)
         self.record.record_retry(reason, is_allowed)
         return is_allowed
 
