--- a/packages/runhatch-server/tests/test_load_exchange.py
+++ b/packages/runhatch-server/tests/test_load_exchange.py
@@ -188,7 +188,7 @@
 def test_statement_of_a_work_time_ages_while_nodes_exchange_it(clock, number):
     """Ages lack the time of each message.
 
-    Nodes that passed on what others had told them made one statement during a
+    Nodes that passed on statements received from others made one during a
     disturbance appear new for as long as they had requests there, and counted it again
     and again, until it was the lasting factor everywhere.
     """
--- a/packages/runhatch-server/tests/test_prompt_queue.py
+++ b/packages/runhatch-server/tests/test_prompt_queue.py
@@ -193,7 +193,7 @@
         case.ask(make_prompt(2, 200, tier=0), make_prompt(3, 50, tier=1))
         assert case.numbers(GRANTED) == [1]
 
-    def test_waiting_request_is_told_so_once(self):
+    def test_queued_request_is_answered_once(self):
         """A message at each decision would grow with the length of the queue."""
         case = QueueCase()
         case.ask(make_prompt(1, 300), make_prompt(2))
@@ -213,7 +213,7 @@
 
 
 class TestLatePrompts:
-    """What cannot begin in time gives way at once, not at its deadline."""
+    """What cannot begin in time is denied at once, not at its deadline."""
 
     @pytest.mark.parametrize(
         ("begin", "late", "state", "tier"),
@@ -234,7 +234,7 @@
         assert (answer.state, answer.tier) == (state, tier)
         assert (answer.retry_after > timedelta()) == (state is DENIED)
 
-    def test_denied_prompt_is_told_when_the_backlog_has_room(self):
+    def test_denial_says_when_the_backlog_has_room(self):
         """A retry before the prompts ahead are read would be denied again."""
         case = QueueCase()
         case.ask(make_prompt(1, 300), make_prompt(2, 300, tier=0))
--- a/packages/runhatch-server/tests/test_route_preview.py
+++ b/packages/runhatch-server/tests/test_route_preview.py
@@ -158,7 +158,7 @@
         assert sum("ms more than" in reason for reason in reasons) == 2
 
     def test_reasons_of_targets_without_work(self, clock):
-        """A draining, backing off, ejected or full target is told apart."""
+        """A draining, backing off, ejected or full target is distinguished."""
         dispatcher = make_dispatcher(clock, 5)
         held = [acquire(dispatcher, clock) for _ in range(5 * SLOTS)]
         by_target = {}
