Show all values by target with one gauge class

Cause: the gauges of work times and of prompt bounds had the same code twice, and only one of them bounded its labels.

Change: TargetGauge for both, with the bound of 200 targets. The release of prompts no longer speaks of earlier versions of a message that none had.

Ruled out: one gauge a value in Metrics, which knows no targets.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -40,7 +40,6 @@
 from runhatch_server.gateway._peer_requests import PeerRequests
 from runhatch_server.gateway._peers import GatewayPeers
 from runhatch_server.gateway._platform import GatewayPlatform
-from runhatch_server.gateway._prompt_paces import PromptBoundGauge
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._records import RequestRecorder
 from runhatch_server.gateway._run_parts import RunParts
@@ -56,7 +55,7 @@
     GatewayTables,
     target_coalescing_window,
 )
-from runhatch_server.gateway._work_time_gauge import WorkTimeGauge
+from runhatch_server.gateway._target_gauge import TargetGauge
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
@@ -119,8 +118,8 @@
         self._directory = TargetDirectory(self._clock)
         self._configuration = ActiveConfiguration(self._on_routes, self._metrics)
         self._pool = ConnectionPool(self._clock)
-        self._work_time_gauge = WorkTimeGauge(self._metrics)
-        self._prompt_bound_gauge = PromptBoundGauge(self._metrics)
+        self._work_time_gauge = TargetGauge(self._metrics.target_work_time)
+        self._prompt_bound_gauge = TargetGauge(self._metrics.target_prompt_bound)
         self._limits = RateLimits(self._clock, self._metrics, START_WINDOW)
         self._balancer = Balancer(
             self._directory,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_prompt_paces.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_prompt_paces.py
@@ -1,11 +1,9 @@
-"""Paces of the targets of all services, and the metric that shows them."""
+"""Paces of the targets of all services."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from datetime import timedelta
 
 from runhatch_server.decisions import TargetPaces
-from runhatch_server.fleet import Target
-from runhatch_server.observability import Metrics
 
 ServingTargets = Mapping[str, Mapping[str, int]]
 """Slots of the targets that are ready and neither down nor silent, by service and
@@ -62,24 +60,3 @@
 
     def _find(self, target: str) -> TargetPaces | None:
         return self._by_service.get(self._service_of.get(target, ""))
-
-
-class PromptBoundGauge:
-    """Sets the gauge of the bounds on prompts; for one thread."""
-
-    def __init__(self, metrics: Metrics) -> None:
-        self._gauge = metrics.target_prompt_bound
-        self._shown: set[str] = set()
-
-    def update(self, targets: Iterable[Target], bounds: Mapping[str, int]) -> None:
-        """Show the ``bounds``, by incarnation, of ``targets`` and no others."""
-        by_name = {
-            target.name: bounds[target.incarnation]
-            for target in targets
-            if target.incarnation in bounds
-        }
-        for name, most in by_name.items():
-            self._gauge.labels(name).set(most)
-        for name in self._shown.difference(by_name):
-            self._gauge.remove(name)
-        self._shown = set(by_name)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_work_time_gauge.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_target_gauge.py
@@ -1,30 +1,31 @@
-"""Shows the work times of targets as a metric."""
+"""Shows a value of each target as a metric."""
 
 from collections.abc import Iterable, Mapping
 
+from prometheus_client import Gauge
+
 from runhatch_server.fleet import Target
-from runhatch_server.observability import Metrics
 
 MAX_LABELS = 200
 """Maximum number of targets with a value of their own on one node."""
 
 
-class WorkTimeGauge:
-    """Sets the gauge of work times; for one thread."""
+class TargetGauge:
+    """Sets a gauge that is labelled by the names of targets; for one thread."""
 
-    def __init__(self, metrics: Metrics) -> None:
-        self._gauge = metrics.target_work_time
+    def __init__(self, gauge: Gauge) -> None:
+        self._gauge = gauge
         self._shown: set[str] = set()
 
-    def update(self, targets: Iterable[Target], factors: Mapping[str, float]) -> None:
-        """Show the lasting ``factors``, by incarnation, of ``targets`` and no others.
+    def update(self, targets: Iterable[Target], values: Mapping[str, float]) -> None:
+        """Show the ``values``, by incarnation, of ``targets`` and no others.
 
         Of more than ``MAX_LABELS`` targets, all nodes show the same ones.
         """
         by_name = {
-            target.name: factors[target.incarnation]
+            target.name: values[target.incarnation]
             for target in targets
-            if target.incarnation in factors
+            if target.incarnation in values
         }
         names = sorted(by_name)[:MAX_LABELS]
         for name in names:
--- a/packages/runhatch-server/src/runhatch_server/peers/_prompt_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_prompt_messages.py
@@ -45,8 +45,7 @@
 ):
     """Prompts of the sender for ``target`` that no longer wait to be read.
 
-    The answers of ``begun`` have begun; those of ``given_up`` never will. Earlier
-    versions send and read ``begun`` alone, for both.
+    The answers of ``begun`` have begun; those of ``given_up`` never will.
     """
 
     target: str
--- a/packages/runhatch-server/tests/test_prompt_permits.py
+++ b/packages/runhatch-server/tests/test_prompt_permits.py
@@ -33,7 +33,6 @@
     SERVICE_START_DURATION,
 )
 from runhatch_server.gateway._grant import Grant
-from runhatch_server.gateway._prompt_paces import PromptBoundGauge
 from runhatch_server.gateway._prompt_permits import (
     ANSWER_TIMEOUT,
     QUEUE_RETENTION,
@@ -44,6 +43,7 @@
 from runhatch_server.gateway._refusal_builder import MAX_RETRY_JITTER
 from runhatch_server.gateway._rooms import choose_allocator
 from runhatch_server.gateway._search import TargetSearch
+from runhatch_server.gateway._target_gauge import TargetGauge
 from runhatch_server.gateway._target_paths import MAX_CONNECT_FAILURES
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import (
@@ -668,7 +668,7 @@
 
     def test_bounds_are_shown_by_target_until_they_end(self):
         metrics = Metrics()
-        gauge = PromptBoundGauge(metrics)
+        gauge = TargetGauge(metrics.target_prompt_bound)
         targets = [make_target("t1"), make_target("t2"), make_target("t3")]
         gauge.update(targets, {"t1": 2, "t2": 5, "ended": 3})
         assert self.read(metrics) == {"t1": 2, "t2": 5}
--- a/packages/runhatch-server/tests/test_work_time.py
+++ b/packages/runhatch-server/tests/test_work_time.py
@@ -43,8 +43,8 @@
     message_of_load,
 )
 from runhatch_server.gateway._records import RequestRecord, RequestRecorder
+from runhatch_server.gateway._target_gauge import MAX_LABELS, TargetGauge
 from runhatch_server.gateway._target_signals import apply_target_signals
-from runhatch_server.gateway._work_time_gauge import MAX_LABELS, WorkTimeGauge
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import LoadOfTarget
 from runhatch_server.refusals import Refusal
@@ -533,7 +533,7 @@
     def test_factors_follow_the_targets(self):
         """An ended target, or one that states nothing any more, shows no factor."""
         metrics = Metrics()
-        gauge = WorkTimeGauge(metrics)
+        gauge = TargetGauge(metrics.target_work_time)
         targets = [make_target(f"t{i}") for i in range(4)]
         assert read_gauge(metrics) == {}
 
@@ -549,7 +549,7 @@
     def test_restarted_target_keeps_its_label(self):
         """Labels of incarnations would accumulate where the metrics are stored."""
         metrics = Metrics()
-        gauge = WorkTimeGauge(metrics)
+        gauge = TargetGauge(metrics.target_work_time)
         for started_at in (100, 200):
             target = make_target("t1", started_at_seconds=started_at)
             assert target.incarnation != target.name
@@ -560,7 +560,7 @@
     def test_number_of_targets_is_bounded(self):
         """Each label costs memory on the node and at whatever reads its metrics."""
         metrics = Metrics()
-        gauge = WorkTimeGauge(metrics)
+        gauge = TargetGauge(metrics.target_work_time)
         for start in (0, 150):
             targets = [make_target(f"t{i:04}") for i in range(start, start + 500)]
             gauge.update(targets, {target.incarnation: 1.7 for target in targets})
