Tell an outage of the store from one that only some nodes see

Callers' requests went on to a target later than 2.0 s after its entry had been removed, at a node that nothing disturbed, while the store turned away the two nodes that read it for this node's failure domain.

Cause: a node whose readers report that they do not reach the store recorded an outage of the store, read the store itself, recorded its return, and kept each target that was missing for 1.8 s, plus up to 0.5 s until the next check. The grace is meant for entries of running targets that expire while the store is down.

Evidence: in the nodes' logs the last late request precedes target_gone, "not listed again", 1.8 to 2.3 s after targets_reachable; the removal had been read 0.2 s after the readers' report. A late read or a request under way would have shown "removed from the store".

Now missing targets are kept only after an outage that no node escaped: contact was lost, and no node is known to have had an answer for 1.5 s. Answers to this node, to its readers and to the holder of the orders' lease count, and so do versions that others read. The same cause the other way round is mended too: a node that took the store for unreachable removed a running target at once if another failure domain told it of the expired entry after a real outage.

TestOutages in test_directory.py reports the end of the outage by the new call, as the shared table does.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_feed.py
@@ -122,6 +122,13 @@
     def handle_recovery(self) -> None:
         """Handle that the table can be read again."""
 
+    def handle_store_return(self) -> None:
+        """Handle that the store answers again after an outage that no node escaped.
+
+        Rows that expired because their writers could not renew them are written again
+        within seconds.  Called before any change that was read afterwards.
+        """
+
 
 class TableWatcher(Generic[ValueT]):
     """Keeps one listener up to date; :meth:`run` is the body of one task.
--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -43,6 +43,7 @@
     SINGLE_READ_SOURCES,
     Source,
 )
+from runhatch_coordination._store_activity import StoreActivity
 from runhatch_coordination._store_contact import Reachability
 from runhatch_coordination._store_reader import StoreReader
 from runhatch_coordination._table_peers import TablePeers
@@ -112,6 +113,7 @@
         self._reader_reports = ReaderReports(
             clock, bounds.silence_timeout * (1 + jitter)
         )
+        self._activity = StoreActivity(clock)
         self._started_at = clock.elapsed()
         self._missing = MissingVersions(clock, bounds.coalescing_pause)
         self._gap_since: timedelta | None = None
@@ -232,6 +234,9 @@
         self._reader_reports.record(reader, reachable)
         if was_active and not reachable and self._is_backup_reader:
             self._reader.interrupt_wait()
+        is_new = changes is not None and changes.version > self._known_version
+        if is_new or (reachable and not was_active):
+            self._record_activity()
         if reachable:
             if not was_active:
                 self._reader.record_answer_to_other_node()
@@ -248,6 +253,8 @@
         publishes it to its domain.
         """
         previous = self._replica.version
+        if changes.version > self._known_version:
+            self._record_activity()
         is_applied = self._offer(changes) is OfferOutcome.APPLIED
         if is_applied and self._peers.role() is Role.READER:
             update = self._changes_since(previous, changes)
@@ -261,6 +268,8 @@
         """
         known = self._known_version
         is_new = self._missing.record(version, announcer, known)
+        if is_new and version > known:
+            self._record_activity()
         is_cut_off = self._reader_reports.state is ReaderState.CUT_OFF
         if is_new and version > known and is_cut_off:
             self._must_read_once = True
@@ -294,6 +303,7 @@
         If it had not done so for a while, this node calls the store again at once: it
         may have lost the call in progress.
         """
+        self._record_activity()
         self._reader.record_answer_to_other_node()
 
     def interrupt_doubtful_wait(self) -> bool:
@@ -361,6 +371,7 @@
 
     def handle_answer(self) -> None:
         """Handle that the store answered this node."""
+        self._record_activity()
         self._notify_reachability("")
 
     def handle_failure(self, reason: str) -> None:
@@ -504,6 +515,11 @@
             return REQUEST_TIMEOUT
         return max(self._reader_reports.time_until_silent, SINGLE_READ_WAIT)
 
+    def _record_activity(self) -> None:
+        """Record that the store answered some node; notify of the end of an outage."""
+        if self._activity.record_answer(self._has_contact):
+            self._listener.handle_store_return()
+
     def _notify_reachability(self, reason: str) -> None:
         """Notify the listener if the reachability of the store has changed."""
         with self._reachability_lock:
@@ -514,6 +530,7 @@
             if reachable:
                 self._listener.handle_recovery()
             else:
+                self._activity.record_loss()
                 self._listener.handle_outage(reason)
 
 
--- a/packages/runhatch-coordination/src/runhatch_coordination/_store_reader.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_store_reader.py
@@ -213,3 +213,6 @@
     def handle_recovery(self) -> None:
         """Record that this node reaches the store again."""
         self._reader.record_answer()
+
+    def handle_store_return(self) -> None:
+        """Do nothing: only the table knows of answers to other nodes."""
--- a/packages/runhatch-coordination/tests/shared_cases.py
+++ b/packages/runhatch-coordination/tests/shared_cases.py
@@ -118,6 +118,7 @@
         self.rows = {}
         self.reachability = []
         self.restorations = 0
+        self.store_returns = 0
 
     def replace_entries(self, entries):
         self.rows = {e.key: e.value for e in entries if e.value is not None}
@@ -137,6 +138,9 @@
     def handle_recovery(self):
         self.reachability.append(True)
 
+    def handle_store_return(self):
+        self.store_returns += 1
+
 
 class FakePeers:
     """Records the calls that a table makes to the other nodes."""
@@ -177,7 +181,22 @@
 def make_table(
     role=Role.FOLLOWER, answers=True, jitter=0.0, coalesce=BOUNDS.coalescing_pause
 ):
-    store, listener, clock = Store(), TableListener(), ManualClock()
+    listener, clock = TableListener(), ManualClock()
+    table, store, feed, peers = make_shared_table(
+        listener, clock, role, answers, jitter, coalesce
+    )
+    return table, store, feed, listener, peers, clock
+
+
+def make_shared_table(
+    listener,
+    clock,
+    role=Role.FOLLOWER,
+    answers=True,
+    jitter=0.0,
+    coalesce=BOUNDS.coalescing_pause,
+):
+    store = Store()
     peers, feed = FakePeers(role, answers), StoreFeed(store)
     table = SharedTable(
         NAME,
@@ -190,7 +209,7 @@
         SharedTableBounds(coalesce, SILENT),
         jitter,
     )
-    return table, store, feed, listener, peers, clock
+    return table, store, feed, peers
 
 
 def row(key, value):
--- a/packages/runhatch-coordination/tests/test_feed.py
+++ b/packages/runhatch-coordination/tests/test_feed.py
@@ -70,6 +70,9 @@
     def handle_recovery(self):
         self.calls.append(("reachable",))
 
+    def handle_store_return(self):
+        self.calls.append(("returned",))
+
 
 def watch(reads, polls=(), steps=None, coalesce=COALESCING_PAUSE):
     feed = ScriptedFeed(reads, polls)
--- a/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
+++ b/packages/runhatch-server/src/runhatch_server/fleet/_directory.py
@@ -84,7 +84,7 @@
         self._by_service: dict[str, tuple[Target, ...]] = {}
         self.is_reachable = True
         """Whether the store sends updates at present."""
-        self._reachable_since = clock.elapsed()
+        self._store_returned_at = clock.elapsed()
         self._restored_at = timedelta(days=-1)
         self.is_listed = False
         """Whether the targets have been listed at least once."""
@@ -118,7 +118,7 @@
         """
         now = self._clock.elapsed()
         with self.update_condition:
-            self._reachable_since = self._restored_at = now
+            self._store_returned_at = self._restored_at = now
             for target in self._targets.values():
                 if target.state is TargetState.DRAINING:
                     self._draining.setdefault(target.incarnation, now)
@@ -134,7 +134,16 @@
         log_change("targets_reachable")
         with self.update_condition:
             self.is_reachable = True
-            self._reachable_since = self._clock.elapsed()
+
+    def handle_store_return(self) -> None:
+        """Record the end of an outage in which entries of running targets expired.
+
+        Entries that disappear while the store only turns this node or its readers away
+        are those of targets that have left.
+        """
+        log_change("targets_may_be_missing")
+        with self.update_condition:
+            self._store_returned_at = self._clock.elapsed()
 
     def remove_expired(self) -> None:
         """Remove targets missing too long, and apply ignored entries that remain."""
@@ -344,14 +353,13 @@
             )
 
     def _remove_after_grace(self, key: str) -> None:
-        """Remove a target, after a grace period if the store was just unreachable."""
-        now = self._clock.elapsed()
-        grace_end = self._reachable_since + RELIST_GRACE
+        """Remove a target, after a grace period if the store has just returned."""
+        grace_end = self._store_returned_at + RELIST_GRACE
         if key not in self._targets:
             self._ignored_entries.pop(key, None)
             return
-        if not self.is_reachable or now < grace_end:
-            self._missing_until.setdefault(key, max(now, grace_end))
+        if self._clock.elapsed() < grace_end:
+            self._missing_until.setdefault(key, grace_end)
             return
         self._remove(key, "removed from the store")
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_configuration.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_configuration.py
@@ -64,3 +64,6 @@
     def handle_recovery(self) -> None:
         """Log that the store can be read again."""
         log_change("configuration_reachable")
+
+    def handle_store_return(self) -> None:
+        """Do nothing: the configuration doesn't expire."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_watched_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_watched_tables.py
@@ -78,3 +78,7 @@
     def handle_recovery(self) -> None:
         """Record that the table can be read again."""
         self._listener.handle_recovery()
+
+    def handle_store_return(self) -> None:
+        """Record that entries may have expired in an outage of the store."""
+        self._listener.handle_store_return()
--- a/packages/runhatch-server/tests/test_directory.py
+++ b/packages/runhatch-server/tests/test_directory.py
@@ -190,6 +190,7 @@
         clock.advance(seconds(10))
         directory.handle_outage("down")
         clock.advance(seconds(5))
+        directory.handle_store_return()
         directory.handle_recovery()
         directory.replace_entries(())
         return directory
@@ -210,6 +211,24 @@
 
         assert directory.ready_targets("engine") == ()
 
+    @pytest.mark.parametrize("is_reachable", [False, True])
+    def test_removed_target_is_gone_though_readers_were_turned_away(
+        self, clock, is_reachable
+    ):
+        """The store served others meanwhile, so no entry of a running target expired.
+
+        It got requests for 2.3 s more.
+        """
+        directory = make_directory(clock, make_target())
+        clock.advance(seconds(10))
+        directory.handle_outage("no reader reaches the store")
+        if is_reachable:
+            directory.handle_recovery()
+
+        directory.apply_entries((Entry("t1", None),))
+
+        assert directory.ready_targets("engine") == ()
+
     def test_relisted_target_stays(self, clock):
         directory = self.directory_after_outage(clock)
         directory.apply_entries((make_entry(make_target()),))
--- a/standins/tests/test_gateway_tables.py
+++ b/standins/tests/test_gateway_tables.py
@@ -1,5 +1,6 @@
 """Test gateways of one failure domain, two of which read the store for the others."""
 
+import base64
 import signal
 import time
 from contextlib import ExitStack
@@ -23,6 +24,9 @@
 DISCOVERY_SECONDS = 4.0
 """Time that nodes need to discover each other after a start."""
 QUIET_SECONDS = 3.0
+OUTAGE_SECONDS = 3.0
+RELIST_SECONDS = 1.2
+"""Time after an outage in which running targets write their entries again."""
 
 
 @pytest.fixture(scope="module")
@@ -161,6 +165,42 @@
         assert wait_until(lambda: system.is_ready(gate), KNOWN_SECONDS)
 
 
+class TestMissingEntries:
+    """Entries of running targets that expire in an outage of the store."""
+
+    def entries(self, system):
+        """Return the keys and texts of the targets' entries."""
+        answer = call(system.platform.url, "GET", "/api/rows-get?table=servers")
+        return [
+            (row["key"], base64.b64decode(row["value"]).decode())
+            for row in answer["rows"]
+        ]
+
+    def ask_for(self, system, gates, seconds):
+        """Send requests to ``gates`` for ``seconds``; return the statuses."""
+        statuses, ends = set(), time.monotonic() + seconds
+        while time.monotonic() < ends:
+            for gate in gates:
+                number = system.gateways.index(gate)
+                statuses.add(system.answer("/plain/x", gate=number)[0].status)
+        return statuses
+
+    def test_targets_whose_entries_expired_in_an_outage_serve_on(self, system):
+        """They are not gone: they write their entries again within two seconds."""
+        entries = self.entries(system)
+        for gate in system.gateways:
+            gate.to_store.inject(LinkFault.RESET)
+        assert self.ask_for(system, system.gateways, OUTAGE_SECONDS) == {200}
+        for key, _ in entries:
+            system.remove_row("servers", key)
+        for gate in system.gateways:
+            gate.to_store.inject(LinkFault.NONE)
+
+        assert self.ask_for(system, system.gateways, RELIST_SECONDS) == {200}
+        system.write_again([*system.plain, *system.engines])
+        assert self.ask_for(system, system.gateways, 2.0) == {200}
+
+
 def test_gateway_without_broadcast_port_reads_the_store(tmp_path, monkeypatch):
     """Settings of earlier versions have no ``port_range`` for broadcasts."""
     lines = [line for line in SETTINGS.splitlines() if "port_range" not in line]
