Record the software versions of resumable services in the store

Callers whose streams broke off when all gateways were killed at once got answers joined from two software versions: the first part from the older one, whose targets had ended, the rest from the newer one, with nothing in the answer to show it.

Cause: a node that knows no record of a stream asks its keepers, and if all deny it takes the only version that it has seen for the one that began the stream. After a kill of all gateways no keeper remembers anything, and a version whose targets ended meanwhile was never seen.

Evidence, on the code before (four gateways, 24 callers, v1 ends with the kill): 24 resumed, 24 completed, 12 joined, the first of them a second after the restart; keepers state no version, and stream_version_unknown lists all asked and none unanswered. So it was neither a wrong record nor the rule of ten seconds.

Now the store has a row a service with its versions, written before the first event of a version's first stream is relayed, and kept for two minutes after the version's last target. Nodes watch it as a table. A version is concluded only if neither the row of the current era nor the node's own observation names another.

Related paths, same cause: a keeper that has just started no longer denies a stream; a node that is cut off alone concludes nothing; keepers tell a node whether they have seen several versions; a row of an older copy of the store does not count as complete; the rule of ten seconds does not hold for versions that served before the node's start.

Fakes of the exchange's tests have the new fields.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -102,6 +102,10 @@
     granted_share,
     initial_level,
 )
+from runhatch_server.decisions._version_records import (
+    VersionRecord,
+    plan_version_record,
+)
 from runhatch_server.decisions._work_time import (
     WorkTime,
     WorkTimeStatement,
@@ -189,4 +193,6 @@
     "WorkRates",
     "WorkTime",
     "WorkTimeStatement",
+    "VersionRecord",
+    "plan_version_record",
 ]
--- a/packages/runhatch-server/src/runhatch_server/gateway/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/__init__.py
@@ -15,6 +15,8 @@
     OrderBounds,
     RetryBounds,
 )
+from runhatch_server.gateway._version_history import decode_version_record
+from runhatch_server.gateway._version_recorder import VERSIONS_TABLE
 from runhatch_server.gateway._watched_tables import WatchedTable, decode_rows
 
 __all__ = [
@@ -32,6 +34,8 @@
     "OrderBounds",
     "PromptPart",
     "RetryBounds",
+    "VERSIONS_TABLE",
     "WatchedTable",
     "decode_rows",
+    "decode_version_record",
 ]
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -56,6 +56,9 @@
     target_coalescing_window,
 )
 from runhatch_server.gateway._target_gauge import TargetGauge
+from runhatch_server.gateway._version_history import VersionHistory
+from runhatch_server.gateway._version_recorder import CHECK_INTERVAL as VERSION_INTERVAL
+from runhatch_server.gateway._version_recorder import VersionRecorder
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
@@ -147,10 +150,24 @@
             lambda: self._peers.suspects.update_wanted.set(),
             TrialOwner(self._membership, self._clock).owns,
         )
+        self._version_history = VersionHistory(
+            lambda: self._tables.era(platform.version_records.name)
+        )
         self._tables = self._build_tables()
         self._orderer = self._build_orderer()
         self._stream_versions = StreamVersions(
-            self._clock, self._directory.all, self._learns_of_targets
+            self._clock,
+            self._directory.all,
+            self._learns_of_targets,
+            self._version_history.is_complete,
+        )
+        self._version_history.record_past = self._stream_versions.record_past
+        self._version_recorder = VersionRecorder(
+            platform.table,
+            self._version_history,
+            self._stream_versions,
+            self._membership,
+            self._clock,
         )
         self._peers = GatewayPeers(
             self._membership,
@@ -170,6 +187,7 @@
             self._find_cap,
             platform.store_time,
         )
+        self._peers.stream_versions.can_deny = self._stream_versions.can_deny
         self._balancer.prompts.permits = self._peers.prompts
         if settings.shares_prompt_queues:
             self._peers.prompts.find_serving = self._balancer.find_serving
@@ -265,6 +283,12 @@
             self._peers.stream_versions.send_updates,
             self._peers.stream_versions.update_wanted,
         )
+        self._tasks.start_task(
+            "versions",
+            VERSION_INTERVAL,
+            self._version_recorder.update,
+            self._version_recorder.update_wanted,
+        )
         if self._settings.key_removal is not None:
             self._tasks.start_task(
                 "store_time",
@@ -351,7 +375,11 @@
             RequestRecorder(self._metrics, self._clock),
             self._crashes,
             self._clock,
-            SharedStreamVersions(self._stream_versions, self._peers.stream_versions),
+            SharedStreamVersions(
+                self._stream_versions,
+                self._peers.stream_versions,
+                self._version_recorder,
+            ),
             self._peer_requests,
         )
         usage = UsageGate(self._peers.usage, self._clock, self._metrics)
@@ -384,6 +412,7 @@
         platform = self._platform
         tables.add(platform.configurations, self._configuration, COALESCING_WINDOW)
         tables.add(platform.targets, self._directory, target_coalescing_window(drain))
+        tables.add(platform.version_records, self._version_history, COALESCING_WINDOW)
         return tables
 
     def _build_orderer(self) -> Orderer:
@@ -433,6 +462,7 @@
         self._orderer.declare(routes.services)
         self._servers[0].set_limits(server_limits(routes.configuration.limits))
         self._stream_versions.extend_stream_age(routes.max_stream_age)
+        self._version_recorder.services = routes.resumable_services
         self._app.routes = routes
         self._forward_app.routes = routes
         if self._forward_server is not None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_platform.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_platform.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from runhatch_coordination import Clock, StoreTime, Table
+from runhatch_server.decisions import VersionRecord
 from runhatch_server.fleet import Target
 from runhatch_server.gateway._messages import HeaderCodec
 from runhatch_server.gateway._watched_tables import WatchedTable
@@ -22,5 +23,6 @@
     table: Table
     configurations: WatchedTable[RoutingConfiguration]
     targets: WatchedTable[Target]
+    version_records: WatchedTable[VersionRecord]
     headers: HeaderCodec
     orders: OrderClient
--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
@@ -5,12 +5,16 @@
 from datetime import timedelta
 
 from runhatch_server._waiting import wait_for_event
+from runhatch_server.gateway._stream_inquiry import StreamFinding
 from runhatch_server.gateway._stream_version_exchange import StreamVersionExchange
 from runhatch_server.gateway._stream_versions import StreamVersions
+from runhatch_server.gateway._version_recorder import VersionRecorder
 from runhatch_server.observability import log_change
 
 RECORD_SEND_TIMEOUT = timedelta(milliseconds=100)
 """Longest delay of a stream whose record cannot be sent to a keeper."""
+VERSION_RECORD_TIMEOUT = timedelta(milliseconds=300)
+"""Longest delay of a stream of a version that the store doesn't know yet."""
 
 
 class SharedStreamVersions:
@@ -20,10 +24,12 @@
         self,
         own: StreamVersions,
         exchange: StreamVersionExchange,
+        recorder: VersionRecorder,
         wait: Callable[[threading.Event, timedelta], None] = wait_for_event,
     ) -> None:
         self._own = own
         self._exchange = exchange
+        self._recorder = recorder
         self._wait = wait
 
     def record_begun(
@@ -32,9 +38,13 @@
         """Record that a target began to send events of a stream.
 
         Waits until a keeper was sent the record, so that the stream can be resumed at
-        other nodes once its caller has an event.
+        other nodes once its caller has an event, and until the store knows the version,
+        so that another one isn't taken for the only one if all nodes end.
         """
         self._own.record_begun(attempt_id, service, software_version)
+        recorded = self._recorder.request(service, software_version)
+        if recorded is not None:
+            self._wait(recorded, VERSION_RECORD_TIMEOUT)
         sent = self._exchange.record_begun(attempt_id, service, software_version)
         if sent is None:
             return
@@ -63,4 +73,23 @@
             finding = self._exchange.find(attempt_id, service)
         if not finding.is_denied:
             return finding.software_version
-        return self._own.find_unrecorded_version(attempt_id, service)
+        if not self._may_conclude(service, finding):
+            return None
+        version = self._own.find_unrecorded_version(attempt_id, service)
+        if version is not None:
+            log_change(
+                "stream_version_concluded",
+                service=service,
+                attempt=attempt_id,
+                software_version=version,
+            )
+        return version
+
+    def _may_conclude(self, service: str, finding: StreamFinding) -> bool:
+        """Return whether the versions that this node has seen tell who began a stream.
+
+        A node that is cut off may have missed a version.
+        """
+        if not finding.is_asked and not self._own.is_informed:
+            return False
+        return not finding.has_several or self._own.has_several_versions(service)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_inquiry.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_inquiry.py
@@ -12,11 +12,15 @@
     """The version that began a stream, ``None`` if unknown.
 
     ``is_denied`` tells that no asked node has a record of the stream.  It is false if
-    one didn't answer, or if two versions claim the stream.
+    one didn't answer or can't tell, or if two versions claim the stream.
+    ``is_asked`` is whether there was a node to ask, ``has_several`` whether one of them
+    has seen several versions.
     """
 
     software_version: str | None = None
     is_denied: bool = False
+    is_asked: bool = True
+    has_several: bool = False
 
 
 class StreamInquiry:
@@ -28,12 +32,17 @@
         """Names of the asked nodes that haven't answered."""
         self.software_version: str | None = None
         self._is_conflicting = False
+        self._has_several = False
 
     def finding(self) -> StreamFinding:
         """Return what the answers say so far."""
         is_denied = not self.unanswered and not self._is_conflicting
         version = self.software_version
-        return StreamFinding(version, is_denied and version is None)
+        return StreamFinding(
+            version,
+            is_denied and version is None,
+            has_several=self._has_several,
+        )
 
     def record_answer(self, name: str, answer: StreamVersionAnswer) -> None:
         """Record the first answer of an asked node; the first version settles it."""
@@ -42,5 +51,6 @@
         self.unanswered.discard(name)
         self.software_version = answer.software_version
         self._is_conflicting |= answer.is_conflicting
+        self._has_several |= answer.has_several
         if answer.software_version is not None or not self.unanswered:
             self.decided.set()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -104,6 +104,8 @@
         self._inquiries: dict[int, StreamInquiry] = {}
         self.update_wanted = threading.Event()
         """Set when there are records to send."""
+        self.can_deny: Callable[[str], bool] = lambda service: True
+        """Returns whether this node can tell that a stream has no record."""
 
     def record_begun(
         self, attempt_id: str, service: str, software_version: str
@@ -148,7 +150,7 @@
         own = self._membership.own.name
         asked = {vm.name: vm.address for vm in keepers if vm.name != own}
         if not asked:
-            return StreamFinding(is_denied=True)
+            return StreamFinding(is_denied=True, is_asked=False)
         return self._ask(attempt_id, service, asked)
 
     def send_updates(self) -> None:
@@ -209,8 +211,14 @@
         if fact.is_repeated:
             self._reopen_link(sender.address)
         version = None if record is None else record.software_version
-        is_conflicting = record is not None and version is None
-        answer = StreamVersionAnswer(fact.number, version, is_conflicting)
+        # A keeper that has just started may have lost the record.
+        can_deny = record is None and self.can_deny(fact.service)
+        answer = StreamVersionAnswer(
+            fact.number,
+            version,
+            is_conflicting=version is None and not can_deny,
+            has_several=bool(self._has_several_versions(fact.service)),
+        )
         self._send(sender.address, answer)
 
     @handle_message.register
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -1,13 +1,13 @@
 """Software versions of the targets that began streams, as this node knows them."""
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
 
 from runhatch_coordination import Clock
-from runhatch_server.decisions import find_sole_recent_version
+from runhatch_server.decisions import RECORD_RETENTION, find_sole_recent_version
 from runhatch_server.fleet import Target
 
 MAX_RESUMPTION_DELAY = timedelta(seconds=10)
@@ -50,7 +50,8 @@
 
     ``list_targets`` returns all known targets.  ``is_informed`` is whether this node
     learns of new targets at present; otherwise a version may serve without its
-    knowledge.
+    knowledge.  ``knows_past`` returns whether it knows all versions of a service that
+    served before it started, or while it learned of none.
     """
 
     def __init__(
@@ -58,15 +59,19 @@
         clock: Clock,
         list_targets: Callable[[], Iterable[Target]],
         is_informed: Callable[[], bool],
+        knows_past: Callable[[str], bool],
     ) -> None:
         self._clock = clock
         self._list_targets = list_targets
         self._is_informed = is_informed
+        self._knows_past = knows_past
         self._lock = threading.Lock()
         self._records: dict[str, BegunStream] = {}
         """By attempt id, in the order of their begin."""
         self._last_seen_at: dict[str, dict[str, timedelta]] = {}
         """When a version was last seen, by service and version."""
+        self._past: dict[str, dict[str, timedelta]] = {}
+        """When a version was last read from the store, by service and version."""
         self._observed_since: timedelta | None = None
         self._max_stream_age = MAX_RESUMPTION_DELAY
 
@@ -98,11 +103,17 @@
                 return record.software_version if is_same_service else None
             if self._observed_since is None or not self._is_informed():
                 return None
-            return find_sole_recent_version(
+            version = find_sole_recent_version(
                 self._last_seen_at.get(service, {}),
                 self._observed_since,
                 now - MAX_RESUMPTION_DELAY,
             )
+            if self._has_observed_all(now):
+                return version
+            # The stream may have broken off before this node observed the targets.
+            is_past_known = self._knows_past(service)
+            is_only = is_past_known and self._past.get(service, {}).keys() <= {version}
+            return version if is_only else None
 
     def find_unrecorded_version(self, attempt_id: str, service: str) -> str | None:
         """Return the only version ever seen of a service, for a stream without record.
@@ -111,13 +122,55 @@
         they see a second version.  In an outage of the store no node learns of targets,
         so this node need not either.
 
-        Return ``None`` if there were several, or if the stream is of another service.
+        Return ``None`` if there were or may have been several, or if the stream is of
+        another service.
         """
         with self._lock:
-            versions = self._last_seen_at.get(service, {})
-            if attempt_id in self._records or len(versions) != 1:
+            if attempt_id in self._records:
                 return None
-            return next(iter(versions))
+            return self._find_only_version(service, self._clock.elapsed())
+
+    def can_deny(self, service: str) -> bool:
+        """Return whether this node would know of any stream with a record.
+
+        It would if it has observed the targets for as long as streams last.  If all
+        nodes have lost their records together, a stream without one was begun by the
+        only version, if there was only one.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            if self._has_observed_all(now):
+                return True
+            return self._find_only_version(service, now) is not None
+
+    def has_observed_all(self) -> bool:
+        """Return whether this node has observed all versions that began streams."""
+        with self._lock:
+            return self._has_observed_all(self._clock.elapsed())
+
+    def seen_versions(self, service: str) -> frozenset[str]:
+        """Return the versions seen for as long as records are kept."""
+        with self._lock:
+            return frozenset(self._last_seen_at.get(service, {}))
+
+    def remembered_versions(self, service: str) -> frozenset[str]:
+        """Return the versions seen, or read from the store, for the same time."""
+        with self._lock:
+            return frozenset(self._all_versions(service))
+
+    def record_past(self, service: str, versions: Collection[str]) -> None:
+        """Record the versions of ``service`` that the store states.
+
+        They may have begun streams before this node started, by any time.
+        """
+        now = self._clock.elapsed()
+        with self._lock:
+            self._past.setdefault(service, {}).update(dict.fromkeys(versions, now))
+
+    @property
+    def is_informed(self) -> bool:
+        """Whether this node learns of new targets at present."""
+        return self._is_informed()
 
     def is_recorded(self, attempt_id: str) -> bool:
         """Return whether this node relayed the stream of ``attempt_id``."""
@@ -138,8 +191,11 @@
 
     def versions_of(self, service: str) -> frozenset[str]:
         """Return the versions that may have begun streams in progress."""
+        oldest_begin = self._clock.elapsed() - self._max_stream_age
         with self._lock:
-            return frozenset(self._last_seen_at.get(service, {}))
+            versions = self._last_seen_at.get(service, {})
+            recent = {name for name, at in versions.items() if at >= oldest_begin}
+            return frozenset(recent | self._past.get(service, {}).keys())
 
     def records_of(self, service: str) -> list[BegunStream]:
         """Return the records of streams of ``service`` that may be in progress."""
@@ -178,10 +234,30 @@
             ]
             for name in expired:
                 del self._records[name]
-            for versions in self._last_seen_at.values():
-                gone = [name for name, at in versions.items() if at < oldest_begin]
-                for name in gone:
-                    del versions[name]
+            oldest_record = self._clock.elapsed() - self._retention
+            for seen in (self._last_seen_at, self._past):
+                for versions in seen.values():
+                    gone = [name for name, at in versions.items() if at < oldest_record]
+                    for name in gone:
+                        del versions[name]
+
+    @property
+    def _retention(self) -> timedelta:
+        return max(self._max_stream_age, RECORD_RETENTION)
+
+    def _has_observed_all(self, now: timedelta) -> bool:
+        since = self._observed_since
+        return since is not None and now - since >= self._retention
+
+    def _all_versions(self, service: str) -> set[str]:
+        seen = self._last_seen_at.get(service, {})
+        return seen.keys() | self._past.get(service, {}).keys()
+
+    def _find_only_version(self, service: str, now: timedelta) -> str | None:
+        """Return the only version that may have begun streams, if there is one."""
+        versions = self._all_versions(service)
+        knows_all = self._has_observed_all(now) or self._knows_past(service)
+        return next(iter(versions)) if knows_all and len(versions) == 1 else None
 
     def _record_seen(self, service: str, version: str, at: timedelta) -> None:
         versions = self._last_seen_at.setdefault(service, {})
--- a/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_tables.py
@@ -30,6 +30,7 @@
     Vm,
     choose_readers,
     choose_role,
+    era_of,
 )
 from runhatch_server.gateway._counted_feed import CountedFeed
 from runhatch_server.gateway._uplink import UplinkUsage
@@ -288,6 +289,11 @@
         self.version_announced.set()
         return True
 
+    def era(self, table: str) -> int | None:
+        """Return the era in which ``table`` was read, ``None`` if it was not yet."""
+        version = self._tables[table].version
+        return None if version is None else era_of(version)
+
     def may_be_behind(self, table: str) -> bool:
         """Return whether ``table`` may have changed without this node's knowledge."""
         return self._tables[table].may_be_behind
--- a/packages/runhatch-server/src/runhatch_server/peers/_stream_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_stream_messages.py
@@ -42,9 +42,12 @@
 ):
     """Answers the query ``number``; ``None`` if the sender doesn't know.
 
-    If ``is_conflicting``, it doesn't because two versions claim the stream.
+    If ``is_conflicting``, it doesn't because two versions claim the stream, or because
+    it may have lost the record.  ``has_several`` is whether the sender has seen several
+    versions of the service.
     """
 
     number: int
     software_version: str | None
     is_conflicting: bool = False
+    has_several: bool = False
--- a/packages/runhatch-server/src/runhatch_server/routing/_table.py
+++ b/packages/runhatch-server/src/runhatch_server/routing/_table.py
@@ -35,6 +35,13 @@
             default=timedelta(),
         )
         """Longest time over which callers resume a stream after it began."""
+        self.resumable_services = frozenset(
+            share.service
+            for route in configuration.routes
+            if route.resumable
+            for share in route.shares
+        )
+        """Services whose streams callers may resume."""
         self.workspaces: dict[str, WorkspaceSpec] = {
             workspace.name: workspace for workspace in configuration.workspaces or ()
         }
--- a/packages/runhatch-server/tests/test_shared_stream_versions.py
+++ b/packages/runhatch-server/tests/test_shared_stream_versions.py
@@ -10,6 +10,7 @@
 
 from runhatch_server.gateway._shared_stream_versions import (
     RECORD_SEND_TIMEOUT,
+    VERSION_RECORD_TIMEOUT,
     SharedStreamVersions,
 )
 from runhatch_server.gateway._stream_inquiry import StreamFinding
@@ -25,6 +26,8 @@
     def __init__(self, known):
         self.known = known
         self.is_answered = True
+        self.is_asked = True
+        self.has_several = False
         self.held = {}
         """Records of ``known`` that this node holds."""
         self.begun = []
@@ -43,7 +46,23 @@
     def find(self, attempt_id, service):
         self.asked.append((attempt_id, service))
         version = self.known.get((attempt_id, service))
-        return StreamFinding(version, self.is_answered and version is None)
+        return StreamFinding(
+            version,
+            self.is_answered and version is None,
+            self.is_asked,
+            self.has_several,
+        )
+
+
+class FakeRecorder:
+    """Records versions in the store."""
+
+    def __init__(self):
+        self.recorded = None
+        """The event that tells that a version was recorded, if one is to be."""
+
+    def request(self, service, version):
+        return self.recorded
 
 
 class Node:
@@ -55,11 +74,18 @@
             for number, version in enumerate(versions)
         ]
         self.targets = targets
-        self.own = StreamVersions(clock, lambda: targets, lambda: is_informed)
+        self.knows_past = True
+        self.own = StreamVersions(
+            clock, lambda: targets, lambda: is_informed, lambda _: self.knows_past
+        )
+        self.recorder = FakeRecorder()
         self.exchange = FakeExchange(dict(known))
         self.waits = []
         self.shared = SharedStreamVersions(
-            self.own, self.exchange, lambda *wait: self.waits.append(wait)
+            self.own,
+            self.exchange,
+            self.recorder,
+            lambda *wait: self.waits.append(wait),
         )
 
 
@@ -176,9 +202,43 @@
     assert node.exchange.asked == [("id-1", "s")]
 
 
+@pytest.mark.parametrize("attempt_id", ["id-1", ""])
+def test_only_version_is_not_assumed_while_the_past_is_unknown(clock, attempt_id):
+    """All nodes may have ended, and with them the targets of another version."""
+    node = Node(clock, "v2")
+    node.knows_past = False
+    observe(node, clock)
+
+    assert node.shared.find_version(attempt_id, "s") is None
+
+
+@pytest.mark.parametrize(("is_informed", "found"), [(True, "v1"), (False, None)])
+def test_node_that_is_cut_off_alone_concludes_nothing(clock, is_informed, found):
+    """Others may serve another version meanwhile, and nobody can be asked."""
+    node = Node(clock, "v1", is_informed=is_informed)
+    node.exchange.is_asked = False
+
+    assert node.shared.find_version("id-1", "s") == found
+
+
+def test_only_version_is_not_assumed_if_a_keeper_has_seen_another(clock):
+    """A node that is cut off from the store may have missed it."""
+    node = Node(clock, "v1", is_informed=False)
+    node.exchange.has_several = True
+
+    assert node.shared.find_version("id-1", "s") is None
+
+
 class TestFirstEvent:
     """Recording a stream before its first event is relayed."""
 
+    def test_waits_until_the_version_is_recorded(self, clock):
+        node = Node(clock, "v2")
+        node.recorder.recorded = threading.Event()
+        node.shared.record_begun("id-1", "s", "v2")
+
+        assert node.waits == [(node.recorder.recorded, VERSION_RECORD_TIMEOUT)]
+
     def test_waits_until_the_record_is_sent(self, clock):
         node = Node(clock, "v1", "v2")
         node.exchange.sent = threading.Event()
@@ -220,5 +280,5 @@
         assert [each.software_version for each in found] == ["v1"] * len(attempts)
 
     def share(self, cluster, node):
-        own = StreamVersions(cluster.clock, list, lambda: True)
-        return SharedStreamVersions(own, node.exchange, cluster.wait)
+        own = StreamVersions(cluster.clock, list, lambda: True, lambda _: True)
+        return SharedStreamVersions(own, node.exchange, FakeRecorder(), cluster.wait)
--- a/packages/runhatch-server/tests/test_stream_version_exchange.py
+++ b/packages/runhatch-server/tests/test_stream_version_exchange.py
@@ -249,6 +249,34 @@
 
         assert is_denied is (killed_keepers == 0)
 
+    @pytest.mark.parametrize("unsure", [1, 3])
+    def test_keeper_that_may_have_lost_the_record_does_not_deny(self, cluster, unsure):
+        """It has just started, and the targets of a version may have ended before."""
+        keepers, others = keepers_and_others(cluster)
+        for node in keepers[:unsure]:
+            node.exchange.can_deny = lambda service: False
+
+        finding = others[0].exchange.find(ATTEMPT, SERVICE)
+
+        assert finding.software_version is None
+        assert not finding.is_denied
+
+    def test_keeper_that_may_have_lost_other_records_tells_of_its_own(self, cluster):
+        keepers, others = keepers_and_others(cluster)
+        cluster.begin_stream(others[0], ATTEMPT, "v1")
+        cluster.play(SOON)
+        for node in keepers:
+            node.exchange.can_deny = lambda service: False
+
+        assert others[1].exchange.find(ATTEMPT, SERVICE).software_version == "v1"
+
+    def test_keepers_tell_whether_they_have_seen_several_versions(self, cluster):
+        _, others = keepers_and_others(cluster)
+
+        assert others[0].exchange.find(ATTEMPT, SERVICE).has_several
+        cluster.has_several_versions = False
+        assert not others[0].exchange.find(ATTEMPT, SERVICE).has_several
+
     def test_question_that_fails_is_forgotten(self, cluster):
         _, others = keepers_and_others(cluster)
         exchange = others[0].exchange
--- a/packages/runhatch-server/tests/test_stream_versions.py
+++ b/packages/runhatch-server/tests/test_stream_versions.py
@@ -24,7 +24,10 @@
         self.versions = list(versions)
         self.is_informed = True
         self.state = TargetState.READY
-        self.records = StreamVersions(clock, self._list_targets, self._check_informed)
+        self.knows_past = True
+        self.records = StreamVersions(
+            clock, self._list_targets, self._check_informed, lambda _: self.knows_past
+        )
         self.records.extend_stream_age(seconds(max_stream_age))
 
     def _check_informed(self):
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -1,5 +1,6 @@
 """Run gateways as separate processes between callers, targets and the store."""
 
+import base64
 import http.client
 import json
 import time
@@ -294,6 +295,13 @@
         row = {"table": table, "key": key}
         call(self.platform.url, "PUT", "/rows", {"remove": [row]})
 
+    def remove_target(self, target: Launched) -> None:
+        """Remove the entry of ``target``, as the store does once it has expired."""
+        answer = call(self.platform.url, "GET", "/api/rows-get?table=servers")
+        for row in answer["rows"]:
+            if f":{target.port}" in base64.b64decode(row["value"]).decode():
+                self.remove_row("servers", row["key"])
+
     def ask(
         self,
         path: str,
