Record activity of the store where changes are offered

One place serves changes from readers and from other nodes, and the call for answers to other nodes records the activity itself.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_shared.py
@@ -234,12 +234,9 @@
         self._reader_reports.record(reader, reachable)
         if was_active and not reachable and self._is_backup_reader:
             self._reader.interrupt_wait()
-        is_new = changes is not None and changes.version > self._known_version
-        if is_new or (reachable and not was_active):
-            self._record_activity()
         if reachable:
             if not was_active:
-                self._reader.record_answer_to_other_node()
+                self.record_answer_to_other_node()
             self._notify_reachability("")
         if changes is not None and self._offer(changes) is OfferOutcome.APPLIED:
             self._announce_received(changes)
@@ -253,8 +250,6 @@
         publishes it to its domain.
         """
         previous = self._replica.version
-        if changes.version > self._known_version:
-            self._record_activity()
         is_applied = self._offer(changes) is OfferOutcome.APPLIED
         if is_applied and self._peers.role() is Role.READER:
             update = self._changes_since(previous, changes)
@@ -270,10 +265,9 @@
         is_new = self._missing.record(version, announcer, known)
         if is_new and version > known:
             self._record_activity()
-        is_cut_off = self._reader_reports.state is ReaderState.CUT_OFF
-        if is_new and version > known and is_cut_off:
-            self._must_read_once = True
-            self._wake_event.set()
+            if self._reader_reports.state is ReaderState.CUT_OFF:
+                self._must_read_once = True
+                self._wake_event.set()
         return is_new
 
     def time_until_attempt(self) -> timedelta | None:
@@ -404,6 +398,8 @@
 
     def _offer(self, changes: TableChanges) -> OfferOutcome:
         """Offer changes from another node to the local copy; note a gap before them."""
+        if changes.version > self._known_version:
+            self._record_activity()
         outcome = self._replica.offer(changes)
         if changes.confirmed_at is not None and outcome is not OfferOutcome.GAP:
             self.record_confirmation(changes.version, changes.confirmed_at)
--- a/packages/runhatch-coordination/src/runhatch_coordination/_store_activity.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_store_activity.py
@@ -1,7 +1,7 @@
-"""Tells an outage of the store from one that only some nodes see.
+"""Distinguishes an outage of the store from a failure that only some nodes see.
 
-The store may turn away some nodes while it serves the others.  A node whose readers are
-turned away knows only that they are; :class:`StoreActivity` compares this with the
+The store may reject the calls of some nodes while it serves the others.  A node whose
+readers are rejected knows only that; :class:`StoreActivity` compares it with the
 answers that any node is known to have received.
 """
 
@@ -12,8 +12,9 @@
 
 MIN_OUTAGE = timedelta(seconds=1.5)
 """Shortest time without an answer to any node that counts as an outage.  The holder of
-the orders' lease makes its answers known about every 0.9 s.  Rows that their writers
-renew every 1.2 s expire after three missed renewals, so they survive a shorter time."""
+the orders' lease publishes its answers about every 0.9 s.  Shorter outages remove no
+rows: the writers of rows that expire renew them about every 1.2 s, and a row expires
+after three missed renewals."""
 
 
 class StoreActivity:
