Conclude from the versions that the store states at present

A node that had been cut off for a moment could still join a stream from two versions: it remembered for two minutes which versions it had read from the store, though it had then not observed the targets for as long, and the store still stated the second one. Not seen with real gateways.

StreamVersions now asks for the versions stated at present, instead of keeping times of its own (StoredVersions.list_all).

- a missing record is a record too, so that planning has one case less
- RecordedVersions builds and connects the three parts; no attributes that are set after construction
- the exchange gets can_deny when it is built, as its other callables; the default that denied everything is gone

The other changes in tests adapt constructors; a fake returned None where a truth value is expected.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -104,6 +104,7 @@
 )
 from runhatch_server.decisions._version_records import (
     VersionRecord,
+    missing_record,
     plan_version_record,
 )
 from runhatch_server.decisions._work_time import (
@@ -190,9 +191,10 @@
     "TraitTrials",
     "MIN_RATE",
     "TriedTargets",
+    "VersionRecord",
+    "missing_record",
+    "plan_version_record",
     "WorkRates",
     "WorkTime",
     "WorkTimeStatement",
-    "VersionRecord",
-    "plan_version_record",
 ]
--- a/packages/runhatch-server/src/runhatch_server/decisions/_version_records.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_version_records.py
@@ -1,7 +1,7 @@
 """Records of the software versions of a service, which outlast all nodes.
 
-Nodes forget who began a stream when they end.  If all of them end together, the record
-in the store still tells whether a second version may have begun one.
+Nodes lose their records of streams when they end.  If all of them end together, the
+record in the store still states whether a second version may have begun a stream.
 """
 
 from dataclasses import dataclass, replace
@@ -27,8 +27,17 @@
         return self.is_complete and self.era == era
 
 
+def missing_record(era: int) -> VersionRecord:
+    """Return what the lack of a record means in a store of ``era``.
+
+    A record is written before a version's first stream begins, so none has begun,
+    unless a restoration has lost the record.
+    """
+    return VersionRecord(frozenset(), era, is_complete=era == FIRST_ERA)
+
+
 def plan_version_record(
-    known: VersionRecord | None,
+    known: VersionRecord,
     needed: frozenset[str],
     removable: frozenset[str],
     era: int,
@@ -38,21 +47,13 @@
 
     ``needed`` are the versions that a node has seen, ``removable`` those whose streams
     can't be resumed any more.  ``knows_all`` is whether the node has seen all versions
-    that count.  Without a record no version has been seen, as it is written before a
-    version's first stream, unless the store has lost it.
+    that count in a store of ``era``.
 
     >>> known = VersionRecord(frozenset({"v1"}), 0)
     >>> sorted(plan_version_record(known, {"v2"}, set(), 0, False).versions)
     ['v1', 'v2']
     """
-    versions = frozenset(needed) - removable
-    if known is not None:
-        versions = (known.versions | needed) - removable
-        knows_all |= known.is_complete_in(era)
-    else:
-        knows_all |= era == FIRST_ERA
+    versions = (known.versions | needed) - removable
     if knows_all:
         return VersionRecord(versions, era)
-    if known is None:
-        return VersionRecord(versions, era, is_complete=False)
     return replace(known, versions=versions)
--- a/packages/runhatch-server/src/runhatch_server/gateway/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/__init__.py
@@ -15,7 +15,7 @@
     OrderBounds,
     RetryBounds,
 )
-from runhatch_server.gateway._version_history import decode_version_record
+from runhatch_server.gateway._stored_versions import decode_version_record
 from runhatch_server.gateway._version_recorder import VERSIONS_TABLE
 from runhatch_server.gateway._watched_tables import WatchedTable, decode_rows
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -41,6 +41,7 @@
 from runhatch_server.gateway._peers import GatewayPeers
 from runhatch_server.gateway._platform import GatewayPlatform
 from runhatch_server.gateway._rate_limits import RateLimits
+from runhatch_server.gateway._recorded_versions import RecordedVersions
 from runhatch_server.gateway._records import RequestRecorder
 from runhatch_server.gateway._run_parts import RunParts
 from runhatch_server.gateway._service import GatewayService
@@ -49,16 +50,13 @@
 from runhatch_server.gateway._stream_version_exchange import (
     UPDATE_INTERVAL,
 )
-from runhatch_server.gateway._stream_versions import StreamVersions
 from runhatch_server.gateway._tables import (
     COALESCING_WINDOW,
     GatewayTables,
     target_coalescing_window,
 )
 from runhatch_server.gateway._target_gauge import TargetGauge
-from runhatch_server.gateway._version_history import VersionHistory
 from runhatch_server.gateway._version_recorder import CHECK_INTERVAL as VERSION_INTERVAL
-from runhatch_server.gateway._version_recorder import VersionRecorder
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
@@ -150,25 +148,15 @@
             lambda: self._peers.suspects.update_wanted.set(),
             TrialOwner(self._membership, self._clock).owns,
         )
-        self._version_history = VersionHistory(
-            lambda: self._tables.era(platform.version_records.name)
+        self._versions = RecordedVersions(
+            platform,
+            self._directory,
+            self._membership,
+            self._learns_of_targets,
+            lambda: self._tables.era(platform.version_records.name),
         )
         self._tables = self._build_tables()
         self._orderer = self._build_orderer()
-        self._stream_versions = StreamVersions(
-            self._clock,
-            self._directory.all,
-            self._learns_of_targets,
-            self._version_history.is_complete,
-        )
-        self._version_history.record_past = self._stream_versions.record_past
-        self._version_recorder = VersionRecorder(
-            platform.table,
-            self._version_history,
-            self._stream_versions,
-            self._membership,
-            self._clock,
-        )
         self._peers = GatewayPeers(
             self._membership,
             self._clock,
@@ -182,12 +170,12 @@
             self._tables,
             self._crashes,
             known_targets.probe_refusal,
-            self._stream_versions.has_several_versions,
-            self._stream_versions.record_seen,
+            self._versions.observed.has_several_versions,
+            self._versions.observed.record_seen,
+            self._versions.observed.can_deny,
             self._find_cap,
             platform.store_time,
         )
-        self._peers.stream_versions.can_deny = self._stream_versions.can_deny
         self._balancer.prompts.permits = self._peers.prompts
         if settings.shares_prompt_queues:
             self._peers.prompts.find_serving = self._balancer.find_serving
@@ -286,8 +274,8 @@
         self._tasks.start_task(
             "versions",
             VERSION_INTERVAL,
-            self._version_recorder.update,
-            self._version_recorder.update_wanted,
+            self._versions.recorder.update,
+            self._versions.recorder.update_wanted,
         )
         if self._settings.key_removal is not None:
             self._tasks.start_task(
@@ -376,9 +364,9 @@
             self._crashes,
             self._clock,
             SharedStreamVersions(
-                self._stream_versions,
+                self._versions.observed,
                 self._peers.stream_versions,
-                self._version_recorder,
+                self._versions.recorder,
             ),
             self._peer_requests,
         )
@@ -412,7 +400,7 @@
         platform = self._platform
         tables.add(platform.configurations, self._configuration, COALESCING_WINDOW)
         tables.add(platform.targets, self._directory, target_coalescing_window(drain))
-        tables.add(platform.version_records, self._version_history, COALESCING_WINDOW)
+        tables.add(platform.version_records, self._versions.stored, COALESCING_WINDOW)
         return tables
 
     def _build_orderer(self) -> Orderer:
@@ -461,8 +449,7 @@
         self._balancer.configure(routes.services, routes.max_gaps)
         self._orderer.declare(routes.services)
         self._servers[0].set_limits(server_limits(routes.configuration.limits))
-        self._stream_versions.extend_stream_age(routes.max_stream_age)
-        self._version_recorder.services = routes.resumable_services
+        self._versions.configure(routes)
         self._app.routes = routes
         self._forward_app.routes = routes
         if self._forward_server is not None:
@@ -533,8 +520,8 @@
         known = frozenset(target.incarnation for target in self._directory.all())
         self._pool.close_expired(known | self._peer_requests.known_names())
         self._peer_requests.remove_expired()
-        self._stream_versions.observe_targets()
-        self._stream_versions.remove_expired()
+        self._versions.observed.observe_targets()
+        self._versions.observed.remove_expired()
         self._balancer.delete_unknown_targets()
         self._limits.remove_expired(known.__contains__)
         ready = [target for target in self._directory.all() if target.is_ready]
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peers.py
@@ -104,6 +104,7 @@
         probe_refusal: Callable[[str], bool | None],
         has_several_versions: Callable[[str], bool],
         record_seen: Callable[[str, str, timedelta], None],
+        can_deny: Callable[[str], bool],
         find_cap: Callable[[str], UsageCap | None],
         store_time: StoreTime,
     ) -> None:
@@ -154,6 +155,7 @@
             clock,
             has_several_versions,
             record_seen,
+            can_deny,
             self.send,
             self.reopen_link,
         )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -66,7 +66,8 @@
 
     ``has_several_versions`` returns whether targets of several software versions may
     have begun streams of a service that are still in progress.  ``record_seen`` records
-    that one had begun a stream of a service a time ago.
+    that one had begun a stream of a service a time ago.  ``can_deny`` returns whether
+    this node would have the record of any stream of a service.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         clock: Clock,
         has_several_versions: Callable[[str], bool],
         record_seen: Callable[[str, str, timedelta], None],
+        can_deny: Callable[[str], bool],
         send: SendFact,
         reopen: Callable[[str], None],
         wait: Callable[[threading.Event, timedelta], None] = wait_for_event,
@@ -83,6 +85,7 @@
         self._clock = clock
         self._has_several_versions = has_several_versions
         self._record_seen = record_seen
+        self._can_deny = can_deny
         self._send = send
         self._reopen = reopen
         self._wait = wait
@@ -104,8 +107,6 @@
         self._inquiries: dict[int, StreamInquiry] = {}
         self.update_wanted = threading.Event()
         """Set when there are records to send."""
-        self.can_deny: Callable[[str], bool] = lambda service: True
-        """Returns whether this node can tell that a stream has no record."""
 
     def record_begun(
         self, attempt_id: str, service: str, software_version: str
@@ -212,12 +213,12 @@
             self._reopen_link(sender.address)
         version = None if record is None else record.software_version
         # A keeper that has just started may have lost the record.
-        can_deny = record is None and self.can_deny(fact.service)
+        can_deny = record is None and self._can_deny(fact.service)
         answer = StreamVersionAnswer(
             fact.number,
             version,
             is_conflicting=version is None and not can_deny,
-            has_several=bool(self._has_several_versions(fact.service)),
+            has_several=self._has_several_versions(fact.service),
         )
         self._send(sender.address, answer)
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -1,7 +1,7 @@
 """Software versions of the targets that began streams, as this node knows them."""
 
 import threading
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
@@ -50,8 +50,8 @@
 
     ``list_targets`` returns all known targets.  ``is_informed`` is whether this node
     learns of new targets at present; otherwise a version may serve without its
-    knowledge.  ``knows_past`` returns whether it knows all versions of a service that
-    served before it started, or while it learned of none.
+    knowledge.  ``list_stored`` returns all versions of a service that the store states,
+    ``None`` if it may lack some.
     """
 
     def __init__(
@@ -59,22 +59,30 @@
         clock: Clock,
         list_targets: Callable[[], Iterable[Target]],
         is_informed: Callable[[], bool],
-        knows_past: Callable[[str], bool],
+        list_stored: Callable[[str], frozenset[str] | None],
     ) -> None:
         self._clock = clock
         self._list_targets = list_targets
         self._is_informed = is_informed
-        self._knows_past = knows_past
+        self._list_stored = list_stored
         self._lock = threading.Lock()
         self._records: dict[str, BegunStream] = {}
         """By attempt id, in the order of their begin."""
         self._last_seen_at: dict[str, dict[str, timedelta]] = {}
         """When a version was last seen, by service and version."""
-        self._past: dict[str, dict[str, timedelta]] = {}
-        """When a version was last read from the store, by service and version."""
         self._observed_since: timedelta | None = None
         self._max_stream_age = MAX_RESUMPTION_DELAY
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether this node learns of new targets at present."""
+        return self._is_informed()
+
+    @property
+    def _retention(self) -> timedelta:
+        """How long versions are remembered, and have to be observed."""
+        return max(self._max_stream_age, RECORD_RETENTION)
+
     def record_begun(
         self, attempt_id: str, service: str, software_version: str
     ) -> None:
@@ -111,8 +119,8 @@
             if self._has_observed_all(now):
                 return version
             # The stream may have broken off before this node observed the targets.
-            is_past_known = self._knows_past(service)
-            is_only = is_past_known and self._past.get(service, {}).keys() <= {version}
+            stored = self._list_stored(service)
+            is_only = stored is not None and stored <= {version}
             return version if is_only else None
 
     def find_unrecorded_version(self, attempt_id: str, service: str) -> str | None:
@@ -153,25 +161,6 @@
         with self._lock:
             return frozenset(self._last_seen_at.get(service, {}))
 
-    def remembered_versions(self, service: str) -> frozenset[str]:
-        """Return the versions seen, or read from the store, for the same time."""
-        with self._lock:
-            return frozenset(self._all_versions(service))
-
-    def record_past(self, service: str, versions: Collection[str]) -> None:
-        """Record the versions of ``service`` that the store states.
-
-        They may have begun streams before this node started, by any time.
-        """
-        now = self._clock.elapsed()
-        with self._lock:
-            self._past.setdefault(service, {}).update(dict.fromkeys(versions, now))
-
-    @property
-    def is_informed(self) -> bool:
-        """Whether this node learns of new targets at present."""
-        return self._is_informed()
-
     def is_recorded(self, attempt_id: str) -> bool:
         """Return whether this node relayed the stream of ``attempt_id``."""
         with self._lock:
@@ -195,7 +184,7 @@
         with self._lock:
             versions = self._last_seen_at.get(service, {})
             recent = {name for name, at in versions.items() if at >= oldest_begin}
-            return frozenset(recent | self._past.get(service, {}).keys())
+        return frozenset(recent) | (self._list_stored(service) or frozenset())
 
     def records_of(self, service: str) -> list[BegunStream]:
         """Return the records of streams of ``service`` that may be in progress."""
@@ -235,29 +224,22 @@
             for name in expired:
                 del self._records[name]
             oldest_record = self._clock.elapsed() - self._retention
-            for seen in (self._last_seen_at, self._past):
-                for versions in seen.values():
-                    gone = [name for name, at in versions.items() if at < oldest_record]
-                    for name in gone:
-                        del versions[name]
-
-    @property
-    def _retention(self) -> timedelta:
-        return max(self._max_stream_age, RECORD_RETENTION)
+            for versions in self._last_seen_at.values():
+                gone = [name for name, at in versions.items() if at < oldest_record]
+                for name in gone:
+                    del versions[name]
 
     def _has_observed_all(self, now: timedelta) -> bool:
         since = self._observed_since
         return since is not None and now - since >= self._retention
 
-    def _all_versions(self, service: str) -> set[str]:
-        seen = self._last_seen_at.get(service, {})
-        return seen.keys() | self._past.get(service, {}).keys()
-
     def _find_only_version(self, service: str, now: timedelta) -> str | None:
         """Return the only version that may have begun streams, if there is one."""
-        versions = self._all_versions(service)
-        knows_all = self._has_observed_all(now) or self._knows_past(service)
-        return next(iter(versions)) if knows_all and len(versions) == 1 else None
+        stored = self._list_stored(service)
+        if stored is None and not self._has_observed_all(now):
+            return None
+        versions = self._last_seen_at.get(service, {}).keys() | (stored or frozenset())
+        return next(iter(versions)) if len(versions) == 1 else None
 
     def _record_seen(self, service: str, version: str, at: timedelta) -> None:
         versions = self._last_seen_at.setdefault(service, {})
--- a/packages/runhatch-server/tests/stream_version_cases.py
+++ b/packages/runhatch-server/tests/stream_version_cases.py
@@ -27,6 +27,7 @@
     def __init__(self, cluster, vm, vms):
         self.vm = vm
         self.is_alive = True
+        self.can_deny = True
         self.seen = []
         """Service, version and age of the records received."""
         self.membership = Membership(vm, cluster.clock)
@@ -36,6 +37,7 @@
             cluster.clock,
             lambda service: cluster.has_several_versions,
             lambda *seen: self.seen.append(seen),
+            lambda service: self.can_deny,
             lambda *args: cluster.send(self, *args),
             lambda address: cluster.reopen(self, address),
             cluster.wait,
--- a/packages/runhatch-server/tests/test_stream_version_links.py
+++ b/packages/runhatch-server/tests/test_stream_version_links.py
@@ -46,6 +46,7 @@
             SystemClock(),
             lambda service: True,
             lambda service, software_version, age: None,
+            lambda service: True,
             lambda address, fact, *on_sent: self.links.send(address, [fact], *on_sent),
             self.links.reopen,
         )
--- a/packages/runhatch-server/tests/test_uplink.py
+++ b/packages/runhatch-server/tests/test_uplink.py
@@ -110,6 +110,7 @@
             do_nothing,
             do_nothing,
             do_nothing,
+            do_nothing,
             StoreTime(),
         )
         self.own, self.sibling = (own, SECOND if own == FIRST else FIRST)
