--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
@@ -86,7 +86,7 @@
         return version
 
     def _may_conclude(self, service: str, finding: StreamFinding) -> bool:
-        """Return whether the versions that this node has seen tell who began a stream.
+        """Return whether the versions that this node has seen are conclusive.
 
         A node that is cut off may have missed a version.
         """
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_inquiry.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_inquiry.py
@@ -12,7 +12,7 @@
     """The version that began a stream, ``None`` if unknown.
 
     ``is_denied`` tells that no asked node has a record of the stream.  It is false if
-    one didn't answer or can't tell, or if two versions claim the stream.
+    one didn't answer or may have lost the record, or if two versions claim the stream.
     ``is_asked`` is whether there was a node to ask, ``has_several`` whether one of them
     has seen several versions.
     """
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -212,7 +212,7 @@
         if fact.is_repeated:
             self._reopen_link(sender.address)
         version = None if record is None else record.software_version
-        # A keeper that has just started may have lost the record.
+        # A keeper that has just started may lack the record.
         can_deny = record is None and self._can_deny(fact.service)
         answer = StreamVersionAnswer(
             fact.number,
--- a/packages/runhatch-server/tests/test_shared_stream_versions.py
+++ b/packages/runhatch-server/tests/test_shared_stream_versions.py
@@ -59,7 +59,7 @@
 
     def __init__(self):
         self.recorded = None
-        """The event that tells that a version was recorded, if one is to be."""
+        """The event that is set once a version is recorded, if one is to be."""
 
     def request(self, service, version):
         return self.recorded
--- a/packages/runhatch-server/tests/test_turned_away_readers.py
+++ b/packages/runhatch-server/tests/test_turned_away_readers.py
@@ -16,9 +16,9 @@
 
 READER = "r1"
 RENEWAL_INTERVAL = seconds(0.9)
-"""Interval at which the orderer makes known that the store answers it."""
+"""Interval at which the orderer publishes that the store answers it."""
 NOTICE_DELAY = seconds(0.3)
-"""Time in which readers find out that they are turned away, and say so."""
+"""Time until readers report that their calls are rejected."""
 
 
 class Node:
@@ -35,11 +35,11 @@
         for name in ("t1", "t2"):
             self.store.write(name, b"")
         rows = tuple(Entry(key, b"") for key in self.store.rows)
-        self.hear(TableChanges(0, self.store.version, rows, is_whole=True))
+        self.receive(TableChanges(0, self.store.version, rows, is_whole=True))
         self.pass_time(seconds(9))
 
-    def hear(self, changes=None, is_reachable=True):
-        """Receive what the reader says."""
+    def receive(self, changes=None, is_reachable=True):
+        """Receive a message of the reader."""
         self.table.apply_changes(READER, changes, is_reachable)
 
     def pass_time(self, duration, is_store_up=True, is_reachable=True):
@@ -50,15 +50,15 @@
                 self.table.record_answer_to_other_node()
             left = ends_at - self.clock.elapsed()
             self.clock.advance(min(RENEWAL_INTERVAL, left))
-            self.hear(is_reachable=is_reachable)
+            self.receive(is_reachable=is_reachable)
 
     def remove_target(self):
-        """Remove the entry of "t1"; return the changes that tell of it."""
+        """Remove the entry of "t1"; return the changes."""
         before = self.store.version
         self.store.write("t1", None)
         return TableChanges(before, self.store.version, (Entry("t1", None),))
 
-    def knows(self):
+    def has_target(self):
         self.directory.remove_expired()
         return self.directory.get("t1") is not None
 
@@ -66,23 +66,23 @@
 def read_itself(node, changes):
     node.feed.is_cut_off = False
     node.table.step()
-    node.hear()
+    node.receive()
 
 
-def hear_from_reader(node, changes):
-    node.hear(changes)
+def receive_from_reader(node, changes):
+    node.receive(changes)
 
 
 def receive_from_other_domain(node, changes):
-    """The node is still told that its own readers don't reach the store."""
+    """The node's own readers still report that they don't reach the store."""
     node.table.apply_answer(changes)
-    node.hear()
+    node.receive()
 
 
 WAYS = [
     (Role.RESERVE, read_itself),
-    (Role.RESERVE, hear_from_reader),
-    (Role.FOLLOWER, hear_from_reader),
+    (Role.RESERVE, receive_from_reader),
+    (Role.FOLLOWER, receive_from_reader),
     (Role.FOLLOWER, receive_from_other_domain),
 ]
 
@@ -96,60 +96,60 @@
     node = Node(clock, role)
     changes = node.remove_target()
     node.clock.advance(NOTICE_DELAY)
-    node.hear(is_reachable=False)
+    node.receive(is_reachable=False)
     node.pass_time(seconds(turned_away), is_reachable=False)
 
     learn(node, changes)
 
-    assert not node.knows()
+    assert not node.has_target()
     assert node.directory.get("t2") is not None
 
 
 @pytest.mark.parametrize(("role", "learn"), WAYS)
-@pytest.mark.parametrize("is_told_first", [False, True])
+@pytest.mark.parametrize("is_notified_first", [False, True])
 @pytest.mark.parametrize(
     ("since_return", "is_known"),
     [(0.0, True), (1.7, True), (1.9, False)],
 )
 def test_missing_target_stays_for_a_while_after_an_outage(
-    clock, role, learn, is_told_first, since_return, is_known
+    clock, role, learn, is_notified_first, since_return, is_known
 ):
     """Entries that expired in an outage are back within about two seconds."""
     node = Node(clock, role)
     node.clock.advance(NOTICE_DELAY)
     node.feed.is_cut_off = True
-    node.hear(is_reachable=False)
+    node.receive(is_reachable=False)
     node.table.step()
     node.pass_time(seconds(2.5), is_store_up=False, is_reachable=False)
     changes = node.remove_target()
-    if is_told_first:
+    if is_notified_first:
         # The orderer reaches the store before this node and its readers do.
         node.table.record_answer_to_other_node()
 
     learn(node, changes)
     node.clock.advance(seconds(since_return))
 
-    assert node.knows() is is_known
+    assert node.has_target() is is_known
 
 
 def test_target_that_leaves_just_before_readers_are_served_again_is_gone(clock):
     """The readers' return alone was taken for the end of an outage."""
     node = Node(clock, Role.FOLLOWER)
-    node.hear(is_reachable=False)
+    node.receive(is_reachable=False)
     node.pass_time(seconds(3), is_reachable=False)
     changes = node.remove_target()
     node.clock.advance(timedelta(milliseconds=100))
 
-    node.hear(changes)
+    node.receive(changes)
 
-    assert not node.knows()
+    assert not node.has_target()
 
 
-def test_silence_of_a_store_that_nobody_misses_is_no_outage(clock):
-    """While the orders' lease changes hands, no renewal is told for seconds."""
+def test_silence_of_a_store_without_lost_contact_is_no_outage(clock):
+    """While the orders' lease changes hands, no renewal is published for seconds."""
     node = Node(clock, Role.FOLLOWER)
     node.pass_time(seconds(4), is_store_up=False)
 
-    node.hear(node.remove_target())
+    node.receive(node.remove_target())
 
-    assert not node.knows()
+    assert not node.has_target()
