Share gateways between the tests of rejoined streams

Read against the cases before it: each kill, with both versions serving, the older ended, drained or lost, repeated kills and the store away, is one row of a table now; the bounds on joined text, on the streams that must be resumed and on completed streams of the only version are the same, and the kills of some gateways check event numbers too. Callers stop 22 s after their first try, twice the time within which they should. The case that waited until the newer version served before the older drained waits for the state after both.

--- a/standins/src/runhatch_standins/_stream_callers.py
+++ b/standins/src/runhatch_standins/_stream_callers.py
@@ -24,7 +24,8 @@
     """Reads one stream over several tries.
 
     ``choose`` returns the gateway for the try with a number.  ``leave_after`` is the
-    number of events after which the caller breaks its first connection.
+    number of events after which the caller breaks its first connection.  The last try
+    begins ``longest_seconds`` after the first at the latest.
     """
 
     name: str
@@ -34,6 +35,7 @@
     choose: Callable[[int], Gateway]
     max_tries: int = 4
     leave_after: int = 0
+    longest_seconds: float = float("inf")
     is_in_touch: Callable[[Gateway, float], bool] = lambda gate, began: True
     """Whether the gateway has run without a fault since a time."""
     began: threading.Event = field(default_factory=threading.Event)
@@ -46,9 +48,10 @@
     def run(self, max_tries: int | None = None) -> CallerStream:
         """Try until the stream is complete, or ``max_tries`` times more."""
         first = len(self.stream.tries)
+        ends = time.monotonic() + self.longest_seconds
         for number in range(first, first + (max_tries or self.max_tries)):
             pause = self._try(number)
-            if self.stream.is_complete:
+            if self.stream.is_complete or time.monotonic() + pause > ends:
                 break
             time.sleep(pause)
         self.began.set()
--- a/standins/tests/test_gateway_tables.py
+++ b/standins/tests/test_gateway_tables.py
@@ -186,7 +186,7 @@
         return statuses
 
     def test_targets_whose_entries_expired_in_an_outage_serve_on(self, system):
-        """They are not gone: they write their entries again within two seconds."""
+        """They still run, and write their entries again within two seconds."""
         entries = self.entries(system)
         for gate in system.gateways:
             gate.to_store.inject(LinkFault.RESET)
--- a/standins/tests/test_rejoined_streams.py
+++ b/standins/tests/test_rejoined_streams.py
@@ -1,7 +1,7 @@
-"""Test that streams are not joined from two software versions after all gateways died.
+"""Test that streams are not joined from two software versions if all gateways end.
 
-The gateways' records of streams end with them.  Callers take their streams up again at
-the restarted gateways, while both versions serve or the older one has just left.
+The gateways' records of streams end with them.  Callers resume their streams at the
+restarted gateways, while both versions serve or when the older one has just left.
 """
 
 import signal
@@ -20,12 +20,18 @@
 
 MODEL = "m0"
 GATEWAYS = 4
+TARGETS_OF_EACH = 2
 STREAMS = 24
 TOKENS = 120
-MAX_TRIES = 40
+MAX_TRIES = 100
+LONGEST_SECONDS = 22.0
+"""Time in which callers try again: twice the ten seconds within which they should."""
 RETRY_SECONDS = 0.25
 DISCOVERY_SECONDS = 4.0
 DOWN_SECONDS = 0.4
+STORE_AWAY_SECONDS = 2.0
+PROBES = 8
+"""Short streams by which a test finds out which versions a gateway uses."""
 
 
 @dataclass
@@ -36,100 +42,139 @@
     name: str
     targets: dict = field(default_factory=dict)
 
-    @property
-    def path(self):
-        return f"/{self.name}/"
-
-    def start(self, version, count=2):
-        """Start targets of ``version`` and wait until all gateways use them."""
+    def start(self, version):
+        """Start targets of ``version``."""
         with ThreadPoolExecutor() as pool:
-            self.targets[version] = list(
-                pool.map(
-                    lambda _: self.system.start_worker(self.name, MODEL, version),
-                    range(count),
-                )
+            started = pool.map(
+                lambda _: self.system.start_worker(self.name, MODEL, version),
+                range(TARGETS_OF_EACH),
             )
+            self.targets[version] = list(started)
+
+    def drain(self, version):
+        for target in self.targets[version]:
+            call(target.url, "POST", "/drain", {})
+
+    def end(self, version):
+        """End the targets of ``version``, and remove their entries."""
+        for target in self.targets.pop(version):
+            target.kill()
+            self.system.remove_target(target)
 
     def is_served_by(self, *versions):
         """Return whether all gateways serve new streams by just ``versions``."""
         gates = self.system.gateways
-        return all(self._find_versions(gate) == {*versions} for gate in gates)
+        return all(self.find_versions(gate) == {*versions} for gate in gates)
 
-    def _find_versions(self, gate):
+    def find_versions(self, gate):
+        """Return the versions that serve new streams at ``gate``."""
         callers = [
-            self.make_caller(f"probe-{gate.name}-{i}", lambda number: gate, 1, 1)
-            for i in range(8)
+            self.make_caller(lambda number: gate, tokens=1, max_tries=1)
+            for _ in range(PROBES)
         ]
-        with ThreadPoolExecutor(8) as pool:
+        with ThreadPoolExecutor(PROBES) as pool:
             streams = pool.map(StreamCaller.run, callers)
         return {version for stream in streams for version in stream.versions}
 
-    def make_caller(self, name, choose, tokens=TOKENS, max_tries=MAX_TRIES):
-        name = f"{self.name}-{name}-{time.monotonic_ns()}"
-        return StreamCaller(name, self.path, MODEL, tokens, choose, max_tries)
-
-    def end(self, version):
-        """End the targets of ``version``, and remove their entries."""
-        for target in self.targets.pop(version):
-            target.kill()
-            self.system.remove_target(target)
+    def make_caller(self, choose, tokens=TOKENS, max_tries=MAX_TRIES):
+        name = f"{self.name}-{time.monotonic_ns()}"
+        return StreamCaller(
+            name,
+            f"/{self.name}/",
+            MODEL,
+            tokens,
+            choose,
+            max_tries,
+            longest_seconds=LONGEST_SECONDS,
+        )
 
-    def drain(self, version):
-        for target in self.targets[version]:
-            call(target.url, "POST", "/drain", {})
+    def begin_streams(self, *newer_versions):
+        """Start the targets of newer versions; return callers with streams of all."""
+        for version in newer_versions:
+            self.start(version)
+        assert wait_until(lambda: self.is_served_by("v1", *newer_versions))
+        callers = Callers(self)
+        callers.wait_begun()
+        return callers
 
 
 class Callers:
-    """Callers that read streams at the same time, and take them up if broken off."""
+    """Callers that read streams at the same time, and resume those that broke off."""
 
     def __init__(self, service):
         gates = service.system.gateways
         self._callers = [
-            service.make_caller(str(i), self._choose_from(take_turns(gates, i)))
+            service.make_caller(choose_later(take_turns(gates, i)))
             for i in range(STREAMS)
         ]
         self._pool = ThreadPoolExecutor(STREAMS)
         self._running = [self._pool.submit(caller.run) for caller in self._callers]
 
-    def _choose_from(self, choose):
-        def choose_later(number):
-            if number:
-                time.sleep(RETRY_SECONDS)
-            return choose(number)
-
-        return choose_later
-
     def wait_begun(self):
         for caller in self._callers:
             assert caller.began.wait(10.0)
 
     def streams(self):
-        """Return all streams once their callers have finished or given up."""
+        """Return all streams once they are complete or their last try has failed."""
         streams = [future.result() for future in self._running]
         self._pool.shutdown()
         return streams
 
 
-@pytest.fixture
-def system(tmp_path):
-    with ExitStack() as stack:
-        system = GatewaySystem(stack, tmp_path)
-        for number in range(len(system.gateways), GATEWAYS):
-            system.start_gateway(f"n{number + 1}")
-        yield system
+def choose_later(choose):
+    """Return a choice of gateways that waits before each repeated try."""
 
+    def wait_and_choose(number):
+        if number:
+            time.sleep(RETRY_SECONDS)
+        return choose(number)
 
-@pytest.fixture
-def service(system):
-    """Return a service with version v1 that all gateways know."""
-    service = Service(system, "log")
+    return wait_and_choose
+
+
+def start_system(stack, folder):
+    system = GatewaySystem(stack, folder)
+    for number in range(len(system.gateways), GATEWAYS):
+        system.start_gateway(f"n{number + 1}")
+    time.sleep(DISCOVERY_SECONDS)
+    return system
+
+
+def start_service(system):
+    """Return a new service with version v1 that all gateways know."""
+    service = Service(system, f"log-{len(system.services)}")
     service.start("v1")
-    system.add_service("log", [route("/log/", "stream", "log", resumable=True)])
+    path = f"/{service.name}/"
+    routes = [route(path, "stream", service.name, resumable=True)]
+    system.add_service(service.name, routes)
     assert wait_until(lambda: service.is_served_by("v1"))
-    time.sleep(DISCOVERY_SECONDS)
     return service
 
 
+@pytest.fixture(scope="module")
+def system(tmp_path_factory):
+    with ExitStack() as stack:
+        yield start_system(stack, tmp_path_factory.mktemp("gateways"))
+
+
+@pytest.fixture
+def service(system):
+    """Start a service of each test's own; restart all gateways that have ended."""
+    service = start_service(system)
+    yield service
+    set_store_links(system, LinkFault.NONE)
+    ended = [g for g in system.gateways if g.process.process.poll() is not None]
+    restart(system, ended)
+    for version in [*service.targets]:
+        service.end(version)
+    time.sleep(DISCOVERY_SECONDS if ended else 0.0)
+
+
+def set_store_links(system, fault):
+    for gate in system.gateways:
+        gate.to_store.inject(fault)
+
+
 def kill(gates):
     for gate in gates:
         gate.process.signal(signal.SIGKILL)
@@ -138,170 +183,145 @@
 
 
 def restart(system, gates, is_ready=True):
+    time.sleep(DOWN_SECONDS)
     for gate in gates:
         system.restart(gate)
-    if is_ready:
-        assert wait_until(lambda: all(map(system.is_ready, gates)))
-
-
-def kill_all(system):
-    kill(system.gateways)
-    time.sleep(DOWN_SECONDS)
+    assert not is_ready or wait_until(lambda: all(map(system.is_ready, gates)))
 
 
 def check_not_joined(streams):
-    """Check the text that callers got; return those that took their streams up."""
-    taken_up = [s for s in streams if any(t.is_take_up for t in s.tries)]
-    assert len(taken_up) >= STREAMS // 2
+    """Check the text that callers got."""
     joined = find_mixed_streams(streams)
     assert [(s.name, sorted(s.versions)) for s in joined] == []
     for stream in streams:
         numbers = [event.number for event in stream.events]
         assert numbers == [*range(1, len(numbers) + 1)]
-    return taken_up
 
 
-def leave_both(service):
-    """Both versions serve on."""
+def select_resumed(streams):
+    """Return the streams that their callers resumed, which must be most of them."""
+    resumed = [s for s in streams if any(t.is_take_up for t in s.tries)]
+    assert len(resumed) >= STREAMS // 2
+    return resumed
 
 
-def end_with_kill(service):
-    service.end("v1")
+@dataclass(frozen=True)
+class Kill:
+    """A kill of all gateways, and what happens to the older version and the store."""
 
+    is_older_drained: bool = False
+    is_older_ended: bool = True
+    kills: int = 1
+    is_store_away: bool = False
 
-ENDS = [leave_both, end_with_kill]
+    def play(self, service):
+        """Kill and restart the gateways."""
+        system = service.system
+        if self.is_older_drained:
+            service.drain("v1")
+            time.sleep(0.2)
+        kill(system.gateways)
+        if self.is_older_ended:
+            service.end("v1")
+        if self.is_store_away:
+            set_store_links(system, LinkFault.REFUSE)
+        for _ in range(self.kills - 1):
+            restart(system, system.gateways)
+            time.sleep(1.0)
+            kill(system.gateways)
+        restart(system, system.gateways, is_ready=not self.is_store_away)
+        if self.is_store_away:
+            time.sleep(STORE_AWAY_SECONDS)
+            set_store_links(system, LinkFault.NONE)
 
 
 class TestAllKilled:
     """All gateways are killed at once, and come back together."""
 
-    @pytest.mark.parametrize("end", ENDS)
-    def test_while_both_versions_serve_or_the_older_ends(self, system, service, end):
-        service.start("v2")
-        assert wait_until(lambda: service.is_served_by("v1", "v2"))
-        callers = Callers(service)
-        callers.wait_begun()
-        kill(system.gateways)
-        end(service)
-        time.sleep(DOWN_SECONDS)
-        restart(system, system.gateways)
-
-        check_not_joined(callers.streams())
-
-    def test_when_the_older_version_has_just_left(self, system, service):
-        service.start("v2")
-        assert wait_until(lambda: service.is_served_by("v1", "v2"))
-        callers = Callers(service)
-        callers.wait_begun()
-        service.drain("v1")
-        time.sleep(0.2)
-        kill(system.gateways)
-        service.end("v1")
-        time.sleep(DOWN_SECONDS)
-        restart(system, system.gateways)
-
-        check_not_joined(callers.streams())
-
-    def test_with_one_version_all_streams_go_on(self, system, service):
-        """Refusing what nobody knows would end streams that can be served."""
-        callers = Callers(service)
-        callers.wait_begun()
-        kill_all(system)
-        restart(system, system.gateways)
+    @pytest.mark.parametrize(
+        "disturbance",
+        [
+            Kill(is_older_ended=False),
+            Kill(),
+            Kill(is_older_drained=True),
+            Kill(kills=3),
+            Kill(is_store_away=True),
+        ],
+        ids=[
+            "both versions serve",
+            "the older ends",
+            "the older has just left",
+            "repeated within the life of a stream",
+            "the store is away",
+        ],
+    )
+    def test_streams_are_not_joined(self, service, disturbance):
+        callers = service.begin_streams("v2")
+        disturbance.play(service)
+        streams = callers.streams()
 
-        taken_up = check_not_joined(callers.streams())
-        assert [s.name for s in taken_up if not s.is_complete] == []
+        select_resumed(streams)
+        check_not_joined(streams)
 
-    def test_twice_within_the_life_of_a_stream(self, system, service):
-        """What the first restarted gateways knew of the past is lost as well."""
-        service.start("v2")
-        assert wait_until(lambda: service.is_served_by("v1", "v2"))
-        callers = Callers(service)
-        callers.wait_begun()
-        kill(system.gateways)
-        service.end("v1")
-        for _ in range(2):
-            time.sleep(DOWN_SECONDS)
-            restart(system, system.gateways)
-            time.sleep(1.0)
-            kill(system.gateways)
-        restart(system, system.gateways)
+    @pytest.mark.parametrize("is_store_away", [False, True])
+    def test_streams_of_the_only_version_go_on(self, service, is_store_away):
+        """Refusing all streams without a record would end those that can be served."""
+        callers = service.begin_streams()
+        Kill(is_older_ended=False, is_store_away=is_store_away).play(service)
+        streams = callers.streams()
 
-        check_not_joined(callers.streams())
+        check_not_joined(streams)
+        assert [s.name for s in select_resumed(streams) if not s.is_complete] == []
 
-    @pytest.mark.parametrize("versions", [("v1",), ("v1", "v2")])
-    def test_while_the_store_is_away(self, system, service, versions):
-        for version in versions[1:]:
-            service.start(version)
-        assert wait_until(lambda: service.is_served_by(*versions))
-        callers = Callers(service)
-        callers.wait_begun()
-        kill(system.gateways)
-        if len(versions) > 1:
-            service.end("v1")
-        for gate in system.gateways:
-            gate.to_store.inject(LinkFault.REFUSE)
-        restart(system, system.gateways, is_ready=False)
-        time.sleep(2.0)
-        for gate in system.gateways:
-            gate.to_store.inject(LinkFault.NONE)
-
-        taken_up = check_not_joined(callers.streams())
-        if len(versions) == 1:
-            assert [s.name for s in taken_up if not s.is_complete] == []
-
-    def test_when_the_store_has_lost_the_newer_version(self, system, service):
+    def test_store_that_has_lost_the_newer_version(self, tmp_path):
         """The store comes back from a copy made before the version appeared."""
-        system.copy_store()
-        service.start("v2")
-        assert wait_until(lambda: service.is_served_by("v1", "v2"))
-        callers = Callers(service)
-        callers.wait_begun()
-        kill(system.gateways)
-        service.end("v2")
-        system.restore_store()
-        system.write_again([*service.targets["v1"], *system.engines, *system.plain])
-        restart(system, system.gateways)
+        with ExitStack() as stack:
+            system = start_system(stack, tmp_path)
+            service = start_service(system)
+            system.copy_store()
+            callers = service.begin_streams("v2")
+            kill(system.gateways)
+            service.end("v2")
+            system.restore_store()
+            targets = [*service.targets["v1"], *system.engines, *system.plain]
+            system.write_again(targets)
+            restart(system, system.gateways)
+            streams = callers.streams()
 
-        check_not_joined(callers.streams())
+        select_resumed(streams)
+        check_not_joined(streams)
 
 
 class TestSomeKilled:
-    """Gateways that serve on know what the others have lost."""
+    """Some gateways run on, or only one does, and that is cut off."""
 
     @pytest.mark.parametrize("count", [1, GATEWAYS - 1])
-    def test_streams_go_on_at_their_version(self, system, service, count):
-        service.start("v2")
-        assert wait_until(lambda: service.is_served_by("v1", "v2"))
-        callers = Callers(service)
-        callers.wait_begun()
+    def test_streams_are_not_joined(self, system, service, count):
+        callers = service.begin_streams("v2")
         killed = system.gateways[:count]
         kill(killed)
         service.drain("v1")
         service.end("v1")
-        time.sleep(DOWN_SECONDS)
         restart(system, killed)
 
-        streams = callers.streams()
-        joined = find_mixed_streams(streams)
-        assert [(s.name, sorted(s.versions)) for s in joined] == []
+        check_not_joined(callers.streams())
 
     def test_node_that_is_cut_off_from_store_and_peers(self, system, service):
-        """It knows the older version only, and no peer tells it of the newer one."""
-        alone, *others = system.gateways
-        alone.to_store.inject(LinkFault.REFUSE)
+        """It has seen the older version only, and no peer states the newer one."""
+        cut_off, *others = system.gateways
+        cut_off.to_store.inject(LinkFault.REFUSE)
         time.sleep(1.0)
         service.start("v2")
-        assert wait_until(lambda: "v2" in service._find_versions(others[0]))
         service.drain("v1")
-        assert wait_until(lambda: service._find_versions(others[0]) == {"v2"})
+        assert wait_until(lambda: service.find_versions(others[0]) == {"v2"})
         caller = service.make_caller(
-            "cut", lambda number: others[0] if number == 0 else alone, max_tries=4
+            lambda number: cut_off if number else others[0], max_tries=4
         )
-        running = ThreadPoolExecutor(1).submit(caller.run)
-        assert caller.began.wait(10.0)
-        kill(others)
-        stream = running.result()
+        with ThreadPoolExecutor(1) as pool:
+            running = pool.submit(caller.run)
+            assert caller.began.wait(10.0)
+            kill(others)
+            stream = running.result()
 
         assert any(t.is_take_up for t in stream.tries)
         assert len(stream.versions) == 1
