Add failing tests of streams joined at a gateway out of step

The tests cut one of four gateways off from its peers and from the store, or stop it as well, while targets of a second version join; callers begin streams at the other three, break off and resume at the one cut off. Gateways of the stand-ins can now lose all messages to and from their peers.

--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -13,6 +13,7 @@
 
 from runhatch_standins._cluster import call
 from runhatch_standins._launch import Launched, launch
+from runhatch_standins._peer_cuts import PEER_CUT_VARIABLE, PeerCuts
 from runhatch_standins._ports import free_ports
 from runhatch_standins._target_paths import PATHS_VARIABLE, TargetPaths
 from runhatch_standins._tcp_relay import TcpRelay
@@ -21,6 +22,8 @@
 Document = dict[str, Any]
 
 HOST = "a.example"
+GATEWAY_MODULE = "runhatch_standins._gateway_process"
+"""Module that runs gateways whose connections can be cut."""
 READY_SECONDS = 10.0
 METRICS_SECONDS = 0.5
 ORDERS_METRIC = "runhatch_orders_lease_held 1.0"
@@ -110,10 +113,17 @@
     """A store, two engines, two plain targets and at least two gateways.
 
     Closing ``stack`` kills the processes; ``folder`` holds their settings files.
-    With ``has_paths``, gateways reach targets over ``paths``, which can be cut.
+    With ``has_paths``, gateways reach targets over ``paths``, which can be cut; with
+    ``has_peer_cuts``, gateways can be cut off from their peers by ``peer_cuts``.
     """
 
-    def __init__(self, stack: ExitStack, folder: Path, has_paths: bool = False) -> None:
+    def __init__(
+        self,
+        stack: ExitStack,
+        folder: Path,
+        has_paths: bool = False,
+        has_peer_cuts: bool = False,
+    ) -> None:
         self._stack = stack
         self._folder = folder
         self._version = 0
@@ -123,6 +133,7 @@
         self.workspaces: list[Document] | None = None
         """Entries of workspaces in configurations, ``None`` for no such field."""
         self.paths = TargetPaths(stack, folder) if has_paths else None
+        self.peer_cuts = PeerCuts(folder) if has_peer_cuts else None
         self.platform = self._register(launch("platform", "runhatch_standins.platform"))
         self.engines = [
             self.start_worker("engine", "m0,m1"),
@@ -213,7 +224,10 @@
         module = "runhatch_platform"
         if self.paths is not None:
             variables[PATHS_VARIABLE] = str(self.paths.file_of(name))
-            module = "runhatch_standins._gateway_process"
+            module = GATEWAY_MODULE
+        if self.peer_cuts is not None:
+            variables[PEER_CUT_VARIABLE] = str(self.peer_cuts.file_of(name))
+            module = GATEWAY_MODULE
         launched = self._register(launch(name, module, variables=variables))
         self._gateway_processes.append(launched)
         return launched
--- a/standins/tests/test_rejoined_streams.py
+++ b/standins/tests/test_rejoined_streams.py
@@ -1,7 +1,7 @@
-"""Test that streams are not joined from two software versions if all gateways end.
+"""Test that streams are not joined from two software versions.
 
-The gateways' records of streams end with them.  Callers resume their streams at the
-restarted gateways, while both versions serve or when the older one has just left.
+Callers resume their streams at gateways that have lost their records, since all ended
+at once, or at a gateway that has missed the newer version, since it was out of step.
 """
 
 import signal
@@ -13,7 +13,7 @@
 import pytest
 
 from runhatch_standins._cluster import call
-from runhatch_standins._gateways import GatewaySystem, route, wait_until
+from runhatch_standins._gateways import Gateway, GatewaySystem, route, wait_until
 from runhatch_standins._software_versions import find_mixed_streams
 from runhatch_standins._stream_callers import StreamCaller, take_turns
 from runhatch_standins._tcp_relay import LinkFault
@@ -30,6 +30,14 @@
 DISCOVERY_SECONDS = 4.0
 DOWN_SECONDS = 0.4
 STORE_AWAY_SECONDS = 2.0
+CUT_SECONDS = 6.0
+"""Longer than it takes nodes to notice that a peer or the store is silent."""
+STOPPED_SECONDS = 1.0
+OBSERVED_SECONDS = 11.0
+"""Time after which gateways conclude from the targets that they have seen."""
+MIN_NEWER_STREAMS = 4
+EVENTS_READ = 5
+"""Events after which callers break off their streams."""
 PROBES = 8
 """Short streams by which a test finds out which versions a gateway uses."""
 
@@ -76,7 +84,7 @@
             streams = pool.map(StreamCaller.run, callers)
         return {version for stream in streams for version in stream.versions}
 
-    def make_caller(self, choose, tokens=TOKENS, max_tries=MAX_TRIES):
+    def make_caller(self, choose, tokens=TOKENS, max_tries=MAX_TRIES, leave_after=0):
         name = f"{self.name}-{time.monotonic_ns()}"
         return StreamCaller(
             name,
@@ -85,6 +93,7 @@
             tokens,
             choose,
             max_tries,
+            leave_after,
             longest_seconds=LONGEST_SECONDS,
         )
 
@@ -133,7 +142,7 @@
 
 
 def start_system(stack, folder):
-    system = GatewaySystem(stack, folder)
+    system = GatewaySystem(stack, folder, has_peer_cuts=True)
     for number in range(len(system.gateways), GATEWAYS):
         system.start_gateway(f"n{number + 1}")
     time.sleep(DISCOVERY_SECONDS)
@@ -325,3 +334,80 @@
 
         assert any(t.is_take_up for t in stream.tries)
         assert len(stream.versions) == 1
+
+
+@dataclass
+class OutOfStep:
+    """A gateway that hears neither its peers nor the store, and may be stopped."""
+
+    system: GatewaySystem
+    gate: Gateway
+    is_stopped: bool
+
+    def begin(self):
+        self.system.peer_cuts.cut(self.gate.name, True)
+        self.gate.to_store.inject(LinkFault.FREEZE)
+        if self.is_stopped:
+            self.gate.process.signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Continue the process; it stays cut off."""
+        self.gate.process.signal(signal.SIGCONT)
+
+    def end(self):
+        self.resume()
+        self.gate.to_store.inject(LinkFault.NONE)
+        self.system.peer_cuts.cut(self.gate.name, False)
+
+
+class TestOutOfStep:
+    """One gateway misses a version that joins, and callers resume their streams there.
+
+    That it has not heard of the version is no evidence that there is none.
+    """
+
+    @pytest.fixture(params=[False, True], ids=["cut off", "stopped and cut off"])
+    def fault(self, system, request):
+        fault = OutOfStep(system, system.gateways[-1], request.param)
+        yield fault
+        fault.end()
+
+    def play(self, service, fault, newer_version=None):
+        """Return the streams that callers resumed at the gateway out of step."""
+        *others, gate = service.system.gateways
+        # Nodes that have started a moment ago ask their peers.
+        time.sleep(OBSERVED_SECONDS)
+        fault.begin()
+        ends_at = time.monotonic() + CUT_SECONDS
+        if newer_version is not None:
+            service.start(newer_version)
+            assert wait_until(lambda: newer_version in service.find_versions(others[0]))
+        callers = [
+            service.make_caller(
+                choose_later(lambda number, i=i: gate if number else others[i % 3]),
+                leave_after=EVENTS_READ,
+            )
+            for i in range(STREAMS)
+        ]
+        with ThreadPoolExecutor(STREAMS) as pool:
+            running = [pool.submit(caller.run) for caller in callers]
+            if fault.is_stopped:
+                time.sleep(STOPPED_SECONDS)
+            fault.resume()
+            time.sleep(max(0.0, ends_at - time.monotonic()))
+            fault.end()
+            return [future.result() for future in running]
+
+    def test_streams_of_a_version_that_joined_are_not_joined(self, service, fault):
+        streams = self.play(service, fault, "v2")
+
+        check_not_joined(streams)
+        newer = [s for s in select_resumed(streams) if "v2" in s.versions]
+        assert len(newer) >= MIN_NEWER_STREAMS
+        assert [s.name for s in streams if not s.is_complete] == []
+
+    def test_streams_of_the_only_version_go_on(self, service, fault):
+        streams = self.play(service, fault)
+
+        check_not_joined(streams)
+        assert [s.name for s in select_resumed(streams) if not s.is_complete] == []
