Conclude software versions from a current view only

Cause: a gateway that had seen one version for ten seconds took it for the only one without asking, until it noticed the silence of the store (1 to 2 s). What a node has not heard is no evidence.

Ruled out for these: lost records of keepers (they are not asked), and event numbers that go back within one version (none did).

Change: without a record, a node asks the keepers always, and concludes only if all deny the stream, and none has seen another version. Where one does not answer, there is none, or a node is suspected, so that all may be on one side of a partition, it reads the versions in the store, which are written before a version's first event is relayed. Streams that wait share a read, ten a second at most. A node that reaches neither refuses the stream.

test_peers_are_not_asked_while_there_has_been_one_version stated the fault as a promise; test_only_version_is_concluded_if_peers_or_the_store_know_no_other replaces it. Two tests of a node that gets no answers now state that it cannot read the store either, and that it is cut off.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -56,7 +56,6 @@
     target_coalescing_window,
 )
 from runhatch_server.gateway._target_gauge import TargetGauge
-from runhatch_server.gateway._version_recorder import CHECK_INTERVAL as VERSION_INTERVAL
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
@@ -273,7 +272,7 @@
         )
         self._tasks.start_task(
             "versions",
-            VERSION_INTERVAL,
+            lambda: self._versions.recorder.pause,
             self._versions.recorder.update,
             self._versions.recorder.update_wanted,
         )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
@@ -15,6 +15,8 @@
 """Longest delay of a stream whose record cannot be sent to a keeper."""
 VERSION_RECORD_TIMEOUT = timedelta(milliseconds=300)
 """Longest delay of a stream of a version that the store doesn't know yet."""
+RECORD_READ_TIMEOUT = timedelta(milliseconds=300)
+"""Longest wait for the versions that the store states now."""
 
 
 class SharedStreamVersions:
@@ -55,26 +57,48 @@
     def find_version(self, attempt_id: str, service: str) -> str | None:
         """Return the version that began a stream, ``None`` if it is not known.
 
-        Records go before conclusions from the versions seen.  May wait for the answers
-        of peers, unless this node can tell.
+        Records go before conclusions from the versions seen.  Waits for the answers of
+        peers, unless this node has a record, and for the store if they don't answer:
+        what this node has not learned of may exist all the same.
         """
-        finding = None
-        if attempt_id and not self._own.is_recorded(attempt_id):
-            finding = self._exchange.find_held(attempt_id, service)
-            if finding is None and self._own.has_several_versions(service):
-                finding = self._exchange.find(attempt_id, service)
-            if finding is not None and not finding.is_denied:
-                return finding.software_version
-        version = self._own.find_version(attempt_id, service)
-        if version is not None:
-            return version
-        if finding is None:
-            # Without an attempt, this asks whether the keepers are in touch.
-            finding = self._exchange.find(attempt_id, service)
-        if not finding.is_denied:
+        if attempt_id and self._own.is_recorded(attempt_id):
+            return self._own.find_version(attempt_id, service)
+        # Without an attempt, this asks whether the keepers are in touch.
+        finding = self._exchange.find(attempt_id, service)
+        if finding.software_version is not None:
             return finding.software_version
         if not self._may_conclude(service, finding):
             return None
+        return self._conclude_version(attempt_id, service)
+
+    def _may_conclude(self, service: str, finding: StreamFinding) -> bool:
+        """Return whether this node has seen all versions that began streams.
+
+        Either no other node has seen one more, or the store states none.
+        """
+        if finding.is_denied and not finding.is_cut_off:
+            return not finding.has_several or self._own.has_several_versions(service)
+        has_several = self._own.has_several_versions(service)
+        if has_several and not finding.is_denied:
+            return False
+        if not self._read_stored_versions(service):
+            return False
+        # The store may have stated another version.
+        return has_several or not self._own.has_several_versions(service)
+
+    def _read_stored_versions(self, service: str) -> bool:
+        """Return whether this node now knows all versions that the store states."""
+        read = self._recorder.request_read(service)
+        if read is None:
+            return False
+        self._wait(read.finished, RECORD_READ_TIMEOUT)
+        return read.is_current
+
+    def _conclude_version(self, attempt_id: str, service: str) -> str | None:
+        """Return the only version that can have begun a stream without a record."""
+        version = self._own.find_version(attempt_id, service)
+        if version is not None:
+            return version
         version = self._own.find_unrecorded_version(attempt_id, service)
         if version is not None:
             log_change(
@@ -84,12 +108,3 @@
                 software_version=version,
             )
         return version
-
-    def _may_conclude(self, service: str, finding: StreamFinding) -> bool:
-        """Return whether the versions that this node has seen are conclusive.
-
-        A node that is cut off may have missed a version.
-        """
-        if not finding.is_asked and not self._own.is_informed:
-            return False
-        return not finding.has_several or self._own.has_several_versions(service)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_inquiry.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_inquiry.py
@@ -13,13 +13,14 @@
 
     ``is_denied`` tells that no asked node has a record of the stream.  It is false if
     one didn't answer or may have lost the record, or if two versions claim the stream.
-    ``is_asked`` is whether there was a node to ask, ``has_several`` whether one of them
-    has seen several versions.
+    ``is_cut_off`` is whether nodes that could not be asked may serve a version which
+    none of those asked has seen, ``has_several`` whether one of these has seen several
+    versions.
     """
 
     software_version: str | None = None
     is_denied: bool = False
-    is_asked: bool = True
+    is_cut_off: bool = False
     has_several: bool = False
 
 
@@ -34,14 +35,15 @@
         self._is_conflicting = False
         self._has_several = False
 
-    def finding(self) -> StreamFinding:
+    def finding(self, is_cut_off: bool) -> StreamFinding:
         """Return what the answers say so far."""
         is_denied = not self.unanswered and not self._is_conflicting
         version = self.software_version
         return StreamFinding(
             version,
             is_denied and version is None,
-            has_several=self._has_several,
+            is_cut_off,
+            self._has_several,
         )
 
     def record_answer(self, name: str, answer: StreamVersionAnswer) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -2,8 +2,7 @@
 
 A stream may go on only at the version that began it, and its caller may take it up at
 any node.  Once a service has several versions, each node sends the records of its
-streams to a few keepers, and asks them for streams that it doesn't know.  While a
-service has one version, no messages are sent.
+streams to a few keepers.  Nodes ask these for streams that they don't know.
 """
 
 import itertools
@@ -133,25 +132,20 @@
             self.update_wanted.set()
         return sent
 
-    def find_held(self, attempt_id: str, service: str) -> StreamFinding | None:
-        """Return what a record that this node holds says, if any; does not block."""
-        with self._lock:
-            record = self._records.find((service, attempt_id), self._clock.elapsed())
-        return None if record is None else StreamFinding(record.software_version)
-
     def find(self, attempt_id: str, service: str) -> StreamFinding:
         """Return what this node or the keepers know of a stream.
 
         Blocks for at most ``QUERY_TIMEOUT`` if this node has no record of the stream.
         """
-        held = self.find_held(attempt_id, service)
+        with self._lock:
+            held = self._records.find((service, attempt_id), self._clock.elapsed())
         if held is not None:
-            return held
+            return StreamFinding(held.software_version)
         keepers = choose_keepers(keeper_slot(attempt_id), self._membership.alive())
         own = self._membership.own.name
         asked = {vm.name: vm.address for vm in keepers if vm.name != own}
         if not asked:
-            return StreamFinding(is_denied=True, is_asked=False)
+            return StreamFinding(is_denied=True, is_cut_off=True)
         return self._ask(attempt_id, service, asked)
 
     def send_updates(self) -> None:
@@ -262,7 +256,8 @@
                 asked=sorted(asked),
                 unanswered=sorted(inquiry.unanswered),
             )
-        return inquiry.finding()
+        # Suspected nodes may run on at the other side of a partition.
+        return inquiry.finding(is_cut_off=bool(self._membership.suspects()))
 
     def _send_queries(self, query: StreamVersionQuery, asked: dict[str, str]) -> None:
         for address in asked.values():
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -73,11 +73,6 @@
         self._observed_since: timedelta | None = None
         self._max_stream_age = MAX_RESUMPTION_DELAY
 
-    @property
-    def is_informed(self) -> bool:
-        """Whether this node learns of new targets at present."""
-        return self._is_informed()
-
     @property
     def _retention(self) -> timedelta:
         """How long versions are remembered, and have to be observed."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_version_recorder.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_version_recorder.py
@@ -1,6 +1,7 @@
 """Records in the store which software versions serve, before they begin streams."""
 
 import threading
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from runhatch_coordination import (
@@ -40,14 +41,30 @@
 """Time after a failed call in which no stream waits for a record."""
 MAX_ATTEMPTS = 3
 """Attempts to write a record that other nodes change at the same time."""
+MIN_READ_INTERVAL = timedelta(milliseconds=100)
+"""Shortest interval between reads for streams.  Those that callers resume meanwhile
+share one read, so that a node makes at most ten a second and service."""
 RANK_SUBJECT = "stream versions"
 
 
+@dataclass(slots=True, eq=False)
+class RecordRead:
+    """A read of the record of one service that was requested, but has not begun.
+
+    ``is_current`` tells, once it is ``finished``, whether this node has seen all
+    versions that the store stated after the request.
+    """
+
+    finished: threading.Event = field(default_factory=threading.Event)
+    is_current: bool = False
+
+
 class VersionRecorder:
-    """Writes the records of this node's services; thread-safe.
+    """Reads and writes the records of this node's services; thread-safe.
 
-    Calls to the store are made when a version appears or has gone, by one node, and by
-    each node that begins a stream of the version before it knows the record.
+    Calls to the store are made when a version appears or has gone, by one node, by each
+    node that begins a stream of the version before it knows the record, and by each
+    that resumes streams without a record of their own.
     """
 
     def __init__(
@@ -66,6 +83,9 @@
         self._lock = threading.Lock()
         self._waiting: dict[tuple[str, str], threading.Event] = {}
         """Events by service and version whose record streams wait for."""
+        self._reads: dict[str, RecordRead] = {}
+        """Reads that are to begin, by service."""
+        self._next_read_at = timedelta()
         self._pending_since: dict[str, timedelta] = {}
         """Since when the record of a service needs a change."""
         self._retry_at = timedelta()
@@ -74,6 +94,14 @@
         self.update_wanted = threading.Event()
         """Set when a stream waits for a record."""
 
+    @property
+    def pause(self) -> timedelta:
+        """How long to pause before the next update."""
+        with self._lock:
+            if not self._reads:
+                return CHECK_INTERVAL
+        return max(timedelta(), self._next_read_at - self._clock.elapsed())
+
     def request(self, service: str, version: str) -> threading.Event | None:
         """Request a record of ``version``, which begins a stream of ``service``.
 
@@ -91,6 +119,22 @@
         self.release_recorded()
         return recorded
 
+    def request_read(self, service: str) -> RecordRead | None:
+        """Request that the record of ``service`` is read from the store now.
+
+        Its copy at this node may lack a version that has appeared.  Return ``None`` if
+        the record is not kept or can't be read at present.
+        """
+        if service not in self.services or self._clock.elapsed() < self._retry_at:
+            return None
+        with self._lock:
+            read = self._reads.get(service)
+            if read is not None:
+                return read
+            read = self._reads[service] = RecordRead()
+        self.update_wanted.set()
+        return read
+
     def release_recorded(self) -> None:
         """Let the streams go on whose versions have been recorded."""
         with self._lock:
@@ -99,20 +143,65 @@
                     self._waiting.pop(key).set()
 
     def update(self) -> None:
-        """Write the records that are due."""
+        """Read the records that are requested, and write those that are due."""
         era = self._stored.find_era()
         if era is None or self._clock.elapsed() < self._retry_at:
             self._release_all()
             return
+        failure = self._read_requested(era) or self._write_due(era)
+        if failure:
+            self._retry_at = self._clock.elapsed() + RETRY_DELAY
+            self._release_all()
+
+    def _read_requested(self, era: int) -> str:
+        """Read the requested records; return why that failed, empty if it didn't."""
+        now = self._clock.elapsed()
+        if now < self._next_read_at:
+            return ""
+        with self._lock:
+            services = [*self._reads]
+        if services:
+            self._next_read_at = now + MIN_READ_INTERVAL
+        for service in services:
+            with self._lock:
+                read = self._reads.pop(service)
+            failure = self._read(service, read, era)
+            read.finished.set()
+            if failure:
+                log_change("version_record_unread", service=service, why=failure)
+                return failure
+        return ""
+
+    def _read(self, service: str, read: RecordRead, era: int) -> str:
+        """Read the record of ``service``; return why that failed, empty if it didn't.
+
+        Its versions are recorded as seen.  The copy of the record stays, as the feed of
+        the table may have brought a later one meanwhile.
+        """
+        row = self._table.get(Key(VERSIONS_TABLE, service))
+        if isinstance(row, Unavailable):
+            return row.reason
+        record = _decode(service, row, era)
+        copy = self._stored.get(service)
+        for version in record.versions - (copy.versions if copy else frozenset()):
+            self._observed.record_seen(service, version, timedelta())
+        known_before = self._stored.known_before_restoration(service)
+        read.is_current = record.is_complete_in(era) or known_before is not None
+        return ""
+
+    def _write_due(self, era: int) -> str:
+        """Write the records that are due.
+
+        Return why that failed, empty if it didn't.
+        """
         for service in sorted(self.services):
             if not self._is_due(service, era):
                 continue
             failure = self._write(service, era)
             if failure:
                 log_change("version_record_failed", service=service, why=failure)
-                self._retry_at = self._clock.elapsed() + RETRY_DELAY
-                self._release_all()
-                return
+                return failure
+        return ""
 
     def _is_due(self, service: str, era: int) -> bool:
         known = self._stored.get(service) or missing_record(era)
@@ -178,10 +267,14 @@
         return rank_names(RANK_SUBJECT, names).index(own)
 
     def _release_all(self) -> None:
-        """Let all streams go on that wait for a record."""
+        """Let all streams go on that wait for a record or for a read."""
         with self._lock:
             released = dict(self._waiting)
             self._waiting.clear()
+            reads = [*self._reads.values()]
+            self._reads.clear()
+        for read in reads:
+            read.finished.set()
         for (service, version), event in released.items():
             log_change("version_unrecorded", service=service, software_version=version)
             event.set()
--- a/packages/runhatch-server/tests/test_shared_stream_versions.py
+++ b/packages/runhatch-server/tests/test_shared_stream_versions.py
@@ -18,6 +18,7 @@
     MAX_RESUMPTION_DELAY,
     StreamVersions,
 )
+from runhatch_server.gateway._version_recorder import RecordRead
 
 
 class FakeExchange:
@@ -26,7 +27,7 @@
     def __init__(self, known):
         self.known = known
         self.is_answered = True
-        self.is_asked = True
+        self.is_cut_off = False
         self.has_several = False
         self.held = {}
         """Records of ``known`` that this node holds."""
@@ -39,31 +40,42 @@
         self.begun.append((attempt_id, service, software_version))
         return self.sent
 
-    def find_held(self, attempt_id, service):
-        version = self.held.get((attempt_id, service))
-        return None if version is None else StreamFinding(version)
-
     def find(self, attempt_id, service):
+        held = self.held.get((attempt_id, service))
+        if held is not None:
+            return StreamFinding(held)
         self.asked.append((attempt_id, service))
         version = self.known.get((attempt_id, service))
         return StreamFinding(
             version,
             self.is_answered and version is None,
-            self.is_asked,
+            self.is_cut_off,
             self.has_several,
         )
 
 
 class FakeRecorder:
-    """Records versions in the store."""
+    """Records versions in the store, and reads the records."""
 
     def __init__(self):
         self.recorded = None
         """The event that is set once a version is recorded, if one is to be."""
+        self.is_read = True
+        """Whether records can be read."""
+        self.on_read = lambda: None
+        """Called when a record is read."""
+        self.reads = 0
 
     def request(self, service, version):
         return self.recorded
 
+    def request_read(self, service):
+        self.reads += 1
+        self.on_read()
+        read = RecordRead(is_current=self.is_read)
+        read.finished.set()
+        return read
+
 
 class Node:
     """A node that sees ``versions`` at targets of the service "s"."""
@@ -132,21 +144,104 @@
     assert node.exchange.asked == []
 
 
-def test_peers_are_not_asked_while_there_has_been_one_version(clock):
-    node = Node(clock, "v1")
+def observe(node, clock):
+    """Let the time pass after which the versions seen are conclusive."""
     for _ in range(MAX_RESUMPTION_DELAY // seconds(1) + 1):
         node.own.observe_targets()
         clock.advance(seconds(1))
 
-    assert node.shared.find_version("id-1", "s") == "v1"
-    assert node.exchange.asked == []
 
+class TestOutOfStep:
+    """A node that does not know yet that it has learned of nothing for a moment.
 
-def observe(node, clock):
-    """Let the time pass after which the versions seen are conclusive."""
-    for _ in range(MAX_RESUMPTION_DELAY // seconds(1) + 1):
-        node.own.observe_targets()
-        clock.advance(seconds(1))
+    It took the only version that it had seen for the only one, without asking.
+    """
+
+    @pytest.fixture
+    def node(self, clock):
+        """Return a node that has seen one version for long."""
+        node = Node(clock, "v1")
+        observe(node, clock)
+        return node
+
+    @pytest.mark.parametrize("attempt_id", ["id-1", ""])
+    @pytest.mark.parametrize(
+        ("is_answered", "is_cut_off", "is_read", "found"),
+        [
+            (True, False, False, "v1"),
+            (True, False, True, "v1"),
+            (False, False, False, None),
+            (False, False, True, "v1"),
+            (True, True, False, None),
+            (True, True, True, "v1"),
+        ],
+        ids=[
+            "peers deny the stream, no store",
+            "peers deny the stream",
+            "no answer of peers, no store",
+            "no answer of peers",
+            "peers of one side of a partition deny it, no store",
+            "peers of one side of a partition deny it",
+        ],
+    )
+    def test_only_version_is_concluded_if_peers_or_the_store_know_no_other(
+        self, node, attempt_id, is_answered, is_cut_off, is_read, found
+    ):
+        node.exchange.is_answered = is_answered
+        node.exchange.is_cut_off = is_cut_off
+        node.recorder.is_read = is_read
+
+        assert node.shared.find_version(attempt_id, "s") == found
+        assert node.exchange.asked == [(attempt_id, "s")]
+
+    def test_store_is_not_read_if_all_peers_answer(self, node):
+        """Its calls have a price: none a stream."""
+        node.shared.find_version("id-1", "s")
+        node.exchange.known = {("id-2", "s"): "v2"}
+        node.shared.find_version("id-2", "s")
+
+        assert node.recorder.reads == 0
+
+    @pytest.mark.parametrize(
+        ("is_answered", "is_cut_off"), [(False, False), (True, True)]
+    )
+    def test_only_version_is_not_concluded_if_the_store_states_another(
+        self, node, is_answered, is_cut_off
+    ):
+        node.exchange.is_answered = is_answered
+        node.exchange.is_cut_off = is_cut_off
+        node.recorder.on_read = lambda: node.own.record_seen("s", "v2", seconds(0))
+
+        assert node.shared.find_version("id-1", "s") is None
+
+    def test_record_of_a_peer_goes_before_the_only_version_seen(self, node):
+        node.exchange.known = {("id-1", "s"): "v2"}
+
+        assert node.shared.find_version("id-1", "s") == "v2"
+
+    def test_store_is_not_read_if_it_cannot_settle_the_version(self, clock):
+        """With several versions, only a record can."""
+        node = Node(clock, "v1", "v2")
+        observe(node, clock)
+        node.exchange.is_answered = False
+
+        assert node.shared.find_version("id-1", "s") is None
+        assert node.recorder.reads == 0
+
+    @pytest.mark.parametrize(("is_read", "found"), [(True, "v2"), (False, None)])
+    def test_version_that_has_replaced_another_needs_a_current_view(
+        self, clock, is_read, found
+    ):
+        """A third version may have joined on the other side of a partition."""
+        node = Node(clock, "v1", "v2")
+        node.own.extend_stream_age(seconds(60))
+        observe(node, clock)
+        del node.targets[0]
+        observe(node, clock)
+        node.exchange.is_cut_off = True
+        node.recorder.is_read = is_read
+
+        assert node.shared.find_version("id-1", "s") == found
 
 
 def test_held_record_goes_before_the_only_version_seen(clock):
@@ -181,6 +276,7 @@
     """Keepers that did not answer, or know of a conflict, may know another version."""
     node = Node(clock, "v2")
     node.exchange.is_answered = False
+    node.recorder.is_read = False
 
     assert node.shared.find_version(attempt_id, "s") is None
 
@@ -215,11 +311,15 @@
     assert node.shared.find_version(attempt_id, "s") is None
 
 
-@pytest.mark.parametrize(("is_informed", "found"), [(True, "v1"), (False, None)])
-def test_node_that_is_cut_off_alone_concludes_nothing(clock, is_informed, found):
+@pytest.mark.parametrize("is_informed", [True, False])
+@pytest.mark.parametrize(("is_read", "found"), [(True, "v1"), (False, None)])
+def test_node_that_is_cut_off_alone_concludes_nothing(
+    clock, is_informed, is_read, found
+):
     """Others may serve another version meanwhile, and nobody can be asked."""
     node = Node(clock, "v1", is_informed=is_informed)
-    node.exchange.is_asked = False
+    node.exchange.is_cut_off = True
+    node.recorder.is_read = is_read
 
     assert node.shared.find_version("id-1", "s") == found
 
--- a/packages/runhatch-server/tests/test_stream_version_exchange.py
+++ b/packages/runhatch-server/tests/test_stream_version_exchange.py
@@ -283,6 +283,25 @@
         cluster.has_several_versions = False
         assert not others[0].exchange.find(ATTEMPT, SERVICE).has_several
 
+    @pytest.mark.parametrize("standing", [Standing.ALIVE, Standing.SUSPECT])
+    def test_suspected_nodes_may_serve_a_version_unseen_by_keepers(
+        self, cluster, standing
+    ):
+        """All nodes that can be asked may be on one side of a partition."""
+        _, others = keepers_and_others(cluster)
+        node, lost = others[:2]
+        node.membership.merge_facts([MemberFact(lost.vm, standing)])
+
+        finding = node.exchange.find(ATTEMPT, SERVICE)
+
+        assert finding.is_denied
+        assert finding.is_cut_off is (standing is Standing.SUSPECT)
+
+    def test_node_without_peers_may_be_cut_off(self, clock):
+        alone = VersionCluster(clock, random.Random(1), 1)
+
+        assert alone.nodes["n0"].exchange.find(ATTEMPT, SERVICE).is_cut_off
+
     def test_question_that_fails_is_forgotten(self, cluster):
         _, others = keepers_and_others(cluster)
         exchange = others[0].exchange
--- a/packages/runhatch-server/tests/test_version_records.py
+++ b/packages/runhatch-server/tests/test_version_records.py
@@ -30,6 +30,8 @@
 )
 from runhatch_server.gateway._stream_versions import StreamVersions
 from runhatch_server.gateway._version_recorder import (
+    CHECK_INTERVAL,
+    MIN_READ_INTERVAL,
     RANK_SUBJECT,
     RETRY_DELAY,
     VERSIONS_TABLE,
@@ -275,6 +277,92 @@
         assert stored(table) == record("v1", "v2")
 
 
+class TestReads:
+    """Reads of the present record, before a node concludes from what it has seen."""
+
+    @pytest.fixture
+    def node(self, clock, table):
+        node = Node(clock, table)
+        node.run(seconds(1))
+        return node
+
+    def test_version_that_the_feed_has_not_brought_counts_as_seen(
+        self, clock, table, node
+    ):
+        """A node that is out of step took its copy of the record for the present."""
+        Node(clock, table, OTHERS[-1], ["v2"]).run(seconds(5))
+        assert node.seen.seen_versions(SERVICE) == {"v1"}
+        read = node.recorder.request_read(SERVICE)
+        assert not read.finished.is_set()
+        node.recorder.update()
+
+        assert read.finished.is_set()
+        assert read.is_current
+        assert node.seen.seen_versions(SERVICE) == {"v1", "v2"}
+
+    def test_streams_resumed_at_the_same_time_share_one_read(self, clock, table, node):
+        calls = table.calls
+        reads = {id(node.recorder.request_read(SERVICE)) for _ in range(100)}
+        node.recorder.update()
+
+        assert len(reads) == 1
+        assert table.calls == calls + 1
+
+    def test_read_that_has_begun_is_not_shared(self, clock, table, node):
+        """It may miss what was written after it."""
+        read = node.recorder.request_read(SERVICE)
+        node.recorder.update()
+
+        assert node.recorder.request_read(SERVICE) is not read
+
+    def test_reads_keep_an_interval(self, clock, table, node):
+        node.recorder.request_read(SERVICE)
+        node.recorder.update()
+        read = node.recorder.request_read(SERVICE)
+        node.recorder.update()
+        assert not read.finished.is_set()
+        assert node.recorder.pause == MIN_READ_INTERVAL
+
+        clock.advance(node.recorder.pause)
+        node.recorder.update()
+        assert read.is_current
+        assert node.recorder.pause == CHECK_INTERVAL
+
+    def test_unreachable_store_makes_streams_wait_once(self, clock, table, node):
+        table.is_down = True
+        reads = [node.recorder.request_read(SERVICE)]
+        node.recorder.services |= {"other"}
+        reads.append(node.recorder.request_read("other"))
+        node.recorder.update()
+
+        assert [read.finished.is_set() for read in reads] == [True, True]
+        assert [read.is_current for read in reads] == [False, False]
+        assert node.recorder.request_read(SERVICE) is None
+        clock.advance(RETRY_DELAY)
+        assert node.recorder.request_read(SERVICE) is not None
+
+    def test_services_without_records_are_not_read(self, node):
+        assert node.recorder.request_read("other") is None
+
+    @pytest.mark.parametrize("is_restored", [False, True])
+    def test_record_of_an_older_copy_is_not_current(
+        self, clock, table, node, is_restored
+    ):
+        node.era = 1 if is_restored else 0
+        read = node.recorder.request_read(SERVICE)
+        node.recorder.update()
+
+        assert read.is_current is not is_restored
+
+    def test_table_that_was_never_read_is_not_current(self, clock, table, node):
+        read = node.recorder.request_read(SERVICE)
+        node.era = None
+        node.recorder.update()
+
+        assert read.finished.is_set()
+        assert not read.is_current
+
+
 class TestAfterAllNodesEnded:
     """What a node concludes of streams of which no node has a record."""
 
