Read version records apart from writing them

What callers would see: streams of two versions joined in rarer cases of the same fault, found in a review of the fix: a failed read kept versions that appeared from being recorded for two seconds, and a read counted as current by the era that the node knew, though the store had been restored from an older copy meanwhile, or by what the node knew before that.

Evidence: three unit tests failed on the commit before (test_failed_read_delays _no_record; the record of an older copy, judged by the era of the answer; versions known before a restoration).

Change: reads have a task and a retry time of their own, and count by the era that the store's answer stated.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -56,6 +56,7 @@
     target_coalescing_window,
 )
 from runhatch_server.gateway._target_gauge import TargetGauge
+from runhatch_server.gateway._version_recorder import CHECK_INTERVAL as VERSION_INTERVAL
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
@@ -272,10 +273,16 @@
         )
         self._tasks.start_task(
             "versions",
-            lambda: self._versions.recorder.pause,
+            VERSION_INTERVAL,
             self._versions.recorder.update,
             self._versions.recorder.update_wanted,
         )
+        self._tasks.start_task(
+            "version_reads",
+            lambda: self._versions.recorder.read_pause,
+            self._versions.recorder.read_requested,
+            self._versions.recorder.read_wanted,
+        )
         if self._settings.key_removal is not None:
             self._tasks.start_task(
                 "store_time",
--- a/packages/runhatch-server/src/runhatch_server/gateway/_version_recorder.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_version_recorder.py
@@ -49,10 +49,10 @@
 
 @dataclass(slots=True, eq=False)
 class RecordRead:
-    """A read of the record of one service that was requested, but has not begun.
+    """A read of the record of one service that begins after its request.
 
     ``is_current`` tells, once it is ``finished``, whether this node has seen all
-    versions that the store stated after the request.
+    versions that the store states.
     """
 
     finished: threading.Event = field(default_factory=threading.Event)
@@ -86,6 +86,8 @@
         self._reads: dict[str, RecordRead] = {}
         """Reads that are to begin, by service."""
         self._next_read_at = timedelta()
+        """When the next reads may begin."""
+        self._read_retry_at = timedelta()
         self._pending_since: dict[str, timedelta] = {}
         """Since when the record of a service needs a change."""
         self._retry_at = timedelta()
@@ -93,10 +95,12 @@
         """Services whose streams may be resumed."""
         self.update_wanted = threading.Event()
         """Set when a stream waits for a record."""
+        self.read_wanted = threading.Event()
+        """Set when a stream waits for a read."""
 
     @property
-    def pause(self) -> timedelta:
-        """How long to pause before the next update."""
+    def read_pause(self) -> timedelta:
+        """How long to pause before the next reads."""
         with self._lock:
             if not self._reads:
                 return CHECK_INTERVAL
@@ -123,16 +127,16 @@
         """Request that the record of ``service`` is read from the store now.
 
         Its copy at this node may lack a version that has appeared.  Return ``None`` if
-        the record is not kept or can't be read at present.
+        the record is not kept, or for a while after a read that failed.
         """
-        if service not in self.services or self._clock.elapsed() < self._retry_at:
+        if service not in self.services or self._clock.elapsed() < self._read_retry_at:
             return None
         with self._lock:
             read = self._reads.get(service)
             if read is not None:
                 return read
             read = self._reads[service] = RecordRead()
-        self.update_wanted.set()
+        self.read_wanted.set()
         return read
 
     def release_recorded(self) -> None:
@@ -143,21 +147,26 @@
                     self._waiting.pop(key).set()
 
     def update(self) -> None:
-        """Read the records that are requested, and write those that are due."""
+        """Write the records that are due."""
         era = self._stored.find_era()
         if era is None or self._clock.elapsed() < self._retry_at:
             self._release_all()
             return
-        failure = self._read_requested(era) or self._write_due(era)
-        if failure:
-            self._retry_at = self._clock.elapsed() + RETRY_DELAY
-            self._release_all()
+        for service in sorted(self.services):
+            if not self._is_due(service, era):
+                continue
+            failure = self._write(service, era)
+            if failure:
+                log_change("version_record_failed", service=service, why=failure)
+                self._retry_at = self._clock.elapsed() + RETRY_DELAY
+                self._release_all()
+                return
 
-    def _read_requested(self, era: int) -> str:
-        """Read the requested records; return why that failed, empty if it didn't."""
+    def read_requested(self) -> None:
+        """Read the records that streams wait for."""
         now = self._clock.elapsed()
         if now < self._next_read_at:
-            return ""
+            return
         with self._lock:
             services = [*self._reads]
         if services:
@@ -165,14 +174,15 @@
         for service in services:
             with self._lock:
                 read = self._reads.pop(service)
-            failure = self._read(service, read, era)
+            failure = self._read(service, read)
             read.finished.set()
             if failure:
                 log_change("version_record_unread", service=service, why=failure)
-                return failure
-        return ""
+                self._read_retry_at = self._clock.elapsed() + RETRY_DELAY
+                self._cancel_reads()
+                return
 
-    def _read(self, service: str, read: RecordRead, era: int) -> str:
+    def _read(self, service: str, read: RecordRead) -> str:
         """Read the record of ``service``; return why that failed, empty if it didn't.
 
         Its versions are recorded as seen.  The copy of the record stays, as the feed of
@@ -181,26 +191,15 @@
         row = self._table.get(Key(VERSIONS_TABLE, service))
         if isinstance(row, Unavailable):
             return row.reason
+        # The era that the answer stated; the feed may not have noticed a restoration.
+        era = self._table.era
+        if era is None:
+            return "the era of the store is not known"
         record = _decode(service, row, era)
         copy = self._stored.get(service)
         for version in record.versions - (copy.versions if copy else frozenset()):
             self._observed.record_seen(service, version, timedelta())
-        known_before = self._stored.known_before_restoration(service)
-        read.is_current = record.is_complete_in(era) or known_before is not None
-        return ""
-
-    def _write_due(self, era: int) -> str:
-        """Write the records that are due.
-
-        Return why that failed, empty if it didn't.
-        """
-        for service in sorted(self.services):
-            if not self._is_due(service, era):
-                continue
-            failure = self._write(service, era)
-            if failure:
-                log_change("version_record_failed", service=service, why=failure)
-                return failure
+        read.is_current = record.is_complete_in(era)
         return ""
 
     def _is_due(self, service: str, era: int) -> bool:
@@ -266,15 +265,19 @@
         names = {own, *(vm.name for vm in self._membership.alive())}
         return rank_names(RANK_SUBJECT, names).index(own)
 
-    def _release_all(self) -> None:
-        """Let all streams go on that wait for a record or for a read."""
+    def _cancel_reads(self) -> None:
+        """Let all streams go on that wait for a read."""
         with self._lock:
-            released = dict(self._waiting)
-            self._waiting.clear()
             reads = [*self._reads.values()]
             self._reads.clear()
         for read in reads:
             read.finished.set()
+
+    def _release_all(self) -> None:
+        """Let all streams go on that wait for a record."""
+        with self._lock:
+            released = dict(self._waiting)
+            self._waiting.clear()
         for (service, version), event in released.items():
             log_change("version_unrecorded", service=service, software_version=version)
             event.set()
--- a/packages/runhatch-server/tests/test_version_records.py
+++ b/packages/runhatch-server/tests/test_version_records.py
@@ -294,7 +294,7 @@
         assert node.seen.seen_versions(SERVICE) == {"v1"}
         read = node.recorder.request_read(SERVICE)
         assert not read.finished.is_set()
-        node.recorder.update()
+        node.recorder.read_requested()
 
         assert read.finished.is_set()
         assert read.is_current
@@ -303,7 +303,7 @@
     def test_streams_resumed_at_the_same_time_share_one_read(self, clock, table, node):
         calls = table.calls
         reads = {id(node.recorder.request_read(SERVICE)) for _ in range(100)}
-        node.recorder.update()
+        node.recorder.read_requested()
 
         assert len(reads) == 1
         assert table.calls == calls + 1
@@ -311,29 +311,29 @@
     def test_read_that_has_begun_is_not_shared(self, clock, table, node):
         """It may miss what was written after it."""
         read = node.recorder.request_read(SERVICE)
-        node.recorder.update()
+        node.recorder.read_requested()
 
         assert node.recorder.request_read(SERVICE) is not read
 
     def test_reads_keep_an_interval(self, clock, table, node):
         node.recorder.request_read(SERVICE)
-        node.recorder.update()
+        node.recorder.read_requested()
         read = node.recorder.request_read(SERVICE)
-        node.recorder.update()
+        node.recorder.read_requested()
         assert not read.finished.is_set()
-        assert node.recorder.pause == MIN_READ_INTERVAL
+        assert node.recorder.read_pause == MIN_READ_INTERVAL
 
-        clock.advance(node.recorder.pause)
-        node.recorder.update()
+        clock.advance(node.recorder.read_pause)
+        node.recorder.read_requested()
         assert read.is_current
-        assert node.recorder.pause == CHECK_INTERVAL
+        assert node.recorder.read_pause == CHECK_INTERVAL
 
     def test_unreachable_store_makes_streams_wait_once(self, clock, table, node):
         table.is_down = True
         reads = [node.recorder.request_read(SERVICE)]
         node.recorder.services |= {"other"}
         reads.append(node.recorder.request_read("other"))
-        node.recorder.update()
+        node.recorder.read_requested()
 
         assert [read.finished.is_set() for read in reads] == [True, True]
         assert [read.is_current for read in reads] == [False, False]
@@ -348,20 +348,46 @@
     def test_record_of_an_older_copy_is_not_current(
         self, clock, table, node, is_restored
     ):
-        node.era = 1 if is_restored else 0
+        """The feed of the table may not have noticed the restoration."""
+        table.era = 1 if is_restored else 0
         read = node.recorder.request_read(SERVICE)
-        node.recorder.update()
+        node.recorder.read_requested()
 
         assert read.is_current is not is_restored
 
-    def test_table_that_was_never_read_is_not_current(self, clock, table, node):
+    def test_versions_known_before_a_restoration_are_not_current(
+        self, clock, table, node
+    ):
+        """A node that was out of step may have lacked one that the copy lacks too."""
+        table.era = 1
+        node.stored.handle_restoration()
+        node.era = 1
         read = node.recorder.request_read(SERVICE)
-        node.era = None
-        node.recorder.update()
+        node.recorder.read_requested()
+
+        assert node.stored.known_before_restoration(SERVICE) == {"v1"}
+        assert not read.is_current
+
+    def test_store_whose_era_is_unknown_is_not_current(self, clock, table, node):
+        read = node.recorder.request_read(SERVICE)
+        table.era = None
+        node.recorder.read_requested()
 
         assert read.finished.is_set()
         assert not read.is_current
 
+    def test_failed_read_delays_no_record(self, clock, table, node):
+        """Streams of a new version would begin without one meanwhile."""
+        table.is_down = True
+        node.recorder.request_read(SERVICE)
+        node.recorder.read_requested()
+        table.is_down = False
+        recorded = node.recorder.request(SERVICE, "v2")
+        node.recorder.update()
+
+        assert recorded.is_set()
+        assert stored(table) == record("v1", "v2")
+
 
 class TestAfterAllNodesEnded:
     """What a node concludes of streams of which no node has a record."""
