Conclude no version where a second one is known

A keeper's statement that it had seen two versions did not count where the store was read; a version that came back elsewhere after it had been replaced counted as gone, by the targets that this node saw; and callers that name no attempt were answered by keepers that are not those of their stream.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_shared_stream_versions.py
@@ -67,24 +67,27 @@
         finding = self._exchange.find(attempt_id, service)
         if finding.software_version is not None:
             return finding.software_version
-        if not self._may_conclude(service, finding):
+        if not self._may_conclude(attempt_id, service, finding):
             return None
         return self._conclude_version(attempt_id, service)
 
-    def _may_conclude(self, service: str, finding: StreamFinding) -> bool:
-        """Return whether this node has seen all versions that began streams.
+    def _may_conclude(
+        self, attempt_id: str, service: str, finding: StreamFinding
+    ) -> bool:
+        """Return whether one version only can have begun streams in progress.
 
-        Either no other node has seen one more, or the store states none.
+        Neither this node nor a keeper may have seen another, and the keepers or the
+        store must have answered after the request.  The store is not read for streams
+        of which all keepers in a cluster without suspects have no record.
         """
-        if finding.is_denied and not finding.is_cut_off:
-            return not finding.has_several or self._own.has_several_versions(service)
-        has_several = self._own.has_several_versions(service)
-        if has_several and not finding.is_denied:
+        if finding.has_several or self._own.has_several_versions(service):
             return False
-        if not self._read_stored_versions(service):
-            return False
-        # The store may have stated another version.
-        return has_several or not self._own.has_several_versions(service)
+        is_denied = finding.is_denied and not finding.may_be_partitioned
+        if attempt_id and is_denied:
+            return True
+        # Without an attempt, keepers that answer may not be those of the stream.
+        is_current = self._read_stored_versions(service) or is_denied
+        return is_current and not self._own.has_several_versions(service)
 
     def _read_stored_versions(self, service: str) -> bool:
         """Return whether this node now knows all versions that the store states."""
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_inquiry.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_inquiry.py
@@ -13,14 +13,14 @@
 
     ``is_denied`` tells that no asked node has a record of the stream.  It is false if
     one didn't answer or may have lost the record, or if two versions claim the stream.
-    ``is_cut_off`` is whether nodes that could not be asked may serve a version which
-    none of those asked has seen, ``has_several`` whether one of these has seen several
-    versions.
+    ``may_be_partitioned`` is whether there was no node to ask, or some are suspected,
+    which may serve a version that none of those asked has seen.  ``has_several`` is
+    whether one of these has seen several versions.
     """
 
     software_version: str | None = None
     is_denied: bool = False
-    is_cut_off: bool = False
+    may_be_partitioned: bool = False
     has_several: bool = False
 
 
@@ -35,14 +35,14 @@
         self._is_conflicting = False
         self._has_several = False
 
-    def finding(self, is_cut_off: bool) -> StreamFinding:
+    def finding(self, may_be_partitioned: bool) -> StreamFinding:
         """Return what the answers say so far."""
         is_denied = not self.unanswered and not self._is_conflicting
         version = self.software_version
         return StreamFinding(
             version,
             is_denied and version is None,
-            is_cut_off,
+            may_be_partitioned,
             self._has_several,
         )
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_version_exchange.py
@@ -145,7 +145,7 @@
         own = self._membership.own.name
         asked = {vm.name: vm.address for vm in keepers if vm.name != own}
         if not asked:
-            return StreamFinding(is_denied=True, is_cut_off=True)
+            return StreamFinding(is_denied=True, may_be_partitioned=True)
         return self._ask(attempt_id, service, asked)
 
     def send_updates(self) -> None:
@@ -257,7 +257,7 @@
                 unanswered=sorted(inquiry.unanswered),
             )
         # Suspected nodes may run on at the other side of a partition.
-        return inquiry.finding(is_cut_off=bool(self._membership.suspects()))
+        return inquiry.finding(may_be_partitioned=bool(self._membership.suspects()))
 
     def _send_queries(self, query: StreamVersionQuery, asked: dict[str, str]) -> None:
         for address in asked.values():
--- a/packages/runhatch-server/tests/test_shared_stream_versions.py
+++ b/packages/runhatch-server/tests/test_shared_stream_versions.py
@@ -27,7 +27,7 @@
     def __init__(self, known):
         self.known = known
         self.is_answered = True
-        self.is_cut_off = False
+        self.may_be_partitioned = False
         self.has_several = False
         self.held = {}
         """Records of ``known`` that this node holds."""
@@ -49,7 +49,7 @@
         return StreamFinding(
             version,
             self.is_answered and version is None,
-            self.is_cut_off,
+            self.may_be_partitioned,
             self.has_several,
         )
 
@@ -166,7 +166,7 @@
 
     @pytest.mark.parametrize("attempt_id", ["id-1", ""])
     @pytest.mark.parametrize(
-        ("is_answered", "is_cut_off", "is_read", "found"),
+        ("is_answered", "may_be_partitioned", "is_read", "found"),
         [
             (True, False, False, "v1"),
             (True, False, True, "v1"),
@@ -185,10 +185,10 @@
         ],
     )
     def test_only_version_is_concluded_if_peers_or_the_store_know_no_other(
-        self, node, attempt_id, is_answered, is_cut_off, is_read, found
+        self, node, attempt_id, is_answered, may_be_partitioned, is_read, found
     ):
         node.exchange.is_answered = is_answered
-        node.exchange.is_cut_off = is_cut_off
+        node.exchange.may_be_partitioned = may_be_partitioned
         node.recorder.is_read = is_read
 
         assert node.shared.find_version(attempt_id, "s") == found
@@ -203,13 +203,13 @@
         assert node.recorder.reads == 0
 
     @pytest.mark.parametrize(
-        ("is_answered", "is_cut_off"), [(False, False), (True, True)]
+        ("is_answered", "may_be_partitioned"), [(False, False), (True, True)]
     )
     def test_only_version_is_not_concluded_if_the_store_states_another(
-        self, node, is_answered, is_cut_off
+        self, node, is_answered, may_be_partitioned
     ):
         node.exchange.is_answered = is_answered
-        node.exchange.is_cut_off = is_cut_off
+        node.exchange.may_be_partitioned = may_be_partitioned
         node.recorder.on_read = lambda: node.own.record_seen("s", "v2", seconds(0))
 
         assert node.shared.find_version("id-1", "s") is None
@@ -228,20 +228,41 @@
         assert node.shared.find_version("id-1", "s") is None
         assert node.recorder.reads == 0
 
-    @pytest.mark.parametrize(("is_read", "found"), [(True, "v2"), (False, None)])
-    def test_version_that_has_replaced_another_needs_a_current_view(
-        self, clock, is_read, found
+    @pytest.mark.parametrize(
+        ("is_answered", "may_be_partitioned"),
+        [(True, False), (False, False), (True, True)],
+    )
+    def test_only_version_is_not_concluded_if_a_keeper_has_seen_another(
+        self, node, is_answered, may_be_partitioned
     ):
-        """A third version may have joined on the other side of a partition."""
+        """The record in the store may not state it yet."""
+        node.exchange.is_answered = is_answered
+        node.exchange.may_be_partitioned = may_be_partitioned
+        node.exchange.has_several = True
+
+        assert node.shared.find_version("id-1", "s") is None
+
+    @pytest.mark.parametrize("attempt_id", ["id-1", ""])
+    @pytest.mark.parametrize("may_be_partitioned", [False, True])
+    def test_version_that_has_replaced_another_is_not_concluded(
+        self, clock, attempt_id, may_be_partitioned
+    ):
+        """The older one may be back, of which this node has not learned."""
         node = Node(clock, "v1", "v2")
         node.own.extend_stream_age(seconds(60))
         observe(node, clock)
         del node.targets[0]
         observe(node, clock)
-        node.exchange.is_cut_off = True
-        node.recorder.is_read = is_read
+        node.exchange.may_be_partitioned = may_be_partitioned
+
+        assert node.shared.find_version(attempt_id, "s") is None
 
-        assert node.shared.find_version("id-1", "s") == found
+    def test_store_goes_before_keepers_if_the_attempt_is_not_named(self, node):
+        """Keepers that deny it are not those of the stream."""
+        node.recorder.on_read = lambda: node.own.record_seen("s", "v2", seconds(0))
+
+        assert node.shared.find_version("", "s") is None
+        assert node.shared.find_version("id-1", "s") is None
 
 
 def test_held_record_goes_before_the_only_version_seen(clock):
@@ -313,12 +334,12 @@
 
 @pytest.mark.parametrize("is_informed", [True, False])
 @pytest.mark.parametrize(("is_read", "found"), [(True, "v1"), (False, None)])
-def test_node_that_is_cut_off_alone_concludes_nothing(
+def test_node_that_may_be_partitioned_alone_concludes_nothing(
     clock, is_informed, is_read, found
 ):
     """Others may serve another version meanwhile, and nobody can be asked."""
     node = Node(clock, "v1", is_informed=is_informed)
-    node.exchange.is_cut_off = True
+    node.exchange.may_be_partitioned = True
     node.recorder.is_read = is_read
 
     assert node.shared.find_version("id-1", "s") == found
--- a/packages/runhatch-server/tests/test_stream_version_exchange.py
+++ b/packages/runhatch-server/tests/test_stream_version_exchange.py
@@ -295,12 +295,12 @@
         finding = node.exchange.find(ATTEMPT, SERVICE)
 
         assert finding.is_denied
-        assert finding.is_cut_off is (standing is Standing.SUSPECT)
+        assert finding.may_be_partitioned is (standing is Standing.SUSPECT)
 
     def test_node_without_peers_may_be_cut_off(self, clock):
         alone = VersionCluster(clock, random.Random(1), 1)
 
-        assert alone.nodes["n0"].exchange.find(ATTEMPT, SERVICE).is_cut_off
+        assert alone.nodes["n0"].exchange.find(ATTEMPT, SERVICE).may_be_partitioned
 
     def test_question_that_fails_is_forgotten(self, cluster):
         _, others = keepers_and_others(cluster)
