Send transactions without a put once

What callers saw: after the release of a claim whose answer was lost, each later keyed request at that node waits without end (by reading, from the test).

Cause: a lost answer is resolved by resending and by reading back the row of the first put. A release has none: the resent delete met a conflict, and the error ended the thread that commits for all claims of the node. A resent delete also holds for a later row of its key, whose versions begin at 1 again, so that it may remove the claim of another node.

Evidence: test_release_with_a_lost_answer_ends failed with StopIteration in the committer's thread. The state machine of claims injects lost answers, but did not come to this case.

Change: a transaction without a put is sent once, and its outcome is unknown if its answer is lost. Claims then keep the attempt for their own node, as before.

Measured: the test fails before and passes after; test_claims.py, test_commit.py and test_group.py pass, 19 tests in one run.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_commit.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_commit.py
@@ -31,9 +31,17 @@
     ``is_answer_lost`` means that a previous attempt to send ``writes`` already lost its
     answer.
 
-    Return ``Unknown`` only if the table stays unreachable or the row of the first
-    ``Put`` has been overwritten or deleted.
+    Without a ``Put`` nothing can be read back, and a resent ``Delete`` may meet a later
+    row of the same key, whose versions begin at 1 again.  So such a transaction is sent
+    once, and is ``Unknown`` if its answer is lost.
+
+    Otherwise return ``Unknown`` only if the table stays unreachable or the row of the
+    first ``Put`` has been overwritten or deleted.
     """
+    if not any(isinstance(write, Put) for write in writes):
+        if is_answer_lost:
+            return Unknown("the answer was lost")
+        return table.transact(writes)
     outcome = table.transact(writes)
     for _ in range(MAX_RESUBMISSIONS):
         if not isinstance(outcome, Unknown):
--- a/packages/runhatch-coordination/tests/test_claims.py
+++ b/packages/runhatch-coordination/tests/test_claims.py
@@ -1,5 +1,7 @@
 """Tests of at-most-once claims under faults, restarts and repeated requests."""
 
+import threading
+
 import hypothesis.strategies as st
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -137,3 +139,17 @@
         self.claims.release(taken)
         self.table.inject(TableFault.NONE, 0)
         assert isinstance(self.claims.acquire("k", "d"), Taken)
+
+    def test_release_with_a_lost_answer_ends(self):
+        """Otherwise no later claim of this node ends either."""
+        taken = self.claims.acquire("k", "d")
+        self.table.inject(TableFault.LOSE_ANSWER, 1)
+        release = threading.Thread(
+            target=self.claims.release, args=(taken,), daemon=True
+        )
+        release.start()
+        release.join(2)
+
+        assert not release.is_alive()
+        assert isinstance(self.other.acquire("k", "d"), Taken)
+        assert isinstance(self.claims.acquire("other", "d"), Taken)
