Write a claim again when its node retakes it

What callers saw: a keyed request may run twice, at two nodes, if the release of its claim reaches the store after a repeat has taken the claim again (from the unit test; not seen with real gateways).

Cause: after a release without an answer the node took the row as it stood for evidence that the release had no effect. The delete was still on its way, and held for the row that the repeat then acted on.

Evidence: test_release_that_takes_effect_late_frees_no_later_claim: another node took the claim while the first one held it.

Change: a node that retakes a claim writes its row again, with a new attempt and under the version that it read. A late release then meets another version. Left: a late delete could still hold if the retaken claim is released too and another node creates the row anew, as versions then begin at 1 again.

Measured: the test fails before and passes after; test_claims.py with its state machine, test_commit.py and test_group.py pass, 20 tests in one run.

--- a/packages/runhatch-coordination/src/runhatch_coordination/_claims.py
+++ b/packages/runhatch-coordination/src/runhatch_coordination/_claims.py
@@ -7,7 +7,7 @@
 import threading
 import uuid
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from enum import Enum
 from typing import Protocol
@@ -149,9 +149,25 @@
             is_unused = record.attempt in self._unused_attempts
             self._unused_attempts.discard(record.attempt)
         if is_unused:
-            return Taken(key, record)
+            return self._retake(key, record, found.version)
         return Pending(record.node, record.attempt)
 
+    def _retake(self, key: str, unused: ClaimRecord, version: int) -> ClaimOutcome:
+        """Take the claim of an attempt of this node that has not acted.
+
+        The row is written again, so that a release of that attempt that is still on
+        its way has no effect.
+        """
+        record = replace(unused, attempt=uuid.uuid4().hex)
+        outcome = self._committer.commit([self._make_put(key, record, version)])
+        if isinstance(outcome, Committed):
+            return Taken(key, record)
+        if isinstance(outcome, Conflict):
+            return Unavailable("the claim was released concurrently")
+        with self._lock:
+            self._unused_attempts |= {unused.attempt, record.attempt}
+        return Unavailable(outcome.reason)
+
     def finish(self, claim: Taken, result: str) -> TransactOutcome:
         """Record that the action ran; ``result`` holds or locates its answer."""
         finished = ClaimRecord(
--- a/packages/runhatch-coordination/tests/test_claims.py
+++ b/packages/runhatch-coordination/tests/test_claims.py
@@ -153,3 +153,16 @@
         assert not release.is_alive()
         assert isinstance(self.other.acquire("k", "d"), Taken)
         assert isinstance(self.claims.acquire("other", "d"), Taken)
+
+    def test_release_that_takes_effect_late_frees_no_later_claim(self):
+        """The action of the claim may have run by then."""
+        taken = self.claims.acquire("k", "d")
+        self.table.inject(TableFault.DELAY, 1)
+        self.claims.release(taken)
+        again = self.claims.acquire("k", "d")
+        assert isinstance(again, Taken)
+        self.table.apply_delayed_writes()
+
+        assert isinstance(self.other.acquire("k", "d"), Pending)
+        assert isinstance(self.claims.finish(again, "answer"), Committed)
+        assert self.other.acquire("k", "d") == Done("answer")
