Keep missed models until a request finds them

Cause: nothing but 2.5 s of residence kept a model that was loaded because it was missed. A rarely requested one was evicted for the next missed model before its callers came back, and had to be missed anew for as long.

Change: a model that was missed counts as awaited until a request finds it. Meanwhile its only replica stays for the time of its load, or for two mean intervals between its misses, three loads at most.

Tests: the new cases of TestFirstRequest fail on the code before.

--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -101,6 +101,11 @@
     """Time of the first miss since a target last held the model."""
     last_missed_at: timedelta = timedelta()
     """Time of the last miss."""
+    miss_count: int = 0
+    """Reports of misses since ``missed_since``."""
+    awaited_interval: timedelta | None = None
+    """Mean time between the misses that ended with a load, ``None`` once a request has
+    found what was loaded."""
     misses: dict[tuple[str, DemandKey], tuple[float, timedelta]] = field(
         default_factory=dict
     )
@@ -125,6 +130,8 @@
             self.first_request_at = now
             self.request_count = 0
         self.request_count += requests
+        if requests > share.missed:
+            self.awaited_interval = None
         if requests and share.key.is_hurried:
             self.last_hurried_at = now
         seconds = TIME_CONSTANT.total_seconds()
@@ -149,6 +156,8 @@
         first_missed_at = self.missed_since
         if first_missed_at is None or now - self.last_missed_at > MISS_RETENTION:
             first_missed_at = since
+            self.miss_count = 0
+        self.miss_count += 1
         self.missed_since = min(first_missed_at, since)
         self.last_missed_at = max(self.last_missed_at, now)
 
@@ -196,6 +205,10 @@
 
     def record_held(self) -> None:
         """Record that a target holds the model or adapter, which ends the misses."""
+        if self.missed_since is not None:
+            span = self.last_missed_at - self.missed_since
+            interval = span / max(1, self.miss_count - 1)
+            self.awaited_interval = max(interval, self.awaited_interval or interval)
         self.unmet = 0.0
         self.missed_since = None
 
--- a/packages/runhatch-server/src/runhatch_server/residency/_fleet_view.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_fleet_view.py
@@ -35,6 +35,11 @@
 MIN_DEMAND_RATE = 0.05
 """Requests per second above which a model that no target holds any more is loaded again
 without waiting for the next request."""
+RESIDENCE_INTERVALS = 2
+"""Mean intervals between the misses of a model for which it stays, once loaded, until
+a request finds it: the next request comes within them in six of seven cases."""
+MAX_RESIDENCE_LOADS = 3
+"""Loads for whose time a model stays at the longest until a request finds it."""
 UNMET_WEIGHT = 0.7
 """Weight of each missed request after the first, until a target holds its model."""
 
@@ -165,6 +170,24 @@
             return False
         return self.demand_for(model).rate >= MIN_DEMAND_RATE
 
+    def awaits_first_request(self, control: TargetControl, model: str) -> bool:
+        """Return whether ``control`` must keep a model that was missed until loaded.
+
+        It stays until a request finds it. Otherwise the load would be in vain, and its
+        callers would wait for another one.
+        """
+        loaded_at = control.loaded_at.get((model, ""))
+        spec = self.engine.by_name.get(model)
+        interval = self.demand_for(model).awaited_interval
+        if loaded_at is None or spec is None or interval is None:
+            return False
+        if len(self.holders(model)) > 1:
+            return False
+        load_time = spec.loads.from_store
+        longest = load_time * MAX_RESIDENCE_LOADS
+        residence = max(load_time, min(interval * RESIDENCE_INTERVALS, longest))
+        return self.now - loaded_at < residence
+
     def keep_value(self, control: TargetControl, model: str) -> float:
         """Return the loss if ``control`` dropped ``model``."""
         demand = self.demand_for(model)
--- a/packages/runhatch-server/src/runhatch_server/residency/_places.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_places.py
@@ -135,6 +135,7 @@
                 )
                 for name in control.held
                 if not control.is_protected(name, "", view.now)
+                and not view.awaits_first_request(control, name)
             ),
             key=lambda evictable: (evictable.value, evictable.model),
         )
--- a/packages/runhatch-server/tests/test_missed_models.py
+++ b/packages/runhatch-server/tests/test_missed_models.py
@@ -227,6 +227,64 @@
         assert [load[1] for load in planned] == ["m0"] * (not keeps_only_replicas)
 
 
+class TestFirstRequest:
+    """A model that was missed stays, once loaded, until a request finds it.
+
+    It was evicted for the next missed model before its callers came back, and had to
+    be missed anew for as long: loads of 9 s served nobody.
+    """
+
+    def plan(self, loaded_for, is_found, other_holder=False):
+        """Return the evictions for a missed model, where one was loaded before it."""
+        control = make_control("t1", ["m0", "m1", "m6"])
+        control.loaded_at["m6", ""] = NOW - seconds(loaded_for)
+        book = DemandBook()
+        for model in ("m0", "m1"):
+            add_requests(book, model, 2, 1, 0, seconds(29))
+        for at in (1, 5, 8, 10):
+            add_requests(book, "m6", 2, 1, 1, seconds(at))
+        book.record_held("engine", "m6", ())
+        if is_found:
+            add_requests(book, "m6", 2, 1, 0, seconds(24))
+        add_missed_model(book, "m9", 28)
+        others = [make_control("t2", ["m6"])] if other_holder else []
+        for other in others:
+            start_load(other, "m8", 9)
+        [load] = plan_loads([control, *others], book)
+        return load[2]
+
+    @pytest.mark.parametrize(
+        ("loaded_for", "is_found", "is_kept"),
+        [(3, False, True), (8, False, True), (8, True, False), (11, False, False)],
+        ids=["just loaded", "not found yet", "found", "nobody came"],
+    )
+    def test_missed_model_stays_until_a_request_finds_it(
+        self, loaded_for, is_found, is_kept
+    ):
+        assert ("m6" in self.plan(loaded_for, is_found)) is not is_kept
+
+    def test_one_of_two_replicas_need_not_stay(self):
+        assert "m6" in self.plan(8, False, other_holder=True)
+
+    @pytest.mark.parametrize(
+        ("requests", "missed", "interval"),
+        [(1, 1, seconds(2)), (2, 1, seconds(0)), (1, 0, None)],
+    )
+    def test_model_is_awaited_until_a_request_finds_it(
+        self, requests, missed, interval
+    ):
+        book = DemandBook()
+        for at in (10, 12, 14):
+            add_requests(book, "m6", 2, 1, 1, seconds(at))
+        book.record_held("engine", "m6", ())
+        add_requests(book, "m6", 2, requests, missed, seconds(19))
+        book.record_held("engine", "m6", ())
+
+        demand = book.model_demand("engine", "m6", seconds(19))
+
+        assert demand.awaited_interval == interval
+
+
 class TestMissedSpan:
     """The time in which callers kept asking is that from the first to the last miss."""
 
