Count observations of versions anew after a pause

What callers would see: streams of two versions joined where a version was rolled back and a node had stood still: it removed the version, which served again elsewhere, from the record in the store, after which nothing stated that there were two. Found in the search for the cause of joined streams elsewhere.

Cause: the time in which a process was stopped counted as observed.

Change: after more than five seconds between two observations, which are half a second apart, the two minutes begin anew. Shorter stops are not covered.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_stream_versions.py
@@ -13,6 +13,9 @@
 MAX_RESUMPTION_DELAY = timedelta(seconds=10)
 """Longest time from a stream's break to its caller's last attempt to resume it: callers
 try a few times, with delays of at most some seconds."""
+MAX_OBSERVATION_GAP = timedelta(seconds=5)
+"""Longest time between two observations of the targets.  After a longer one this node
+was paused, and a version may have come and gone unnoticed."""
 MAX_RECORDS = 20_000
 """Maximum number of recorded streams; the oldest records are dropped beyond it."""
 
@@ -71,6 +74,8 @@
         self._last_seen_at: dict[str, dict[str, timedelta]] = {}
         """When a version was last seen, by service and version."""
         self._observed_since: timedelta | None = None
+        self._observed_at: timedelta | None = None
+        """Time of the last observation."""
         self._max_stream_age = MAX_RESUMPTION_DELAY
 
     @property
@@ -199,10 +204,13 @@
         targets = list(self._list_targets())
         now = self._clock.elapsed()
         with self._lock:
-            if not self._is_informed():
+            previous, self._observed_at = self._observed_at, now
+            was_paused = previous is not None and now - previous > MAX_OBSERVATION_GAP
+            is_informed = self._is_informed()
+            if was_paused or not is_informed:
                 # A version may come and go unnoticed.
                 self._observed_since = None
-            elif targets and self._observed_since is None:
+            if is_informed and targets and self._observed_since is None:
                 self._observed_since = now
             for target in targets:
                 self._record_seen(target.service, target.software_version, now)
--- a/packages/runhatch-server/tests/test_version_records.py
+++ b/packages/runhatch-server/tests/test_version_records.py
@@ -258,6 +258,22 @@
         node.run(seconds(1.5))
         assert stored(table) == record("v2")
 
+    def test_node_that_stood_still_removes_no_version(self, clock, table):
+        """It takes the time of its stop for observed, and the version may be back."""
+        node = Node(clock, table, versions=["v1", "v2"])
+        node.run(RECORD_RETENTION + seconds(10))
+        node.versions = ["v2"]
+        node.run(RECORD_RETENTION - seconds(45))
+        back = Node(clock, table, OTHERS[0], ["v1", "v2"])
+        assert back.recorder.request(SERVICE, "v1") is None
+
+        clock.advance(seconds(90))
+        node.seen.observe_targets()
+        node.seen.remove_expired()
+        node.recorder.update()
+
+        assert stored(table) == record("v1", "v2")
+
     def test_version_that_another_node_adds_again_is_kept(self, clock, table):
         """A stream of it may go on there, and the two nodes would take turns."""
         first = Node(clock, table, versions=["v1", "v2"])
