Give the test of a missed beginning enough digests

Cause: each node sends its digest to a random one of its two neighbours, and the node that was cut off learns of the beginning only by a digest of theirs.

Change: 16 rounds, after which the node must have caught up as before. Nodes send digests for as long as they run, so the bound of three was not a promise.

--- a/packages/runhatch-server/tests/test_suspect_exchange.py
+++ b/packages/runhatch-server/tests/test_suspect_exchange.py
@@ -10,6 +10,10 @@
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import Member
 
+DIGEST_ROUNDS = 16
+"""Rounds in which one of a node's two neighbours sends it a digest at least once: both
+choose the other neighbour in all of them in one of 2**32 cases."""
+
 
 class Node:
     """The exchange of one node that is connected to its neighbours only."""
@@ -132,7 +136,7 @@
         run_rounds(ring, 4)
         assert ring[2].known == {"t"}
         ring[2].is_disconnected = False
-        for _ in range(3):
+        for _ in range(DIGEST_ROUNDS):
             for node in ring:
                 node.exchange.send_digest()
             run_rounds(ring, 4)
