Keep a rate limit that an older message lifts

What a target would see: more requests than its limit allows, until its next answer, after a node had stood still (shown by a script before, now a test; not seen with real gateways).

Cause: a node takes the age that a peer states as of the moment at which it reads the message. One that arrived while the node was stopped says that there is no limit, as of now, and replaced a limit that a target had stated since; the node published it to others, too.

Evidence: 4 of the 8 cases of test_limit_is_not_lifted_by_an_older_message failed on the code before, those that lift a limit after a pause.

Change: nodes note every 250 ms that they run. After a second or more without that, the end of a limit that is read within the next second counts as old as the pause. A limit that is stated counts as before, as too many requests do more harm than a limit that ends with the next answer. Messages that wait on a link that was cut are not covered.

Measured: test_rate_limits.py and test_brittle_targets.py pass.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
@@ -9,11 +9,13 @@
 import math
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import timedelta
 from functools import singledispatchmethod
 
 from runhatch_coordination import Clock, Membership, Vm
 from runhatch_server.decisions import ObservedLimit, PermitBucket, issued_rate_share
+from runhatch_server.gateway._pauses import PauseDetector
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.gateway._rooms import (
     LOST_NODE_WINDOW,
@@ -60,6 +62,7 @@
         self._on_answer = on_answer
         self._lock = threading.Lock()
         self._buckets: dict[str, PermitBucket] = {}
+        self._pauses = PauseDetector(clock)
         self._used_at: dict[str, timedelta] = {}
         """When a permit request was last sent to or received from each address."""
         self._rooms = RoomExchange(limits, membership, clock, send, on_answer, slots_of)
@@ -86,6 +89,7 @@
 
     def report_rooms(self) -> None:
         """Report what this node has outstanding at brittle targets."""
+        self._pauses.record_running()
         for address in self._rooms.report_all():
             self._record_use(address)
 
@@ -205,9 +209,11 @@
         since = None
         if limit.max_rejections is not None:
             since = self._clock.elapsed() - limit.brittle_for_ms * MILLISECOND
-        self._limits.apply_report(
-            limit.target, ObservedLimit(limit.rate, at, limit.max_rejections, since)
-        )
+        seen = ObservedLimit(limit.rate, at, limit.max_rejections, since)
+        if not seen.is_in_force:
+            # An older message must not lift a limit.
+            seen = replace(seen, at=at - self._pauses.max_unread_time())
+        self._limits.apply_report(limit.target, seen)
 
     def _make_limit_message(self, target: str, seen: ObservedLimit) -> LimitOfTarget:
         now = self._clock.elapsed()
--- a/packages/runhatch-server/tests/test_rate_limits.py
+++ b/packages/runhatch-server/tests/test_rate_limits.py
@@ -18,7 +18,13 @@
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._rate_limits import RateLimits
 from runhatch_server.observability import Metrics
-from runhatch_server.peers import LimitOfTarget, Member, PermitAnswer, PermitRequest
+from runhatch_server.peers import (
+    LimitOfTarget,
+    Member,
+    PermitAnswer,
+    PermitRequest,
+    RateLimitsUpdate,
+)
 from runhatch_server.refusals import Reason
 from runhatch_server.targets import InvalidRateLimit, decode_rate_limit
 
@@ -46,6 +52,14 @@
     return sent
 
 
+def run_for(clock, node, duration):
+    """Advance ``clock`` while ``node`` reports as often as nodes do."""
+    ends_at = clock.elapsed() + seconds(duration)
+    while clock.elapsed() < ends_at:
+        clock.advance(min(seconds(0.25), ends_at - clock.elapsed()))
+        node.exchange.report_rooms()
+
+
 class TestLimitHeader:
     """Values of the header that declares a limit."""
 
@@ -238,6 +252,53 @@
             node.limits.latest_limit("t1").rate for node in cluster.nodes.values()
         } == {None}
 
+    @pytest.mark.parametrize("is_recorded_first", [True, False])
+    @pytest.mark.parametrize(
+        ("paused_for", "read_after", "rate"),
+        [
+            (3.0, 0.0, 5.0),
+            (1.2, 0.9, 5.0),
+            (3.0, 1.5, None),
+            (0.5, 0.1, None),
+        ],
+        ids=["paused", "end of backlog", "after backlog", "not paused"],
+    )
+    def test_limit_is_not_lifted_by_an_older_message(
+        self, clock, paused_for, read_after, rate, is_recorded_first
+    ):
+        """A message that arrived while the node was paused is read after it."""
+        node = Cluster(clock, 3).nodes["n0"]
+        sent_facts = []
+        node.exchange._publish = sent_facts.append
+        node.exchange.report_rooms()
+        clock.advance(seconds(paused_for))
+        node.limits.apply_answer("t1", 5.0, clock.elapsed())
+        clock.advance(seconds(0.01))
+        if is_recorded_first:
+            node.exchange.report_rooms()
+        run_for(clock, node, read_after)
+
+        lifted = RateLimitsUpdate([LimitOfTarget("t1", None, 0)])
+        node.exchange.handle_message(lifted, Member("n1", "d", "n1", 1, Standing.ALIVE))
+
+        assert node.limits.latest_limit("t1").rate == rate
+        published = [fact.limits[0].rate for fact in sent_facts]
+        assert published == ([5.0, None] if rate is None else [5.0])
+
+    def test_limit_stated_in_an_older_message_counts(self, clock):
+        """Requests beyond a limit do harm; a needless limit ends with an answer."""
+        node = Cluster(clock, 3).nodes["n0"]
+        node.limits.apply_answer("t1", 1.0, clock.elapsed())
+        node.exchange.report_rooms()
+        clock.advance(seconds(1))
+        node.limits.apply_answer("t1", None, clock.elapsed())
+        clock.advance(seconds(2))
+
+        stated = RateLimitsUpdate([LimitOfTarget("t1", 5.0, 0)])
+        node.exchange.handle_message(stated, Member("n1", "d", "n1", 1, Standing.ALIVE))
+
+        assert node.limits.latest_limit("t1").rate == 5.0
+
     def test_limits_are_part_of_state_for_new_node(self, clock):
         cluster = Cluster(clock, 3)
         cluster.nodes["n0"].limits.apply_answer("t1", 1.0, clock.elapsed())
