Let enough streams begin on the newer version in a test

Cause: the test waited until one gateway used v2, and gateways send fewer requests to targets that have just started.

Change: three times as many targets of v2 start, and the test waits until all the other gateways use them. It asks for as many streams as before.

--- a/standins/tests/test_rejoined_streams.py
+++ b/standins/tests/test_rejoined_streams.py
@@ -50,12 +50,12 @@
     name: str
     targets: dict = field(default_factory=dict)
 
-    def start(self, version):
-        """Start targets of ``version``."""
+    def start(self, version, targets=TARGETS_OF_EACH):
+        """Start ``targets`` targets of ``version``."""
         with ThreadPoolExecutor() as pool:
             started = pool.map(
                 lambda _: self.system.start_worker(self.name, MODEL, version),
-                range(TARGETS_OF_EACH),
+                range(targets),
             )
             self.targets[version] = list(started)
 
@@ -380,8 +380,11 @@
         fault.begin()
         ends_at = time.monotonic() + CUT_SECONDS
         if newer_version is not None:
-            service.start(newer_version)
-            assert wait_until(lambda: newer_version in service.find_versions(others[0]))
+            # Gateways prefer the targets that they have known for longer.
+            service.start(newer_version, targets=3 * TARGETS_OF_EACH)
+            assert wait_until(
+                lambda: all(newer_version in service.find_versions(g) for g in others)
+            )
         callers = [
             service.make_caller(
                 choose_later(lambda number, i=i: gate if number else others[i % 3]),
