Tell a new orderer how often models were missed

Cause: a new orderer was told since when a model was missed, but neither how often nor when last. A model without requests of its own term does not count as needed, and one miss long ago would have looked like misses up to now.

Change: nodes report their past misses, and how long ago the first and the last one was. Both fields are at the end of the message and may be absent.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_peer_conversions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peer_conversions.py
@@ -66,7 +66,9 @@
         share.requests,
         share.missed,
         round(share.work_ms),
-        round(share.missed_for / timedelta(milliseconds=1)),
+        round(share.missed_for / MILLISECOND),
+        round(share.last_missed_for / MILLISECOND),
+        share.past_misses,
     )
 
 
@@ -84,6 +86,8 @@
         message.missed_requests,
         float(message.work_ms),
         timedelta(milliseconds=message.missed_for_ms),
+        timedelta(milliseconds=message.last_missed_for_ms),
+        message.past_misses,
     )
 
 
