Keep rate limits that older messages raise

What a target would see: more requests than its limit allows, until its next answer, after a node had stood still.

Cause: only a statement without any limit was taken for as old as a pause. One of a higher rate, or that no longer names the rate of a brittle target, was taken as new. Of two pauses within a second only the second one counted, though messages of the first were still unread.

Change: a statement that allows more than the known one counts as old as the pause. Pauses within a second of each other count as one.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_rate_limits.py
@@ -70,6 +70,12 @@
             return None
         return self.brittle_since + BRITTLE_GRACE
 
+    def is_as_strict_as(self, other: "ObservedLimit") -> bool:
+        """Return whether this allows no more than ``other``."""
+        return _allows_no_more(self.rate, other.rate) and _allows_no_more(
+            self.max_rejections, other.max_rejections
+        )
+
     def supersedes(self, known: "ObservedLimit | None") -> bool:
         """Return whether this replaces the limit in ``known``."""
         if known is None:
@@ -77,6 +83,10 @@
         return self.at > known.at
 
 
+def _allows_no_more(limit: float | None, other: float | None) -> bool:
+    return other is None or (limit is not None and limit <= other)
+
+
 def bucket_capacity(rate: float) -> float:
     """Return the capacity of a bucket filled at ``rate`` permits per second."""
     return BURST_PERMITS + BURST_SECONDS * rate
--- a/packages/runhatch-server/src/runhatch_server/gateway/_pauses.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_pauses.py
@@ -6,7 +6,7 @@
 from runhatch_coordination import Clock
 
 MIN_PAUSE = timedelta(seconds=1)
-"""Shortest interval between two calls that counts as a pause, four times the usual."""
+"""Shortest time between two records that counts as a pause: four intervals."""
 BACKLOG_DURATION = timedelta(seconds=1)
 """How long after a pause messages are read that arrived during it."""
 
@@ -22,6 +22,7 @@
         self._lock = threading.Lock()
         self._recorded_at: timedelta | None = None
         self._paused_at = self._resumed_at = timedelta.min
+        """When this process last ran before the pause, and first after it."""
 
     def record_running(self) -> None:
         """Record that this process runs; must be called every 250 ms."""
@@ -40,6 +41,9 @@
 
     def _record_pause(self) -> None:
         now = self._clock.elapsed()
-        if self._recorded_at is not None and now - self._recorded_at >= MIN_PAUSE:
-            self._paused_at, self._resumed_at = self._recorded_at, now
-            self._recorded_at = now
+        if self._recorded_at is None or now - self._recorded_at < MIN_PAUSE:
+            return
+        if self._recorded_at - BACKLOG_DURATION >= self._resumed_at:
+            self._paused_at = self._recorded_at
+        # Otherwise messages from an earlier pause may still be unread.
+        self._resumed_at = self._recorded_at = now
--- a/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_permits.py
@@ -88,7 +88,10 @@
         self._send(allocator.address, PermitRequest(tier, limit))
 
     def report_rooms(self) -> None:
-        """Report what this node has outstanding at brittle targets."""
+        """Report what this node has outstanding at brittle targets.
+
+        Called at a short interval, which shows when this process was paused.
+        """
         self._pauses.record_running()
         for address in self._rooms.report_all():
             self._record_use(address)
@@ -210,8 +213,9 @@
         if limit.max_rejections is not None:
             since = self._clock.elapsed() - limit.brittle_for_ms * MILLISECOND
         seen = ObservedLimit(limit.rate, at, limit.max_rejections, since)
-        if not seen.is_in_force:
-            # An older message must not lift a limit.
+        known = self._limits.latest_limit(limit.target)
+        if known is not None and not seen.is_as_strict_as(known):
+            # An older message must not lift or raise a limit.
             seen = replace(seen, at=at - self._pauses.max_unread_time())
         self._limits.apply_report(limit.target, seen)
 
--- a/packages/runhatch-server/tests/test_rate_limits.py
+++ b/packages/runhatch-server/tests/test_rate_limits.py
@@ -285,6 +285,50 @@
         published = [fact.limits[0].rate for fact in sent_facts]
         assert published == ([5.0, None] if rate is None else [5.0])
 
+    @pytest.mark.parametrize(
+        ("known", "older", "is_applied"),
+        [
+            ((5.0, None), (1000.0, None), False),
+            ((5.0, 2), (None, 2), False),
+            ((None, 2), (1000.0, None), False),
+            ((5.0, 2), (5.0, 7), False),
+            ((5.0, 7), (4.0, 2), True),
+            ((5.0, None), (5.0, 2), True),
+        ],
+        ids=str,
+    )
+    def test_limit_is_not_raised_by_an_older_message(
+        self, clock, known, older, is_applied
+    ):
+        node = Cluster(clock, 3).nodes["n0"]
+        node.exchange.report_rooms()
+        clock.advance(seconds(3))
+        node.limits.apply_answer("t1", known[0], clock.elapsed(), known[1])
+        clock.advance(seconds(0.1))
+
+        limit = LimitOfTarget("t1", older[0], 0, older[1])
+        node.exchange.handle_message(
+            RateLimitsUpdate([limit]), Member("n1", "d", "n1", 1, Standing.ALIVE)
+        )
+
+        latest = node.limits.latest_limit("t1")
+        expected = older if is_applied else known
+        assert (latest.rate, latest.max_rejections) == expected
+
+    def test_messages_of_two_pauses_are_older_than_the_first(self, clock):
+        node = Cluster(clock, 3).nodes["n0"]
+        node.exchange.report_rooms()
+        clock.advance(seconds(5))
+        run_for(clock, node, 0.2)
+        node.limits.apply_answer("t1", 5.0, clock.elapsed())
+        run_for(clock, node, 0.1)
+        clock.advance(seconds(1.2))
+
+        lifted = RateLimitsUpdate([LimitOfTarget("t1", None, 0)])
+        node.exchange.handle_message(lifted, Member("n1", "d", "n1", 1, Standing.ALIVE))
+
+        assert node.limits.latest_limit("t1").rate == 5.0
+
     def test_limit_stated_in_an_older_message_counts(self, clock):
         """Requests beyond a limit do harm; a needless limit ends with an answer."""
         node = Cluster(clock, 3).nodes["n0"]
