Tell a new orderer the misses as the last one knew them

What callers would see: after a change of orderer, models that were missed long ago are loaded before those that are missed now, and adapters that were missed before the change are not loaded.

Cause: past misses were sent as a number, and counted as if all had come with the last one, whereas an orderer lets each fade. Reports of several nodes faded each other, since recent demand set the book's time back by three seconds. For a model that is requested with an adapter only, nothing was recorded; a report without requests counted as use of the service.

Left: a node that orders a second time adds what it is told to what it still knows of its first term.

--- a/packages/runhatch-server/src/runhatch_server/residency/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/__init__.py
@@ -15,6 +15,7 @@
     DemandBook,
     DemandKey,
     DemandShare,
+    decay_unmet,
     priority_weight,
 )
 from runhatch_server.residency._fleet_view import FleetView
@@ -66,5 +67,6 @@
     "DemandKey",
     "plan_adapters",
     "plan_models",
+    "decay_unmet",
     "priority_weight",
 ]
--- a/packages/runhatch-server/src/runhatch_server/residency/_demand_inbox.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand_inbox.py
@@ -55,7 +55,8 @@
             log_change("demand_dropped", messages=dropped, reason="no round was made")
         for message in messages:
             for share in message.shares:
-                book.add_requests(
-                    message.node, share, message.received_at - message.age
-                )
-                book.record_missed_for(share, message.received_at)
+                if share.requests or share.missed:
+                    book.add_requests(
+                        message.node, share, message.received_at - message.age
+                    )
+                book.record_past_misses(share, message.received_at)
