--- a/packages/runhatch-server/src/runhatch_server/gateway/_missed_models.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_missed_models.py
@@ -1,35 +1,19 @@
-"""Records for the next orderer which models have been missed."""
+"""Records for the next orderer since when models have been missed."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
-from runhatch_server.residency import (
-    MISS_RETENTION,
-    DemandKey,
-    DemandShare,
-    decay_unmet,
-    priority_weight,
-)
+from runhatch_server.residency import MISS_RETENTION, DemandKey, DemandShare
 
 
 @dataclass(slots=True)
 class _Misses:
-    """Reports of requests that missed one model, the first and the last one's time."""
+    """Requests that missed one model, and when the first and the last one did."""
 
     first_at: timedelta
     last_at: timedelta
-    reports: int = 0
-    unmet: float = 0.0
-    """Weighted requests as of ``last_at``; decays as at the orderer."""
-
-    def add(self, weighted: float, now: timedelta) -> None:
-        self.unmet = self.unmet_at(now) + weighted
-        self.reports += 1
-        self.last_at = now
-
-    def unmet_at(self, now: timedelta) -> float:
-        return decay_unmet(self.unmet, now - self.last_at)
+    count: int = 0
 
 
 class MissedModels:
@@ -52,8 +36,8 @@
         for share in shares:
             if share.missed:
                 misses = self._misses.setdefault(share.key, _Misses(now, now))
-                weight = priority_weight(share.key.priority)
-                misses.add(share.missed * weight, now)
+                misses.last_at = now
+                misses.count += share.missed
         expired = [
             key
             for key, misses in self._misses.items()
@@ -72,8 +56,7 @@
                 0.0,
                 now - misses.first_at,
                 now - misses.last_at,
-                misses.reports,
-                misses.unmet_at(now),
+                misses.count,
             )
             for key, misses in self._misses.items()
             if misses.first_at < now
--- a/packages/runhatch-server/src/runhatch_server/gateway/_peer_conversions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peer_conversions.py
@@ -69,7 +69,6 @@
         round(share.missed_for / MILLISECOND),
         round(share.last_missed_for / MILLISECOND),
         share.past_misses,
-        round(share.unmet, 3),
     )
 
 
@@ -89,7 +88,6 @@
         timedelta(milliseconds=message.missed_for_ms),
         timedelta(milliseconds=message.last_missed_for_ms),
         message.past_misses,
-        message.unmet,
     )
 
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -158,9 +158,8 @@
 
     Their answers must begin within ``goal_ms``.  For ``missed_requests`` of them no
     target held the model.  ``work_ms`` is the prompt processing that they require.  A
-    new orderer also gets the number of reports of ``past_misses``, how long ago the
-    first and the last one were, ``missed_for_ms`` and ``last_missed_for_ms``, and the
-    weighted requests ``unmet``, decayed up to now.
+    new orderer also gets the number of ``past_misses``, and how long ago the first and
+    the last one was: ``missed_for_ms`` and ``last_missed_for_ms``.
     """
 
     service: str
@@ -174,7 +173,6 @@
     missed_for_ms: int = 0
     last_missed_for_ms: int = 0
     past_misses: int = 0
-    unmet: float = 0.0
 
 
 class DemandReport(msgspec.Struct, frozen=True, tag="asked", array_like=True):
--- a/packages/runhatch-server/src/runhatch_server/residency/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/__init__.py
@@ -15,7 +15,6 @@
     DemandBook,
     DemandKey,
     DemandShare,
-    decay_unmet,
     priority_weight,
 )
 from runhatch_server.residency._fleet_view import FleetView
@@ -67,6 +66,5 @@
     "DemandKey",
     "plan_adapters",
     "plan_models",
-    "decay_unmet",
     "priority_weight",
 ]
--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -60,9 +60,8 @@
     """Requests at one node for one model or adapter since its previous report.
 
     ``missed`` of them found no target that holds the model or adapter; ``work_ms`` is
-    the time to process their prompts. A new orderer is told of the misses before: how
-    long ago the first and the last of ``past_misses`` reports were, ``missed_for`` and
-    ``last_missed_for``, and the weighted requests ``unmet``, decayed up to now.
+    the time to process their prompts. A new orderer is told how long ago the first and
+    the last of ``past_misses`` found none: ``missed_for`` and ``last_missed_for``.
     """
 
     key: DemandKey
@@ -72,12 +71,6 @@
     missed_for: timedelta = timedelta()
     last_missed_for: timedelta = timedelta()
     past_misses: int = 0
-    unmet: float = 0.0
-
-
-def decay_unmet(unmet: float, age: timedelta) -> float:
-    """Return what remains of ``unmet`` weighted requests after ``age``."""
-    return unmet * math.exp(-(age / UNMET_TIME_CONSTANT))
 
 
 def priority_weight(priority: int) -> float:
@@ -123,13 +116,12 @@
         """Decay the averages to ``now``."""
         age = max(timedelta(), now - self.updated_at)
         remaining = math.exp(-(age / TIME_CONSTANT))
-        self.unmet = decay_unmet(self.unmet, age)
+        self.unmet *= math.exp(-(age / UNMET_TIME_CONSTANT))
         self.rate *= remaining
         self.weighted_rate *= remaining
         self.patient_rate *= remaining
         self.work_share *= remaining
-        # Demand before a change of orderer is reported later.
-        self.updated_at = max(self.updated_at, now)
+        self.updated_at = now
 
     def add_requests(self, share: "DemandShare", now: timedelta) -> None:
         """Add the requests of ``share`` to the averages."""
@@ -163,28 +155,23 @@
 
     def record_past_misses(self, share: "DemandShare", now: timedelta) -> None:
         """Record the past misses of ``share``, as known to an earlier orderer."""
-        self.record_missed_since(
-            now - share.missed_for,
-            now - share.last_missed_for,
-            max(1, share.past_misses),
-        )
+        last_missed_at = now - share.last_missed_for
+        self.record_missed_since(now - share.missed_for, last_missed_at)
         self.decay(now)
-        self.unmet += share.unmet
+        weighted = share.past_misses * priority_weight(share.key.priority)
+        self.unmet += weighted * math.exp(
+            -(share.last_missed_for / UNMET_TIME_CONSTANT)
+        )
 
-    def record_missed_since(
-        self, since: timedelta, last_missed_at: timedelta, reports: int = 1
-    ) -> None:
-        """Record ``reports`` of misses between ``since`` and ``last_missed_at``."""
+    def record_missed_since(self, since: timedelta, now: timedelta) -> None:
+        """Record a miss at ``now`` in a series of misses since ``since``."""
         first_missed_at = self.missed_since
-        if (
-            first_missed_at is None
-            or last_missed_at - self.last_missed_at > MISS_RETENTION
-        ):
+        if first_missed_at is None or now - self.last_missed_at > MISS_RETENTION:
             first_missed_at = since
             self.miss_count = 0
-        self.miss_count += reports
+        self.miss_count += 1
         self.missed_since = min(first_missed_at, since)
-        self.last_missed_at = max(self.last_missed_at, last_missed_at)
+        self.last_missed_at = max(self.last_missed_at, now)
 
     def missed_for(self, now: timedelta) -> timedelta:
         """Return how long requests have found no holder, zero if there is one."""
@@ -287,18 +274,14 @@
                 now,
             )
 
-    def record_past_misses(self, share: DemandShare, now: timedelta) -> None:
-        """Record what ``share`` tells of the misses at a node before this orderer."""
+    def record_missed_for(self, share: DemandShare, now: timedelta) -> None:
+        """Record past requests at a node that found no holder of a model."""
         key = share.key
-        if not share.missed_for:
+        if not share.missed_for or key.adapter:
             return
         model = key.service, key.model
         demand = self._models.setdefault(model, Demand(updated_at=now))
         demand.record_past_misses(share, now)
-        if key.adapter:
-            adapter = *model, key.adapter
-            demand = self._adapters.setdefault(adapter, Demand(updated_at=now))
-            demand.record_past_misses(share, now)
 
     def model_demand(self, service: str, model: str, now: timedelta) -> Demand:
         """Return the demand for a model."""
--- a/packages/runhatch-server/src/runhatch_server/residency/_demand_inbox.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand_inbox.py
@@ -55,8 +55,7 @@
             log_change("demand_dropped", messages=dropped, reason="no round was made")
         for message in messages:
             for share in message.shares:
-                if share.requests or share.missed:
-                    book.add_requests(
-                        message.node, share, message.received_at - message.age
-                    )
-                book.record_past_misses(share, message.received_at)
+                book.add_requests(
+                    message.node, share, message.received_at - message.age
+                )
+                book.record_missed_for(share, message.received_at)
--- a/packages/runhatch-server/tests/test_missed_models.py
+++ b/packages/runhatch-server/tests/test_missed_models.py
@@ -357,6 +357,6 @@
     def test_it_is_known_to_a_new_orderer(self):
         book = DemandBook()
         key = DemandKey("engine", "m6", "", 2, seconds(8))
-        book.record_past_misses(DemandShare(key, 0, 0, 0.0, seconds(20)), NOW)
+        book.record_missed_for(DemandShare(key, 0, 0, 0.0, seconds(20)), NOW)
 
         assert book.model_demand("engine", "m6", NOW).missed_span(NOW) == seconds(20)
--- a/packages/runhatch-server/tests/test_places.py
+++ b/packages/runhatch-server/tests/test_places.py
@@ -72,7 +72,7 @@
                 book.add_requests("n1", share, NOW - seconds(5 - age))
             share = DemandShare(wanted, missed, missed, missed * 100.0, missed_for)
             book.add_requests("n1", share, NOW)
-            book.record_past_misses(share, NOW)
+            book.record_missed_for(share, NOW)
         return book
 
 
--- a/packages/runhatch-server/tests/test_starvation.py
+++ b/packages/runhatch-server/tests/test_starvation.py
@@ -5,7 +5,6 @@
 model recently, a model requested every ten seconds is never loaded.
 """
 
-import itertools
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -14,10 +13,6 @@
 
 from runhatch_server.fleet import HeldModels, StoredCopies
 from runhatch_server.gateway._missed_models import MissedModels
-from runhatch_server.gateway._peer_conversions import (
-    demand_of_message,
-    message_of_demand,
-)
 from runhatch_server.residency import (
     OVERDUE,
     ControlState,
@@ -30,7 +25,6 @@
     TargetReport,
     plan_models,
 )
-from runhatch_server.residency._demand_inbox import DemandInbox, DemandMessage
 
 STEP = seconds(0.25)
 LENGTH = seconds(60)
@@ -196,7 +190,7 @@
         simulation = Simulation([control], now=seconds(20))
         wanted = DemandKey("engine", "m6", "", *PATIENT_ROUTE)
         reported_share = DemandShare(wanted, 0, 0, 0.0, seconds(missed_for))
-        simulation.book.record_past_misses(reported_share, simulation.now)
+        simulation.book.record_missed_for(reported_share, simulation.now)
         simulation.book.add_requests(
             "n1", DemandShare(wanted, 1, 1, 100.0), simulation.now
         )
@@ -207,7 +201,7 @@
 
     @pytest.mark.parametrize("is_changed", [False, True])
     def test_missed_model_needs_no_further_miss(self, is_changed):
-        """A new orderer that is not told of misses would wait for another one."""
+        """After a change, rarely requested models waited for their next request."""
         control = make_control("t1", "m0", "m1", "m2")
         wanted = DemandKey("engine", "m6", "", *PATIENT_ROUTE)
         book, missed, now = DemandBook(), MissedModels(), seconds(30)
@@ -218,67 +212,12 @@
         if is_changed:
             book = DemandBook()
             for share in missed.shares(now):
-                book.record_past_misses(share, now)
+                book.record_missed_for(share, now)
 
         plan = plan_models(FleetView("engine", ENGINE, [control], book, now))
 
         assert [load.model for load in plan.loads] == ["m6"]
 
-    @pytest.mark.parametrize("adapter", ["", "a1"])
-    @pytest.mark.parametrize("nodes", [1, 2, 10])
-    @pytest.mark.parametrize(
-        "missed_at", [(70, 75), (60, 70, 74, 95), range(5, 96, 3)], ids=len
-    )
-    def test_new_orderer_knows_what_the_last_one_knew(self, missed_at, nodes, adapter):
-        """Misses that look later or more than they were would load their models."""
-        wanted = DemandKey("engine", "m6", adapter, *PATIENT_ROUTE)
-        last, now, inbox = DemandBook(), seconds(100), DemandInbox()
-        missed = {f"n{i}": MissedModels() for i in range(nodes)}
-        for at, node in itertools.product(missed_at, missed):
-            share = DemandShare(wanted, 1, 1, 100.0)
-            last.add_requests(node, share, seconds(at))
-            missed[node].update([share], lambda key: False, seconds(at))
-        recent = DemandShare(wanted, 1, 0, 100.0)
-        for node in missed:
-            shares = [recent, *missed[node].shares(now)]
-            told = (demand_of_message(message_of_demand(each)) for each in shares)
-            inbox.put(DemandMessage(node, tuple(told), now, seconds(3)))
-
-        new = DemandBook()
-        inbox.drain_into(new)
-
-        assert known_misses(new, adapter, now) == pytest.approx(
-            known_misses(last, adapter, now), rel=0.01
-        )
-
-    def test_report_without_requests_is_no_demand(self):
-        wanted = DemandKey("engine", "m6", "", *PATIENT_ROUTE)
-        share = DemandShare(wanted, 0, 0, 0.0, seconds(20), seconds(5), 2, 1.5)
-        book, inbox, now = DemandBook(), DemandInbox(), seconds(100)
-        inbox.put(DemandMessage("n1", (share,), now, seconds(3)))
-
-        inbox.drain_into(book)
-
-        assert not book.model_demand("engine", "m6", now).was_requested
-        assert book.last_request_at("engine") is None
-
-
-def known_misses(book, adapter, now):
-    """Return what ``book`` knows of the misses of model m6 and of ``adapter``."""
-    demands = [book.model_demand("engine", "m6", now)]
-    if adapter:
-        demands.append(book.adapter_demand("engine", "m6", adapter, now))
-    return [
-        value
-        for demand in demands
-        for value in (
-            demand.unmet,
-            demand.missed_for(now).total_seconds(),
-            demand.missed_span(now).total_seconds(),
-            demand.miss_count,
-        )
-    ]
-
 
 class TestDeferral:
     """A plan states why it starts no load of a missed model."""
@@ -303,9 +242,7 @@
             controls.append(loading)
         book, now = DemandBook(), seconds(20)
         wanted = DemandKey("engine", "m6", "", *PATIENT_ROUTE)
-        book.record_past_misses(
-            DemandShare(wanted, 0, 0, 0.0, seconds(missed_for)), now
-        )
+        book.record_missed_for(DemandShare(wanted, 0, 0, 0.0, seconds(missed_for)), now)
         book.add_requests("n1", DemandShare(wanted, 1, 1, 100.0), now)
 
         plan = plan_models(FleetView("engine", ENGINE, controls, book, now))
