--- a/packages/runhatch-server/src/runhatch_server/gateway/_peer_conversions.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_peer_conversions.py
@@ -66,9 +66,7 @@
         share.requests,
         share.missed,
         round(share.work_ms),
-        round(share.missed_for / MILLISECOND),
-        round(share.last_missed_for / MILLISECOND),
-        share.past_misses,
+        round(share.missed_for / timedelta(milliseconds=1)),
     )
 
 
@@ -86,8 +84,6 @@
         message.missed_requests,
         float(message.work_ms),
         timedelta(milliseconds=message.missed_for_ms),
-        timedelta(milliseconds=message.last_missed_for_ms),
-        message.past_misses,
     )
 
 
--- a/packages/runhatch-server/src/runhatch_server/peers/_messages.py
+++ b/packages/runhatch-server/src/runhatch_server/peers/_messages.py
@@ -158,8 +158,7 @@
 
     Their answers must begin within ``goal_ms``.  For ``missed_requests`` of them no
     target held the model.  ``work_ms`` is the prompt processing that they require.  A
-    new orderer also gets the number of ``past_misses``, and how long ago the first and
-    the last one was: ``missed_for_ms`` and ``last_missed_for_ms``.
+    new orderer also gets ``missed_for_ms``, the time for which no target has held it.
     """
 
     service: str
@@ -171,8 +170,6 @@
     missed_requests: int
     work_ms: int
     missed_for_ms: int = 0
-    last_missed_for_ms: int = 0
-    past_misses: int = 0
 
 
 class DemandReport(msgspec.Struct, frozen=True, tag="asked", array_like=True):
--- a/packages/runhatch-server/src/runhatch_server/residency/_demand.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_demand.py
@@ -60,8 +60,8 @@
     """Requests at one node for one model or adapter since its previous report.
 
     ``missed`` of them found no target that holds the model or adapter; ``work_ms`` is
-    the time to process their prompts. A new orderer is told how long ago the first and
-    the last of ``past_misses`` found none: ``missed_for`` and ``last_missed_for``.
+    the time to process their prompts. ``missed_for`` is how long requests at the node
+    have found none, which is reported to a new orderer.
     """
 
     key: DemandKey
@@ -69,8 +69,6 @@
     missed: int
     work_ms: float
     missed_for: timedelta = timedelta()
-    last_missed_for: timedelta = timedelta()
-    past_misses: int = 0
 
 
 def priority_weight(priority: int) -> float:
@@ -153,16 +151,6 @@
         valid_for = max(MIN_MISS_VALIDITY, key.goal * MISS_VALIDITY_GOAL_SHARE)
         self.misses[node, key] = (weighted, now + valid_for)
 
-    def record_past_misses(self, share: "DemandShare", now: timedelta) -> None:
-        """Record the past misses of ``share``, as known to an earlier orderer."""
-        last_missed_at = now - share.last_missed_for
-        self.record_missed_since(now - share.missed_for, last_missed_at)
-        self.decay(now)
-        weighted = share.past_misses * priority_weight(share.key.priority)
-        self.unmet += weighted * math.exp(
-            -(share.last_missed_for / UNMET_TIME_CONSTANT)
-        )
-
     def record_missed_since(self, since: timedelta, now: timedelta) -> None:
         """Record a miss at ``now`` in a series of misses since ``since``."""
         first_missed_at = self.missed_since
@@ -275,13 +263,13 @@
             )
 
     def record_missed_for(self, share: DemandShare, now: timedelta) -> None:
-        """Record past requests at a node that found no holder of a model."""
+        """Record how long requests at a node have found no holder of a model."""
         key = share.key
         if not share.missed_for or key.adapter:
             return
         model = key.service, key.model
         demand = self._models.setdefault(model, Demand(updated_at=now))
-        demand.record_past_misses(share, now)
+        demand.record_missed_since(now - share.missed_for, now)
 
     def model_demand(self, service: str, model: str, now: timedelta) -> Demand:
         """Return the demand for a model."""
