Bound the content of bodies, and decode small chunks in few steps

Callers that sent a body within max_body_bytes in small chunks got 413, or a reset: 1,000,000 bytes in chunks of 1 or of 7 bytes. One in chunks of a byte took seconds of the thread that reads for all.

Cause: waitress compares the limit with the bytes on the wire, framing included, and copies what is left of the received bytes for each chunk.

Change: the limit applies to the content. Framing has limits of its own, above what chunks of one byte need: 8 bytes for each byte of max_body_bytes, 4 KB a line, and a trailer as long as a head. Equal small chunks are decoded in one step, others with an index instead of copies, and a connection that sends many is read 1 KB at a time. Refusals of the server are problem documents with the caller's attempt, counted and logged as others are. The slack of 64 KB above max_body_bytes, which covered small framing, is gone.

--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -99,6 +99,7 @@
             settings.callers.port,
             serving.threads,
             ServerLimits(serving.max_body_bytes, serving.max_header_bytes),
+            build_refusal=self._app.refuse_unread,
         )
 
     @property
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -282,7 +282,11 @@
         )
         listener = self._settings.operators
         return HttpServer(
-            app, listener.host, listener.port, MAX_OPERATOR_THREADS, OPERATOR_LIMITS
+            app,
+            listener.host,
+            listener.port,
+            MAX_OPERATOR_THREADS,
+            OPERATOR_LIMITS,
         )
 
     def _on_revision(self, revision: Revision) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_app.py
@@ -96,16 +96,9 @@
         headers = _collect_headers(environ)
         request = self._parser.parse(environ, headers)
         if isinstance(request, Refusal):
-            self._metrics.refusals.labels(request.reason.code).inc()
-            log_change(
-                "refused_unread",
-                outcome=request.reason.code,
-                detail=request.detail,
-                host=headers.get("host", "")[:MAX_LOGGED_LENGTH],
-                uri=str(environ.get("REQUEST_URI", ""))[:MAX_LOGGED_LENGTH],
-                configuration=None if self.routes is None else self.routes.version,
+            return self.refuse_unread(
+                request, headers, str(environ.get("REQUEST_URI", ""))
             )
-            return self._build_refusal(request, headers)
         if request.is_forwarded:
             self._metrics.forwarded_bytes.labels("in").inc(len(request.body))
         else:
@@ -115,6 +108,21 @@
             return self._build_refusal(answer, headers)
         return answer
 
+    def refuse_unread(
+        self, refusal: Refusal, headers: Mapping[str, str], uri: str = ""
+    ) -> CompleteAnswer:
+        """Return the answer to a request that is refused before it is served."""
+        self._metrics.refusals.labels(refusal.reason.code).inc()
+        log_change(
+            "refused_unread",
+            outcome=refusal.reason.code,
+            detail=refusal.detail,
+            host=headers.get("host", "")[:MAX_LOGGED_LENGTH],
+            uri=uri[:MAX_LOGGED_LENGTH],
+            configuration=None if self.routes is None else self.routes.version,
+        )
+        return self._build_refusal(refusal, headers)
+
     def _build_stream_headers(self, answer: StreamAnswer) -> Headers:
         if not self._is_for_peers:
             return answer.headers
--- a/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
@@ -1,11 +1,18 @@
 """Servers of a gateway node for callers, and its links to other nodes."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from runhatch_coordination import Clock, InvariantError
+from runhatch_server.gateway._app import GatewayApp
 from runhatch_server.gateway._settings import Endpoint, GatewaySettings
-from runhatch_server.http import HttpServer, ServerLimits
+from runhatch_server.http import (
+    BuildRefusal,
+    HttpServer,
+    ServerLimits,
+    build_plain_refusal,
+)
 from runhatch_server.observability import Metrics
 from runhatch_server.peers import Broadcaster, Listener, MemberExchange, PeerLinks
 from runhatch_server.routing import RequestLimits
@@ -13,7 +20,7 @@
 CALLER_THREADS = 200
 """Requests served concurrently: 30 per second of at most 5 s need about 150."""
 CALLER_CONNECTIONS = 1_500
-"""Maximum open connections of callers; a node may use about 3,900 descriptors."""
+"""Maximum open connections of callers."""
 FORWARD_THREADS = 200
 """Forwarded requests served concurrently."""
 FORWARD_HEADER_BYTES = 1_024
@@ -31,40 +38,65 @@
 OnInvariantError = Callable[[InvariantError], None]
 
 
-def build_servers(
-    settings: GatewaySettings,
-    caller_app: Application,
-    readiness: Application,
-    metrics: Application,
-) -> list[HttpServer]:
-    """Return the HTTP servers of a node, the one for callers first."""
-    main = HttpServer(
-        caller_app,
-        settings.callers.host,
-        settings.callers.port,
-        CALLER_THREADS,
-        server_limits(RequestLimits()),
-        CALLER_CONNECTIONS,
-    )
-    servers = [main, _build_side_server(readiness, settings.readiness)]
-    if settings.metrics is not None:
-        servers.append(_build_side_server(metrics, settings.metrics))
-    return servers
-
-
-def build_forward_server(
-    settings: GatewaySettings, app: Application
-) -> HttpServer | None:
-    """Return the server for requests forwarded by peers, ``None`` without a port."""
-    if not settings.forward_port:
-        return None
-    return HttpServer(
-        app,
-        settings.peers.host,
-        settings.forward_port,
-        FORWARD_THREADS,
-        forward_limits(RequestLimits()),
-    )
+@dataclass(frozen=True, slots=True)
+class ServerFactory:
+    """Builds the HTTP servers of a node."""
+
+    settings: GatewaySettings
+
+    def build_servers(
+        self, callers: GatewayApp, readiness: Application, metrics: Application
+    ) -> list[HttpServer]:
+        """Return the server for callers, then those that serve no requests."""
+        settings = self.settings
+        main = self._build(
+            callers,
+            settings.callers,
+            CALLER_THREADS,
+            server_limits(RequestLimits()),
+            CALLER_CONNECTIONS,
+            callers.refuse_unread,
+        )
+        servers = [main, self._build_side_server(readiness, settings.readiness)]
+        if settings.metrics is not None:
+            servers.append(self._build_side_server(metrics, settings.metrics))
+        return servers
+
+    def build_forward_server(self, app: GatewayApp) -> HttpServer | None:
+        """Return the server for requests of peers, ``None`` without a port."""
+        settings = self.settings
+        if not settings.forward_port:
+            return None
+        return self._build(
+            app,
+            Endpoint(settings.peers.host, settings.forward_port),
+            FORWARD_THREADS,
+            forward_limits(RequestLimits()),
+            None,
+            app.refuse_unread,
+        )
+
+    def _build_side_server(self, app: Application, endpoint: Endpoint) -> HttpServer:
+        return self._build(app, endpoint, SIDE_THREADS, SIDE_LIMITS, None)
+
+    def _build(
+        self,
+        app: Application,
+        endpoint: Endpoint,
+        max_threads: int,
+        limits: ServerLimits,
+        max_connections: int | None,
+        build_refusal: BuildRefusal = build_plain_refusal,
+    ) -> HttpServer:
+        return HttpServer(
+            app,
+            endpoint.host,
+            endpoint.port,
+            max_threads,
+            limits,
+            max_connections,
+            build_refusal,
+        )
 
 
 def forward_limits(limits: RequestLimits) -> ServerLimits:
@@ -121,7 +153,3 @@
         broadcaster = Broadcaster(url, peers.own_member, metrics, clock)
     listener = Listener(peers.receive, metrics, MAX_MESSAGE_BYTES, on_broken, clock)
     return broadcaster, listener
-
-
-def _build_side_server(app: Application, endpoint: Endpoint) -> HttpServer:
-    return HttpServer(app, endpoint.host, endpoint.port, SIDE_THREADS, SIDE_LIMITS)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -29,8 +29,7 @@
 from runhatch_server.gateway._lease_keeper import LeaseKeeper, LeasePolicy
 from runhatch_server.gateway._listeners import (
     HEARTBEAT_INTERVAL,
-    build_forward_server,
-    build_servers,
+    ServerFactory,
     forward_limits,
     open_broadcast,
     open_links,
@@ -205,9 +204,10 @@
         self._service = self._build_service()
         self._app = self._build_app()
         self._forward_app = self._build_app(is_for_peers=True)
-        self._forward_server = build_forward_server(settings, self._forward_app)
-        self._servers = build_servers(
-            settings, self._app, ReadinessApp(self.is_ready), MetricsApp(self._metrics)
+        servers = ServerFactory(settings)
+        self._forward_server = servers.build_forward_server(self._forward_app)
+        self._servers = servers.build_servers(
+            self._app, ReadinessApp(self.is_ready), MetricsApp(self._metrics)
         )
 
     def is_ready(self) -> bool:
@@ -454,12 +454,13 @@
     def _on_routes(self, routes: RouteTable) -> None:
         self._balancer.configure(routes.services, routes.max_gaps)
         self._orderer.declare(routes.services)
-        self._servers[0].set_limits(server_limits(routes.configuration.limits))
+        limits = routes.configuration.limits
+        self._servers[0].set_limits(server_limits(limits))
         self._versions.configure(routes)
         self._app.routes = routes
         self._forward_app.routes = routes
         if self._forward_server is not None:
-            self._forward_server.set_limits(forward_limits(routes.configuration.limits))
+            self._forward_server.set_limits(forward_limits(limits))
 
         self._tables.confirm_within(
             self._platform.configurations.name, self._confirmation_interval(routes)
--- a/packages/runhatch-server/src/runhatch_server/http/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/http/__init__.py
@@ -8,6 +8,11 @@
     Reply,
     enable_keepalive,
 )
+from runhatch_server.http._refusals import (
+    BuildRefusal,
+    RefusalAnswer,
+    build_plain_refusal,
+)
 from runhatch_server.http._response import (
     StrictLineReader,
     StrictResponse,
@@ -28,6 +33,7 @@
 __all__ = [
     "AbortedStreamError",
     "AbortedCall",
+    "BuildRefusal",
     "ClosingEvents",
     "Environ",
     "EventStream",
@@ -35,11 +41,13 @@
     "HttpServer",
     "INVALID_HOST_ERRORS",
     "MAX_BODY_BYTES",
+    "RefusalAnswer",
     "Reply",
     "ServerLimits",
     "StartResponse",
     "StrictLineReader",
     "StrictResponse",
+    "build_plain_refusal",
     "caller_disconnect_check",
     "enable_keepalive",
     "omit_framing",
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -4,16 +4,17 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from functools import partial
 from typing import Any
 
 from waitress import create_server
 
-from runhatch_server.http._channel import FramingChannel
+from runhatch_server.http._bounded_channel import BoundedChannel
 from runhatch_server.http._dispatcher import GrowingDispatcher
+from runhatch_server.http._refusals import BuildRefusal, build_plain_refusal
 
 SPARE_CONNECTIONS = 100
 """Connections beyond the number of threads, for idle and soon refused ones."""
-RECEIVE_SLACK_BYTES = 65_536
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=120)
 DEFAULT_HEADER_TIMEOUT = timedelta(seconds=10)
 CLEANUP_INTERVAL = timedelta(seconds=5)
@@ -40,7 +41,8 @@
 class HttpServer:
     """Serves a WSGI application on one address, in a background thread.
 
-    At most ``max_threads`` requests are served concurrently.
+    At most ``max_threads`` requests are served concurrently.  Requests
+    that the server refuses itself are answered by ``build_refusal``.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         max_threads: int,
         limits: ServerLimits,
         max_connections: int | None = None,
+        build_refusal: BuildRefusal = build_plain_refusal,
     ) -> None:
         self._dispatcher = GrowingDispatcher(max_threads)
         self._server: Any = create_server(
@@ -68,7 +71,7 @@
             ident="runhatch",
             expose_tracebacks=False,
         )
-        self._server.channel_class = FramingChannel
+        self._server.channel_class = partial(BoundedChannel, build_refusal)
         self._close_idle_channels = self._server.maintenance
         self._server.maintenance = self._close_overdue_channels
         self._header_timeout = limits.header_timeout
@@ -88,7 +91,8 @@
     def set_limits(self, limits: ServerLimits) -> None:
         """Apply ``limits`` to requests that arrive from now on."""
         settings = self._server.adj
-        settings.max_request_body_size = limits.max_body_bytes + RECEIVE_SLACK_BYTES
+        # waitress refuses what reaches this size.
+        settings.max_request_body_size = limits.max_body_bytes + 1
         settings.max_request_header_size = limits.max_header_bytes
         settings.channel_timeout = limits.idle_timeout.total_seconds()
         self._header_timeout = limits.header_timeout
--- a/packages/runhatch-server/src/runhatch_server/refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/refusals.py
@@ -36,6 +36,11 @@
     KEY_MISSING = ("key_missing", 400, "The call may not be repeated and has no key")
     KEY_REUSED = ("key_reused", 422, "The key was used with another request")
     BODY_TOO_LARGE = ("body_too_large", 413, "The body is too large")
+    FRAMING_TOO_LARGE = (
+        "framing_too_large",
+        413,
+        "The body has too many bytes besides its content",
+    )
     UNKNOWN_PATH = ("unknown_path", 404, "There is no such path")
     NO_ROUTE = ("no_route", 404, "No route is declared for this host and path")
     KEY_UNKNOWN = ("key_unknown", 401, "No workspace has the key of the request")
--- a/packages/runhatch-server/src/runhatch_server/serving/_app.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_app.py
@@ -1,6 +1,6 @@
 """The callers' HTTP interface as a WSGI application."""
 
-from collections.abc import Callable, Generator, Iterable, Iterator
+from collections.abc import Callable, Generator, Iterable, Iterator, Mapping
 from datetime import timedelta
 
 import msgspec
@@ -15,7 +15,7 @@
     caller_disconnect_check,
     send_response,
 )
-from runhatch_server.observability import Metrics
+from runhatch_server.observability import Metrics, log_change
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.serving._caller_answers import (
     CallerAnswer,
@@ -106,8 +106,7 @@
             return self._refuse_not_ready()
         request = self._reader.read_request(environ)
         if isinstance(request, Refusal):
-            self._metrics.refusals.labels(request.reason.code).inc()
-            return build_refusal_answer(request, NO_REQUEST_ID)
+            return self._refuse(request)
         answer = self._service.serve_request(request, caller_disconnect_check(environ))
         duration = self._clock.elapsed() - started
         kind = request.route.kind.value
@@ -119,6 +118,16 @@
         refusal = Refusal(
             Reason.NOT_READY, Executed.UNKNOWN, retry_after=NOT_READY_RETRY_AFTER
         )
+        return self._refuse(refusal)
+
+    def refuse_unread(
+        self, refusal: Refusal, headers: Mapping[str, str]
+    ) -> WholeAnswer:
+        """Return the answer to a request that the HTTP server refuses."""
+        log_change("refused_unread", outcome=refusal.reason.code, detail=refusal.detail)
+        return self._refuse(refusal)
+
+    def _refuse(self, refusal: Refusal) -> WholeAnswer:
         self._metrics.refusals.labels(refusal.reason.code).inc()
         return build_refusal_answer(refusal, NO_REQUEST_ID)
 
--- /dev/null
+++ b/packages/runhatch-server/tests/test_bounded_connections.py
@@ -0,0 +1,123 @@
+"""Connections of callers that send too much, too slowly or too many requests."""
+
+import http.client
+import socket
+from contextlib import contextmanager
+
+import pytest
+from gateway_cases import seconds
+
+from runhatch_server.http import HttpServer, ServerLimits
+
+MAX_BODY = 100_000
+LARGE_BODY = 8_000_000
+"""More than the buffers of a connection hold."""
+MAX_HEADER = 4_000
+WAIT_SECONDS = 20.0
+
+
+class App:
+    """Echoes the length of each body, and records the paths that it was asked for."""
+
+    def __init__(self):
+        self.paths = []
+
+    def __call__(self, environ, start_response):
+        body = environ["wsgi.input"].read()
+        self.paths.append(environ["PATH_INFO"])
+        answer = f"{environ['PATH_INFO']} {len(body)}".encode()
+        start_response("200 OK", [("Content-Length", str(len(answer)))])
+        return [answer]
+
+
+@pytest.fixture
+def app():
+    return App()
+
+
+@pytest.fixture
+def start_server(app):
+    servers = []
+
+    def start(max_body=MAX_BODY):
+        limits = ServerLimits(
+            max_body,
+            MAX_HEADER,
+            header_timeout=seconds(30),
+        )
+        server = HttpServer(
+            app,
+            "127.0.0.1",
+            0,
+            10,
+            limits,
+        )
+        server.start()
+        servers.append(server)
+        return server
+
+    yield start
+    for server in servers:
+        server.stop_listening()
+        server.close_idle_connections()
+
+
+@pytest.fixture
+def server(start_server):
+    return start_server()
+
+
+@contextmanager
+def connect(server, *sent):
+    with socket.create_connection(("127.0.0.1", server.port), WAIT_SECONDS) as caller:
+        for part in sent:
+            caller.sendall(part)
+        yield caller
+
+
+def post(path, *headers):
+    lines = (f"POST {path} HTTP/1.1", "Host: a", *headers, "", "")
+    return "\r\n".join(lines).encode()
+
+
+def read_response(caller, method="POST"):
+    response = http.client.HTTPResponse(caller, method=method)
+    response.begin()
+    return response, response.read()
+
+
+class TestBodyLimit:
+    """The limit applies to the content of a body, not to its framing."""
+
+    @pytest.mark.parametrize("chunk", [1, 2, 33, MAX_BODY])
+    def test_largest_body_is_served_in_chunks(self, server, chunk):
+        whole = b"%x\r\n%s\r\n" % (chunk, b"x" * chunk)
+        rest = MAX_BODY % chunk
+        last = b"%x\r\n%s\r\n" % (rest, b"x" * rest) if rest else b""
+        head = post("/a", "Transfer-Encoding: chunked")
+
+        wire = whole * (MAX_BODY // chunk) + last + b"0\r\n\r\n"
+        with connect(server, head, wire) as caller:
+            response, body = read_response(caller)
+
+        assert (response.status, body) == (200, b"/a %d" % MAX_BODY)
+
+    def test_caller_that_expects_to_continue_is_refused(self, server):
+        length = f"Content-Length: {MAX_BODY + 1}"
+        head = post("/a", length, "Expect: 100-continue")
+
+        with connect(server, head) as caller:
+            assert caller.recv(12) == b"HTTP/1.1 413"
+
+    def test_rest_of_a_refused_body_is_no_request(self, server, app):
+        """The caller may hide a request in a body."""
+        hidden = b"GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n"
+        head = post("/a", f"Content-Length: {MAX_BODY + 1}")
+
+        with connect(server, head + hidden * 20) as caller:
+            response, _ = read_response(caller)
+            caller.sendall(hidden * 20)
+            assert caller.recv(1_000) == b""
+
+        assert response.status == 413
+        assert app.paths == []
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -132,6 +132,8 @@
         self.services = [*SERVICES]
         self.workspaces: list[Document] | None = None
         """Entries of workspaces in configurations, ``None`` for no such field."""
+        self.limits: Document = {}
+        """Limits on requests in configurations, empty for the defaults."""
         self.paths = TargetPaths(stack, folder) if has_paths else None
         self.peer_cuts = PeerCuts(folder) if has_peer_cuts else None
         self.platform = self._register(launch("platform", "runhatch_standins.platform"))
@@ -274,6 +276,8 @@
         }
         if self.workspaces is not None:
             document["tenants"] = self.workspaces
+        if self.limits:
+            document["limits"] = self.limits
         self._configuration = document
         self.write_row("op", "config", document)
 
