Let refusals reach callers that go on sending

A caller whose body was refused lost the 413: its sending was reset before it read.

Cause: the connection was closed with unread bytes, upon which the kernel resets it (RFC 9112, 9.6).

--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -17,7 +17,7 @@
 """Connections beyond the number of threads, for idle and soon refused ones."""
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=120)
 DEFAULT_HEADER_TIMEOUT = timedelta(seconds=10)
-CLEANUP_INTERVAL = timedelta(seconds=5)
+CLEANUP_INTERVAL = timedelta(seconds=1)
 """Interval of the check for idle connections and slow heads of requests, whose
 connections close at most this much late."""
 BACKLOG = 1024
@@ -113,7 +113,7 @@
         """Close idle connections, and those whose request's head takes too long."""
         self._close_idle_channels(now)
         for channel in list(self._server.active_channels.values()):
-            if channel.head_age > self._header_timeout:
+            if channel.head_age > self._header_timeout or channel.is_overdue:
                 channel.will_close = True
 
     def _close_idle(self) -> None:
--- a/packages/runhatch-server/tests/test_bounded_connections.py
+++ b/packages/runhatch-server/tests/test_bounded_connections.py
@@ -1,6 +1,7 @@
 """Connections of callers that send too much, too slowly or too many requests."""
 
 import http.client
+import json
 import socket
 from contextlib import contextmanager
 
@@ -102,6 +103,27 @@
 
         assert (response.status, body) == (200, b"/a %d" % MAX_BODY)
 
+    @pytest.mark.parametrize(
+        ("head", "body"),
+        [
+            (post("/a", f"Content-Length: {LARGE_BODY + 1}"), bytes(LARGE_BODY + 1)),
+            (
+                post("/a", "Transfer-Encoding: chunked"),
+                b"%x\r\n%s\r\n0\r\n\r\n" % (2 * LARGE_BODY, bytes(2 * LARGE_BODY)),
+            ),
+        ],
+    )
+    def test_refusal_reaches_a_caller_that_sends_all_first(
+        self, start_server, head, body
+    ):
+        """A reset would end its sending, or discard what it has not read yet."""
+        with connect(start_server(LARGE_BODY), head, body) as caller:
+            response, content = read_response(caller)
+
+        assert response.status == 413
+        assert json.loads(content)["reason"] == "body_too_large"
+        assert response.headers["Connection"] == "close"
+
     def test_caller_that_expects_to_continue_is_refused(self, server):
         length = f"Content-Length: {MAX_BODY + 1}"
         head = post("/a", length, "Expect: 100-continue")
--- a/standins/tests/test_hard_clients.py
+++ b/standins/tests/test_hard_clients.py
@@ -10,6 +10,7 @@
 import pytest
 
 from runhatch_standins._crowds import (
+    announce,
     number_wires,
     open_crowd,
     send_chunks,
@@ -42,6 +43,21 @@
     gate.process.kill()
 
 
+class TestRefusals:
+    """Refusals of requests that are too large reach callers that go on sending."""
+
+    @pytest.mark.parametrize(
+        "make_wire",
+        [
+            partial(send_chunks, size=20_000_000, chunk=60_000),
+            partial(announce, announced=20_000_000, size=20_000_000),
+        ],
+    )
+    def test_too_large_a_body_is_refused_readably(self, gate, make_wire):
+        with open_crowd([gate.front], number_wires(1, make_wire)) as crowd:
+            assert crowd.statuses == [413]
+
+
 class TestLegalBodies:
     """A body within the limits is served however it is cut."""
 
