Account for what open requests hold, and refuse what does not fit

Callers that send many bodies, whole or stopping just short, made a process exceed its memory: a body is read before its request is admitted, so they need no slot, and nothing bounded the sum. What was spooled to files counts as memory on nodes without disks.

Change: one account for all HTTP listeners of a process, as connections state what heads, bodies and unread answers hold. A request is admitted while as much as it will hold stays free, so that small ones are served beside any number of large ones; bodies without progress for a second give way to others, those that have held most for longest first. The rest gets memory_full (503, not run) with a Retry-After. The bound is a third of memory_mb, and at least three of the largest bodies; serving.request_memory_bytes with our own interface. Gauges request_memory_bytes and request_memory_limit_bytes.

--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -13,7 +13,7 @@
 from runhatch_server._progress import RequestCounter
 from runhatch_server.crashes import CrashDetector
 from runhatch_server.external_services import ExternalServices
-from runhatch_server.http import HttpServer, ServerLimits
+from runhatch_server.http import HttpServer, RequestMemory, ServerLimits
 from runhatch_server.observability import LogLevel, Metrics, TraceLog
 from runhatch_server.serving import (
     AnswerStore,
@@ -41,7 +41,7 @@
     ``is_ready`` is the readiness reported to the load balancer, ``has_configuration``
     whether requests can be validated at all.  ``on_draining`` is called with a target
     that refuses new work while draining, ``on_invariant_error`` with a violated
-    invariant.
+    invariant.  What open requests hold counts in ``request_memory``.
     """
 
     def __init__(
@@ -58,6 +58,7 @@
         on_invariant_error: Callable[[InvariantError], None],
         crashes: CrashDetector,
         target_incarnations: TargetIncarnations,
+        request_memory: RequestMemory,
     ) -> None:
         serving = settings.serving
         self._settings = settings
@@ -99,6 +100,7 @@
             settings.callers.port,
             serving.threads,
             ServerLimits(serving.max_body_bytes, serving.max_header_bytes),
+            memory=request_memory,
             build_refusal=self._app.refuse_unread,
         )
 
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -33,7 +33,7 @@
     TrialOwner,
 )
 from runhatch_server.external_services import ExternalServices
-from runhatch_server.http import HttpServer, ServerLimits
+from runhatch_server.http import HttpServer, RequestMemory, ServerLimits
 from runhatch_server.observability import Metrics, TraceLog, log_change
 from runhatch_server.operations import (
     Access,
@@ -77,6 +77,9 @@
         self._placement_cache = PlacementCache()
         self._ledger_read_at = timedelta(days=-1)
         self._tasks = RecurringTasks(self._clock, self._draining)
+        self._request_memory = RequestMemory(
+            settings.serving.request_memory_bytes, self._clock
+        )
         self._membership = Membership(
             self._build_own_vm(),
             self._clock,
@@ -110,6 +113,7 @@
             self._on_invariant_error,
             self._crash_detector,
             target_incarnations,
+            self._request_memory,
         )
         self._dispatcher = self._callers.dispatcher
         self._drain_tracker = DrainTracker(self._clock, self._dispatcher.set_draining)
@@ -287,6 +291,7 @@
             listener.port,
             MAX_OPERATOR_THREADS,
             OPERATOR_LIMITS,
+            memory=self._request_memory,
         )
 
     def _on_revision(self, revision: Revision) -> None:
@@ -340,6 +345,8 @@
         self._drain_tracker.set_draining_vms(listing.draining_vms)
 
     def _maintain_membership(self) -> None:
+        self._metrics.request_memory.set(self._request_memory.held)
+        self._metrics.request_memory_limit.set(self._request_memory.limit)
         self._peers.announce_to_seeds(self._settings.peering.seeds)
         self._peers.update_links()
         self._peers.check_members()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
@@ -10,6 +10,7 @@
 from runhatch_server.http import (
     BuildRefusal,
     HttpServer,
+    RequestMemory,
     ServerLimits,
     build_plain_refusal,
 )
@@ -23,6 +24,9 @@
 """Maximum open connections of callers."""
 FORWARD_THREADS = 200
 """Forwarded requests served concurrently."""
+BYTES_PER_MEGABYTE = 1_000_000
+MIN_LARGE_REQUESTS = 3
+"""Bodies of the largest allowed size for which there is room in any case."""
 FORWARD_HEADER_BYTES = 1_024
 """Maximum size of the headers that a node adds to a request that it forwards."""
 SIDE_THREADS = 2
@@ -40,9 +44,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerFactory:
-    """Builds the HTTP servers of a node."""
+    """Builds the HTTP servers of a node, whose requests share one ``memory``."""
 
     settings: GatewaySettings
+    memory: RequestMemory
 
     def build_servers(
         self, callers: GatewayApp, readiness: Application, metrics: Application
@@ -95,10 +100,21 @@
             max_threads,
             limits,
             max_connections,
+            self.memory,
             build_refusal,
         )
 
 
+def request_memory_limit(settings: GatewaySettings, limits: RequestLimits) -> int:
+    """Return how many bytes open requests may hold under ``limits``.
+
+    A body of the largest size is served on a node that holds nothing else, whatever
+    its memory.
+    """
+    share = settings.memory_mb * BYTES_PER_MEGABYTE * settings.request_memory_share
+    return max(int(share), MIN_LARGE_REQUESTS * limits.body_bytes)
+
+
 def forward_limits(limits: RequestLimits) -> ServerLimits:
     """Return the limits of the server for requests forwarded by peers."""
     return ServerLimits(
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -33,6 +33,7 @@
     forward_limits,
     open_broadcast,
     open_links,
+    request_memory_limit,
     server_limits,
 )
 from runhatch_server.gateway._own_membership import build_membership
@@ -56,10 +57,11 @@
 )
 from runhatch_server.gateway._target_gauge import TargetGauge
 from runhatch_server.gateway._version_recorder import CHECK_INTERVAL as VERSION_INTERVAL
+from runhatch_server.http import RequestMemory
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
-from runhatch_server.routing import RouteTable, UsageCap
+from runhatch_server.routing import RequestLimits, RouteTable, UsageCap
 from runhatch_server.workspaces import KeyCurrency, UsageGate
 
 ORDERS_LEASE_NAME = "orders"
@@ -204,7 +206,10 @@
         self._service = self._build_service()
         self._app = self._build_app()
         self._forward_app = self._build_app(is_for_peers=True)
-        servers = ServerFactory(settings)
+        self._request_memory = RequestMemory(
+            request_memory_limit(settings, RequestLimits()), self._clock
+        )
+        servers = ServerFactory(settings, self._request_memory)
         self._forward_server = servers.build_forward_server(self._forward_app)
         self._servers = servers.build_servers(
             self._app, ReadinessApp(self.is_ready), MetricsApp(self._metrics)
@@ -455,6 +460,7 @@
         self._balancer.configure(routes.services, routes.max_gaps)
         self._orderer.declare(routes.services)
         limits = routes.configuration.limits
+        self._request_memory.limit = request_memory_limit(self._settings, limits)
         self._servers[0].set_limits(server_limits(limits))
         self._versions.configure(routes)
         self._app.routes = routes
@@ -545,6 +551,8 @@
         self._metrics.requests_held.set(self._balancer.held_count)
         self._tables.update_metrics()
         self._metrics.requests_in_progress.set(self._progress.in_progress)
+        self._metrics.request_memory.set(self._request_memory.held)
+        self._metrics.request_memory_limit.set(self._request_memory.limit)
 
     def _sleep_until(self, moment: timedelta) -> None:
         left = moment - self._clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
@@ -54,6 +54,8 @@
     because callers compete for the targets.  A node that
     reads the store broadcasts on ``broadcast_port`` of the peers' host, and accepts
     requests forwarded by other nodes on ``forward_port`` of that host; 0 if it cannot.
+
+    Of ``memory_mb``, open requests may hold ``request_memory_share``.
     """
 
     name: str
@@ -73,3 +75,4 @@
     forward_port: int = 0
     key_removal: timedelta | None = None
     shares_prompt_queues: bool = False
+    request_memory_share: float = 1 / 3
--- a/packages/runhatch-server/src/runhatch_server/http/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/http/__init__.py
@@ -8,6 +8,7 @@
     Reply,
     enable_keepalive,
 )
+from runhatch_server.http._memory import RequestMemory
 from runhatch_server.http._refusals import (
     BuildRefusal,
     RefusalAnswer,
@@ -43,6 +44,7 @@
     "MAX_BODY_BYTES",
     "RefusalAnswer",
     "Reply",
+    "RequestMemory",
     "ServerLimits",
     "StartResponse",
     "StrictLineReader",
--- a/packages/runhatch-server/src/runhatch_server/http/_body.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_body.py
@@ -15,6 +15,8 @@
 """Framing that each byte of a body may have; in chunks of one byte, each has 5."""
 MIN_FRAMING_BYTES = 65_536
 """Framing that a body of any length may have."""
+OVERALLOCATION = 8
+"""A growing buffer has an eighth more than its content."""
 CHUNK_LINE = re.compile(
     rb"([0-9A-Fa-f]{1,16})[ \t]*"
     rb"(?:;[ \t]*[^\x00-\x08\x0a-\x1f\x7f]*)?"
@@ -43,6 +45,11 @@
     def __len__(self) -> int:
         return self._size
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory of the buffer in bytes."""
+        return self._size + self._size // OVERALLOCATION
+
     def append(self, data: bytes) -> None:
         """Add ``data`` to the end."""
         self._file.write(data)
--- a/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
@@ -1,4 +1,4 @@
-"""Connections of callers, whose requests are bounded by the server."""
+"""Connections of callers, bounded in what they hold and for how long."""
 
 import socket
 import time
@@ -8,9 +8,16 @@
 from waitress.task import ErrorTask
 
 from runhatch_server.http._channel import FramingChannel
+from runhatch_server.http._memory import Holding, RequestMemory
 from runhatch_server.http._parser import BoundedParser
 from runhatch_server.http._refusals import BuildRefusal, status_line
+from runhatch_server.refusals import Executed, Reason, Refusal
 
+UNACCOUNTED_BYTES = 16_384
+"""What requests on one connection may hold without being accounted for."""
+MIN_BODY_PROGRESS_BYTES = 1_024
+"""Part of a body, or else its rest, that counts as progress."""
+MEMORY_RETRY_DELAY = timedelta(seconds=1)
 MAX_STEPS_PER_READ = 64
 SMALL_CHUNKS_RECEIVE_BYTES = 1_024
 """Bytes read at once from a connection with small chunks: each costs as much time as
@@ -45,19 +52,24 @@
 
 
 class BoundedChannel(FramingChannel):
-    """A connection whose requests are bounded."""
+    """A connection whose requests are accounted for in ``memory``."""
 
     error_task_class = RefusalTask
     request: BoundedParser | None
 
     def __init__(
         self,
+        memory: RequestMemory,
         build_refusal: BuildRefusal,
         *arguments: Any,
         **named: Any,
     ) -> None:
         """The further arguments are waitress's."""
         self.build_refusal = build_refusal
+        self._memory = memory
+        self._holding = Holding(self._request_eviction)
+        self._output_bytes = 0
+        self._counted_body_bytes = 0
         self._must_linger = False
         self._discarded_bytes = 0
         self._lingers_until: timedelta | None = None
@@ -77,7 +89,7 @@
 
     def parser_class(self, settings: Any) -> BoundedParser:
         """Return the parser of the next request."""
-        return BoundedParser(settings)
+        return BoundedParser(settings, self._admit)
 
     def handle_read(self) -> None:
         """Receive and parse some bytes, or discard them after a refusal."""
@@ -101,8 +113,45 @@
         steps_before = self._step_count
         is_accepted = super().received(data)
         self._has_small_chunks = self._step_count - steps_before > MAX_STEPS_PER_READ
+        self._record_progress()
+        self._update_account()
         return is_accepted
 
+    def service(self) -> None:
+        """Serve the next request."""
+        super().service()
+        self._update_account()
+
+    def write_soon(self, data: Any) -> int:
+        """Send ``data``, or keep what the caller does not read yet."""
+        written: int = super().write_soon(data)
+        if self.total_outbufs_len:
+            self._record_output()
+        return written
+
+    def handle_write(self) -> None:
+        """Send what is kept of answers."""
+        super().handle_write()
+        if self._output_bytes:
+            self._record_output()
+
+    def refuse_unfinished(self, refusal: Refusal) -> None:
+        """Refuse a request whose body has not arrived; called by the server thread."""
+        with self.requests_lock:
+            request = self.request
+            if request is None or not request.awaits_body:
+                return
+            if not self.connected or self.is_lingering:
+                return
+            request.refuse(refusal)
+            self.request = None
+            self.sent_continue = False
+            self.requests.append(request)
+            if len(self.requests) == 1:
+                self.server.add_task(self)
+        self._record_progress()
+        self._update_account()
+
     def linger_on_close(self) -> None:
         """Have the next close wait until the caller stops sending."""
         self._must_linger = True
@@ -114,6 +163,10 @@
             if self._begin_lingering():
                 return
         super().handle_close()
+        if self.request is not None:
+            self.request.close()
+        self._holding.progressed_at = None
+        self._update_account()
 
     @property
     def _step_count(self) -> int:
@@ -136,3 +189,59 @@
         self.will_close = False
         self.request = None
         return True
+
+    def _admit(self, request: BoundedParser) -> Refusal | None:
+        """Return a refusal if there is no memory for ``request``."""
+        size = self._measure()
+        if size <= UNACCOUNTED_BYTES and not request.awaits_body:
+            return None
+        final_size = size - request.held_bytes + request.final_bytes
+        if final_size <= UNACCOUNTED_BYTES:
+            return None
+        if self._memory.admit(self._holding, size, final_size):
+            return None
+        return self._build_memory_refusal()
+
+    def _build_memory_refusal(self) -> Refusal:
+        detail = f"open requests hold {self._memory.held} of {self._memory.limit} bytes"
+        return Refusal(
+            Reason.MEMORY_FULL, Executed.NO, detail, retry_after=MEMORY_RETRY_DELAY
+        )
+
+    def _request_eviction(self) -> None:
+        self.server.trigger.pull_trigger(self._evict)
+
+    def _evict(self) -> None:
+        self.refuse_unfinished(self._build_memory_refusal())
+
+    def _record_progress(self) -> None:
+        request = self.request
+        if request is None or not request.awaits_body:
+            self._holding.progressed_at = None
+            return
+        received = request.body_bytes
+        if (
+            self._holding.progressed_at is None
+            or received - self._counted_body_bytes >= MIN_BODY_PROGRESS_BYTES
+        ):
+            self._holding.progressed_at = self.clock.elapsed()
+            self._counted_body_bytes = received
+
+    def _record_output(self) -> None:
+        """Account for what the caller does not read; a buffer is freed as a whole."""
+        left = self.total_outbufs_len
+        self._output_bytes = max(self._output_bytes, left) if left else 0
+        self._update_account()
+
+    def _update_account(self) -> None:
+        if self._holding.size or self._measure() > UNACCOUNTED_BYTES:
+            self._memory.update(self._holding, self._measure)
+
+    def _measure(self) -> int:
+        """Return what all requests and answers on this connection hold, in bytes."""
+        held = self._output_bytes if self.total_outbufs_len else 0
+        for request in (*self.requests,):
+            held += request.held_bytes
+        if self.request is not None and self.connected:
+            held += self.request.held_bytes
+        return held
--- a/packages/runhatch-server/src/runhatch_server/http/_parser.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_parser.py
@@ -1,5 +1,6 @@
-"""Parser of requests whose sizes are bounded."""
+"""Parser of requests whose sizes are bounded, by themselves and together."""
 
+from collections.abc import Callable
 from itertools import islice
 from typing import Any
 
@@ -15,19 +16,57 @@
 )
 from runhatch_server.refusals import Executed, Reason, Refusal
 
+REQUEST_BYTES = 2_048
+"""Memory of a request without its headers and its body."""
 MAX_REFUSED_HEADERS = 64
 """Headers that a refused request keeps for its answer."""
+HEADER_FIELD_BYTES = 512
+"""Memory of a header field beyond its text: the application gets copies of it."""
 
 
 class BoundedParser(HTTPRequestParser):  # type: ignore[misc]
-    """Parses one request, and refuses it if it is too large."""
+    """Parses one request; refuses it if it is too large or ``admit`` returns false.
+
+    ``admit`` is called with the parser as the request grows.
+    """
 
     refusal: Refusal | None = None
     """Why the request is refused, ``None`` if it is not or is malformed."""
     headers: dict[str, str]
+    header_plus: bytes
     completed: bool
     body_rcv: Any
 
+    def __init__(
+        self, settings: Any, admit: "Callable[[BoundedParser], Refusal | None]"
+    ) -> None:
+        """``settings`` are waitress's adjustments, with the limits."""
+        super().__init__(settings)
+        self._admit = admit
+        self._head_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request holds, in bytes."""
+        held = REQUEST_BYTES + len(self.header_plus) + self._head_bytes
+        body = self.body_rcv
+        return held if body is None else held + int(body.getbuf().held_bytes)
+
+    @property
+    def final_bytes(self) -> int:
+        """Memory that it will hold at least once its body has arrived, in bytes."""
+        return self.held_bytes if self.chunked else self.held_bytes + self._unread_bytes
+
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the body that have arrived."""
+        return 0 if self.body_rcv is None else len(self.body_rcv)
+
+    @property
+    def awaits_body(self) -> bool:
+        """Whether the head is complete and the body is not."""
+        return bool(self.headers_finished) and not self.completed
+
     @property
     def step_count(self) -> int:
         """Number of steps in which the chunks of the body were decoded."""
@@ -44,6 +83,10 @@
                 self._finish_head()
         else:
             consumed = self._receive_body(data)
+        if self.error is None:
+            refusal = self._admit(self)
+            if refusal is not None:
+                self.refuse(refusal)
         return consumed
 
     def parse_header(self, header_plus: bytes) -> None:
@@ -70,8 +113,15 @@
         self.headers = dict(islice(self.headers.items(), MAX_REFUSED_HEADERS))
         self.close()
 
+    @property
+    def _unread_bytes(self) -> int:
+        return 0 if self.body_rcv is None else int(self.body_rcv.remain)
+
     def _finish_head(self) -> None:
-        """Refuse a body whose stated length is too large."""
+        """Account for the parsed head, of which waitress keeps a part unparsed."""
+        self.header_plus = b""
+        self._head_bytes = HEADER_FIELD_BYTES * len(self.headers)
+        self._head_bytes += self.header_bytes_received
         if isinstance(self.error, RequestEntityTooLarge):
             self._refuse_large_body()
 
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -11,6 +11,7 @@
 
 from runhatch_server.http._bounded_channel import BoundedChannel
 from runhatch_server.http._dispatcher import GrowingDispatcher
+from runhatch_server.http._memory import RequestMemory
 from runhatch_server.http._refusals import BuildRefusal, build_plain_refusal
 
 SPARE_CONNECTIONS = 100
@@ -41,8 +42,9 @@
 class HttpServer:
     """Serves a WSGI application on one address, in a background thread.
 
-    At most ``max_threads`` requests are served concurrently.  Requests
-    that the server refuses itself are answered by ``build_refusal``.
+    At most ``max_threads`` requests are served concurrently.  What they hold counts in
+    ``memory``, which all servers of a process share.  Requests that the server refuses
+    itself are answered by ``build_refusal``.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         max_threads: int,
         limits: ServerLimits,
         max_connections: int | None = None,
+        memory: RequestMemory | None = None,
         build_refusal: BuildRefusal = build_plain_refusal,
     ) -> None:
         self._dispatcher = GrowingDispatcher(max_threads)
@@ -71,7 +74,9 @@
             ident="runhatch",
             expose_tracebacks=False,
         )
-        self._server.channel_class = partial(BoundedChannel, build_refusal)
+        self._server.channel_class = partial(
+            BoundedChannel, memory or RequestMemory(), build_refusal
+        )
         self._close_idle_channels = self._server.maintenance
         self._server.maintenance = self._close_overdue_channels
         self._header_timeout = limits.header_timeout
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -37,6 +37,14 @@
             "kind",
         )
         self.refusals = self._counter("refusals", "Requests refused", "reason")
+        self.request_memory = self._gauge(
+            "request_memory_bytes",
+            "Memory that open requests and unread answers hold",
+        )
+        self.request_memory_limit = self._gauge(
+            "request_memory_limit_bytes",
+            "Most memory that open requests may hold",
+        )
         self.prompt_permits = self._counter(
             "prompt_permits",
             "Permits to send a prompt to a target, by state",
--- a/packages/runhatch-server/src/runhatch_server/refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/refusals.py
@@ -41,6 +41,7 @@
         413,
         "The body has too many bytes besides its content",
     )
+    MEMORY_FULL = ("memory_full", 503, "Open requests hold the memory for requests")
     UNKNOWN_PATH = ("unknown_path", 404, "There is no such path")
     NO_ROUTE = ("no_route", 404, "No route is declared for this host and path")
     KEY_UNKNOWN = ("key_unknown", 401, "No workspace has the key of the request")
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -18,6 +18,11 @@
 
 With a lower ratio, a few lost heartbeats would get a live peer suspected.
 """
+MIN_LARGE_REQUESTS = 3
+"""Minimum ratio of ``request_memory_bytes`` to ``max_body_bytes``.
+
+A request is admitted only while as much as it will hold stays free.
+"""
 
 
 def _check_address(value: str) -> str:
@@ -71,6 +76,11 @@
     max_header_bytes: int = Field(
         default=32_768, ge=1_024, le=262_144, description="Largest request header"
     )
+    request_memory_bytes: int = Field(
+        default=268_435_456,
+        ge=1_048_576,
+        description="Most memory that open requests hold, on all listeners",
+    )
     queue_limit: int = Field(
         default=64, ge=1, le=2_000, description="Requests that may wait for a slot"
     )
@@ -112,6 +122,16 @@
         description="Time the load balancer needs to react to a failed readiness check",
     )
 
+    @model_validator(mode="after")
+    def _check_request_memory(self) -> "ServingSettings":
+        minimum = MIN_LARGE_REQUESTS * self.max_body_bytes
+        if self.request_memory_bytes < minimum:
+            raise ValueError(
+                f"request_memory_bytes {self.request_memory_bytes} must be at least "
+                f"{MIN_LARGE_REQUESTS} times max_body_bytes, {minimum}"
+            )
+        return self
+
 
 class PlacementSettings(StrictModel):
     """Planning intervals, used while this node holds a planning lease."""
--- a/packages/runhatch-server/tests/test_bounded_connections.py
+++ b/packages/runhatch-server/tests/test_bounded_connections.py
@@ -3,17 +3,19 @@
 import http.client
 import json
 import socket
+import time
 from contextlib import contextmanager
 
 import pytest
 from gateway_cases import seconds
 
-from runhatch_server.http import HttpServer, ServerLimits
+from runhatch_server.http import HttpServer, RequestMemory, ServerLimits
 
 MAX_BODY = 100_000
 LARGE_BODY = 8_000_000
 """More than the buffers of a connection hold."""
 MAX_HEADER = 4_000
+MEMORY = 40_000_000
 WAIT_SECONDS = 20.0
 
 
@@ -37,7 +39,12 @@
 
 
 @pytest.fixture
-def start_server(app):
+def memory():
+    return RequestMemory(MEMORY)
+
+
+@pytest.fixture
+def start_server(app, memory):
     servers = []
 
     def start(max_body=MAX_BODY):
@@ -52,6 +59,7 @@
             0,
             10,
             limits,
+            memory=memory,
         )
         server.start()
         servers.append(server)
@@ -87,6 +95,13 @@
     return response, response.read()
 
 
+def wait_until(holds):
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not holds():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
 class TestBodyLimit:
     """The limit applies to the content of a body, not to its framing."""
 
@@ -143,3 +158,55 @@
 
         assert response.status == 413
         assert app.paths == []
+
+
+class TestMemory:
+    """Requests on all servers share the memory."""
+
+    def test_request_is_refused_as_not_run_before_its_body(self, server, memory, app):
+        memory.limit = MAX_BODY
+        head = post("/a", f"Content-Length: {MAX_BODY}")
+
+        with connect(server, head) as caller:
+            response, content = read_response(caller)
+
+        assert response.status == 503
+        assert response.headers["Retry-After"] == "1"
+        assert json.loads(content)["executed"] == "no"
+        assert app.paths == []
+
+    def test_stalled_bodies_of_another_server_give_way(self, start_server, memory):
+        servers = [start_server(), start_server()]
+        memory.limit = 3 * MAX_BODY
+        stalled = post("/a", f"Content-Length: {MAX_BODY}") + bytes(MAX_BODY - 1)
+        whole = post("/b", f"Content-Length: {MAX_BODY}") + bytes(MAX_BODY)
+
+        with connect(servers[0], stalled) as caller:
+            wait_until(lambda: memory.held > MAX_BODY)
+            # Until the body counts as stalled, there is no room for another one.
+            statuses = []
+            while 200 not in statuses:
+                with connect(servers[1], whole) as other:
+                    statuses.append(read_response(other)[0].status)
+                assert statuses[-1] in (200, 503)
+            response, _ = read_response(caller)
+
+        assert response.status == 503
+        wait_until(lambda: memory.held == 0)
+
+    @pytest.mark.parametrize(
+        "sent",
+        [
+            (post("/a", f"Content-Length: {MAX_BODY}"), bytes(MAX_BODY)),
+            (post("/a", f"Content-Length: {MAX_BODY}"), bytes(MAX_BODY - 1)),
+            (post("/a", f"Content-Length: {MAX_BODY + 1}"),),
+            (post("/a", "Transfer-Encoding: chunked"), b"ffff\r\n" + bytes(0xFFFF)),
+            (post("/a", "Transfer-Encoding: chunked"), b"x\r\n"),
+            (post("/a", *(f"h{number}:" for number in range(300))),),
+        ],
+    )
+    def test_nothing_is_held_once_the_connection_is_closed(self, server, memory, sent):
+        with connect(server, *sent):
+            time.sleep(0.05)
+
+        wait_until(lambda: memory.held == 0)
--- a/standins/src/runhatch_standins/_crowds.py
+++ b/standins/src/runhatch_standins/_crowds.py
@@ -1,23 +1,31 @@
-"""Crowds of callers that break the limits.
+"""Crowds of callers that break the limits, and what a process holds meanwhile.
 
 All connections of a crowd are driven by one thread, so that many of them cost the
 test little.
 """
 
+import os
 import selectors
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass
 from itertools import chain, repeat
+from pathlib import Path
 
 from runhatch_standins._gateways import HOST
 
+MEGABYTE = 1_048_576
+SAMPLE_SECONDS = 0.02
 QUIET_SECONDS = 2.0
 """A crowd has settled once it has neither sent nor received for this long."""
 SETTLE_SECONDS = 40.0
 RECEIVE_BYTES = 65_536
 BLOCK_BYTES = 65_536
+UNSENT_BYTES = 5
+"""How far before their end bodies stop that never end."""
 
 Wire = Iterator[bytes]
 """What one connection sends, in the pieces in which it is passed to the socket."""
@@ -41,6 +49,12 @@
     yield from _pieces(size, piece)
 
 
+def stop_short(name: str, size: int, piece: int = BLOCK_BYTES) -> Wire:
+    """Send a body of ``size`` bytes by its length, but for its last bytes."""
+    yield request_head(name, f"Content-Length: {size}")
+    yield from _pieces(size - UNSENT_BYTES, piece)
+
+
 def send_chunks(name: str, size: int, chunk: int, ends: bool = True) -> Wire:
     """Send ``size`` bytes in chunks of ``chunk``, and the last chunk if it ``ends``."""
     yield request_head(name, "Transfer-Encoding: chunked")
@@ -55,6 +69,12 @@
     yield from _pieces(size, BLOCK_BYTES)
 
 
+def send_many_headers(name: str, count: int) -> Wire:
+    """Send a head with ``count`` small headers, and no byte of its body."""
+    lines = (f"{number:x}:xy" for number in range(count))
+    yield request_head(name, *lines, "Content-Length: 9")
+
+
 def _pieces(size: int, piece: int) -> Wire:
     whole, rest = divmod(size, piece)
     return chain(repeat(bytes(piece), whole), (bytes(rest),) if rest else ())
@@ -171,6 +191,44 @@
         crowd.close()
 
 
+@dataclass(slots=True)
+class Usage:
+    """The most that a process held at any time."""
+
+    megabytes: float = 0.0
+    """Resident memory and files in the folder for temporary files."""
+
+
+@contextmanager
+def watch_usage(pid: int) -> Iterator[Usage]:
+    """Yield the usage of a process, which is updated until the context ends."""
+    usage = Usage()
+    stopped = threading.Event()
+
+    def watch() -> None:
+        while not stopped.wait(SAMPLE_SECONDS):
+            with suppress(OSError):
+                _update_usage(usage, Path(f"/proc/{pid}"))
+
+    thread = threading.Thread(target=watch, daemon=True)
+    thread.start()
+    try:
+        yield usage
+    finally:
+        stopped.set()
+        thread.join()
+
+
+def _update_usage(usage: Usage, process: Path) -> None:
+    resident = int((process / "statm").read_text().split()[1])
+    size = resident * os.sysconf("SC_PAGE_SIZE")
+    for descriptor in (process / "fd").iterdir():
+        with suppress(OSError):
+            if descriptor.readlink().is_relative_to("/tmp"):
+                size += descriptor.stat().st_size
+    usage.megabytes = max(usage.megabytes, size / MEGABYTE)
+
+
 def number_wires(count: int, make_wire: Callable[[str], Wire]) -> list[Wire]:
     """Return ``count`` wires whose requests have names of their own."""
     started = time.monotonic_ns()
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -25,6 +25,7 @@
 GATEWAY_MODULE = "runhatch_standins._gateway_process"
 """Module that runs gateways whose connections can be cut."""
 READY_SECONDS = 10.0
+MEMORY_MB = 300
 METRICS_SECONDS = 0.5
 ORDERS_METRIC = "runhatch_orders_lease_held 1.0"
 SETTINGS = """
@@ -36,7 +37,7 @@
           control: "127.0.0.1:{control}"}}
 port_range: [{broadcast}, {forward}]
 seeds: [{seeds}]
-limits: {{memory_mb: 300}}
+limits: {{memory_mb: {memory_mb}}}
 bounds: {{grace_s: 8, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52,
           revoke_ms: 3000, revoke_strict: true}}
 platform: {{address: "{store}", row_bytes: 65536, blob_bytes: 8388608}}
@@ -134,6 +135,8 @@
         """Entries of workspaces in configurations, ``None`` for no such field."""
         self.limits: Document = {}
         """Limits on requests in configurations, empty for the defaults."""
+        self.memory_mb = MEMORY_MB
+        """Memory in the settings of gateways that are started from now on."""
         self.paths = TargetPaths(stack, folder) if has_paths else None
         self.peer_cuts = PeerCuts(folder) if has_peer_cuts else None
         self.platform = self._register(launch("platform", "runhatch_standins.platform"))
@@ -216,6 +219,7 @@
                 broadcast=broadcast,
                 forward=forward,
                 seeds=seeds,
+                memory_mb=self.memory_mb,
                 store=f"127.0.0.1:{relay.port}",
             )
         )
