Parse few pipelined requests ahead

Eight kilobytes of small requests behind one in progress were parsed at once, each into some kilobytes.

Cause: waitress's lookahead ends reading from the socket, but what has been read is parsed to its end.

Change: what follows two requests is kept as it was received and parsed after them. All are served in order.

--- a/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
@@ -9,7 +9,7 @@
 
 from runhatch_server.http._channel import FramingChannel
 from runhatch_server.http._memory import Holding, RequestMemory
-from runhatch_server.http._parser import BoundedParser
+from runhatch_server.http._parser import BoundedParser, PostponedParser
 from runhatch_server.http._refusals import BuildRefusal, status_line
 from runhatch_server.refusals import Executed, Reason, Refusal
 
@@ -55,7 +55,7 @@
     """A connection whose requests are accounted for in ``memory``."""
 
     error_task_class = RefusalTask
-    request: BoundedParser | None
+    request: BoundedParser | PostponedParser | None
 
     def __init__(
         self,
@@ -87,8 +87,10 @@
         until = self._lingers_until
         return until is not None and self.clock.elapsed() >= until
 
-    def parser_class(self, settings: Any) -> BoundedParser:
+    def parser_class(self, settings: Any) -> BoundedParser | PostponedParser:
         """Return the parser of the next request."""
+        if len(self.requests) > self.adj.channel_request_lookahead:
+            return PostponedParser(settings)
         return BoundedParser(settings, self._admit)
 
     def handle_read(self) -> None:
@@ -121,6 +123,8 @@
         """Serve the next request."""
         super().service()
         self._update_account()
+        if isinstance(self.request, PostponedParser):
+            self.server.trigger.pull_trigger(self._parse_postponed)
 
     def write_soon(self, data: Any) -> int:
         """Send ``data``, or keep what the caller does not read yet."""
@@ -139,7 +143,7 @@
         """Refuse a request whose body has not arrived; called by the server thread."""
         with self.requests_lock:
             request = self.request
-            if request is None or not request.awaits_body:
+            if not isinstance(request, BoundedParser) or not request.awaits_body:
                 return
             if not self.connected or self.is_lingering:
                 return
@@ -171,7 +175,7 @@
     @property
     def _step_count(self) -> int:
         request = self.request
-        return 0 if request is None else request.step_count
+        return request.step_count if isinstance(request, BoundedParser) else 0
 
     def _choose_receive_bytes(self) -> int:
         if self.is_lingering:
@@ -190,6 +194,14 @@
         self.request = None
         return True
 
+    def _parse_postponed(self) -> None:
+        with self.requests_lock:
+            request = self.request
+            if not isinstance(request, PostponedParser) or not self.connected:
+                return
+            self.request = None
+        self.received(request.unparsed)
+
     def _admit(self, request: BoundedParser) -> Refusal | None:
         """Return a refusal if there is no memory for ``request``."""
         size = self._measure()
@@ -216,7 +228,7 @@
 
     def _record_progress(self) -> None:
         request = self.request
-        if request is None or not request.awaits_body:
+        if not isinstance(request, BoundedParser) or not request.awaits_body:
             self._holding.progressed_at = None
             return
         received = request.body_bytes
--- a/packages/runhatch-server/src/runhatch_server/http/_parser.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_parser.py
@@ -148,3 +148,27 @@
         self.refuse(
             Refusal(Reason.BODY_TOO_LARGE, Executed.NO, f"allowed: up to {limit} bytes")
         )
+
+
+class PostponedParser(HTTPRequestParser):  # type: ignore[misc]
+    """Keeps what follows requests in progress, so that it is parsed only after them.
+
+    Parsed at once, eight kilobytes of small requests would take a megabyte.
+    """
+
+    headers_finished = True
+    refusal = None
+
+    def __init__(self, settings: Any) -> None:
+        super().__init__(settings)
+        self.unparsed = b""
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the bytes hold."""
+        return REQUEST_BYTES + len(self.unparsed)
+
+    def received(self, data: bytes) -> int:
+        """Keep ``data``."""
+        self.unparsed += data
+        return len(data)
--- a/packages/runhatch-server/tests/test_bounded_connections.py
+++ b/packages/runhatch-server/tests/test_bounded_connections.py
@@ -10,6 +10,7 @@
 from gateway_cases import seconds
 
 from runhatch_server.http import HttpServer, RequestMemory, ServerLimits
+from runhatch_server.http._parser import PostponedParser
 
 MAX_BODY = 100_000
 LARGE_BODY = 8_000_000
@@ -17,6 +18,7 @@
 MAX_HEADER = 4_000
 MEMORY = 40_000_000
 WAIT_SECONDS = 20.0
+PIPELINED = 50
 
 
 class App:
@@ -210,3 +212,44 @@
             time.sleep(0.05)
 
         wait_until(lambda: memory.held == 0)
+
+
+class TestPipelinedRequests:
+    """Requests that follow others on their connection."""
+
+    def test_all_are_served_in_order(self, server):
+        wire = b"".join(
+            post(f"/{number}", "Content-Length: 3") + b"abc"
+            for number in range(PIPELINED)
+        )
+        expected = [b"/%d 3" % number for number in range(PIPELINED)]
+
+        with connect(server, wire) as caller:
+            reader = caller.makefile("rb")
+            bodies = []
+            while len(bodies) < PIPELINED:
+                while (line := reader.readline()) != b"\r\n":
+                    if line.lower().startswith(b"content-length"):
+                        length = int(line.split()[1])
+                bodies.append(reader.read(length))
+
+        assert bodies == expected
+
+    def test_only_a_few_are_parsed_ahead(self, server, app):
+        """Small requests take much more memory once they are parsed."""
+        wire = post("/a", "Content-Length: 0") * PIPELINED
+        parsed = []
+        serve = App.__call__
+
+        def count_parsed(environ, start_response):
+            channel = next(iter(server._server.active_channels.values()))
+            parsed.append((len(channel.requests), type(channel.request)))
+            return serve(app, environ, start_response)
+
+        server._server.application = count_parsed
+        with connect(server, wire) as caller:
+            read_response(caller)
+            wait_until(lambda: len(app.paths) == PIPELINED)
+
+        assert max(count for count, _ in parsed) <= 2
+        assert parsed[0] == (2, PostponedParser)
--- a/standins/src/runhatch_standins/_crowds.py
+++ b/standins/src/runhatch_standins/_crowds.py
@@ -75,6 +75,14 @@
     yield request_head(name, *lines, "Content-Length: 9")
 
 
+def send_pipelined(name: str, count: int) -> Wire:
+    """Send ``count`` requests at once."""
+    yield b"".join(
+        request_head(f"{name}-{number}", method="GET", path="/nowhere/")
+        for number in range(count)
+    )
+
+
 def _pieces(size: int, piece: int) -> Wire:
     whole, rest = divmod(size, piece)
     return chain(repeat(bytes(piece), whole), (bytes(rest),) if rest else ())
--- a/standins/tests/test_hard_clients.py
+++ b/standins/tests/test_hard_clients.py
@@ -18,6 +18,7 @@
     request_head,
     send_chunks,
     send_many_headers,
+    send_pipelined,
     send_whole,
     stop_short,
     watch_usage,
@@ -57,6 +58,7 @@
         partial(announce, announced=100_000_000, size=2_000_000),
     ),
     "many small headers": (300, partial(send_many_headers, count=SMALL_HEADERS)),
+    "pipelined requests": (20, partial(send_pipelined, count=400)),
 }
 
 
