Give up bodies that stop arriving

A caller that stopped within its body kept the connection and what it held until the idle timeout, and without end if it sent a byte now and then.

Cause: only heads have a time limit.

Change: a body that does not grow by 1 KB, or end, within a timeout is refused as not run (body_slow, 408). On gateways it is the configuration's idle timeout: a caller that sends nothing for so long is idle. serving.body_timeout_seconds with our own interface, 60 s.

--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -99,7 +99,11 @@
             settings.callers.host,
             settings.callers.port,
             serving.threads,
-            ServerLimits(serving.max_body_bytes, serving.max_header_bytes),
+            ServerLimits(
+                serving.max_body_bytes,
+                serving.max_header_bytes,
+                body_timeout=timedelta(seconds=serving.body_timeout_seconds),
+            ),
             memory=request_memory,
             build_refusal=self._app.refuse_unread,
         )
--- a/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
@@ -121,6 +121,7 @@
         limits.body_bytes,
         limits.header_bytes + FORWARD_HEADER_BYTES,
         header_timeout=limits.header_timeout,
+        body_timeout=limits.idle_timeout,
     )
 
 
@@ -131,6 +132,9 @@
         limits.header_bytes,
         limits.idle_timeout + IDLE_TIMEOUT_MARGIN,
         limits.header_timeout,
+        # A caller that sends nothing for so long would not be waited for either if it
+        # had no request.
+        limits.idle_timeout,
     )
 
 
--- a/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
@@ -81,6 +81,12 @@
         """Whether the connection only waits for its caller to stop sending."""
         return self._lingers_until is not None
 
+    @property
+    def body_pause(self) -> timedelta:
+        """Time since an unfinished body has made progress, else 0."""
+        progressed_at = self._holding.progressed_at
+        return timedelta() if progressed_at is None else self._age(progressed_at)
+
     @property
     def is_overdue(self) -> bool:
         """Whether a refused caller has had its time to stop sending."""
@@ -257,3 +263,6 @@
         if self.request is not None and self.connected:
             held += self.request.held_bytes
         return held
+
+    def _age(self, moment: timedelta) -> timedelta:
+        return self.clock.elapsed() - moment
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -13,14 +13,16 @@
 from runhatch_server.http._dispatcher import GrowingDispatcher
 from runhatch_server.http._memory import RequestMemory
 from runhatch_server.http._refusals import BuildRefusal, build_plain_refusal
+from runhatch_server.refusals import Executed, Reason, Refusal
 
 SPARE_CONNECTIONS = 100
 """Connections beyond the number of threads, for idle and soon refused ones."""
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=120)
 DEFAULT_HEADER_TIMEOUT = timedelta(seconds=10)
+DEFAULT_BODY_TIMEOUT = timedelta(seconds=60)
 CLEANUP_INTERVAL = timedelta(seconds=1)
-"""Interval of the check for idle connections and slow heads of requests, whose
-connections close at most this much late."""
+"""Interval of the check for idle connections, and for heads and bodies of requests that
+do not arrive, whose connections close at most this much late."""
 BACKLOG = 1024
 
 App = Callable[..., Iterable[bytes]]
@@ -30,13 +32,15 @@
 class ServerLimits:
     """Limits on requests and connections; sizes are in bytes.
 
-    The head of a request must arrive within ``header_timeout`` of its first byte.
+    The head of a request must arrive within ``header_timeout`` of its first byte.  Its
+    body must not stop arriving for ``body_timeout``.
     """
 
     max_body_bytes: int
     max_header_bytes: int
     idle_timeout: timedelta = DEFAULT_IDLE_TIMEOUT
     header_timeout: timedelta = DEFAULT_HEADER_TIMEOUT
+    body_timeout: timedelta = DEFAULT_BODY_TIMEOUT
 
 
 class HttpServer:
@@ -80,6 +84,7 @@
         self._close_idle_channels = self._server.maintenance
         self._server.maintenance = self._close_overdue_channels
         self._header_timeout = limits.header_timeout
+        self._body_timeout = limits.body_timeout
         self.set_limits(limits)
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
@@ -101,6 +106,7 @@
         settings.max_request_header_size = limits.max_header_bytes
         settings.channel_timeout = limits.idle_timeout.total_seconds()
         self._header_timeout = limits.header_timeout
+        self._body_timeout = limits.body_timeout
 
     def start(self) -> None:
         """Start the server thread."""
@@ -115,11 +121,18 @@
         self._server.trigger.pull_trigger(self._close_idle)
 
     def _close_overdue_channels(self, now: float) -> None:
-        """Close idle connections, and those whose request's head takes too long."""
+        """Close connections that are idle, or whose request stops arriving."""
         self._close_idle_channels(now)
         for channel in list(self._server.active_channels.values()):
             if channel.head_age > self._header_timeout or channel.is_overdue:
                 channel.will_close = True
+            elif channel.body_pause > self._body_timeout:
+                channel.refuse_unfinished(self._build_slow_refusal())
+
+    def _build_slow_refusal(self) -> Refusal:
+        seconds = self._body_timeout.total_seconds()
+        detail = f"the body stopped arriving for {seconds:g} s"
+        return Refusal(Reason.BODY_SLOW, Executed.NO, detail)
 
     def _close_idle(self) -> None:
         for channel in list(self._server.active_channels.values()):
--- a/packages/runhatch-server/src/runhatch_server/refusals.py
+++ b/packages/runhatch-server/src/runhatch_server/refusals.py
@@ -41,6 +41,7 @@
         413,
         "The body has too many bytes besides its content",
     )
+    BODY_SLOW = ("body_slow", 408, "The body stopped arriving")
     MEMORY_FULL = ("memory_full", 503, "Open requests hold the memory for requests")
     UNKNOWN_PATH = ("unknown_path", 404, "There is no such path")
     NO_ROUTE = ("no_route", 404, "No route is declared for this host and path")
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -76,6 +76,9 @@
     max_header_bytes: int = Field(
         default=32_768, ge=1_024, le=262_144, description="Largest request header"
     )
+    body_timeout_seconds: Seconds = Field(
+        default=60.0, description="Time without progress after which a body is given up"
+    )
     request_memory_bytes: int = Field(
         default=268_435_456,
         ge=1_048_576,
