Close connections without a request for new ones

Callers that open many connections and send nothing, or part of a head, took all descriptors that a gateway has, and callers that came then waited until those were idle for long.

Evidence: 500 heads that do not end took 533 descriptors of a gateway that has 400. On a server with its last connection open, a new caller waits 20 s in vain (test_connection_without_a_request_makes_room).

Cause: the limit of 1,500 connections does not follow from the settings, and at the limit nothing is accepted until a connection closes.

Change: callers' connections may take 3/8 of fd_limit, peers' 1/8, those for readiness and metrics 1/16 each, and not more than before. At the limit one is closed for each new one: a refused caller's, else the one that is idle for longest, else that of a request that has stopped arriving for a second. closed_connections_total and connections_closed say why.

--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -106,6 +106,7 @@
             ),
             memory=request_memory,
             build_refusal=self._app.refuse_unread,
+            metrics=metrics,
         )
 
     @property
--- a/packages/runhatch-server/src/runhatch_server/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/_node.py
@@ -292,6 +292,7 @@
             MAX_OPERATOR_THREADS,
             OPERATOR_LIMITS,
             memory=self._request_memory,
+            metrics=self._metrics,
         )
 
     def _on_revision(self, revision: Revision) -> None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
@@ -22,8 +22,16 @@
 """Requests served concurrently: 30 per second of at most 5 s need about 150."""
 CALLER_CONNECTIONS = 1_500
 """Maximum open connections of callers."""
+CALLER_DESCRIPTOR_SHARE = 3 / 8
+"""Share of a node's descriptors that connections of callers may take.  The others are
+for connections to targets, peers and the store."""
+FORWARD_DESCRIPTOR_SHARE = 1 / 8
+SIDE_DESCRIPTOR_SHARE = 1 / 16
+"""Share for each of the listeners for readiness and metrics."""
 FORWARD_THREADS = 200
 """Forwarded requests served concurrently."""
+FORWARD_CONNECTIONS = 300
+SIDE_CONNECTIONS = 102
 BYTES_PER_MEGABYTE = 1_000_000
 MIN_LARGE_REQUESTS = 3
 """Bodies of the largest allowed size for which there is room in any case."""
@@ -48,6 +56,7 @@
 
     settings: GatewaySettings
     memory: RequestMemory
+    metrics: Metrics
 
     def build_servers(
         self, callers: GatewayApp, readiness: Application, metrics: Application
@@ -59,7 +68,7 @@
             settings.callers,
             CALLER_THREADS,
             server_limits(RequestLimits()),
-            CALLER_CONNECTIONS,
+            min(CALLER_CONNECTIONS, self._count_descriptors(CALLER_DESCRIPTOR_SHARE)),
             callers.refuse_unread,
         )
         servers = [main, self._build_side_server(readiness, settings.readiness)]
@@ -77,12 +86,18 @@
             Endpoint(settings.peers.host, settings.forward_port),
             FORWARD_THREADS,
             forward_limits(RequestLimits()),
-            None,
+            min(FORWARD_CONNECTIONS, self._count_descriptors(FORWARD_DESCRIPTOR_SHARE)),
             app.refuse_unread,
         )
 
     def _build_side_server(self, app: Application, endpoint: Endpoint) -> HttpServer:
-        return self._build(app, endpoint, SIDE_THREADS, SIDE_LIMITS, None)
+        connections = min(
+            SIDE_CONNECTIONS, self._count_descriptors(SIDE_DESCRIPTOR_SHARE)
+        )
+        return self._build(app, endpoint, SIDE_THREADS, SIDE_LIMITS, connections)
+
+    def _count_descriptors(self, share: float) -> int:
+        return int(self.settings.max_descriptors * share)
 
     def _build(
         self,
@@ -90,7 +105,7 @@
         endpoint: Endpoint,
         max_threads: int,
         limits: ServerLimits,
-        max_connections: int | None,
+        max_connections: int,
         build_refusal: BuildRefusal = build_plain_refusal,
     ) -> HttpServer:
         return HttpServer(
@@ -102,6 +117,7 @@
             max_connections,
             self.memory,
             build_refusal,
+            self.metrics,
         )
 
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -209,7 +209,7 @@
         self._request_memory = RequestMemory(
             request_memory_limit(settings, RequestLimits()), self._clock
         )
-        servers = ServerFactory(settings, self._request_memory)
+        servers = ServerFactory(settings, self._request_memory, self._metrics)
         self._forward_server = servers.build_forward_server(self._forward_app)
         self._servers = servers.build_servers(
             self._app, ReadinessApp(self.is_ready), MetricsApp(self._metrics)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
@@ -55,7 +55,8 @@
     reads the store broadcasts on ``broadcast_port`` of the peers' host, and accepts
     requests forwarded by other nodes on ``forward_port`` of that host; 0 if it cannot.
 
-    Of ``memory_mb``, open requests may hold ``request_memory_share``.
+    Of ``memory_mb``, open requests may hold ``request_memory_share``; callers' and
+    peers' connections may take a part of ``max_descriptors``.
     """
 
     name: str
@@ -76,3 +77,4 @@
     key_removal: timedelta | None = None
     shares_prompt_queues: bool = False
     request_memory_share: float = 1 / 3
+    max_descriptors: int = 4_100
--- a/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
@@ -81,6 +81,17 @@
         """Whether the connection only waits for its caller to stop sending."""
         return self._lingers_until is not None
 
+    @property
+    def idle_time(self) -> timedelta:
+        """Time without a request in progress or an answer that is being sent, else 0.
+
+        A request that has arrived but was not read yet does not show, so a connection
+        has not been idle before it could be read.
+        """
+        if self.requests or self.request is not None or self.total_outbufs_len:
+            return timedelta()
+        return timedelta(seconds=time.time() - self.last_activity)
+
     @property
     def body_pause(self) -> timedelta:
         """Time since an unfinished body has made progress, else 0."""
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -1,9 +1,11 @@
 """A waitress server that can close its listening socket before its connections."""
 
 import threading
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
+from enum import Enum
 from functools import partial
 from typing import Any
 
@@ -11,8 +13,9 @@
 
 from runhatch_server.http._bounded_channel import BoundedChannel
 from runhatch_server.http._dispatcher import GrowingDispatcher
-from runhatch_server.http._memory import RequestMemory
+from runhatch_server.http._memory import EVICTABLE_AFTER, RequestMemory
 from runhatch_server.http._refusals import BuildRefusal, build_plain_refusal
+from runhatch_server.observability import Metrics, log_change
 from runhatch_server.refusals import Executed, Reason, Refusal
 
 SPARE_CONNECTIONS = 100
@@ -43,12 +46,20 @@
     body_timeout: timedelta = DEFAULT_BODY_TIMEOUT
 
 
+class CloseReason(Enum):
+    """Why a connection is closed before its caller closes it: metric label."""
+
+    SLOW_HEAD = "slow_head"
+    MAKES_ROOM = "makes_room"
+
+
 class HttpServer:
     """Serves a WSGI application on one address, in a background thread.
 
     At most ``max_threads`` requests are served concurrently.  What they hold counts in
     ``memory``, which all servers of a process share.  Requests that the server refuses
-    itself are answered by ``build_refusal``.
+    itself are answered by ``build_refusal``.  If ``max_connections`` are open, one that
+    carries no request is closed for each new one.
     """
 
     def __init__(
@@ -61,8 +72,11 @@
         max_connections: int | None = None,
         memory: RequestMemory | None = None,
         build_refusal: BuildRefusal = build_plain_refusal,
+        metrics: Metrics | None = None,
     ) -> None:
         self._dispatcher = GrowingDispatcher(max_threads)
+        self._metrics = metrics
+        self._closed_counts: Counter[CloseReason] = Counter()
         self._server: Any = create_server(
             app,
             _dispatcher=self._dispatcher,
@@ -83,6 +97,8 @@
         )
         self._close_idle_channels = self._server.maintenance
         self._server.maintenance = self._close_overdue_channels
+        self._is_accepting = self._server.readable
+        self._server.readable = self._make_room_and_accept
         self._header_timeout = limits.header_timeout
         self._body_timeout = limits.body_timeout
         self.set_limits(limits)
@@ -124,16 +140,39 @@
         """Close connections that are idle, or whose request stops arriving."""
         self._close_idle_channels(now)
         for channel in list(self._server.active_channels.values()):
-            if channel.head_age > self._header_timeout or channel.is_overdue:
+            if channel.head_age > self._header_timeout:
+                channel.will_close = True
+                self._count_closed(CloseReason.SLOW_HEAD)
+            elif channel.is_overdue:
                 channel.will_close = True
             elif channel.body_pause > self._body_timeout:
                 channel.refuse_unfinished(self._build_slow_refusal())
+        for reason, count in self._closed_counts.items():
+            log_change("connections_closed", reason=reason.value, count=count)
+        self._closed_counts.clear()
 
     def _build_slow_refusal(self) -> Refusal:
         seconds = self._body_timeout.total_seconds()
         detail = f"the body stopped arriving for {seconds:g} s"
         return Refusal(Reason.BODY_SLOW, Executed.NO, detail)
 
+    def _make_room_and_accept(self) -> bool:
+        """Return whether to accept a connection, after closing another if needed."""
+        server = self._server
+        if server.accepting and len(server._map) >= server.adj.connection_limit:
+            channel = choose_dispensable(server.active_channels.values())
+            if channel is not None:
+                # Its descriptor is being registered for polling; closed at once, it
+                # could be that of the next connection when its events are handled.
+                channel.will_close = True
+                self._count_closed(CloseReason.MAKES_ROOM)
+        return bool(self._is_accepting())
+
+    def _count_closed(self, reason: CloseReason) -> None:
+        self._closed_counts[reason] += 1
+        if self._metrics is not None:
+            self._metrics.closed_connections.labels(reason.value).inc()
+
     def _close_idle(self) -> None:
         for channel in list(self._server.active_channels.values()):
             if not channel.requests and channel.request is None:
@@ -146,3 +185,31 @@
 
     def _run(self) -> None:
         self._server.run()
+
+
+def choose_dispensable(channels: Iterable[BoundedChannel]) -> BoundedChannel | None:
+    """Return the connection to close for a new one, ``None`` if all are in use.
+
+    First come callers that were refused, then idle connections, the one that has been
+    idle longest, then requests that have stopped arriving.  A connection that was just
+    opened may hold a request that has not been read yet.
+    """
+    ranked = (
+        (rank, channel.last_activity, channel)
+        for channel in channels
+        if (rank := _rank_dispensable(channel)) is not None
+    )
+    found = min(ranked, key=lambda entry: entry[:2], default=None)
+    return None if found is None else found[2]
+
+
+def _rank_dispensable(channel: BoundedChannel) -> int | None:
+    if channel.will_close:
+        return None
+    if channel.is_lingering:
+        return 0
+    if channel.idle_time >= EVICTABLE_AFTER:
+        return 1
+    pause = max(channel.head_age, channel.body_pause)
+    is_stalled = not channel.requests and pause >= EVICTABLE_AFTER
+    return 2 if is_stalled else None
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -37,6 +37,12 @@
             "kind",
         )
         self.refusals = self._counter("refusals", "Requests refused", "reason")
+        self.closed_connections = self._counter(
+            "closed_connections",
+            "Connections of callers closed because a head did not arrive, or to accept "
+            "another one",
+            "reason",
+        )
         self.request_memory = self._gauge(
             "request_memory_bytes",
             "Memory that open requests and unread answers hold",
--- a/packages/runhatch-server/tests/test_bounded_connections.py
+++ b/packages/runhatch-server/tests/test_bounded_connections.py
@@ -12,6 +12,7 @@
 from runhatch_server.http import HttpServer, RequestMemory, ServerLimits
 from runhatch_server.http._bounded_channel import MIN_BODY_PROGRESS_BYTES
 from runhatch_server.http._parser import PostponedParser
+from runhatch_server.observability import Metrics
 
 MAX_BODY = 100_000
 LARGE_BODY = 8_000_000
@@ -21,6 +22,8 @@
 BODY_TIMEOUT_SECONDS = 0.5
 WAIT_SECONDS = 20.0
 PIPELINED = 50
+CONNECTIONS = 12
+"""Maximum of one server, which counts its listener and the trigger of its thread."""
 
 
 class App:
@@ -42,13 +45,18 @@
     return App()
 
 
+@pytest.fixture
+def metrics():
+    return Metrics()
+
+
 @pytest.fixture
 def memory():
     return RequestMemory(MEMORY)
 
 
 @pytest.fixture
-def start_server(app, memory):
+def start_server(app, memory, metrics):
     servers = []
 
     def start(max_body=MAX_BODY):
@@ -64,7 +72,9 @@
             0,
             10,
             limits,
-            memory=memory,
+            CONNECTIONS,
+            memory,
+            metrics=metrics,
         )
         server.start()
         servers.append(server)
@@ -297,3 +307,29 @@
 
         assert max(count for count, _ in parsed) <= 2
         assert parsed[0] == (2, PostponedParser)
+
+
+class TestFullServer:
+    """A server with as many connections as it may have accepts further ones."""
+
+    def fill(self, server, stack, sent=b""):
+        for _ in range(CONNECTIONS):
+            stack.append(
+                socket.create_connection(("127.0.0.1", server.port), WAIT_SECONDS)
+            )
+            stack[-1].sendall(sent)
+
+    @pytest.mark.parametrize(
+        "sent", [b"", b"GET / HTTP/1.1\r\n", post("/a", "Content-Length: 9") + b"x"]
+    )
+    def test_connection_without_a_request_makes_room(self, server, metrics, sent):
+        callers = []
+        self.fill(server, callers, sent)
+        with connect(server, post("/new", "Content-Length: 0")) as caller:
+            response, body = read_response(caller)
+        for other in callers:
+            other.close()
+
+        assert (response.status, body) == (200, b"/new 0")
+        closed = metrics.counter_value(metrics.closed_connections, "makes_room")
+        assert closed > 0
--- a/standins/src/runhatch_standins/_crowds.py
+++ b/standins/src/runhatch_standins/_crowds.py
@@ -75,6 +75,11 @@
     yield request_head(name, *lines, "Content-Length: 9")
 
 
+def send_part_of_head(name: str) -> Wire:
+    """Send a head that does not end."""
+    yield request_head(name)[:-2]
+
+
 def send_pipelined(name: str, count: int) -> Wire:
     """Send ``count`` requests at once."""
     yield b"".join(
@@ -205,6 +210,7 @@
 
     megabytes: float = 0.0
     """Resident memory and files in the folder for temporary files."""
+    descriptors: int = 0
 
 
 @contextmanager
@@ -230,11 +236,13 @@
 def _update_usage(usage: Usage, process: Path) -> None:
     resident = int((process / "statm").read_text().split()[1])
     size = resident * os.sysconf("SC_PAGE_SIZE")
-    for descriptor in (process / "fd").iterdir():
+    descriptors = list((process / "fd").iterdir())
+    for descriptor in descriptors:
         with suppress(OSError):
             if descriptor.readlink().is_relative_to("/tmp"):
                 size += descriptor.stat().st_size
     usage.megabytes = max(usage.megabytes, size / MEGABYTE)
+    usage.descriptors = max(usage.descriptors, len(descriptors))
 
 
 def number_wires(count: int, make_wire: Callable[[str], Wire]) -> list[Wire]:
--- a/standins/src/runhatch_standins/_gateways.py
+++ b/standins/src/runhatch_standins/_gateways.py
@@ -26,6 +26,7 @@
 """Module that runs gateways whose connections can be cut."""
 READY_SECONDS = 10.0
 MEMORY_MB = 300
+FD_LIMIT = 4_100
 METRICS_SECONDS = 0.5
 ORDERS_METRIC = "runhatch_orders_lease_held 1.0"
 SETTINGS = """
@@ -37,7 +38,7 @@
           control: "127.0.0.1:{control}"}}
 port_range: [{broadcast}, {forward}]
 seeds: [{seeds}]
-limits: {{memory_mb: {memory_mb}}}
+limits: {{memory_mb: {memory_mb}, fd_limit: {fd_limit}}}
 bounds: {{grace_s: 8, budget_ratio: 0.2, budget_window_s: 10, budget_slack: 52,
           revoke_ms: 3000, revoke_strict: true}}
 platform: {{address: "{store}", row_bytes: 65536, blob_bytes: 8388608}}
@@ -137,6 +138,8 @@
         """Limits on requests in configurations, empty for the defaults."""
         self.memory_mb = MEMORY_MB
         """Memory in the settings of gateways that are started from now on."""
+        self.fd_limit = FD_LIMIT
+        """Open descriptors in the settings of gateways started from now on."""
         self.paths = TargetPaths(stack, folder) if has_paths else None
         self.peer_cuts = PeerCuts(folder) if has_peer_cuts else None
         self.platform = self._register(launch("platform", "runhatch_standins.platform"))
@@ -220,6 +223,7 @@
                 forward=forward,
                 seeds=seeds,
                 memory_mb=self.memory_mb,
+                fd_limit=self.fd_limit,
                 store=f"127.0.0.1:{relay.port}",
             )
         )
--- a/standins/tests/test_hard_clients.py
+++ b/standins/tests/test_hard_clients.py
@@ -18,6 +18,7 @@
     request_head,
     send_chunks,
     send_many_headers,
+    send_part_of_head,
     send_pipelined,
     send_whole,
     stop_short,
@@ -27,6 +28,7 @@
 
 MEMORY_MB = 120
 """Memory of a gateway, of which it uses some 45 MB before the first request."""
+FD_LIMIT = 400
 BODY_BYTES = 1_000_000
 HEADER_BYTES = 16_384
 SMALL_HEADERS = 1_900
@@ -59,6 +61,7 @@
     ),
     "many small headers": (300, partial(send_many_headers, count=SMALL_HEADERS)),
     "pipelined requests": (20, partial(send_pipelined, count=400)),
+    "more connections than descriptors": (500, send_part_of_head),
 }
 
 
@@ -71,6 +74,7 @@
             "max_header_bytes": HEADER_BYTES,
         }
         system.memory_mb = MEMORY_MB
+        system.fd_limit = FD_LIMIT
         system.configure()
         yield system
 
@@ -101,9 +105,10 @@
 
 
 def check_survived(gate, usage):
-    """Check that the process lives, and stayed within its memory."""
+    """Check that the process lives, and stayed within its memory and descriptors."""
     assert gate.process.process.poll() is None
     assert usage.megabytes <= MEMORY_MB
+    assert usage.descriptors <= FD_LIMIT
 
 
 class TestCrowds:
