Take answers with a malformed status line for broken ones

Here 000 was refused, but callers got answers of other malformed lines as whole ones: +200, 0200 and 2_00 as 200, 600 and 999 as they were, and 200 after a tab, two spaces, a leading space, a control character, or a version such as HTTP/0.9, HTTP/1.x or HTTP/1.10.

Cause: http.client splits the line at any white space and reads the status as Python reads a number, below 1,000.

Change: the line is matched as a whole: HTTP/1 with one digit, one space, a status from 100 to 599 (RFC 9112, 4; RFC 9110, 15). As before, a line without a reason or its space and one that ends without a carriage return are taken. Another line is an answer that broke, as a head that is cut: only what may run again is retried, the caller is not told that it has not run, and the connection is not used again.

--- a/packages/runhatch-server/src/runhatch_server/http/_response.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_response.py
@@ -1,8 +1,9 @@
-"""Responses of ``http.client`` whose framing is read strictly.
+"""Responses of ``http.client`` whose status line and framing are read strictly.
 
 ``http.client`` takes the end of the connection for the end of the headers, and part of
 a chunk's size for the size, so that a truncated response may look complete.  It also
-guesses where a body with malformed framing ends.
+guesses where a body with malformed framing ends, and reads any text that Python takes
+for a number below 1,000 as the status.
 
 Bytes may arrive without end, so heads, trailers and bodies have bounds.  A timeout of
 the socket limits each read alone, so the reads of one part share a deadline.
@@ -34,6 +35,12 @@
     MissingHeaderBodySeparatorDefect,
 )
 """Defects after which the parser drops headers; others concern bodies of mail."""
+STATUS_LINE = re.compile(
+    r"(?P<version>HTTP/1\.[0-9]) (?P<status>[1-5][0-9]{2})"
+    r"(?: (?P<reason>[\t\x20-\x7e\x80-\xff]*))?\r?\n"
+)
+"""RFC 9112, 4, with statuses from 100 to 599 (RFC 9110, 15).  Some servers omit the
+space before an empty reason, or the carriage return."""
 INTERIM_STATUSES = frozenset(range(100, 200)) - {http.client.SWITCHING_PROTOCOLS}
 HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 WHITESPACE = " \t"
@@ -46,6 +53,8 @@
 MAX_TRAILER_BYTES = 65_536
 """Bound of the lines after the last chunk."""
 READ_BYTES = 65_536
+MAX_LOGGED_LENGTH = 80
+"""Maximum length in characters of a malformed line in an error."""
 
 
 class DeadlineIO(io.RawIOBase):
@@ -172,6 +181,15 @@
         self._check_header_names()
         self._check_framing()
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return the version, the status and the reason."""
+        line = self.fp.readline(MAX_LINE_BYTES + 1).decode("latin-1")
+        found = STATUS_LINE.fullmatch(line)
+        if found is None:
+            raise http.client.BadStatusLine(line[:MAX_LOGGED_LENGTH])
+        reason = (found["reason"] or "").strip(WHITESPACE)
+        return found["version"], int(found["status"]), reason
+
     def _check_header_names(self) -> None:
         """Check that no header was dropped, or goes by a name with spaces."""
         for defect in self.headers.defects:
--- a/packages/runhatch-server/tests/test_answer_framing.py
+++ b/packages/runhatch-server/tests/test_answer_framing.py
@@ -185,9 +185,9 @@
         assert outcome == Reply(200, b"12345"[:sent], {}, is_framed=False)
 
 
-def make_answer(framing, body):
+def make_answer(framing, body, status_line=b"HTTP/1.1 200 OK"):
     """Return an answer whose framing headers are ``framing``."""
-    lines = (b"HTTP/1.1 200 OK", b"X-Id: " + ATTEMPT.encode(), *framing)
+    lines = (status_line, b"X-Id: " + ATTEMPT.encode(), *framing)
     return b"\r\n".join(lines) + HEAD_END + body
 
 
@@ -247,6 +247,49 @@
         frame_chunk(HEX_SIZE).replace(b"0\r\n\r\n", b"0\r\nA: b\r\n\r\n"),
     ),
 }
+MALFORMED_STATUS_LINES = (
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 999 OK",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1.1 -200 OK",
+    b"HTTP/1.1 0200 OK",
+    b"HTTP/1.1 2_00 OK",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 200.0 OK",
+    b"HTTP/1.1 0xc8 OK",
+    b"HTTP/1.1 two OK",
+    b"HTTP/1.1 200OK",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1\t200 OK",
+    b"HTTP/1.1 200\tOK",
+    b" HTTP/1.1 200 OK",
+    b"HTTP/1.1 200 O\x00K",
+    b"HTTP/1.1 200 O\rK",
+    b"HTTP/1.1 OK",
+    b"HTTP/1.1",
+    b"HTTP/1.x 200 OK",
+    b"HTTP/1.10 200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/2 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"http/1.1 200 OK",
+    b"ICY 200 OK",
+    b"200 OK",
+)
+VALID_STATUS_LINES = {
+    b"HTTP/1.1 200 OK": 200,
+    b"HTTP/1.1 200 ": 200,
+    b"HTTP/1.1 200": 200,
+    b"HTTP/1.1 200 Everything is fine": 200,
+    b"HTTP/1.1 200 Tr\xe8s bien": 200,
+    b"HTTP/1.1 299 OK": 299,
+    b"HTTP/1.0 200 OK": 200,
+    b"HTTP/1.1 404 Not Found": 404,
+    b"HTTP/1.1 499 Odd": 499,
+}
 each_route = pytest.mark.parametrize("route", Route, ids=lambda r: r.value)
 
 
@@ -293,3 +336,47 @@
         received = gateway.exchange(Script((head + HEAD_END,), End.FIN), route)
 
         assert received.ending is Ending.REFUSED
+
+
+class TestStatusLine:
+    """Answers of targets whose status lines are malformed, or unusual."""
+
+    @each_route
+    @pytest.mark.parametrize("status_line", MALFORMED_STATUS_LINES)
+    def test_malformed_status_line_is_no_answer(self, gateway, route, status_line):
+        """The target may have run the request, so that it did not is not claimed."""
+        answer = make_answer((LENGTH,), BODY, status_line)
+
+        received = gateway.exchange(Script((answer,), End.FIN), route)
+
+        assert (received.ending, received.status) == (Ending.REFUSED, 502)
+
+    @each_route
+    @pytest.mark.parametrize("status_line", MALFORMED_STATUS_LINES)
+    def test_malformed_interim_status_line_is_no_answer(
+        self, gateway, route, status_line
+    ):
+        """What follows a malformed line may be anything."""
+        interim = b"HTTP/1.1 103 Early Hints" + HEAD_END
+        answer = interim + make_answer((LENGTH,), BODY, status_line)
+
+        received = gateway.exchange(Script((answer,), End.FIN), route)
+
+        assert (received.ending, received.status) == (Ending.REFUSED, 502)
+
+    @pytest.mark.parametrize("status_line", MALFORMED_STATUS_LINES)
+    def test_malformed_status_line_is_no_reply_of_a_service(self, status_line):
+        outcome = call_service(make_answer((LENGTH,), BODY, status_line))
+
+        assert isinstance(outcome, Unknown)
+
+    @pytest.mark.parametrize("status_line", VALID_STATUS_LINES)
+    def test_valid_status_line_is_passed_on(self, gateway, status_line):
+        answer = make_answer((LENGTH,), BODY, status_line)
+
+        received = gateway.exchange(Script((answer,), End.FIN), Route.PLAIN)
+
+        assert (received.status, received.body) == (
+            VALID_STATUS_LINES[status_line],
+            BODY,
+        )
