Count the progress of each body by itself

A body that followed a longer one on its connection, in one read with its end, made no progress until it had as many bytes, so that it was refused as stopped. So was one that had to wait for an earlier request's answer.

What counted was kept with the connection.

Evidence: test_earlier_body_does_not_count_for_a_later_one and test_body_may_wait_for_an_earlier_answer end with 408 on the code before.

Change: what counts is kept with the request that it belongs to, and time in which an earlier request is served does not count towards the timeout.

--- a/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
@@ -69,6 +69,8 @@
         self._memory = memory
         self._holding = Holding(self._request_eviction)
         self._output_bytes = 0
+        self._awaited: BoundedParser | None = None
+        """The request whose body is arriving, with what counted of it."""
         self._counted_body_bytes = 0
         self._must_linger = False
         self._discarded_bytes = 0
@@ -94,9 +96,14 @@
 
     @property
     def body_pause(self) -> timedelta:
-        """Time since an unfinished body has made progress, else 0."""
+        """Time since an unfinished body has made progress, else 0.
+
+        While an earlier request on the connection is served, it may have to wait.
+        """
         progressed_at = self._holding.progressed_at
-        return timedelta() if progressed_at is None else self._age(progressed_at)
+        if progressed_at is None or self.requests:
+            return timedelta()
+        return self.clock.elapsed() - progressed_at
 
     @property
     def is_overdue(self) -> bool:
@@ -139,6 +146,8 @@
     def service(self) -> None:
         """Serve the next request."""
         super().service()
+        if self._holding.progressed_at is not None:
+            self._holding.progressed_at = self.clock.elapsed()
         self._update_account()
         if isinstance(self.request, PostponedParser):
             self.server.trigger.pull_trigger(self._parse_postponed)
@@ -246,15 +255,15 @@
     def _record_progress(self) -> None:
         request = self.request
         if not isinstance(request, BoundedParser) or not request.awaits_body:
+            self._awaited = None
             self._holding.progressed_at = None
             return
         received = request.body_bytes
-        if (
-            self._holding.progressed_at is None
-            or received - self._counted_body_bytes >= MIN_BODY_PROGRESS_BYTES
-        ):
-            self._holding.progressed_at = self.clock.elapsed()
+        is_progress = received - self._counted_body_bytes >= MIN_BODY_PROGRESS_BYTES
+        if request is not self._awaited or is_progress:
+            self._awaited = request
             self._counted_body_bytes = received
+            self._holding.progressed_at = self.clock.elapsed()
 
     def _record_output(self) -> None:
         """Account for what the caller does not read; a buffer is freed as a whole."""
@@ -274,6 +283,3 @@
         if self.request is not None and self.connected:
             held += self.request.held_bytes
         return held
-
-    def _age(self, moment: timedelta) -> timedelta:
-        return self.clock.elapsed() - moment
--- a/packages/runhatch-server/tests/test_bounded_connections.py
+++ b/packages/runhatch-server/tests/test_bounded_connections.py
@@ -110,6 +110,16 @@
     return response, response.read()
 
 
+def receive_until(caller, end):
+    """Return what ``caller`` receives up to ``end``."""
+    received = b""
+    while not received.endswith(end):
+        newest = caller.recv(1_000)
+        assert newest, received
+        received += newest
+    return received
+
+
 def wait_until(holds):
     deadline = time.monotonic() + WAIT_SECONDS
     while not holds():
@@ -215,6 +225,36 @@
 
         assert (response.status, body) == (200, b"/a %d" % size)
 
+    def test_earlier_body_does_not_count_for_a_later_one(self, server):
+        """The later one has fewer bytes, but they arrive."""
+        size = 6 * MIN_BODY_PROGRESS_BYTES
+        whole = post("/a", f"Content-Length: {MAX_BODY}") + bytes(MAX_BODY)
+        head = post("/b", f"Content-Length: {size}")
+
+        with connect(server, whole[:-1], whole[-1:] + head) as caller:
+            for _ in range(6):
+                time.sleep(BODY_TIMEOUT_SECONDS / 2)
+                caller.sendall(bytes(MIN_BODY_PROGRESS_BYTES))
+            received = receive_until(caller, b"/b %d" % size)
+
+        assert b"/a %d" % MAX_BODY in received
+
+    def test_body_may_wait_for_an_earlier_answer(self, server, app):
+        serve = App.__call__
+
+        def serve_slowly(environ, start_response):
+            if environ["PATH_INFO"] == "/slow":
+                time.sleep(5 * BODY_TIMEOUT_SECONDS)
+            return serve(app, environ, start_response)
+
+        server._server.application = serve_slowly
+        slow = post("/slow", "Content-Length: 0")
+        head = post("/b", "Content-Length: 3", "Expect: 100-continue")
+        with connect(server, slow + head) as caller:
+            receive_until(caller, b"100 Continue\r\n\r\n")
+            caller.sendall(b"abc")
+            receive_until(caller, b"/b 3")
+
 
 class TestMemory:
     """Requests on all servers share the memory."""
