Test crowds at the listeners of nodes with our own interface

What operators' requests hold counts in the same account, so that there must be room for the largest configuration: request_memory_bytes is three times as much at least. It could be set so low that no such configuration was accepted.

--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -18,6 +18,8 @@
 
 With a lower ratio, a few lost heartbeats would get a live peer suspected.
 """
+MIN_REQUEST_MEMORY_BYTES = 50_331_648
+"""Three times the largest configuration that operators may send."""
 MIN_LARGE_REQUESTS = 3
 """Minimum ratio of ``request_memory_bytes`` to ``max_body_bytes``.
 
@@ -81,7 +83,7 @@
     )
     request_memory_bytes: int = Field(
         default=268_435_456,
-        ge=1_048_576,
+        ge=MIN_REQUEST_MEMORY_BYTES,
         description="Most memory that open requests hold, on all listeners",
     )
     queue_limit: int = Field(
--- a/standins/tests/test_hard_clients.py
+++ b/standins/tests/test_hard_clients.py
@@ -5,13 +5,16 @@
 """
 
 import http.client
-from contextlib import ExitStack
+from contextlib import ExitStack, suppress
 from functools import partial
 from itertools import cycle
+from urllib.request import urlopen
 
 import pytest
 
+from runhatch_standins._cluster import Sizes, start_cluster
 from runhatch_standins._crowds import (
+    MEGABYTE,
     announce,
     number_wires,
     open_crowd,
@@ -33,6 +36,8 @@
 HEADER_BYTES = 16_384
 SMALL_HEADERS = 1_900
 ANSWER_SECONDS = 60.0
+NODE_REQUEST_MEMORY = 50_331_648
+"""Memory for requests of a node with our own interface."""
 
 CROWDS = {
     "whole bodies at once": (150, partial(send_whole, size=BODY_BYTES)),
@@ -168,6 +173,44 @@
         check_survived(gate, usage)
 
 
+class TestOwnInterface:
+    """Crowds at the listeners of a node with our own interface."""
+
+    @pytest.fixture
+    def cluster(self):
+        sizes = Sizes(nodes=1, engines=1, models=1, adapters=0)
+        settings = {"serving": {"request_memory_bytes": NODE_REQUEST_MEMORY}}
+        cluster = start_cluster(sizes, settings)
+        yield cluster
+        cluster.close()
+
+    @pytest.mark.parametrize(
+        ("listener", "count", "size"),
+        [("callers", 200, BODY_BYTES), ("operators", 60, 4 * BODY_BYTES)],
+    )
+    def test_crowd_of_callers(self, cluster, listener, count, size):
+        node = cluster.nodes["n1"].process
+        wires = number_wires(count, partial(stop_short, size=size))
+
+        def is_node_answered():
+            urls = (cluster.caller_url("n1"), cluster.operator_url("n1"))
+            with suppress(OSError):
+                answers = [urlopen(f"{url}/healthz", timeout=10) for url in urls]
+                return {answer.status for answer in answers} == {200}
+            return False
+
+        with watch_usage(node.pid) as usage:
+            assert wait_until(lambda: usage.megabytes > 0 and is_node_answered())
+            at_rest = usage.megabytes
+            port = cluster.settings["n1"][listener]["port"]
+            with open_crowd(cycle([port]), wires):
+                assert wait_until(is_node_answered, ANSWER_SECONDS)
+            assert wait_until(is_node_answered, ANSWER_SECONDS)
+
+        assert node.poll() is None
+        assert usage.megabytes <= at_rest + 2 * NODE_REQUEST_MEMORY / MEGABYTE
+
+
 class TestRefusals:
     """Refusals of requests that are too large reach callers that go on sending."""
 
