Name the limits of framing and of progress in the settings

They were constants, so that an operator could not change them. serving.min_body_progress_bytes, serving.max_framing_per_byte (at least 6: in chunks of one byte it is 5) and serving.max_chunk_line_bytes are new; gateways use the defaults of ServerLimits. No value is changed.

--- a/packages/runhatch-server/src/runhatch_server/http/_body.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_body.py
@@ -9,12 +9,6 @@
 
 from runhatch_server.refusals import Executed, Reason, Refusal
 
-MAX_CHUNK_LINE_BYTES = 4_096
-"""Maximum length of the line with a chunk's size and extensions."""
-MAX_FRAMING_PER_BYTE = 8
-"""Framing that each byte of a body may have; in chunks of one byte, each has 5."""
-MIN_FRAMING_BYTES = 65_536
-"""Framing that a body of any length may have."""
 OVERALLOCATION = 8
 """A growing buffer has an eighth more than its content."""
 CHUNK_LINE = re.compile(
@@ -108,7 +102,11 @@
     """
 
     def __init__(
-        self, buffer: BodyBuffer, max_framing_bytes: int, max_trailer_bytes: int
+        self,
+        buffer: BodyBuffer,
+        max_framing_bytes: int,
+        max_chunk_line_bytes: int,
+        max_trailer_bytes: int,
     ) -> None:
         self.completed = False
         self.error: Error | None = None
@@ -117,6 +115,7 @@
         """Number of steps so far: the time that decoding takes grows with them."""
         self._buffer = buffer
         self._max_framing_bytes = max_framing_bytes
+        self._max_chunk_line_bytes = max_chunk_line_bytes
         self._max_trailer_bytes = max_trailer_bytes
         self._state = _State.SIZE
         self._framing_bytes = 0
@@ -192,7 +191,8 @@
         return start
 
     def _read_size(self, data: bytes, start: int) -> int:
-        end = data.find(LINE_END, start, start + MAX_CHUNK_LINE_BYTES + len(LINE_END))
+        limit = start + self._max_chunk_line_bytes + len(LINE_END)
+        end = data.find(LINE_END, start, limit)
         if end < 0:
             return start
         line = CHUNK_LINE.fullmatch(data, start, end)
@@ -237,10 +237,11 @@
 
     def _check_pending(self) -> None:
         """Refuse a line or trailer that is too long before its end has arrived."""
-        if self._state is _State.SIZE and len(self._pending) > MAX_CHUNK_LINE_BYTES:
+        is_line = self._state is _State.SIZE
+        if is_line and len(self._pending) > self._max_chunk_line_bytes:
             self._refuse(
                 Reason.FRAMING_TOO_LARGE,
-                f"allowed: up to {MAX_CHUNK_LINE_BYTES} bytes before a chunk",
+                f"allowed: up to {self._max_chunk_line_bytes} bytes before a chunk",
             )
         is_trailer = self._state is _State.TRAILER
         if is_trailer and len(self._pending) > self._max_trailer_bytes:
--- a/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
@@ -15,8 +15,6 @@
 
 UNACCOUNTED_BYTES = 16_384
 """What requests on one connection may hold without being accounted for."""
-MIN_BODY_PROGRESS_BYTES = 1_024
-"""Part of a body, or else its rest, that counts as progress."""
 MEMORY_RETRY_DELAY = timedelta(seconds=1)
 MAX_STEPS_PER_READ = 64
 SMALL_CHUNKS_RECEIVE_BYTES = 1_024
@@ -259,8 +257,9 @@
             self._holding.progressed_at = None
             return
         received = request.body_bytes
-        is_progress = received - self._counted_body_bytes >= MIN_BODY_PROGRESS_BYTES
-        if request is not self._awaited or is_progress:
+        progress = received - self._counted_body_bytes
+        has_progressed = progress >= self.adj.min_body_progress_bytes
+        if request is not self._awaited or has_progressed:
             self._awaited = request
             self._counted_body_bytes = received
             self._holding.progressed_at = self.clock.elapsed()
--- a/packages/runhatch-server/src/runhatch_server/http/_parser.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_parser.py
@@ -8,14 +8,11 @@
 from waitress.receiver import FixedStreamReceiver
 from waitress.utilities import BadRequest, RequestEntityTooLarge
 
-from runhatch_server.http._body import (
-    MAX_FRAMING_PER_BYTE,
-    MIN_FRAMING_BYTES,
-    BodyBuffer,
-    ChunkedBody,
-)
+from runhatch_server.http._body import BodyBuffer, ChunkedBody
 from runhatch_server.refusals import Executed, Reason, Refusal
 
+MIN_FRAMING_BYTES = 65_536
+"""Framing that a body of any length may have."""
 REQUEST_BYTES = 2_048
 """Memory of a request without its headers and its body."""
 MAX_REFUSED_HEADERS = 64
@@ -96,7 +93,8 @@
             body_limit = self.adj.max_request_body_size - 1
             self.body_rcv = ChunkedBody(
                 BodyBuffer(),
-                max(MIN_FRAMING_BYTES, MAX_FRAMING_PER_BYTE * body_limit),
+                max(MIN_FRAMING_BYTES, self.adj.max_framing_per_byte * body_limit),
+                self.adj.max_chunk_line_bytes,
                 self.adj.max_request_header_size,
             )
         elif self.body_rcv is not None:
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -23,6 +23,10 @@
 DEFAULT_IDLE_TIMEOUT = timedelta(seconds=120)
 DEFAULT_HEADER_TIMEOUT = timedelta(seconds=10)
 DEFAULT_BODY_TIMEOUT = timedelta(seconds=60)
+DEFAULT_MIN_BODY_PROGRESS_BYTES = 1_024
+DEFAULT_MAX_FRAMING_PER_BYTE = 8
+"""In chunks of one byte, each byte has 5 bytes of framing."""
+DEFAULT_MAX_CHUNK_LINE_BYTES = 4_096
 CLEANUP_INTERVAL = timedelta(seconds=1)
 """Interval of the check for idle connections, and for heads and bodies of requests that
 do not arrive, whose connections close at most this much late."""
@@ -36,7 +40,9 @@
     """Limits on requests and connections; sizes are in bytes.
 
     The head of a request must arrive within ``header_timeout`` of its first byte.  Its
-    body must not stop arriving for ``body_timeout``.
+    body must grow by ``min_body_progress_bytes``, or end, within each ``body_timeout``.
+    A body in chunks may have ``max_framing_per_byte`` bytes of framing for each byte of
+    ``max_body_bytes``, and the line before a chunk ``max_chunk_line_bytes``.
     """
 
     max_body_bytes: int
@@ -44,6 +50,9 @@
     idle_timeout: timedelta = DEFAULT_IDLE_TIMEOUT
     header_timeout: timedelta = DEFAULT_HEADER_TIMEOUT
     body_timeout: timedelta = DEFAULT_BODY_TIMEOUT
+    min_body_progress_bytes: int = DEFAULT_MIN_BODY_PROGRESS_BYTES
+    max_framing_per_byte: int = DEFAULT_MAX_FRAMING_PER_BYTE
+    max_chunk_line_bytes: int = DEFAULT_MAX_CHUNK_LINE_BYTES
 
 
 class CloseReason(Enum):
@@ -121,6 +130,9 @@
         settings.max_request_body_size = limits.max_body_bytes + 1
         settings.max_request_header_size = limits.max_header_bytes
         settings.channel_timeout = limits.idle_timeout.total_seconds()
+        settings.min_body_progress_bytes = limits.min_body_progress_bytes
+        settings.max_framing_per_byte = limits.max_framing_per_byte
+        settings.max_chunk_line_bytes = limits.max_chunk_line_bytes
         self._header_timeout = limits.header_timeout
         self._body_timeout = limits.body_timeout
 
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -81,6 +81,17 @@
     body_timeout_seconds: Seconds = Field(
         default=60.0, description="Time without progress after which a body is given up"
     )
+    min_body_progress_bytes: int = Field(
+        default=1_024, ge=1, description="Part of a body that counts as progress"
+    )
+    max_framing_per_byte: int = Field(
+        default=8,
+        ge=6,
+        description="Largest framing of a body in chunks, for a byte of max_body_bytes",
+    )
+    max_chunk_line_bytes: int = Field(
+        default=4_096, ge=64, description="Largest line before a chunk"
+    )
     request_memory_bytes: int = Field(
         default=268_435_456,
         ge=MIN_REQUEST_MEMORY_BYTES,
--- a/packages/runhatch-server/tests/test_bounded_connections.py
+++ b/packages/runhatch-server/tests/test_bounded_connections.py
@@ -10,7 +10,6 @@
 from gateway_cases import seconds
 
 from runhatch_server.http import HttpServer, RequestMemory, ServerLimits
-from runhatch_server.http._bounded_channel import MIN_BODY_PROGRESS_BYTES
 from runhatch_server.http._parser import PostponedParser
 from runhatch_server.observability import Metrics
 
@@ -20,6 +19,7 @@
 MAX_HEADER = 4_000
 MEMORY = 40_000_000
 BODY_TIMEOUT_SECONDS = 0.5
+MIN_BODY_PROGRESS_BYTES = 1_000
 WAIT_SECONDS = 20.0
 PIPELINED = 50
 CONNECTIONS = 12
@@ -65,6 +65,7 @@
             MAX_HEADER,
             header_timeout=seconds(30),
             body_timeout=seconds(BODY_TIMEOUT_SECONDS),
+            min_body_progress_bytes=MIN_BODY_PROGRESS_BYTES,
         )
         server = HttpServer(
             app,
--- a/packages/runhatch-server/tests/test_chunked_bodies.py
+++ b/packages/runhatch-server/tests/test_chunked_bodies.py
@@ -4,16 +4,17 @@
 import pytest
 from hypothesis import given, settings
 
-from runhatch_server.http._body import MAX_CHUNK_LINE_BYTES, BodyBuffer, ChunkedBody
+from runhatch_server.http._body import BodyBuffer, ChunkedBody
 from runhatch_server.refusals import Reason
 
 MAX_FRAMING = 20_000
+MAX_CHUNK_LINE = 2_000
 MAX_TRAILER = 1_000
 NEXT_REQUEST = b"GET / HTTP/1.1\r\n"
 
 
 def make_body():
-    return ChunkedBody(BodyBuffer(), MAX_FRAMING, MAX_TRAILER)
+    return ChunkedBody(BodyBuffer(), MAX_FRAMING, MAX_CHUNK_LINE, MAX_TRAILER)
 
 
 def frame(parts):
@@ -53,7 +54,7 @@
     """However chunks and reads are cut; what follows is left to the next request."""
     parts = [part for part in parts for _ in range(repeats)]
     wire = frame(parts) + b"0\r\n" + trailer
-    body = ChunkedBody(BodyBuffer(), 10_000_000, MAX_TRAILER)
+    body = ChunkedBody(BodyBuffer(), 10_000_000, MAX_CHUNK_LINE, MAX_TRAILER)
 
     consumed = receive(body, wire + NEXT_REQUEST, sizes)
 
@@ -94,8 +95,8 @@
 @pytest.mark.parametrize(
     "wire",
     [
-        b"1" * (MAX_CHUNK_LINE_BYTES + 1),
-        b"1;" + b"a" * MAX_CHUNK_LINE_BYTES,
+        b"1" * (MAX_CHUNK_LINE + 1),
+        b"1;" + b"a" * MAX_CHUNK_LINE,
         b"0\r\n" + b"a: b\r\n" * (MAX_TRAILER // 6 + 1),
         (b"1;" + b"a" * 1_000 + b"\r\nx\r\n") * 30,
         b"1\r\nx\r\n" * 5_000,
@@ -112,7 +113,7 @@
 
 def test_small_chunks_take_few_steps():
     """The time for each read is what other connections wait."""
-    body = ChunkedBody(BodyBuffer(), 10_000_000, MAX_TRAILER)
+    body = ChunkedBody(BodyBuffer(), 10_000_000, MAX_CHUNK_LINE, MAX_TRAILER)
     body.received(frame([b"x"] * 1_300))
 
     assert body.step_count < 10
