--- a/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
@@ -31,7 +31,9 @@
 FORWARD_THREADS = 200
 """Forwarded requests served concurrently."""
 FORWARD_CONNECTIONS = 300
+"""Maximum open connections of peers that forward requests."""
 SIDE_CONNECTIONS = 102
+"""Maximum open connections of the listener for readiness, and of that for metrics."""
 BYTES_PER_MEGABYTE = 1_000_000
 MIN_LARGE_REQUESTS = 3
 """Bodies of the largest allowed size for which there is room in any case."""
--- a/packages/runhatch-server/src/runhatch_server/http/_body.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_body.py
@@ -30,7 +30,7 @@
 
 
 class BodyBuffer:
-    """The bytes of a body, which are shared with whoever reads all of them."""
+    """The bytes of a body, which a reader of the whole body shares."""
 
     def __init__(self) -> None:
         self._file = BytesIO()
--- a/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
@@ -16,11 +16,14 @@
 UNACCOUNTED_BYTES = 16_384
 """What requests on one connection may hold without being accounted for."""
 MEMORY_RETRY_DELAY = timedelta(seconds=1)
+"""Retry delay of requests that are refused for lack of memory."""
 MAX_STEPS_PER_READ = 64
+"""Steps of decoding in one read above which a connection sends small chunks."""
 SMALL_CHUNKS_RECEIVE_BYTES = 1_024
 """Bytes read at once from a connection with small chunks: each costs as much time as
 some hundred bytes, and other connections wait meanwhile."""
 DISCARD_BYTES = 65_536
+"""Bytes discarded in one read."""
 LINGER_TIME = timedelta(seconds=2)
 """Time in which what a refused caller still sends is discarded.  Closing with unread
 bytes would reset the connection, and the caller could lose the refusal (RFC 9112,
--- a/packages/runhatch-server/src/runhatch_server/http/_memory.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_memory.py
@@ -1,8 +1,9 @@
 """An account of the memory that open requests hold, on all listeners of a process.
 
-A request may hold as much as is left free after it, so large ones are refused first,
-and there is always room for small ones.  If room is needed, requests whose bodies have
-stopped arriving give way: callers that hold still would block all others.
+A request is admitted while as much as it will hold stays free, so large ones are
+refused first and small ones are still admitted.  If memory is needed, requests whose
+bodies have stopped arriving are evicted: otherwise callers that stop sending would
+block all others.
 """
 
 import threading
@@ -13,15 +14,16 @@
 from runhatch_coordination import Clock, SystemClock
 
 EVICTABLE_AFTER = timedelta(seconds=1)
-"""Time without progress after which a body gives way to other requests."""
+"""Time without progress after which a body is evicted for other requests."""
 UNBOUNDED = 1 << 62
+"""Limit in bytes that no process reaches."""
 
 
 @dataclass(slots=True, eq=False)
 class Holding:
     """What the requests on one connection hold.
 
-    ``evict`` is called, in any thread, when they must give up what they hold.
+    ``evict`` is called, in any thread, to have the unfinished request refused.
     """
 
     evict: Callable[[], None]
@@ -75,7 +77,7 @@
         return True
 
     def _choose_evicted(self, holding: Holding, size: int) -> list[Holding] | None:
-        """Return what must give way to ``holding``, ``None`` if all is not enough."""
+        """Return what is evicted for ``holding``, ``None`` if all is not enough."""
         missing = 2 * size - (self.limit - self._held + holding.size)
         if missing <= 0:
             return []
--- a/packages/runhatch-server/src/runhatch_server/http/_parser.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_parser.py
@@ -101,7 +101,7 @@
             self.body_rcv = FixedStreamReceiver(self.content_length, BodyBuffer())
 
     def refuse(self, refusal: Refusal) -> None:
-        """End the request with ``refusal``, and give up its body."""
+        """End the request with ``refusal``, and release its body."""
         self.refusal = refusal
         # waitress answers requests with an error instead of the application.
         self.error = BadRequest(refusal.reason.title)
