Apply reports that do not count an order long after its acceptance

Models of a target stayed unserved: it got no orders until the orders' lease changed hands.

Answers to orders state no id, so a late second copy of a 202 counts as the acceptance of the next order. If that was refused, TargetControl waits for a report that counts it and takes all others for older ones.

Evidence: test_answer_to_another_order_is_not_believed_for_good, for loads and unloads, failed on the code before.

Change: a second after the last acceptance by an answer, a report with fewer orders is applied. Counts that a report has confirmed stay, as before.

Why it works: reports are some hundred milliseconds old, so after a second the missing order is not one that the report is too old for. Each order names the number of orders before it, so one that is carried out late and its successor can't both take effect: the state machine of the tests, with copies taken for lost answers, never overcommits memory.

Result: the tests of the control, the orderer and its handover pass. No cost: reports are requested as before.

--- a/packages/runhatch-server/src/runhatch_server/residency/_control.py
+++ b/packages/runhatch-server/src/runhatch_server/residency/_control.py
@@ -30,6 +30,10 @@
 """Interval of report requests while requests of an unloaded model still run."""
 UNCERTAIN_POLL = timedelta(milliseconds=600)
 """Interval of report requests while it is unknown whether an order was accepted."""
+UNCOUNTED_ORDER_TIME = timedelta(seconds=1)
+"""Time after the last answer that accepted an order in which reports may be from before
+it.  A report that still counts fewer orders then shows that the answer was not to that
+order: answers to orders state no id, and a target may send one twice."""
 ADAPTER_MIN_RESIDENCE = timedelta(seconds=1)
 """Minimum time for which an adapter stays loaded: requests that waited for it are still
 being sent."""
@@ -81,6 +85,8 @@
     copies_on_disk: frozenset[str] = frozenset()
     orderable_from: timedelta = timedelta()
     """From when on orders may be sent after those of the previous orderer."""
+    last_accepted_at: timedelta | None = None
+    """When an answer last accepted an order that no report has counted yet."""
     needs_publishing: bool = True
     """Whether the peers must be notified of what the target holds."""
 
@@ -207,6 +213,7 @@
         match outcome:
             case OrderOutcome.ACCEPTED | OrderOutcome.ALREADY_DONE:
                 self.accepted_orders += 1
+                self.last_accepted_at = now
                 if outcome is OrderOutcome.ALREADY_DONE and not order.adapter:
                     # The target may or may not have counted the order; a report shows
                     # which.
@@ -226,9 +233,8 @@
         if self._is_of_other_incarnation(report):
             self._record_restart(now)
             return
-        if (
-            report.accepted_orders < self.accepted_orders
-            and self.state is not ControlState.UNCERTAIN
+        if report.accepted_orders < self.accepted_orders and not self._may_count_fewer(
+            now
         ):
             self.report_due_at = now + REPORT_LAG
             return
@@ -238,8 +244,16 @@
             self._schedule_busy_poll(now)
             return
         self.accepted_orders = report.accepted_orders
+        self.last_accepted_at = None
         self._apply_settled_report(report, now)
 
+    def _may_count_fewer(self, now: timedelta) -> bool:
+        """Return whether a report with fewer orders than recorded is no older one."""
+        if self.state is ControlState.UNCERTAIN:
+            return True
+        accepted_at = self.last_accepted_at
+        return accepted_at is not None and now - accepted_at >= UNCOUNTED_ORDER_TIME
+
     def _is_of_other_incarnation(self, report: TargetReport) -> bool:
         started_at = self.target.started_at
         return (
--- a/packages/runhatch-server/tests/test_target_control.py
+++ b/packages/runhatch-server/tests/test_target_control.py
@@ -106,6 +106,28 @@
 
         assert not control.holds("m1")
 
+    @pytest.mark.parametrize("kind", [OrderKind.LOAD, OrderKind.UNLOAD])
+    def test_answer_to_another_order_is_not_believed_for_good(self, kind):
+        """A second copy of an earlier answer was taken for that to a new order.
+
+        The target, which had not accepted the new one, got no orders until another
+        node gave them.
+        """
+        control = make_reported_control("m0")
+        model = "m0" if kind is OrderKind.UNLOAD else "m1"
+        control.record_outcome(
+            make_order(kind, model, 0), OrderOutcome.ACCEPTED, LOAD_TIME, seconds(1)
+        )
+
+        control.apply_report(make_report(0, ["m0"]), seconds(1.5))
+        assert not control.is_free
+        control.apply_report(make_report(0, ["m0"]), seconds(2))
+
+        assert control.is_free
+        assert control.accepted_orders == 0
+        assert control.holds("m0")
+        assert not control.holds("m1")
+
     def test_adapter_is_visible_once_loaded(self):
         control = make_reported_control("m0")
         control.record_outcome(
@@ -125,7 +147,8 @@
 class EngineMachine(RuleBasedStateMachine):
     """Simulates a target that carries orders out late, driven through its control.
 
-    Answers may be lost, and lost orders may arrive at any later time.
+    Answers may be lost, and lost orders may arrive at any later time.  A copy of an
+    earlier answer may be taken for one that was lost.
     """
 
     def __init__(self):
@@ -153,17 +176,17 @@
             self.models.discard(late_order.model)
         return OrderOutcome.ACCEPTED
 
-    def send(self, sent_order, lost):
+    def send(self, sent_order, lost, copied):
         if lost:
             self.late.append(sent_order)
-            outcome = OrderOutcome.UNKNOWN
+            outcome = OrderOutcome.ACCEPTED if copied else OrderOutcome.UNKNOWN
         else:
             outcome = self.execute(sent_order)
         self.control.record_outcome(sent_order, outcome, LOAD_TIME, seconds(self.now))
 
     @precondition(lambda self: self.control.is_free)
-    @rule(number=st.integers(0, 7), lost=st.booleans())
-    def load(self, number, lost):
+    @rule(number=st.integers(0, 7), lost=st.booleans(), copied=st.booleans())
+    def load(self, number, lost, copied):
         model = ENGINE.by_name[f"m{number}"]
         used = self.control.used_mb(ENGINE)
         fits = used + model.memory_mb <= ENGINE.memory_mb
@@ -171,14 +194,17 @@
             self.send(
                 make_order(OrderKind.LOAD, model.name, self.control.accepted_orders),
                 lost,
+                copied,
             )
 
     @precondition(lambda self: self.control.is_free and self.control.held)
-    @rule(lost=st.booleans())
-    def unload(self, lost):
+    @rule(lost=st.booleans(), copied=st.booleans())
+    def unload(self, lost, copied):
         model = min(self.control.held)
         self.send(
-            make_order(OrderKind.UNLOAD, model, self.control.accepted_orders), lost
+            make_order(OrderKind.UNLOAD, model, self.control.accepted_orders),
+            lost,
+            copied,
         )
 
     @precondition(lambda self: self.control.state is not ControlState.IDLE)
