Count answers of targets in the account of open requests

Streams without end held ordinary requests up for seconds.

Cause: each whole answer was bounded by 16 MB, their sum by nothing, as the account of what open requests hold knew bodies of requests only. The same answers stayed in temporary files and with the C library's arenas; a stream left 16 MB with the server before its target had to wait, ended at its deadline only while it had no data, and searched an event without end from its start for each part.

Change: an answer over 64 KB is read on only when the account has room for the rest of it, all reserved at once, else it waits until its request's deadline. One that states more than max_answer_bytes is given up at its head. Streams are bounded in length, rate and what waits for callers, and end at their deadline; a caller that reads nothing for the idle timeout is disconnected. Whole answers are handed on without a copy, large allocations are returned at once, events are searched once. Bodies of refusals and reports have bounds of their own. Both kinds of node.

Why it works: one account bounds both directions, by one rule; reserving all at once lets no two half-read answers block each other, and few are decoded at a time.

--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -13,7 +13,13 @@
 from runhatch_server._progress import RequestCounter
 from runhatch_server.crashes import CrashDetector
 from runhatch_server.external_services import ExternalServices
-from runhatch_server.http import HttpServer, RequestMemory, ServerLimits
+from runhatch_server.http import (
+    AnswerLimits,
+    AnswerMemory,
+    HttpServer,
+    RequestMemory,
+    ServerLimits,
+)
 from runhatch_server.observability import LogLevel, Metrics, TraceLog
 from runhatch_server.serving import (
     AnswerStore,
@@ -82,7 +88,7 @@
         self.cache_event_reader = CacheEventReader(
             self.dispatcher, placement_cache, metrics, serving.cache_event_targets
         )
-        self._service = self._build_service(traces, on_draining)
+        self._service = self._build_service(traces, on_draining, request_memory)
         self._app = CallerApp(
             RequestReader(placement_cache, serving, self._clock),
             self._service,
@@ -106,6 +112,7 @@
                 min_body_progress_bytes=serving.min_body_progress_bytes,
                 max_framing_per_byte=serving.max_framing_per_byte,
                 max_chunk_line_bytes=serving.max_chunk_line_bytes,
+                max_unsent_bytes=serving.max_unsent_bytes,
             ),
             memory=request_memory,
             build_refusal=self._app.refuse_unread,
@@ -147,9 +154,15 @@
             self._clock.sleep(DRAIN_POLL_INTERVAL)
 
     def _build_service(
-        self, traces: TraceLog, on_draining: Callable[[str], None]
+        self,
+        traces: TraceLog,
+        on_draining: Callable[[str], None],
+        request_memory: RequestMemory,
     ) -> ServingService:
-        client = TargetClient(self._clock)
+        serving = self._settings.serving
+        limits = AnswerLimits(serving.max_answer_bytes, serving.max_stream_rate)
+        answers = AnswerMemory(limits, request_memory, self._clock)
+        client = TargetClient(self._clock, answers)
         attempter = Attempter(
             self.dispatcher,
             client,
@@ -170,8 +183,9 @@
             self._metrics,
             traces,
             self._clock,
-            timedelta(seconds=self._settings.serving.stall_seconds),
+            timedelta(seconds=serving.stall_seconds),
             self._settings.logs.level is LogLevel.REQUEST,
+            limits,
         )
 
     def _build_once_guard(self) -> OnceGuard:
--- a/packages/runhatch-server/src/runhatch_server/_process.py
+++ b/packages/runhatch-server/src/runhatch_server/_process.py
@@ -1,9 +1,11 @@
 """Signals, exit statuses and process end, shared by both kinds of daemon."""
 
+import ctypes
 import os
 import queue
 import signal
 import sys
+from contextlib import suppress
 from datetime import timedelta
 from typing import NoReturn
 
@@ -16,6 +18,9 @@
 POLL_INTERVAL = timedelta(seconds=1)
 """Interval at which a daemon checks for changed settings and for a stop request."""
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+MALLOC_MMAP_THRESHOLD = -3
+"""Name of the parameter of ``mallopt`` in ``malloc.h`` of the GNU C library."""
+LARGE_ALLOCATION_BYTES = 131_072
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_START = 3
 EXIT_BROKEN_INVARIANT = 70
@@ -28,6 +33,17 @@
     return EXIT_BAD_SETTINGS
 
 
+def return_large_allocations() -> None:
+    """Have memory of large bodies returned to the system as soon as it is freed.
+
+    The GNU C library raises its threshold for doing so to the largest size that was
+    freed.  The memory of each thread that has read a large body would stay with it.
+    """
+    with suppress(OSError, AttributeError):
+        mallopt = ctypes.CDLL(None).mallopt
+        mallopt(MALLOC_MMAP_THRESHOLD, LARGE_ALLOCATION_BYTES)
+
+
 class SignalHandler:
     """Installs the signal handlers of this process when it is created.
 
--- a/packages/runhatch-server/src/runhatch_server/daemon.py
+++ b/packages/runhatch-server/src/runhatch_server/daemon.py
@@ -12,6 +12,7 @@
     SignalHandler,
     exit_on_invariant_error,
     report_faults,
+    return_large_allocations,
 )
 from runhatch_server.external_services import ExternalServices
 from runhatch_server.observability import configure_logs
@@ -38,6 +39,7 @@
 
 def _run(settings: Settings, connect: ConnectServices) -> int:
     signals = SignalHandler()
+    return_large_allocations()
     try:
         configure_logs(settings.logs.level, settings.logs.destination)
         node = Node(settings, connect(settings))
--- a/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_connections.py
@@ -23,7 +23,7 @@
 from runhatch_server.fleet import Target
 from runhatch_server.http import (
     INVALID_HOST_ERRORS,
-    MAX_BODY_BYTES,
+    AnswerMemory,
     StrictLineReader,
     StrictResponse,
     enable_keepalive,
@@ -131,12 +131,16 @@
 class TargetConnection:
     """A connection to one incarnation of a target; used by one thread at a time."""
 
-    def __init__(self, target: Target, clock: Clock) -> None:
+    def __init__(
+        self, target: Target, clock: Clock, answers: AnswerMemory | None = None
+    ) -> None:
+        """``answers`` bounds the answers that are read whole."""
         self.target = target
         self.use_count = 0
         self.idle_until = timedelta()
         self._connection = http.client.HTTPConnection(target.host, target.port)
         self._clock = clock
+        self._answers = answers or AnswerMemory(clock=clock)
         self._response: _LeftoverResponse | None = None
         self._socket: socket.socket | None = None
         self._body_left: int | None = None
@@ -230,11 +234,20 @@
     def read_body(self) -> bytes:
         """Return the whole body; raises like :meth:`read_chunk` if it ends early.
 
-        All of it must arrive within the timeout, and it must not exceed
-        ``MAX_BODY_BYTES``.
+        All of it must arrive within the timeout.  Raises ``AnswerTooLongError`` and
+        ``AnswerMemoryFullError`` as :class:`AnswerMemory` does.
+        """
+        with self._limit_reads() as response:
+            return self._answers.read_body(response)
+
+    @_report_death_as_reset
+    def skip_body(self, max_bytes: int) -> None:
+        """Read the whole body; raises like :meth:`read_chunk` if it ends early.
+
+        Raises ``HTTPException`` if it is longer than ``max_bytes``.
         """
         with self._limit_reads() as response:
-            return response.read_whole(MAX_BODY_BYTES)
+            response.read_whole(max_bytes)
 
     def set_timeout(self, timeout: timedelta) -> None:
         """Set the timeout of further reads and writes."""
@@ -302,8 +315,10 @@
 class ConnectionPool:
     """The connections of one node to all targets; thread-safe."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, answers: AnswerMemory | None = None) -> None:
+        """``answers`` bounds the answers that are read whole."""
         self._clock = clock
+        self._answers = answers or AnswerMemory(clock=clock)
         self._lock = threading.Lock()
         self._idle_connections: dict[str, list[TargetConnection]] = defaultdict(list)
         self._open_counts: dict[str, int] = defaultdict(int)
@@ -348,7 +363,7 @@
             return NotSent(AttemptReason.TARGET_BUSY)
         connection = None
         try:
-            connection = TargetConnection(target, self._clock)
+            connection = TargetConnection(target, self._clock, self._answers)
             connection.connect(min(timeout, CONNECT_TIMEOUT))
         except (OSError, *INVALID_HOST_ERRORS) as error:
             if connection is not None:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
@@ -23,6 +23,8 @@
 READ_TIMEOUT = timedelta(seconds=2)
 """Timeout of reads within a head or chunk that has begun to arrive."""
 MISDIRECTED_STATUS = 421
+MAX_REFUSAL_BYTES = 65_536
+"""Longest body of a refusal that is read for the sake of its connection."""
 
 
 @dataclass(slots=True)
@@ -92,7 +94,7 @@
         """Pool the connection of a refusal if its body can be read to the end."""
         try:
             connection.set_timeout(READ_TIMEOUT)
-            connection.read_body()
+            connection.skip_body(MAX_REFUSAL_BYTES)
         except (OSError, http.client.HTTPException):
             self._pool.discard(connection)
             return
--- a/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_listeners.py
@@ -69,7 +69,7 @@
             callers,
             settings.callers,
             CALLER_THREADS,
-            server_limits(RequestLimits()),
+            server_limits(settings, RequestLimits()),
             min(CALLER_CONNECTIONS, self._count_descriptors(CALLER_DESCRIPTOR_SHARE)),
             callers.refuse_unread,
         )
@@ -87,7 +87,7 @@
             app,
             Endpoint(settings.peers.host, settings.forward_port),
             FORWARD_THREADS,
-            forward_limits(RequestLimits()),
+            forward_limits(settings, RequestLimits()),
             min(FORWARD_CONNECTIONS, self._count_descriptors(FORWARD_DESCRIPTOR_SHARE)),
             app.refuse_unread,
         )
@@ -126,24 +126,26 @@
 def request_memory_limit(settings: GatewaySettings, limits: RequestLimits) -> int:
     """Return how many bytes open requests may hold under ``limits``.
 
-    A body of the largest size is served on a node that holds nothing else, whatever
-    its memory.
+    A body or an answer of the largest size is served on a node that holds nothing else,
+    whatever its memory.
     """
     share = settings.memory_mb * BYTES_PER_MEGABYTE * settings.request_memory_share
-    return max(int(share), MIN_LARGE_REQUESTS * limits.body_bytes)
+    largest = max(limits.body_bytes, settings.answer_limits.max_bytes)
+    return max(int(share), MIN_LARGE_REQUESTS * largest)
 
 
-def forward_limits(limits: RequestLimits) -> ServerLimits:
+def forward_limits(settings: GatewaySettings, limits: RequestLimits) -> ServerLimits:
     """Return the limits of the server for requests forwarded by peers."""
     return ServerLimits(
         limits.body_bytes,
         limits.header_bytes + FORWARD_HEADER_BYTES,
         header_timeout=limits.header_timeout,
         body_timeout=limits.idle_timeout,
+        max_unsent_bytes=settings.max_unsent_bytes,
     )
 
 
-def server_limits(limits: RequestLimits) -> ServerLimits:
+def server_limits(settings: GatewaySettings, limits: RequestLimits) -> ServerLimits:
     """Return the limits of the server for callers."""
     return ServerLimits(
         limits.body_bytes,
@@ -153,6 +155,7 @@
         # A caller that sends nothing for so long would not be waited for either if it
         # had no request.
         limits.idle_timeout,
+        max_unsent_bytes=settings.max_unsent_bytes,
     )
 
 
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -57,7 +57,7 @@
 )
 from runhatch_server.gateway._target_gauge import TargetGauge
 from runhatch_server.gateway._version_recorder import CHECK_INTERVAL as VERSION_INTERVAL
-from runhatch_server.http import RequestMemory
+from runhatch_server.http import AnswerMemory, RequestMemory
 from runhatch_server.observability import Metrics, log_change
 from runhatch_server.peers import PeerLinks
 from runhatch_server.residency import DemandShare, Orderer
@@ -119,7 +119,13 @@
         self._demand = DemandCounter()
         self._directory = TargetDirectory(self._clock)
         self._configuration = ActiveConfiguration(self._on_routes, self._metrics)
-        self._pool = ConnectionPool(self._clock)
+        self._request_memory = RequestMemory(
+            request_memory_limit(settings, RequestLimits()), self._clock
+        )
+        answers = AnswerMemory(
+            settings.answer_limits, self._request_memory, self._clock
+        )
+        self._pool = ConnectionPool(self._clock, answers)
         self._work_time_gauge = TargetGauge(self._metrics.target_work_time)
         self._prompt_bound_gauge = TargetGauge(self._metrics.target_prompt_bound)
         self._limits = RateLimits(self._clock, self._metrics, START_WINDOW)
@@ -206,9 +212,6 @@
         self._service = self._build_service()
         self._app = self._build_app()
         self._forward_app = self._build_app(is_for_peers=True)
-        self._request_memory = RequestMemory(
-            request_memory_limit(settings, RequestLimits()), self._clock
-        )
         servers = ServerFactory(settings, self._request_memory, self._metrics)
         self._forward_server = servers.build_forward_server(self._forward_app)
         self._servers = servers.build_servers(
@@ -380,6 +383,7 @@
                 self._versions.recorder,
             ),
             self._peer_requests,
+            self._settings.answer_limits,
         )
         usage = UsageGate(self._peers.usage, self._clock, self._metrics)
         return GatewayService(parts, self._settings.retries, usage, self._record_demand)
@@ -461,12 +465,12 @@
         self._orderer.declare(routes.services)
         limits = routes.configuration.limits
         self._request_memory.limit = request_memory_limit(self._settings, limits)
-        self._servers[0].set_limits(server_limits(limits))
+        self._servers[0].set_limits(server_limits(self._settings, limits))
         self._versions.configure(routes)
         self._app.routes = routes
         self._forward_app.routes = routes
         if self._forward_server is not None:
-            self._forward_server.set_limits(forward_limits(limits))
+            self._forward_server.set_limits(forward_limits(self._settings, limits))
 
         self._tables.confirm_within(
             self._platform.configurations.name, self._confirmation_interval(routes)
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -2,7 +2,8 @@
 
 import http.client
 from collections.abc import Callable, Generator, Iterator
-from typing import Protocol
+from datetime import timedelta
+from typing import NoReturn, Protocol
 
 from runhatch_coordination import Clock
 from runhatch_server.decisions import GatewayRequest
@@ -15,18 +16,21 @@
 )
 from runhatch_server.gateway._grant import Grant
 from runhatch_server.gateway._pace import StreamPace
-from runhatch_server.http import AbortedStreamError
+from runhatch_server.http import AbortedStreamError, AnswerLimits, AnswerTooLongError
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.targets import (
     AttemptReason,
     EventEndDetector,
     EventSplitter,
     EventTooLongError,
+    StreamMeter,
     has_data,
     parse_event_id,
 )
 
 EVENT_STREAM_TYPE = "text/event-stream"
+LATE_PIECE_TIME = timedelta(milliseconds=250)
+"""Time after the deadline in which pieces that have arrived are still relayed."""
 BROKEN_STREAM_REASONS = {
     "caller_gone": Reason.CALLER_GONE,
     "deadline_passed": Reason.DEADLINE_PASSED,
@@ -78,8 +82,10 @@
         clock: Clock,
         is_caller_gone: Callable[[], bool],
         on_end: Callable[["StreamRelay"], None],
+        limits: AnswerLimits,
     ) -> None:
         self._on_end = on_end
+        self._meter = StreamMeter(limits)
         self._is_closed = False
         self._chunks = self._relay()
         self._request = request
@@ -159,6 +165,7 @@
                 continue
             if not chunk:
                 break
+            self._apply_limits(len(chunk))
             self._end_detector.feed(chunk)
             self._record_first_event(chunk)
             sendable = self._take_sendable(chunk)
@@ -169,6 +176,26 @@
             yield self._splitter.incomplete_event
         self._finish()
 
+    def _apply_limits(self, size: int) -> None:
+        """Count ``size`` bytes received; wait if they arrive too fast.
+
+        Aborts a stream that is too long, or still goes on after its deadline: one that
+        always has data to read is not waited for.
+        """
+        now = self._clock.elapsed()
+        if now >= self._request.deadline + LATE_PIECE_TIME:
+            self._abort("deadline_passed")
+        try:
+            pause = self._meter.record(size, now)
+        except AnswerTooLongError:
+            self._abort(AttemptReason.ANSWER_TOO_LONG.value)
+        if pause:
+            self._clock.sleep(min(pause, CALLER_CHECK_INTERVAL))
+
+    def _abort(self, outcome: str) -> NoReturn:
+        self.outcome = outcome
+        raise AbortedStreamError(self._request.attempt_id)
+
     def _record_first_event(self, chunk: bytes) -> None:
         """Record the newest target's first event if it is complete with ``chunk``."""
         if self._target_has_begun:
@@ -205,11 +232,9 @@
         try:
             while not connection.wait_readable(CALLER_CHECK_INTERVAL):
                 if self._caller_gone():
-                    self.outcome = "caller_gone"
-                    raise AbortedStreamError(self._request.attempt_id)
+                    self._abort("caller_gone")
                 if self._clock.elapsed() >= self._request.deadline:
-                    self.outcome = "deadline_passed"
-                    raise AbortedStreamError(self._request.attempt_id)
+                    self._abort("deadline_passed")
             connection.set_timeout(READ_TIMEOUT)
             return connection.read_chunk()
         except (OSError, ValueError, http.client.HTTPException):
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -28,6 +28,7 @@
     require_resumed_version,
 )
 from runhatch_server.gateway._target_signals import apply_target_signals
+from runhatch_server.http import AnswerMemoryFullError, AnswerTooLongError
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.routing import RequestKind
 from runhatch_server.targets import (
@@ -375,6 +376,7 @@
             parts.clock,
             self._caller_gone,
             self._record_stream,
+            parts.answer_limits,
         )
         if not relay.begin():
             relay.close()
@@ -406,8 +408,14 @@
         try:
             opened.connection.set_timeout(left)
             body = opened.connection.read_body()
+        except AnswerMemoryFullError:
+            return self._handle_broken_answer(grant, opened, AttemptReason.MEMORY_FULL)
         except TimeoutError:
             return self._handle_broken_answer(grant, opened, AttemptReason.TIMED_OUT)
+        except AnswerTooLongError:
+            return self._handle_broken_answer(
+                grant, opened, AttemptReason.ANSWER_TOO_LONG
+            )
         except (OSError, ValueError, http.client.HTTPException):
             return self._handle_broken_answer(
                 grant, opened, AttemptReason.CONNECTION_BROKEN
@@ -428,7 +436,8 @@
         self, grant: Grant, opened: OpenedAnswer, reason: AttemptReason
     ) -> Refusal | None:
         self._parts.forwarder.discard_answer(opened)
-        self._parts.balancer.release(grant, target_failed=True)
+        is_faulty = reason is not AttemptReason.MEMORY_FULL
+        self._parts.balancer.release(grant, target_failed=is_faulty)
         self._tried_targets = self._tried_targets.with_failure(grant.target.incarnation)
         self._may_have_run = True
         self.record.record_attempt(grant, f"unknown_{reason.value}")
--- a/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_settings.py
@@ -1,8 +1,10 @@
 """Settings of a gateway: its name, its addresses and its bounds."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
+from runhatch_server.http import DEFAULT_MAX_UNSENT_BYTES, AnswerLimits
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
@@ -56,7 +58,9 @@
     requests forwarded by other nodes on ``forward_port`` of that host; 0 if it cannot.
 
     Of ``memory_mb``, open requests may hold ``request_memory_share``; callers' and
-    peers' connections may take a part of ``max_descriptors``.
+    peers' connections may take a part of ``max_descriptors``.  ``answer_limits`` apply
+    to the answers of targets and peers.  ``max_unsent_bytes`` is how much of a stream
+    may wait for its caller until its target has to wait.
     """
 
     name: str
@@ -78,3 +82,5 @@
     shares_prompt_queues: bool = False
     request_memory_share: float = 1 / 3
     max_descriptors: int = 4_100
+    answer_limits: AnswerLimits = field(default_factory=AnswerLimits)
+    max_unsent_bytes: int = DEFAULT_MAX_UNSENT_BYTES
--- a/packages/runhatch-server/src/runhatch_server/gateway_daemon.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway_daemon.py
@@ -12,6 +12,7 @@
     POLL_INTERVAL,
     SignalHandler,
     exit_on_invariant_error,
+    return_large_allocations,
 )
 from runhatch_server.gateway import GatewayNode, GatewayPlatform, GatewaySettings
 from runhatch_server.observability import LogLevel, configure_logs
@@ -28,6 +29,7 @@
     else ``None``.
     """
     signals = SignalHandler()
+    return_large_allocations()
     configure_logs(LogLevel.CHANGE, "stdout")
     try:
         node = GatewayNode(settings, external_dependencies)
--- a/packages/runhatch-server/src/runhatch_server/http/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/http/__init__.py
@@ -1,5 +1,11 @@
 """An HTTP client for services, and a server for a WSGI application."""
 
+from runhatch_server.http._answers import (
+    AnswerLimits,
+    AnswerMemory,
+    AnswerMemoryFullError,
+    AnswerTooLongError,
+)
 from runhatch_server.http._client import (
     INVALID_HOST_ERRORS,
     MAX_BODY_BYTES,
@@ -19,7 +25,11 @@
     StrictResponse,
     read_head,
 )
-from runhatch_server.http._server import HttpServer, ServerLimits
+from runhatch_server.http._server import (
+    DEFAULT_MAX_UNSENT_BYTES,
+    HttpServer,
+    ServerLimits,
+)
 from runhatch_server.http._wsgi import (
     AbortedStreamError,
     ClosingEvents,
@@ -34,8 +44,13 @@
 __all__ = [
     "AbortedStreamError",
     "AbortedCall",
+    "AnswerLimits",
+    "AnswerMemory",
+    "AnswerMemoryFullError",
+    "AnswerTooLongError",
     "BuildRefusal",
     "ClosingEvents",
+    "DEFAULT_MAX_UNSENT_BYTES",
     "Environ",
     "EventStream",
     "HttpClient",
--- a/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_bounded_channel.py
@@ -70,6 +70,9 @@
         self._memory = memory
         self._holding = Holding(self._request_eviction)
         self._output_bytes = 0
+        self._unsent_bytes = 0
+        self._output_progressed_at: timedelta | None = None
+        """When the caller last read of an answer that waits for it."""
         self._awaited: BoundedParser | None = None
         """The request whose body is arriving, with what counted of it."""
         self._counted_body_bytes = 0
@@ -106,6 +109,14 @@
             return timedelta()
         return self.clock.elapsed() - progressed_at
 
+    @property
+    def output_pause(self) -> timedelta:
+        """Time since the caller has read of an answer that waits for it, else 0."""
+        progressed_at = self._output_progressed_at
+        if progressed_at is None or not self.total_outbufs_len:
+            return timedelta()
+        return self.clock.elapsed() - progressed_at
+
     @property
     def is_overdue(self) -> bool:
         """Whether a refused caller has had its time to stop sending."""
@@ -183,6 +194,13 @@
         self._record_progress()
         self._update_account()
 
+    def stop_sending(self) -> None:
+        """Close the connection, whose caller does not read.
+
+        The flag that has waitress close it takes effect when the socket can be written.
+        """
+        self.server.trigger.pull_trigger(self.handle_close)
+
     def linger_on_close(self) -> None:
         """Have the next close wait until the caller stops sending."""
         self._must_linger = True
@@ -270,6 +288,11 @@
     def _record_output(self) -> None:
         """Account for what the caller does not read; a buffer is freed as a whole."""
         left = self.total_outbufs_len
+        if not left:
+            self._output_progressed_at = None
+        elif self._output_progressed_at is None or left < self._unsent_bytes:
+            self._output_progressed_at = self.clock.elapsed()
+        self._unsent_bytes = left
         self._output_bytes = max(self._output_bytes, left) if left else 0
         self._update_account()
 
--- a/packages/runhatch-server/src/runhatch_server/http/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_client.py
@@ -69,7 +69,10 @@
         on_date: Callable[[str | None], None] | None = None,
         transfer_time: timedelta = timedelta(),
         clock: Clock | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
+        """A response with a body over ``max_body_bytes`` counts as incomplete."""
+        self._max_body_bytes = max_body_bytes
         self._on_date = on_date
         self._clock = clock or SystemClock()
         self._transfer_time = transfer_time
@@ -203,7 +206,7 @@
             if not response.isclosed():
                 self._record_first_byte(number, sock)
             response.set_deadline(deadline + self._transfer_time)
-            answer = first_byte + response.read_whole(MAX_BODY_BYTES)
+            answer = first_byte + response.read_whole(self._max_body_bytes)
             if self._on_date is not None:
                 self._on_date(response.getheader("Date"))
         except (OSError, http.client.HTTPException) as error:
--- a/packages/runhatch-server/src/runhatch_server/http/_response.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_response.py
@@ -141,16 +141,26 @@
         self._reader = self.open_reader(self._io, sock)
         self.fp = self._reader
 
+    @property
+    def deadline(self) -> timedelta | None:
+        """The time of the clock until which further reads must end, if any."""
+        return self._io.deadline
+
     def set_deadline(self, deadline: timedelta | None) -> None:
         """Set the time of the clock until which further reads must end, if any."""
         self._io.deadline = deadline
 
+    @property
+    def stated_length(self) -> int | None:
+        """Bytes of the body that are left by its length, ``None`` if it states none."""
+        return None if self.chunked else self.length
+
     def read_whole(self, max_bytes: int) -> bytes:
         """Return the rest of the body.
 
         Raises ``HTTPException`` if it is longer than ``max_bytes`` or ends early.
         """
-        length = None if self.chunked else self.length
+        length = self.stated_length
         parts = []
         total = 0
         while part := self.read(READ_BYTES):
@@ -160,10 +170,17 @@
                     f"found a body of over {max_bytes} bytes"
                 )
             parts.append(part)
-        if length is not None and total < length:
-            # http.client doesn't check the length of a body read in parts.
-            raise http.client.IncompleteRead(b"", length - total)
-        return b"".join(parts)
+        return self.check_length(b"".join(parts), length)
+
+    @staticmethod
+    def check_length(body: bytes, length: int | None) -> bytes:
+        """Return ``body``; raise ``IncompleteRead`` if it is shorter than ``length``.
+
+        ``http.client`` doesn't check the length of a body read in parts.
+        """
+        if length is not None and len(body) < length:
+            raise http.client.IncompleteRead(b"", length - len(body))
+        return body
 
     def open_reader(self, raw: io.RawIOBase, sock: socket.socket) -> StrictLineReader:
         """Return the reader of ``raw``, which reads from ``sock``."""
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -27,6 +27,10 @@
 DEFAULT_MAX_FRAMING_PER_BYTE = 8
 """In chunks of one byte, each byte has 5 bytes of framing."""
 DEFAULT_MAX_CHUNK_LINE_BYTES = 4_096
+DEFAULT_MAX_UNSENT_BYTES = 262_144
+NO_TEMPORARY_FILES = 1 << 40
+"""Size of an answer from which waitress would keep it in a temporary file.  Such a file
+counts as memory on nodes without disks, and takes a descriptor."""
 CLEANUP_INTERVAL = timedelta(seconds=1)
 """Interval of the check for idle connections, and for heads and bodies of requests that
 do not arrive, whose connections close at most this much late."""
@@ -43,6 +47,10 @@
     body must grow by ``min_body_progress_bytes``, or end, within each ``body_timeout``.
     A body in chunks may have ``max_framing_per_byte`` bytes of framing for each byte of
     ``max_body_bytes``, and the line before a chunk ``max_chunk_line_bytes``.
+
+    If ``max_unsent_bytes`` of a streamed answer wait for their caller, the application
+    has to wait too.  A caller that reads none of them for ``idle_timeout`` is
+    disconnected.
     """
 
     max_body_bytes: int
@@ -53,6 +61,7 @@
     min_body_progress_bytes: int = DEFAULT_MIN_BODY_PROGRESS_BYTES
     max_framing_per_byte: int = DEFAULT_MAX_FRAMING_PER_BYTE
     max_chunk_line_bytes: int = DEFAULT_MAX_CHUNK_LINE_BYTES
+    max_unsent_bytes: int = DEFAULT_MAX_UNSENT_BYTES
 
 
 class CloseReason(Enum):
@@ -60,6 +69,7 @@
 
     SLOW_HEAD = "slow_head"
     MAKES_ROOM = "makes_room"
+    NOT_READING = "not_reading"
 
 
 class HttpServer:
@@ -96,6 +106,7 @@
             asyncore_use_poll=True,
             # Events must be sent at once, not when a buffer is full.
             send_bytes=1,
+            outbuf_overflow=NO_TEMPORARY_FILES,
             channel_request_lookahead=1,
             cleanup_interval=int(CLEANUP_INTERVAL.total_seconds()),
             ident="runhatch",
@@ -110,6 +121,7 @@
         self._server.readable = self._make_room_and_accept
         self._header_timeout = limits.header_timeout
         self._body_timeout = limits.body_timeout
+        self._idle_timeout = limits.idle_timeout
         self.set_limits(limits)
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
@@ -133,8 +145,10 @@
         settings.min_body_progress_bytes = limits.min_body_progress_bytes
         settings.max_framing_per_byte = limits.max_framing_per_byte
         settings.max_chunk_line_bytes = limits.max_chunk_line_bytes
+        settings.outbuf_high_watermark = limits.max_unsent_bytes
         self._header_timeout = limits.header_timeout
         self._body_timeout = limits.body_timeout
+        self._idle_timeout = limits.idle_timeout
 
     def start(self) -> None:
         """Start the server thread."""
@@ -157,6 +171,9 @@
                 self._count_closed(CloseReason.SLOW_HEAD)
             elif channel.is_overdue:
                 channel.will_close = True
+            elif channel.output_pause > self._idle_timeout:
+                channel.stop_sending()
+                self._count_closed(CloseReason.NOT_READING)
             elif channel.body_pause > self._body_timeout:
                 channel.refuse_unfinished(self._build_slow_refusal())
         for reason, count in self._closed_counts.items():
--- a/packages/runhatch-server/src/runhatch_server/http/_wsgi.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_wsgi.py
@@ -1,11 +1,16 @@
 """Types and functions shared by the WSGI applications that serve callers."""
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from io import BytesIO
 from typing import Protocol
 
+from waitress.buffers import ReadOnlyFileBasedBuffer
+
 from runhatch_server._errors import RunhatchError
 from runhatch_server.http._channel import OMIT_FRAMING_KEY
 
+MAX_COPIED_BYTES = 65_536
+"""Longest body that is copied to the buffer of its connection: a file is shared."""
 CLIENT_DISCONNECTED_KEY = "waitress.client_disconnected"
 
 Environ = Mapping[str, object]
@@ -68,6 +73,9 @@
         start_response(status, [*headers])
         return iter([body])
     start_response(status, [*headers, ("Content-Length", str(len(body)))])
+    if len(body) > MAX_COPIED_BYTES:
+        shared: Iterable[bytes] = ReadOnlyFileBasedBuffer(BytesIO(body))
+        return shared
     return [body]
 
 
--- a/packages/runhatch-server/src/runhatch_server/serving/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_relay.py
@@ -8,7 +8,11 @@
 import msgspec
 
 from runhatch_coordination import Clock
-from runhatch_server.http import AbortedStreamError
+from runhatch_server.http import (
+    AbortedStreamError,
+    AnswerLimits,
+    AnswerTooLongError,
+)
 from runhatch_server.observability import Metrics
 from runhatch_server.refusals import Executed, Reason, Refusal
 from runhatch_server.serving._attempts import Attempter, OpenedAnswer, RequestContext
@@ -19,6 +23,7 @@
     AttemptReason,
     EventSplitter,
     OpenAnswer,
+    StreamMeter,
     TargetClient,
     UnknownResult,
     is_terminal_event,
@@ -55,7 +60,9 @@
         metrics: Metrics,
         clock: Clock,
         stall_timeout: timedelta,
+        limits: AnswerLimits,
     ) -> None:
+        self._meter = StreamMeter(limits)
         self._context = context
         self._opened = opened
         self._attempter = attempter
@@ -129,17 +136,22 @@
             try:
                 self._opened.answer.set_timeout(wait.total_seconds())
                 chunk = self._opened.answer.read_chunk()
+                pause = self._meter.record(len(chunk), self._clock.elapsed())
                 self._ready_events.extend(self._splitter.feed(chunk))
             except TimeoutError:
                 return AttemptReason.STALLED
+            except AnswerTooLongError:
+                return AttemptReason.ANSWER_TOO_LONG
             except (OSError, ValueError, http.client.HTTPException):
                 return AttemptReason.CONNECTION_BROKEN
+            if pause:
+                self._clock.sleep(min(pause, remaining))
             if not chunk:
                 return AttemptReason.CONNECTION_BROKEN
         return None
 
     def _recover_stream(self, failure: AttemptReason) -> bool:
-        if failure is AttemptReason.TIMED_OUT:
+        if failure in (AttemptReason.TIMED_OUT, AttemptReason.ANSWER_TOO_LONG):
             return False
         if self._resume_stream():
             return True
--- a/packages/runhatch-server/src/runhatch_server/serving/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_service.py
@@ -6,7 +6,12 @@
 from datetime import timedelta
 
 from runhatch_coordination import Clock, Taken
-from runhatch_server.http import AbortedStreamError
+from runhatch_server.http import (
+    AbortedStreamError,
+    AnswerLimits,
+    AnswerMemoryFullError,
+    AnswerTooLongError,
+)
 from runhatch_server.observability import (
     Metrics,
     RequestLog,
@@ -52,7 +57,9 @@
         clock: Clock,
         stall_timeout: timedelta,
         log_requests: bool,
+        answer_limits: AnswerLimits,
     ) -> None:
+        self._answer_limits = answer_limits
         self._log_requests = log_requests
         self._attempter = attempter
         self._client = client
@@ -113,8 +120,12 @@
         try:
             opened.answer.set_timeout(max(0.001, remaining.total_seconds()))
             answer = opened.answer.read_answer()
+        except AnswerMemoryFullError:
+            failure = UnknownResult(AttemptReason.MEMORY_FULL)
         except TimeoutError:
             failure = UnknownResult(AttemptReason.TIMED_OUT)
+        except AnswerTooLongError:
+            failure = UnknownResult(AttemptReason.ANSWER_TOO_LONG)
         except (OSError, http.client.HTTPException):
             failure = UnknownResult(AttemptReason.CONNECTION_BROKEN)
         else:
@@ -148,6 +159,7 @@
             self._metrics,
             self._clock,
             self._stall_timeout,
+            self._answer_limits,
         )
         refusal = relay.wait_for_first_event()
         if refusal is not None:
--- a/packages/runhatch-server/src/runhatch_server/settings/_models.py
+++ b/packages/runhatch-server/src/runhatch_server/settings/_models.py
@@ -21,7 +21,7 @@
 MIN_REQUEST_MEMORY_BYTES = 50_331_648
 """Three times the largest configuration that operators may send."""
 MIN_LARGE_REQUESTS = 3
-"""Minimum ratio of ``request_memory_bytes`` to ``max_body_bytes``.
+"""Minimum ratio of ``request_memory_bytes`` to the largest body and the longest answer.
 
 A request is admitted only while as much as it will hold stays free.
 """
@@ -97,6 +97,22 @@
         ge=MIN_REQUEST_MEMORY_BYTES,
         description="Most memory that open requests hold, on all listeners",
     )
+    max_answer_bytes: int = Field(
+        default=16_777_216,
+        ge=1_024,
+        le=67_108_864,
+        description="Longest answer of a target",
+    )
+    max_stream_rate: int = Field(
+        default=1_048_576,
+        ge=1_024,
+        description="Bytes a second of a stream, once it has sent as much in a second",
+    )
+    max_unsent_bytes: int = Field(
+        default=262_144,
+        ge=65_536,
+        description="Part of a stream that waits for its caller until the target waits",
+    )
     queue_limit: int = Field(
         default=64, ge=1, le=2_000, description="Requests that may wait for a slot"
     )
@@ -140,11 +156,13 @@
 
     @model_validator(mode="after")
     def _check_request_memory(self) -> "ServingSettings":
-        minimum = MIN_LARGE_REQUESTS * self.max_body_bytes
+        largest = max(self.max_body_bytes, self.max_answer_bytes)
+        minimum = MIN_LARGE_REQUESTS * largest
         if self.request_memory_bytes < minimum:
             raise ValueError(
                 f"request_memory_bytes {self.request_memory_bytes} must be at least "
-                f"{MIN_LARGE_REQUESTS} times max_body_bytes, {minimum}"
+                f"{MIN_LARGE_REQUESTS} times max_body_bytes and max_answer_bytes, "
+                f"{minimum}"
             )
         return self
 
--- a/packages/runhatch-server/src/runhatch_server/targets/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/__init__.py
@@ -47,6 +47,7 @@
     parse_event_data,
     parse_event_id,
 )
+from runhatch_server.targets._stream_meter import StreamMeter
 
 __all__ = [
     "Answer",
@@ -69,6 +70,7 @@
     "ReportedLoad",
     "TargetClient",
     "TargetRequest",
+    "StreamMeter",
     "UnknownResult",
     "InvalidRateLimit",
     "InvalidWorkTime",
--- a/packages/runhatch-server/src/runhatch_server/targets/_answers.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_answers.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from runhatch_server.http import MAX_BODY_BYTES, StrictResponse
+from runhatch_server.http import AnswerMemory, StrictResponse
 from runhatch_server.targets._load import LOAD_HEADER, ReportedLoad, parse_load
 
 READ_SIZE = 65_536
@@ -26,7 +26,10 @@
         self,
         connection: http.client.HTTPConnection,
         response: StrictResponse,
+        answers: AnswerMemory | None = None,
     ) -> None:
+        """``answers`` bounds the answers that are read whole."""
+        self._answers = answers or AnswerMemory()
         self._connection = connection
         self._response = response
         self.status = response.status
@@ -53,10 +56,10 @@
     def read_answer(self) -> Answer:
         """Read the rest of the body.
 
-        Raises the errors of :meth:`read_chunk` if the body is incomplete or exceeds
-        ``MAX_BODY_BYTES``.
+        Raises the errors of :meth:`read_chunk` if the body is incomplete, and those of
+        :class:`AnswerMemory`.
         """
-        body = self._response.read_whole(MAX_BODY_BYTES)
+        body = self._answers.read_body(self._response)
         return Answer(self.status, self.headers, body)
 
     def set_timeout(self, seconds: float) -> None:
--- a/packages/runhatch-server/src/runhatch_server/targets/_client.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_client.py
@@ -8,7 +8,7 @@
 from urllib.parse import urlsplit
 
 from runhatch_coordination import Clock
-from runhatch_server.http import StrictResponse, read_head
+from runhatch_server.http import AnswerMemory, StrictResponse, read_head
 from runhatch_server.targets._answers import OpenAnswer
 from runhatch_server.targets._outcomes import (
     AttemptOutcome,
@@ -58,8 +58,10 @@
 class TargetClient:
     """Sends requests; never reuses a connection, so responses cannot be mixed up."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, answers: AnswerMemory | None = None) -> None:
+        """``answers`` bounds the answers that are read whole."""
         self._clock = clock
+        self._answers = answers or AnswerMemory(clock=clock)
 
     def send(
         self,
@@ -116,7 +118,9 @@
             return UnknownResult(AttemptReason.TIMED_OUT)
         except (OSError, http.client.HTTPException):
             return UnknownResult(AttemptReason.CONNECTION_BROKEN)
-        return self._classify_response(OpenAnswer(connection, response), request)
+        return self._classify_response(
+            OpenAnswer(connection, response, self._answers), request
+        )
 
     def _await_head(
         self,
--- a/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
@@ -92,6 +92,8 @@
     TIMED_OUT = "timed_out"
     CONNECTION_BROKEN = "broken"
     WRONG_ANSWER = "wrong_answer"
+    ANSWER_TOO_LONG = "answer_too_long"
+    MEMORY_FULL = "memory_full"
     SERVER_ERROR = "server_error"
     STALLED = "stalled"
     CALLER_GONE = "caller_gone"
--- a/packages/runhatch-server/src/runhatch_server/targets/_stream.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_stream.py
@@ -43,8 +43,10 @@
 
         Raises :class:`EventTooLongError` if the remaining event is too long.
         """
+        # No event ends within the bytes that an earlier call has searched.
+        search_from = max(0, len(self._buffer) - MAX_EVENT_END_BYTES + 1)
         received = self._buffer + chunk
-        ends = [match.end() for match in EVENT_END.finditer(received)]
+        ends = [match.end() for match in EVENT_END.finditer(received, search_from)]
         self._buffer = received[ends[-1] :] if ends else received
         for start, end in zip([0, *ends], ends, strict=False):
             yield received[start:end]
--- a/packages/runhatch-server/tests/test_endless_answers.py
+++ b/packages/runhatch-server/tests/test_endless_answers.py
@@ -15,7 +15,7 @@
 
 from runhatch_coordination import SystemClock, Unknown
 from runhatch_server.gateway._connections import TargetConnection
-from runhatch_server.http import MAX_BODY_BYTES, HttpClient
+from runhatch_server.http import MAX_BODY_BYTES, HttpClient, Reply
 from runhatch_server.targets import OpenAnswer, TargetClient, TargetRequest
 
 TIMEOUT_SECONDS = 0.6
@@ -123,6 +123,20 @@
     server.close()
 
 
+@pytest.mark.parametrize(("limit", "is_read"), [(len(PART), True), (8_000, False)])
+def test_a_client_reads_no_more_than_its_limit(limit, is_read):
+    """Targets that sent reports without end had the orderer keep 16 MB of each."""
+    answer = OK + b"Content-Length: %d\r\n\r\n" % len(PART)
+    server = EndlessServer(answer, PART, 0)
+    url = f"http://127.0.0.1:{server.port}"
+    client = HttpClient(url, seconds(TIMEOUT_SECONDS), max_body_bytes=limit)
+
+    reply = client.send_request("GET", "/")
+
+    assert isinstance(reply, Reply if is_read else Unknown)
+    server.close()
+
+
 def test_a_slow_stream_is_read_for_longer_than_the_timeout():
     server = EndlessServer(CHUNKED, b"3\r\nabc\r\n", 0.1)
     connection = TargetConnection(
--- a/packages/runhatch-server/tests/test_resumed_streams.py
+++ b/packages/runhatch-server/tests/test_resumed_streams.py
@@ -14,7 +14,7 @@
 from runhatch_server.gateway._forward import OpenedAnswer
 from runhatch_server.gateway._messages import AnswerHead
 from runhatch_server.gateway._relay import StreamRelay
-from runhatch_server.http import AbortedStreamError
+from runhatch_server.http import AbortedStreamError, AnswerLimits
 from runhatch_server.routing import RequestKind
 
 HEAD = AnswerHead(200, "", "id", True, False, False, None, timedelta(seconds=1), ())
@@ -62,7 +62,7 @@
         self.broken_begun.append(has_begun)
 
 
-def relay_parts(clock, first, *others):
+def relay_parts(clock, first, *others, limits=None):
     """Return what the caller got, whether it is complete, and the resumer."""
     request = make_request(
         clock, make_route(RequestKind.STREAM, resumable=True), "plain", ""
@@ -79,6 +79,7 @@
         clock,
         never_disconnected,
         do_nothing,
+        limits or AnswerLimits(),
     )
     received = b""
     try:
@@ -198,3 +199,55 @@
         _, _, resumer = relay_parts(clock, first, PartConnection(breaks=True))
 
         assert resumer.broken_begun == [True, False]
+
+
+class EndlessConnection(PartConnection):
+    """Fake of a connection that always has data; time passes as it is read."""
+
+    def __init__(self, clock, seconds_per_part, part):
+        super().__init__()
+        self._clock = clock
+        self._pause = timedelta(seconds=seconds_per_part)
+        self._part = part
+        self.read_bytes = 0
+
+    def read_chunk(self):
+        self._clock.advance(self._pause)
+        self.read_bytes += len(self._part)
+        return self._part
+
+
+class TestEndlessStream:
+    """A target that sends parts of a stream without end, to a caller that reads."""
+
+    TIMEOUT_SECONDS = 5
+
+    def test_stream_that_always_has_data_ends_at_its_deadline(self, clock):
+        """Its deadline was looked at only while it had none, so it never ended."""
+        connection = EndlessConnection(clock, 0.1, EVENTS[0])
+        started_at = clock.elapsed()
+
+        _, is_complete, resumer = relay_parts(clock, connection)
+
+        took = (clock.elapsed() - started_at).total_seconds()
+        assert not is_complete
+        assert self.TIMEOUT_SECONDS <= took < self.TIMEOUT_SECONDS + 0.5
+        assert not resumer.resumed_after
+
+    def test_stream_over_the_limit_is_ended(self, clock):
+        limits = AnswerLimits(max_bytes=1_000)
+        connection = EndlessConnection(clock, 0, EVENTS[0])
+
+        received, is_complete, _ = relay_parts(clock, connection, limits=limits)
+
+        assert not is_complete
+        assert len(received) <= 1_000
+        assert connection.read_bytes <= 1_000 + len(EVENTS[0])
+
+    def test_stream_is_read_no_faster_than_allowed(self, clock):
+        limits = AnswerLimits(max_stream_rate=1_000)
+        connection = EndlessConnection(clock, 0, EVENTS[0])
+
+        relay_parts(clock, connection, limits=limits)
+
+        assert connection.read_bytes <= 1_000 * (self.TIMEOUT_SECONDS + 2)
