Close connections after their answers at a stop, not within them

Cause: a request counted as ended when the application had returned its answer. The stop closed the connections without a request, whatever their buffers held, and ended the process.

Change: a connection whose answer is being sent closes when that is sent, and a stop goes on until all are, at most to the end of the grace; both kinds of node.

Why it works: what the kernel has taken is sent after the process has ended, so only the server's own buffers matter. A caller that reads nothing holds a stop no longer than a request that runs did.

--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -152,6 +152,8 @@
             while not self._progress.wait_until_idle(DRAIN_POLL_INTERVAL):
                 pass
             self._clock.sleep(DRAIN_POLL_INTERVAL)
+        while self._server.has_unsent_answers:
+            self._clock.sleep(DRAIN_POLL_INTERVAL)
 
     def _build_service(
         self,
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -357,7 +357,8 @@
             begun_count = self._progress.total_begun
             if self._progress.wait_until_idle(IDLE_BEFORE_STOP):
                 self._clock.sleep(IDLE_BEFORE_STOP)
-                if self._progress.total_begun == begun_count:
+                has_begun = self._progress.total_begun != begun_count
+                if not has_begun and not self._has_unsent_answers():
                     break
         if self._links is not None:
             self._links.close()
@@ -558,6 +559,12 @@
         self._metrics.request_memory.set(self._request_memory.held)
         self._metrics.request_memory_limit.set(self._request_memory.limit)
 
+    def _has_unsent_answers(self) -> bool:
+        servers = [*self._servers]
+        if self._forward_server is not None:
+            servers.append(self._forward_server)
+        return any(server.has_unsent_answers for server in servers)
+
     def _sleep_until(self, moment: timedelta) -> None:
         left = moment - self._clock.elapsed()
         if left > timedelta():
--- a/packages/runhatch-server/src/runhatch_server/http/_server.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_server.py
@@ -135,6 +135,12 @@
         """The port that the server listens on."""
         return int(self._server.effective_port)
 
+    @property
+    def has_unsent_answers(self) -> bool:
+        """Whether parts of answers wait for their callers to read them."""
+        channels = list(self._server.active_channels.values())
+        return any(channel.total_outbufs_len for channel in channels)
+
     def set_limits(self, limits: ServerLimits) -> None:
         """Apply ``limits`` to requests that arrive from now on."""
         settings = self._server.adj
@@ -204,7 +210,11 @@
 
     def _close_idle(self) -> None:
         for channel in list(self._server.active_channels.values()):
-            if not channel.requests and channel.request is None:
+            if channel.requests or channel.request is not None:
+                continue
+            if channel.total_outbufs_len:
+                channel.close_when_flushed = True
+            else:
                 channel.will_close = True
 
     def _close_listener(self) -> None:
