Refuse requests that may not end before a stopping node exits

Cause: a stopping node serves for 4.2 s, since the load balancer still sends and open connections are used. Only streams were refused towards the end; nothing compared how long a request lasts with the time that is left. Ruled out: a SIGKILL at the end of the grace (the process ends by itself at 7.5 s of 8), and a target's fault (it answers).

Change: a stopping node refuses, as not run and to be sent again at once, what may not end before its exit, by the longest of the newest requests of its route and a quarter more. It is asked before a request goes to a target, to a peer or once more, so for requests that peers forward too. 0.3 s before the exit, requests that still wait for their targets get 502, executed unknown, in place of a closed connection.

test_balancer.py: close() takes the time of the exit now; the test of held requests states one that is far off, so that it still finds out why they are refused.

Why it works: the three times are told apart; only the third, that what is left does not cover the request, is a reason to refuse. What is refused was not sent.

Just after a start, while no request has ended, they are refused until one has.

--- a/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/__init__.py
@@ -21,6 +21,7 @@
     TriedTargets,
     choose_candidates,
 )
+from runhatch_server.decisions._durations import RecentDurations
 from runhatch_server.decisions._fingerprint import compute_fingerprint
 from runhatch_server.decisions._load import (
     LATE_TIER,
@@ -163,6 +164,7 @@
     "PrefixIndex",
     "PromptPart",
     "RECORD_RETENTION",
+    "RecentDurations",
     "RecordOutcome",
     "Rejected",
     "request_tier",
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -17,6 +17,7 @@
     GatewayRequest,
     HeldRequest,
     LoadBook,
+    RecentDurations,
     Scorer,
     TriedTargets,
     request_tier,
@@ -89,6 +90,8 @@
         self._held_requests = HeldRequests(directory, clock, self._book, self._lock)
         self._invalid_work_times = InvalidValueLog("work_time_unreadable")
         self._closed_at: timedelta | None = None
+        self._exits_at = timedelta.max
+        self._durations = RecentDurations()
         self.selector = TargetSelector(
             directory,
             clock,
@@ -122,15 +125,21 @@
         self.selector.services = services
         self.selector.max_gaps = max_gaps or {}
 
-    def close(self) -> None:
-        """Refuse held requests, and hold no further ones.
+    def close(self, exits_at: timedelta) -> None:
+        """Refuse held requests, and those that won't end by ``exits_at``.
 
-        This node exits before their models are loaded; the caller can retry on
-        another node.
+        The caller can retry on another node.
         """
+        self._exits_at = exits_at
         self._closed_at = self._clock.elapsed()
         self._directory.notify_waiters()
 
+    def refuse_if_exiting(self, request: GatewayRequest) -> Refusal | None:
+        """Return a refusal if this node exits before ``request`` would end."""
+        if not self._exits_before_end_of(request):
+            return None
+        return Refusal(Reason.STOPPING, Executed.NO, retry_after=timedelta())
+
     def acquire(
         self,
         request: GatewayRequest,
@@ -142,8 +151,9 @@
         ``tried`` holds the targets of its previous attempts.  Blocks while the
         request is held for its model.
         """
-        if self._exits_before_end_of(request):
-            return Refusal(Reason.STOPPING, Executed.NO, retry_after=timedelta())
+        stopping = self.refuse_if_exiting(request)
+        if stopping is not None:
+            return stopping
         search = TargetSearch(request, tried, request_tier(request))
         try:
             result = self.selector.select(search)
@@ -227,10 +237,12 @@
 
     def release(self, grant: Grant, target_failed: bool) -> None:
         """Release ``grant``; ``target_failed`` if the target failed the request."""
+        now = self._clock.elapsed()
+        if not target_failed:
+            self._durations.record(grant.request.route.name, now - grant.granted_at)
         if grant.is_to_peer:
             return
         self._release_prompt_permit(grant)
-        now = self._clock.elapsed()
         with self._lock:
             load = self._book.load(grant.target.incarnation)
             load.own_requests.pop(grant.number, None)
@@ -341,11 +353,17 @@
         self._invalid_work_times.remove_ended(is_known)
 
     def _exits_before_end_of(self, request: GatewayRequest) -> bool:
-        """Return whether this node would exit before the stream ``request`` ends."""
+        """Return whether this node would exit before ``request`` ends."""
         closed_at = self._closed_at
-        if closed_at is None or request.route.kind is not RequestKind.STREAM:
+        if closed_at is None:
             return False
-        return self._clock.elapsed() - closed_at >= SHUTDOWN_STREAM_WINDOW
+        now = self._clock.elapsed()
+        is_stream = request.route.kind is RequestKind.STREAM
+        if is_stream and now - closed_at >= SHUTDOWN_STREAM_WINDOW:
+            return True
+        time_left = request.deadline - now
+        route = request.route.name
+        return not self._durations.fits(route, time_left, now, self._exits_at)
 
     def _release_prompt_permit(self, grant: Grant, has_begun: bool = False) -> None:
         permits = self.prompts.permits
--- a/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_forward.py
@@ -45,6 +45,8 @@
         self._pool = pool
         self._codec = codec
         self._clock = clock
+        self.waits_until = timedelta.max
+        """Time from which no answer is waited for, as this node is about to exit."""
 
     def send(
         self,
@@ -161,6 +163,8 @@
                 return None
             if caller_gone():
                 return AttemptReason.CALLER_GONE
+            if self._clock.elapsed() >= self.waits_until:
+                return AttemptReason.NODE_EXITS
 
     def _classify(
         self, connection: TargetConnection, request: GatewayRequest, head: AnswerHead
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -103,6 +103,8 @@
 orders to most targets at once."""
 KILL_MARGIN = timedelta(milliseconds=500)
 """Time before the kill at which a stopping node ends at the latest."""
+EXIT_ANSWER_TIME = timedelta(milliseconds=300)
+"""Time before that end in which requests that still run are answered as unknown."""
 
 
 class GatewayNode:
@@ -340,7 +342,9 @@
         self._stopping.set()
         self._app.draining = True
         self._forward_app.draining = True
-        self._balancer.close()
+        ends_at = started_at + self._settings.shutdown_grace - KILL_MARGIN
+        self._balancer.close(ends_at)
+        self._forwarder.waits_until = ends_at - EXIT_ANSWER_TIME
         self._membership.announce_draining()
         self._peers.check_members()
         resignation = self._orderer.stop()
@@ -348,7 +352,6 @@
             self._peers.publish_resignation(resignation)
             self._clock.sleep(RESIGNATION_LEAD)
         self._orderer.release()
-        ends_at = started_at + self._settings.shutdown_grace - KILL_MARGIN
         self._sleep_until(min(started_at + MIN_DRAIN_DURATION, ends_at))
         caller_server = self._servers[0]
         caller_server.stop_listening()
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -50,6 +50,8 @@
 """Shortest wait for such an answer, as a multiple of the predicted time."""
 UNRUN_RETRY_DELAY = timedelta(milliseconds=250)
 """Retry delay for a caller whose request no target could run."""
+OWN_REASONS = frozenset({AttemptReason.CALLER_GONE, AttemptReason.NODE_EXITS})
+"""Reasons to give up an attempt that are not its target's."""
 SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
 
@@ -147,9 +149,9 @@
         """Send the request until a target begins to answer, or return a refusal."""
         while True:
             # Checked before retries too: the last attempt may have crashed a target.
-            suspect_refusal = self._check_suspicion()
-            if suspect_refusal is not None:
-                return self._qualify(suspect_refusal)
+            refusal = self._check_before_sending()
+            if refusal is not None:
+                return self._qualify(refusal)
             if self._parts.balancer.paths.lacks_all(self._request):
                 forwarded = self._forward(resume_after)
                 if forwarded is NextStep.RETRY:
@@ -194,6 +196,13 @@
             if refusal is not None:
                 return refusal
 
+    def _check_before_sending(self) -> Refusal | None:
+        """Return a refusal if the node exits too soon, or targets may crash."""
+        return (
+            self._parts.balancer.refuse_if_exiting(self._request)
+            or self._check_suspicion()
+        )
+
     def _check_suspicion(self) -> Refusal | None:
         """Return a refusal if requests like this one have crashed targets."""
         request = self._request
@@ -297,7 +306,7 @@
                 self.record.record_attempt(grant, f"unknown_{reason.value}")
                 self._attempt_count += 1
                 self._may_have_run = True
-                balancer.release(grant, reason is not AttemptReason.CALLER_GONE)
+                balancer.release(grant, reason not in OWN_REASONS)
                 self.record_no_answer(grant, reason)
                 return self._decide_after_unknown(reason)
             case _:
@@ -319,6 +328,8 @@
     def _decide_after_unknown(self, reason: AttemptReason) -> Refusal | None:
         if reason is AttemptReason.CALLER_GONE:
             return Refusal(Reason.CALLER_GONE, Executed.UNKNOWN)
+        if reason is AttemptReason.NODE_EXITS:
+            return self._make_refusal(Reason.STOPPING)
         if self._may_retry(reason):
             return None
         if self._parts.clock.elapsed() >= self._request.deadline:
--- a/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
+++ b/packages/runhatch-server/src/runhatch_server/targets/_outcomes.py
@@ -97,6 +97,7 @@
     SERVER_ERROR = "server_error"
     STALLED = "stalled"
     CALLER_GONE = "caller_gone"
+    NODE_EXITS = "node_exits"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/runhatch-server/tests/test_balancer.py
+++ b/packages/runhatch-server/tests/test_balancer.py
@@ -301,7 +301,7 @@
     def test_stopping_node_holds_no_request(self, clock):
         harness = BalancerHarness(clock, make_target())
         self.announce_load(harness, "m1", 2)
-        harness.balancer.close()
+        harness.balancer.close(clock.elapsed() + seconds(60))
 
         refusal = harness.acquire(make_request(clock, PATIENT, model="m1"))
 
@@ -309,7 +309,7 @@
 
     def test_stopping_node_refuses_streams_that_would_be_cut_off(self, clock):
         harness = BalancerHarness(clock, make_target())
-        harness.balancer.close()
+        harness.balancer.close(clock.elapsed() + seconds(7.5))
         clock.advance(seconds(3))
 
         assert harness.acquire().reason is Reason.STOPPING
