Count and log streams that are slowed to their limit

A stream that reached max_stream_rate was slowed without a trace: each limit has a counter and a log line with its reason. runhatch_slowed_streams_total and the field slowed of the request line are new. Evidence: the two cases of test_slowed_streams_are_counted_and_logged ask for them. The limit itself is unchanged.

--- a/packages/runhatch-server/src/runhatch_server/gateway/_records.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_records.py
@@ -36,6 +36,7 @@
         self.software_version: str | None = None
         """Software version of the target that began the stream, if recorded."""
         self.pace = StreamPace()
+        self.was_slowed = False
         self.first_byte_latency: timedelta | None = None
 
     def record_attempt(self, grant: Grant, outcome: str) -> None:
@@ -61,9 +62,15 @@
         self.outcome = "answered"
         self.status = status
 
-    def record_stream(self, outcome: str, pace: StreamPace) -> None:
-        """Record the outcome of a stream and the times of its events."""
+    def record_stream(
+        self, outcome: str, pace: StreamPace, was_slowed: bool = False
+    ) -> None:
+        """Record the outcome of a stream and the times of its events.
+
+        ``was_slowed``: it was read no faster than its limit allows.
+        """
         self.outcome = outcome
+        self.was_slowed = was_slowed
         self.status = 200
         self.pace = pace
 
@@ -124,6 +131,8 @@
             label = reason.value if paid else f"{reason.value}_no_budget"
             self._metrics.retries.labels(label).inc()
         kind = request.route.kind.value
+        if record.was_slowed:
+            self._metrics.slowed_streams.labels(kind).inc()
         if record.pace.pieces > 1:
             pause = record.pace.longest_pause.total_seconds()
             self._metrics.longest_pause_seconds.labels(kind).observe(pause)
@@ -161,6 +170,7 @@
             first_byte_ms=_to_milliseconds(record.first_byte_latency),
             took_ms=round(took / timedelta(milliseconds=1)),
             pieces=record.pace.pieces,
+            slowed=record.was_slowed,
             framed=record.is_framed,
             began_ms=_compute_began_ms(record),
             goal_ms=_to_milliseconds(request.route.goal),
--- a/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_relay.py
@@ -114,6 +114,8 @@
         """Whether the caller has been or will be sent the head of the answer."""
         self.ended_framed = False
         """Whether the last part of the stream stated where its body ends."""
+        self.was_slowed = False
+        """Whether the stream was read no faster than its limit allows."""
         self.pace = StreamPace()
         self.outcome = "cut"
         """The outcome for the log; ``cut`` while the stream runs."""
@@ -190,6 +192,7 @@
         except AnswerTooLongError:
             self._abort(AttemptReason.ANSWER_TOO_LONG.value)
         if pause:
+            self.was_slowed = True
             self._clock.sleep(min(pause, CALLER_CHECK_INTERVAL))
 
     def _abort(self, outcome: str) -> NoReturn:
--- a/packages/runhatch-server/src/runhatch_server/gateway/_run.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_run.py
@@ -405,7 +405,7 @@
     def _record_stream(self, relay: StreamRelay) -> None:
         if relay.outcome == "answered":
             record_answer(self._parts.crashes, relay.grant, relay.ended_framed)
-        self.record.record_stream(relay.outcome, relay.pace)
+        self.record.record_stream(relay.outcome, relay.pace, relay.was_slowed)
         if not relay.has_begun:
             self.record.status = relay.build_refusal().reason.status
         self._parts.recorder.record(self.record)
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -36,6 +36,11 @@
             "Requests answered in full, but past the latency goal or pause limit",
             "kind",
         )
+        self.slowed_streams = self._counter(
+            "slowed_streams",
+            "Streams of targets that were read no faster than allowed",
+            "kind",
+        )
         self.refusals = self._counter("refusals", "Requests refused", "reason")
         self.closed_connections = self._counter(
             "closed_connections",
--- a/packages/runhatch-server/tests/test_resumed_streams.py
+++ b/packages/runhatch-server/tests/test_resumed_streams.py
@@ -13,8 +13,11 @@
 
 from runhatch_server.gateway._forward import OpenedAnswer
 from runhatch_server.gateway._messages import AnswerHead
+from runhatch_server.gateway._pace import StreamPace
+from runhatch_server.gateway._records import RequestRecord, RequestRecorder
 from runhatch_server.gateway._relay import StreamRelay
 from runhatch_server.http import AbortedStreamError, AnswerLimits
+from runhatch_server.observability import Metrics
 from runhatch_server.routing import RequestKind
 
 HEAD = AnswerHead(200, "", "id", True, False, False, None, timedelta(seconds=1), ())
@@ -251,3 +254,15 @@
         relay_parts(clock, connection, limits=limits)
 
         assert connection.read_bytes <= 1_000 * (self.TIMEOUT_SECONDS + 2)
+
+    @pytest.mark.parametrize("was_slowed", [False, True])
+    def test_slowed_streams_are_counted_and_logged(self, clock, lines, was_slowed):
+        metrics = Metrics()
+        record = RequestRecord(make_request(clock, make_route(RequestKind.STREAM)))
+        record.record_stream("answered", StreamPace(), was_slowed)
+
+        RequestRecorder(metrics, clock).record(record)
+
+        counter = 'slowed_streams_total{kind="stream"} 1.0'
+        assert (counter in metrics.render_exposition().decode()) is was_slowed
+        assert lines[-1]["slowed"] is was_slowed
