--- a/packages/runhatch-server/tests/test_answer_memory.py
+++ b/packages/runhatch-server/tests/test_answer_memory.py
@@ -27,7 +27,7 @@
 )
 from runhatch_server.http._memory import Holding
 from runhatch_server.observability import Metrics
-from runhatch_server.targets import EventSplitter, StreamMeter
+from runhatch_server.targets import EventSplitter, StreamMeter, _stream
 
 MIB = 1024 * 1024
 LIMITS = AnswerLimits(max_bytes=MIB, max_stream_rate=1_000)
@@ -217,13 +217,28 @@
 
         assert [event for part in parts for event in splitter.feed(part)] == events
 
-    def test_event_without_end_is_searched_once(self):
+    def test_event_without_end_is_searched_once(self, monkeypatch):
         """Searching all of it for each part kept other requests waiting."""
+        pattern = CountingPattern(_stream.EVENT_END)
+        monkeypatch.setattr(_stream, "EVENT_END", pattern)
         splitter = EventSplitter()
-        started_at = time.process_time()
-        for _ in range(MIB // 100):
-            assert list(splitter.feed(b"x" * 100)) == []
-        assert time.process_time() - started_at < 10
+
+        for _ in range(100):
+            assert list(splitter.feed(b"x" * 1_000)) == []
+
+        assert pattern.searched_bytes <= 100 * (1_000 + _stream.MAX_EVENT_END_BYTES)
+
+
+class CountingPattern:
+    """Counts the bytes that a pattern searches."""
+
+    def __init__(self, pattern):
+        self._pattern = pattern
+        self.searched_bytes = 0
+
+    def finditer(self, received, start=0):
+        self.searched_bytes += len(received) - start
+        return self._pattern.finditer(received, start)
 
 
 class TestUnreadStreams:
