Keep the events of streams within the account of open requests

What callers saw: nothing yet. Found while looking for the cause of answers without end on nodes with our own interface: a target that sends small events without end can bring such a node to the end of its memory, and the requests of all its callers end with it.

Cause: the relay kept each event as an object of its own until the stream's end, to record the answer or to continue it. A stream may have 16 MB, and no account knew of their sum. Such streams also ended as "broken" in the log where they had met a limit, and slowed ones were not counted.

Evidence: one stream of 16 MB in events of 8 bytes through the relay, in a process of 47 MB: 156 MB at the peak. Three of them fill a node of 300 MB.

Change: KeptEvents keeps them in one buffer, which counts in the account beyond 64 KB. A stream whose events find no room goes on without them; it can't be continued on another target then. If it must be recorded, as it may run only once, it ends with an error event. The attempt states answer_too_long or memory_full as its outcome, the log has a line for each limit that was met, and unkept_streams and slowed_streams count them.

Why it works: what is kept takes little more than its bytes, and the account bounds the sum over all streams, bodies and answers. Ordinary streams stay below 64 KB and never touch the account's lock.

--- a/packages/runhatch-server/src/runhatch_server/_caller_side.py
+++ b/packages/runhatch-server/src/runhatch_server/_caller_side.py
@@ -188,6 +188,7 @@
             timedelta(seconds=serving.stall_seconds),
             self._settings.logs.level is LogLevel.REQUEST,
             limits,
+            request_memory,
         )
 
     def _build_once_guard(self) -> OnceGuard:
--- a/packages/runhatch-server/src/runhatch_server/http/__init__.py
+++ b/packages/runhatch-server/src/runhatch_server/http/__init__.py
@@ -6,6 +6,7 @@
     AnswerMemoryFullError,
     AnswerTooLongError,
 )
+from runhatch_server.http._body import OVERALLOCATION
 from runhatch_server.http._client import (
     INVALID_HOST_ERRORS,
     MAX_BODY_BYTES,
@@ -14,7 +15,7 @@
     Reply,
     enable_keepalive,
 )
-from runhatch_server.http._memory import RequestMemory
+from runhatch_server.http._memory import Holding, RequestMemory
 from runhatch_server.http._refusals import (
     BuildRefusal,
     RefusalAnswer,
@@ -53,10 +54,12 @@
     "DEFAULT_MAX_UNSENT_BYTES",
     "Environ",
     "EventStream",
+    "Holding",
     "HttpClient",
     "HttpServer",
     "INVALID_HOST_ERRORS",
     "MAX_BODY_BYTES",
+    "OVERALLOCATION",
     "RefusalAnswer",
     "Reply",
     "RequestMemory",
--- a/packages/runhatch-server/src/runhatch_server/observability/_logs.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_logs.py
@@ -165,6 +165,12 @@
             message_type="attempt", target=target, outcome=outcome, **self._level
         )
 
+    def log_limit(self, limit: str) -> None:
+        """Log that the answer has met ``limit`` of the node."""
+        if self._action is None:
+            return
+        self._action.log(message_type="limit", limit=limit, **self._level)
+
     def finish(self, outcome: str, status: int) -> None:
         """Log the outcome and HTTP status of the request."""
         if self._action is None:
--- a/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
+++ b/packages/runhatch-server/src/runhatch_server/observability/_metrics.py
@@ -44,8 +44,8 @@
         self.refusals = self._counter("refusals", "Requests refused", "reason")
         self.closed_connections = self._counter(
             "closed_connections",
-            "Connections of callers closed because a head did not arrive, or to accept "
-            "another one",
+            "Connections of callers closed because a head did not arrive, an answer "
+            "was not read, or to accept another one",
             "reason",
         )
         self.request_memory = self._gauge(
@@ -74,6 +74,10 @@
             "direction",
         )
         self.streams = self._counter("streams", "Streams by how they ended", "end")
+        self.unkept_streams = self._counter(
+            "unkept_streams",
+            "Streams that can't be continued elsewhere, as their events found no room",
+        )
         self.claims = self._counter("claims", "Claims by outcome", "outcome")
         self.orders = self._counter(
             "orders", "Orders sent to engines", "kind", "outcome"
--- a/packages/runhatch-server/src/runhatch_server/serving/_relay.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_relay.py
@@ -4,6 +4,7 @@
 from collections.abc import Generator, Iterator
 from datetime import timedelta
 from enum import Enum
+from typing import NoReturn
 
 import msgspec
 
@@ -18,6 +19,7 @@
 from runhatch_server.serving._attempts import Attempter, OpenedAnswer, RequestContext
 from runhatch_server.serving._canceller import Canceller
 from runhatch_server.serving._continuation import build_continuation
+from runhatch_server.serving._kept_events import KeptEvents
 from runhatch_server.serving._target_requests import attempt_id, build_resume_request
 from runhatch_server.targets import (
     AttemptReason,
@@ -61,8 +63,16 @@
         clock: Clock,
         stall_timeout: timedelta,
         limits: AnswerLimits,
+        events: KeptEvents,
+        must_keep_events: bool = False,
     ) -> None:
+        """``must_keep_events``: the answer can't be completed unless it is recorded.
+
+        Otherwise a stream whose ``events`` find no room goes on without them.
+        """
         self._meter = StreamMeter(limits)
+        self._events = events
+        self._must_keep_events = must_keep_events
         self._context = context
         self._opened = opened
         self._attempter = attempter
@@ -76,10 +86,12 @@
         self._last_event_id: bytes | None = None
         self._resumes = 0
         self._holds_slot = True
+        self._broken_limit: AttemptReason | None = None
+        self._was_slowed = False
         self.is_complete = False
-        """Whether the terminal event has arrived as the last of ``events``."""
-        self.events: list[bytes] = []
-        """Events relayed so far, to record the answer or to continue the stream."""
+        """Whether the terminal event has arrived, as ``last_event``."""
+        self.last_event = b""
+        """The event that was relayed last."""
 
     @property
     def answer(self) -> OpenAnswer:
@@ -105,6 +117,9 @@
         try:
             while True:
                 for event in self._pop_ready_events():
+                    if not self._keep(event):
+                        self._broken_limit = AttemptReason.MEMORY_FULL
+                        yield from self._abort()
                     if is_terminal_event(event):
                         self._complete()
                         return
@@ -113,8 +128,7 @@
                     return
                 failure = self._read_events()
                 if failure is not None and not self._recover_stream(failure):
-                    yield build_error_event(self._context.request.request_id)
-                    raise AbortedStreamError(self._context.request.request_id)
+                    yield from self._abort()
         finally:
             self._release_slot()
 
@@ -122,10 +136,25 @@
         while self._ready_events:
             event = self._ready_events.pop(0)
             self._last_event_id = parse_event_id(event) or self._last_event_id
-            self.events.append(event)
+            self.last_event = event
             self._attempter.record_begun(self._context)
             yield event
 
+    def _keep(self, event: bytes) -> bool:
+        """Keep ``event``; return whether the stream may go on."""
+        was_whole = self._events.is_whole
+        if self._events.append(event) or self._must_keep_events:
+            return self._events.is_whole
+        if was_whole:
+            self._metrics.unkept_streams.inc()
+            self._context.log.log_limit("request_memory_bytes")
+        return True
+
+    def _abort(self) -> Generator[bytes, None, NoReturn]:
+        """Yield an event that tells the caller so, and abort the stream."""
+        yield build_error_event(self._context.request.request_id)
+        raise AbortedStreamError(self._context.request.request_id)
+
     def _read_events(self) -> AttemptReason | None:
         """Read until a whole event is available; return why that failed, if it did."""
         while not self._ready_events:
@@ -145,18 +174,32 @@
             except (OSError, ValueError, http.client.HTTPException):
                 return AttemptReason.CONNECTION_BROKEN
             if pause:
+                self._record_slowed()
                 self._clock.sleep(min(pause, remaining))
             if not chunk:
                 return AttemptReason.CONNECTION_BROKEN
         return None
 
+    def _record_slowed(self) -> None:
+        """Count the stream as slowed, once."""
+        if not self._was_slowed:
+            self._was_slowed = True
+            kind = self._context.request.route.kind.value
+            self._metrics.slowed_streams.labels(kind).inc()
+            self._context.log.log_limit("max_stream_rate")
+
     def _recover_stream(self, failure: AttemptReason) -> bool:
-        if failure in (AttemptReason.TIMED_OUT, AttemptReason.ANSWER_TOO_LONG):
+        if failure is AttemptReason.ANSWER_TOO_LONG:
+            self._broken_limit = failure
+            return False
+        if failure is AttemptReason.TIMED_OUT:
             return False
         if self._resume_stream():
             return True
+        if not self._events.is_whole:
+            return False
         continuation_document = build_continuation(
-            self._context.request.document, self.events
+            self._context.request.document, self._events
         )
         if continuation_document is None or not self._context.request.idempotent:
             return False
@@ -223,11 +266,12 @@
             self._cancel_attempt()
         stream_end = StreamEnd.CALLER_GONE if caller_left else StreamEnd.FAILED
         self._metrics.streams.labels(stream_end.value).inc()
-        reason = (
-            AttemptReason.CALLER_GONE
-            if caller_left
-            else AttemptReason.CONNECTION_BROKEN
-        )
+        if self._broken_limit is not None:
+            reason = self._broken_limit
+        elif caller_left:
+            reason = AttemptReason.CALLER_GONE
+        else:
+            reason = AttemptReason.CONNECTION_BROKEN
         self._attempter.record_abandoned(
             self._context, self._opened.grant, UnknownResult(reason)
         )
--- a/packages/runhatch-server/src/runhatch_server/serving/_service.py
+++ b/packages/runhatch-server/src/runhatch_server/serving/_service.py
@@ -11,6 +11,7 @@
     AnswerLimits,
     AnswerMemoryFullError,
     AnswerTooLongError,
+    RequestMemory,
 )
 from runhatch_server.observability import (
     Metrics,
@@ -32,6 +33,7 @@
 )
 from runhatch_server.serving._canceller import Canceller
 from runhatch_server.serving._demand import DemandCounter
+from runhatch_server.serving._kept_events import KeptEvents
 from runhatch_server.serving._once_guard import OnceGuard
 from runhatch_server.serving._relay import StreamRelay
 from runhatch_server.serving._request import CallerRequest
@@ -58,8 +60,10 @@
         stall_timeout: timedelta,
         log_requests: bool,
         answer_limits: AnswerLimits,
+        request_memory: RequestMemory,
     ) -> None:
         self._answer_limits = answer_limits
+        self._request_memory = request_memory
         self._log_requests = log_requests
         self._attempter = attempter
         self._client = client
@@ -150,6 +154,7 @@
     def _start_stream(
         self, context: RequestContext, claim: Taken | None, opened: OpenedAnswer
     ) -> CallerAnswer:
+        events = KeptEvents(self._request_memory)
         relay = StreamRelay(
             context,
             opened,
@@ -160,6 +165,8 @@
             self._clock,
             self._stall_timeout,
             self._answer_limits,
+            events,
+            must_keep_events=claim is not None,
         )
         refusal = relay.wait_for_first_event()
         if refusal is not None:
@@ -168,13 +175,17 @@
             *select_forwarded_headers(relay.answer),
             (REQUEST_ID_HEADER, context.request.request_id),
         )
-        events: Iterator[bytes] = self._relay_all(context, claim, relay)
+        stream: Iterator[bytes] = self._relay_all(context, claim, relay, events)
         if claim is not None:
-            events = self._detach_if_closed(events)
-        return StreamedAnswer(relay.answer.status, headers, events)
+            stream = self._detach_if_closed(stream)
+        return StreamedAnswer(relay.answer.status, headers, stream)
 
     def _relay_all(
-        self, context: RequestContext, claim: Taken | None, relay: StreamRelay
+        self,
+        context: RequestContext,
+        claim: Taken | None,
+        relay: StreamRelay,
+        events: KeptEvents,
     ) -> Generator[bytes, None, None]:
         outcome = "cut"
         status = relay.answer.status
@@ -188,16 +199,17 @@
                 recorded = StoredAnswer(
                     status,
                     select_forwarded_headers(relay.answer),
-                    b"".join(relay.events),
+                    events.content,
                 )
                 self._once.finish_claim(claim, recorded)
             outcome = "answered"
-            yield relay.events[-1]
+            yield relay.last_event
         except GeneratorExit:
             outcome = "caller gone"
             raise
         finally:
             stream.close()
+            events.close()
             if relay.is_complete:
                 self._record_answered(context, status)
             else:
