Let the balancer and the forwarder of a stopping node share one time

Callers see no difference. Both subtracted the same 0.3 s from the exit, each by a constant of its own; now the node passes on when requests must have ended. test_stopping_node.py and test_balancer.py pass unchanged.

--- a/packages/runhatch-server/src/runhatch_server/decisions/_durations.py
+++ b/packages/runhatch-server/src/runhatch_server/decisions/_durations.py
@@ -1,4 +1,4 @@
-"""How long requests last, and whether one ends before its node exits."""
+"""How long requests last, and whether one ends in time."""
 
 from collections import defaultdict, deque
 from datetime import timedelta
@@ -8,8 +8,6 @@
 longest of them."""
 DURATION_MARGIN = 1.25
 """Factor by which a request may last longer than the recent ones of its route."""
-ANSWER_TIME = timedelta(milliseconds=300)
-"""Time before the exit in which an answer is still passed on."""
 
 
 class RecentDurations:
@@ -39,8 +37,8 @@
         return min(time_left, max(recent.copy()) * DURATION_MARGIN)
 
     def fits(
-        self, route: str, time_left: timedelta, now: timedelta, exits_at: timedelta
+        self, route: str, time_left: timedelta, now: timedelta, ends_by: timedelta
     ) -> bool:
-        """Return whether a request that is sent at ``now`` ends before ``exits_at``."""
+        """Return whether a request that is sent at ``now`` ends by ``ends_by``."""
         longest = self.estimate_longest(route, time_left)
-        return now + longest <= exits_at - ANSWER_TIME
+        return now + longest <= ends_by
--- a/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_balancer.py
@@ -90,7 +90,7 @@
         self._held_requests = HeldRequests(directory, clock, self._book, self._lock)
         self._invalid_work_times = InvalidValueLog("work_time_unreadable")
         self._closed_at: timedelta | None = None
-        self._exits_at = timedelta.max
+        self._ends_by = timedelta.max
         self._durations = RecentDurations()
         self.selector = TargetSelector(
             directory,
@@ -125,12 +125,12 @@
         self.selector.services = services
         self.selector.max_gaps = max_gaps or {}
 
-    def close(self, exits_at: timedelta) -> None:
-        """Refuse held requests, and those that won't end by ``exits_at``.
+    def close(self, ends_by: timedelta) -> None:
+        """Refuse held requests, and those that won't end by ``ends_by``.
 
         The caller can retry on another node.
         """
-        self._exits_at = exits_at
+        self._ends_by = ends_by
         self._closed_at = self._clock.elapsed()
         self._directory.notify_waiters()
 
@@ -363,7 +363,7 @@
             return True
         time_left = request.deadline - now
         route = request.route.name
-        return not self._durations.fits(route, time_left, now, self._exits_at)
+        return not self._durations.fits(route, time_left, now, self._ends_by)
 
     def _release_prompt_permit(self, grant: Grant, has_begun: bool = False) -> None:
         permits = self.prompts.permits
--- a/packages/runhatch-server/src/runhatch_server/gateway/_node.py
+++ b/packages/runhatch-server/src/runhatch_server/gateway/_node.py
@@ -343,8 +343,9 @@
         self._app.draining = True
         self._forward_app.draining = True
         ends_at = started_at + self._settings.shutdown_grace - KILL_MARGIN
-        self._balancer.close(ends_at)
-        self._forwarder.waits_until = ends_at - EXIT_ANSWER_TIME
+        waits_until = ends_at - EXIT_ANSWER_TIME
+        self._balancer.close(waits_until)
+        self._forwarder.waits_until = waits_until
         self._membership.announce_draining()
         self._peers.check_members()
         resignation = self._orderer.stop()
