Read streams of gateways at 256 KB a second at most

What callers saw: beside streams without end, ordinary requests of the same gateway waited for seconds: 5.9 s on a machine with a load of 30, 0.6 s on one with 13. The streams themselves ended up to 6 s after their deadline.

Cause: they were slowed to 1 MB a second each, after a first megabyte at full speed. At 40 of them that is all the time of the one processor that a gateway can use, so that every other thread waits for its turn.

Change: the default of AnswerLimits is 256 KB a second, and as much at full speed. The longest stream of the deployments has 100 KB in all, so none is slowed.

Why it works: what one stream can take of the processor is bounded by its bytes, and a quarter of them is a quarter of the time.

The new case of test_answer_memory.py fails on the code before.

--- a/packages/runhatch-server/src/runhatch_server/http/_answers.py
+++ b/packages/runhatch-server/src/runhatch_server/http/_answers.py
@@ -17,7 +17,7 @@
 from runhatch_server.http._response import READ_BYTES, StrictResponse
 
 DEFAULT_MAX_ANSWER_BYTES = 16 * 1024 * 1024
-DEFAULT_MAX_STREAM_RATE = 1024 * 1024
+DEFAULT_MAX_STREAM_RATE = 256 * 1024
 MAX_FIRST_CHUNKS = 256
 """Chunks that are read of an answer before there is room for the rest of it."""
 ROOM_CHECK_INTERVAL = timedelta(milliseconds=20)
--- a/packages/runhatch-server/tests/test_answer_memory.py
+++ b/packages/runhatch-server/tests/test_answer_memory.py
@@ -195,6 +195,15 @@
 
         assert pauses[-1] == seconds(pause)
 
+    @pytest.mark.parametrize(
+        ("size", "is_slowed"), [(200_000, False), (MIB, True)], ids=["long", "endless"]
+    )
+    def test_default_rate_slows_only_streams_that_would_not_end(self, size, is_slowed):
+        """At a higher rate, some streams without end took all processor time."""
+        pause = StreamMeter(AnswerLimits()).record(size, seconds(5))
+
+        assert (pause >= seconds(2)) is is_slowed
+
     def test_stream_within_its_rate_does_not_wait(self):
         meter = StreamMeter(LIMITS)
 
