Pass the era of a table's rows in the benches of overload and slopes

`make bench-overload` ended at its first row with a TypeError: rows carry the era of their table since, and the benches, which no test runs, built them without it. Both name it now; their tables are never restored.

--- a/benchmarks/bench_slopes.py
+++ b/benchmarks/bench_slopes.py
@@ -153,7 +153,7 @@
 def measure_plan(size: tuple[int, int]) -> dict[str, float]:
     """Return the processor time of planning a pool of ``size`` once."""
     state = make_pool_state(*size)
-    rows = [VersionedRow(row, 1) for row in state.rows.values()]
+    rows = [VersionedRow(row, 1, era=0) for row in state.rows.values()]
     return {
         "plan_ms": time_call(lambda: plan(state)) * 1000,
         "hostings_ms": time_call(lambda: [hosting_from_row(row) for row in rows])
--- a/benchmarks/replay/_run.py
+++ b/benchmarks/replay/_run.py
@@ -27,6 +27,8 @@
 from runhatch_server.targets import ReportedLoad
 
 ENTRY_NODES = 3
+ERA = 0
+"""Era of the table, which is never restored here."""
 STEP_SECONDS = 1.0
 PREFILL_DURATION = timedelta(milliseconds=100)
 ROUNDING_SECONDS = 1e-5
@@ -279,9 +281,8 @@
                 self._state_changed_at[row.target, charge.unit] = self._clock.elapsed()
         self._rows[row.target] = row
         self._versions[row.target] += 1
-        self._picture.apply_hosting(
-            hosting_from_row(VersionedRow(row, self._versions[row.target]))
-        )
+        stored = VersionedRow(row, self._versions[row.target], ERA)
+        self._picture.apply_hosting(hosting_from_row(stored))
         for node in self._nodes:
             node.grant_free_slots()
 
